Lay out the workspace and the shared types

The layers state, coordination, protocol and transport are crates, so that the compiler keeps a layer from knowing one outside it.

--- /dev/null
+++ b/crates/protocol/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/sched/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/state/src/lib.rs
@@ -0,0 +1,13 @@
+//! Pure scheduling state: capacity, queues, placement and policy.
+//!
+//! Nothing here does I/O or reads a clock: an event and the time go in, typed decisions come out.
+//! This is the innermost layer; it knows no other crate of the workspace.
+
+pub mod alias;
+pub mod clock;
+pub mod id;
+pub mod job;
+pub mod name;
+pub mod refusal;
+pub mod resource;
+pub mod unit;
