--- a/crates/state/src/unit/size.rs
+++ b/crates/state/src/unit/size.rs
@@ -52,7 +52,9 @@
         if self.0 == 0 {
             return f.write_str("0B");
         }
-        let exact = UNITS.iter().find(|(_, factor)| self.0 % factor == 0);
+        let exact = UNITS
+            .iter()
+            .find(|(_, factor)| self.0.is_multiple_of(*factor));
         let (unit, factor) = exact.copied().unwrap_or(("B", 1));
         write!(f, "{}{unit}", self.0 / factor)
     }
--- a/crates/state/src/unit/span.rs
+++ b/crates/state/src/unit/span.rs
@@ -77,7 +77,9 @@
         if self.0 == 0 {
             return f.write_str("0s");
         }
-        let exact = UNITS.iter().find(|(_, factor)| self.0 % factor == 0);
+        let exact = UNITS
+            .iter()
+            .find(|(_, factor)| self.0.is_multiple_of(*factor));
         let (unit, factor) = exact.copied().unwrap_or(("us", 1));
         write!(f, "{}{unit}", self.0 / factor)
     }
