--- /dev/null
+++ b/crates/coordination/src/claim/mod.rs
@@ -0,0 +1,1 @@
+//! Claims of shards, folded from the log.
--- /dev/null
+++ b/crates/coordination/src/config/mod.rs
@@ -0,0 +1,1 @@
+//! The agreed configuration: versions, conflicts, checks and progress.
--- /dev/null
+++ b/crates/coordination/src/drain/mod.rs
@@ -0,0 +1,1 @@
+//! Leaving without cutting anything off.
--- /dev/null
+++ b/crates/coordination/src/member/mod.rs
@@ -0,0 +1,1 @@
+//! One node's part in ownership: renewal, takeover, handover, suspension.
--- /dev/null
+++ b/crates/coordination/src/peer/mod.rs
@@ -0,0 +1,1 @@
+//! What scheds ask each other.
--- /dev/null
+++ b/crates/coordination/src/recovery/mod.rs
@@ -0,0 +1,1 @@
+//! From snapshot, tail and inventories to a shard that places again.
--- /dev/null
+++ b/crates/coordination/src/request/mod.rs
@@ -0,0 +1,1 @@
+//! At most once: the ledger of idempotency keys.
--- /dev/null
+++ b/crates/coordination/src/retry/mod.rs
@@ -0,0 +1,1 @@
+//! Retry budgets and backoff.
--- /dev/null
+++ b/crates/coordination/src/topology/mod.rs
@@ -0,0 +1,1 @@
+//! Shards of workers, worked out from the VM list.
--- /dev/null
+++ b/crates/state/src/admission/mod.rs
@@ -0,0 +1,1 @@
+//! Refusal at submission: what can never run, or can't start in time.
--- /dev/null
+++ b/crates/state/src/engine/mod.rs
@@ -0,0 +1,1 @@
+//! One shard's scheduler: events in, decisions out.
--- /dev/null
+++ b/crates/state/src/learn/mod.rs
@@ -0,0 +1,1 @@
+//! Run times and sizes learned from lagging usage reports.
--- /dev/null
+++ b/crates/state/src/placement/mod.rs
@@ -0,0 +1,1 @@
+//! Which worker takes a task: the capacity index.
--- /dev/null
+++ b/crates/state/src/policy/mod.rs
@@ -0,0 +1,1 @@
+//! The operators' weights and switches.
--- /dev/null
+++ b/crates/state/src/queue/mod.rs
@@ -0,0 +1,1 @@
+//! Waiting work: classes, teams and fair shares.
--- /dev/null
+++ b/crates/state/src/quota/mod.rs
@@ -0,0 +1,1 @@
+//! What each team may use at once.
--- /dev/null
+++ b/crates/state/src/reputation/mod.rs
@@ -0,0 +1,1 @@
+//! Workers that fail everything, told from tasks that fail everywhere.
--- /dev/null
+++ b/crates/state/src/worker/mod.rs
@@ -0,0 +1,1 @@
+//! Workers as placement sees them.
