--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! The gate: faces callers and operators, and places ordinary requests in memory.
+
+pub mod wait;
