--- a/crates/coordination/src/platform/vm.rs
+++ b/crates/coordination/src/platform/vm.rs
@@ -65,3 +65,20 @@
     /// The VMs listed.
     pub entries: Vec<Entry>,
 }
+
+/// The ways in which asking for the list can fail.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// No whole list came.
+    #[error("the VM list is unavailable: {reason}")]
+    Unavailable {
+        /// What the transport said.
+        reason: String,
+    },
+    /// The list could not be understood.
+    #[error("the VM list is malformed: {reason}")]
+    Malformed {
+        /// What was wrong with it.
+        reason: String,
+    },
+}
