Index free capacity by search trees

A scan of all workers costs O(n) for each task. Open workers now stand in three treaps (by free processor time, by free memory, by place), each node with the largest free amounts below it, so that a search skips what can't fit and compares a bounded count of candidates.

Multiplying no accelerators by more than 65,535 no longer overflows.

--- a/crates/state/src/placement/index.rs
+++ b/crates/state/src/placement/index.rs
@@ -11,31 +11,71 @@
 use super::{
     Error,
     Rule,
-    Total, //
+    Total,
+    Visits,
+    entry::Entry,
+    orders::Orders,
+    search::Search,
+    shapes::Shapes,
+    tree::Slot, //
 };
 
 /// What each worker offers and has left.
-#[derive(Clone, Debug, Default)]
+///
+/// Open workers stand in three search trees: by free processor time, by free memory, and by data
+/// centre and rack. A search descends them and compares a bounded count of candidates, so its cost
+/// grows with the logarithm of the count of workers. With n workers, each change costs O(log n).
+///
+/// # Examples
+///
+/// ```
+/// use fulmarpier_state::id::WorkerId;
+/// use fulmarpier_state::placement::{Index, Rule};
+/// use fulmarpier_state::resource::Resources;
+/// use fulmarpier_state::unit::{Bytes, Millicores};
+/// use fulmarpier_state::worker;
+///
+/// let capacity = Resources::new(Millicores::from_cores(16), Bytes::from_gib(32), 0);
+/// let size = Resources::new(Millicores::from_cores(4), Bytes::from_gib(8), 0);
+/// let mut index = Index::new();
+/// index.insert(worker::Spec::new(WorkerId(1), capacity))?;
+/// let worker = index.find(&size, &Rule::new()).expect("an empty worker has room");
+/// index.reserve(worker, size)?;
+/// assert_eq!(index.count_fitting(&size, 10), 3);
+/// # Ok::<(), fulmarpier_state::placement::Error>(())
+/// ```
+#[derive(Clone, Debug)]
 pub struct Index {
-    workers: BTreeMap<WorkerId, Entry>,
+    pub(super) slots: Vec<Entry>,
+    pub(super) orders: Orders,
+    workers: BTreeMap<WorkerId, Slot>,
+    vacant: Vec<Slot>,
+    shapes: Shapes,
     capacity: Total,
     free: Total,
 }
 
-#[derive(Clone, Debug)]
-struct Entry {
-    spec: worker::Spec,
-    free: Resources,
-    open: bool,
+impl Default for Index {
+    fn default() -> Self {
+        Self::new()
+    }
 }
 
 impl Index {
     /// Makes an index without workers.
     pub fn new() -> Self {
-        Self::default()
+        Self {
+            slots: Vec::new(),
+            orders: Orders::new(),
+            workers: BTreeMap::new(),
+            vacant: Vec::new(),
+            shapes: Shapes::default(),
+            capacity: Total::default(),
+            free: Total::default(),
+        }
     }
 
-    /// Adds an empty, open worker.
+    /// Adds an empty, open worker; O(log n).
     ///
     /// # Errors
     ///
@@ -45,150 +85,130 @@
         if self.workers.contains_key(&worker) {
             return Err(Error::Duplicate { worker });
         }
+        let slot = self.occupy(Entry::new(spec));
+        self.workers.insert(worker, slot);
+        self.orders.insert(slot, &spec, spec.capacity);
+        self.shapes.add(spec.capacity);
         self.capacity.add(&spec.capacity);
         self.free.add(&spec.capacity);
-        let free = spec.capacity;
-        let open = true;
-        self.workers.insert(worker, Entry { spec, free, open });
         Ok(())
     }
 
-    /// Removes a worker with all that is reserved on it.
+    /// Removes a worker with all that is reserved on it; O(log n).
     ///
     /// # Errors
     ///
     /// [`Error::Unknown`] where the worker is not in the index.
     pub fn remove(&mut self, worker: WorkerId) -> Result<worker::Spec, Error> {
-        let entry = self
-            .workers
-            .remove(&worker)
-            .ok_or(Error::Unknown { worker })?;
+        let slot = self.slot(worker)?;
+        let entry = self.slots[slot as usize];
+        if entry.open {
+            self.orders.remove(&entry.spec, entry.free);
+        }
+        self.workers.remove(&worker);
+        self.vacant.push(slot);
+        self.shapes.remove(entry.spec.capacity);
         self.capacity.sub(&entry.spec.capacity);
         self.free.sub(&entry.free);
         Ok(entry.spec)
     }
 
-    /// Opens or closes a worker for new tasks; what is reserved stays.
+    /// Opens or closes a worker for new tasks; what is reserved stays; O(log n).
     ///
     /// # Errors
     ///
     /// [`Error::Unknown`] where the worker is not in the index.
     pub fn set_open(&mut self, worker: WorkerId, open: bool) -> Result<(), Error> {
-        self.entry_mut(worker)?.open = open;
+        let slot = self.slot(worker)?;
+        let entry = self.slots[slot as usize];
+        match (entry.open, open) {
+            (false, true) => self.orders.insert(slot, &entry.spec, entry.free),
+            (true, false) => self.orders.remove(&entry.spec, entry.free),
+            _ => {}
+        }
+        self.slots[slot as usize].open = open;
         Ok(())
     }
 
-    /// Reserves `size` on a worker, open or not.
+    /// Reserves `size` on a worker, open or not; O(log n).
     ///
     /// # Errors
     ///
-    /// [`Error::Unknown`] and [`Error::Overfull`].
+    /// [`Error::Unknown`] where the worker is not in the index, and [`Error::Overfull`] where any
+    /// resource would run over.
     pub fn reserve(&mut self, worker: WorkerId, size: Resources) -> Result<(), Error> {
-        let entry = self.entry_mut(worker)?;
-        let free = entry.free;
-        let wanted = size;
-        entry.free = free.checked_sub(size).ok_or(Error::Overfull {
-            worker,
-            free,
-            wanted,
-        })?;
+        let slot = self.slot(worker)?;
+        let after = self.slots[slot as usize].free_after_reserve(size)?;
+        self.set_free(slot, after);
         self.free.sub(&size);
         Ok(())
     }
 
-    /// Releases `size` on a worker.
+    /// Releases `size` on a worker, open or not; O(log n).
     ///
     /// # Errors
     ///
-    /// [`Error::Unknown`] and [`Error::Overreleased`].
+    /// [`Error::Unknown`] where the worker is not in the index, and [`Error::Overreleased`] where
+    /// less of any resource is reserved.
     pub fn release(&mut self, worker: WorkerId, size: Resources) -> Result<(), Error> {
-        let entry = self.entry_mut(worker)?;
-        let reserved = entry
-            .spec
-            .capacity
-            .checked_sub(entry.free)
-            .unwrap_or(Resources::ZERO);
-        let released = size;
-        let over = Error::Overreleased {
-            worker,
-            reserved,
-            released,
-        };
-        let after = entry.free.checked_add(size).ok_or(over.clone())?;
-        if !after.fits(&entry.spec.capacity) {
-            return Err(over);
-        }
-        entry.free = after;
+        let slot = self.slot(worker)?;
+        let after = self.slots[slot as usize].free_after_release(size)?;
+        self.set_free(slot, after);
         self.free.add(&size);
         Ok(())
     }
 
+    /// Returns the worker that a task of this size should go to, if any can take it; O(log n).
+    ///
+    /// It finds a worker whenever an open one outside [`Rule::avoid`] has room. Tasks without
+    /// accelerators go to workers without them where possible. With a spread, workers in the
+    /// places that hold the fewest tasks of the job come first, at O(racks in use × log n).
+    pub fn find(&self, size: &Resources, rule: &Rule<'_>) -> Option<WorkerId> {
+        self.find_counted(size, rule).0
+    }
+
+    /// Returns the same as [`Self::find`], and what the search cost.
+    pub fn find_counted(&self, size: &Resources, rule: &Rule<'_>) -> (Option<WorkerId>, Visits) {
+        let mut search = Search {
+            slots: &self.slots,
+            orders: &self.orders,
+            size,
+            rule,
+            visits: Visits::default(),
+        };
+        let slot = match rule.presence {
+            Some(presence) => search.best_apart(presence),
+            None => search.best(),
+        };
+        let worker = slot.map(|slot| search.id(slot));
+        (worker, search.visits)
+    }
+
+    /// Returns whether some worker, open or not, could hold the size if it were empty.
+    ///
+    /// Costs O(shapes that no other exceeds).
+    pub fn fits_empty(&self, size: &Resources) -> bool {
+        self.shapes.can_hold(size)
+    }
+
     /// Returns what a worker has left.
     pub fn free(&self, worker: WorkerId) -> Option<Resources> {
-        self.workers.get(&worker).map(|entry| entry.free)
+        self.entry(worker).map(|entry| entry.free)
     }
 
     /// Returns what a worker offers in all.
     pub fn capacity(&self, worker: WorkerId) -> Option<Resources> {
-        self.workers.get(&worker).map(|entry| entry.spec.capacity)
+        self.entry(worker).map(|entry| entry.spec.capacity)
     }
 
     /// Returns a worker's shape and place.
     pub fn spec(&self, worker: WorkerId) -> Option<&worker::Spec> {
-        self.workers.get(&worker).map(|entry| &entry.spec)
+        self.entry(worker).map(|entry| &entry.spec)
     }
 
     /// Returns whether a worker is known and open for new tasks.
     pub fn is_open(&self, worker: WorkerId) -> bool {
-        self.workers.get(&worker).is_some_and(|entry| entry.open)
-    }
-
-    /// Returns the worker that a task of this size should go to, if any can take it.
-    pub fn find(&self, size: &Resources, rule: &Rule<'_>) -> Option<WorkerId> {
-        self.workers
-            .iter()
-            .filter(|(_, entry)| entry.open && size.fits(&entry.free))
-            .filter(|(id, _)| !rule.avoid.contains(id))
-            .min_by_key(|(id, entry)| (entry.free.accelerators, entry.free.cpu, **id))
-            .map(|(id, _)| *id)
-    }
-
-    /// Returns a worker for each of `count` tasks of this size, or `None` unless all fit at once.
-    ///
-    /// A worker may be named several times. Nothing is reserved.
-    pub fn plan(&self, size: &Resources, count: u32, rule: &Rule<'_>) -> Option<Vec<WorkerId>> {
-        let mut trial = self.clone();
-        let mut workers = Vec::new();
-        for _ in 0..count {
-            let worker = trial.find(size, rule)?;
-            trial.reserve(worker, *size).ok()?;
-            workers.push(worker);
-        }
-        Some(workers)
-    }
-
-    /// Returns whether some worker, open or not, could hold the size if it were empty.
-    pub fn fits_empty(&self, size: &Resources) -> bool {
-        self.workers
-            .values()
-            .any(|entry| size.fits(&entry.spec.capacity))
-    }
-
-    /// Returns how many tasks of this size the open workers could take now, at most `up_to`.
-    pub fn count_fitting(&self, size: &Resources, up_to: u32) -> u32 {
-        let mut trial = self.clone();
-        let rule = Rule::new();
-        let mut count = 0;
-        while count < up_to {
-            let Some(worker) = trial.find(size, &rule) else {
-                break;
-            };
-            if trial.reserve(worker, *size).is_err() {
-                break;
-            }
-            count += 1;
-        }
-        count
+        self.entry(worker).is_some_and(|entry| entry.open)
     }
 
     /// Returns what all workers offer, open or not.
@@ -203,7 +223,8 @@
 
     /// Returns the workers in order of their ids.
     pub fn iter(&self) -> impl Iterator<Item = &worker::Spec> + '_ {
-        self.workers.values().map(|entry| &entry.spec)
+        let slots = self.workers.values();
+        slots.map(|slot| &self.slots[*slot as usize].spec)
     }
 
     /// Returns how many workers there are.
@@ -216,8 +237,32 @@
         self.workers.is_empty()
     }
 
-    fn entry_mut(&mut self, worker: WorkerId) -> Result<&mut Entry, Error> {
-        let unknown = Error::Unknown { worker };
-        self.workers.get_mut(&worker).ok_or(unknown)
+    fn entry(&self, worker: WorkerId) -> Option<&Entry> {
+        let slot = self.workers.get(&worker)?;
+        self.slots.get(*slot as usize)
+    }
+
+    fn slot(&self, worker: WorkerId) -> Result<Slot, Error> {
+        let slot = self.workers.get(&worker).copied();
+        slot.ok_or(Error::Unknown { worker })
+    }
+
+    fn occupy(&mut self, entry: Entry) -> Slot {
+        if let Some(slot) = self.vacant.pop() {
+            self.slots[slot as usize] = entry;
+            return slot;
+        }
+        let slot = Slot::try_from(self.slots.len()).unwrap_or(Slot::MAX);
+        self.slots.push(entry);
+        slot
+    }
+
+    fn set_free(&mut self, slot: Slot, free: Resources) {
+        let entry = &mut self.slots[slot as usize];
+        let before = entry.free;
+        entry.free = free;
+        if entry.open {
+            self.orders.update(slot, &entry.spec, before, free);
+        }
     }
 }
--- a/crates/state/src/placement/mod.rs
+++ b/crates/state/src/placement/mod.rs
@@ -4,11 +4,20 @@
 //! go to under a [`Rule`]. It is the only holder of free capacity, and every change is checked, so
 //! a worker can't be filled beyond what it offers.
 
+mod entry;
 mod error;
+mod gang;
 mod index;
+mod orders;
 mod presence;
 mod rule;
+mod score;
+mod search;
+mod shapes;
+mod spread;
 mod total;
+mod tree;
+mod visits;
 mod weights;
 
 pub use self::{
@@ -17,5 +26,6 @@
     presence::Presence,
     rule::Rule,
     total::Total,
+    visits::Visits,
     weights::Weights, //
 };
--- a/crates/state/src/resource.rs
+++ b/crates/state/src/resource.rs
@@ -49,6 +49,16 @@
         self.cpu.0 == 0 && self.memory.0 == 0 && self.accelerators == 0
     }
 
+    /// Returns the larger amount of each resource.
+    #[must_use]
+    pub fn max(self, other: Self) -> Self {
+        Self {
+            cpu: self.cpu.max(other.cpu),
+            memory: self.memory.max(other.memory),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
     /// Adds resource by resource, or `None` on overflow.
     pub fn checked_add(self, other: Self) -> Option<Self> {
         Some(Self {
@@ -69,10 +79,11 @@
 
     /// Multiplies every resource by `count`, or `None` on overflow.
     pub fn checked_mul(self, count: u32) -> Option<Self> {
+        let accelerators = u32::from(self.accelerators).checked_mul(count)?;
         Some(Self {
             cpu: Millicores(self.cpu.0.checked_mul(count)?),
             memory: Bytes(self.memory.0.checked_mul(u64::from(count))?),
-            accelerators: self.accelerators.checked_mul(u16::try_from(count).ok()?)?,
+            accelerators: u16::try_from(accelerators).ok()?,
         })
     }
 }
