Add the wire messages, HTTP types and problem details

The gates, the scheds and the transport need one set of checked types. Each call of the schema has a Request and a Reply that read themselves from the generated readers with TryFrom, with bounded lists and typed errors, and write themselves into the builders.

Callers' jobs and request heads go from raw to checked with every mistake and its path in one answer. Refusals become RFC 9457 problem details with a hint.

--- /dev/null
+++ b/crates/protocol/src/http/job/mod.rs
@@ -0,0 +1,24 @@
+//! Jobs as callers submit them and as they see them.
+
+mod raw;
+mod submission;
+mod view;
+
+pub use self::{
+    raw::{
+        Raw,
+        Service,
+        Size, //
+    },
+    submission::{
+        MAX_TASKS,
+        Received,
+        Submission, //
+    },
+    view::{
+        Accepted,
+        State,
+        Tasks,
+        View, //
+    },
+};
--- /dev/null
+++ b/crates/protocol/src/settings/mod.rs
@@ -0,0 +1,1 @@
+//! Settings of the programs: JSON, checked as a whole.
--- /dev/null
+++ b/crates/protocol/src/wire/begin.rs
@@ -0,0 +1,166 @@
+//! The call that asks for leave to send a non-idempotent request, once.
+
+use bytes::Bytes;
+use fulmarpier_coordination::platform::target::Target;
+use fulmarpier_state::{
+    clock::Timestamp,
+    id::{
+        NodeId,
+        ShardId, //
+    },
+    name::{
+        Service,
+        Team, //
+    },
+    refusal::Refusal,
+};
+
+use super::{
+    Error, refusal, scalar,
+    sched_capnp::{
+        begin_reply,
+        sched::{
+            begin_params,
+            begin_results, //
+        },
+    },
+};
+use crate::key::Key;
+
+/// A digest over the method, path and body of a request.
+pub type Digest = [u8; 32];
+
+/// A non-idempotent request that is about to be sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Request {
+    /// The caller's idempotency key.
+    pub key: Key,
+    /// The service that the request is for.
+    pub service: Service,
+    /// The team on whose account it runs.
+    pub team: Team,
+    /// What the request is, so that a reused key is found out.
+    pub digest: Digest,
+    /// When the request is of no more use.
+    pub deadline: Timestamp,
+    /// The gate that is to send it.
+    pub gate: NodeId,
+    /// The home shard of the key.
+    pub shard: ShardId,
+}
+
+/// Whether the request may be sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// The intent is in the log; send now, once.
+    Grant {
+        /// Where to send it.
+        target: Target,
+        /// What names this grant when it is finished.
+        ticket: u64,
+    },
+    /// It ran before; this is its answer.
+    Replay {
+        /// The HTTP status of the answer.
+        status: u16,
+        /// The body of the answer.
+        body: Bytes,
+        /// The `Content-Type` of the answer; empty where it had none.
+        content_type: String,
+    },
+    /// It may not be sent.
+    Refused(Refusal),
+    /// This sched does not own the shard; the node that does, as far as it knows.
+    Elsewhere(NodeId),
+}
+
+impl Request {
+    /// Writes the request into the parameters of a call.
+    pub fn write(&self, params: begin_params::Builder<'_>) {
+        let mut builder = params.init_request();
+        builder.set_key(self.key.as_str());
+        builder.set_service(self.service.as_str());
+        builder.set_team(self.team.as_str());
+        builder.set_digest(&self.digest);
+        builder.set_deadline_micros(self.deadline.as_micros());
+        builder.set_gate(self.gate.0);
+        builder.set_shard(self.shard.0);
+    }
+}
+
+impl TryFrom<begin_params::Reader<'_>> for Request {
+    type Error = Error;
+
+    fn try_from(reader: begin_params::Reader<'_>) -> Result<Self, Self::Error> {
+        let reader = reader.get_request()?;
+        let digest = reader.get_digest()?;
+        let digest = Digest::try_from(digest).map_err(|_| Error::Digest { len: digest.len() })?;
+        Ok(Self {
+            key: scalar::read_key(reader.get_key()?)?,
+            service: scalar::read_name("service", reader.get_service()?)?,
+            team: scalar::read_name("team", reader.get_team()?)?,
+            digest,
+            deadline: Timestamp::from_micros(reader.get_deadline_micros()),
+            gate: NodeId(reader.get_gate()),
+            shard: ShardId(reader.get_shard()),
+        })
+    }
+}
+
+impl Reply {
+    /// Writes the reply into the results of a call.
+    pub fn write(&self, results: begin_results::Builder<'_>) {
+        let mut builder = results.init_reply();
+        match self {
+            Self::Grant { target, ticket } => write_grant(target, *ticket, builder.init_grant()),
+            Self::Replay {
+                status,
+                body,
+                content_type,
+            } => {
+                let mut builder = builder.init_replay();
+                builder.set_status(*status);
+                builder.set_body(body);
+                builder.set_content_type(content_type.as_str());
+            }
+            Self::Refused(why) => refusal::write(why, builder.init_refused()),
+            Self::Elsewhere(node) => builder.set_elsewhere(node.0),
+        }
+    }
+}
+
+impl TryFrom<begin_results::Reader<'_>> for Reply {
+    type Error = Error;
+
+    fn try_from(reader: begin_results::Reader<'_>) -> Result<Self, Self::Error> {
+        match reader.get_reply()?.which()? {
+            begin_reply::Grant(grant) => read_grant(grant),
+            begin_reply::Replay(replay) => read_replay(replay),
+            begin_reply::Refused(why) => Ok(Self::Refused(refusal::read(why?)?)),
+            begin_reply::Elsewhere(node) => Ok(Self::Elsewhere(NodeId(node))),
+        }
+    }
+}
+
+fn read_grant(reader: begin_reply::grant::Reader<'_>) -> Result<Reply, Error> {
+    let id = scalar::read_target_id(reader.get_target()?)?;
+    let address = scalar::read_address(reader.get_address()?);
+    Ok(Reply::Grant {
+        target: Target { id, address },
+        ticket: reader.get_ticket(),
+    })
+}
+
+fn write_grant(target: &Target, ticket: u64, mut builder: begin_reply::grant::Builder<'_>) {
+    scalar::write_target_id(target.id, builder.reborrow().init_target());
+    scalar::write_address(target.address, builder.reborrow().init_address());
+    builder.set_ticket(ticket);
+}
+
+fn read_replay(reader: begin_reply::replay::Reader<'_>) -> Result<Reply, Error> {
+    Ok(Reply::Replay {
+        status: reader.get_status(),
+        body: scalar::read_data("body", reader.get_body()?)?,
+        content_type: scalar::read_text("contentType", reader.get_content_type()?)?,
+    })
+}
