--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -1,3 +1,4 @@
 //! The gate: faces callers and operators, and places ordinary requests in memory.
 
+pub mod digest;
 pub mod wait;
