--- /dev/null
+++ b/crates/coordination/src/recovery/image.rs
@@ -0,0 +1,292 @@
+//! What a shard's records add up to.
+
+use std::{
+    collections::BTreeMap,
+    sync::Arc, //
+};
+
+use fulmarpier_state::{
+    clock::Timestamp,
+    id::{
+        Attempt,
+        Epoch,
+        JobId,
+        ShardId,
+        TaskId,
+        WorkerId, //
+    },
+    job::Spec,
+    name::Service, //
+    refusal::Outcome,
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::{
+    journal::{
+        JobEnd,
+        Record, //
+    },
+    platform::{
+        target,
+        worker::End, //
+    },
+    request::{
+        Answer,
+        Digest,
+        Key,
+        Ticket, //
+    },
+};
+
+/// How many jobs that are gone are remembered, so that a repeated submission is recognised.
+const GONE_MAX: usize = 10_000;
+
+/// The last known state of a task that was started at least once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TaskState {
+    /// An order to start it may have left.
+    Starting {
+        /// Which start of the task this is.
+        attempt: Attempt,
+        /// The worker of the order.
+        worker: WorkerId,
+    },
+    /// The attempt certainly did not run; the task waits again.
+    NotStarted {
+        /// The attempt that did not run.
+        attempt: Attempt,
+    },
+    /// It ended.
+    Ended {
+        /// Which start of the task this was.
+        attempt: Attempt,
+        /// How it ended.
+        end: End,
+    },
+    /// It may have run, and is not started again.
+    Unknown {
+        /// The attempt in doubt.
+        attempt: Attempt,
+    },
+}
+
+impl TaskState {
+    /// Returns the last known attempt.
+    pub const fn attempt(&self) -> Attempt {
+        match self {
+            Self::Starting { attempt, .. }
+            | Self::NotStarted { attempt }
+            | Self::Ended { attempt, .. }
+            | Self::Unknown { attempt } => *attempt,
+        }
+    }
+}
+
+/// A job that is not over.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Job {
+    /// Its declaration.
+    pub spec: Arc<Spec>,
+    /// When it was accepted.
+    pub accepted: Timestamp,
+    /// Whether it is to be cancelled.
+    pub cancelled: bool,
+    /// The tasks that were started, by their place in the job.
+    pub tasks: BTreeMap<u32, TaskState>,
+}
+
+/// Why a job is no longer held.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Gone {
+    /// It ended.
+    Ended(JobEnd),
+    /// Another shard has it.
+    Moved(ShardId),
+}
+
+/// What is known of a settled request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Settled {
+    /// Whether it ran.
+    pub outcome: Outcome,
+    /// Its answer, where it was kept.
+    pub answer: Option<Answer>,
+    /// When this became known.
+    pub at: Timestamp,
+}
+
+/// A non-idempotent request whose intent is kept.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Request {
+    /// What was asked.
+    pub digest: Digest,
+    /// The one permission to send.
+    pub ticket: Ticket,
+    /// The target that got it.
+    pub target: Option<target::Id>,
+    /// The service called.
+    pub service: Service,
+    /// When it was begun.
+    pub at: Timestamp,
+    /// When its caller stopped waiting.
+    pub deadline: Timestamp,
+    /// What became of it, once known.
+    pub settled: Option<Settled>,
+}
+
+/// What a shard's records add up to.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Image {
+    /// The highest epoch seen.
+    pub epoch: Epoch,
+    /// The last sequence counted in that epoch.
+    pub sequence: Option<u64>,
+    /// The jobs that are not over.
+    pub jobs: BTreeMap<JobId, Job>,
+    /// The latest jobs that are gone.
+    pub gone: BTreeMap<JobId, Gone>,
+    /// The non-idempotent requests remembered.
+    pub requests: BTreeMap<Key, Request>,
+    /// Settled keys with a time of their own at or before this were dropped.
+    pub timed: Timestamp,
+    /// Settled keys without one that were begun at or before this were dropped.
+    pub opaque: Timestamp,
+}
+
+impl Image {
+    /// Takes in a record that counts.
+    pub(crate) fn apply(&mut self, record: &Record) {
+        match record {
+            Record::Opened | Record::Snapshot(_) => {}
+            Record::Accepted { job, spec, at } => self.accept(*job, spec, *at),
+            Record::Starting {
+                task,
+                attempt,
+                worker,
+            } => {
+                let (attempt, worker) = (*attempt, *worker);
+                self.set(*task, TaskState::Starting { attempt, worker });
+            }
+            Record::NotStarted { task, attempt } => {
+                let attempt = *attempt;
+                self.set(*task, TaskState::NotStarted { attempt });
+            }
+            Record::Ended { task, attempt, end } => {
+                let (attempt, end) = (*attempt, *end);
+                self.set(*task, TaskState::Ended { attempt, end });
+            }
+            Record::Unknown { task, attempt } => {
+                let attempt = *attempt;
+                self.set(*task, TaskState::Unknown { attempt });
+            }
+            Record::Cancelled { job } => {
+                if let Some(job) = self.jobs.get_mut(job) {
+                    job.cancelled = true;
+                }
+            }
+            Record::JobEnded { job, end } => self.drop_job(*job, Gone::Ended(*end)),
+            Record::Moved { job, to } => self.drop_job(*job, Gone::Moved(*to)),
+            Record::Intent { .. } => self.intend(record),
+            Record::Outcome {
+                key,
+                ticket,
+                outcome,
+                answer,
+                at,
+            } => {
+                let settled = Settled {
+                    outcome: *outcome,
+                    answer: answer.clone(),
+                    at: *at,
+                };
+                self.settle(key, *ticket, settled);
+            }
+            Record::Forgot { timed, opaque } => self.forget(*timed, *opaque),
+        }
+    }
+
+    fn accept(&mut self, job: JobId, spec: &Arc<Spec>, accepted: Timestamp) {
+        if self.gone.contains_key(&job) {
+            return;
+        }
+        self.jobs.entry(job).or_insert_with(|| Job {
+            spec: Arc::clone(spec),
+            accepted,
+            cancelled: false,
+            tasks: BTreeMap::new(),
+        });
+    }
+
+    /// Sets a task's state unless a later attempt is known.
+    fn set(&mut self, task: TaskId, state: TaskState) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let known = job.tasks.entry(task.index).or_insert(state);
+        if state.attempt() >= known.attempt() {
+            *known = state;
+        }
+    }
+
+    fn drop_job(&mut self, job: JobId, gone: Gone) {
+        self.jobs.remove(&job);
+        self.gone.insert(job, gone);
+        while self.gone.len() > GONE_MAX {
+            self.gone.pop_first();
+        }
+    }
+
+    fn intend(&mut self, record: &Record) {
+        let Record::Intent {
+            key,
+            digest,
+            ticket,
+            target,
+            service,
+            at,
+            deadline,
+        } = record
+        else {
+            return;
+        };
+        self.requests.entry(key.clone()).or_insert_with(|| Request {
+            digest: *digest,
+            ticket: *ticket,
+            target: *target,
+            service: service.clone(),
+            at: *at,
+            deadline: *deadline,
+            settled: None,
+        });
+    }
+
+    /// Settles a request; one that was not run frees its key.
+    fn settle(&mut self, key: &Key, ticket: Ticket, settled: Settled) {
+        let Some(request) = self.requests.get_mut(key) else {
+            return;
+        };
+        if request.ticket != ticket {
+            return;
+        }
+        if settled.outcome == Outcome::NotRun {
+            self.requests.remove(key);
+        } else {
+            request.settled = Some(settled);
+        }
+    }
+
+    fn forget(&mut self, timed: Timestamp, opaque: Timestamp) {
+        self.timed = self.timed.max(timed);
+        self.opaque = self.opaque.max(opaque);
+        self.requests.retain(|key, request| {
+            let dropped = match key.time() {
+                Some(time) => time <= timed,
+                None => request.at <= opaque,
+            };
+            request.settled.is_none() || !dropped
+        });
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/request/ledger.rs
@@ -0,0 +1,502 @@
+//! The ledger of one shard's non-idempotent requests.
+
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
+
+use fulmarpier_state::{
+    clock::Timestamp,
+    id::Epoch,
+    name::Service,
+    refusal::{
+        Outcome,
+        Reason,
+        Refusal, //
+    },
+};
+
+use crate::{
+    journal::Record,
+    platform::target,
+    recovery::{
+        Image,
+        Settled, //
+    },
+};
+
+use super::{
+    Answer, Digest, Key, Outage, Settings, Ticket,
+    entry::{
+        Entry,
+        State, //
+    },
+    refuse,
+};
+
+/// The share of the ledger that is dropped at once when it is full.
+const EVICTION_SHARE: usize = 16;
+
+/// A non-idempotent request that a gate wants to send.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ask {
+    /// The caller's key.
+    pub key: Key,
+    /// What is asked.
+    pub digest: Digest,
+    /// The target that would get it.
+    pub target: Option<target::Id>,
+    /// The service called.
+    pub service: Service,
+    /// When the caller stops waiting.
+    pub deadline: Timestamp,
+}
+
+/// What to do with a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Keep the intent first ([`Ledger::intent`]); once it is committed, ask [`Ledger::committed`].
+    Journal(Ticket),
+    /// Grant it now and keep the intent when the log is back.
+    Send(Ticket),
+    /// It ran before; this is its answer.
+    Replay(Answer),
+    /// It is refused.
+    Refuse(Refusal),
+}
+
+/// What may happen once an intent is kept.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Granted {
+    /// The request may be sent, once.
+    Send,
+    /// Its deadline has passed and nothing was sent; keep the record.
+    Late(Record),
+    /// No such request waits.
+    Absent,
+}
+
+/// When and after whom the shard was taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Claim {
+    /// The epoch of the claim.
+    pub epoch: Epoch,
+    /// When this node took the shard; every earlier owner had stopped by then.
+    pub at: Timestamp,
+    /// The earliest time at which an earlier owner may have begun requests without the log; `None`
+    /// where it certainly did not.
+    pub blind_since: Option<Timestamp>,
+    /// Whether the replay missed nothing.
+    pub complete: bool,
+}
+
+/// What the passing of time brought.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Due {
+    /// Requests whose deadline passed before their intent was kept; none was sent.
+    pub late: Vec<(Key, Ticket)>,
+    /// Records to keep.
+    pub records: Vec<Record>,
+}
+
+/// The ledger of one shard's non-idempotent requests.
+#[derive(Clone, Debug)]
+pub struct Ledger {
+    settings: Settings,
+    entries: BTreeMap<Key, Entry>,
+    by_time: BTreeSet<(Timestamp, Key)>,
+    by_use: BTreeSet<(Timestamp, Key)>,
+    expiry: BTreeSet<(Timestamp, Key)>,
+    timed: Timestamp,
+    opaque: Timestamp,
+    suspect: Option<(Timestamp, Timestamp)>,
+    opaque_from: Timestamp,
+    fresh_after: Timestamp,
+    next: Ticket,
+    answers: usize,
+}
+
+impl Ledger {
+    /// Makes the ledger of a shard that was just taken.
+    ///
+    /// Requests whose outcome is not in the image become `unknown`; the records say so for later
+    /// owners.
+    pub fn new(
+        settings: Settings,
+        image: &Image,
+        claim: Claim,
+        now: Timestamp,
+    ) -> (Self, Vec<Record>) {
+        let fresh_after = claim.at + settings.margin();
+        let mut ledger = Self {
+            settings,
+            entries: BTreeMap::new(),
+            by_time: BTreeSet::new(),
+            by_use: BTreeSet::new(),
+            expiry: BTreeSet::new(),
+            timed: image.timed,
+            opaque: image.opaque,
+            suspect: None,
+            opaque_from: Timestamp::ZERO,
+            fresh_after,
+            next: Ticket::first(claim.epoch),
+            answers: 0,
+        };
+        if let Some(since) = claim.blind_since {
+            ledger.suspect(since);
+        }
+        if !claim.complete {
+            ledger.suspect(Timestamp::ZERO);
+            ledger.opaque_from = claim.at + ledger.settings.opaque_age;
+        }
+        let records = ledger.recover(image, now);
+        (ledger, records)
+    }
+
+    /// Refuses as `unknown` every key that is not remembered and whose own time lies between
+    /// `since` and this owner's claim.
+    ///
+    /// It is called where another ledger may have begun such requests without a trace here: an
+    /// earlier owner in a log outage, or the key's former home after the set of shards changed.
+    pub fn suspect(&mut self, since: Timestamp) {
+        let since = since.saturating_sub(self.settings.margin());
+        let since = self.suspect.map_or(since, |(from, _)| from.min(since));
+        self.suspect = Some((since, self.fresh_after));
+    }
+
+    /// Returns how many requests are remembered.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns whether no request is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Decides on a request; `down_since` says since when the log has been down.
+    pub fn begin(&mut self, ask: &Ask, down_since: Option<Timestamp>, now: Timestamp) -> Verdict {
+        if let Some(entry) = self.entries.get(&ask.key) {
+            return known(entry, ask, now);
+        }
+        if ask.deadline <= now {
+            return Verdict::Refuse(refuse::late());
+        }
+        if let Some(refusal) = self.forgotten(&ask.key, now) {
+            return Verdict::Refuse(refusal);
+        }
+        if self.entries.len() >= self.settings.count {
+            return Verdict::Refuse(refuse::full());
+        }
+        let blind = down_since.is_some_and(|since| now.since(since) >= self.settings.blind_after);
+        let fresh = blind && self.is_fresh(&ask.key, now);
+        let ticket = self.insert(ask, fresh, now);
+        if fresh {
+            Verdict::Send(ticket)
+        } else {
+            Verdict::Journal(ticket)
+        }
+    }
+
+    /// Returns the record of a request's intent.
+    pub fn intent(&self, key: &Key) -> Option<Record> {
+        let entry = self.entries.get(key)?;
+        Some(Record::Intent {
+            key: key.clone(),
+            digest: entry.digest,
+            ticket: entry.ticket,
+            target: entry.target,
+            service: entry.service.clone(),
+            at: entry.at,
+            deadline: entry.deadline,
+        })
+    }
+
+    /// Takes the news that a request's intent is kept.
+    pub fn committed(&mut self, key: &Key, ticket: Ticket, now: Timestamp) -> Granted {
+        let Some(entry) = self.waiting(key, ticket) else {
+            return Granted::Absent;
+        };
+        if entry.deadline > now {
+            entry.state = State::Granted;
+            return Granted::Send;
+        }
+        match self.cancel(key, ticket, now) {
+            Some(record) => Granted::Late(record),
+            None => Granted::Absent,
+        }
+    }
+
+    /// Gives up a request of which nothing was sent, and frees its key.
+    ///
+    /// The record matters only where the intent may be kept already.
+    pub fn cancel(&mut self, key: &Key, ticket: Ticket, now: Timestamp) -> Option<Record> {
+        self.waiting(key, ticket)?;
+        self.remove(key);
+        Some(outcome(key, ticket, Outcome::NotRun, None, now))
+    }
+
+    /// Takes a gate's report on a grant; returns the record to keep, or `None` if the ticket is not
+    /// known or the report brings nothing new.
+    ///
+    /// `Outcome::NotRun` says that nothing was sent, and frees the key. A report that comes after
+    /// the request became `unknown` still counts, because only its gate had the ticket.
+    pub fn finish(
+        &mut self,
+        key: &Key,
+        ticket: Ticket,
+        result: Outcome,
+        answer: Option<Answer>,
+        now: Timestamp,
+    ) -> Option<Record> {
+        let entry = self.entries.get(key).filter(|e| e.ticket == ticket)?;
+        let open = match &entry.state {
+            State::Intended => result == Outcome::NotRun,
+            State::Granted => true,
+            State::Settled(settled) => {
+                settled.outcome == Outcome::Unknown && result != Outcome::Unknown
+            }
+        };
+        if !open {
+            return None;
+        }
+        if result == Outcome::NotRun {
+            self.remove(key);
+            return Some(outcome(key, ticket, result, None, now));
+        }
+        let answer = answer.filter(|answer| self.has_room(answer));
+        self.settle(key, result, answer.clone(), now);
+        Some(outcome(key, ticket, result, answer, now))
+    }
+
+    /// Lets time pass: grants without a report become `unknown`, and old keys are dropped.
+    pub fn expire(&mut self, now: Timestamp) -> Due {
+        let mut due = Due::default();
+        while let Some((at, key)) = self.expiry.first().cloned() {
+            if at > now {
+                break;
+            }
+            self.expiry.remove(&(at, key.clone()));
+            self.expire_one(&key, now, &mut due);
+        }
+        due.records.extend(self.forget(now));
+        due
+    }
+
+    /// Returns when [`Self::expire`] is next of use.
+    pub fn next_wake(&self) -> Option<Timestamp> {
+        self.expiry.first().map(|(at, _)| *at)
+    }
+
+    fn expire_one(&mut self, key: &Key, now: Timestamp, due: &mut Due) {
+        let Some(entry) = self.entries.get(key) else {
+            return;
+        };
+        let ticket = entry.ticket;
+        match entry.state {
+            State::Intended => due.late.push((key.clone(), ticket)),
+            State::Granted => {
+                let end = entry.deadline + self.settings.grace;
+                if end > now {
+                    self.expiry.insert((end, key.clone()));
+                    return;
+                }
+                self.settle(key, Outcome::Unknown, None, now);
+                let record = outcome(key, ticket, Outcome::Unknown, None, now);
+                due.records.push(record);
+            }
+            State::Settled(_) => {}
+        }
+    }
+
+    /// Drops settled keys that are too old, or the oldest where too many are remembered.
+    fn forget(&mut self, now: Timestamp) -> Option<Record> {
+        let timed = now.saturating_sub(self.settings.age);
+        let opaque = now.saturating_sub(self.settings.opaque_age);
+        let crowded = self.entries.len() >= self.settings.count;
+        let timed = if crowded {
+            self.crowded_before(now).max(timed)
+        } else {
+            timed
+        };
+        let old = |index: &BTreeSet<(Timestamp, Key)>, limit| {
+            index.first().is_some_and(|(at, _)| *at <= limit)
+        };
+        if !old(&self.by_time, timed) && !old(&self.by_use, opaque) {
+            return None;
+        }
+        self.timed = self.timed.max(timed);
+        self.opaque = self.opaque.max(opaque);
+        self.drop_settled();
+        Some(Record::Forgot {
+            timed: self.timed,
+            opaque: self.opaque,
+        })
+    }
+
+    /// Returns the time up to which settled keys are dropped to make room.
+    fn crowded_before(&self, now: Timestamp) -> Timestamp {
+        let share = self.settings.count / EVICTION_SHARE;
+        self.by_time
+            .iter()
+            .map(|(at, _)| *at)
+            .take_while(|at| *at <= now)
+            .nth(share)
+            .unwrap_or(Timestamp::ZERO)
+    }
+
+    fn drop_settled(&mut self) {
+        let (timed, opaque) = (self.timed, self.opaque);
+        let old = self.by_time.iter().take_while(|(at, _)| *at <= timed);
+        let unused = self.by_use.iter().take_while(|(at, _)| *at <= opaque);
+        let keys: Vec<Key> = old.chain(unused).map(|(_, key)| key.clone()).collect();
+        for key in &keys {
+            self.remove(key);
+        }
+    }
+
+    /// Returns the refusal of a key that is not remembered but may have been used.
+    fn forgotten(&self, key: &Key, now: Timestamp) -> Option<Refusal> {
+        let Some(time) = key.time() else {
+            return (now < self.opaque_from).then(refuse::aged);
+        };
+        if time <= self.timed {
+            return Some(refuse::aged());
+        }
+        if time > now + self.settings.age {
+            return Some(refuse::future());
+        }
+        let suspect = self
+            .suspect
+            .is_some_and(|(from, until)| from <= time && time <= until);
+        suspect.then(refuse::aged)
+    }
+
+    /// Returns whether no other owner can have begun the key, nor will begin it unawares.
+    fn is_fresh(&self, key: &Key, now: Timestamp) -> bool {
+        let fresh = |time| time > self.fresh_after && time <= now + self.settings.skew;
+        self.settings.outage == Outage::Fresh && key.time().is_some_and(fresh)
+    }
+
+    fn insert(&mut self, ask: &Ask, granted: bool, now: Timestamp) -> Ticket {
+        let ticket = self.next;
+        self.next = ticket.next();
+        let state = if granted {
+            State::Granted
+        } else {
+            State::Intended
+        };
+        let entry = Entry {
+            digest: ask.digest,
+            ticket,
+            target: ask.target,
+            service: ask.service.clone(),
+            at: now,
+            deadline: ask.deadline,
+            state,
+        };
+        self.expiry.insert((ask.deadline, ask.key.clone()));
+        self.entries.insert(ask.key.clone(), entry);
+        ticket
+    }
+
+    fn waiting(&mut self, key: &Key, ticket: Ticket) -> Option<&mut Entry> {
+        self.entries
+            .get_mut(key)
+            .filter(|entry| entry.ticket == ticket && entry.state == State::Intended)
+    }
+
+    fn settle(&mut self, key: &Key, result: Outcome, answer: Option<Answer>, now: Timestamp) {
+        let Some(entry) = self.entries.get_mut(key) else {
+            return;
+        };
+        self.answers += answer.as_ref().map_or(0, Answer::size);
+        entry.state = State::Settled(Settled {
+            outcome: result,
+            answer,
+            at: now,
+        });
+        self.index(key);
+    }
+
+    /// Notes a settled key where old ones are looked for.
+    fn index(&mut self, key: &Key) {
+        let Some(entry) = self.entries.get(key) else {
+            return;
+        };
+        match key.time() {
+            Some(time) => self.by_time.insert((time, key.clone())),
+            None => self.by_use.insert((entry.at, key.clone())),
+        };
+    }
+
+    fn remove(&mut self, key: &Key) {
+        let Some(entry) = self.entries.remove(key) else {
+            return;
+        };
+        if let State::Settled(settled) = &entry.state {
+            self.answers -= settled.answer.as_ref().map_or(0, Answer::size);
+        }
+        if let Some(time) = key.time() {
+            self.by_time.remove(&(time, key.clone()));
+        }
+        self.by_use.remove(&(entry.at, key.clone()));
+        self.expiry.remove(&(entry.deadline, key.clone()));
+        let end = entry.deadline + self.settings.grace;
+        self.expiry.remove(&(end, key.clone()));
+    }
+
+    fn has_room(&self, answer: &Answer) -> bool {
+        let size = answer.size();
+        size <= self.settings.answer && self.answers + size <= self.settings.answers
+    }
+
+    fn recover(&mut self, image: &Image, now: Timestamp) -> Vec<Record> {
+        let mut records = Vec::new();
+        for (key, request) in &image.requests {
+            let entry = Entry::recovered(request, now);
+            if request.settled.is_none() {
+                records.push(outcome(key, entry.ticket, Outcome::Unknown, None, now));
+            }
+            if let State::Settled(settled) = &entry.state {
+                self.answers += settled.answer.as_ref().map_or(0, Answer::size);
+            }
+            self.entries.insert(key.clone(), entry);
+            self.index(key);
+        }
+        records
+    }
+}
+
+/// Decides on a key that is remembered.
+fn known(entry: &Entry, ask: &Ask, now: Timestamp) -> Verdict {
+    if entry.digest != ask.digest {
+        return Verdict::Refuse(refuse::reused());
+    }
+    match &entry.state {
+        State::Intended | State::Granted => Verdict::Refuse(refuse::busy(entry.deadline, now)),
+        State::Settled(settled) => match (&settled.answer, settled.outcome) {
+            (Some(answer), Outcome::Ran) => Verdict::Replay(answer.clone()),
+            (_, Outcome::Unknown) => Verdict::Refuse(refuse::unknown()),
+            (_, outcome) => Verdict::Refuse(
+                Refusal::new(Reason::AlreadyRan, "its answer was not kept").outcome(outcome),
+            ),
+        },
+    }
+}
+
+fn outcome(
+    key: &Key,
+    ticket: Ticket,
+    outcome: Outcome,
+    answer: Option<Answer>,
+    at: Timestamp,
+) -> Record {
+    Record::Outcome {
+        key: key.clone(),
+        ticket,
+        outcome,
+        answer,
+        at,
+    }
+}
--- a/crates/state/src/refusal.rs
+++ b/crates/state/src/refusal.rs
@@ -83,6 +83,8 @@
     KeyBusy => "key-busy", 409, "The request with this Idempotency-Key is in progress";
     /// The request with this key ran and its answer was not kept.
     AlreadyRan => "already-ran", 409, "The request with this Idempotency-Key has run";
+    /// Nobody can tell what became of the request with this key.
+    KeyUnknown => "key-unknown", 409, "Whether the request with this Idempotency-Key ran is not known";
     /// The body is over the limit.
     BodyTooLarge => "body-too-large", 413, "The body is over the limit";
     /// The deadline has passed, or passes before the work can start.
