Add calls between processes over Cap'n Proto

Client and server hold their connections on threads of their own, since the RPC objects are bound to one thread, and the process talks to them through bounded channels. A refused connection is told from one that can't be made otherwise, because only the first proves that no process listens. A connection on which nothing came during a timed-out call is given up. Bytes are counted, so that the cost of control can be measured. Closing takes no more calls, finishes those in progress and says what it had to cut.

--- a/crates/transport/src/http/connection.rs
+++ b/crates/transport/src/http/connection.rs
@@ -1,6 +1,10 @@
-//! Accepted connections, counted against a limit.
+//! Accepted connections, counted against a limit and cut on demand.
 
 use std::{
+    future::{
+        Future,
+        pending, //
+    },
     io::{
         self,
         IoSlice, //
@@ -15,7 +19,13 @@
     time::Duration,
 };
 
-use axum::serve;
+use axum::{
+    extract::connect_info::Connected,
+    serve::{
+        self,
+        IncomingStream, //
+    },
+};
 use tokio::{
     io::{
         AsyncRead,
@@ -32,14 +42,36 @@
     },
     time::sleep,
 };
+use tokio_util::sync::{
+    CancellationToken,
+    WaitForCancellationFutureOwned, //
+};
 
 /// How long to wait before accepting again after the system had no room for a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// A listener that accepts no more connections than it has permits for.
-pub(super) struct Listener {
-    pub(super) tcp: TcpListener,
-    pub(super) permits: Arc<Semaphore>,
+/// A listener that holds no more connections than its limit and can cut them all.
+#[derive(Debug)]
+pub struct Listener {
+    tcp: TcpListener,
+    permits: Arc<Semaphore>,
+    cut: CancellationToken,
+}
+
+impl Listener {
+    /// Wraps a listening socket; cancelling `cut` resets every connection made through it.
+    pub fn new(tcp: TcpListener, connections: usize, cut: CancellationToken) -> Self {
+        Self {
+            tcp,
+            permits: Arc::new(Semaphore::new(connections)),
+            cut,
+        }
+    }
+
+    /// Returns the count of connections that may still be accepted.
+    pub(super) fn permits(&self) -> Arc<Semaphore> {
+        self.permits.clone()
+    }
 }
 
 impl serve::Listener for Listener {
@@ -50,20 +82,15 @@
         loop {
             let Ok(permit) = self.permits.clone().acquire_owned().await else {
                 // The semaphore is never closed.
-                std::future::pending::<()>().await;
+                pending::<()>().await;
                 continue;
             };
             match self.tcp.accept().await {
                 Ok((stream, peer)) => {
                     // Without it answers are only slower.
                     let _ = stream.set_nodelay(true);
-                    return (
-                        Connection {
-                            stream,
-                            _permit: permit,
-                        },
-                        peer,
-                    );
+                    let connection = Connection::new(stream, self.cut.child_token(), permit);
+                    return (connection, peer);
                 }
                 Err(_) => sleep(ACCEPT_PAUSE).await,
             }
@@ -75,18 +102,60 @@
     }
 }
 
+/// Resets the connection of the request that it was extracted from.
+///
+/// Handlers extract it as `ConnectInfo<Cut>`.
+#[derive(Clone, Debug)]
+pub struct Cut(CancellationToken);
+
+impl Cut {
+    /// Resets the connection; nothing of an answer that was not yet sent will leave.
+    pub fn cut(&self) {
+        self.0.cancel();
+    }
+}
+
+impl Connected<IncomingStream<'_, Listener>> for Cut {
+    fn connect_info(stream: IncomingStream<'_, Listener>) -> Self {
+        Self(stream.io().cut.clone())
+    }
+}
+
 /// One accepted connection with its permit.
-pub(super) struct Connection {
+#[derive(Debug)]
+pub struct Connection {
     stream: TcpStream,
+    cut: CancellationToken,
+    cancelled: Pin<Box<WaitForCancellationFutureOwned>>,
     _permit: OwnedSemaphorePermit,
 }
 
+impl Connection {
+    fn new(stream: TcpStream, cut: CancellationToken, permit: OwnedSemaphorePermit) -> Self {
+        let cancelled = Box::pin(cut.clone().cancelled_owned());
+        Self {
+            stream,
+            cut,
+            cancelled,
+            _permit: permit,
+        }
+    }
+
+    fn check(&mut self, cx: &mut Context<'_>) -> io::Result<()> {
+        match self.cancelled.as_mut().poll(cx) {
+            Poll::Ready(()) => Err(io::ErrorKind::ConnectionReset.into()),
+            Poll::Pending => Ok(()),
+        }
+    }
+}
+
 impl AsyncRead for Connection {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        self.check(cx)?;
         Pin::new(&mut self.stream).poll_read(cx, buf)
     }
 }
@@ -97,6 +166,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.check(cx)?;
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
@@ -105,6 +175,7 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.check(cx)?;
         Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
 
--- a/crates/transport/src/http/mod.rs
+++ b/crates/transport/src/http/mod.rs
@@ -3,9 +3,16 @@
 mod connection;
 mod server;
 
-pub use self::server::{
-    Drained,
-    Error,
-    Limits,
-    Server, //
+pub use self::{
+    connection::{
+        Connection,
+        Cut,
+        Listener, //
+    },
+    server::{
+        Drained,
+        Error,
+        Limits,
+        Server, //
+    },
 };
--- a/crates/transport/src/http/server.rs
+++ b/crates/transport/src/http/server.rs
@@ -35,17 +35,18 @@
 };
 use tokio::{
     net::TcpListener,
-    sync::{
-        Semaphore,
-        oneshot, //
-    },
+    sync::oneshot,
     time::{
         sleep,
         timeout, //
     },
 };
+use tokio_util::sync::CancellationToken;
 
-use super::connection::Listener;
+use super::connection::{
+    Cut,
+    Listener, //
+};
 
 /// The bounds of one server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -149,15 +150,17 @@
             linger,
             drain,
         } = self.limits;
-        let permits = Arc::new(Semaphore::new(connections));
+        let cut = CancellationToken::new();
+        let listener = Listener::new(self.listener, connections, cut.clone());
+        let permits = listener.permits();
         let leaving = Arc::new(AtomicBool::new(false));
         let router = router.layer(middleware::from_fn_with_state(leaving.clone(), announce));
-        let listener = Listener {
-            tcp: self.listener,
-            permits: permits.clone(),
-        };
         let (closing, closed) = oneshot::channel();
-        let serving = axum::serve(listener, router).with_graceful_shutdown(async move {
+        let serving = axum::serve(
+            listener,
+            router.into_make_service_with_connect_info::<Cut>(),
+        )
+        .with_graceful_shutdown(async move {
             stop.await;
             leaving.store(true, Ordering::Relaxed);
             sleep(linger).await;
@@ -171,6 +174,7 @@
                 Ok(ended) => ended?,
                 Err(_) => {
                     let connections = connections - permits.available_permits();
+                    cut.cancel();
                     return Ok(Drained::Cut { connections });
                 }
             },
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod log;
 pub mod metrics;
 pub mod platform;
+pub mod rpc;
 pub mod signal;
--- /dev/null
+++ b/crates/transport/src/rpc/server.rs
@@ -0,0 +1,231 @@
+//! The answering side: a listener on a thread of its own.
+
+use std::{
+    io,
+    net::{
+        SocketAddr,
+        TcpListener as StdListener, //
+    },
+    rc::Rc,
+    sync::Arc,
+    thread,
+    time::Duration, //
+};
+
+use capnp_rpc::{
+    RpcSystem,
+    rpc_twoparty_capnp::Side, //
+};
+use fulmarpier_protocol::wire::sched_capnp::sched;
+use futures::future::join;
+use tokio::{
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
+    pin,
+    runtime::Builder,
+    sync::{
+        Semaphore,
+        mpsc,
+        oneshot, //
+    },
+    task::LocalSet,
+    time::{
+        sleep,
+        timeout, //
+    },
+};
+use tokio_util::{
+    sync::CancellationToken,
+    task::TaskTracker, //
+};
+
+use super::{
+    link::network,
+    service::{
+        Incoming,
+        Open,
+        Service, //
+    },
+    traffic::{
+        Totals,
+        Traffic, //
+    },
+};
+use crate::http::Drained;
+
+/// How long the last answers of a connection may take to be written out.
+const FLUSH: Duration = Duration::from_secs(2);
+/// How long to wait before accepting again after the system had no room for a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// The bounds of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// The most calls that wait to be taken; further ones are told that it is overloaded.
+    pub queue: usize,
+    /// The most connections open at once; further ones wait to be accepted.
+    pub connections: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            queue: 4096,
+            connections: 1024,
+        }
+    }
+}
+
+/// A running server.
+#[derive(Debug)]
+pub struct Server {
+    address: SocketAddr,
+    traffic: Arc<Traffic>,
+    closing: oneshot::Sender<Duration>,
+    closed: oneshot::Receiver<Drained>,
+}
+
+impl Server {
+    /// Listens on an address, port zero for any, and hands out the calls that arrive.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the address can't be listened on or the system gives no thread.
+    pub fn start(
+        address: SocketAddr,
+        limits: Limits,
+    ) -> io::Result<(Self, mpsc::Receiver<Incoming>)> {
+        let listener = StdListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        let runtime = Builder::new_current_thread().enable_all().build()?;
+        let (calls, incoming) = mpsc::channel(limits.queue);
+        let (closing, close) = oneshot::channel();
+        let (report, closed) = oneshot::channel();
+        let traffic = Arc::new(Traffic::default());
+        let shared = traffic.clone();
+        thread::Builder::new()
+            .name("rpc-server".to_owned())
+            .spawn(move || {
+                LocalSet::new().block_on(&runtime, async move {
+                    let acceptor = Acceptor::new(calls, limits, shared);
+                    let drained = acceptor.run(listener, close).await;
+                    // Nobody may be waiting for the report.
+                    let _ = report.send(drained);
+                });
+            })?;
+        let server = Self {
+            address,
+            traffic,
+            closing,
+            closed,
+        };
+        Ok((server, incoming))
+    }
+
+    /// Returns the address that the server listens on.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns what was counted so far.
+    pub fn traffic(&self) -> Totals {
+        self.traffic.totals()
+    }
+
+    /// Takes no more calls, finishes those in progress within `drain` and closes.
+    pub async fn close(self, drain: Duration) -> Drained {
+        // A server whose thread has ended has nothing left to finish.
+        let _ = self.closing.send(drain);
+        self.closed.await.unwrap_or(Drained::Whole)
+    }
+}
+
+/// What all connections of one server share, on the server's thread.
+struct Acceptor {
+    calls: mpsc::Sender<Incoming>,
+    permits: Arc<Semaphore>,
+    open: Rc<Open>,
+    traffic: Arc<Traffic>,
+    tasks: TaskTracker,
+    end: CancellationToken,
+}
+
+impl Acceptor {
+    fn new(calls: mpsc::Sender<Incoming>, limits: Limits, traffic: Arc<Traffic>) -> Self {
+        Self {
+            calls,
+            permits: Arc::new(Semaphore::new(limits.connections)),
+            open: Rc::default(),
+            traffic,
+            tasks: TaskTracker::new(),
+            end: CancellationToken::new(),
+        }
+    }
+
+    /// Accepts connections until told to close, then finishes the calls in progress.
+    async fn run(self, listener: StdListener, mut close: oneshot::Receiver<Duration>) -> Drained {
+        let Ok(listener) = TcpListener::from_std(listener) else {
+            return Drained::Whole;
+        };
+        let drain = loop {
+            tokio::select! {
+                // Dropping the server closes it at once.
+                drain = &mut close => break drain.unwrap_or_default(),
+                () = self.accept(&listener) => {}
+            }
+        };
+        drop(listener);
+        self.open.close();
+        let idle = timeout(drain, self.open.idle()).await;
+        let connections = self.open.count();
+        self.end.cancel();
+        self.tasks.close();
+        self.tasks.wait().await;
+        match idle {
+            Ok(()) => Drained::Whole,
+            Err(_) => Drained::Cut { connections },
+        }
+    }
+
+    async fn accept(&self, listener: &TcpListener) {
+        let Ok(permit) = self.permits.clone().acquire_owned().await else {
+            // The semaphore is never closed.
+            return;
+        };
+        let Ok((stream, from)) = listener.accept().await else {
+            sleep(ACCEPT_PAUSE).await;
+            return;
+        };
+        let service = Service {
+            from,
+            calls: self.calls.clone(),
+            open: self.open.clone(),
+        };
+        let traffic = self.traffic.clone();
+        let end = self.end.clone();
+        self.tasks.spawn_local(async move {
+            serve(stream, service, traffic, end).await;
+            drop(permit);
+        });
+    }
+}
+
+/// Serves one connection until the peer leaves or the server ends.
+async fn serve(stream: TcpStream, service: Service, traffic: Arc<Traffic>, end: CancellationToken) {
+    let network = network(stream, Side::Server, traffic, Arc::default());
+    let client: sched::Client = capnp_rpc::new_client(service);
+    let system = RpcSystem::new(Box::new(network), Some(client.client));
+    let disconnector = system.get_disconnector();
+    pin!(system);
+    tokio::select! {
+        // A peer that left or sent nonsense ends only its own connection.
+        _ = &mut system => {}
+        () = end.cancelled() => {
+            // What can't be written out in time is lost with the connection.
+            let _ = timeout(FLUSH, join(disconnector, system)).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/transport/tests/rpc.rs
@@ -0,0 +1,268 @@
+//! Calls between processes: what each failure proves, and a graceful end.
+
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use fulmarpier_protocol::wire::{
+    Answer,
+    Call,
+    finish,
+    peer, //
+};
+use fulmarpier_transport::{
+    http::Drained,
+    rpc::{
+        Client,
+        ClientLimits,
+        Error,
+        Incoming,
+        Server,
+        ServerLimits, //
+    },
+};
+use rstest::rstest;
+use tokio::{
+    io::{
+        AsyncReadExt,
+        AsyncWriteExt, //
+    },
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
+    sync::mpsc,
+};
+
+/// Longer than any test takes; no verdict depends on it.
+const LONG: Duration = Duration::from_secs(60);
+/// Passes while the other side does not answer; a later end changes no verdict.
+const SHORT: Duration = Duration::from_millis(50);
+
+fn any_port() -> SocketAddr {
+    "127.0.0.1:0".parse().expect("an address")
+}
+
+fn call(text: &'static str) -> Call {
+    Call::Peer(peer::Request {
+        message: Bytes::from_static(text.as_bytes()),
+    })
+}
+
+fn answer(message: Bytes) -> Answer {
+    Answer::Peer(peer::Reply { message })
+}
+
+fn client() -> Client {
+    Client::start(ClientLimits::default()).expect("a client")
+}
+
+fn server(limits: ServerLimits) -> (Server, mpsc::Receiver<Incoming>) {
+    Server::start(any_port(), limits).expect("a server")
+}
+
+fn echo(incoming: Incoming) {
+    let Call::Peer(request) = incoming.call else {
+        panic!("only peer calls are made here");
+    };
+    let _ = incoming.answer.send(answer(request.message));
+}
+
+#[tokio::test]
+async fn many_calls_get_each_its_own_answer() {
+    let (server, mut calls) = server(ServerLimits::default());
+    let client = client();
+    tokio::spawn(async move {
+        // Answers leave in the reverse of the order of the calls.
+        let mut held = Vec::new();
+        while let Some(incoming) = calls.recv().await {
+            held.push(incoming);
+            if held.len() == 100 {
+                held.drain(..).rev().for_each(echo);
+            }
+        }
+    });
+    let calls = (0..100_u32).map(|n| {
+        let client = client.clone();
+        let address = server.address();
+        async move {
+            let message = Bytes::from(n.to_string());
+            let request = peer::Request {
+                message: message.clone(),
+            };
+            let got = client.call(address, Call::Peer(request), LONG).await;
+            assert_eq!(got, Ok(answer(message)));
+        }
+    });
+    futures::future::join_all(calls).await;
+    assert_eq!(client.traffic().calls, 100);
+    // The last acknowledgements may still be on their way.
+    while client.traffic().sent != server.traffic().received {
+        tokio::task::yield_now().await;
+    }
+    assert_eq!(client.traffic().received, server.traffic().sent);
+}
+
+#[tokio::test]
+async fn a_closed_port_refuses_and_nothing_is_sent() {
+    let listener = TcpListener::bind(any_port()).await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    drop(listener);
+    let error = client().call(address, call("x"), LONG).await;
+    assert_eq!(error, Err(Error::Refused { address }));
+}
+
+#[tokio::test]
+async fn a_silent_peer_times_out_with_the_effect_unknown() {
+    let (server, _calls) = server(ServerLimits::default());
+    let error = client()
+        .call(server.address(), call("x"), SHORT)
+        .await
+        .expect_err("no answer");
+    assert_eq!(error, Error::Timeout);
+    assert!(!error.not_run());
+}
+
+#[tokio::test]
+async fn a_connection_lost_after_the_call_leaves_the_effect_unknown() {
+    let listener = TcpListener::bind(any_port()).await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let mut some = [0; 64];
+        let _ = stream.read(&mut some).await;
+    });
+    let error = client().call(address, call("x"), LONG).await;
+    assert_eq!(error, Err(Error::Disconnected));
+}
+
+#[tokio::test]
+async fn the_client_connects_again_after_a_loss() {
+    let (first, mut calls) = server(ServerLimits::default());
+    let address = first.address();
+    let client = client();
+    tokio::spawn(async move {
+        while let Some(incoming) = calls.recv().await {
+            echo(incoming);
+        }
+    });
+    assert!(client.call(address, call("a"), LONG).await.is_ok());
+    assert_eq!(first.close(LONG).await, Drained::Whole);
+    let (_second, mut calls) = Server::start(address, ServerLimits::default()).expect("a server");
+    tokio::spawn(async move {
+        while let Some(incoming) = calls.recv().await {
+            echo(incoming);
+        }
+    });
+    // A call may meet the lost connection or the backoff; the client recovers on its own.
+    let mut got = client.call(address, call("b"), LONG).await;
+    while got.is_err() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+        got = client.call(address, call("b"), LONG).await;
+    }
+    assert_eq!(got, Ok(answer(Bytes::from_static(b"b"))));
+}
+
+#[rstest]
+#[case::noise(b"GET / HTTP/1.1\r\n\r\n")]
+#[case::huge_segment_table(b"\xff\xff\xff\xff\xff\xff\xff\xff")]
+#[case::cut_message(b"\x00\x00\x00\x00\x10\x00\x00\x00\x01")]
+#[tokio::test]
+async fn nonsense_ends_only_its_own_connection(#[case] nonsense: &'static [u8]) {
+    let (server, mut calls) = server(ServerLimits::default());
+    let mut stream = TcpStream::connect(server.address())
+        .await
+        .expect("a stream");
+    stream.write_all(nonsense).await.expect("sent");
+    stream.shutdown().await.expect("shut down");
+    // The server's side ends too; what it may say before is of no interest.
+    let _ = stream.read_to_end(&mut Vec::new()).await;
+    tokio::spawn(async move {
+        while let Some(incoming) = calls.recv().await {
+            echo(incoming);
+        }
+    });
+    let got = client().call(server.address(), call("x"), LONG).await;
+    assert_eq!(got, Ok(answer(Bytes::from_static(b"x"))));
+}
+
+#[tokio::test]
+async fn an_answer_to_another_call_is_a_failure() {
+    let (server, mut calls) = server(ServerLimits::default());
+    tokio::spawn(async move {
+        let incoming = calls.recv().await.expect("a call");
+        let _ = incoming
+            .answer
+            .send(Answer::Finish(finish::Reply { known: true }));
+    });
+    let error = client().call(server.address(), call("x"), LONG).await;
+    assert!(matches!(error, Err(Error::Failed { .. })), "{error:?}");
+}
+
+#[tokio::test]
+async fn a_full_queue_answers_overloaded_and_nothing_is_run() {
+    let (server, mut calls) = server(ServerLimits {
+        queue: 1,
+        ..ServerLimits::default()
+    });
+    let client = client();
+    let address = server.address();
+    let first = tokio::spawn({
+        let client = client.clone();
+        async move { client.call(address, call("first"), LONG).await }
+    });
+    while server.traffic().received == 0 || calls.is_empty() {
+        tokio::task::yield_now().await;
+    }
+    let second = client.call(address, call("second"), LONG).await;
+    assert_eq!(second, Err(Error::Overloaded));
+    echo(calls.recv().await.expect("the first call"));
+    assert_eq!(
+        first.await.expect("joined"),
+        Ok(answer(Bytes::from_static(b"first")))
+    );
+    assert!(calls.is_empty());
+}
+
+#[tokio::test]
+async fn a_graceful_close_finishes_the_calls_in_progress() {
+    let (server, mut calls) = server(ServerLimits::default());
+    let client = client();
+    let address = server.address();
+    let pending: Vec<_> = (0..10)
+        .map(|_| {
+            let client = client.clone();
+            tokio::spawn(async move { client.call(address, call("held"), LONG).await })
+        })
+        .collect();
+    let mut held = Vec::new();
+    while held.len() < 10 {
+        held.push(calls.recv().await.expect("a call"));
+    }
+    let closing = tokio::spawn(server.close(LONG));
+    // Once the port is closed, the calls in progress are still there to be answered.
+    while TcpStream::connect(address).await.is_ok() {
+        tokio::task::yield_now().await;
+    }
+    held.into_iter().for_each(echo);
+    for call in pending {
+        let got = call.await.expect("joined");
+        assert_eq!(got, Ok(answer(Bytes::from_static(b"held"))));
+    }
+    assert_eq!(closing.await.expect("joined"), Drained::Whole);
+}
+
+#[tokio::test]
+async fn a_close_that_runs_out_of_time_says_what_it_cut() {
+    let (server, mut calls) = server(ServerLimits::default());
+    let client = client();
+    let address = server.address();
+    let pending = tokio::spawn(async move { client.call(address, call("held"), LONG).await });
+    let _held = calls.recv().await.expect("a call");
+    let drained = server.close(Duration::ZERO).await;
+    assert_eq!(drained, Drained::Cut { connections: 1 });
+    let error = pending.await.expect("joined").expect_err("cut off");
+    assert!(!error.not_run());
+}
