Carry what a gate keeps instead of what it gives back

The credit ledger works on absolute statements: what a gate keeps of each target, what it abandoned, the epoch of each grant and the sequence that a reply answers. Differences, as the schema had them, can't survive a lost or doubled reply. The generated code is regenerated.

--- a/crates/protocol/schema/sched.capnp
+++ b/crates/protocol/schema/sched.capnp
@@ -24,13 +24,16 @@
   # What a gate wants of one service at the moment.
   service @0 :Text;
   wanted @1 :UInt32;
-  # How many slots it wants to hold in all, over all shards.
+  # How many slots it wants to hold in all on the targets of the sched that it asks.
 }
 
-struct Return {
-  # Slots that a gate gives back because nothing of its own runs in them.
+struct Hold {
+  # What a gate keeps of one target, from the making of the statement on.
   target @0 :TargetId;
   slots @1 :UInt16;
+  # The most slots that it fills until it applies the reply; a total, not a difference.
+  abandoned @2 :UInt16;
+  # Slots that it gives up without knowing whether they are free.
 }
 
 struct Grant {
@@ -41,6 +44,9 @@
   slots @3 :UInt16;
   # The total that the gate holds on this target after the call; zero withdraws the target.
   leaseMicros @4 :UInt64;
+  # From the making of the statement.
+  epoch @5 :UInt64;
+  # The epoch under which the sched holds the target; a lower one than known is void.
 }
 
 struct Shard {
@@ -72,7 +78,8 @@
   gate @0 :UInt32;
   incarnation @1 :UInt64;
   demands @2 :List(Demand);
-  returns @3 :List(Return);
+  holds @3 :List(Hold);
+  # Everything that it keeps of the targets of this sched; nothing of a target that is not listed.
   configVersion @4 :UInt64;
   # The newest version that the gate has in force.
   draining @5 :Bool;
@@ -89,6 +96,8 @@
   config @5 :Data;
   # The JSON document, only where it is newer than the gate's.
   draining @6 :Bool;
+  sequence @7 :UInt64;
+  # That of the request.
 }
 
 struct Job {
--- a/crates/protocol/src/wire/bound.rs
+++ b/crates/protocol/src/wire/bound.rs
@@ -2,7 +2,7 @@
 
 use super::Error;
 
-/// The most entries in a list of demands, returns, grants or shards.
+/// The most entries in a list of demands, holds, grants or shards.
 pub(super) const ENTRIES: u32 = 16_384;
 /// The most arguments of a job.
 pub(super) const ARGS: u32 = 1_024;
--- a/crates/protocol/src/wire/sched_capnp.rs
+++ b/crates/protocol/src/wire/sched_capnp.rs
@@ -1355,7 +1355,7 @@
     }
 }
 
-pub mod return_ {
+pub mod hold {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned {
@@ -1475,6 +1475,10 @@
         pub fn get_slots(self) -> u16 {
             self.reader.get_data_field::<u16>(0)
         }
+        #[inline]
+        pub fn get_abandoned(self) -> u16 {
+            self.reader.get_data_field::<u16>(1)
+        }
     }
 
     pub struct Builder<'a> {
@@ -1602,6 +1606,14 @@
         pub fn set_slots(&mut self, value: u16) {
             self.builder.set_data_field::<u16>(0, value);
         }
+        #[inline]
+        pub fn get_abandoned(self) -> u16 {
+            self.builder.get_data_field::<u16>(1)
+        }
+        #[inline]
+        pub fn set_abandoned(&mut self, value: u16) {
+            self.builder.set_data_field::<u16>(1, value);
+        }
     }
 
     pub struct Pipeline {
@@ -1620,38 +1632,45 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(12, 63, 143, 141, 207, 161, 149, 224),
+            ::capnp::word(103, 61, 42, 238, 141, 106, 206, 138),
             ::capnp::word(12, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(86, 72, 233, 194, 167, 179, 240, 209),
             ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(115, 99, 104, 101, 100, 46, 99, 97),
-            ::capnp::word(112, 110, 112, 58, 82, 101, 116, 117),
-            ::capnp::word(114, 110, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 110, 112, 58, 72, 111, 108, 100),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(116, 97, 114, 103, 101, 116, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(224, 143, 249, 77, 145, 230, 66, 152),
@@ -1668,11 +1687,21 @@
             ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 98, 97, 110, 100, 111, 110, 101),
+            ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <crate::wire::sched_capnp::target_id::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1691,10 +1720,10 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0];
-        pub(crate) const TYPE_ID: u64 = 0xe095_a1cf_8d8f_3f0c;
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 1, 0];
+        pub(crate) const TYPE_ID: u64 = 0x8ace_6a8d_ee2a_3d67;
     }
 }
 
@@ -1844,6 +1873,10 @@
         pub fn get_lease_micros(self) -> u64 {
             self.reader.get_data_field::<u64>(1)
         }
+        #[inline]
+        pub fn get_epoch(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
     }
 
     pub struct Builder<'a> {
@@ -1852,7 +1885,7 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 2,
+                data: 3,
                 pointers: 3,
             };
     }
@@ -2034,6 +2067,14 @@
         pub fn set_lease_micros(&mut self, value: u64) {
             self.builder.set_data_field::<u64>(1, value);
         }
+        #[inline]
+        pub fn get_epoch(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_epoch(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(2, value);
+        }
     }
 
     pub struct Pipeline {
@@ -2055,59 +2096,66 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 93] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 108] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(26, 44, 193, 13, 47, 6, 226, 148),
-            ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(86, 72, 233, 194, 167, 179, 240, 209),
             ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(115, 99, 104, 101, 100, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 71, 114, 97, 110),
             ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(169, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(177, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2149,6 +2197,14 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 112, 111, 99, 104, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2157,6 +2213,7 @@
                 2 => <crate::wire::sched_capnp::address::Owned as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2175,9 +2232,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 4, 0, 3, 1];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 5, 4, 0, 3, 1];
         pub(crate) const TYPE_ID: u64 = 0x94e2_062f_0dc1_2c1a;
     }
 }
@@ -3253,18 +3310,17 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_returns(
+        pub fn get_holds(
             self,
-        ) -> ::capnp::Result<
-            ::capnp::struct_list::Reader<'a, crate::wire::sched_capnp::return_::Owned>,
-        > {
+        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::wire::sched_capnp::hold::Owned>>
+        {
             ::capnp::traits::FromPointerReader::get_from_pointer(
                 &self.reader.get_pointer_field(1),
                 ::core::option::Option::None,
             )
         }
         #[inline]
-        pub fn has_returns(&self) -> bool {
+        pub fn has_holds(&self) -> bool {
             !self.reader.get_pointer_field(1).is_null()
         }
         #[inline]
@@ -3423,20 +3479,19 @@
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_returns(
+        pub fn get_holds(
             self,
-        ) -> ::capnp::Result<
-            ::capnp::struct_list::Builder<'a, crate::wire::sched_capnp::return_::Owned>,
-        > {
+        ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::wire::sched_capnp::hold::Owned>>
+        {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(
                 self.builder.get_pointer_field(1),
                 ::core::option::Option::None,
             )
         }
         #[inline]
-        pub fn set_returns(
+        pub fn set_holds(
             &mut self,
-            value: ::capnp::struct_list::Reader<'_, crate::wire::sched_capnp::return_::Owned>,
+            value: ::capnp::struct_list::Reader<'_, crate::wire::sched_capnp::hold::Owned>,
         ) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(
                 self.builder.reborrow().get_pointer_field(1),
@@ -3445,17 +3500,17 @@
             )
         }
         #[inline]
-        pub fn init_returns(
+        pub fn init_holds(
             self,
             size: u32,
-        ) -> ::capnp::struct_list::Builder<'a, crate::wire::sched_capnp::return_::Owned> {
+        ) -> ::capnp::struct_list::Builder<'a, crate::wire::sched_capnp::hold::Owned> {
             ::capnp::traits::FromPointerBuilder::init_pointer(
                 self.builder.get_pointer_field(1),
                 size,
             )
         }
         #[inline]
-        pub fn has_returns(&self) -> bool {
+        pub fn has_holds(&self) -> bool {
             !self.builder.is_pointer_field_null(1)
         }
         #[inline]
@@ -3538,7 +3593,7 @@
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
@@ -3592,13 +3647,13 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(114, 101, 116, 117, 114, 110, 115, 0),
+            ::capnp::word(104, 111, 108, 100, 115, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 63, 143, 141, 207, 161, 149, 224),
+            ::capnp::word(103, 61, 42, 238, 141, 106, 206, 138),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
@@ -3637,7 +3692,7 @@
                 0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <::capnp::struct_list::Owned<crate::wire::sched_capnp::demand::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                3 => <::capnp::struct_list::Owned<crate::wire::sched_capnp::return_::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::struct_list::Owned<crate::wire::sched_capnp::hold::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 5 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 6 => <u64 as ::capnp::introspect::Introspect>::introspect(),
@@ -3661,7 +3716,7 @@
             );
         pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[4, 2, 5, 0, 1, 3, 6];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[4, 2, 5, 0, 3, 1, 6];
         pub(crate) const TYPE_ID: u64 = 0xec32_8302_4852_79a0;
     }
 }
@@ -3824,6 +3879,10 @@
         pub fn get_draining(self) -> bool {
             self.reader.get_bool_field(32)
         }
+        #[inline]
+        pub fn get_sequence(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
+        }
     }
 
     pub struct Builder<'a> {
@@ -3832,7 +3891,7 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 3,
+                data: 4,
                 pointers: 3,
             };
     }
@@ -4038,6 +4097,14 @@
         pub fn set_draining(&mut self, value: bool) {
             self.builder.set_bool_field(32, value);
         }
+        #[inline]
+        pub fn get_sequence(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn set_sequence(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(3, value);
+        }
     }
 
     pub struct Pipeline {
@@ -4052,73 +4119,80 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 133] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 149] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(217, 193, 28, 198, 85, 179, 104, 182),
-            ::capnp::word(12, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(86, 72, 233, 194, 167, 179, 240, 209),
             ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(115, 99, 104, 101, 100, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 83, 121, 110, 99),
             ::capnp::word(82, 101, 112, 108, 121, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(221, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(5, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 32, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(25, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(110, 111, 100, 101, 0, 0, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4186,6 +4260,15 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 113, 117, 101, 110, 99, 101),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -4196,6 +4279,7 @@
                 4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 5 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 6 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                7 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -4214,9 +4298,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[5, 4, 6, 3, 1, 0, 2];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[5, 4, 6, 3, 1, 0, 7, 2];
         pub(crate) const TYPE_ID: u64 = 0xb668_b355_c61c_c1d9;
     }
 }
--- a/crates/protocol/src/wire/sync.rs
+++ b/crates/protocol/src/wire/sync.rs
@@ -24,7 +24,7 @@
     sched_capnp::{
         demand,
         grant,
-        return_,
+        hold,
         sched::{
             sync_params,
             sync_results, //
@@ -40,17 +40,19 @@
 pub struct Demand {
     /// The service.
     pub service: Service,
-    /// How many slots the gate wants to hold in all, over all shards.
+    /// How many slots the gate wants to hold in all on the targets of the sched that it asks.
     pub wanted: u32,
 }
 
-/// Slots that a gate gives back because nothing of its own runs in them.
+/// What a gate keeps of one target, from the making of the statement on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Return {
-    /// The target whose slots are given back.
+pub struct Hold {
+    /// The target.
     pub target: target::Id,
-    /// How many slots.
+    /// The most slots that it fills until it applies the reply; a total, not a difference.
     pub slots: u16,
+    /// Slots that it gives up without knowing whether they are free.
+    pub abandoned: u16,
 }
 
 /// Slots of one target that a gate may fill until the lease ends.
@@ -62,8 +64,10 @@
     pub target: Target,
     /// The total that the gate holds on this target after the call; zero withdraws the target.
     pub slots: u16,
-    /// How long the grant lasts from the sending of the request.
+    /// How long the grant lasts from the making of the statement.
     pub lease: Duration,
+    /// The epoch under which the sched holds the target; a lower one than known is void.
+    pub epoch: Epoch,
 }
 
 /// A shard that the answering sched owns, with a digest of its load.
@@ -92,8 +96,8 @@
     pub incarnation: Incarnation,
     /// What the gate wants, at most one entry a service.
     pub demands: Vec<Demand>,
-    /// What the gate gives back.
-    pub returns: Vec<Return>,
+    /// What the gate keeps of the sched's targets; nothing of a target that is not listed.
+    pub holds: Vec<Hold>,
     /// The newest version of the configuration that the gate has in force.
     pub config_version: Offset,
     /// Whether the gate is draining.
@@ -119,6 +123,8 @@
     pub config: Option<Bytes>,
     /// Whether the sched is draining.
     pub draining: bool,
+    /// The sequence of the request that it answers.
+    pub sequence: u64,
 }
 
 impl Request {
@@ -135,10 +141,10 @@
         for (index, demand) in (0..count).zip(&self.demands) {
             demand.write(demands.reborrow().get(index));
         }
-        let count = bound::count(self.returns.len());
-        let mut returns = builder.init_returns(count);
-        for (index, back) in (0..count).zip(&self.returns) {
-            back.write(returns.reborrow().get(index));
+        let count = bound::count(self.holds.len());
+        let mut holds = builder.init_holds(count);
+        for (index, hold) in (0..count).zip(&self.holds) {
+            hold.write(holds.reborrow().get(index));
         }
     }
 
@@ -149,17 +155,17 @@
         for demand in list {
             demands.push(Demand::read(demand)?);
         }
-        let list = reader.get_returns()?;
-        let len = bound::list("returns", list.len(), bound::ENTRIES)?;
-        let mut returns = Vec::with_capacity(len);
-        for back in list {
-            returns.push(Return::read(back)?);
+        let list = reader.get_holds()?;
+        let len = bound::list("holds", list.len(), bound::ENTRIES)?;
+        let mut holds = Vec::with_capacity(len);
+        for hold in list {
+            holds.push(Hold::read(hold)?);
         }
         Ok(Self {
             gate: NodeId(reader.get_gate()),
             incarnation: Incarnation(reader.get_incarnation()),
             demands,
-            returns,
+            holds,
             config_version: Offset(reader.get_config_version()),
             draining: reader.get_draining(),
             sequence: reader.get_sequence(),
@@ -183,6 +189,7 @@
         builder.set_incarnation(self.incarnation.0);
         builder.set_config_version(self.config_version.0);
         builder.set_draining(self.draining);
+        builder.set_sequence(self.sequence);
         if let Some(config) = &self.config {
             builder.set_config(config);
         }
@@ -223,6 +230,7 @@
             config_version: Offset(reader.get_config_version()),
             config,
             draining: reader.get_draining(),
+            sequence: reader.get_sequence(),
         })
     }
 }
@@ -249,17 +257,19 @@
     }
 }
 
-impl Return {
-    fn read(reader: return_::Reader<'_>) -> Result<Self, Error> {
+impl Hold {
+    fn read(reader: hold::Reader<'_>) -> Result<Self, Error> {
         Ok(Self {
             target: scalar::read_target_id(reader.get_target()?)?,
             slots: reader.get_slots(),
+            abandoned: reader.get_abandoned(),
         })
     }
 
-    fn write(self, mut builder: return_::Builder<'_>) {
+    fn write(self, mut builder: hold::Builder<'_>) {
         scalar::write_target_id(self.target, builder.reborrow().init_target());
         builder.set_slots(self.slots);
+        builder.set_abandoned(self.abandoned);
     }
 }
 
@@ -272,6 +282,7 @@
             target: Target { id, address },
             slots: reader.get_slots(),
             lease: Duration::from_micros(reader.get_lease_micros()),
+            epoch: Epoch(reader.get_epoch()),
         })
     }
 
@@ -281,6 +292,7 @@
         scalar::write_address(self.target.address, builder.reborrow().init_address());
         builder.set_slots(self.slots);
         builder.set_lease_micros(scalar::micros(self.lease));
+        builder.set_epoch(self.epoch.0);
     }
 }
 
