Add checked settings for the four programs with two ready sets

Operators get settings wrong, and one mistake at a time wears them out. A file becomes a JSON document first, in which no key may stand twice; a truncated one is told apart and names its end. Then every field is read before any failure ends the check, so that one listing holds all mistakes with their paths. Unknown keys are refused with the key that was probably meant.

settings/vidgerdarvit and settings/kurzeme hold the sizes of today on loopback addresses; a test checks that all eight files pass.

--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod key;
 pub mod problem;
 pub mod settings;
+pub mod suggest;
 pub mod wire;
--- a/crates/protocol/src/settings/mod.rs
+++ b/crates/protocol/src/settings/mod.rs
@@ -1,1 +1,32 @@
-//! Settings of the programs: JSON, checked as a whole.
+//! Settings of the programs: JSON files, checked as a whole.
+//!
+//! A file goes through two phases. First it becomes a [`Document`], which is any JSON without a
+//! repeated key; a truncated file fails here with its line and column. Then the document becomes
+//! [`Gate`], [`Sched`], [`Standin`] or [`Load`] by `TryFrom`, and all its mistakes are reported at
+//! once, each with its path. Keys that are not known are refused.
+
+pub mod check;
+mod document;
+mod error;
+pub mod gate;
+pub mod load;
+pub mod sched;
+mod source;
+pub mod standin;
+pub mod value;
+
+pub use self::{
+    document::Document,
+    error::Error,
+    gate::Gate,
+    load::Load,
+    sched::Sched,
+    source::{
+        Kind,
+        UnknownKind,
+        check,
+        load,
+        parse, //
+    },
+    standin::Standin,
+};
