--- /dev/null
+++ b/crates/coordination/src/credit/balance/mod.rs
@@ -0,0 +1,376 @@
+//! The gate's side: which slots it may fill.
+
+mod entry;
+mod need;
+mod penalty;
+mod pool;
+
+use std::collections::BTreeMap;
+
+use fulmarpier_state::{
+    alias::HashMap,
+    clock::Timestamp,
+    id::{
+        Incarnation,
+        NodeId, //
+    },
+    name::Service, //
+};
+use rand::{
+    SeedableRng,
+    rngs::SmallRng, //
+};
+
+use self::{
+    entry::Entry,
+    pool::Pool, //
+};
+use super::{
+    Demand,
+    Grant,
+    Hold,
+    Reply,
+    Statement, //
+};
+use crate::platform::target::{
+    self,
+    Target, //
+};
+
+/// What is kept over the wanted count before slots are given back, as a divisor of it.
+const SURPLUS: u32 = 4;
+
+/// A slot of a target, taken for one request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[must_use = "a ticket is put back when the request is over"]
+pub struct Ticket {
+    /// The service of the request.
+    pub service: Service,
+    /// The target to send it to.
+    pub target: Target,
+    /// The request must have been sent before this, or not be sent at all.
+    pub expiry: Timestamp,
+}
+
+/// How a request that had a slot ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// A whole answer came.
+    Answered,
+    /// It was never sent, for a reason that has nothing to do with the target.
+    Unsent,
+    /// The target refused the connection or turned the request away, so nothing runs there.
+    Refused,
+    /// Something was sent and no whole answer came; the request may still run there.
+    Unknown,
+}
+
+/// Why there is no slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Short {
+    /// No target of the service is known.
+    #[error("no target of the service is known")]
+    NoTarget,
+    /// All slots that the gate holds are in use or have lapsed.
+    #[error("all slots that the gate holds are in use")]
+    Full,
+}
+
+/// A statement under way.
+#[derive(Clone, Debug)]
+struct Pending {
+    sequence: u64,
+    sent_at: Timestamp,
+    listed: Vec<target::Id>,
+}
+
+/// The slots that a gate may fill, by service and target.
+///
+/// After a restart a gate starts with an empty balance; what its former life held comes back to the
+/// owners by their inventories.
+///
+/// # Examples
+///
+/// ```
+/// use fulmarpier_coordination::credit::{Balance, Short};
+/// use fulmarpier_state::{clock::Timestamp, id::{Incarnation, NodeId}};
+///
+/// let mut balance = Balance::new(NodeId(1), Incarnation(1), 7);
+/// let service = "desk".parse().expect("the name is accepted");
+/// assert_eq!(balance.take(&service, Timestamp::ZERO), Err(Short::NoTarget));
+/// ```
+#[derive(Debug)]
+pub struct Balance {
+    gate: NodeId,
+    incarnation: Incarnation,
+    rng: SmallRng,
+    sequence: u64,
+    pools: BTreeMap<Service, Pool>,
+    /// The service of each target.
+    services: HashMap<target::Id, Service>,
+    /// The statement under way to each owner that was ever asked.
+    owners: BTreeMap<NodeId, Option<Pending>>,
+    short: bool,
+}
+
+impl Balance {
+    /// Makes an empty balance; `seed` decides the order in which targets are picked.
+    pub fn new(gate: NodeId, incarnation: Incarnation, seed: u64) -> Self {
+        Self {
+            gate,
+            incarnation,
+            rng: SmallRng::seed_from_u64(seed),
+            sequence: 0,
+            pools: BTreeMap::new(),
+            services: HashMap::default(),
+            owners: BTreeMap::new(),
+            short: false,
+        }
+    }
+
+    /// Makes a service known, so that a few slots are held before its first request.
+    pub fn expect(&mut self, service: &Service) {
+        self.pools.entry(service.clone()).or_default();
+    }
+
+    /// Takes a slot for a request of the service.
+    ///
+    /// # Errors
+    ///
+    /// [`Short`] where there is none; the request waits or is refused, and
+    /// [`Self::is_short`] asks for a statement ahead of time.
+    ///
+    /// See also [`Self::put_back`].
+    pub fn take(&mut self, service: &Service, now: Timestamp) -> Result<Ticket, Short> {
+        let Some(pool) = self.pools.get_mut(service) else {
+            self.expect(service);
+            self.short = true;
+            return Err(Short::NoTarget);
+        };
+        let none = if pool.entries.is_empty() {
+            Short::NoTarget
+        } else {
+            Short::Full
+        };
+        let Some(entry) = pool.pick(&mut self.rng, now) else {
+            self.short = true;
+            return Err(none);
+        };
+        entry.in_use += 1;
+        let ticket = Ticket {
+            service: service.clone(),
+            target: entry.target,
+            expiry: entry.expiry,
+        };
+        pool.need.take();
+        Ok(ticket)
+    }
+
+    /// Puts a slot back when its request is over.
+    ///
+    /// See also [`Self::take`].
+    pub fn put_back(&mut self, ticket: Ticket, end: End, now: Timestamp) {
+        let Some(pool) = self.pools.get_mut(&ticket.service) else {
+            return;
+        };
+        pool.need.put_back();
+        let Some(entry) = pool.find_mut(ticket.target.id) else {
+            return;
+        };
+        entry.in_use = entry.in_use.saturating_sub(1);
+        match end {
+            End::Answered => entry.penalty.succeed(),
+            End::Unsent => {}
+            End::Refused => entry.penalty.fail(now),
+            End::Unknown => {
+                entry.penalty.fail(now);
+                entry.slots = entry.slots.saturating_sub(1);
+                entry.abandoned += 1;
+            }
+        }
+    }
+
+    /// Notes how many requests of the service wait for a slot.
+    pub fn wait(&mut self, service: &Service, count: u32) {
+        let pool = self.pools.entry(service.clone()).or_default();
+        pool.need.wait(count);
+    }
+
+    /// Returns whether a request found no slot since the last statement, so that the next one should
+    /// be made at once.
+    pub const fn is_short(&self) -> bool {
+        self.short
+    }
+
+    /// Returns how many slots of a service are held and how many of them are in use.
+    pub fn usage(&self, service: &Service, now: Timestamp) -> (u32, u32) {
+        let pool = self.pools.get(service);
+        pool.map_or((0, 0), |pool| (pool.held(None, now), pool.need.in_use))
+    }
+
+    /// Returns how many requests are in flight on a target.
+    pub fn in_flight(&self, target: target::Id) -> u16 {
+        let entry = self
+            .services
+            .get(&target)
+            .and_then(|service| self.pools.get(service)?.find(target));
+        entry.map_or(0, |entry| entry.in_use)
+    }
+
+    /// Makes the statement for one owner, and gives up on an earlier one that is under way.
+    ///
+    /// It must be made right before it is sent: the leases in its reply count from `now`.
+    ///
+    /// See also [`Self::apply`].
+    pub fn state(&mut self, owner: NodeId, draining: bool, now: Timestamp) -> Statement {
+        self.forget_over(now);
+        self.short = false;
+        self.sequence += 1;
+        self.owners.entry(owner).or_default();
+        let demands = self.demand(owner, draining, now);
+        let holds = self.holds(owner);
+        let pending = Pending {
+            sequence: self.sequence,
+            sent_at: now,
+            listed: holds.iter().map(|hold| hold.target).collect(),
+        };
+        self.owners.insert(owner, Some(pending));
+        Statement {
+            gate: self.gate,
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            demands,
+            holds,
+            draining,
+        }
+    }
+
+    /// Applies the reply to the statement under way; returns whether it was that.
+    ///
+    /// See also [`Self::state`].
+    pub fn apply(&mut self, owner: NodeId, reply: &Reply) -> bool {
+        let pending = self
+            .owners
+            .get_mut(&owner)
+            .and_then(|pending| pending.take_if(|pending| pending.sequence == reply.sequence));
+        let Some(pending) = pending else {
+            return false;
+        };
+        self.settle_listed(owner, &pending, reply);
+        for grant in &reply.grants {
+            self.apply_grant(owner, grant, pending.sent_at);
+        }
+        true
+    }
+
+    /// Notes that an owner is gone for good, so that nothing more is asked of it.
+    pub fn forget_owner(&mut self, owner: NodeId) {
+        self.owners.remove(&owner);
+    }
+
+    /// Decides what to want of one owner, and gives back what is too much.
+    fn demand(&mut self, owner: NodeId, draining: bool, now: Timestamp) -> Vec<Demand> {
+        let owners = u32::try_from(self.owners.len()).unwrap_or(u32::MAX);
+        let mut demands = Vec::new();
+        for (service, pool) in &mut self.pools {
+            pool.need.decay();
+            let wanted = if draining { 0 } else { pool.need.wanted() };
+            let held = pool.held(None, now);
+            let here = pool.held(Some(owner), now);
+            let wanted = if held < wanted {
+                here + (wanted - held).div_ceil(owners)
+            } else {
+                let surplus = held - wanted;
+                let back = if surplus > wanted / SURPLUS {
+                    surplus * here / held.max(1)
+                } else {
+                    0
+                };
+                pool.give_back(owner, back);
+                here - back
+            };
+            if wanted > 0 {
+                let service = service.clone();
+                demands.push(Demand { service, wanted });
+            }
+        }
+        demands
+    }
+
+    fn holds(&mut self, owner: NodeId) -> Vec<Hold> {
+        let entries = self.pools.values_mut().flat_map(|pool| &mut pool.entries);
+        let of_owner = entries.filter(|entry| entry.owner == owner && !entry.is_over());
+        let hold = |entry: &mut Entry| {
+            entry.reported = entry.abandoned;
+            Hold {
+                target: entry.target.id,
+                slots: entry.kept(),
+                abandoned: entry.abandoned,
+            }
+        };
+        of_owner.map(hold).collect()
+    }
+
+    /// Takes note of what the owner now knows, and of targets that it withdrew without a word.
+    fn settle_listed(&mut self, owner: NodeId, pending: &Pending, reply: &Reply) {
+        for target in &pending.listed {
+            let Some(entry) = self.entry_mut(*target) else {
+                continue;
+            };
+            if entry.owner != owner {
+                continue;
+            }
+            entry.abandoned = entry.abandoned.saturating_sub(entry.reported);
+            entry.reported = 0;
+            let granted = reply.grants.iter().any(|grant| grant.target.id == *target);
+            if !granted {
+                entry.slots = 0;
+            }
+        }
+    }
+
+    fn apply_grant(&mut self, owner: NodeId, grant: &Grant, sent_at: Timestamp) {
+        let id = grant.target.id;
+        let known = self.services.contains_key(&id);
+        if !known && grant.slots == 0 {
+            return;
+        }
+        self.services
+            .entry(id)
+            .or_insert_with(|| grant.service.clone());
+        let pool = self.pools.entry(grant.service.clone()).or_default();
+        let fresh = || Entry::new(grant.target, owner, grant.epoch);
+        let entry = pool.entry(id, fresh);
+        if grant.epoch < entry.epoch {
+            return;
+        }
+        let announced = grant.epoch > entry.epoch && grant.slots == 0;
+        entry.owner = owner;
+        entry.epoch = grant.epoch;
+        if announced {
+            // What the earlier owner granted stays until it lapses; the next statement names it.
+            entry.reported = 0;
+            return;
+        }
+        // What was abandoned since the statement still counts against the total.
+        entry.slots = grant.slots.saturating_sub(entry.abandoned);
+        entry.expiry = sent_at + grant.lease;
+    }
+
+    fn forget_over(&mut self, now: Timestamp) {
+        for pool in self.pools.values_mut() {
+            pool.entries.retain(|entry| {
+                let over = entry.is_over() || entry.is_stale(now);
+                if over {
+                    self.services.remove(&entry.target.id);
+                }
+                !over
+            });
+        }
+    }
+
+    fn entry_mut(&mut self, target: target::Id) -> Option<&mut Entry> {
+        let service = self.services.get(&target)?;
+        self.pools.get_mut(service)?.find_mut(target)
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/credit/balance/pool.rs
@@ -0,0 +1,114 @@
+//! What a gate holds of one service.
+
+use std::cmp::Reverse;
+
+use fulmarpier_state::{
+    clock::Timestamp,
+    id::NodeId, //
+};
+use rand::{
+    Rng,
+    RngExt,
+    rngs::SmallRng, //
+};
+
+use super::{
+    entry::Entry,
+    need::Need, //
+};
+use crate::platform::target;
+
+/// What a gate holds of one service, by target in order of id.
+#[derive(Debug, Default)]
+pub(super) struct Pool {
+    pub(super) entries: Vec<Entry>,
+    pub(super) need: Need,
+}
+
+impl Pool {
+    /// Picks a target with an empty slot: the emptier of two at random, and where neither will do,
+    /// the best of all.
+    pub(super) fn pick(&mut self, rng: &mut SmallRng, now: Timestamp) -> Option<&mut Entry> {
+        if self.entries.is_empty() {
+            return None;
+        }
+        let len = self.entries.len();
+        let (a, b) = (rng.random_range(0..len), rng.random_range(0..len));
+        let good = |index: &usize| {
+            let entry = &self.entries[*index];
+            entry.is_usable(now) && !entry.penalty.is_active(now)
+        };
+        let of_two = [a, b]
+            .into_iter()
+            .filter(good)
+            .min_by_key(|index| self.entries[*index].in_use);
+        let index = of_two.or_else(|| self.best(rng, now))?;
+        Some(&mut self.entries[index])
+    }
+
+    /// Returns the usable target with the fewest requests, those without a penalty first.
+    fn best(&self, rng: &mut impl Rng, now: Timestamp) -> Option<usize> {
+        let len = self.entries.len();
+        let start = rng.random_range(0..len);
+        let around = (0..len).map(|step| (start + step) % len);
+        let usable = around.filter(|index| self.entries[*index].is_usable(now));
+        usable.min_by_key(|index| {
+            let entry = &self.entries[*index];
+            (entry.penalty.is_active(now), entry.in_use)
+        })
+    }
+
+    pub(super) fn find(&self, target: target::Id) -> Option<&Entry> {
+        let index = self.position(target).ok()?;
+        Some(&self.entries[index])
+    }
+
+    pub(super) fn find_mut(&mut self, target: target::Id) -> Option<&mut Entry> {
+        let index = self.position(target).ok()?;
+        Some(&mut self.entries[index])
+    }
+
+    /// Returns the entry of a target, made by `fresh` where there is none.
+    pub(super) fn entry(
+        &mut self,
+        target: target::Id,
+        fresh: impl FnOnce() -> Entry,
+    ) -> &mut Entry {
+        let index = match self.position(target) {
+            Ok(index) => index,
+            Err(index) => {
+                self.entries.insert(index, fresh());
+                index
+            }
+        };
+        &mut self.entries[index]
+    }
+
+    /// Returns how many slots are held, of one owner or of all, that can still be used.
+    pub(super) fn held(&self, owner: Option<NodeId>, now: Timestamp) -> u32 {
+        let counts =
+            |entry: &&Entry| owner.is_none_or(|id| id == entry.owner) && now < entry.expiry;
+        self.entries
+            .iter()
+            .filter(counts)
+            .map(|entry| u32::from(entry.slots))
+            .sum()
+    }
+
+    /// Gives up to `count` empty slots of an owner back, from where the most are empty.
+    pub(super) fn give_back(&mut self, owner: NodeId, count: u32) {
+        for _ in 0..count {
+            let of_owner = self.entries.iter_mut().filter(|entry| entry.owner == owner);
+            let most = of_owner.max_by_key(|entry| (entry.spare(), Reverse(entry.target.id)));
+            match most {
+                Some(entry) if entry.spare() > 0 => entry.slots -= 1,
+                _ => return,
+            }
+        }
+    }
+
+    fn position(&self, target: target::Id) -> Result<usize, usize> {
+        self.entries
+            .binary_search_by_key(&target, |entry| entry.target.id)
+    }
+}
