--- a/crates/coordination/src/journal/record.rs
+++ b/crates/coordination/src/journal/record.rs
@@ -15,8 +15,8 @@
         WorkerId, //
     },
     job::Spec,
-    name::Service, //
-    refusal::Outcome,
+    name::Service,
+    refusal::Outcome, //
 };
 use serde::{
     Deserialize,
@@ -100,6 +100,8 @@
         task: TaskId,
         /// Which start of the task this was.
         attempt: Attempt,
+        /// Where it ran.
+        worker: WorkerId,
         /// How it ended.
         end: End,
     },
@@ -109,6 +111,8 @@
         task: TaskId,
         /// The attempt in doubt.
         attempt: Attempt,
+        /// Where it was to run.
+        worker: WorkerId,
     },
     /// A job is to be cancelled.
     Cancelled {
--- a/crates/coordination/src/recovery/image.rs
+++ b/crates/coordination/src/recovery/image.rs
@@ -16,8 +16,8 @@
         WorkerId, //
     },
     job::Spec,
-    name::Service, //
-    refusal::Outcome,
+    name::Service,
+    refusal::Outcome, //
 };
 use serde::{
     Deserialize,
@@ -63,6 +63,8 @@
     Ended {
         /// Which start of the task this was.
         attempt: Attempt,
+        /// Where it ran.
+        worker: WorkerId,
         /// How it ended.
         end: End,
     },
@@ -70,6 +72,8 @@
     Unknown {
         /// The attempt in doubt.
         attempt: Attempt,
+        /// Where it was to run.
+        worker: WorkerId,
     },
 }
 
@@ -80,7 +84,7 @@
             Self::Starting { attempt, .. }
             | Self::NotStarted { attempt }
             | Self::Ended { attempt, .. }
-            | Self::Unknown { attempt } => *attempt,
+            | Self::Unknown { attempt, .. } => *attempt,
         }
     }
 }
@@ -174,13 +178,26 @@
                 let attempt = *attempt;
                 self.set(*task, TaskState::NotStarted { attempt });
             }
-            Record::Ended { task, attempt, end } => {
-                let (attempt, end) = (*attempt, *end);
-                self.set(*task, TaskState::Ended { attempt, end });
+            Record::Ended {
+                task,
+                attempt,
+                worker,
+                end,
+            } => {
+                let state = TaskState::Ended {
+                    attempt: *attempt,
+                    worker: *worker,
+                    end: *end,
+                };
+                self.set(*task, state);
             }
-            Record::Unknown { task, attempt } => {
-                let attempt = *attempt;
-                self.set(*task, TaskState::Unknown { attempt });
+            Record::Unknown {
+                task,
+                attempt,
+                worker,
+            } => {
+                let (attempt, worker) = (*attempt, *worker);
+                self.set(*task, TaskState::Unknown { attempt, worker });
             }
             Record::Cancelled { job } => {
                 if let Some(job) = self.jobs.get_mut(job) {
