--- a/crates/state/src/admission/mod.rs
+++ b/crates/state/src/admission/mod.rs
@@ -1,1 +1,9 @@
-//! Refusal at submission: what can never run, or can't start in time.
+//! Whether a job is taken in, decided before it is journalled.
+
+mod desk;
+mod pace;
+
+pub use self::{
+    desk::Desk,
+    pace::Pace, //
+};
--- /dev/null
+++ b/crates/state/src/engine/decide.rs
@@ -0,0 +1,193 @@
+//! The decisions.
+
+use super::{
+    core::Engine,
+    effect::Effect, //
+};
+use crate::{
+    clock::Timestamp,
+    id::{
+        JobId,
+        WorkerId, //
+    },
+    job::{
+        Priority,
+        Spread, //
+    },
+    placement::Rule,
+    queue::{
+        Entry,
+        Park, //
+    },
+    resource::Resources,
+};
+
+/// Classes of work in the order in which they are served.
+const CLASSES: [Priority; 3] = [Priority::Urgent, Priority::Normal, Priority::Low];
+/// One start in this many may go to the job that has waited beyond the starvation bound.
+const TURNS: u64 = 8;
+
+impl Engine {
+    /// Runs what is due and decides up to `limit` starts.
+    ///
+    /// Urgent work is decided at once; the rest is gathered over the window that the weights set.
+    ///
+    /// A call costs O(log n) in jobs and workers for each start, and one failed search for each
+    /// size of task that waits and fits nowhere.
+    pub fn decide(&mut self, now: Timestamp, limit: usize) -> Vec<Effect> {
+        self.run_timers(now);
+        self.start_complete(now);
+        self.start_elsewhere(now);
+        let end = self.counters.starts + limit as u64;
+        self.serve(Priority::Urgent, end, now);
+        if now >= self.tick {
+            self.serve_overdue(end, now);
+            self.serve(Priority::Normal, end, now);
+            self.serve(Priority::Low, end, now);
+            self.probe(now);
+            self.backfill(end, now);
+            self.tick = now + self.tuning.window;
+        }
+        self.start_complete(now);
+        self.drain()
+    }
+
+    /// Returns when [`Self::decide`] is due next without any event, if ever.
+    pub fn next_wake(&self) -> Option<Timestamp> {
+        let timer = self.timers.first().map(|(at, _)| *at);
+        let end = self.ends.first().map(|(at, _)| *at);
+        let open = CLASSES.iter().any(|class| self.queue.is_open(*class));
+        let ready = open || !self.complete.is_empty();
+        let tick = ready.then_some(self.tick);
+        let probe = self.book.next_probe().filter(|_| !self.queue.is_empty());
+        [timer, end, tick, probe].into_iter().flatten().min()
+    }
+
+    /// Places the jobs of one class in fair order until none fits.
+    fn serve(&mut self, class: Priority, end: u64, now: Timestamp) {
+        while self.counters.starts < end {
+            let Some(entry) = self.queue.next(class).copied() else {
+                return;
+            };
+            if self.has_expired(&entry, now) {
+                continue;
+            }
+            self.attempt(&entry, now);
+        }
+    }
+
+    /// Places a job that has waited too long ahead of the fair order, now and then.
+    fn serve_overdue(&mut self, end: u64, now: Timestamp) {
+        let Some(entry) = self.queue.oldest().copied() else {
+            return;
+        };
+        let waited = now.since(entry.arrival);
+        if waited >= self.tuning.reserve_after && self.queue.parked(&entry).is_some() {
+            self.reserve_if_allowed(&entry, now);
+        }
+        let due = self.counters.starts >= self.in_turn + TURNS;
+        if waited < self.policy.starvation.get() || !due || self.counters.starts >= end {
+            return;
+        }
+        self.in_turn = self.counters.starts;
+        if !self.queue.capped(&entry) && self.queue.get(entry.job).is_some() {
+            self.attempt(&entry, now);
+        }
+    }
+
+    /// Tries to start a job, or records why it waits.
+    fn attempt(&mut self, entry: &Entry, now: Timestamp) {
+        let Some(total) = self.wanted(entry) else {
+            self.dequeue(entry.job);
+            return;
+        };
+        if !self.ledger.admits(entry.team, total) {
+            self.queue.cap(entry);
+            return;
+        }
+        let started = match entry.gang {
+            true => self.place_gang(entry, now),
+            false => self.place_one(entry, now),
+        };
+        if !started {
+            self.find_no_room(entry, now);
+        }
+    }
+
+    /// Returns what the next start of a job takes in all.
+    fn wanted(&self, entry: &Entry) -> Option<Resources> {
+        let job = self.jobs.get(&entry.job)?;
+        match (job.ready(), entry.gang) {
+            (0, _) => None,
+            (count, true) => entry.size.checked_mul(count),
+            (_, false) => Some(entry.size),
+        }
+    }
+
+    fn place_one(&mut self, entry: &Entry, now: Timestamp) -> bool {
+        let Some(worker) = self.find_worker(entry.job, entry.size) else {
+            return false;
+        };
+        if self.index.reserve(worker, entry.size).is_err() {
+            return false;
+        }
+        self.begin(entry.job, worker, None, now);
+        self.dequeue_if_idle(entry.job);
+        true
+    }
+
+    /// Returns the worker for one task of a job, if any has room.
+    pub(super) fn find_worker(&self, job: JobId, size: Resources) -> Option<WorkerId> {
+        let job = self.jobs.get(&job)?;
+        let spread = match (job.spec.spread, job.is_service()) {
+            (Spread::Any, true) => self.policy.spread,
+            (spread, _) => spread,
+        };
+        let rule = Rule::new()
+            .weights(self.policy.weights)
+            .spread(spread, &job.presence);
+        let wary = rule.avoid(&job.avoid);
+        let found = self.index.find(&size, &wary);
+        // A worker where the job failed once is better than none.
+        found.or_else(|| self.index.find(&size, &rule))
+    }
+
+    /// A job fits nowhere: makes room if it is urgent, holds capacity if it is due, else parks it.
+    fn find_no_room(&mut self, entry: &Entry, now: Timestamp) {
+        if entry.class == Priority::Urgent && self.evict_for(entry, now) {
+            return;
+        }
+        let waited = now.since(entry.arrival) >= self.tuning.reserve_after;
+        if (entry.gang || waited) && self.reserve_if_allowed(entry, now) {
+            return;
+        }
+        let park = Park {
+            size: entry.size,
+            free: self.index.total_free(),
+            since: now,
+        };
+        self.queue.park(entry, park);
+    }
+
+    /// Holds capacity for a job unless that is done for enough jobs.
+    fn reserve_if_allowed(&mut self, entry: &Entry, now: Timestamp) -> bool {
+        let held = self.reservations.values().filter(|r| !r.evicts).count();
+        held < self.policy.reservations as usize && self.reserve_for(entry.job, now)
+    }
+
+    /// Lets a job that can't meet its deadline any more queue behind those that can.
+    fn has_expired(&mut self, entry: &Entry, now: Timestamp) -> bool {
+        let job = self.jobs.get(&entry.job);
+        let deadline = job.and_then(|job| job.spec.deadline);
+        if deadline.is_none_or(|deadline| deadline > now) || entry.latest > now {
+            return false;
+        }
+        self.requeue_late(entry.job, now);
+        true
+    }
+
+    fn requeue_late(&mut self, job: JobId, now: Timestamp) {
+        self.dequeue(job);
+        self.enqueue(job, now);
+    }
+}
--- a/crates/state/src/explain/mod.rs
+++ b/crates/state/src/explain/mod.rs
@@ -1,1 +1,5 @@
-//! Why a job waits, from the record of the decision itself.
+//! Why a job is where it is, taken from the record of its last decision.
+
+mod explanation;
+
+pub use self::explanation::Explanation;
--- a/crates/state/src/placement/total.rs
+++ b/crates/state/src/placement/total.rs
@@ -2,10 +2,15 @@
 
 use std::fmt;
 
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
 use crate::resource::Resources;
 
 /// A sum of [`Resources`] over many workers, wide enough not to overflow.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Total {
     /// Processor time in thousandths of a core.
     pub cpu: u64,
