Let a gate know all shards of its region

The home shard of a key follows from the set of all shards, owned or not; a set learnt from the scheds that happen to answer would move keys. A count over 100 is refused for the sched too: the numbering of shards leaves no room for more.

--- a/crates/protocol/src/settings/gate/mod.rs
+++ b/crates/protocol/src/settings/gate/mod.rs
@@ -36,6 +36,7 @@
 };
 
 const MAX_THREADS: u16 = 256;
+const MAX_SHARDS: u16 = 100;
 
 /// The settings of one gate.
 #[derive(Clone, Debug, PartialEq)]
@@ -46,6 +47,11 @@
     pub region: RegionId,
     /// The data centre of the node.
     pub data_centre: DataCentreId,
+    /// All data centres of the region; with the count of shards they say where keys are at home, so
+    /// all gates and scheds of a region must agree on both.
+    pub data_centres: Vec<DataCentreId>,
+    /// Into how many shards the workers of each data centre fall.
+    pub shards_per_data_centre: u16,
     /// Where callers and operators are served.
     pub listen: SocketAddr,
     /// The scheds of the region, at least one.
@@ -71,6 +77,8 @@
         let node = section.required("node");
         let region = section.required("region");
         let data_centre = section.required("data_centre");
+        let data_centres = section.values::<DataCentreId>("data_centres");
+        let shards = section.within("shards_per_data_centre", 2, 1..=MAX_SHARDS);
         let listen = section.required("listen");
         let scheds = section.forms::<Peer>("scheds");
         let sync_interval = section.within(
@@ -84,12 +92,15 @@
         let drain = section.or("drain", Span::from_secs(30));
         let traffic_threads = section.within("traffic_threads", 4, 1..=MAX_THREADS);
         let log_level = section.or("log_level", Level::Info);
+        check_data_centres(section, data_centres.as_deref());
         check_scheds(section, scheds.as_deref());
         check_operators(section, operators.as_deref());
         Some(Self {
             node: node?,
             region: region?,
             data_centre: data_centre?,
+            data_centres: data_centres?,
+            shards_per_data_centre: shards?,
             listen: listen?,
             scheds: scheds?,
             sync_interval: sync_interval?,
@@ -126,6 +137,13 @@
     }
 }
 
+fn check_data_centres(section: &mut Section<'_>, data_centres: Option<&[DataCentreId]>) {
+    if let Some(data_centres) = data_centres {
+        section.not_empty("data_centres", data_centres);
+        section.unique("data_centres", data_centres);
+    }
+}
+
 fn check_scheds(section: &mut Section<'_>, scheds: Option<&[Peer]>) {
     if let Some(scheds) = scheds {
         section.not_empty("scheds", scheds);
--- a/crates/protocol/src/settings/sched/mod.rs
+++ b/crates/protocol/src/settings/sched/mod.rs
@@ -36,7 +36,7 @@
 };
 
 const MAX_THREADS: u16 = 256;
-const MAX_SHARDS: u16 = 1_024;
+const MAX_SHARDS: u16 = 100;
 
 /// The settings of one sched.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/protocol/tests/settings.rs
+++ b/crates/protocol/tests/settings.rs
@@ -20,7 +20,7 @@
 use rstest::rstest;
 
 const GATE: &str = r#"{"node": "n1", "region": "reg1", "data_centre": "dc1",
-    "listen": "127.0.0.1:7301", "scheds": [{"node": "n1", "rpc_address": "127.0.0.1:7101"}],
+    "data_centres": ["dc1"], "listen": "127.0.0.1:7301", "scheds": [{"node": "n1", "rpc_address": "127.0.0.1:7101"}],
     "operators": [{"name": "duty", "token": "0123456789abcdef"}]}"#;
 
 fn ready(set: &str, file: &str) -> PathBuf {
@@ -83,7 +83,7 @@
     peers[1].rpc_address: is missing
     peers[1].rpc_adress: is not a known field; did you mean `rpc_address`?
     log_url: expected an address as in `http://10.0.0.1:7000`, found `https://log`
-    shards_per_data_centre: expected 1 to 1024, found 0
+    shards_per_data_centre: expected 1 to 100, found 0
     timings.lease: unknown unit `parsecs`; known are us, ms, s, m, h, d
     timings.worker_lease: must be at least twice `worker_sync` (1s)
     timings.worker_lease: must be at least `start_by` (2s)
@@ -193,3 +193,13 @@
     gates: needs at least one entry
     ");
 }
+
+#[test]
+fn gate_needs_the_data_centres_of_its_region() {
+    let without = GATE.replace(r#""data_centres": ["dc1"], "#, "");
+    let error = parse::<Gate>(&without).unwrap_err();
+    insta::assert_snapshot!(error, @"data_centres: needs at least one entry");
+    let twice = GATE.replace(r#"["dc1"]"#, r#"["dc1", "dc1"]"#);
+    let error = parse::<Gate>(&twice).unwrap_err();
+    insta::assert_snapshot!(error, @"data_centres: `dc1` stands twice");
+}
