--- /dev/null
+++ b/crates/coordination/src/member/timing.rs
@@ -0,0 +1,215 @@
+//! The spans that ownership rests on.
+
+use std::time::Duration;
+
+/// The spans that ownership rests on, checked against each other.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use fulmarpier_coordination::member::Timing;
+///
+/// let timing = Timing::default().lease(Duration::from_secs(6)).check()?;
+/// assert_eq!(timing.get_lease(), Duration::from_secs(6));
+/// # Ok::<(), fulmarpier_coordination::member::TimingError>(())
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Timing {
+    lease: Duration,
+    renewal: Duration,
+    drift: Duration,
+    suspicion: Duration,
+    stagger: Duration,
+    retry: Duration,
+    rebalance: Duration,
+    list_lag: Duration,
+}
+
+/// The ways in which spans can contradict each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum TimingError {
+    /// A span that must last is zero.
+    #[error("`{name}` must be longer than zero")]
+    Zero {
+        /// The setting.
+        name: &'static str,
+    },
+    /// The lease leaves no room for a second renewal and for asking the peers.
+    #[error("the lease of {lease:?} must be longer than two renewals and the drift, {least:?}")]
+    Lease {
+        /// The lease as given.
+        lease: Duration,
+        /// The span that it must exceed.
+        least: Duration,
+    },
+    /// An owner would be suspected although it is in time.
+    #[error("the suspicion of {suspicion:?} must be longer than a renewal of {renewal:?}")]
+    Suspicion {
+        /// The suspicion as given.
+        suspicion: Duration,
+        /// The renewal as given.
+        renewal: Duration,
+    },
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self {
+            lease: Duration::from_secs(3),
+            renewal: Duration::from_secs(1),
+            drift: Duration::from_millis(100),
+            suspicion: Duration::from_millis(1_500),
+            stagger: Duration::from_millis(100),
+            retry: Duration::from_millis(250),
+            rebalance: Duration::from_secs(2),
+            list_lag: Duration::from_secs(90),
+        }
+    }
+}
+
+impl Timing {
+    /// Sets how long a renewal that reached the log lets its sender start work. See
+    /// [`Self::renewal`].
+    #[must_use]
+    pub const fn lease(mut self, span: Duration) -> Self {
+        self.lease = span;
+        self
+    }
+
+    /// Sets the time from one renewal to the next. See [`Self::lease`].
+    #[must_use]
+    pub const fn renewal(mut self, span: Duration) -> Self {
+        self.renewal = span;
+        self
+    }
+
+    /// Sets how much two nodes' clocks may differ over two leases.
+    #[must_use]
+    pub const fn drift(mut self, span: Duration) -> Self {
+        self.drift = span;
+        self
+    }
+
+    /// Sets after which silence an owner is probed at its address. See [`Self::lease`].
+    #[must_use]
+    pub const fn suspicion(mut self, span: Duration) -> Self {
+        self.suspicion = span;
+        self
+    }
+
+    /// Sets how much later the next node in the order of preference claims a shard.
+    #[must_use]
+    pub const fn stagger(mut self, span: Duration) -> Self {
+        self.stagger = span;
+        self
+    }
+
+    /// Sets the time until a failed read or an unanswered question is tried again.
+    #[must_use]
+    pub const fn retry(mut self, span: Duration) -> Self {
+        self.retry = span;
+        self
+    }
+
+    /// Sets the least time from one move of a shard for balance to the next.
+    #[must_use]
+    pub const fn rebalance(mut self, span: Duration) -> Self {
+        self.rebalance = span;
+        self
+    }
+
+    /// Sets how far the VM list may lag.
+    #[must_use]
+    pub const fn list_lag(mut self, span: Duration) -> Self {
+        self.list_lag = span;
+        self
+    }
+
+    /// Checks the spans against each other.
+    ///
+    /// # Errors
+    ///
+    /// Refuses spans of zero, a lease not longer than two renewals and the drift, and a suspicion
+    /// not longer than a renewal.
+    pub fn check(self) -> Result<Self, TimingError> {
+        let named = [
+            ("lease", self.lease),
+            ("renewal", self.renewal),
+            ("retry", self.retry),
+            ("rebalance", self.rebalance),
+        ];
+        if let Some((name, _)) = named.into_iter().find(|(_, span)| span.is_zero()) {
+            return Err(TimingError::Zero { name });
+        }
+        let least = self.renewal * 2 + self.drift;
+        if self.lease <= least {
+            return Err(TimingError::Lease {
+                lease: self.lease,
+                least,
+            });
+        }
+        if self.suspicion <= self.renewal {
+            return Err(TimingError::Suspicion {
+                suspicion: self.suspicion,
+                renewal: self.renewal,
+            });
+        }
+        Ok(self)
+    }
+
+    /// Returns the lease.
+    pub const fn get_lease(&self) -> Duration {
+        self.lease
+    }
+
+    /// Returns the time from one renewal to the next.
+    pub const fn get_renewal(&self) -> Duration {
+        self.renewal
+    }
+
+    /// Returns the longest that another node's lease can last by this node's clock.
+    pub fn foreign_lease(&self) -> Duration {
+        self.lease + self.drift
+    }
+
+    /// Returns for how long a promise to vouch for nobody binds.
+    pub(super) fn promise(&self) -> Duration {
+        self.lease * 2
+    }
+
+    /// Returns for how long another node's promise is sure to bind, from when it was asked for.
+    pub(super) fn foreign_promise(&self) -> Duration {
+        self.promise().saturating_sub(self.drift)
+    }
+
+    /// Returns the age of the last renewal in the log from which on the log counts as down.
+    pub(super) fn overdue(&self) -> Duration {
+        self.renewal + self.renewal / 4
+    }
+
+    pub(super) const fn get_drift(&self) -> Duration {
+        self.drift
+    }
+
+    pub(super) const fn get_suspicion(&self) -> Duration {
+        self.suspicion
+    }
+
+    pub(super) const fn get_stagger(&self) -> Duration {
+        self.stagger
+    }
+
+    pub(super) const fn get_retry(&self) -> Duration {
+        self.retry
+    }
+
+    pub(super) const fn get_rebalance(&self) -> Duration {
+        self.rebalance
+    }
+
+    pub(super) const fn get_list_lag(&self) -> Duration {
+        self.list_lag
+    }
+}
