Check changes against what runs, report progress per node

A dry run names what a change would make unplaceable, starve or leave dark. Wide changes need a token over base, changes and effect, so it goes stale when one of them moves. Progress says where a version is in force and since when.

--- a/crates/coordination/src/config/mod.rs
+++ b/crates/coordination/src/config/mod.rs
@@ -6,13 +6,16 @@
 //! do to what runs.
 
 mod change;
+pub mod check;
 mod document;
 mod invalid;
 mod key;
 pub mod limits;
 pub mod policy;
+mod progress;
 mod proposal;
 mod record;
+mod refresh;
 mod register;
 pub mod service;
 mod share;
@@ -35,11 +38,17 @@
     },
     limits::Limits,
     policy::Policy,
+    progress::{
+        InForce,
+        Progress,
+        Report, //
+    },
     proposal::Proposal,
     record::{
         DecodeError,
         Record, //
     },
+    refresh::Refresh,
     register::{
         Event,
         Fault,
--- a/crates/coordination/src/config/proposal.rs
+++ b/crates/coordination/src/config/proposal.rs
@@ -47,7 +47,11 @@
     ///
     /// [`Invalid::Empty`] or [`Invalid::ManyChanges`].
     pub fn validate(&self) -> Result<(), Invalid> {
-        let found = self.changes.len();
+        Self::check_count(self.changes.len())
+    }
+
+    /// Checks a count of changes.
+    pub(super) const fn check_count(found: usize) -> Result<(), Invalid> {
         let most = Self::MAX_CHANGES;
         match found {
             0 => Err(Invalid::Empty),
--- a/crates/coordination/src/drain/roster.rs
+++ b/crates/coordination/src/drain/roster.rs
@@ -71,15 +71,15 @@
             return Vec::new();
         }
         self.as_of = list.as_of;
-        let leaving = list
-            .entries
-            .iter()
-            .filter(|entry| entry.state == State::Leaving);
-        let workers = leaving.filter_map(|entry| match entry.role {
-            Role::Worker(worker) => Some(worker),
-            Role::Entry(_) => None,
-        });
-        self.update(Cause::Listed, &workers.collect())
+        let leaving = workers_in(list, State::Leaving);
+        let live = workers_in(list, State::Live);
+        let had = self.with_cause(Cause::Listed);
+        let is_gone = |worker: &&WorkerId| !leaving.contains(worker) && !live.contains(worker);
+        for &worker in had.iter().filter(is_gone) {
+            // It has left; that it is no longer listed doesn't bring it back.
+            self.lift(worker, Cause::Listed);
+        }
+        self.update(Cause::Listed, &leaving)
     }
 
     /// Takes in the configuration in force.
@@ -127,3 +127,12 @@
         last
     }
 }
+
+fn workers_in(list: &List, state: State) -> BTreeSet<WorkerId> {
+    let of_state = list.entries.iter().filter(|entry| entry.state == state);
+    let workers = of_state.filter_map(|entry| match entry.role {
+        Role::Worker(worker) => Some(worker),
+        Role::Entry(_) => None,
+    });
+    workers.collect()
+}
