--- a/crates/protocol/src/http/invalid.rs
+++ b/crates/protocol/src/http/invalid.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 
+use fulmarpier_coordination::request::KeyError;
 use fulmarpier_state::{
     id, name,
     refusal::{
@@ -11,8 +12,6 @@
     unit,
 };
 
-use crate::key;
-
 /// One way in which a field can be wrong.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Cause {
@@ -27,7 +26,7 @@
     Unit(#[from] unit::ParseError),
     /// An idempotency key is not acceptable.
     #[error(transparent)]
-    Key(#[from] key::Error),
+    Key(#[from] KeyError),
     /// The request is marked as non-idempotent and has no key.
     #[error("a non-idempotent request needs a key")]
     KeyMissing,
--- a/crates/protocol/src/http/job/raw.rs
+++ b/crates/protocol/src/http/job/raw.rs
@@ -4,6 +4,7 @@
     Deserialize,
     Serialize, //
 };
+use serde_with::skip_serializing_none;
 
 use crate::http::invalid::{
     Cause,
@@ -24,13 +25,13 @@
 }
 
 /// The part of a job that only services have, as it came.
+#[skip_serializing_none]
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Service {
     /// The name under which callers address the service.
     pub name: String,
     /// How many requests each target takes at once; `None` stands for 8.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub slots: Option<u64>,
     /// The port of the target on its worker; zero lets the worker choose.
     #[serde(default)]
@@ -38,38 +39,32 @@
 }
 
 /// A job as it came; see docs/INTERFACES.md for the meaning of the fields.
+#[skip_serializing_none]
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Raw {
     /// The id, where the caller chose one.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub id: Option<String>,
     /// The team that owns the job.
     pub team: String,
     /// `batch`, `gang` or `service`.
     pub kind: String,
     /// How many tasks; `None` stands for one.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub tasks: Option<u64>,
     /// The size of one task.
     pub size: Size,
     /// `low`, `normal` or `urgent`; `None` stands for `normal`.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub priority: Option<String>,
     /// The declared run time of one task.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub runtime: Option<String>,
     /// The span from receipt within which the last task must have ended.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub deadline: Option<String>,
     /// Whether a task may be started again after it may have run; `None` stands for `true`.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub idempotent: Option<bool>,
     /// Whether a task can be checkpointed and resumed.
     #[serde(default)]
     pub checkpoint: bool,
     /// `any`, `racks` or `data-centres`; `None` stands for `any`.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub spread: Option<String>,
     /// The program or image to run.
     pub program: String,
@@ -77,7 +72,6 @@
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub args: Vec<String>,
     /// The part that only services have.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub service: Option<Service>,
 }
 
--- a/crates/protocol/src/http/request.rs
+++ b/crates/protocol/src/http/request.rs
@@ -1,5 +1,6 @@
 //! The head of a caller's request to a service.
 
+use fulmarpier_coordination::request::Key;
 use fulmarpier_state::{
     name::{
         Service,
@@ -15,7 +16,6 @@
         Invalid, //
     },
 };
-use crate::key::Key;
 
 /// The path and headers of a request as they came.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -4,7 +4,6 @@
 //! which that can fail is a typed error. There is no I/O here but the reading of settings files.
 
 pub mod http;
-pub mod key;
 pub mod problem;
 pub mod settings;
 pub mod suggest;
--- a/crates/protocol/src/wire/begin.rs
+++ b/crates/protocol/src/wire/begin.rs
@@ -1,7 +1,14 @@
 //! The call that asks for leave to send a non-idempotent request, once.
 
-use bytes::Bytes;
-use fulmarpier_coordination::platform::target::Target;
+use fulmarpier_coordination::{
+    platform::target::Target,
+    request::{
+        Answer,
+        Digest,
+        Key,
+        Ticket, //
+    },
+};
 use fulmarpier_state::{
     clock::Timestamp,
     id::{
@@ -25,10 +32,6 @@
         },
     },
 };
-use crate::key::Key;
-
-/// A digest over the method, path and body of a request.
-pub type Digest = [u8; 32];
 
 /// A non-idempotent request that is about to be sent.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -57,17 +60,10 @@
         /// Where to send it.
         target: Target,
         /// What names this grant when it is finished.
-        ticket: u64,
+        ticket: Ticket,
     },
     /// It ran before; this is its answer.
-    Replay {
-        /// The HTTP status of the answer.
-        status: u16,
-        /// The body of the answer.
-        body: Bytes,
-        /// The `Content-Type` of the answer; empty where it had none.
-        content_type: String,
-    },
+    Replay(Answer),
     /// It may not be sent.
     Refused(Refusal),
     /// This sched does not own the shard; the node that does, as far as it knows.
@@ -81,7 +77,7 @@
         builder.set_key(self.key.as_str());
         builder.set_service(self.service.as_str());
         builder.set_team(self.team.as_str());
-        builder.set_digest(&self.digest);
+        builder.set_digest(&self.digest.0);
         builder.set_deadline_micros(self.deadline.as_micros());
         builder.set_gate(self.gate.0);
         builder.set_shard(self.shard.0);
@@ -94,12 +90,13 @@
     fn try_from(reader: begin_params::Reader<'_>) -> Result<Self, Self::Error> {
         let reader = reader.get_request()?;
         let digest = reader.get_digest()?;
-        let digest = Digest::try_from(digest).map_err(|_| Error::Digest { len: digest.len() })?;
+        let len = digest.len();
+        let digest = digest.try_into().map_err(|_| Error::Digest { len })?;
         Ok(Self {
             key: scalar::read_key(reader.get_key()?)?,
             service: scalar::read_name("service", reader.get_service()?)?,
             team: scalar::read_name("team", reader.get_team()?)?,
-            digest,
+            digest: Digest(digest),
             deadline: Timestamp::from_micros(reader.get_deadline_micros()),
             gate: NodeId(reader.get_gate()),
             shard: ShardId(reader.get_shard()),
@@ -113,16 +110,7 @@
         let mut builder = results.init_reply();
         match self {
             Self::Grant { target, ticket } => write_grant(target, *ticket, builder.init_grant()),
-            Self::Replay {
-                status,
-                body,
-                content_type,
-            } => {
-                let mut builder = builder.init_replay();
-                builder.set_status(*status);
-                builder.set_body(body);
-                builder.set_content_type(content_type.as_str());
-            }
+            Self::Replay(answer) => write_replay(answer, builder.init_replay()),
             Self::Refused(why) => refusal::write(why, builder.init_refused()),
             Self::Elsewhere(node) => builder.set_elsewhere(node.0),
         }
@@ -147,20 +135,26 @@
     let address = scalar::read_address(reader.get_address()?);
     Ok(Reply::Grant {
         target: Target { id, address },
-        ticket: reader.get_ticket(),
+        ticket: Ticket(reader.get_ticket()),
     })
 }
 
-fn write_grant(target: &Target, ticket: u64, mut builder: begin_reply::grant::Builder<'_>) {
+fn write_grant(target: &Target, ticket: Ticket, mut builder: begin_reply::grant::Builder<'_>) {
     scalar::write_target_id(target.id, builder.reborrow().init_target());
     scalar::write_address(target.address, builder.reborrow().init_address());
-    builder.set_ticket(ticket);
+    builder.set_ticket(ticket.0);
 }
 
 fn read_replay(reader: begin_reply::replay::Reader<'_>) -> Result<Reply, Error> {
-    Ok(Reply::Replay {
+    Ok(Reply::Replay(Answer {
         status: reader.get_status(),
-        body: scalar::read_data("body", reader.get_body()?)?,
         content_type: scalar::read_text("contentType", reader.get_content_type()?)?,
-    })
+        body: scalar::read_data("body", reader.get_body()?)?,
+    }))
+}
+
+fn write_replay(answer: &Answer, mut builder: begin_reply::replay::Builder<'_>) {
+    builder.set_status(answer.status);
+    builder.set_content_type(answer.content_type.as_str());
+    builder.set_body(&answer.body);
 }
--- a/crates/protocol/src/wire/error.rs
+++ b/crates/protocol/src/wire/error.rs
@@ -1,9 +1,8 @@
 //! What can be wrong with a message.
 
+use fulmarpier_coordination::request::KeyError;
 use fulmarpier_state::name;
 
-use crate::key;
-
 /// The ways in which a message can be malformed.
 #[derive(Clone, Debug, thiserror::Error)]
 pub enum Error {
@@ -29,7 +28,7 @@
     },
     /// An idempotency key is not acceptable.
     #[error("key: {0}")]
-    Key(#[from] key::Error),
+    Key(#[from] KeyError),
     /// A number stands for nothing that this version knows.
     #[error("{field} has the unknown value {value}")]
     Value {
--- a/crates/protocol/src/wire/finish.rs
+++ b/crates/protocol/src/wire/finish.rs
@@ -1,6 +1,10 @@
 //! The call that reports how a non-idempotent request ended.
 
-use bytes::Bytes;
+use fulmarpier_coordination::request::{
+    Answer,
+    Key,
+    Ticket, //
+};
 use fulmarpier_state::{
     id::ShardId,
     refusal::Outcome, //
@@ -8,12 +12,14 @@
 
 use super::{
     Error, scalar,
-    sched_capnp::sched::{
-        finish_params,
-        finish_results, //
+    sched_capnp::{
+        finish_request,
+        sched::{
+            finish_params,
+            finish_results, //
+        },
     },
 };
-use crate::key::Key;
 
 /// How a granted request ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -23,17 +29,11 @@
     /// The home shard of the key.
     pub shard: ShardId,
     /// The ticket of the grant.
-    pub ticket: u64,
+    pub ticket: Ticket,
     /// What is known; [`Outcome::NotRun`] only where nothing was sent.
     pub outcome: Outcome,
-    /// The HTTP status of the answer; zero where there was none.
-    pub status: u16,
-    /// The body of the answer, where it is small enough to be kept; else empty.
-    pub body: Bytes,
-    /// The `Content-Type` of the answer; empty where it had none.
-    pub content_type: String,
-    /// Whether the body holds the whole answer.
-    pub kept: bool,
+    /// The whole answer, where there is one that is small enough to be kept.
+    pub answer: Option<Answer>,
 }
 
 /// Whether the sched knew the ticket.
@@ -49,12 +49,14 @@
         let mut builder = params.init_request();
         builder.set_key(self.key.as_str());
         builder.set_shard(self.shard.0);
-        builder.set_ticket(self.ticket);
+        builder.set_ticket(self.ticket.0);
         builder.set_outcome(scalar::write_outcome(self.outcome));
-        builder.set_status(self.status);
-        builder.set_body(&self.body);
-        builder.set_content_type(self.content_type.as_str());
-        builder.set_kept(self.kept);
+        if let Some(answer) = &self.answer {
+            builder.set_kept(true);
+            builder.set_status(answer.status);
+            builder.set_body(&answer.body);
+            builder.set_content_type(answer.content_type.as_str());
+        }
     }
 }
 
@@ -63,15 +65,16 @@
 
     fn try_from(reader: finish_params::Reader<'_>) -> Result<Self, Self::Error> {
         let reader = reader.get_request()?;
+        let answer = match reader.get_kept() {
+            true => Some(read_answer(reader)?),
+            false => None,
+        };
         Ok(Self {
             key: scalar::read_key(reader.get_key()?)?,
             shard: ShardId(reader.get_shard()),
-            ticket: reader.get_ticket(),
+            ticket: Ticket(reader.get_ticket()),
             outcome: scalar::read_outcome(reader.get_outcome()?),
-            status: reader.get_status(),
-            body: scalar::read_data("body", reader.get_body()?)?,
-            content_type: scalar::read_text("contentType", reader.get_content_type()?)?,
-            kept: reader.get_kept(),
+            answer,
         })
     }
 }
@@ -91,3 +94,11 @@
         Ok(Self { known })
     }
 }
+
+fn read_answer(reader: finish_request::Reader<'_>) -> Result<Answer, Error> {
+    Ok(Answer {
+        status: reader.get_status(),
+        content_type: scalar::read_text("contentType", reader.get_content_type()?)?,
+        body: scalar::read_data("body", reader.get_body()?)?,
+    })
+}
--- a/crates/protocol/src/wire/scalar.rs
+++ b/crates/protocol/src/wire/scalar.rs
@@ -10,7 +10,10 @@
 };
 
 use bytes::Bytes;
-use fulmarpier_coordination::platform::target;
+use fulmarpier_coordination::{
+    platform::target,
+    request::Key, //
+};
 use fulmarpier_state::{
     clock::Timestamp,
     id::{
@@ -27,7 +30,6 @@
     bound,
     sched_capnp, //
 };
-use crate::key::Key;
 
 const LOW_BITS: u32 = 64;
 
