--- a/crates/transport/src/log.rs
+++ b/crates/transport/src/log.rs
@@ -9,7 +9,6 @@
         self,
         Write, //
     },
-    str::FromStr,
     sync::{
         Arc,
         atomic::{
@@ -23,6 +22,7 @@
     },
 };
 
+pub use fulmarpier_protocol::settings::value::Level;
 use slog::{
     Drain,
     FnValue,
@@ -42,63 +42,14 @@
 /// How many lines may wait to be written.
 const QUEUE: usize = 4096;
 
-/// The least severe level that is written.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
-pub enum Level {
-    /// Faults that need somebody.
-    Error,
-    /// Faults that the system lives with.
-    Warning,
-    /// Events of the life of the process.
-    #[default]
-    Info,
-    /// Every decision.
-    Debug,
-}
-
-impl Level {
-    const fn severity(self) -> slog::Level {
-        match self {
-            Self::Error => slog::Level::Error,
-            Self::Warning => slog::Level::Warning,
-            Self::Info => slog::Level::Info,
-            Self::Debug => slog::Level::Debug,
-        }
-    }
-}
-
-impl fmt::Display for Level {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Self::Error => "error",
-            Self::Warning => "warning",
-            Self::Info => "info",
-            Self::Debug => "debug",
-        })
-    }
-}
-
-/// The text is not the name of a level.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("expected error, warning, info or debug, found `{found}`")]
-pub struct ParseError {
-    /// The text as given.
-    pub found: String,
-}
-
-impl FromStr for Level {
-    type Err = ParseError;
-
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
-        match text {
-            "error" => Ok(Self::Error),
-            "warning" => Ok(Self::Warning),
-            "info" => Ok(Self::Info),
-            "debug" => Ok(Self::Debug),
-            _ => Err(ParseError {
-                found: text.to_owned(),
-            }),
-        }
+/// Returns the severity that goes with a level of the settings.
+const fn severity(level: Level) -> slog::Level {
+    match level {
+        Level::Error => slog::Level::Error,
+        Level::Warning => slog::Level::Warning,
+        Level::Info => slog::Level::Info,
+        Level::Debug => slog::Level::Debug,
+        Level::Trace => slog::Level::Trace,
     }
 }
 
@@ -152,7 +103,7 @@
             core,
             dropped: dropped.clone(),
         };
-        let filtered = LevelFilter::new(counted, level.severity()).ignore_res();
+        let filtered = LevelFilter::new(counted, severity(level)).ignore_res();
         let fields = o!("program" => program, "time" => FnValue(|_| wall_clock()));
         Self {
             logger: Logger::root(filtered, fields),
