--- a/crates/coordination/src/config/mod.rs
+++ b/crates/coordination/src/config/mod.rs
@@ -55,7 +55,10 @@
         Register, //
     },
     service::Service,
-    share::Share,
+    share::{
+        ParseError as ShareError,
+        Share, //
+    },
     snapshot::Snapshot,
     team::Team,
     verdict::{
--- a/crates/protocol/src/http/job/mod.rs
+++ b/crates/protocol/src/http/job/mod.rs
@@ -3,6 +3,7 @@
 mod raw;
 mod submission;
 mod view;
+pub mod word;
 
 pub use self::{
     raw::{
@@ -11,6 +12,7 @@
         Size, //
     },
     submission::{
+        Draft,
         MAX_TASKS,
         Received,
         Submission, //
--- a/crates/protocol/src/http/job/submission.rs
+++ b/crates/protocol/src/http/job/submission.rs
@@ -6,9 +6,7 @@
     job::{
         Kind,
         Payload,
-        Priority,
-        Spec,
-        Spread, //
+        Spec, //
     },
     resource::Resources,
     unit::Span,
@@ -17,7 +15,8 @@
 use super::{
     Raw,
     Service,
-    Size, //
+    Size,
+    word, //
 };
 use crate::http::invalid::{
     Cause,
@@ -38,6 +37,31 @@
     pub at: Timestamp,
 }
 
+/// A checked job whose deadline is still a span from receipt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Draft {
+    /// The id, where the caller chose one.
+    pub id: Option<JobId>,
+    /// What the job is, without its deadline.
+    pub spec: Spec,
+    /// The span from receipt within which the last task must have ended.
+    pub deadline: Option<Span>,
+}
+
+impl Draft {
+    /// Returns the submission that the draft makes at the time of receipt.
+    pub fn received(self, at: Timestamp) -> Submission {
+        let deadline = self.deadline.map(|span| at + span.get());
+        Submission {
+            id: self.id,
+            spec: Spec {
+                deadline,
+                ..self.spec
+            },
+        }
+    }
+}
+
 /// A checked submission.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Submission {
@@ -51,7 +75,15 @@
     type Error = Invalid;
 
     fn try_from(received: Received) -> Result<Self, Self::Error> {
-        let Received { raw, at } = received;
+        let draft = Draft::try_from(received.raw)?;
+        Ok(draft.received(received.at))
+    }
+}
+
+impl TryFrom<Raw> for Draft {
+    type Error = Invalid;
+
+    fn try_from(raw: Raw) -> Result<Self, Self::Error> {
         let mut invalid = Invalid::default();
         let id = raw
             .id
@@ -61,10 +93,10 @@
         let kind = kind(&raw, &mut invalid);
         let tasks = tasks(&raw, &mut invalid);
         let size = size(&raw.size, &mut invalid);
-        let priority = invalid.take("priority", priority(raw.priority.as_deref()));
+        let priority = invalid.take("priority", word::priority(raw.priority.as_deref()));
         let runtime = span("runtime", raw.runtime.as_deref(), &mut invalid);
         let deadline = span("deadline", raw.deadline.as_deref(), &mut invalid);
-        let spread = invalid.take("spread", spread(raw.spread.as_deref()));
+        let spread = invalid.take("spread", word::spread(raw.spread.as_deref()));
         if raw.program.is_empty() {
             invalid.push("program", Cause::Missing);
         }
@@ -80,15 +112,15 @@
                 tasks: tasks?,
                 priority: priority?,
                 runtime: runtime.map(Span::get),
-                deadline: deadline.map(|span| at + span.get()),
+                deadline: None,
                 idempotent: raw.idempotent.unwrap_or(true),
                 checkpoint: raw.checkpoint,
                 spread: spread?,
                 payload,
             })
         };
-        let submission = spec().map(|spec| Self { id, spec });
-        invalid.finish(submission)
+        let draft = spec().map(|spec| Self { id, spec, deadline });
+        invalid.finish(draft)
     }
 }
 
@@ -98,7 +130,7 @@
         "gang" => Kind::Gang,
         "service" => return service(raw.service.as_ref(), invalid),
         other => {
-            let cause = word(other, "`batch`, `gang` or `service`");
+            let cause = word::unknown(other, "`batch`, `gang` or `service`");
             invalid.push("kind", cause);
             return None;
         }
@@ -150,29 +182,6 @@
     invalid.take(path, text?.parse::<Span>())
 }
 
-fn priority(text: Option<&str>) -> Result<Priority, Cause> {
-    match text {
-        None | Some("normal") => Ok(Priority::Normal),
-        Some("low") => Ok(Priority::Low),
-        Some("urgent") => Ok(Priority::Urgent),
-        Some(other) => Err(word(other, "`low`, `normal` or `urgent`")),
-    }
-}
-
-fn spread(text: Option<&str>) -> Result<Spread, Cause> {
-    match text {
-        None | Some("any") => Ok(Spread::Any),
-        Some("racks") => Ok(Spread::Racks),
-        Some("data-centres") => Ok(Spread::DataCentres),
-        Some(other) => Err(word(other, "`any`, `racks` or `data-centres`")),
-    }
-}
-
-fn word(found: &str, known: &'static str) -> Cause {
-    let found = found.to_owned();
-    Cause::Word { found, known }
-}
-
 fn number(found: u64, least: u16) -> Result<u16, Cause> {
     let range = || Cause::Range {
         found,
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod http;
 pub mod problem;
+pub mod query;
 pub mod settings;
 pub mod suggest;
 pub mod wire;
--- a/crates/protocol/tests/wire/malformed.rs
+++ b/crates/protocol/tests/wire/malformed.rs
@@ -64,7 +64,9 @@
 
 #[test]
 fn too_many_arguments_are_refused() {
-    let read = read_job(|job| drop(job.init_args(1_025)));
+    let read = read_job(|job| {
+        job.init_args(1_025);
+    });
     insta::assert_snapshot!(read.unwrap_err(), @"job.args has 1025 entries, at most 1024 are accepted");
 }
 
