--- a/crates/standin/src/target/server.rs
+++ b/crates/standin/src/target/server.rs
@@ -35,7 +35,10 @@
 };
 use fulmarpier_state::unit::Span;
 use fulmarpier_transport::http::Cut;
-use futures::stream;
+use futures::{
+    StreamExt,
+    stream, //
+};
 use tokio::time::sleep;
 
 use super::host::Shared;
@@ -43,6 +46,8 @@
 
 /// The largest body that a target takes.
 const MAX_BODY: usize = 64 << 20;
+/// How long the first half of a truncated answer has to leave; after it, the rest never comes.
+const LEAVE: Duration = Duration::from_millis(20);
 /// The header by which a target says that it took nothing on.
 const BUSY: HeaderName = HeaderName::from_static("target-busy");
 /// The id of the request, returned with the answer.
@@ -134,11 +139,14 @@
     response
 }
 
-/// Sends half of the body and then breaks off.
+/// Sends half of the body, lets it leave and then breaks off.
 fn truncated(body: &Bytes) -> Body {
     let half = body.slice(..body.len() / 2);
-    let broken = io::Error::from(io::ErrorKind::ConnectionReset);
-    Body::from_stream(stream::iter([Ok(half), Err(broken)]))
+    let broken = stream::once(async {
+        sleep(LEAVE).await;
+        Err(io::Error::from(io::ErrorKind::ConnectionReset))
+    });
+    Body::from_stream(stream::iter([Ok(half)]).chain(broken))
 }
 
 fn busy() -> Response {
