Add the gate: slots in memory, keyed requests, jobs and commands

One thread holds the control state and exchanges statements with the scheds; traffic threads choose slots from the shared balance without a round trip.

--- /dev/null
+++ b/crates/gate/src/control/mod.rs
@@ -0,0 +1,20 @@
+//! Control state: what is agreed with the scheds, on a thread of its own.
+
+mod actor;
+mod exchange;
+mod peer;
+mod thread;
+mod view;
+
+pub use self::{
+    thread::{
+        Control,
+        Error,
+        Setup, //
+    },
+    view::{
+        Owned,
+        Sched,
+        View, //
+    },
+};
--- /dev/null
+++ b/crates/gate/src/gate.rs
@@ -0,0 +1,268 @@
+//! A running gate: its threads, and the way from its start to its end.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration, //
+};
+
+use fulmarpier_protocol::settings::gate::Gate as Settings;
+use fulmarpier_state::id::Incarnation;
+use fulmarpier_transport::{
+    clock::Clock,
+    http::{
+        self,
+        Drained,
+        Server, //
+    },
+    platform::{
+        SetupError,
+        target, //
+    },
+    rpc,
+};
+use slog::Logger;
+use tokio::{
+    runtime::{
+        Builder,
+        Runtime, //
+    },
+    task::JoinHandle,
+    time::{
+        sleep,
+        timeout, //
+    },
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    app::{
+        App,
+        Parts, //
+    },
+    control::{
+        self,
+        Control,
+        Setup, //
+    },
+    http::router,
+    metrics::Metrics,
+    phase::{
+        Gauge,
+        Phase, //
+    },
+    slot::Pool,
+};
+
+/// How long a gate that is leaving takes new work, so that balancers notice first.
+const NOTICE: Duration = Duration::from_secs(2);
+/// The notice takes at most this part of the time for the drain.
+const NOTICE_PART: u32 = 4;
+
+/// The ways in which a gate can fail.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The system gives no thread or no runtime.
+    #[error("a thread can't be started")]
+    Thread(#[from] io::Error),
+    /// The control thread failed.
+    #[error(transparent)]
+    Control(#[from] control::Error),
+    /// The server failed.
+    #[error(transparent)]
+    Server(#[from] http::Error),
+    /// The client of the targets can't be set up.
+    #[error(transparent)]
+    Targets(#[from] SetupError),
+    /// The metrics can't be set up.
+    #[error(transparent)]
+    Metrics(#[from] fulmarpier_transport::metrics::Error),
+    /// A thread ended by a fault of its own.
+    #[error("a traffic thread failed")]
+    Panicked,
+}
+
+/// How a gate ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// Everything in progress was finished.
+    Whole,
+    /// The time for the drain was over first.
+    Cut,
+}
+
+/// A running gate.
+///
+/// # Examples
+///
+/// ```no_run
+/// use fulmarpier_gate::Gate;
+/// use fulmarpier_protocol::settings;
+/// use fulmarpier_transport::log::{Level, Log};
+///
+/// # async fn example() -> Result<(), Box<dyn std::error::Error>> {
+/// let settings = settings::load("gate.json".as_ref())?;
+/// let log = Log::open("gate", Level::Info);
+/// let gate = Gate::start(settings, log.logger().clone()).await?;
+/// println!("{}", gate.address());
+/// gate.stop().await?;
+/// # Ok(())
+/// # }
+/// ```
+#[derive(Debug)]
+pub struct Gate {
+    app: Arc<App>,
+    address: SocketAddr,
+    notice: Duration,
+    leave: CancellationToken,
+    serving: JoinHandle<Result<Drained, http::Error>>,
+    traffic: Option<Runtime>,
+}
+
+impl Gate {
+    /// Starts the threads of a gate and serves.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the address can't be listened on or the system gives no thread.
+    pub async fn start(settings: Settings, log: Logger) -> Result<Self, Error> {
+        let settings = Arc::new(settings);
+        let traffic = Builder::new_multi_thread()
+            .worker_threads(usize::from(settings.traffic_threads))
+            .thread_name("traffic")
+            .enable_all()
+            .build()?;
+        let notice = NOTICE.min(settings.drain.get() / NOTICE_PART);
+        let app = Arc::new(app(settings.clone(), log).await?);
+        let limits = http::Limits {
+            connections: usize::try_from(settings.limits.in_flight).unwrap_or(usize::MAX),
+            linger: notice,
+            drain: settings.drain.get(),
+        };
+        let leave = CancellationToken::new();
+        let stop = leave.clone().cancelled_owned();
+        let routes = router(app.clone());
+        let (bound, binding) = tokio::sync::oneshot::channel();
+        let listen = settings.listen;
+        let serving = traffic.spawn(async move {
+            let server = Server::bind(listen, limits).await?;
+            // Whoever started the gate may have given up.
+            let _ = bound.send(server.address());
+            server.serve(routes, stop).await
+        });
+        let Ok(address) = binding.await else {
+            let ended = serving.await.map_err(|_| Error::Panicked)?;
+            traffic.shutdown_background();
+            return Err(ended.map_or_else(Error::from, |_| Error::Panicked));
+        };
+        traffic.spawn(follow_config(app.clone(), leave.clone(), notice));
+        slog::info!(app.log, "started"; "node" => %settings.node, "address" => %address);
+        Ok(Self {
+            app,
+            address,
+            notice,
+            leave,
+            serving,
+            traffic: Some(traffic),
+        })
+    }
+
+    /// Returns where the gate serves.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Leaves: tells balancers, finishes what is in progress, gives the slots back and ends.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the server had failed.
+    pub async fn stop(mut self) -> Result<End, Error> {
+        let log = self.app.log.clone();
+        slog::info!(log, "leaving");
+        self.leave.cancel();
+        self.app.phase.set(Phase::Notice);
+        sleep(self.notice).await;
+        self.app.phase.set(Phase::Closed);
+        let served = (&mut self.serving).await.map_err(|_| Error::Panicked)??;
+        self.app.tasks.close();
+        let drain = self.app.settings.drain.get();
+        let finished = timeout(drain, self.app.tasks.wait()).await;
+        self.app.control.farewell().await?;
+        let end = match (served, finished) {
+            (Drained::Whole, Ok(())) => End::Whole,
+            _ => End::Cut,
+        };
+        slog::info!(log, "left"; "whole" => end == End::Whole);
+        Ok(end)
+    }
+}
+
+impl Drop for Gate {
+    fn drop(&mut self) {
+        self.leave.cancel();
+        if let Some(traffic) = self.traffic.take() {
+            // Waiting is not allowed in the context of another runtime.
+            traffic.shutdown_background();
+        }
+    }
+}
+
+async fn app(settings: Arc<Settings>, log: Logger) -> Result<App, Error> {
+    let clock = Clock::start();
+    let metrics = Metrics::new()?;
+    let phase = Gauge::new();
+    let rpc = rpc::Client::start(rpc::ClientLimits::default())?;
+    let targets = target::Client::new(target::Limits::default())?;
+    let incarnation = Incarnation(clock.now().as_micros());
+    let seed = incarnation.get() ^ u64::from(settings.node.get());
+    let pool = Arc::new(Pool::new(clock, settings.node, incarnation, seed));
+    let control = Control::start(Setup {
+        settings: settings.clone(),
+        pool: pool.clone(),
+        rpc: rpc.clone(),
+        phase: phase.clone(),
+        metrics: metrics.clone(),
+        log: log.clone(),
+    })
+    .await?;
+    Ok(App::new(Parts {
+        settings,
+        clock,
+        log,
+        metrics,
+        phase,
+        control,
+        pool,
+        rpc,
+        targets,
+    }))
+}
+
+/// Drains the gate while operators say so; it takes work again when they take that back.
+async fn follow_config(app: Arc<App>, leave: CancellationToken, notice: Duration) {
+    let mut views = app.view.clone();
+    loop {
+        let drained = views.borrow_and_update().config.drained.nodes.clone();
+        let is_drained = drained.contains(&app.settings.node);
+        let phase = match (is_drained, app.phase.get()) {
+            (true, Phase::Open) => {
+                slog::info!(app.log, "drained by command");
+                app.phase.set(Phase::Notice);
+                sleep(notice).await;
+                Phase::Closed
+            }
+            (false, Phase::Notice | Phase::Closed) => Phase::Open,
+            (_, phase) => phase,
+        };
+        if leave.is_cancelled() {
+            return;
+        }
+        app.phase.set(phase);
+        tokio::select! {
+            changed = views.changed() => if changed.is_err() { return },
+            () = leave.cancelled() => return,
+        }
+    }
+}
