--- a/crates/standin/src/worker/machine.rs
+++ b/crates/standin/src/worker/machine.rs
@@ -154,14 +154,21 @@
     }
 
     /// Ends what has ended by now: done work, lapsed leases and ordered stops.
+    ///
+    /// In a pause only leases lapse: what is frozen past its lease never goes on.
     pub fn settle(&mut self, now: Timestamp) {
-        if self.paused.is_some() {
-            return;
-        }
+        let paused = self.paused.is_some();
+        let end = |task: &Task| {
+            if paused {
+                task.lapse(now)
+            } else {
+                task.end(now)
+            }
+        };
         let ends: Vec<_> = self
             .tasks
             .iter()
-            .filter_map(|(id, task)| task.end(now).map(|(end, at)| (*id, end, at)))
+            .filter_map(|(id, task)| end(task).map(|(end, at)| (*id, end, at)))
             .collect();
         for (task, end, at) in ends {
             self.end(task, end, at);
--- a/crates/standin/src/worker/task.rs
+++ b/crates/standin/src/worker/task.rs
@@ -86,14 +86,18 @@
             };
             (end, work.done_at())
         });
-        let lapsed = Some((End::Lapsed, self.lease_until));
-        [done, self.stopped(now), lapsed]
+        [done, self.stopped(now), self.lapse(now)]
             .into_iter()
             .flatten()
             .filter(|(_, at)| *at <= now)
             .min_by_key(|(_, at)| *at)
     }
 
+    /// Returns when the lease lapsed, if it has.
+    pub(super) fn lapse(&self, now: Timestamp) -> Option<(End, Timestamp)> {
+        (self.lease_until <= now).then_some((End::Lapsed, self.lease_until))
+    }
+
     /// An ordered stop is done once the target is idle, and at the latest after the grace.
     fn stopped(&self, now: Timestamp) -> Option<(End, Timestamp)> {
         let stop_by = self.stop_by?;
