--- a/crates/transport/src/platform/target/pool.rs
+++ b/crates/transport/src/platform/target/pool.rs
@@ -36,7 +36,7 @@
         if let Some(known) = targets.get(&address) {
             return known.clone();
         }
-        if targets.len() >= KEEP && targets.len() == targets.capacity() {
+        if targets.len() >= KEEP {
             // A permit in use holds a second reference.
             targets.retain(|_, semaphore| Arc::strong_count(semaphore) > 1);
         }
