--- a/crates/protocol/src/query/mod.rs
+++ b/crates/protocol/src/query/mod.rs
@@ -28,4 +28,5 @@
         Operator,
         UnknownField, //
     },
+    token::quote,
 };
--- a/crates/protocol/src/query/token.rs
+++ b/crates/protocol/src/query/token.rs
@@ -27,8 +27,8 @@
     !c.is_whitespace() && !c.is_control() && !matches!(c, '"' | '\\' | '=' | '!' | '<' | '>' | '~')
 }
 
-/// Writes a word so that the lexer reads it back, in quotes where needed.
-pub(super) fn quote(text: &str) -> String {
+/// Writes a word so that the language reads it back, in quotes where needed.
+pub fn quote(text: &str) -> String {
     if !text.is_empty() && text.chars().all(is_bare) {
         return text.to_owned();
     }
