--- a/crates/coordination/src/credit/balance/entry.rs
+++ b/crates/coordination/src/credit/balance/entry.rs
@@ -51,6 +51,11 @@
         }
     }
 
+    /// Returns whether it has slots, full or empty, under a lease.
+    pub(super) fn is_live(&self, now: Timestamp) -> bool {
+        self.slots > 0 && now < self.expiry
+    }
+
     /// Returns whether a request may be sent.
     pub(super) fn is_usable(&self, now: Timestamp) -> bool {
         self.in_use < self.slots && now < self.expiry
--- a/crates/coordination/src/credit/balance/pool.rs
+++ b/crates/coordination/src/credit/balance/pool.rs
@@ -46,16 +46,22 @@
         Some(&mut self.entries[index])
     }
 
-    /// Returns the usable target with the fewest requests, those without a penalty first.
+    /// Returns the usable target with the fewest requests.
+    ///
+    /// One with a penalty is taken only where all live targets have one. It fails fast, so it would
+    /// otherwise be the one with an empty slot whenever the others are full, and draw in everything
+    /// that should wait for them.
     fn best(&self, rng: &mut impl Rng, now: Timestamp) -> Option<usize> {
         let len = self.entries.len();
         let start = rng.random_range(0..len);
+        let is_good = |entry: &Entry| entry.is_live(now) && !entry.penalty.is_active(now);
+        let any_good = self.entries.iter().any(is_good);
         let around = (0..len).map(|step| (start + step) % len);
-        let usable = around.filter(|index| self.entries[*index].is_usable(now));
-        usable.min_by_key(|index| {
+        let usable = around.filter(|index| {
             let entry = &self.entries[*index];
-            (entry.penalty.is_active(now), entry.in_use)
-        })
+            entry.is_usable(now) && (!any_good || is_good(entry))
+        });
+        usable.min_by_key(|index| self.entries[*index].in_use)
     }
 
     pub(super) fn find(&self, target: target::Id) -> Option<&Entry> {
