--- a/crates/coordination/src/journal/replay.rs
+++ b/crates/coordination/src/journal/replay.rs
@@ -8,7 +8,10 @@
     },
 };
 
-use crate::platform::log;
+use crate::{
+    platform::log,
+    recovery::Image, //
+};
 
 use super::{
     CodecError, Envelope, Fold, Header, Record, Standing,
@@ -113,6 +116,14 @@
         self.records
     }
 
+    /// Returns what the records add up to so far, once the snapshot is whole.
+    pub const fn image(&self) -> Option<&Image> {
+        match &self.origin {
+            Origin::Known { fold, .. } => Some(fold.image()),
+            Origin::Search(_) => None,
+        }
+    }
+
     /// Takes in the next record of the stream.
     ///
     /// # Errors
--- a/crates/coordination/src/journal/writer.rs
+++ b/crates/coordination/src/journal/writer.rs
@@ -145,6 +145,8 @@
     state: State,
     expected: Offset,
     sequence: u64,
+    /// The last own sequence that is known to be kept and to count.
+    landed: Option<u64>,
     queue: VecDeque<Item>,
     queued: usize,
     due: Option<Timestamp>,
@@ -159,6 +161,7 @@
     bytes_behind: usize,
     records_behind: u64,
     progress: Option<Progress>,
+    no_snapshot_before: Timestamp,
     appends: u64,
 }
 
@@ -188,6 +191,7 @@
             state: State::Idle,
             expected: start.expected,
             sequence: 1,
+            landed: None,
             queue: VecDeque::new(),
             queued: 0,
             due: None,
@@ -201,6 +205,7 @@
             bytes_behind: 0,
             records_behind: 0,
             progress: None,
+            no_snapshot_before: Timestamp::ZERO,
             appends: 0,
         }
     }
@@ -362,21 +367,20 @@
             return;
         };
         self.backoff.reset();
-        let mut landed = None;
         for record in &page.records {
             let header = match Header::decode(&record.data) {
                 Ok(header) => header,
                 Err(cause) => return self.close(None, Some(cause)),
             };
             if header.epoch > self.epoch {
-                return self.fence(header.epoch, landed);
+                return self.fence(header.epoch);
             }
             if header.epoch == self.epoch {
-                landed = landed.max(Some(header.sequence));
+                self.landed = self.landed.max(Some(header.sequence));
             }
         }
         self.expected = self.expected.max(page.next);
-        let whole = self.batch.last() <= landed;
+        let whole = self.batch.last() <= self.landed;
         self.after_page(goal, whole, page, now);
     }
 
@@ -447,11 +451,12 @@
     fn snapshot_at(&self, now: Timestamp) -> Timestamp {
         let large = self.bytes_behind >= self.settings.snapshot_bytes;
         let many = self.records_behind >= self.settings.snapshot_records;
-        if large || many {
+        let at = if large || many {
             now
         } else {
             self.base_taken + self.settings.snapshot_age()
-        }
+        };
+        at.max(self.no_snapshot_before)
     }
 
     /// Returns whether a snapshot should be begun.
@@ -479,14 +484,14 @@
             };
             self.queued -= more;
             size += more;
-            self.enclose(item);
+            self.enclose(item, now);
         }
         self.due = (!self.queue.is_empty()).then_some(now);
-        self.add_part(size);
+        self.add_part(size, now);
     }
 
     /// Gives a record its place in the sequence; it keeps this through all retries.
-    fn enclose(&mut self, item: Item) {
+    fn enclose(&mut self, item: Item, now: Timestamp) {
         let header = Header {
             node: self.node,
             epoch: self.epoch,
@@ -503,7 +508,7 @@
                 });
             }
             // A header always encodes; were it otherwise, the record is refused and not lost.
-            Err(_) => self.reject(&item),
+            Err(_) => self.reject(&item, now),
         }
     }
 
@@ -522,7 +527,7 @@
     }
 
     /// Adds one part of the snapshot where the append has room for it.
-    fn add_part(&mut self, size: usize) {
+    fn add_part(&mut self, size: usize, now: Timestamp) {
         let room = self.cap.saturating_sub(size);
         let Some(progress) = &mut self.progress else {
             return;
@@ -538,11 +543,14 @@
         let Ok(body) = encode_record(&record) else {
             return;
         };
-        self.enclose(Item {
-            token: None,
-            record,
-            body,
-        });
+        self.enclose(
+            Item {
+                token: None,
+                record,
+                body,
+            },
+            now,
+        );
     }
 
     fn send(&mut self, now: Timestamp) -> Option<Effect> {
@@ -613,21 +621,26 @@
             return self.close(None, None);
         }
         if let Some(framed) = self.batch.records.pop_back() {
-            self.reject(&framed.item);
+            self.reject(&framed.item, retry);
         }
         self.state = State::Idle;
     }
 
-    fn reject(&mut self, item: &Item) {
+    /// Gives up a record; a snapshot that lost a part is begun anew later.
+    fn reject(&mut self, item: &Item, retry: Timestamp) {
+        if matches!(item.record, Record::Snapshot(_)) {
+            self.progress = None;
+            self.no_snapshot_before = retry + self.settings.retry_max;
+        }
         if let Some(token) = item.token {
             self.effects.push_back(Effect::Rejected(token));
         }
     }
 
-    /// Another owner's record was seen; `landed` is the last own sequence in front of it.
+    /// Another owner's record was seen; what landed in front of it counts.
     ///
     /// An append that is still on its way can only land behind that record, where it is ignored.
-    fn fence(&mut self, epoch: Epoch, landed: Option<u64>) {
+    fn fence(&mut self, epoch: Epoch) {
         let mut fence = Fence {
             epoch: Some(epoch),
             ..Fence::default()
@@ -636,7 +649,7 @@
             let Some(token) = framed.item.token else {
                 continue;
             };
-            if Some(framed.header.sequence) <= landed {
+            if Some(framed.header.sequence) <= self.landed {
                 fence.kept.push(token);
             } else {
                 fence.dropped.push(token);
