--- a/crates/gate/src/http/answer.rs
+++ b/crates/gate/src/http/answer.rs
@@ -41,12 +41,16 @@
 
 /// Makes the answer that tells a refusal.
 pub fn refusal(refusal: &Refusal) -> Response {
-    let problem = Problem::from(refusal);
+    problem(&Problem::from(refusal))
+}
+
+/// Makes the answer that tells a problem.
+pub fn problem(problem: &Problem) -> Response {
     let mut response = json(status(problem.status), problem.to_json());
     mark_problem(&mut response);
-    let headers = response.headers_mut();
-    headers.insert(header::OUTCOME, outcome(refusal.outcome));
+    state(&mut response, problem.outcome);
     if let Some(seconds) = problem.retry_after_secs() {
+        let headers = response.headers_mut();
         headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
     }
     response
--- a/crates/gate/src/http/mod.rs
+++ b/crates/gate/src/http/mod.rs
@@ -5,6 +5,7 @@
 mod head;
 mod health;
 mod job;
+mod linger;
 mod request;
 mod router;
 
--- a/crates/gate/src/http/router.rs
+++ b/crates/gate/src/http/router.rs
@@ -9,6 +9,7 @@
         State, //
     },
     http::StatusCode,
+    middleware,
     response::Response,
     routing::{
         any,
@@ -16,6 +17,7 @@
         post, //
     },
 };
+use fulmarpier_protocol::problem::Problem;
 use fulmarpier_state::refusal::{
     Reason,
     Refusal, //
@@ -26,6 +28,7 @@
     command,
     health,
     job,
+    linger,
     request, //
 };
 use crate::app::App;
@@ -46,6 +49,7 @@
         .route("/readyz", get(health::ready))
         .fallback(nowhere)
         .method_not_allowed_fallback(wrong_method)
+        .layer(middleware::from_fn(linger::layer))
         // Bodies have limits of their own, which answer with a problem.
         .layer(DefaultBodyLimit::disable())
         .with_state(app)
@@ -64,7 +68,7 @@
 /// Refuses with the status that HTTP has for the case.
 fn refuse(app: &App, refusal: &Refusal, status: StatusCode) -> Response {
     app.refused(refusal);
-    let mut response = answer::refusal(refusal);
-    *response.status_mut() = status;
-    response
+    let mut problem = Problem::from(refusal);
+    problem.status = status.as_u16();
+    answer::problem(&problem)
 }
