Suggest only settings fields that are absent; name the form module

Cause: a misspelt field could be met with the suggestion of a field that stands beside it already, as in `rates` with `gates`. Suggestions come only from the known fields that are absent.

settings::check was both a function and a module; the module is now settings::form.

--- a/crates/ctl/src/invocation.rs
+++ b/crates/ctl/src/invocation.rs
@@ -11,7 +11,7 @@
     query,
     settings::{
         Kind, UnknownKind,
-        check::Mistake,
+        form::Mistake,
         value::{
             Token,
             Url, //
--- a/crates/protocol/src/settings/error.rs
+++ b/crates/protocol/src/settings/error.rs
@@ -5,7 +5,7 @@
     path::PathBuf, //
 };
 
-use super::check::Errors;
+use super::form::Errors;
 
 /// The ways in which settings can fail to load.
 #[derive(Debug, thiserror::Error)]
--- a/crates/protocol/src/settings/check/section.rs
+++ b/crates/protocol/src/settings/form/section.rs
@@ -119,7 +119,7 @@
     }
 
     /// Notes a mistake of a field.
-    pub fn note<T>(&mut self, key: &str, mistake: Mistake) -> Option<T> {
+    pub fn note<T>(&self, key: &str, mistake: Mistake) -> Option<T> {
         let path = self.path(key);
         self.errors.borrow_mut().push(Error { path, mistake });
         None
@@ -207,12 +207,19 @@
         form
     }
 
-    fn refuse_unknown(&mut self) {
-        for key in self.fields.into_iter().flat_map(Map::keys) {
-            if self.known.contains(&key.as_str()) {
-                continue;
-            }
-            let suggestion = suggest::nearest(key, self.known.iter().copied());
+    /// Notes the fields that are not known; a known one that is there was hardly meant.
+    fn refuse_unknown(&self) {
+        let Some(fields) = self.fields else {
+            return;
+        };
+        let known = &self.known;
+        let absent: Vec<_> = known
+            .iter()
+            .filter(|key| !fields.contains_key(**key))
+            .collect();
+        let unknown = fields.keys().filter(|key| !known.contains(&key.as_str()));
+        for key in unknown {
+            let suggestion = suggest::nearest(key, absent.iter().map(|key| **key));
             let suggestion = suggestion.map(str::to_owned);
             self.note::<()>(key, Mistake::Unknown { suggestion });
         }
--- a/crates/protocol/src/settings/gate/mod.rs
+++ b/crates/protocol/src/settings/gate/mod.rs
@@ -22,7 +22,7 @@
 };
 use super::{
     Document,
-    check::{
+    form::{
         Errors,
         Form,
         Section,
--- a/crates/protocol/src/settings/gate/operator.rs
+++ b/crates/protocol/src/settings/gate/operator.rs
@@ -3,7 +3,7 @@
 use fulmarpier_state::name::Name;
 
 use crate::settings::{
-    check::{
+    form::{
         Form,
         Section, //
     },
--- a/crates/protocol/src/settings/gate/retry.rs
+++ b/crates/protocol/src/settings/gate/retry.rs
@@ -2,7 +2,7 @@
 
 use fulmarpier_state::unit::Span;
 
-use crate::settings::check::{
+use crate::settings::form::{
     Form,
     Section, //
 };
--- a/crates/protocol/src/settings/load/arrivals.rs
+++ b/crates/protocol/src/settings/load/arrivals.rs
@@ -2,7 +2,7 @@
 
 use serde_json::Value;
 
-use crate::settings::check::{
+use crate::settings::form::{
     Field,
     Mistake,
     section, //
--- a/crates/protocol/src/settings/load/job.rs
+++ b/crates/protocol/src/settings/load/job.rs
@@ -10,7 +10,7 @@
     },
 };
 
-use crate::settings::check::{
+use crate::settings::form::{
     Form,
     Section, //
 };
--- a/crates/protocol/src/settings/load/mix.rs
+++ b/crates/protocol/src/settings/load/mix.rs
@@ -1,6 +1,6 @@
 //! The shares of the kinds of work.
 
-use crate::settings::check::{
+use crate::settings::form::{
     Form,
     Mistake,
     Section, //
--- a/crates/protocol/src/settings/load/mod.rs
+++ b/crates/protocol/src/settings/load/mod.rs
@@ -17,7 +17,7 @@
 };
 use super::{
     Document,
-    check::{
+    form::{
         Errors,
         Form,
         Section,
--- a/crates/protocol/src/settings/mod.rs
+++ b/crates/protocol/src/settings/mod.rs
@@ -5,9 +5,9 @@
 //! [`Gate`], [`Sched`], [`Standin`] or [`Load`] by `TryFrom`, and all its mistakes are reported at
 //! once, each with its path. Keys that are not known are refused.
 
-pub mod check;
 mod document;
 mod error;
+pub mod form;
 pub mod gate;
 pub mod load;
 pub mod sched;
--- a/crates/protocol/src/settings/sched/mod.rs
+++ b/crates/protocol/src/settings/sched/mod.rs
@@ -20,7 +20,7 @@
 };
 use super::{
     Document,
-    check::{
+    form::{
         Errors,
         Form,
         Mistake,
--- a/crates/protocol/src/settings/source.rs
+++ b/crates/protocol/src/settings/source.rs
@@ -13,7 +13,7 @@
     Load,
     Sched,
     Standin,
-    check::Errors, //
+    form::Errors, //
 };
 use crate::suggest;
 
--- a/crates/protocol/src/settings/standin/entry.rs
+++ b/crates/protocol/src/settings/standin/entry.rs
@@ -7,7 +7,7 @@
     NodeId, //
 };
 
-use crate::settings::check::{
+use crate::settings::form::{
     Form,
     Section, //
 };
--- a/crates/protocol/src/settings/standin/shape.rs
+++ b/crates/protocol/src/settings/standin/shape.rs
@@ -8,7 +8,7 @@
     },
 };
 
-use crate::settings::check::{
+use crate::settings::form::{
     Form,
     Section, //
 };
--- a/crates/protocol/src/settings/standin/workers.rs
+++ b/crates/protocol/src/settings/standin/workers.rs
@@ -7,7 +7,7 @@
 };
 
 use super::Shape;
-use crate::settings::check::{
+use crate::settings::form::{
     Form,
     Mistake,
     Section, //
--- a/crates/protocol/src/settings/value/peer.rs
+++ b/crates/protocol/src/settings/value/peer.rs
@@ -4,7 +4,7 @@
 
 use fulmarpier_state::id::NodeId;
 
-use crate::settings::check::{
+use crate::settings::form::{
     Form,
     Section, //
 };
--- a/crates/protocol/src/settings/value/url.rs
+++ b/crates/protocol/src/settings/value/url.rs
@@ -7,7 +7,7 @@
 
 use serde_json::Value;
 
-use crate::settings::check::{
+use crate::settings::form::{
     Field,
     Mistake,
     field, //
--- a/crates/protocol/tests/settings.rs
+++ b/crates/protocol/tests/settings.rs
@@ -1,8 +1,11 @@
 //! Settings: ready sets, all mistakes at once, and files that are no JSON.
 
-use std::path::{
-    Path,
-    PathBuf, //
+use std::{
+    fs, iter,
+    path::{
+        Path,
+        PathBuf, //
+    },
 };
 
 use fulmarpier_protocol::settings::{
@@ -17,7 +20,12 @@
     parse, //
 };
 use fulmarpier_state::unit::Span;
+use proptest::prelude::*;
 use rstest::rstest;
+use serde_json::{
+    Map,
+    Value, //
+};
 
 const GATE: &str = r#"{"node": "n1", "region": "reg1", "data_centre": "dc1",
     "data_centres": ["dc1"], "listen": "127.0.0.1:7301", "scheds": [{"node": "n1", "rpc_address": "127.0.0.1:7101"}],
@@ -203,3 +211,73 @@
     let error = parse::<Gate>(&twice).unwrap_err();
     insta::assert_snapshot!(error, @"data_centres: `dc1` stands twice");
 }
+
+/// Returns the pointer (RFC 6901) of every object in a document.
+fn objects(value: &Value, pointer: &str) -> Vec<String> {
+    match value {
+        Value::Object(object) => {
+            let inner = |(key, value)| objects(value, &format!("{pointer}/{key}"));
+            let inner = object.iter().flat_map(inner);
+            iter::once(pointer.to_owned()).chain(inner).collect()
+        }
+        Value::Array(entries) => {
+            let inner = |(index, value)| objects(value, &format!("{pointer}/{index}"));
+            entries.iter().enumerate().flat_map(inner).collect()
+        }
+        _ => Vec::new(),
+    }
+}
+
+fn errors(document: &Value, program: &str) -> String {
+    let text = document.to_string();
+    let result = match program {
+        "gate" => parse::<Gate>(&text).map(drop),
+        "sched" => parse::<Sched>(&text).map(drop),
+        "standin" => parse::<Standin>(&text).map(drop),
+        _ => parse::<Load>(&text).map(drop),
+    };
+    result.expect_err("the settings are wrong").to_string()
+}
+
+#[rstest]
+fn every_field_that_is_misspelt_is_refused_with_the_right_one(
+    #[values("gate", "sched", "standin", "load")] program: &str,
+) {
+    let path = ready("kurzeme", &format!("{program}.json"));
+    let text = fs::read_to_string(path).expect("the ready set is there");
+    let whole: Value = serde_json::from_str(&text).expect("the file is JSON");
+    for pointer in objects(&whole, "") {
+        let object = whole.pointer(&pointer).and_then(Value::as_object);
+        for key in object.into_iter().flat_map(Map::keys) {
+            let misspelt = format!("{key}s");
+            if object.is_some_and(|object| object.contains_key(&misspelt)) {
+                continue;
+            }
+            let mut document = whole.clone();
+            let object = document
+                .pointer_mut(&pointer)
+                .and_then(Value::as_object_mut);
+            let object = object.expect("the pointer leads to an object");
+            let value = object.remove(key).expect("the key is there");
+            object.insert(misspelt.clone(), value);
+            let expected = format!("{misspelt}: is not a known field; did you mean `{key}`?");
+            let errors = errors(&document, program);
+            assert!(errors.contains(&expected), "{expected}\n{errors}");
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(256))]
+
+    #[test]
+    fn arbitrary_change_of_a_file_never_breaks_the_check(
+        place in any::<prop::sample::Index>(), text in ".{0,3}",
+    ) {
+        let path = ready("kurzeme", "sched.json");
+        let mut whole: Vec<char> = fs::read_to_string(path)?.chars().collect();
+        let place = place.index(whole.len());
+        whole.splice(place..=place, text.chars());
+        let _ = parse::<Sched>(&String::from_iter(whole));
+    }
+}
