--- /dev/null
+++ b/crates/sched/src/shard/jobs.rs
@@ -0,0 +1,241 @@
+//! Calls about jobs: submission, cancellation and waiting for an end.
+
+use std::time::Duration;
+
+use fulmarpier_coordination::journal::Record;
+use fulmarpier_protocol::{
+    http::job::{
+        State,
+        Tasks,
+        View, //
+    },
+    wire,
+};
+use fulmarpier_state::{
+    clock::Timestamp,
+    engine::{
+        self,
+        JobView,
+        Outcome, //
+    },
+    id::JobId,
+    job::Spec,
+    refusal::{
+        Reason,
+        Refusal, //
+    },
+};
+
+use super::{
+    Live, Scope,
+    commit::{
+        Pending,
+        log_down, //
+    },
+    live::Waiter,
+};
+use crate::node::CallId;
+
+/// How long a caller waits for the log before it is told that its job was not accepted.
+pub(super) const ACCEPT: Duration = Duration::from_secs(5);
+/// After how long a log that fails is taken to be down, so that jobs are refused at once.
+const DOWN: Duration = Duration::from_secs(2);
+/// When to come back after a refusal for the log's sake.
+pub(super) const RETRY: Duration = Duration::from_secs(2);
+
+impl Live {
+    /// Takes a job, and answers once its record is kept.
+    pub(crate) fn submit(&mut self, call: CallId, job: JobId, spec: Spec, scope: &mut Scope<'_>) {
+        let reply = match self.admit(job, &spec, scope.now) {
+            Ok(None) => {
+                self.accept(call, job, spec, scope);
+                return;
+            }
+            Ok(Some(reply)) => reply,
+            Err(refusal) => wire::submit::Reply::Refused(scope.out.refuse(refusal)),
+        };
+        scope.out.answer(call, wire::Answer::Submit(reply));
+    }
+
+    /// Returns the answer to a job that needs no record, or `None` where it does.
+    fn admit(
+        &mut self,
+        job: JobId,
+        spec: &Spec,
+        now: Timestamp,
+    ) -> Result<Option<wire::submit::Reply>, Refusal> {
+        let image = self.journal.image();
+        if self.engine.job(job).is_some() || image.gone.contains_key(&job) {
+            return Ok(Some(wire::submit::Reply::Known));
+        }
+        if !self.is_active(now) {
+            let refusal = Refusal::new(Reason::NoOwner, "the shard is not active yet");
+            return Err(refusal.retry_after(RETRY));
+        }
+        self.engine.check(spec, now)?;
+        if self.log_down_for(now) >= DOWN {
+            return Err(log_down());
+        }
+        Ok(None)
+    }
+
+    fn accept(&mut self, call: CallId, job: JobId, spec: Spec, scope: &mut Scope<'_>) {
+        let at = scope.now;
+        let record = Record::Accepted {
+            job,
+            spec: spec.clone().into(),
+            at,
+        };
+        let pending = Pending::Accept {
+            job,
+            spec: Box::new(spec),
+            call,
+            since: at,
+        };
+        if self.push(record, pending, at).is_err() {
+            let refusal = scope.out.refuse(log_down());
+            let reply = wire::submit::Reply::Refused(refusal);
+            scope.out.answer(call, wire::Answer::Submit(reply));
+        }
+    }
+
+    /// Returns whether this shard knows a job.
+    pub(crate) fn knows(&self, job: JobId) -> bool {
+        self.engine.job(job).is_some() || self.journal.image().gone.contains_key(&job)
+    }
+
+    /// Cancels a job, and answers once that is kept.
+    pub(crate) fn cancel(&mut self, call: CallId, job: JobId, scope: &mut Scope<'_>) {
+        let ended = self
+            .engine
+            .job(job)
+            .is_none_or(|view| matches!(view.state, engine::State::Ended(_)));
+        if ended {
+            let reply = wire::cancel::Reply::Found(wire::submit::Reply::Known);
+            return scope.out.answer(call, wire::Answer::Cancel(reply));
+        }
+        let record = Record::Cancelled { job };
+        let pending = Pending::Cancel { job, call };
+        if self.push(record, pending, scope.now).is_err() {
+            let refusal = scope.out.refuse(log_down());
+            let reply = wire::submit::Reply::Refused(refusal);
+            let reply = wire::cancel::Reply::Found(reply);
+            scope.out.answer(call, wire::Answer::Cancel(reply));
+        }
+    }
+
+    /// Cancels a job whose cancellation is kept.
+    pub(super) fn cancel_now(&mut self, job: JobId, call: CallId, scope: &mut Scope<'_>) {
+        let reply = match self.engine.cancel(job, scope.now) {
+            Ok(effects) => {
+                self.carry_out(effects, scope);
+                wire::submit::Reply::Accepted
+            }
+            Err(refusal) => wire::submit::Reply::Refused(scope.out.refuse(refusal)),
+        };
+        let reply = wire::cancel::Reply::Found(reply);
+        scope.out.answer(call, wire::Answer::Cancel(reply));
+    }
+
+    /// Tells of a job, at once or when it has ended.
+    pub(crate) fn look(&mut self, call: CallId, job: JobId, wait: Duration, scope: &mut Scope<'_>) {
+        let ended = self
+            .view(job, scope.now)
+            .is_none_or(|view| view.state.is_ended());
+        if ended || wait.is_zero() {
+            return self.tell(call, job, scope);
+        }
+        let until = scope.now + wait;
+        let waiter = Waiter { call, until };
+        self.waiters.entry(job).or_default().push(waiter);
+    }
+
+    fn tell(&self, call: CallId, job: JobId, scope: &mut Scope<'_>) {
+        let json = self
+            .view(job, scope.now)
+            .and_then(|view| serde_json::to_vec(&view).ok());
+        let reply = match json {
+            Some(json) => wire::job::Reply::Found(json.into()),
+            None => wire::job::Reply::Unknown,
+        };
+        scope.out.answer(call, wire::Answer::Job(reply));
+    }
+
+    /// Answers everybody who waits for a job that has ended.
+    pub(super) fn wake_waiters(&mut self, job: JobId, scope: &mut Scope<'_>) {
+        for waiter in self.waiters.remove(&job).unwrap_or_default() {
+            self.tell(waiter.call, job, scope);
+        }
+    }
+
+    /// Answers those who have waited long enough.
+    pub(super) fn expire_waiters(&mut self, scope: &mut Scope<'_>) {
+        let now = scope.now;
+        let mut late = Vec::new();
+        for (job, waiters) in &mut self.waiters {
+            let done = waiters.extract_if(.., |waiter| waiter.until <= now);
+            late.extend(done.map(|waiter| (waiter.call, *job)));
+        }
+        self.waiters.retain(|_, waiters| !waiters.is_empty());
+        late.sort_unstable();
+        for (call, job) in late {
+            self.tell(call, job, scope);
+        }
+    }
+
+    /// Answers everybody who waits, because the shard is given up.
+    pub(crate) fn dismiss(&mut self, scope: &mut Scope<'_>) {
+        self.journal.shut();
+        self.pump_journal(scope);
+        let mut calls: Vec<CallId> = self
+            .waiters
+            .drain()
+            .flat_map(|(_, waiters)| waiters)
+            .map(|waiter| waiter.call)
+            .collect();
+        calls.sort_unstable();
+        for call in calls {
+            let reply = wire::job::Reply::Unknown;
+            scope.out.answer(call, wire::Answer::Job(reply));
+        }
+    }
+
+    /// Returns a job as callers see it.
+    pub(crate) fn view(&self, job: JobId, now: Timestamp) -> Option<View> {
+        let view = self.engine.job(job)?;
+        let explanation = self.engine.explain(job, now);
+        Some(View {
+            job,
+            state: state(&view),
+            team: view.spec.team.clone(),
+            kind: view.spec.kind.word().to_owned(),
+            priority: view.spec.priority,
+            tasks: tasks(&view),
+            explanation: explanation.iter().map(ToString::to_string).collect(),
+            refusal: None,
+        })
+    }
+}
+
+/// Returns the state of a job in the callers' words.
+pub(crate) fn state(view: &JobView) -> State {
+    match view.state {
+        engine::State::Waiting => State::Waiting,
+        engine::State::Held => State::Held,
+        engine::State::Running | engine::State::Cancelling => State::Running,
+        engine::State::Ended(Outcome::Succeeded) => State::Succeeded,
+        engine::State::Ended(Outcome::Failed | Outcome::Unknown) => State::Failed,
+        engine::State::Ended(Outcome::Cancelled) => State::Cancelled,
+    }
+}
+
+fn tasks(view: &JobView) -> Tasks {
+    Tasks {
+        waiting: view.waiting + view.starting,
+        running: view.running,
+        succeeded: view.ended.succeeded,
+        failed: view.ended.failed,
+        cancelled: view.ended.cancelled,
+        unknown: view.ended.unknown,
+    }
+}
