--- a/crates/sched/src/main.rs
+++ b/crates/sched/src/main.rs
@@ -13,7 +13,6 @@
 };
 use fulmarpier_transport::{
     log::{
-        Level,
         Log, //
     },
     signal, //
@@ -48,7 +47,7 @@
 }
 
 fn run(file: &settings::sched::Sched) -> Result<(), Box<dyn Error>> {
-    let log = Log::open("sched", Level::from(file.log_level));
+    let log = Log::open("sched", file.log_level);
     let sched = Sched::start(file, log.logger().clone())?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
--- a/crates/sched/src/process/sched.rs
+++ b/crates/sched/src/process/sched.rs
@@ -51,6 +51,7 @@
         timeout, //
     },
 };
+use tokio_util::sync::CancellationToken;
 
 use super::{
     Error,
@@ -78,17 +79,21 @@
 const QUEUE: usize = 8_192;
 /// How many events are handled in one go.
 const BURST: usize = 512;
+/// How long the last answers and the control thread may take to end.
+const CLOSE: Duration = Duration::from_secs(1);
 /// How often a node that has nothing to do looks around all the same.
 const IDLE: Duration = Duration::from_millis(200);
 
 /// A running sched.
 #[derive(Debug)]
 pub struct Sched {
-    rpc: rpc::Server,
+    rpc: Option<rpc::Server>,
+    rpc_address: SocketAddr,
     http: SocketAddr,
     events: mpsc::Sender<Event>,
     status: Arc<Status>,
     stop_http: Arc<Notify>,
+    stop: CancellationToken,
     traffic: Option<Runtime>,
     ended: oneshot::Receiver<()>,
     drain: Duration,
@@ -129,6 +134,8 @@
         let control_log = log.clone();
         let control_status = status.clone();
         let (end, ended) = oneshot::channel();
+        let stop = CancellationToken::new();
+        let stopped = stop.clone();
         let runtime = Builder::new_current_thread().enable_all().build()?;
         thread::Builder::new()
             .name("control".to_owned())
@@ -136,17 +143,19 @@
                 let make = |clock: Clock| {
                     Control::new(node, clock, carrier, meter, control_log, control_status)
                 };
-                runtime.block_on(run(make, clock, inbox));
+                runtime.block_on(run(make, clock, inbox, stopped));
                 // Nobody may be waiting for the end.
                 let _ = end.send(());
             })?;
         info!(log, "sched started"; "node" => %file.node, "rpc" => %server.address(), "http" => %http);
         Ok(Self {
-            rpc: server,
+            rpc_address: server.address(),
+            rpc: Some(server),
             http,
             events,
             status,
             stop_http,
+            stop,
             traffic: Some(traffic),
             ended,
             drain: file.drain.get(),
@@ -156,7 +165,7 @@
 
     /// Returns where gates and other scheds reach this one.
     pub const fn rpc_address(&self) -> SocketAddr {
-        self.rpc.address()
+        self.rpc_address
     }
 
     /// Returns where the counters and the health are shown.
@@ -175,13 +184,27 @@
         let drained = timeout(self.drain, self.status.drained.notified()).await;
         info!(self.log, "sched left"; "handed_over" => drained.is_ok());
         self.stop_http.notify_one();
-        self.rpc.close(Duration::from_secs(1)).await;
+        if let Some(rpc) = self.rpc.take() {
+            rpc.close(CLOSE).await;
+        }
+        self.end();
+        // A thread that is late ends by itself.
+        let _ = timeout(CLOSE, &mut self.ended).await;
+    }
+
+    /// Ends the threads without waiting for what they do.
+    fn end(&mut self) {
+        self.stop.cancel();
         if let Some(traffic) = self.traffic.take() {
             traffic.shutdown_background();
         }
-        drop(self.events);
-        // The control thread ends once nothing can reach it.
-        let _ = timeout(Duration::from_secs(1), self.ended).await;
+    }
+}
+
+impl Drop for Sched {
+    /// Ends the sched at once, as when its process dies.
+    fn drop(&mut self) {
+        self.end();
     }
 }
 
@@ -249,9 +272,9 @@
     });
 }
 
-/// Feeds the actor with events and ticks until nothing can reach it any more.
+/// Feeds the actor with events and ticks until it is told to stop.
 async fn run(make: impl FnOnce(Clock) -> Control, clock: Clock, mut inbox: mpsc::Receiver<Event>) {
-    let control = Control::spawn(make(clock.clone()));
+    let control = Control::spawn(make(clock));
     let mut wake = Timestamp::ZERO;
     let mut events = Vec::with_capacity(BURST);
     loop {
@@ -263,6 +286,7 @@
                     break;
                 }
             }
+            () = stop.cancelled() => break,
             () = sleep_until(due) => events.push(Event::Input(Input::Tick)),
         }
         match control.ask(Batch(std::mem::take(&mut events))).await {
