--- a/crates/coordination/src/config/progress.rs
+++ b/crates/coordination/src/config/progress.rs
@@ -91,6 +91,12 @@
         Self::default()
     }
 
+    /// Returns the newest version that a node has reported.
+    pub fn version_of(&self, node: NodeId) -> Option<Version> {
+        let steps = &self.nodes.get(&node)?.steps;
+        steps.last().map(|(version, _)| *version)
+    }
+
     /// Sets which nodes count, by the VM list.
     pub fn list(&mut self, nodes: BTreeSet<NodeId>) {
         self.listed = nodes;
--- a/crates/demo/src/cluster.rs
+++ b/crates/demo/src/cluster.rs
@@ -6,6 +6,7 @@
 };
 
 use fulmarpier_coordination::platform::vm;
+use fulmarpier_gate::Gate;
 use fulmarpier_protocol::settings;
 use fulmarpier_sched::process::Sched;
 use fulmarpier_standin::{
@@ -25,6 +26,11 @@
 use serde_json::json;
 use slog::Logger;
 
+/// The token of the demonstration's operator.
+pub const TOKEN: &str = "demonstration-only-token";
+/// How many shards each data centre has.
+const SHARDS: u16 = 2;
+
 /// How many there are of each.
 #[derive(Clone, Copy, Debug)]
 pub struct Size {
@@ -46,6 +52,9 @@
     /// A sched can't start.
     #[error(transparent)]
     Sched(#[from] fulmarpier_sched::process::Error),
+    /// A gate can't start.
+    #[error(transparent)]
+    Gate(#[from] fulmarpier_gate::Error),
 }
 
 /// Running stand-ins, scheds and gates.
@@ -54,6 +63,8 @@
     pub platform: Handle,
     /// The scheds, by node.
     pub scheds: Vec<Sched>,
+    /// The gates, by node.
+    pub gates: Vec<Gate>,
 }
 
 impl Cluster {
@@ -69,15 +80,33 @@
             let file = sched_settings(number, platform.control())?;
             scheds.push(Sched::start(&file, log.clone())?);
         }
-        let cluster = Self { platform, scheds };
+        let mut cluster = Self {
+            platform,
+            scheds,
+            gates: Vec::new(),
+        };
         cluster.list();
+        for number in 1..=size.nodes {
+            let file = gate_settings(number, &cluster.addresses())?;
+            let gate = Gate::start(file, log.clone()).await?;
+            cluster.gates.push(gate);
+        }
         Ok(cluster)
     }
 
+    /// Returns where the gate of a node listens; nodes count from zero here.
+    pub fn gate(&self, index: usize) -> Option<SocketAddr> {
+        self.gates.get(index).map(Gate::address)
+    }
+
+    /// Returns where the scheds listen, by node.
+    fn addresses(&self) -> Vec<SocketAddr> {
+        self.scheds.iter().map(Sched::rpc_address).collect()
+    }
+
     /// Puts the nodes on the VM list.
     fn list(&self) {
-        let addresses = self.scheds.iter().map(Sched::rpc_address);
-        let entries = (1..).zip(addresses).map(entry).collect();
+        let entries = (1..).zip(self.addresses()).map(entry).collect();
         self.platform.list(entries);
     }
 }
@@ -111,7 +140,30 @@
         "peers": [],
         "log_url": format!("http://{platform}"),
         "vms_url": format!("http://{platform}"),
-        "shards_per_data_centre": 2,
+        "shards_per_data_centre": SHARDS,
+    });
+    settings::parse(&document.to_string())
+}
+
+fn gate_settings(
+    number: u16,
+    scheds: &[SocketAddr],
+) -> Result<settings::gate::Gate, settings::Error> {
+    let peer = |(node, address): (u16, &SocketAddr)| {
+        json!({
+            "node": format!("n{node}"),
+            "rpc_address": address.to_string(),
+        })
+    };
+    let document = json!({
+        "node": format!("n{number}"),
+        "region": "reg1",
+        "data_centre": data_centre(number).to_string(),
+        "data_centres": ["dc1", "dc2", "dc3"],
+        "shards_per_data_centre": SHARDS,
+        "listen": "127.0.0.1:0",
+        "scheds": (1..).zip(scheds).map(peer).collect::<Vec<_>>(),
+        "operators": [{"name": "demo", "token": TOKEN}],
     });
     settings::parse(&document.to_string())
 }
--- /dev/null
+++ b/crates/sched/src/node/command/mod.rs
@@ -0,0 +1,8 @@
+//! Commands of operators: parsed, run here, and passed to the peers where they know more.
+
+mod answer;
+mod change;
+mod gather;
+mod run;
+
+pub(super) use self::gather::Running;
--- /dev/null
+++ b/crates/sched/src/node/command/run.rs
@@ -0,0 +1,161 @@
+//! The commands, one by one.
+
+use fulmarpier_protocol::{
+    http::job::Draft,
+    problem::Problem,
+    query::{
+        Command,
+        Show, //
+    },
+    wire,
+};
+use fulmarpier_state::{
+    clock::Timestamp,
+    id::{
+        JobId,
+        ShardId, //
+    },
+    refusal::{
+        Reason,
+        Refusal, //
+    },
+};
+use uuid::Builder;
+
+use super::{
+    super::{
+        CallId,
+        Node, //
+    },
+    gather::Goal,
+};
+
+impl Node {
+    /// Runs one line of the operators' language.
+    pub(in crate::node) fn command(
+        &mut self,
+        id: CallId,
+        request: wire::command::Request,
+        now: Timestamp,
+    ) {
+        let command: Command = match request.text.parse() {
+            Ok(command) => command,
+            Err(error) => {
+                self.out.refuse(Refusal::from(&error));
+                return self.answer_problem(id, &Problem::from(&error));
+            }
+        };
+        match command {
+            Command::Show(show) => self.show(id, show, &request, now),
+            Command::Explain(job) => self.explain(id, job, &request, now),
+            Command::Change(change) => self.change(id, change, &request, now),
+            Command::Submit(draft) => self.submit_draft(id, *draft, &request, now),
+            Command::Cancel(job) => self.cancel_job(id, job, &request, now),
+        }
+    }
+
+    fn show(
+        &mut self,
+        id: CallId,
+        show: Show,
+        request: &wire::command::Request,
+        now: Timestamp,
+    ) {
+        let table = self.table(show.subject, now);
+        if request.local || !self.is_spread(show.subject) {
+            return self.finish_show(id, &show, table);
+        }
+        self.gather(id, Goal::Show { show, table }, request, now);
+    }
+
+    fn explain(
+        &mut self,
+        id: CallId,
+        job: JobId,
+        request: &wire::command::Request,
+        now: Timestamp,
+    ) {
+        if self.shard_with(job).is_some() {
+            let table = self.explanation(job, now);
+            return self.answer_table(id, &table);
+        }
+        if request.local {
+            return self.refuse_command(id, unknown_job(job));
+        }
+        self.gather(id, Goal::First { job }, request, now);
+    }
+
+    fn cancel_job(
+        &mut self,
+        id: CallId,
+        job: JobId,
+        request: &wire::command::Request,
+        now: Timestamp,
+    ) {
+        if let Some(shard) = self.shard_with(job) {
+            if request.dry_run {
+                let mut table = self.explanation(job, now);
+                table.notes.push("dry run: the job would be cancelled".to_owned());
+                return self.answer_table(id, &table);
+            }
+            self.as_command.insert(id);
+            self.with_live(shard, now, |live, scope| live.cancel(id, job, scope));
+            return;
+        }
+        if request.local {
+            return self.refuse_command(id, unknown_job(job));
+        }
+        self.gather(id, Goal::First { job }, request, now);
+    }
+
+    fn submit_draft(
+        &mut self,
+        id: CallId,
+        draft: Draft,
+        request: &wire::command::Request,
+        now: Timestamp,
+    ) {
+        let submission = draft.received(now);
+        let job = submission.id.unwrap_or_else(|| self.job_id(now));
+        let Some(shard) = self.roomiest(now) else {
+            let detail = "this node has no shard with workers; try another node";
+            return self.refuse_command(id, Refusal::new(Reason::NoOwner, detail));
+        };
+        if request.dry_run {
+            let checked = self.with_live(shard, now, |live, scope| {
+                live.engine_mut().check(&submission.spec, scope.now)
+            });
+            return match checked {
+                Some(Err(refusal)) => self.refuse_command(id, refusal),
+                _ => self.answer_note(id, "dry run: the job would be accepted"),
+            };
+        }
+        self.as_command.insert(id);
+        self.with_live(shard, now, |live, scope| {
+            live.submit(id, job, submission.spec, scope);
+        });
+    }
+
+    /// Returns the placing shard with the most free processor time.
+    fn roomiest(&self, now: Timestamp) -> Option<ShardId> {
+        self.lives()
+            .filter(|live| live.is_placing(now))
+            .map(|live| (live.engine().digest(), live.shard))
+            .filter(|(digest, _)| digest.capacity.cpu > 0)
+            .max_by_key(|(digest, _)| digest.free.cpu)
+            .map(|(_, shard)| shard)
+    }
+
+    /// Makes an id for a job whose submitter chose none.
+    fn job_id(&mut self, now: Timestamp) -> JobId {
+        let mut random = [0; 10];
+        random[..4].copy_from_slice(&self.holder.node.0.to_be_bytes());
+        random[4..].copy_from_slice(&self.number().to_be_bytes()[2..]);
+        JobId(Builder::from_unix_timestamp_millis(now.as_millis(), &random).into_uuid())
+    }
+}
+
+/// The refusal of a command about a job that nobody knows.
+pub(super) fn unknown_job(job: JobId) -> Refusal {
+    Refusal::new(Reason::UnknownJob, format!("no shard knows job {job}"))
+}
--- a/crates/sched/src/node/core.rs
+++ b/crates/sched/src/node/core.rs
@@ -1,7 +1,10 @@
 //! The node: its parts, and how events reach them.
 
 use std::{
-    collections::BTreeMap,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     sync::Arc, //
 };
 
@@ -21,7 +24,10 @@
     topology::Map,
 };
 use fulmarpier_state::{
-    alias::HashMap,
+    alias::{
+        HashMap,
+        HashSet, //
+    },
     clock::Timestamp,
     id::ShardId, //
 };
@@ -72,6 +78,8 @@
     pub(super) publications: Vec<Publication>,
     pub(super) publishing: bool,
     pub(super) commands: HashMap<u64, Running>,
+    /// Calls about jobs that came as commands, to be answered as such.
+    pub(super) as_command: HashSet<CallId>,
     pub(super) next_number: u64,
     pub(super) draining: bool,
     pub(super) listing: bool,
@@ -100,6 +108,7 @@
             publications: Vec::new(),
             publishing: false,
             commands: HashMap::default(),
+            as_command: HashSet::default(),
             next_number: 0,
             draining: false,
             listing: false,
@@ -113,9 +122,7 @@
 
     /// Takes what happened at `now`, and returns what is to be done, in order.
     pub fn on(&mut self, input: Input, now: Timestamp) -> Vec<Output> {
-        self.take(input, now);
-        self.advance(now);
-        self.out.take()
+        self.on_all(vec![input], now)
     }
 
     /// Takes several events that happened at `now`, and returns what is to be done, in order.
@@ -126,7 +133,9 @@
             self.take(input, now);
         }
         self.advance(now);
-        self.out.take()
+        let mut outputs = self.out.take();
+        self.translate(&mut outputs);
+        outputs
     }
 
     /// Returns when [`Input::Tick`] is next due, if nothing happens before.
@@ -275,7 +284,9 @@
         }
         let map = Arc::new(self.map.clone());
         self.member_event(member::Event::Topology(map), now);
-        self.progress.list(self.map.nodes().map(|n| n.id).collect());
+        let nodes: BTreeSet<_> = self.map.nodes().map(|node| node.id).collect();
+        self.progress.list(nodes.clone());
+        self.gates.list(nodes);
         self.refresh_shards(now);
     }
 
--- a/crates/sched/src/node/outbox.rs
+++ b/crates/sched/src/node/outbox.rs
@@ -1,5 +1,7 @@
 //! Where the parts of a node put what is to be done, and what is to be counted.
 
+use std::collections::BTreeMap;
+
 use fulmarpier_coordination::platform::log;
 use fulmarpier_protocol::wire;
 use fulmarpier_state::{
@@ -39,6 +41,7 @@
 pub struct Outbox {
     outputs: Vec<Output>,
     counts: Counts,
+    refused: BTreeMap<Reason, u64>,
 }
 
 impl Outbox {
@@ -82,9 +85,15 @@
     /// Counts a refusal and passes it on.
     pub(crate) fn refuse(&mut self, refusal: Refusal) -> Refusal {
         *self.counts.refused.entry(refusal.reason).or_default() += 1;
+        *self.refused.entry(refusal.reason).or_default() += 1;
         refusal
     }
 
+    /// Returns all refusals of this life of the process, by reason.
+    pub(crate) fn refusals(&self) -> Vec<(Reason, u64)> {
+        self.refused.iter().map(|(reason, n)| (*reason, *n)).collect()
+    }
+
     /// Counts a retry.
     pub(crate) fn retry(&mut self, reason: &'static str) {
         *self.counts.retried.entry(reason).or_default() += 1;
--- a/crates/sched/src/process/sched.rs
+++ b/crates/sched/src/process/sched.rs
@@ -273,7 +273,12 @@
 }
 
 /// Feeds the actor with events and ticks until it is told to stop.
-async fn run(make: impl FnOnce(Clock) -> Control, clock: Clock, mut inbox: mpsc::Receiver<Event>) {
+async fn run(
+    make: impl FnOnce(Clock) -> Control,
+    clock: Clock,
+    mut inbox: mpsc::Receiver<Event>,
+    stop: CancellationToken,
+) {
     let control = Control::spawn(make(clock));
     let mut wake = Timestamp::ZERO;
     let mut events = Vec::with_capacity(BURST);
--- a/crates/sched/src/shard/live.rs
+++ b/crates/sched/src/shard/live.rs
@@ -30,6 +30,8 @@
         ShardId,
         WorkerId, //
     },
+    job::Kind,
+    name::Service,
     policy::Policy,
     worker::Condition, //
 };
@@ -193,6 +195,24 @@
             .collect()
     }
 
+    /// Returns the targets of this shard with their workers and services.
+    pub(crate) fn services(&self) -> Vec<(WorkerId, target::Id, Service)> {
+        let mut found = Vec::new();
+        for link in self.links.values() {
+            for (task, attempt) in &link.running {
+                let kind = self.engine.spec(task.job).map(|spec| &spec.kind);
+                if let Some(Kind::Service { service, .. }) = kind {
+                    let id = target::Id {
+                        task: *task,
+                        attempt: *attempt,
+                    };
+                    found.push((link.worker, id, service.clone()));
+                }
+            }
+        }
+        found
+    }
+
     /// Takes the answer to an append.
     pub(crate) fn appended(
         &mut self,
