Answer operators' commands and run the whole path as a demonstration

Commands are parsed, run on the node's own shards and passed to the peers where those know more; a change is checked against what runs on all nodes before it is published.

--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -9,7 +9,7 @@
 mod exit;
 mod invocation;
 mod line;
-mod render;
+pub mod render;
 mod report;
 mod run;
 
--- a/crates/ctl/src/render.rs
+++ b/crates/ctl/src/render.rs
@@ -11,7 +11,7 @@
 const GAP: usize = 2;
 
 /// Lays out a table with its notes and, after a dry run, the way to carry it out.
-pub(crate) fn table(table: &Table) -> String {
+pub fn table(table: &Table) -> String {
     let rows = cells(table);
     let widths = widths(&rows);
     let mut text = String::new();
@@ -34,7 +34,7 @@
 }
 
 /// Lays out a refusal.
-pub(crate) fn problem(problem: &Problem) -> String {
+pub fn problem(problem: &Problem) -> String {
     let mut text = String::new();
     push_line(
         &mut text,
--- a/crates/demo/src/caller.rs
+++ b/crates/demo/src/caller.rs
@@ -92,7 +92,10 @@
         let response = accepted(request.send().await?).await?;
         let text = |name: &str| {
             let value = response.headers().get(name);
-            value.and_then(|v| v.to_str().ok()).unwrap_or_default().to_owned()
+            value
+                .and_then(|v| v.to_str().ok())
+                .unwrap_or_default()
+                .to_owned()
         };
         let answered = Answered {
             target: text("fulmarpier-target"),
--- a/crates/demo/src/main.rs
+++ b/crates/demo/src/main.rs
@@ -41,7 +41,7 @@
             Arg::new("log")
                 .long("log")
                 .help("The least level of the log lines on standard error")
-                .value_parser(value_parser!(Level))
+                .value_parser(["error", "warning", "info", "debug"])
                 .default_value("warning"),
         )
 }
@@ -52,7 +52,12 @@
         nodes: matches.get_one("nodes").copied().unwrap_or(3),
         workers: matches.get_one("workers").copied().unwrap_or(24),
     };
-    let level = matches.get_one("log").copied().unwrap_or(Level::Warning);
+    let level = match matches.get_one::<String>("log").map(String::as_str) {
+        Some("error") => Level::Error,
+        Some("info") => Level::Info,
+        Some("debug") => Level::Debug,
+        _ => Level::Warning,
+    };
     match run(size, level) {
         Ok(()) => {
             println!("\nThe demonstration came to its end.");
--- a/crates/demo/src/script.rs
+++ b/crates/demo/src/script.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use fulmarpier_ctl::render;
 use fulmarpier_protocol::http::table::Table;
 use serde_json::Value;
 use tokio::{
@@ -86,10 +87,13 @@
         println!("gate {number}: answered by {}", answered.target);
     }
     step("A non-idempotent request is sent twice with one key, and runs once.");
-    let key = "019aa0c0-0000-7000-8000-000000000001";
-    let once = request(first, "order a plumber", Some(key)).await?;
-    let again = request(last(&callers)?, "order a plumber", Some(key)).await?;
-    println!("first: replayed={}, again: replayed={}", once.replayed, again.replayed);
+    let key = uuid::Uuid::now_v7().to_string();
+    let once = request(first, "order a plumber", Some(&key)).await?;
+    let again = request(last(&callers)?, "order a plumber", Some(&key)).await?;
+    println!(
+        "first: replayed={}, again: replayed={}",
+        once.replayed, again.replayed
+    );
     step("A batch job and a gang job run to their end.");
     let batch = submit(first, &caller::job("batch", 12, "300ms"), "batch").await?;
     let gang = submit(last(&callers)?, &caller::job("gang", 6, "300ms"), "gang").await?;
@@ -129,7 +133,9 @@
 /// Waits until every data centre has a shard that places work.
 async fn up(caller: &Caller) -> Result<(), Error> {
     for _ in 0..PATIENCE {
-        let table = caller.command("show shards where placing = yes and workers > 0").await;
+        let table = caller
+            .command("show shards where placing = yes and workers > 0")
+            .await;
         if table.is_ok_and(|table| table.rows.len() >= 3) {
             return Ok(());
         }
@@ -140,13 +146,14 @@
 
 async fn configure(caller: &Caller) -> Result<(), Error> {
     show(caller, "set team demo weight=3 queue=500").await?;
+    show(caller, &format!("set service {SERVICE} slots=8 team=demo")).await?;
     for _ in 0..PATIENCE {
         let nodes = caller
             .command("show nodes")
             .await
             .map_err(call("show nodes"))?;
         if in_force(&nodes) {
-            print!("{nodes}");
+            print!("{}", render::table(&nodes));
             return Ok(());
         }
         sleep(PAUSE).await;
@@ -178,7 +185,9 @@
         }
         sleep(PAUSE).await;
     }
-    Err(Error::Late { what: "the service" })
+    Err(Error::Late {
+        what: "the service",
+    })
 }
 
 async fn request(
@@ -196,7 +205,10 @@
 
 async fn ended(caller: &Caller, job: &str) -> Result<(), Error> {
     let view = caller.wait(job, "20s").await.map_err(call("a wait"))?;
-    println!("{} {job}: {}, tasks {}", view["kind"], view["state"], view["tasks"]);
+    println!(
+        "{} {job}: {}, tasks {}",
+        view["kind"], view["state"], view["tasks"]
+    );
     if view["state"] == "succeeded" {
         return Ok(());
     }
@@ -216,7 +228,7 @@
 async fn show(caller: &Caller, line: &str) -> Result<(), Error> {
     println!("$ fulmarpier-ctl {line}");
     let table = caller.command(line).await.map_err(call("a command"))?;
-    print!("{table}");
+    print!("{}", render::table(&table));
     Ok(())
 }
 
@@ -231,7 +243,9 @@
             // The first third goes through every gate, the rest as a balancer would.
             sleep(Duration::from_millis(u64::from(number) * 5)).await;
             let caller = if number < REQUESTS / 3 { caller } else { other };
-            caller.request(SERVICE, &format!("report {number}"), None).await
+            caller
+                .request(SERVICE, &format!("report {number}"), None)
+                .await
         });
     }
     sleep(Duration::from_millis(400)).await;
--- a/crates/sched/src/node/command/answer.rs
+++ b/crates/sched/src/node/command/answer.rs
@@ -45,7 +45,9 @@
             let refusal = Refusal::new(Reason::Command, error.to_string());
             return self.refuse_command(id, refusal);
         }
-        let limit = show.limit.map(|limit| usize::try_from(limit).unwrap_or(usize::MAX));
+        let limit = show
+            .limit
+            .map(|limit| usize::try_from(limit).unwrap_or(usize::MAX));
         if let Some(limit) = limit.filter(|limit| table.rows.len() > *limit) {
             let all = table.rows.len();
             table.rows.truncate(limit);
@@ -89,7 +91,10 @@
 }
 
 fn internal() -> Refusal {
-    Refusal::new(Reason::Internal, "the answer does not belong to the command")
+    Refusal::new(
+        Reason::Internal,
+        "the answer does not belong to the command",
+    )
 }
 
 fn note_table(note: &str) -> Table {
--- a/crates/sched/src/node/command/change.rs
+++ b/crates/sched/src/node/command/change.rs
@@ -1,8 +1,7 @@
 //! Changes of the configuration: checked against what runs, then published.
 
 use fulmarpier_coordination::config::{
-    Change,
-    Proposal,
+    Change, Proposal,
     check::{
         self,
         Report,
@@ -125,7 +124,10 @@
     Table {
         columns: ["severity", "finding", "hint"].map(str::to_owned).to_vec(),
         rows: rows.collect(),
-        notes: vec![format!("dry run against {}: nothing was changed", report.base)],
+        notes: vec![format!(
+            "dry run against {}: nothing was changed",
+            report.base
+        )],
         confirm: report.token.map(|token| token.to_string()),
     }
 }
--- a/crates/sched/src/node/command/run.rs
+++ b/crates/sched/src/node/command/run.rs
@@ -54,15 +54,14 @@
         }
     }
 
-    fn show(
-        &mut self,
-        id: CallId,
-        show: Show,
-        request: &wire::command::Request,
-        now: Timestamp,
-    ) {
-        let table = self.table(show.subject, now);
-        if request.local || !self.is_spread(show.subject) {
+    fn show(&mut self, id: CallId, show: Show, request: &wire::command::Request, now: Timestamp) {
+        let mut table = self.table(show.subject, now);
+        if request.local {
+            // Whoever asks cuts the whole table; a wrong field is its to report.
+            let _ = show.filter.apply(&mut table);
+            return self.answer_table(id, &table);
+        }
+        if !self.is_spread(show.subject) {
             return self.finish_show(id, &show, table);
         }
         self.gather(id, Goal::Show { show, table }, request, now);
@@ -95,7 +94,9 @@
         if let Some(shard) = self.shard_with(job) {
             if request.dry_run {
                 let mut table = self.explanation(job, now);
-                table.notes.push("dry run: the job would be cancelled".to_owned());
+                table
+                    .notes
+                    .push("dry run: the job would be cancelled".to_owned());
                 return self.answer_table(id, &table);
             }
             self.as_command.insert(id);
--- a/crates/sched/src/node/outbox.rs
+++ b/crates/sched/src/node/outbox.rs
@@ -91,7 +91,10 @@
 
     /// Returns all refusals of this life of the process, by reason.
     pub(crate) fn refusals(&self) -> Vec<(Reason, u64)> {
-        self.refused.iter().map(|(reason, n)| (*reason, *n)).collect()
+        self.refused
+            .iter()
+            .map(|(reason, n)| (*reason, *n))
+            .collect()
     }
 
     /// Counts a retry.
--- a/crates/sched/src/node/tables.rs
+++ b/crates/sched/src/node/tables.rs
@@ -39,29 +39,64 @@
     pub(super) fn table(&self, subject: Subject, now: Timestamp) -> Table {
         let (columns, rows): (&[&str], Rows) = match subject {
             Subject::Jobs => (
-                &["job", "state", "team", "kind", "priority", "tasks", "waiting", "running", "shard", "why"],
+                &[
+                    "job", "state", "team", "kind", "priority", "tasks", "waiting", "running",
+                    "shard", "why",
+                ],
                 self.job_rows(now, |_| true),
             ),
             Subject::Queue => (
-                &["job", "state", "team", "kind", "priority", "tasks", "waiting", "running", "shard", "why"],
+                &[
+                    "job", "state", "team", "kind", "priority", "tasks", "waiting", "running",
+                    "shard", "why",
+                ],
                 self.job_rows(now, |view| {
                     matches!(view.state, State::Waiting | State::Held) || view.waiting > 0
                 }),
             ),
             Subject::Tasks => (
-                &["task", "attempt", "worker", "phase", "cpu", "memory", "age", "shard"],
+                &[
+                    "task", "attempt", "worker", "phase", "cpu", "memory", "age", "shard",
+                ],
                 self.task_rows(now),
             ),
             Subject::Workers => (
-                &["worker", "condition", "data_centre", "rack", "cpu", "cpu_free", "memory", "memory_free", "tasks", "shard"],
+                &[
+                    "worker",
+                    "condition",
+                    "data_centre",
+                    "rack",
+                    "cpu",
+                    "cpu_free",
+                    "memory",
+                    "memory_free",
+                    "tasks",
+                    "shard",
+                ],
                 self.worker_rows(),
             ),
             Subject::Nodes => (
-                &["node", "incarnation", "shards", "config", "gate_config", "log", "draining"],
+                &[
+                    "node",
+                    "incarnation",
+                    "shards",
+                    "config",
+                    "gate_config",
+                    "log",
+                    "draining",
+                ],
                 vec![self.node_row(now)],
             ),
             Subject::Shards => (
-                &["shard", "epoch", "owner", "placing", "workers", "waiting_tasks", "cpu_free"],
+                &[
+                    "shard",
+                    "epoch",
+                    "owner",
+                    "placing",
+                    "workers",
+                    "waiting_tasks",
+                    "cpu_free",
+                ],
                 self.shard_rows(now),
             ),
             Subject::Services => (
@@ -69,7 +104,14 @@
                 self.service_rows(),
             ),
             Subject::Teams => (
-                &["team", "cpu_used", "memory_used", "weight", "configured", "shard"],
+                &[
+                    "team",
+                    "cpu_used",
+                    "memory_used",
+                    "weight",
+                    "configured",
+                    "shard",
+                ],
                 self.team_rows(),
             ),
             Subject::Refusals => (&["reason", "count", "node"], self.refusal_rows()),
@@ -168,7 +210,12 @@
             self.lives().count().into(),
             version.get().into(),
             gate.map_or(Cell::Empty, |version| version.get().into()),
-            if self.member.log_is_up(now) { "up" } else { "down" }.into(),
+            if self.member.log_is_up(now) {
+                "up"
+            } else {
+                "down"
+            }
+            .into(),
             self.draining.into(),
         ]
     }
