--- a/crates/ctl/src/invocation.rs
+++ b/crates/ctl/src/invocation.rs
@@ -10,13 +10,14 @@
 use fulmarpier_protocol::{
     query,
     settings::{
-        Kind, UnknownKind,
+        Kind,
+        UnknownKind,
         form::Mistake,
         value::{
             Token,
             Url, //
-        },
-    },
+        }, //
+    }, //
 };
 use fulmarpier_state::unit::{
     self,
--- a/crates/protocol/src/http/invalid.rs
+++ b/crates/protocol/src/http/invalid.rs
@@ -4,12 +4,13 @@
 
 use fulmarpier_coordination::request::KeyError;
 use fulmarpier_state::{
-    id, name,
+    id,
+    name,
     refusal::{
         Reason,
         Refusal, //
     },
-    unit,
+    unit, //
 };
 
 /// One way in which a field can be wrong.
--- a/crates/protocol/src/query/error.rs
+++ b/crates/protocol/src/query/error.rs
@@ -7,12 +7,13 @@
 
 use fulmarpier_coordination::config::ShareError;
 use fulmarpier_state::{
-    id, name,
+    id,
+    name,
     refusal::{
         Reason,
         Refusal, //
     },
-    unit,
+    unit, //
 };
 
 use crate::{
--- a/crates/protocol/src/query/lexer.rs
+++ b/crates/protocol/src/query/lexer.rs
@@ -3,7 +3,9 @@
 use std::ops::Range;
 
 use winnow::{
-    LocatingSlice, ModalResult, Parser,
+    LocatingSlice,
+    ModalResult,
+    Parser,
     ascii::multispace0,
     combinator::{
         alt,
@@ -15,16 +17,18 @@
         any,
         none_of,
         take_while, //
-    },
+    }, //
 };
 
 use super::{
-    Error, Mistake, Operator,
+    Error,
+    Mistake,
+    Operator,
     token::{
         Kind,
         Token,
         is_bare, //
-    },
+    }, //
 };
 
 /// The longest line that is accepted, in bytes.
--- a/crates/protocol/src/query/read/cursor.rs
+++ b/crates/protocol/src/query/read/cursor.rs
@@ -7,13 +7,17 @@
 
 use crate::{
     query::{
-        Cause, Error, Mistake, Operator, error,
+        Cause,
+        Error,
+        Mistake,
+        Operator,
+        error,
         token::{
             Kind,
             Token, //
-        },
+        }, //
     },
-    suggest,
+    suggest, //
 };
 
 /// A word and its place in the line.
--- a/crates/protocol/src/wire/begin.rs
+++ b/crates/protocol/src/wire/begin.rs
@@ -23,14 +23,16 @@
 };
 
 use super::{
-    Error, refusal, scalar,
+    Error,
+    refusal,
+    scalar,
     sched_capnp::{
         begin_reply,
         sched::{
             begin_params,
             begin_results, //
-        },
-    },
+        }, //
+    }, //
 };
 
 /// A non-idempotent request that is about to be sent.
--- a/crates/protocol/src/wire/bound.rs
+++ b/crates/protocol/src/wire/bound.rs
@@ -12,11 +12,11 @@
 pub(super) const DATA: usize = 1 << 20;
 
 /// Checks the length of a list.
-pub(super) fn list(field: &'static str, len: u32, most: u32) -> Result<usize, Error> {
+pub(super) fn list(field: &'static str, len: u32, most: u32) -> Result<(), Error> {
     if len > most {
         return Err(Error::List { field, len, most });
     }
-    Ok(len as usize)
+    Ok(())
 }
 
 /// Checks the length of a field in bytes.
--- a/crates/protocol/src/wire/cancel.rs
+++ b/crates/protocol/src/wire/cancel.rs
@@ -3,12 +3,13 @@
 use fulmarpier_state::id::JobId;
 
 use super::{
-    Error, scalar,
+    Error,
+    scalar,
     sched_capnp::sched::{
         cancel_params,
         cancel_results, //
     },
-    submit,
+    submit, //
 };
 
 /// A job to cancel.
--- a/crates/protocol/src/wire/command.rs
+++ b/crates/protocol/src/wire/command.rs
@@ -3,11 +3,12 @@
 use bytes::Bytes;
 
 use super::{
-    Error, scalar,
+    Error,
+    scalar,
     sched_capnp::sched::{
         command_params,
         command_results, //
-    },
+    }, //
 };
 
 /// One line of the operators' language.
--- a/crates/protocol/src/wire/finish.rs
+++ b/crates/protocol/src/wire/finish.rs
@@ -11,14 +11,15 @@
 };
 
 use super::{
-    Error, scalar,
+    Error,
+    scalar,
     sched_capnp::{
         finish_request,
         sched::{
             finish_params,
             finish_results, //
-        },
-    },
+        }, //
+    }, //
 };
 
 /// How a granted request ended.
--- a/crates/protocol/src/wire/job.rs
+++ b/crates/protocol/src/wire/job.rs
@@ -20,14 +20,16 @@
 };
 
 use super::{
-    Error, bound, scalar,
+    Error,
+    bound,
+    scalar,
     sched_capnp::{
         job,
         sched::{
             job_params,
             job_results, //
-        },
-    },
+        }, //
+    }, //
 };
 
 /// A question for one job.
@@ -160,12 +162,10 @@
 }
 
 fn read_payload(reader: job::Reader<'_>) -> Result<Payload, Error> {
-    let list = reader.get_args()?;
-    let len = bound::list("job.args", list.len(), bound::ARGS)?;
-    let mut args = Vec::with_capacity(len);
-    for arg in list {
-        args.push(scalar::read_text("job.args", arg?)?);
-    }
+    let args = reader.get_args()?;
+    bound::list("job.args", args.len(), bound::ARGS)?;
+    let args = args.iter().map(|arg| scalar::read_text("job.args", arg?));
+    let args = args.collect::<Result<_, _>>()?;
     let program = scalar::read_text("job.program", reader.get_program()?)?;
     Ok(Payload { program, args })
 }
--- a/crates/protocol/src/wire/mod.rs
+++ b/crates/protocol/src/wire/mod.rs
@@ -7,6 +7,7 @@
 mod bound;
 mod call;
 mod error;
+mod list;
 mod refusal;
 mod scalar;
 
--- a/crates/protocol/src/wire/peer.rs
+++ b/crates/protocol/src/wire/peer.rs
@@ -3,11 +3,12 @@
 use bytes::Bytes;
 
 use super::{
-    Error, scalar,
+    Error,
+    scalar,
     sched_capnp::sched::{
         peer_params,
         peer_results, //
-    },
+    }, //
 };
 
 /// A message of the coordination layer.
--- a/crates/protocol/src/wire/submit.rs
+++ b/crates/protocol/src/wire/submit.rs
@@ -11,14 +11,16 @@
 };
 
 use super::{
-    Error, job, refusal,
+    Error,
+    job,
+    refusal,
     sched_capnp::{
         sched::{
             submit_params,
             submit_results, //
         },
         submit_reply, //
-    },
+    }, //
 };
 
 /// A job for one shard.
--- a/crates/protocol/tests/settings.rs
+++ b/crates/protocol/tests/settings.rs
@@ -1,11 +1,12 @@
 //! Settings: ready sets, all mistakes at once, and files that are no JSON.
 
 use std::{
-    fs, iter,
+    fs,
+    iter,
     path::{
         Path,
         PathBuf, //
-    },
+    }, //
 };
 
 use fulmarpier_protocol::settings::{
