Let spans of zero take no timer tick in the stand-ins

The log's delay of zero was the cause: the runtime's sleep waits for the next tick of its timer even then.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod fault;
 pub mod log;
+mod pause;
 mod platform;
 pub mod record;
 mod router;
--- a/crates/standin/src/log/server.rs
+++ b/crates/standin/src/log/server.rs
@@ -43,7 +43,6 @@
     sync::watch,
     time::{
         Instant,
-        sleep,
         sleep_until,
         timeout_at, //
     },
@@ -65,6 +64,7 @@
         Call,
         Faults, //
     },
+    pause::pause,
     settings::Settings,
 };
 
@@ -171,7 +171,7 @@
         return refusal;
     }
     log.pace().await;
-    sleep(log.delay).await;
+    pause(log.delay).await;
     let appended = decode(body).and_then(|records| {
         let now = log.clock.now();
         log.with(|store| store.append(now, &caller, &stream, records))
@@ -222,8 +222,7 @@
             cut.cut();
             return Some(down());
         }
-        Call::Passes { delay } if !delay.is_zero() => sleep(delay).await,
-        Call::Passes { .. } => {}
+        Call::Passes { delay } => pause(delay).await,
     }
     if log.faults.loses_request() {
         cut.cut();
--- a/crates/standin/src/target/server.rs
+++ b/crates/standin/src/target/server.rs
@@ -42,7 +42,10 @@
 use tokio::time::sleep;
 
 use super::host::Shared;
-use crate::record;
+use crate::{
+    pause::pause,
+    record, //
+};
 
 /// The largest body that a target takes.
 const MAX_BODY: usize = 64 << 20;
@@ -83,7 +86,7 @@
     let record = &shared.host.record;
     let place = record.began(entry(&shared, &parts.headers));
     let work = work(&parts.headers).unwrap_or(shared.host.work);
-    sleep(work + shared.host.faults.target_delay()).await;
+    pause(work + shared.host.faults.target_delay()).await;
     shared.awake().await;
     record.finished(place, shared.host.clock.now());
     respond(&parts.headers, body, &cut)
--- a/crates/transport/examples/measure.rs
+++ b/crates/transport/examples/measure.rs
@@ -1,4 +1,4 @@
-//! Measures the cost of the transport on loopback: calls between processes and appends to the log.
+//! Measures the cost of the transport on loopback: calls between processes and to the stand-ins.
 //!
 //! Run with `cargo run --release -p fulmarpier-transport --example measure`.
 
@@ -14,7 +14,14 @@
         Append,
         Stream, //
     },
-    target,
+    target::{
+        Id,
+        Target, //
+    },
+    worker::{
+        Start,
+        Sync, //
+    },
 };
 use fulmarpier_protocol::wire::{
     Answer,
@@ -26,6 +33,7 @@
     Settings, //
 };
 use fulmarpier_state::{
+    clock::Timestamp,
     id::{
         Attempt,
         Epoch,
@@ -34,14 +42,22 @@
         NodeId,
         Offset,
         ShardId,
-        TaskId, //
+        TaskId,
+        WorkerId, //
+    },
+    job::Payload,
+    resource::Resources,
+    unit::{
+        self,
+        Millicores, //
     },
-    unit,
 };
 use fulmarpier_transport::{
     platform::{
         Timeouts,
-        log, //
+        log,
+        target,
+        worker, //
     },
     rpc::{
         Client,
@@ -55,9 +71,12 @@
     stream, //
 };
 use tokio::time::Instant;
+use uuid::Uuid;
 
 const CALLS: u64 = 50_000;
-const APPENDS: u64 = 20_000;
+const APPENDS: u64 = 10_000;
+const SYNCS: u64 = 10_000;
+const REQUESTS: u64 = 50_000;
 const TIMEOUT: Duration = Duration::from_secs(10);
 
 #[tokio::main]
@@ -68,10 +87,16 @@
             calls(grants, in_flight).await?;
         }
     }
+    println!("resident after the calls: {} KiB", resident_kib()?);
     for in_flight in [1, 64] {
         appends(in_flight).await?;
     }
-    println!("resident at the end: {} KiB", resident_kib()?);
+    for tasks in [0, 8] {
+        syncs(tasks).await?;
+    }
+    for in_flight in [1, 32] {
+        requests(in_flight).await?;
+    }
     Ok(())
 }
 
@@ -128,6 +153,85 @@
     Ok(())
 }
 
+/// Makes sync calls to a worker that runs `tasks` tasks of services.
+async fn syncs(tasks: u32) -> Result<(), Box<dyn Error>> {
+    let platform = Platform::start(Settings::new(1)).await?;
+    let address = platform.worker(WorkerId(1)).ok_or("no worker")?;
+    let client = worker::Client::new(Timeouts::default())?;
+    let mut call = worker_start(tasks);
+    let reply = client.sync(address, &call).await?;
+    call.start.clear();
+    call.renew = (0..tasks).map(|index| (task(index), Attempt(1))).collect();
+    let (out, back) = (serde_json::to_vec(&call)?, serde_json::to_vec(&reply)?);
+    let began = Instant::now();
+    for _ in 0..SYNCS {
+        client.sync(address, &call).await?;
+    }
+    println!(
+        "worker sync, {tasks} tasks, 1 in flight: {:.0} calls/s, bodies of {} bytes out and {} in",
+        rate(SYNCS, began),
+        out.len(),
+        back.len(),
+    );
+    Ok(())
+}
+
+/// Sends requests of 256 bytes to one target.
+async fn requests(in_flight: usize) -> Result<(), Box<dyn Error>> {
+    let platform = Platform::start(Settings::new(1)).await?;
+    let address = platform.worker(WorkerId(1)).ok_or("no worker")?;
+    let workers = worker::Client::new(Timeouts::default())?;
+    let reply = workers.sync(address, &worker_start(1)).await?;
+    let address = reply.inventory.running[0].target.ok_or("no target")?;
+    let client = target::Client::new(target::Limits::default())?;
+    let began = Instant::now();
+    let failed = stream::iter(0..REQUESTS)
+        .map(|_| async { client.send(address, to_target()).await?.collect().await })
+        .buffer_unordered(in_flight)
+        .filter(|answer| std::future::ready(answer.is_err()))
+        .count()
+        .await;
+    println!(
+        "request of 256 bytes to a target, {in_flight} in flight: {:.0} requests/s, {failed} failed",
+        rate(REQUESTS, began),
+    );
+    Ok(())
+}
+
+fn to_target() -> target::Request {
+    target::Request {
+        id: Uuid::now_v7(),
+        method: target::Method::POST,
+        path: "/repairs".to_owned(),
+        headers: target::HeaderMap::new(),
+        body: Bytes::from_static(&[7; 256]).into(),
+        deadline: TIMEOUT,
+    }
+}
+
+fn worker_start(tasks: u32) -> Sync {
+    let start = |index| Start {
+        task: task(index),
+        attempt: Attempt(1),
+        size: Resources::new(Millicores::from_cores(1), unit::Bytes(1 << 30), 0),
+        payload: Payload::default(),
+        slots: Some(64),
+        port: 0,
+        runtime: None,
+    };
+    Sync {
+        epoch: Epoch(9),
+        start_by: Timestamp::MAX,
+        lease: Duration::from_secs(600),
+        start: (0..tasks).map(start).collect(),
+        ..Sync::default()
+    }
+}
+
+const fn task(index: u32) -> TaskId {
+    TaskId::new(JobId::from_u128(7), index)
+}
+
 fn request(grants: u32) -> Result<sync::Request, Box<dyn Error>> {
     Ok(sync::Request {
         gate: NodeId(1),
@@ -147,7 +251,7 @@
     let service: fulmarpier_state::name::Service = "desk".parse()?;
     let grant = |index| sync::Grant {
         service: service.clone(),
-        target: target::Target {
+        target: Target {
             id: target(index),
             address: SocketAddr::from(([10, 0, 0, 1], 7_500)),
         },
@@ -167,9 +271,9 @@
     })
 }
 
-const fn target(index: u32) -> target::Id {
-    target::Id {
-        task: TaskId::new(JobId::from_u128(7), index),
+const fn target(index: u32) -> Id {
+    Id {
+        task: task(index),
         attempt: Attempt(1),
     }
 }
