Test that a request leaves once and what a target is told

The HTTP library repeats a request on its own only where the pooled connection closed before the request was handed to it. 20 rounds against a target that reads the second request on a connection and closes show each request exactly once.

--- a/crates/transport/tests/platform_target.rs
+++ b/crates/transport/tests/platform_target.rs
@@ -2,7 +2,14 @@
 
 use std::{
     net::SocketAddr,
-    time::Duration, //
+    sync::{
+        Arc,
+        atomic::{
+            AtomicU32,
+            Ordering, //
+        },
+    },
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -138,6 +145,45 @@
     assert!(!seen.idempotent && seen.end.is_some());
 }
 
+#[tokio::test]
+async fn a_target_is_told_the_deadline_and_the_id_and_nothing_of_the_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let head = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let mut head = vec![0; 4096];
+        let len = stream.read(&mut head).await.expect("a head");
+        head.truncate(len);
+        String::from_utf8(head).expect("text")
+    });
+    let headers = [
+        ("connection", "x-hop"),
+        ("x-hop", "1"),
+        ("keep-alive", "timeout=5"),
+        ("x-end", "1"),
+        ("fulmarpier-request", "forged"),
+    ];
+    let request = request(&headers, "");
+    let id = request.id;
+    let _ = client().send(address, request).await;
+    let head = head.await.expect("joined");
+    assert!(
+        head.starts_with("POST /repairs?kind=leak HTTP/1.1\r\n"),
+        "{head}"
+    );
+    assert!(
+        head.contains(&format!("fulmarpier-request: {id}\r\n")),
+        "{head}"
+    );
+    assert!(
+        head.contains("fulmarpier-deadline: ") && head.contains("x-end: 1"),
+        "{head}"
+    );
+    for gone in ["x-hop", "keep-alive", "forged"] {
+        assert!(!head.contains(gone), "{head}");
+    }
+}
+
 #[tokio::test]
 async fn many_requests_get_each_its_own_answer() {
     let (platform, address) = target(100).await;
@@ -210,6 +256,39 @@
     assert_eq!(body, Err(Error::Unknown));
 }
 
+#[tokio::test]
+async fn a_request_that_was_read_but_not_answered_is_never_sent_again() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let seen = Arc::new(AtomicU32::new(0));
+    tokio::spawn(answer_every_other(listener, seen.clone()));
+    let client = client();
+    for round in 1..=20 {
+        // The first makes a connection that the second finds in the pool.
+        let first = client.send(address, request(&[], "")).await;
+        assert!(first.expect("an answer").collect().await.is_ok());
+        let second = client.send(address, request(&[], "")).await;
+        assert_eq!(second.expect_err("no answer"), Error::Unknown);
+        assert_eq!(seen.load(Ordering::SeqCst), 2 * round);
+    }
+}
+
+/// Answers the first request on each connection, reads the second and closes without an answer.
+async fn answer_every_other(listener: TcpListener, seen: Arc<AtomicU32>) {
+    while let Ok((mut stream, _)) = listener.accept().await {
+        let seen = seen.clone();
+        tokio::spawn(async move {
+            let _ = stream.read(&mut [0; 4096]).await;
+            seen.fetch_add(1, Ordering::SeqCst);
+            let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+            let _ = stream.write_all(answer).await;
+            if stream.read(&mut [0; 4096]).await.is_ok_and(|len| len > 0) {
+                seen.fetch_add(1, Ordering::SeqCst);
+            }
+        });
+    }
+}
+
 #[tokio::test]
 async fn a_request_past_its_deadline_is_unknown() {
     let (_platform, address) = target(8).await;
