Let conditions use words that no shell takes for its own

Each operator now also has a word (eq, ne, lt, gt, le, ge, contains); the help shows these, and a misspelt one gets a suggestion. The canonical text keeps the signs.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -40,7 +40,7 @@
         about: "Lists what is running, waiting or refused",
         forms: &[
             "jobs|tasks|workers|nodes|shards|services|teams|refusals|config|queue \
-             [where FIELD OP VALUE [and ...]] [limit N]",
+             [where FIELD eq|ne|lt|gt|le|ge|contains VALUE [and ...]] [limit N]",
         ],
     },
     Verb {
--- a/crates/protocol/src/query/filter.rs
+++ b/crates/protocol/src/query/filter.rs
@@ -52,6 +52,10 @@
         Self::Contains,
     ];
 
+    /// The words for the operators in the order of [`Self::ALL`]; unlike the signs, no shell takes
+    /// them for its own.
+    pub const WORDS: &'static [&'static str] = &["eq", "ne", "lt", "gt", "le", "ge", "contains"];
+
     fn admits(self, ordering: Ordering) -> bool {
         match self {
             Self::Equal => ordering.is_eq(),
--- a/crates/protocol/src/query/read/show.rs
+++ b/crates/protocol/src/query/read/show.rs
@@ -6,6 +6,7 @@
     Condition,
     Error,
     Filter,
+    Operator,
     Show,
     Subject, //
 };
@@ -38,7 +39,7 @@
 
 fn condition(cursor: &mut Cursor<'_>) -> Result<Condition, Error> {
     let field = cursor.word("the name of a field")?;
-    let operator = cursor.operator("`=`, `!=`, `<`, `>`, `<=`, `>=` or `~`")?;
+    let operator = operator(cursor)?;
     let value = cursor.word("a value to compare with")?;
     Ok(Condition {
         field: field.text.to_owned(),
@@ -47,6 +48,19 @@
     })
 }
 
+/// Reads a sign or the word for it.
+fn operator(cursor: &mut Cursor<'_>) -> Result<Operator, Error> {
+    if cursor.peek().is_none() {
+        return cursor.operator("`=`, `!=`, `<`, `>`, `<=`, `>=`, `~` or the word for one");
+    }
+    let word = cursor.word_of(Operator::WORDS)?;
+    let pairs = Operator::WORDS.iter().zip(Operator::ALL);
+    let found = pairs.into_iter().find(|(known, _)| **known == word);
+    found
+        .map(|(_, operator)| operator)
+        .ok_or_else(|| cursor.missing("an operator"))
+}
+
 fn limit(cursor: &mut Cursor<'_>) -> Result<Option<u32>, Error> {
     if !cursor.skip("limit") {
         return Ok(None);
--- a/crates/protocol/tests/query/meaning.rs
+++ b/crates/protocol/tests/query/meaning.rs
@@ -62,6 +62,14 @@
     "show jobs where why = \"a \\\"b\\\"\"",
     "show jobs where why = \"a \\\"b\\\"\""
 )]
+#[case(
+    "show jobs where cpu ge 2 and why contains quota",
+    "show jobs where cpu >= 2 and why ~ quota"
+)]
+#[case(
+    "show jobs where a eq b and a ne b and a lt b and a gt b and a le b",
+    "show jobs where a = b and a != b and a < b and a > b and a <= b"
+)]
 #[case("set team desk weight = 3 cpu= 64", "set team desk cpu=64 weight=3")]
 #[case("set limit queue=5 body=8MiB", "set limit body=8MiB queue=5")]
 #[case(
--- a/crates/protocol/tests/query/mistakes.rs
+++ b/crates/protocol/tests/query/mistakes.rs
@@ -153,6 +153,7 @@
 fn pairs_that_are_missing_unknown_or_repeated() {
     let lines = [
         "show jobs where state",
+        "show jobs where state contain wait",
         "show jobs where state=",
         "set team",
         "set team desk wieght=3",
@@ -165,10 +166,14 @@
         "submit batch name=a",
     ];
     insta::assert_snapshot!(mistakes(&lines), @r"
-    expected `=`, `!=`, `<`, `>`, `<=`, `>=` or `~`
+    expected `=`, `!=`, `<`, `>`, `<=`, `>=`, `~` or the word for one
       show jobs where state
                             ^
 
+    expected `eq`, `ne`, `lt`, `gt`, `le`, `ge` or `contains`, found `contain`; did you mean `contains`?
+      show jobs where state contain wait
+                            ^^^^^^^
+
     expected a value to compare with
       show jobs where state=
                              ^
