--- a/crates/coordination/tests/journal.rs
+++ b/crates/coordination/tests/journal.rs
@@ -1,5 +1,7 @@
 //! The journal's behaviour, one failure at a time, in virtual time.
 
+#[path = "support/accepted.rs"]
+mod accepted;
 #[path = "support/job.rs"]
 mod job;
 #[path = "support/owner.rs"]
@@ -32,7 +34,7 @@
 };
 use rstest::rstest;
 
-use job::accepted;
+use accepted::accepted;
 use owner::{
     append,
     open,
--- a/crates/coordination/tests/journal_history.rs
+++ b/crates/coordination/tests/journal_history.rs
@@ -3,6 +3,8 @@
 //! The log of these tests may lose answers with or without their effect, land appends late and
 //! twice, refuse, go down, give stale pages and drop records that no replay needs.
 
+#[path = "support/accepted.rs"]
+mod accepted;
 #[path = "support/cases.rs"]
 mod cases;
 #[path = "support/job.rs"]
@@ -47,8 +49,8 @@
 };
 use proptest::prelude::*;
 
+use accepted::accepted;
 use cases::config;
-use job::accepted;
 use stream::Stream;
 
 /// How a call to the log ends.
--- a/crates/coordination/tests/support/job.rs
+++ b/crates/coordination/tests/support/job.rs
@@ -1,11 +1,6 @@
-//! Small jobs and their records.
+//! A small job.
 
-use std::sync::Arc;
-
-use fulmarpier_coordination::journal::Record;
 use fulmarpier_state::{
-    clock::Timestamp,
-    id::JobId,
     job::{
         Kind,
         Payload,
@@ -39,12 +34,3 @@
         },
     }
 }
-
-/// The record of a job whose id is `number`.
-pub(crate) fn accepted(number: u64, at: Timestamp) -> Record {
-    Record::Accepted {
-        job: JobId::from_u128(u128::from(number)),
-        spec: Arc::new(spec(1, true)),
-        at,
-    }
-}
