Keep a closing sched's port open until nothing acts behind it

A refused connection proves to peers that a process is gone, which lets them take its shards over. A closing server dropped its listener first and finished its calls after that, and the sched's control thread went on after both, so peers could see the proof while the process still acted. Fencing at the workers was the only thing left to hold then.

The server now accepts to the end and tells new calls that they were not run, and close returns the port, which the sched drops after its control thread. The test of the graceful close looked for the refused connection that was the fault; it now asks for "overloaded" instead, which is stricter, and a second test asks for the port.

--- a/crates/sched/src/process/sched.rs
+++ b/crates/sched/src/process/sched.rs
@@ -184,12 +184,15 @@
         let drained = timeout(self.drain, self.status.drained.notified()).await;
         info!(self.log, "sched left"; "handed_over" => drained.is_ok());
         self.stop_http.notify_one();
-        if let Some(rpc) = self.rpc.take() {
-            rpc.close(CLOSE).await;
-        }
+        let closed = match self.rpc.take() {
+            Some(rpc) => Some(rpc.close(CLOSE).await),
+            None => None,
+        };
         self.end();
         // A thread that is late ends by itself.
         let _ = timeout(CLOSE, &mut self.ended).await;
+        // Only now may connections be refused, which proves to peers that nothing acts here.
+        drop(closed);
     }
 
     /// Ends the threads without waiting for what they do.
--- a/crates/transport/src/rpc/mod.rs
+++ b/crates/transport/src/rpc/mod.rs
@@ -19,6 +19,7 @@
     },
     error::Error,
     server::{
+        Closed,
         Limits as ServerLimits,
         Server, //
     },
--- a/crates/transport/src/rpc/server.rs
+++ b/crates/transport/src/rpc/server.rs
@@ -83,10 +83,23 @@
 pub struct Server {
     address: SocketAddr,
     traffic: Arc<Traffic>,
+    port: StdListener,
     closing: oneshot::Sender<Duration>,
     closed: oneshot::Receiver<Drained>,
 }
 
+/// A server that has finished, and its port, which stays open until this is dropped.
+///
+/// To peers a refused connection proves that no process listens here and nothing acts for it any
+/// more. So the port must outlive whatever still acts in this process.
+#[must_use = "the port closes when this is dropped"]
+#[derive(Debug)]
+pub struct Closed {
+    /// How the server ended.
+    pub drained: Drained,
+    _port: StdListener,
+}
+
 impl Server {
     /// Listens on an address, port zero for any, and hands out the calls that arrive.
     ///
@@ -100,6 +113,7 @@
         let listener = StdListener::bind(address)?;
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
+        let port = listener.try_clone()?;
         let runtime = Builder::new_current_thread().enable_all().build()?;
         let (calls, incoming) = mpsc::channel(limits.queue);
         let (closing, close) = oneshot::channel();
@@ -119,6 +133,7 @@
         let server = Self {
             address,
             traffic,
+            port,
             closing,
             closed,
         };
@@ -135,11 +150,16 @@
         self.traffic.totals()
     }
 
-    /// Takes no more calls, finishes those in progress within `drain` and closes.
-    pub async fn close(self, drain: Duration) -> Drained {
+    /// Takes no more calls and finishes those in progress within `drain`.
+    ///
+    /// See also [`Closed`], which keeps the port.
+    pub async fn close(self, drain: Duration) -> Closed {
         // A server whose thread has ended has nothing left to finish.
         let _ = self.closing.send(drain);
-        self.closed.await.unwrap_or(Drained::Whole)
+        Closed {
+            drained: self.closed.await.unwrap_or(Drained::Whole),
+            _port: self.port,
+        }
     }
 }
 
@@ -170,16 +190,17 @@
         let Ok(listener) = TcpListener::from_std(listener) else {
             return Drained::Whole;
         };
-        let drain = loop {
-            tokio::select! {
-                // Dropping the server closes it at once.
-                drain = &mut close => break drain.unwrap_or_default(),
-                () = self.accept(&listener) => {}
-            }
+        let drain = tokio::select! {
+            // Dropping the server closes it at once.
+            drain = &mut close => drain.unwrap_or_default(),
+            () = self.accept_all(&listener) => Duration::ZERO,
         };
-        drop(listener);
         self.open.close();
-        let idle = timeout(drain, self.open.idle()).await;
+        // New calls are told that they were not run; the port stays open for that.
+        let idle = tokio::select! {
+            idle = timeout(drain, self.open.idle()) => idle,
+            () = self.accept_all(&listener) => Ok(()),
+        };
         let connections = self.open.count();
         self.end.cancel();
         self.tasks.close();
@@ -190,6 +211,13 @@
         }
     }
 
+    /// Accepts connections for ever.
+    async fn accept_all(&self, listener: &TcpListener) {
+        loop {
+            self.accept(listener).await;
+        }
+    }
+
     async fn accept(&self, listener: &TcpListener) {
         let Ok(permit) = self.permits.clone().acquire_owned().await else {
             // The semaphore is never closed.
--- a/crates/transport/tests/rpc.rs
+++ b/crates/transport/tests/rpc.rs
@@ -149,7 +149,9 @@
         }
     });
     assert!(client.call(address, call("a"), LONG).await.is_ok());
-    assert_eq!(first.close(LONG).await, Drained::Whole);
+    let closed = first.close(LONG).await;
+    assert_eq!(closed.drained, Drained::Whole);
+    drop(closed);
     let (_second, mut calls) = Server::start(address, ServerLimits::default()).expect("a server");
     tokio::spawn(async move {
         while let Some(incoming) = calls.recv().await {
@@ -227,7 +229,7 @@
 }
 
 #[tokio::test]
-async fn a_graceful_close_finishes_the_calls_in_progress() {
+async fn a_graceful_close_finishes_the_calls_in_progress_and_runs_no_new_one() {
     let (server, mut calls) = server(ServerLimits::default());
     let client = client();
     let address = server.address();
@@ -242,16 +244,37 @@
         held.push(calls.recv().await.expect("a call"));
     }
     let closing = tokio::spawn(server.close(LONG));
-    // Once the port is closed, the calls in progress are still there to be answered.
-    while TcpStream::connect(address).await.is_ok() {
-        tokio::task::yield_now().await;
+    // Calls that come before the close takes effect are held too.
+    let mut early = Vec::new();
+    loop {
+        let late = self::client().call(address, call("held"), SHORT).await;
+        while let Ok(incoming) = calls.try_recv() {
+            early.push(incoming);
+        }
+        match late {
+            Err(Error::Timeout) => {}
+            late => break assert_eq!(late, Err(Error::Overloaded)),
+        }
     }
-    held.into_iter().for_each(echo);
+    assert!(calls.try_recv().is_err());
+    held.into_iter().chain(early).for_each(echo);
     for call in pending {
         let got = call.await.expect("joined");
         assert_eq!(got, Ok(answer(Bytes::from_static(b"held"))));
     }
-    assert_eq!(closing.await.expect("joined"), Drained::Whole);
+    assert_eq!(closing.await.expect("joined").drained, Drained::Whole);
+}
+
+#[tokio::test]
+async fn connections_are_refused_only_once_the_closed_server_is_dropped() {
+    let (server, _calls) = server(ServerLimits::default());
+    let address = server.address();
+    let closed = server.close(LONG).await;
+    let error = client().call(address, call("x"), SHORT).await;
+    assert_ne!(error, Err(Error::Refused { address }));
+    drop(closed);
+    let error = client().call(address, call("x"), LONG).await;
+    assert_eq!(error, Err(Error::Refused { address }));
 }
 
 #[tokio::test]
@@ -261,8 +284,8 @@
     let address = server.address();
     let pending = tokio::spawn(async move { client.call(address, call("held"), LONG).await });
     let _held = calls.recv().await.expect("a call");
-    let drained = server.close(Duration::ZERO).await;
-    assert_eq!(drained, Drained::Cut { connections: 1 });
+    let closed = server.close(Duration::ZERO).await;
+    assert_eq!(closed.drained, Drained::Cut { connections: 1 });
     let error = pending.await.expect("joined").expect_err("cut off");
     assert!(!error.not_run());
 }
