Test who gets which slots and when they come back

Slots follow demand (65 of 80 for a gate that wants many beside one that wants 15) and stay put while demand does; seven gates under the same load hold 57 or 58 of 400 each. A successor renews what gates state without a gap. A target whose slots stay in doubt because live gates keep it busy is emptied and settled.

--- /dev/null
+++ b/crates/coordination/tests/credit_ledger.rs
@@ -0,0 +1,372 @@
+//! Who gets which slots, and when they come back.
+
+use std::time::Duration;
+
+use fulmarpier_coordination::{
+    credit::{
+        Balance,
+        End,
+        Ignored,
+        Ledger,
+        Release,
+        Short,
+        Terms,
+        Ticket, //
+    },
+    platform::target::{
+        Id,
+        Target, //
+    },
+};
+use fulmarpier_state::{
+    clock::Timestamp,
+    id::{
+        Attempt,
+        Epoch,
+        Incarnation,
+        JobId,
+        NodeId,
+        TaskId, //
+    },
+    name::Service,
+};
+
+const OWNER: NodeId = NodeId(100);
+const SUCCESSOR: NodeId = NodeId(101);
+const SLOTS: u16 = 8;
+
+fn service() -> Service {
+    "desk".parse().expect("the name is accepted")
+}
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+fn target(index: u32) -> Target {
+    let task = TaskId::new(JobId::from_u128(1), index);
+    let attempt = Attempt(1);
+    Target {
+        id: Id { task, attempt },
+        address: ([127, 0, 0, 1], 9_000).into(),
+    }
+}
+
+fn ledger(targets: u32) -> Ledger {
+    let mut ledger = Ledger::new(Terms::default());
+    for index in 0..targets {
+        ledger.add(service(), target(index), Epoch(1), SLOTS);
+    }
+    ledger
+}
+
+fn gate(id: u32) -> Balance {
+    let mut gate = Balance::new(NodeId(id), Incarnation(1), id.into());
+    gate.expect(&service());
+    gate
+}
+
+fn sync(ledger: &mut Ledger, owner: NodeId, gate: &mut Balance, now: Timestamp) {
+    let statement = gate.state(owner, false, now);
+    let reply = ledger
+        .sync(&statement, now)
+        .expect("the statement is in order");
+    assert!(gate.apply(owner, &reply));
+}
+
+/// Takes as many slots as there are.
+fn take_all(gate: &mut Balance, now: Timestamp) -> Vec<Ticket> {
+    std::iter::from_fn(|| gate.take(&service(), now).ok()).collect()
+}
+
+fn held(gate: &Balance, now: Timestamp) -> u32 {
+    gate.usage(&service(), now).0
+}
+
+#[test]
+fn slots_move_with_demand_and_stay_put_without() {
+    let mut ledger = ledger(10);
+    let (mut busy, mut calm) = (gate(1), gate(2));
+    busy.wait(&service(), 500);
+    calm.wait(&service(), 10);
+    for round in 0..5 {
+        sync(&mut ledger, OWNER, &mut busy, at(round * 200));
+        sync(&mut ledger, OWNER, &mut calm, at(round * 200 + 100));
+    }
+    let now = at(1_000);
+    assert_eq!((held(&busy, now), held(&calm, now)), (65, 15));
+    let before = ledger.to_string();
+    sync(&mut ledger, OWNER, &mut busy, now);
+    sync(&mut ledger, OWNER, &mut calm, now);
+    assert_eq!(
+        ledger.to_string(),
+        before,
+        "nothing moves while demand stays"
+    );
+
+    busy.wait(&service(), 0);
+    calm.wait(&service(), 500);
+    for round in 0..80 {
+        sync(&mut ledger, OWNER, &mut busy, at(2_000 + round * 200));
+        sync(&mut ledger, OWNER, &mut calm, at(2_100 + round * 200));
+    }
+    let now = at(18_000);
+    assert!(held(&calm, now) >= 70, "{} of 80", held(&calm, now));
+    assert!(held(&busy, now) >= 2, "a few stay for a first request");
+}
+
+#[test]
+fn gates_under_the_same_load_get_the_same() {
+    let mut ledger = ledger(50);
+    let mut gates: Vec<Balance> = (0..7).map(gate).collect();
+    for round in 0..10 {
+        for gate in &mut gates {
+            gate.wait(&service(), 200);
+            sync(&mut ledger, OWNER, gate, at(round * 200));
+        }
+    }
+    let shares: Vec<u32> = gates.iter().map(|gate| held(gate, at(2_000))).collect();
+    assert_eq!(
+        shares.iter().sum::<u32>(),
+        400,
+        "all slots are out: {shares:?}"
+    );
+    assert!(
+        shares.iter().all(|share| (57..=58).contains(share)),
+        "{shares:?}"
+    );
+}
+
+#[test]
+fn a_gate_stops_before_its_owner_counts_the_slots_as_lapsed() {
+    let mut ledger = ledger(1);
+    let mut gate = gate(1);
+    gate.wait(&service(), 8);
+    let statement = gate.state(OWNER, false, at(0));
+    let reply = ledger
+        .sync(&statement, at(700))
+        .expect("the statement is in order");
+    assert!(gate.apply(OWNER, &reply));
+    let lease = Terms::default().lease;
+    assert!(gate.take(&service(), at(0) + lease).is_err());
+    ledger.tick(at(700) + lease);
+    assert_eq!(ledger.doubtful(target(0).id), 0);
+    ledger.tick(at(700) + Terms::default().owner_lease());
+    assert_eq!(ledger.doubtful(target(0).id), SLOTS);
+}
+
+#[test]
+fn a_dead_gates_slots_come_back_only_on_the_targets_evidence() {
+    let mut ledger = ledger(1);
+    let (mut dead, mut other) = (gate(1), gate(2));
+    dead.wait(&service(), 8);
+    sync(&mut ledger, OWNER, &mut dead, at(0));
+    assert_eq!(take_all(&mut dead, at(0)).len(), usize::from(SLOTS));
+    let id = target(0).id;
+    ledger.inventory(id, 0, at(1_000));
+    other.wait(&service(), 8);
+    sync(&mut ledger, OWNER, &mut other, at(2_200));
+    assert_eq!((ledger.doubtful(id), held(&other, at(2_200))), (8, 0));
+    ledger.inventory(id, 0, at(2_300));
+    assert_eq!(ledger.doubtful(id), 8, "a request may still be on its way");
+    ledger.inventory(id, 3, at(2_700));
+    sync(&mut ledger, OWNER, &mut other, at(2_800));
+    assert_eq!((ledger.doubtful(id), held(&other, at(2_800))), (3, 5));
+}
+
+#[test]
+fn a_target_whose_slots_stay_in_doubt_is_emptied_to_settle_them() {
+    let mut ledger = ledger(1);
+    let (mut dead, mut other) = (gate(1), gate(2));
+    dead.wait(&service(), 4);
+    sync(&mut ledger, OWNER, &mut dead, at(0));
+    other.wait(&service(), 8);
+    sync(&mut ledger, OWNER, &mut other, at(2_200));
+    let id = target(0).id;
+    let doubt = ledger.doubtful(id);
+    for round in 0..60 {
+        let now = at(2_300 + round * 200);
+        sync(&mut ledger, OWNER, &mut other, now);
+        // What the live gate holds is always busy, so that busy slots alone settle nothing.
+        let busy = u16::try_from(held(&other, now)).expect("a small number");
+        ledger.inventory(id, busy, now);
+    }
+    assert!(doubt > 0);
+    assert_eq!((ledger.doubtful(id), held(&other, at(14_200))), (0, 8));
+}
+
+#[test]
+fn a_successor_goes_on_with_what_gates_state_and_doubts_the_rest() {
+    let mut first = ledger(2);
+    let (mut one, mut two) = (gate(1), gate(2));
+    one.wait(&service(), 5);
+    two.wait(&service(), 3);
+    sync(&mut first, OWNER, &mut one, at(0));
+    sync(&mut first, OWNER, &mut two, at(0));
+    let had = held(&one, at(500));
+
+    let mut second = Ledger::new(Terms::default());
+    for index in 0..2 {
+        second.adopt(service(), target(index), Epoch(2), SLOTS, at(500));
+    }
+    sync(&mut second, SUCCESSOR, &mut one, at(500));
+    assert_eq!(
+        held(&one, at(500)),
+        had,
+        "the announcement takes nothing away"
+    );
+    sync(&mut second, SUCCESSOR, &mut one, at(600));
+    assert_eq!(
+        held(&one, at(2_300)),
+        had,
+        "renewed past the first owner's lease"
+    );
+    let doubt: u32 = (0..2)
+        .map(|index| u32::from(second.doubtful(target(index).id)))
+        .sum();
+    assert_eq!(doubt, 16 - had);
+
+    let settled = at(500) + Duration::from_millis(2_600);
+    for index in 0..2 {
+        second.inventory(target(index).id, 0, settled);
+    }
+    sync(&mut second, SUCCESSOR, &mut two, settled);
+    assert!(held(&two, settled) >= 3);
+}
+
+#[test]
+fn a_leaving_target_is_withdrawn_with_the_next_reply() {
+    let mut ledger = ledger(2);
+    let mut gate = gate(1);
+    gate.wait(&service(), 16);
+    sync(&mut ledger, OWNER, &mut gate, at(0));
+    ledger.withdraw(target(0).id);
+    sync(&mut ledger, OWNER, &mut gate, at(200));
+    let tickets = take_all(&mut gate, at(200));
+    assert!(tickets.iter().all(|ticket| ticket.target == target(1)));
+    assert!(!tickets.is_empty());
+}
+
+#[test]
+fn a_leaving_target_gets_nothing_after_the_lease_when_its_owner_is_cut_off() {
+    let mut ledger = ledger(1);
+    let mut gate = gate(1);
+    sync(&mut ledger, OWNER, &mut gate, at(0));
+    ledger.withdraw(target(0).id);
+    assert_eq!(gate.take(&service(), at(2_000)), Err(Short::Full));
+}
+
+#[test]
+fn reservations_get_their_own_room() {
+    let mut ledger = ledger(1);
+    let mut gate = gate(1);
+    gate.wait(&service(), 50);
+    sync(&mut ledger, OWNER, &mut gate, at(0));
+    assert_eq!(ledger.reserve(&service(), at(9_000)), None);
+    sync(&mut ledger, OWNER, &mut gate, at(200));
+    sync(&mut ledger, OWNER, &mut gate, at(400));
+    let reservation = ledger
+        .reserve(&service(), at(9_000))
+        .expect("room was made");
+    assert_eq!(ledger.committed(target(0).id), u32::from(SLOTS));
+    assert!(ledger.release(reservation.ticket, Release::Unknown, at(500)));
+    assert!(!ledger.release(reservation.ticket, Release::Free, at(500)));
+    assert_eq!(ledger.doubtful(target(0).id), 1);
+    ledger.inventory(target(0).id, 0, at(1_000));
+    assert!(ledger.reserve(&service(), at(1_500)).is_some());
+    ledger.tick(at(1_500));
+    assert_eq!(
+        ledger.doubtful(target(0).id),
+        1,
+        "a reservation past its deadline is in doubt"
+    );
+}
+
+#[test]
+fn statements_out_of_order_and_of_former_lives_are_ignored() {
+    let mut ledger = ledger(1);
+    let mut gate = gate(1);
+    let (first, second) = (
+        gate.state(OWNER, false, at(0)),
+        gate.state(OWNER, false, at(1)),
+    );
+    assert!(ledger.sync(&second, at(2)).is_ok());
+    let late = Ignored::Late { found: 1, last: 2 };
+    assert_eq!(ledger.sync(&first, at(3)), Err(late));
+    assert_eq!(
+        ledger.sync(&second, at(3)),
+        Err(Ignored::Late { found: 2, last: 2 })
+    );
+    let mut reborn = Balance::new(NodeId(1), Incarnation(2), 1);
+    assert!(
+        ledger
+            .sync(&reborn.state(OWNER, false, at(4)), at(4))
+            .is_ok()
+    );
+    let third = gate.state(OWNER, false, at(5));
+    assert!(matches!(
+        ledger.sync(&third, at(5)),
+        Err(Ignored::Ended { .. })
+    ));
+}
+
+#[test]
+fn a_failing_target_is_avoided_while_others_are_there() {
+    let mut ledger = ledger(2);
+    let mut gate = gate(1);
+    gate.wait(&service(), 16);
+    sync(&mut ledger, OWNER, &mut gate, at(0));
+    let ticket = gate.take(&service(), at(0)).expect("slots are held");
+    let failed = ticket.target;
+    gate.put_back(ticket, End::Refused, at(0));
+    let tickets = take_all(&mut gate, at(100));
+    assert_eq!(tickets.len(), usize::from(SLOTS));
+    assert!(tickets.iter().all(|ticket| ticket.target != failed));
+    for ticket in tickets {
+        gate.put_back(ticket, End::Refused, at(100));
+    }
+    assert!(
+        gate.take(&service(), at(100)).is_ok(),
+        "where all fail, one is tried"
+    );
+    let after = take_all(&mut gate, at(1_600));
+    assert!(
+        after.iter().any(|ticket| ticket.target == failed),
+        "the penalty ends"
+    );
+}
+
+#[test]
+fn requests_spread_over_the_targets() {
+    let mut ledger = ledger(10);
+    let mut gate = gate(1);
+    gate.wait(&service(), 80);
+    sync(&mut ledger, OWNER, &mut gate, at(0));
+    let mut counts = [0_u32; 10];
+    for _ in 0..40 {
+        let ticket = gate.take(&service(), at(0)).expect("slots are held");
+        counts[ticket.target.id.task.index as usize] += 1;
+    }
+    assert!(
+        counts.iter().all(|count| (2..=6).contains(count)),
+        "{counts:?}"
+    );
+}
+
+#[test]
+fn a_slot_whose_request_is_unknown_is_given_up_into_doubt() {
+    let mut ledger = ledger(1);
+    let mut gate = gate(1);
+    gate.wait(&service(), 8);
+    sync(&mut ledger, OWNER, &mut gate, at(0));
+    let ticket = gate.take(&service(), at(0)).expect("slots are held");
+    gate.put_back(ticket, End::Unknown, at(0));
+    assert_eq!(take_all(&mut gate, at(0)).len(), usize::from(SLOTS) - 1);
+    let statement = gate.state(OWNER, false, at(100));
+    assert!(
+        ledger.sync(&statement, at(100)).is_ok(),
+        "this reply is lost"
+    );
+    sync(&mut ledger, OWNER, &mut gate, at(200));
+    assert_eq!(ledger.doubtful(target(0).id), 1, "told twice, counted once");
+}
