--- a/crates/coordination/src/journal/backoff.rs
+++ b/crates/coordination/src/journal/backoff.rs
@@ -25,11 +25,6 @@
         self.failures = 0;
     }
 
-    /// Returns whether the last call failed.
-    pub(super) const fn failing(&self) -> bool {
-        self.failures > 0
-    }
-
     /// Counts a failure and returns the span to wait: between half and all of the doubled span.
     pub(super) fn next(&mut self, settings: &Settings) -> Duration {
         let doubled = settings
--- a/crates/coordination/src/journal/envelope.rs
+++ b/crates/coordination/src/journal/envelope.rs
@@ -1,10 +1,13 @@
 //! The frame around each record: version, writer, epoch, sequence and base.
 
 use bytes::Bytes;
-use fulmarpier_state::id::{
-    Epoch,
-    NodeId,
-    Offset, //
+use fulmarpier_state::{
+    clock::Timestamp,
+    id::{
+        Epoch,
+        NodeId,
+        Offset, //
+    },
 };
 use serde::{
     Deserialize,
@@ -29,6 +32,8 @@
     ///
     /// Every record carries it, so that the last record alone tells a successor where to read from.
     pub base: Option<Offset>,
+    /// When it was put into its append, by the writer's clock; retries keep it.
+    pub at: Timestamp,
 }
 
 /// A record with its header.
--- a/crates/coordination/src/journal/fold.rs
+++ b/crates/coordination/src/journal/fold.rs
@@ -61,7 +61,7 @@
         if standing == Standing::Counted {
             self.image.epoch = header.epoch;
             self.image.sequence = Some(header.sequence);
-            self.image.apply(record);
+            self.image.apply(header, record);
         }
         standing
     }
--- a/crates/coordination/src/journal/opening.rs
+++ b/crates/coordination/src/journal/opening.rs
@@ -142,7 +142,7 @@
         let effect = match self.stage {
             Stage::Locate { earliest } => self.read(earliest, 1),
             Stage::Peek { last, .. } => self.read(last, 1),
-            Stage::Announce => self.announce()?,
+            Stage::Announce => self.announce(now)?,
             Stage::Replay { .. } => self.read(self.replay.next(), PAGE),
             Stage::Ready | Stage::Closed => return None,
         };
@@ -218,6 +218,7 @@
             expected,
             base,
             base_taken,
+            now,
             seed: self.seed,
         });
         Ok(Opened {
@@ -302,13 +303,14 @@
         }));
     }
 
-    fn announce(&mut self) -> Option<Effect> {
+    fn announce(&self, now: Timestamp) -> Option<Effect> {
         let envelope = Envelope {
             header: Header {
                 node: self.node,
                 epoch: self.epoch,
                 sequence: 0,
                 base: self.base,
+                at: now,
             },
             record: Record::Opened,
         };
--- a/crates/coordination/src/journal/record.rs
+++ b/crates/coordination/src/journal/record.rs
@@ -172,4 +172,6 @@
     },
     /// A part of a snapshot.
     Snapshot(Part),
+    /// The writer reaches the log and has nothing to say.
+    Alive,
 }
--- a/crates/coordination/src/journal/settings.rs
+++ b/crates/coordination/src/journal/settings.rs
@@ -24,6 +24,8 @@
     pub record: usize,
     /// The most bytes that wait in memory while the log is down.
     pub pending: usize,
+    /// After how long without any record the writer says that it is alive.
+    pub heartbeat: Duration,
     /// How long the log keeps a record.
     pub retention: Duration,
     /// A snapshot is due after this many bytes behind the last one.
@@ -45,6 +47,7 @@
             append: MIB,
             record: 256 * KIB,
             pending: 16 * MIB,
+            heartbeat: Duration::from_secs(10),
             retention: Duration::from_secs(24 * 3600),
             snapshot_bytes: 32 * MIB,
             snapshot_records: 500_000,
--- a/crates/coordination/src/journal/writer.rs
+++ b/crates/coordination/src/journal/writer.rs
@@ -154,6 +154,8 @@
     batch: Batch,
     held: Vec<Batch>,
     last_append: Option<Timestamp>,
+    last_commit: Timestamp,
+    down_since: Option<Timestamp>,
     effects: VecDeque<Effect>,
     backoff: Backoff,
     base: Option<Offset>,
@@ -176,6 +178,7 @@
     pub(super) expected: Offset,
     pub(super) base: Option<Offset>,
     pub(super) base_taken: Timestamp,
+    pub(super) now: Timestamp,
     pub(super) seed: u64,
 }
 
@@ -198,6 +201,8 @@
             batch: Batch::default(),
             held: Vec::new(),
             last_append: None,
+            last_commit: start.now,
+            down_since: None,
             effects: VecDeque::new(),
             backoff: Backoff::new(start.seed),
             base: start.base,
@@ -235,9 +240,11 @@
         matches!(self.state, State::Closed)
     }
 
-    /// Returns whether the last call to the log failed, so that records wait.
-    pub const fn is_held_up(&self) -> bool {
-        self.backoff.failing()
+    /// Returns when the log first failed since the last commit.
+    ///
+    /// No record that is on the log was put into its append later than that.
+    pub const fn down_since(&self) -> Option<Timestamp> {
+        self.down_since
     }
 
     /// Sets the shortest span between two appends, when the node owns more or fewer shards.
@@ -351,7 +358,7 @@
         let behind = first.0.saturating_add(self.batch.len() as u64);
         if first == self.expected {
             self.expected = Offset(behind);
-            self.commit();
+            self.commit(now);
         } else if first > self.expected {
             let goal = Goal::Before(Offset(behind));
             self.state = State::Read(now, goal);
@@ -386,7 +393,7 @@
 
     fn after_page(&mut self, goal: Goal, whole: bool, page: &log::Page, now: Timestamp) {
         if whole {
-            return self.commit();
+            return self.commit(now);
         }
         let wait = if page.records.is_empty() {
             self.backoff.next(&self.settings)
@@ -402,6 +409,9 @@
 
     /// Takes the failure of the call in flight.
     pub fn failed(&mut self, error: &log::Error, now: Timestamp) {
+        if !matches!(error, log::Error::Refused { .. }) {
+            self.down_since.get_or_insert(now);
+        }
         let retry = now + self.backoff.next(&self.settings);
         match (&self.state, error) {
             (State::Appending, log::Error::Unavailable { .. }) => {
@@ -441,10 +451,9 @@
             None => Some(self.snapshot_at(now)),
         };
         let queue = self.due.filter(|_| !self.queue.is_empty());
-        match (queue, snapshot) {
-            (Some(queue), Some(snapshot)) => Some(queue.min(snapshot).max(pace)),
-            (queue, snapshot) => queue.or(snapshot).map(|at| at.max(pace)),
-        }
+        let alive = Some(self.last_commit + self.settings.heartbeat);
+        let first = [queue, snapshot, alive].into_iter().flatten().min();
+        first.map(|at| at.max(pace))
     }
 
     /// Returns when the next snapshot is due.
@@ -488,6 +497,9 @@
         }
         self.due = (!self.queue.is_empty()).then_some(now);
         self.add_part(size, now);
+        if self.batch.len() == 0 && self.last_commit + self.settings.heartbeat <= now {
+            self.add(Record::Alive, now);
+        }
     }
 
     /// Gives a record its place in the sequence; it keeps this through all retries.
@@ -497,6 +509,7 @@
             epoch: self.epoch,
             sequence: self.sequence,
             base: self.base,
+            at: now,
         };
         match header.frame(&item.body) {
             Ok(frame) => {
@@ -539,18 +552,20 @@
         if progress.parts.is_empty() {
             progress.last_sequence = Some(self.sequence);
         }
-        let record = Record::Snapshot(part);
+        self.add(Record::Snapshot(part), now);
+    }
+
+    /// Adds a record of the journal's own to the batch.
+    fn add(&mut self, record: Record, now: Timestamp) {
         let Ok(body) = encode_record(&record) else {
             return;
         };
-        self.enclose(
-            Item {
-                token: None,
-                record,
-                body,
-            },
-            now,
-        );
+        let item = Item {
+            token: None,
+            record,
+            body,
+        };
+        self.enclose(item, now);
     }
 
     fn send(&mut self, now: Timestamp) -> Option<Effect> {
@@ -580,8 +595,10 @@
     }
 
     /// The batch is kept and counts: folds it and gives its tokens back.
-    fn commit(&mut self) {
+    fn commit(&mut self, now: Timestamp) {
         self.state = State::Idle;
+        self.last_commit = now;
+        self.down_since = None;
         let batch = std::mem::take(&mut self.batch);
         for framed in &batch.records {
             self.fold.apply_parts(&framed.header, &framed.item.record);
--- a/crates/coordination/src/recovery/image.rs
+++ b/crates/coordination/src/recovery/image.rs
@@ -2,7 +2,8 @@
 
 use std::{
     collections::BTreeMap,
-    sync::Arc, //
+    sync::Arc,
+    time::Duration, //
 };
 
 use fulmarpier_state::{
@@ -26,6 +27,7 @@
 
 use crate::{
     journal::{
+        Header,
         JobEnd,
         Record, //
     },
@@ -43,6 +45,12 @@
 
 /// How many jobs that are gone are remembered, so that a repeated submission is recognised.
 const GONE_MAX: usize = 10_000;
+/// Shorter gaps are not noted; a writer with nothing to say writes more often than this allows for.
+const GAP_MIN: Duration = Duration::from_secs(15);
+/// How many gaps are kept apart; the two oldest are joined where there are more.
+const GAPS_MAX: usize = 32;
+/// How long a gap is kept after its keys are refused for their age, for clocks that lie apart.
+const GAP_KEPT: Duration = Duration::from_secs(60);
 
 /// The last known state of a task that was started at least once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -141,6 +149,15 @@
     pub settled: Option<Settled>,
 }
 
+/// A time during which an earlier owner may have lived and kept no record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Gap {
+    /// When its last record was put into its append, by its own clock.
+    pub from: Timestamp,
+    /// When its successor opened the journal, by the successor's clock.
+    pub to: Timestamp,
+}
+
 /// What a shard's records add up to.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Image {
@@ -148,6 +165,10 @@
     pub epoch: Epoch,
     /// The last sequence counted in that epoch.
     pub sequence: Option<u64>,
+    /// When the last counted record was put into its append, by its writer's clock.
+    pub last_at: Timestamp,
+    /// The times in which earlier owners may have gone on without the log.
+    pub gaps: Vec<Gap>,
     /// The jobs that are not over.
     pub jobs: BTreeMap<JobId, Job>,
     /// The latest jobs that are gone.
@@ -162,9 +183,13 @@
 
 impl Image {
     /// Takes in a record that counts.
-    pub(crate) fn apply(&mut self, record: &Record) {
+    pub(crate) fn apply(&mut self, header: &Header, record: &Record) {
+        if matches!(record, Record::Opened) {
+            self.note_gap(header.at);
+        }
+        self.last_at = self.last_at.max(header.at);
         match record {
-            Record::Opened | Record::Snapshot(_) => {}
+            Record::Opened | Record::Snapshot(_) | Record::Alive => {}
             Record::Accepted { job, spec, at } => self.accept(*job, spec, *at),
             Record::Starting {
                 task,
@@ -225,6 +250,21 @@
         }
     }
 
+    /// Notes for how long an earlier owner may have gone on without the log.
+    fn note_gap(&mut self, opened: Timestamp) {
+        let gap = Gap {
+            from: self.last_at,
+            to: opened,
+        };
+        if self.last_at > Timestamp::ZERO && opened.since(self.last_at) >= GAP_MIN {
+            self.gaps.push(gap);
+        }
+        if self.gaps.len() > GAPS_MAX {
+            let first = self.gaps.remove(0);
+            self.gaps[0].from = first.from;
+        }
+    }
+
     fn accept(&mut self, job: JobId, spec: &Arc<Spec>, accepted: Timestamp) {
         if self.gone.contains_key(&job) {
             return;
@@ -298,6 +338,7 @@
     fn forget(&mut self, timed: Timestamp, opaque: Timestamp) {
         self.timed = self.timed.max(timed);
         self.opaque = self.opaque.max(opaque);
+        self.gaps.retain(|gap| gap.to + GAP_KEPT > timed);
         self.requests.retain(|key, request| {
             let dropped = match key.time() {
                 Some(time) => time <= timed,
--- a/crates/coordination/src/recovery/mod.rs
+++ b/crates/coordination/src/recovery/mod.rs
@@ -11,6 +11,7 @@
 
 pub use self::{
     image::{
+        Gap,
         Gone,
         Image,
         Job,
--- a/crates/coordination/src/request/ledger.rs
+++ b/crates/coordination/src/request/ledger.rs
@@ -20,6 +20,7 @@
     journal::Record,
     platform::target,
     recovery::{
+        Gap,
         Image,
         Settled, //
     },
@@ -83,9 +84,6 @@
     pub epoch: Epoch,
     /// When this node took the shard; every earlier owner had stopped by then.
     pub at: Timestamp,
-    /// The earliest time at which an earlier owner may have begun requests without the log; `None`
-    /// where it certainly did not.
-    pub blind_since: Option<Timestamp>,
     /// Whether the replay missed nothing.
     pub complete: bool,
 }
@@ -109,7 +107,8 @@
     expiry: BTreeSet<(Timestamp, Key)>,
     timed: Timestamp,
     opaque: Timestamp,
-    suspect: Option<(Timestamp, Timestamp)>,
+    /// Times of keys that another ledger may have begun without a trace here.
+    suspects: Vec<(Timestamp, Timestamp)>,
     opaque_from: Timestamp,
     fresh_after: Timestamp,
     next: Ticket,
@@ -136,14 +135,14 @@
             expiry: BTreeSet::new(),
             timed: image.timed,
             opaque: image.opaque,
-            suspect: None,
+            suspects: Vec::new(),
             opaque_from: Timestamp::ZERO,
             fresh_after,
             next: Ticket::first(claim.epoch),
             answers: 0,
         };
-        if let Some(since) = claim.blind_since {
-            ledger.suspect(since);
+        for gap in &image.gaps {
+            ledger.suspect_gap(gap);
         }
         if !claim.complete {
             ledger.suspect(Timestamp::ZERO);
@@ -160,8 +159,20 @@
     /// earlier owner in a log outage, or the key's former home after the set of shards changed.
     pub fn suspect(&mut self, since: Timestamp) {
         let since = since.saturating_sub(self.settings.margin());
-        let since = self.suspect.map_or(since, |(from, _)| from.min(since));
-        self.suspect = Some((since, self.fresh_after));
+        self.suspects.push((since, self.fresh_after));
+    }
+
+    /// Refuses as `unknown` the keys that an earlier owner may have begun during a gap.
+    ///
+    /// It began only keys whose own time lay `blind_after` or more behind its last record, by the
+    /// same clock, and at most `skew` ahead of it; it had stopped before its successor opened the
+    /// journal.
+    fn suspect_gap(&mut self, gap: &Gap) {
+        let from = gap.from + self.settings.blind_after;
+        let to = gap.to + self.settings.margin();
+        if from <= to {
+            self.suspects.push((from, to));
+        }
     }
 
     /// Returns how many requests are remembered.
@@ -188,8 +199,7 @@
         if self.entries.len() >= self.settings.count {
             return Verdict::Refuse(refuse::full());
         }
-        let blind = down_since.is_some_and(|since| now.since(since) >= self.settings.blind_after);
-        let fresh = blind && self.is_fresh(&ask.key, now);
+        let fresh = down_since.is_some_and(|since| self.is_fresh(&ask.key, since, now));
         let ticket = self.insert(ask, fresh, now);
         if fresh {
             Verdict::Send(ticket)
@@ -366,15 +376,17 @@
         if time > now + self.settings.age {
             return Some(refuse::future());
         }
-        let suspect = self
-            .suspect
-            .is_some_and(|(from, until)| from <= time && time <= until);
-        suspect.then(refuse::aged)
+        let within = |(from, to): &(Timestamp, Timestamp)| *from <= time && time <= *to;
+        self.suspects.iter().any(within).then(refuse::aged)
     }
 
     /// Returns whether no other owner can have begun the key, nor will begin it unawares.
-    fn is_fresh(&self, key: &Key, now: Timestamp) -> bool {
-        let fresh = |time| time > self.fresh_after && time <= now + self.settings.skew;
+    ///
+    /// An earlier owner had stopped before the key was made; a later one finds the gap that the
+    /// outage leaves in the journal and refuses what was made in it.
+    fn is_fresh(&self, key: &Key, down_since: Timestamp, now: Timestamp) -> bool {
+        let first = self.fresh_after.max(down_since + self.settings.blind_after);
+        let fresh = |time| time > first && time <= now + self.settings.skew;
         self.settings.outage == Outage::Fresh && key.time().is_some_and(fresh)
     }
 
--- a/crates/sched/src/shard/live.rs
+++ b/crates/sched/src/shard/live.rs
@@ -114,7 +114,6 @@
         let claim = request::Claim {
             epoch,
             at: won,
-            blind_since: None,
             complete: opened.complete,
         };
         let settings = scope.settings;
@@ -335,11 +334,7 @@
                 Effect::Fenced(fence) => self.fenced(fence, scope),
             }
         }
-        if !self.journal.is_held_up() {
-            self.down_since = None;
-        } else if self.down_since.is_none() {
-            self.down_since = Some(scope.now);
-        }
+        self.down_since = self.journal.down_since();
     }
 
     /// Notes a change of phase.
