--- a/crates/state/src/learn/key.rs
+++ b/crates/state/src/learn/key.rs
@@ -7,8 +7,8 @@
 /// A program of a team, cheap to clone.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Key {
-    team: Team,
-    program: Arc<str>,
+    pub(super) team: Team,
+    pub(super) program: Arc<str>,
 }
 
 impl Key {
