Close connections that do nothing and reset those that stop reading

A caller that sent half a head held its connection for ever, and one that stopped reading an answer also held a slot of the target, because the deadline of the answer's stream is only looked at when the connection asks for more. The serving library bounds neither. A connection is now closed after 60 s without a request and reset when no byte could be written for 30 s; a request in progress is never idle.

--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -139,6 +139,7 @@
             connections: usize::try_from(settings.limits.in_flight).unwrap_or(usize::MAX),
             linger: notice,
             drain: settings.drain.get(),
+            ..http::Limits::default()
         };
         let leave = CancellationToken::new();
         let stop = leave.clone().cancelled_owned();
--- a/crates/transport/src/http/connection.rs
+++ b/crates/transport/src/http/connection.rs
@@ -20,12 +20,20 @@
 };
 
 use axum::{
-    extract::connect_info::Connected,
+    body::Body,
+    extract::{
+        ConnectInfo,
+        Request,
+        connect_info::Connected, //
+    },
+    middleware::Next,
+    response::Response,
     serve::{
         self,
         IncomingStream, //
     },
 };
+use http_body_util::BodyExt;
 use tokio::{
     io::{
         AsyncRead,
@@ -47,6 +55,12 @@
     WaitForCancellationFutureOwned, //
 };
 
+use super::patience::{
+    Activity,
+    Patience,
+    Watch, //
+};
+
 /// How long to wait before accepting again after the system had no room for a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -56,6 +70,7 @@
     tcp: TcpListener,
     permits: Arc<Semaphore>,
     cut: CancellationToken,
+    patience: Option<Patience>,
 }
 
 impl Listener {
@@ -65,9 +80,16 @@
             tcp,
             permits: Arc::new(Semaphore::new(connections)),
             cut,
+            patience: None,
         }
     }
 
+    /// Bounds how long a connection may do nothing; the requests must pass [`hold`].
+    pub(super) const fn patience(mut self, patience: Patience) -> Self {
+        self.patience = Some(patience);
+        self
+    }
+
     /// Returns the count of connections that may still be accepted.
     pub(super) fn permits(&self) -> Arc<Semaphore> {
         self.permits.clone()
@@ -89,7 +111,8 @@
                 Ok((stream, peer)) => {
                     // Without it answers are only slower.
                     let _ = stream.set_nodelay(true);
-                    let connection = Connection::new(stream, self.cut.child_token(), permit);
+                    let cut = self.cut.child_token();
+                    let connection = Connection::new(stream, cut, self.patience, permit);
                     return (connection, peer);
                 }
                 Err(_) => sleep(ACCEPT_PAUSE).await,
@@ -106,37 +129,71 @@
 ///
 /// Handlers extract it as `ConnectInfo<Cut>`.
 #[derive(Clone, Debug)]
-pub struct Cut(CancellationToken);
+pub struct Cut {
+    token: CancellationToken,
+    activity: Activity,
+}
 
 impl Cut {
     /// Resets the connection; nothing of an answer that was not yet sent will leave.
     pub fn cut(&self) {
-        self.0.cancel();
+        self.token.cancel();
     }
 }
 
 impl Connected<IncomingStream<'_, Listener>> for Cut {
     fn connect_info(stream: IncomingStream<'_, Listener>) -> Self {
-        Self(stream.io().cut.clone())
+        let connection = stream.io();
+        Self {
+            token: connection.cut.clone(),
+            activity: connection.activity.clone(),
+        }
     }
 }
 
+/// Counts a request as in progress until the last of its answer is handed to the connection.
+pub(super) async fn hold(
+    ConnectInfo(cut): ConnectInfo<Cut>,
+    request: Request,
+    next: Next,
+) -> Response {
+    let entry = cut.activity.enter();
+    let response = next.run(request).await;
+    // The body owns the entry; the length of the body stays known this way.
+    response.map(|body| {
+        Body::new(body.map_err(move |error| {
+            let _held = &entry;
+            error
+        }))
+    })
+}
+
 /// One accepted connection with its permit.
 #[derive(Debug)]
 pub struct Connection {
     stream: TcpStream,
     cut: CancellationToken,
     cancelled: Pin<Box<WaitForCancellationFutureOwned>>,
+    activity: Activity,
+    watch: Option<Watch>,
     _permit: OwnedSemaphorePermit,
 }
 
 impl Connection {
-    fn new(stream: TcpStream, cut: CancellationToken, permit: OwnedSemaphorePermit) -> Self {
-        let cancelled = Box::pin(cut.clone().cancelled_owned());
+    fn new(
+        stream: TcpStream,
+        cut: CancellationToken,
+        patience: Option<Patience>,
+        permit: OwnedSemaphorePermit,
+    ) -> Self {
+        let activity = Activity::new();
+        let watch = patience.map(|patience| Watch::new(patience, activity.clone()));
         Self {
             stream,
+            cancelled: Box::pin(cut.clone().cancelled_owned()),
             cut,
-            cancelled,
+            activity,
+            watch,
             _permit: permit,
         }
     }
@@ -147,6 +204,18 @@
             Poll::Pending => Ok(()),
         }
     }
+
+    /// Fails a write that made no progress for too long.
+    fn progress<T>(
+        &mut self,
+        cx: &mut Context<'_>,
+        written: Poll<io::Result<T>>,
+    ) -> Poll<io::Result<T>> {
+        match &mut self.watch {
+            Some(watch) => watch.check_stall(cx, written),
+            None => written,
+        }
+    }
 }
 
 impl AsyncRead for Connection {
@@ -156,6 +225,9 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         self.check(cx)?;
+        if let Some(watch) = &mut self.watch {
+            watch.check_idle(cx)?;
+        }
         Pin::new(&mut self.stream).poll_read(cx, buf)
     }
 }
@@ -167,7 +239,8 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.check(cx)?;
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.progress(cx, written)
     }
 
     fn poll_write_vectored(
@@ -176,7 +249,8 @@
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.check(cx)?;
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.progress(cx, written)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/transport/src/http/mod.rs
+++ b/crates/transport/src/http/mod.rs
@@ -1,6 +1,7 @@
 //! The HTTP server that faces callers and operators.
 
 mod connection;
+mod patience;
 mod server;
 
 pub use self::{
@@ -9,6 +10,7 @@
         Cut,
         Listener, //
     },
+    patience::Patience,
     server::{
         Drained,
         Error,
--- a/crates/transport/src/http/server.rs
+++ b/crates/transport/src/http/server.rs
@@ -43,9 +43,13 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use super::connection::{
-    Cut,
-    Listener, //
+use super::{
+    connection::{
+        Cut,
+        Listener,
+        hold, //
+    },
+    patience::Patience,
 };
 
 /// The bounds of one server.
@@ -60,6 +64,8 @@
     pub linger: Duration,
     /// How long requests in progress may take to finish after the linger.
     pub drain: Duration,
+    /// How long a connection may do nothing.
+    pub patience: Patience,
 }
 
 impl Default for Limits {
@@ -68,6 +74,7 @@
             connections: 10_000,
             linger: Duration::from_secs(2),
             drain: Duration::from_secs(30),
+            patience: Patience::default(),
         }
     }
 }
@@ -149,12 +156,15 @@
             connections,
             linger,
             drain,
+            patience,
         } = self.limits;
         let cut = CancellationToken::new();
-        let listener = Listener::new(self.listener, connections, cut.clone());
+        let listener = Listener::new(self.listener, connections, cut.clone()).patience(patience);
         let permits = listener.permits();
         let leaving = Arc::new(AtomicBool::new(false));
-        let router = router.layer(middleware::from_fn_with_state(leaving.clone(), announce));
+        let router = router
+            .layer(middleware::from_fn_with_state(leaving.clone(), announce))
+            .layer(middleware::from_fn(hold));
         let (closing, closed) = oneshot::channel();
         let serving = axum::serve(
             listener,
--- a/crates/transport/tests/http.rs
+++ b/crates/transport/tests/http.rs
@@ -1,6 +1,7 @@
 //! The HTTP server: its limit on connections and its graceful end.
 
 use std::{
+    convert::Infallible,
     net::SocketAddr,
     sync::Arc,
     time::Duration, //
@@ -8,28 +9,44 @@
 
 use axum::{
     Router,
+    body::Body,
     extract::State,
     routing::{
         get,
         post, //
     },
 };
+use bytes::Bytes;
 use fulmarpier_transport::http::{
     Drained,
     Error,
     Limits,
+    Patience,
     Server, //
 };
+use futures::stream;
+use rstest::rstest;
 use tokio::{
+    io::{
+        AsyncReadExt,
+        AsyncWriteExt, //
+    },
     net::TcpStream,
     sync::{
         Semaphore,
         oneshot, //
     },
     task::JoinHandle,
+    time::{
+        Instant,
+        sleep,
+        timeout, //
+    },
 };
 
 const LONG: Duration = Duration::from_secs(60);
+/// A day of virtual time, in which everything that is bounded has ended.
+const DAY: Duration = Duration::from_secs(86_400);
 
 struct Running {
     address: SocketAddr,
@@ -50,10 +67,37 @@
     body
 }
 
+/// Answers after much longer than a connection may be idle.
+async fn slow() -> &'static str {
+    sleep(Duration::from_secs(600)).await;
+    "slow"
+}
+
+/// Gives an answer without end; its guard is dropped with it.
+async fn endless(State((_, ended)): State<(Arc<Semaphore>, Arc<Semaphore>)>) -> Body {
+    let guard = Guard(ended);
+    let piece = Bytes::from(vec![0; 1 << 20]);
+    Body::from_stream(stream::repeat_with(move || {
+        let _held = &guard;
+        Ok::<_, Infallible>(piece.clone())
+    }))
+}
+
+/// Adds a permit when dropped.
+struct Guard(Arc<Semaphore>);
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        self.0.add_permits(1);
+    }
+}
+
 async fn server(limits: Limits) -> Running {
     let (gate, arrived) = (Arc::new(Semaphore::new(0)), Arc::new(Semaphore::new(0)));
     let router = Router::new()
         .route("/held", post(held))
+        .route("/slow", get(slow))
+        .route("/endless", get(endless))
         .route("/quick", get(async || "quick"))
         .with_state((gate.clone(), arrived.clone()));
     let any = "127.0.0.1:0".parse().expect("an address");
@@ -77,6 +121,10 @@
         connections: 100,
         linger: Duration::ZERO,
         drain: LONG,
+        patience: Patience {
+            idle: Duration::from_secs(60),
+            stall: Duration::from_secs(30),
+        },
     }
 }
 
@@ -166,6 +214,51 @@
     assert_eq!(second.await.expect("joined").expect("an answer"), "second");
 }
 
+#[rstest]
+#[case::silence("")]
+#[case::half_a_head("GET /quick HTTP/1.1\r\nhost:")]
+#[tokio::test(start_paused = true)]
+async fn a_connection_without_a_whole_head_is_closed(#[case] head: &str) {
+    let server = server(limits()).await;
+    let began = Instant::now();
+    let mut stream = TcpStream::connect(server.address).await.expect("a stream");
+    stream.write_all(head.as_bytes()).await.expect("sent");
+    // Whether it ends or is reset is of no interest.
+    let mut rest = Vec::new();
+    let _ = timeout(DAY, stream.read_to_end(&mut rest))
+        .await
+        .expect("an end");
+    assert!(began.elapsed() >= Duration::from_secs(60));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_request_in_progress_is_not_idle() {
+    let server = server(limits()).await;
+    let mut stream = TcpStream::connect(server.address).await.expect("a stream");
+    for _ in 0..2 {
+        let head = b"GET /slow HTTP/1.1\r\nhost: x\r\n\r\n";
+        stream.write_all(head).await.expect("sent");
+        let mut answer = vec![0; 4096];
+        let len = stream.read(&mut answer).await.expect("an answer");
+        assert!(answer[..len].ends_with(b"slow"));
+    }
+    let mut rest = Vec::new();
+    let _ = timeout(DAY, stream.read_to_end(&mut rest))
+        .await
+        .expect("an end");
+    assert!(rest.is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_caller_that_stops_reading_loses_its_connection() {
+    let server = server(limits()).await;
+    let mut stream = TcpStream::connect(server.address).await.expect("a stream");
+    let head = b"GET /endless HTTP/1.1\r\nhost: x\r\n\r\n";
+    stream.write_all(head).await.expect("sent");
+    let ended = timeout(DAY, server.arrived.acquire()).await;
+    assert!(ended.is_ok());
+}
+
 #[tokio::test]
 async fn a_taken_port_is_an_error_with_its_address() {
     let server = server(limits()).await;
