--- a/crates/state/src/engine/probe.rs
+++ b/crates/state/src/engine/probe.rs
@@ -5,7 +5,8 @@
     clock::Timestamp,
     id::WorkerId,
     job::Priority,
-    queue::Entry, //
+    queue::Entry,
+    reputation::Verdict, //
 };
 
 /// How many waiting jobs are looked at for a probe.
@@ -17,6 +18,9 @@
         if self.book.next_probe().is_none_or(|at| at > now) {
             return;
         }
+        for worker in self.book.release_proven(now) {
+            self.follow(Verdict::Release(worker), now);
+        }
         let due = |worker: &WorkerId| self.book.may_probe(*worker, now);
         let workers: Vec<WorkerId> = self.book.quarantined().filter(due).collect();
         for worker in workers {
--- a/crates/state/src/engine/settle.rs
+++ b/crates/state/src/engine/settle.rs
@@ -48,7 +48,7 @@
             return;
         };
         self.estimator.record_run(&job.key, age, job.spec.runtime);
-        let verdict = self.book.started_ok(task.worker, id.job, now);
+        let verdict = self.book.completed(task.worker, id.job, now);
         self.follow(verdict, now);
         let stays = self.jobs.get(&id.job).is_some_and(|job| job.is_service());
         if stays && task.halt.is_none() {
