--- a/crates/state/src/admission/desk.rs
+++ b/crates/state/src/admission/desk.rs
@@ -41,6 +41,8 @@
 const ENOUGH_SAMPLES: u32 = 20;
 /// A declared run time is taken for up to this many times too long.
 const DECLARED_EXCESS: u32 = 5;
+/// A run may be this many times shorter than the median of its program.
+const LEARNED_EXCESS: u32 = 4;
 
 /// What the checks look at; nothing is changed.
 #[derive(Clone, Copy, Debug)]
@@ -166,7 +168,7 @@
 
     /// Refuses what can't end by its deadline even if it started at once.
     ///
-    /// A declared run time is often too long, so it refuses only with a wide margin.
+    /// Run times vary and declarations are often too long, so both must say so by a wide margin.
     fn check_deadline(&self, spec: &Spec, now: Timestamp) -> Result<(), Refusal> {
         let Some(deadline) = spec.deadline else {
             return Ok(());
@@ -193,10 +195,13 @@
     fn shortest_run(&self, spec: &Spec) -> Option<Duration> {
         let key = Key::new(spec.team.clone(), &spec.payload.program);
         let estimate = self.estimator.runtime(&key, spec.runtime);
-        if estimate.samples >= ENOUGH_SAMPLES {
-            return Some(estimate.p50 / 2);
+        let seen = estimate.samples >= ENOUGH_SAMPLES;
+        let learned = seen.then(|| estimate.p50 / LEARNED_EXCESS);
+        let declared = spec.runtime.map(|declared| declared / DECLARED_EXCESS);
+        match (learned, declared) {
+            (Some(learned), Some(declared)) => Some(learned.min(declared)),
+            (learned, declared) => learned.or(declared),
         }
-        spec.runtime.map(|declared| declared / DECLARED_EXCESS)
     }
 
     fn check_queues(&self, spec: &Spec) -> Result<(), Refusal> {
--- /dev/null
+++ b/crates/state/src/engine/elsewhere.rs
@@ -0,0 +1,94 @@
+//! Room that comes up elsewhere before a reservation is complete.
+
+use super::core::Engine;
+use crate::{
+    clock::Timestamp,
+    id::{
+        JobId,
+        WorkerId, //
+    },
+    resource::Resources, //
+};
+
+/// How many reservations are compared with the room elsewhere in one pass.
+const MOST_COMPARED: usize = 16;
+
+impl Engine {
+    /// Starts jobs with an incomplete reservation where there is room for them now.
+    pub(super) fn start_elsewhere(&mut self, now: Timestamp) {
+        let ids: Vec<u64> = self
+            .reservations
+            .keys()
+            .copied()
+            .take(MOST_COMPARED)
+            .collect();
+        for id in ids {
+            self.try_elsewhere(id, now);
+        }
+    }
+
+    fn try_elsewhere(&mut self, id: u64, now: Timestamp) {
+        let Some(reservation) = self.reservations.get(&id) else {
+            return;
+        };
+        let (job, size, tasks) = (reservation.job, reservation.size, reservation.tasks());
+        if !self.admits(job, size, tasks) {
+            return;
+        }
+        self.lay_down(id);
+        match self.find_all(job, size, tasks) {
+            Some(workers) => {
+                self.drop_reservation(id, now);
+                for worker in workers {
+                    self.begin(job, worker, None, now);
+                }
+                self.dequeue_if_idle(job);
+            }
+            None => self.take_up(id),
+        }
+    }
+
+    /// Reserves room for all tasks of a reservation, wherever it is.
+    fn find_all(&mut self, job: JobId, size: Resources, tasks: u32) -> Option<Vec<WorkerId>> {
+        let workers = match tasks {
+            1 => vec![self.find_worker(job, size)?],
+            _ => self.plan_now(self.jobs.get(&job)?, tasks)?,
+        };
+        self.reserve_all(&workers, size).then_some(workers)
+    }
+
+    /// Returns whether the team of a job may hold `tasks` more of a size.
+    pub(super) fn admits(&self, job: JobId, size: Resources, tasks: u32) -> bool {
+        let slot = self.jobs.get(&job).map(|job| job.slot);
+        let total = size.checked_mul(tasks);
+        match (slot, total) {
+            (Some(slot), Some(total)) => self.ledger.admits(slot, total),
+            _ => false,
+        }
+    }
+
+    /// Gives back what a reservation holds, for the time of one search.
+    fn lay_down(&mut self, id: u64) {
+        let Some(reservation) = self.reservations.get_mut(&id) else {
+            return;
+        };
+        for part in &mut reservation.parts {
+            // What a part holds is reserved in the index.
+            let _ = self.index.release(part.worker, part.held);
+            part.aside = std::mem::take(&mut part.held);
+        }
+    }
+
+    /// Takes back what [`Self::lay_down`] gave.
+    fn take_up(&mut self, id: u64) {
+        let Some(reservation) = self.reservations.get_mut(&id) else {
+            return;
+        };
+        for part in &mut reservation.parts {
+            let aside = std::mem::take(&mut part.aside);
+            if self.index.reserve(part.worker, aside).is_ok() {
+                part.held = aside;
+            }
+        }
+    }
+}
--- a/crates/state/src/engine/gang.rs
+++ b/crates/state/src/engine/gang.rs
@@ -209,6 +209,7 @@
             tasks: *tasks,
             need,
             held: Resources::ZERO,
+            aside: Resources::ZERO,
         })
     };
     plan.workers.iter().filter_map(part).collect()
--- a/crates/state/src/engine/mod.rs
+++ b/crates/state/src/engine/mod.rs
@@ -13,6 +13,7 @@
 mod counters;
 mod decide;
 mod effect;
+mod elsewhere;
 mod events;
 mod gang;
 mod hold;
--- a/crates/state/src/engine/requeue.rs
+++ b/crates/state/src/engine/requeue.rs
@@ -12,6 +12,8 @@
     queue::Entry, //
 };
 
+/// A job without a deadline should wait for at most this many times its run time.
+const STRETCH: u32 = 4;
 /// A late job competes as if it had at least this long.
 const LEAST_PATIENCE: Duration = Duration::from_secs(1);
 
@@ -56,19 +58,19 @@
 
     /// Returns the time by which a job should start.
     ///
-    /// A job that can't meet its deadline any more queues as if it had none, so that it does not
-    /// take the place of one that still can.
+    /// Without a deadline it is a multiple of the expected run time after the arrival, so that a
+    /// short job does not wait as long as a long one may. A job that can't meet its deadline any
+    /// more queues as if it had none, so that it takes no place of one that still can.
     fn latest_start(&self, job: &Job, now: Timestamp) -> Timestamp {
         let patience = self.policy.patience.get().max(LEAST_PATIENCE);
-        let usual = job.submitted + patience;
-        let Some(deadline) = job.spec.deadline else {
-            return usual;
-        };
-        if deadline <= now {
-            return now + patience;
-        }
         let runtime = self.estimator.runtime(&job.key, job.spec.runtime);
-        deadline.saturating_sub(runtime.p90).min(usual)
+        let stretch = (runtime.p50 * STRETCH).clamp(LEAST_PATIENCE, patience);
+        let usual = job.submitted + stretch;
+        match job.spec.deadline {
+            None => usual,
+            Some(deadline) if deadline <= now => now + patience,
+            Some(deadline) => deadline.saturating_sub(runtime.p90).min(usual),
+        }
     }
 }
 
--- a/crates/state/src/engine/reserve.rs
+++ b/crates/state/src/engine/reserve.rs
@@ -27,8 +27,6 @@
 
 /// How often a reservation may be late before it is planned again elsewhere.
 const MOST_SLIPS: u32 = 6;
-/// How many reservations of single tasks are compared with the room elsewhere in one pass.
-const MOST_COMPARED: usize = 16;
 
 /// What a reservation needs of one worker.
 #[derive(Clone, Debug)]
@@ -38,6 +36,8 @@
     pub(super) tasks: u32,
     pub(super) need: Resources,
     pub(super) held: Resources,
+    /// What was held before a search that looks at all room, and zero between searches.
+    pub(super) aside: Resources,
 }
 
 impl Part {
@@ -138,12 +138,8 @@
             if !reservation.is_complete() {
                 continue;
             }
-            let total = reservation.size.checked_mul(reservation.tasks());
-            let slot = self.jobs.get(&reservation.job).map(|job| job.slot);
-            let admitted = match (total, slot) {
-                (Some(total), Some(slot)) => self.ledger.admits(slot, total),
-                _ => false,
-            };
+            let (job, size) = (reservation.job, reservation.size);
+            let admitted = self.admits(job, size, reservation.tasks());
             if admitted {
                 self.start_reserved(id, now);
             } else {
@@ -152,28 +148,6 @@
         }
     }
 
-    /// Starts single tasks elsewhere where room has come up before their reservation is complete.
-    pub(super) fn start_elsewhere(&mut self, now: Timestamp) {
-        let singles = self.reservations.iter().filter(|(_, r)| r.tasks() == 1);
-        let singles: Vec<u64> = singles.map(|(id, _)| *id).take(MOST_COMPARED).collect();
-        for id in singles {
-            let Some(reservation) = self.reservations.get(&id) else {
-                continue;
-            };
-            let (job, size) = (reservation.job, reservation.size);
-            let Some(worker) = self.find_worker(job, size) else {
-                continue;
-            };
-            let slot = self.jobs.get(&job).map(|job| job.slot);
-            let admitted = slot.is_some_and(|slot| self.ledger.admits(slot, size));
-            if admitted && self.index.reserve(worker, size).is_ok() {
-                self.drop_reservation(id, now);
-                self.begin(job, worker, None, now);
-                self.dequeue_if_idle(job);
-            }
-        }
-    }
-
     fn start_reserved(&mut self, id: u64, now: Timestamp) {
         let Some(reservation) = self.unlist(id) else {
             return;
--- a/crates/state/src/policy/tuning.rs
+++ b/crates/state/src/policy/tuning.rs
@@ -5,8 +5,8 @@
 use crate::placement::Weights;
 
 const LONGEST_WINDOW: u64 = 2_000;
-const LONGEST_PATIENCE: u64 = 120;
-const SHORTEST_PATIENCE: u64 = 5;
+const LONGEST_PATIENCE: u64 = 30;
+const SHORTEST_PATIENCE: u64 = 2;
 
 /// What the weights set in the order and the timing of decisions.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/state/src/quota/ledger.rs
+++ b/crates/state/src/quota/ledger.rs
@@ -8,6 +8,8 @@
 };
 
 const SCALE: u128 = 1 << 40;
+/// Shares below this are alike.
+const LEAST_STEP: u128 = SCALE / 512;
 
 /// The position of a team in the ledger; stable for the life of the process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -114,10 +116,12 @@
         account.used = account.used.checked_sub(size).unwrap_or(Resources::ZERO);
     }
 
-    /// Returns the team's dominant share over its weight, as a fraction of 2^40.
+    /// Returns the step of the team's dominant share over its weight, the least being served first.
     ///
     /// The dominant share is the largest of its shares of each resource (dominant resource
-    /// fairness, Ghodsi et al., 2011).
+    /// fairness, Ghodsi et al., 2011). A step is a doubling, and all shares below one 512th of the
+    /// cell are alike: so teams with nearly the same use are served in order of their jobs' slack,
+    /// and the tasks of one job are not torn apart for an exact balance.
     pub fn share(&self, slot: Slot) -> u64 {
         let account = self.account(slot);
         let part = |used: u128, total: u128| used * SCALE / total.max(1);
@@ -127,7 +131,12 @@
         let accelerators = part(accelerators, self.total.accelerators);
         let dominant = cpu.max(memory).max(accelerators);
         let weight = u128::from(account.limit.weight.max(1));
-        u64::try_from(dominant / weight).unwrap_or(u64::MAX)
+        let weighted = dominant / weight;
+        u64::from(
+            (weighted / LEAST_STEP)
+                .checked_ilog2()
+                .map_or(0, |log| log + 1),
+        )
     }
 
     /// Iterates over all accounts.
