--- a/crates/state/src/learn/estimator.rs
+++ b/crates/state/src/learn/estimator.rs
@@ -23,7 +23,7 @@
 /// How many programs are known at most, of all teams together.
 const MOST_PROGRAMS: usize = 4_096;
 /// How many teams are known at most.
-const MOST_TEAMS: usize = 1_024;
+const MOST_TEAMS: usize = 512;
 
 /// Learns run times and sizes for each program of each team.
 ///
