--- a/crates/standin/src/worker/machine.rs
+++ b/crates/standin/src/worker/machine.rs
@@ -2,12 +2,7 @@
 
 use std::{
     collections::BTreeMap,
-    sync::{
-        Arc,
-        Mutex,
-        PoisonError, //
-    },
-    time::Duration,
+    time::Duration, //
 };
 
 use fulmarpier_coordination::platform::{
@@ -24,7 +19,6 @@
     },
 };
 use fulmarpier_state::{
-    alias::HashMap,
     clock::Timestamp,
     id::{
         Attempt,
@@ -36,10 +30,14 @@
     resource::Resources,
 };
 
-use super::task::{
-    FULL_RATE,
-    Task,
-    Work, //
+use super::{
+    profile::Profile,
+    saved::Saved,
+    task::{
+        FULL_RATE,
+        Task,
+        Work, //
+    },
 };
 use crate::{
     record::{
@@ -53,33 +51,6 @@
 /// The program that fails at its end, wherever it runs.
 const FAILING_PROGRAM: &str = "standin-fail";
 
-/// How tasks behave.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Profile {
-    /// What tasks are seen to use of their size, in thousandths.
-    pub usage: u16,
-    /// How far usage reports lag.
-    pub usage_lag: Duration,
-    /// How long a task without a run time runs.
-    pub runtime: Duration,
-}
-
-/// The saved work of checkpointed tasks, shared by all workers: how much was left.
-#[derive(Clone, Debug, Default)]
-pub struct Saved(Arc<Mutex<HashMap<TaskId, Duration>>>);
-
-impl Saved {
-    fn keep(&self, task: TaskId, left: Duration) {
-        let mut saved = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        saved.insert(task, left);
-    }
-
-    fn take(&self, task: TaskId) -> Option<Duration> {
-        let mut saved = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        saved.remove(&task)
-    }
-}
-
 /// One worker without its socket; the time goes in with each call.
 #[derive(Debug)]
 pub struct Machine {
--- a/crates/standin/src/worker/mod.rs
+++ b/crates/standin/src/worker/mod.rs
@@ -1,14 +1,14 @@
 //! The stand-in for workers.
 
 mod machine;
+mod profile;
+mod saved;
 mod server;
 mod task;
 
 pub use self::{
-    machine::{
-        Machine,
-        Profile,
-        Saved, //
-    },
-    server::Worker,
+    machine::Machine,
+    profile::Profile,
+    saved::Saved,
+    server::Worker, //
 };
--- a/crates/standin/src/worker/task.rs
+++ b/crates/standin/src/worker/task.rs
@@ -20,7 +20,7 @@
     },
 };
 
-use super::machine::Profile;
+use super::profile::Profile;
 use crate::{
     record::Place,
     target::Target, //
