--- a/crates/gate/src/forward/keyed.rs
+++ b/crates/gate/src/forward/keyed.rs
@@ -5,7 +5,10 @@
 
 use std::{
     sync::Arc,
-    time::Duration, //
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use axum::{
@@ -79,7 +82,10 @@
 use crate::{
     app::App,
     digest,
-    http::answer,
+    http::answer::{
+        self,
+        Timing, //
+    },
     metrics::Retry,
     slot::Held, //
 };
@@ -134,6 +140,7 @@
     let mut plan = Plan::new(Class::NonIdempotent, attempts, backoff);
     app.budget().request(app.now());
     loop {
+        let began = Instant::now();
         let answer = ask_owner(app, shard, &call, deadline).await;
         let answer = answer.map_err(|miss| unasked(&miss))?;
         let Answer::Begin(reply) = answer else {
@@ -150,8 +157,19 @@
             shard,
             ticket,
         };
-        match send(app, order, &finisher).await? {
-            Sent::Answered(response) => return Ok(response),
+        let acquired = app.pool.acquire(&order.admission.ask).await;
+        let held = acquired.inspect_err(|_| {
+            report_later(app, finisher.end(Outcome::NotRun));
+        })?;
+        let timing = Timing {
+            decision: began.elapsed().saturating_sub(held.waited()),
+            waiting: held.waited(),
+        };
+        match send(app, order, held, &finisher).await? {
+            Sent::Answered(mut response) => {
+                answer::time(&mut response, timing);
+                return Ok(response);
+            }
             Sent::NotRun(why) => again(app, &mut plan, why).await?,
         }
     }
@@ -179,15 +197,13 @@
 }
 
 /// Sends the request once, in a slot of this gate.
-async fn send(app: &Arc<App>, order: &Order, finisher: &Report) -> Result<Sent, Refusal> {
+async fn send(
+    app: &Arc<App>,
+    order: &Order,
+    mut held: Held,
+    finisher: &Report,
+) -> Result<Sent, Refusal> {
     let ask = &order.admission.ask;
-    let mut held = match app.pool.acquire(ask).await {
-        Ok(held) => held,
-        Err(refusal) => {
-            report_later(app, finisher.end(Outcome::NotRun));
-            return Err(refusal);
-        }
-    };
     let left = app.now().until(ask.deadline);
     let address = match left.is_zero() {
         true => None,
--- a/crates/gate/src/wait/queue.rs
+++ b/crates/gate/src/wait/queue.rs
@@ -23,7 +23,7 @@
 pub struct Limits {
     /// In all.
     pub total: usize,
-    /// Of one team.
+    /// Of one team; no bound of its own where it is not below the total.
     pub team: usize,
 }
 
@@ -118,8 +118,8 @@
         item: T,
     ) -> Result<Pushed<T>, Full> {
         let own = self.lines.get(team).map_or(0, |line| line.items.len());
-        if own >= self.limits.team {
-            let limit = self.limits.team;
+        let limit = self.limits.team;
+        if own >= limit && limit < self.limits.total {
             return Err(Full::Team { limit });
         }
         let displaced = self.make_room(own)?;
--- a/crates/gate/tests/keyed.rs
+++ b/crates/gate/tests/keyed.rs
@@ -27,6 +27,7 @@
     document,
     gate,
     header,
+    holds,
     post,
     problem,
     ready,
@@ -192,13 +193,16 @@
     sched.answers(finished());
     sched.answers(grant(8));
     sched.answers(finished());
+    sched.hold_after(2);
     let gate = gate(&[&sched]).await;
     ready(&gate).await;
     let answer = tokio::spawn(order(&gate).send());
     until(|| !reports(&sched).is_empty()).await;
+    // The second grant comes when there is a good target for it.
     sched.offer(target, 1);
-    let answer = answer.await.unwrap().unwrap();
-    assert_eq!(answer.status(), 200);
+    holds(&gate, 2).await;
+    sched.hold_after(usize::MAX);
+    assert_eq!(answer.await.unwrap().unwrap().status(), 200);
     until(|| reports(&sched).len() == 2).await;
     let ends: Vec<_> = reports(&sched)
         .into_iter()
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -250,6 +250,16 @@
     .await
 }
 
+/// Waits until the gate holds so many slots of the configured services.
+pub(crate) async fn holds(gate: &Gate, slots: u64) {
+    let wait = async {
+        while counter(gate, "fulmarpier_gate_slots_held ").await != slots {
+            sleep(Duration::from_millis(2)).await;
+        }
+    };
+    timeout(PATIENCE, wait).await.unwrap();
+}
+
 async fn counter(gate: &Gate, name: &str) -> u64 {
     let text = get(gate, "/metrics").send().await.unwrap();
     let text = text.text().await.unwrap();
--- a/crates/gate/tests/support/sched.rs
+++ b/crates/gate/tests/support/sched.rs
@@ -43,6 +43,8 @@
     },
 };
 
+use super::until;
+
 /// The one shard of the tests.
 pub(crate) const SHARD: ShardId = ShardId(100);
 
@@ -63,6 +65,8 @@
     answers: VecDeque<Option<Answer>>,
     /// The calls other than `sync` that came.
     calls: Vec<Call>,
+    /// How many of them are answered before the others wait.
+    open: usize,
 }
 
 impl Sched {
@@ -81,16 +85,21 @@
             owns: true,
             answers: VecDeque::new(),
             calls: Vec::new(),
+            open: usize::MAX,
         }));
         let address = "127.0.0.1:0".parse().unwrap();
         let (server, mut incoming) = Server::start(address, ServerLimits::default()).unwrap();
         let shared = script.clone();
         tokio::spawn(async move {
             while let Some(call) = incoming.recv().await {
-                let answer = shared.lock().unwrap().answer(call.call);
-                if let Some(answer) = answer {
-                    let _ = call.answer.send(answer);
-                }
+                let shared = shared.clone();
+                tokio::spawn(async move {
+                    until(|| shared.lock().unwrap().takes(&call.call)).await;
+                    let answer = shared.lock().unwrap().answer(call.call);
+                    if let Some(answer) = answer {
+                        let _ = call.answer.send(answer);
+                    }
+                });
             }
         });
         Self { server, script }
@@ -110,6 +119,11 @@
         self.script.lock().unwrap().calls.clone()
     }
 
+    /// Answers only so many calls other than `sync` in all, until it is told otherwise.
+    pub(crate) fn hold_after(&self, count: usize) {
+        self.script.lock().unwrap().open = count;
+    }
+
     /// Owns nothing from now on, and says so.
     pub(crate) fn disown(&self) {
         self.script.lock().unwrap().owns = false;
@@ -135,6 +149,10 @@
 }
 
 impl Script {
+    fn takes(&self, call: &Call) -> bool {
+        matches!(call, Call::Sync(_)) || self.calls.len() < self.open
+    }
+
     fn answer(&mut self, call: Call) -> Option<Answer> {
         if let Call::Sync(request) = call {
             return self.sync(request).map(Answer::Sync);
--- a/crates/load/src/caller/job.rs
+++ b/crates/load/src/caller/job.rs
@@ -2,13 +2,16 @@
 
 use std::time::Duration;
 
-use fulmarpier_protocol::http::job::{
-    Accepted,
-    Raw,
-    Service,
-    Size,
-    State,
-    View, //
+use fulmarpier_protocol::{
+    http::job::{
+        Accepted,
+        Raw,
+        Service,
+        Size,
+        State,
+        View, //
+    },
+    settings::value::Url,
 };
 use fulmarpier_state::{
     id::JobId,
@@ -64,12 +67,12 @@
         rng: &mut StdRng,
     ) -> Answered {
         let raw = self.declaration(arrival, is_repeatable, rng);
-        let call = self
-            .http
-            .post(self.gate(arrival).join("/v1/jobs"))
-            .timeout(self.settings.job.deadline.get() + MARGIN)
-            .json(&raw);
-        let response = match call.send().await {
+        let timeout = self.settings.job.deadline.get() + MARGIN;
+        let call = |gate: &Url| {
+            let call = self.http.post(gate.join("/v1/jobs"));
+            call.timeout(timeout).json(&raw)
+        };
+        let response = match self.send(arrival, call).await {
             Ok(response) => response,
             Err(error) => return Answered::failed(&error),
         };
@@ -145,8 +148,8 @@
         sleep(SERVICE_AGE).await;
         let path = format!("/v1/jobs/{job}");
         while Instant::now() < self.until {
-            let call = self.http.delete(self.gate(arrival).join(&path));
-            let answer = call.timeout(MARGIN).send().await;
+            let call = |gate: &Url| self.http.delete(gate.join(&path)).timeout(MARGIN);
+            let answer = self.send(arrival, call).await;
             match answer.map(|response| response.status()) {
                 Ok(StatusCode::NOT_FOUND) => return End::Vanished,
                 Ok(status) if status.is_success() => return End::Cancelled,
@@ -160,8 +163,9 @@
         let left = self.until.saturating_duration_since(Instant::now());
         let wait = Span::from(left).min(WAIT);
         let path = format!("/v1/jobs/{job}?wait={wait}");
-        let call = self.http.get(self.gate(arrival).join(&path));
-        let Ok(response) = call.timeout(wait.get() + MARGIN).send().await else {
+        let timeout = wait.get() + MARGIN;
+        let call = |gate: &Url| self.http.get(gate.join(&path)).timeout(timeout);
+        let Ok(response) = self.send(arrival, call).await else {
             return Known::Nothing;
         };
         match response.status() {
--- a/crates/load/src/caller/mod.rs
+++ b/crates/load/src/caller/mod.rs
@@ -23,6 +23,7 @@
 };
 use reqwest::{
     Client,
+    RequestBuilder,
     Response, //
 };
 use tokio::time::Instant;
@@ -119,12 +120,25 @@
         }
     }
 
-    /// Returns the gate that a call goes to.
-    fn gate(&self, arrival: &Arrival) -> &Url {
+    /// Sends a call to its gate, and to the next one where no connection can be made, as the balancer
+    /// before the gates does.
+    async fn send(
+        &self,
+        arrival: &Arrival,
+        call: impl Fn(&Url) -> RequestBuilder,
+    ) -> reqwest::Result<Response> {
         let gates = &self.settings.gates;
         let count = u64::try_from(gates.len()).unwrap_or(1);
-        let index = usize::try_from(arrival.seed % count).unwrap_or(0);
-        &gates[index]
+        let first = usize::try_from(arrival.seed % count).unwrap_or(0);
+        let (before, from) = gates.split_at(first);
+        let mut answer = call(&gates[first]).send().await;
+        for gate in from.iter().chain(before).skip(1) {
+            match &answer {
+                Err(error) if error.is_connect() => answer = call(gate).send().await,
+                _ => break,
+            }
+        }
+        answer
     }
 }
 
--- a/crates/load/src/caller/request.rs
+++ b/crates/load/src/caller/request.rs
@@ -2,7 +2,11 @@
 
 use std::time::Duration;
 
-use fulmarpier_protocol::http::header;
+use bytes::Bytes;
+use fulmarpier_protocol::{
+    http::header,
+    settings::value::Url, //
+};
 use fulmarpier_state::{
     refusal::Outcome,
     unit::Span, //
@@ -42,20 +46,24 @@
     pub(super) async fn request(&self, arrival: &Arrival, rng: &mut StdRng) -> Answered {
         let shape = &self.settings.request;
         let path = format!("/v1/services/{}/requests", shape.service);
-        let body = self.body(arrival, rng);
+        let body = Bytes::from(self.body(arrival, rng));
         let id = arrival.id.to_string();
-        let mut call = self
-            .http
-            .post(self.gate(arrival).join(&path))
-            .timeout(shape.deadline.get() + MARGIN)
-            .header(header::REQUEST, &id)
-            .header(header::DEADLINE, shape.deadline.to_string())
-            .header(WORK, self.work(rng).to_string())
-            .body(body.clone());
-        if arrival.kind == Kind::Once {
-            call = call.header(header::IDEMPOTENCY_KEY, &id);
-        }
-        match call.send().await {
+        let work = self.work(rng).to_string();
+        let call = |gate: &Url| {
+            let call = self
+                .http
+                .post(gate.join(&path))
+                .timeout(shape.deadline.get() + MARGIN)
+                .header(header::REQUEST, &id)
+                .header(header::DEADLINE, shape.deadline.to_string())
+                .header(WORK, &work)
+                .body(body.clone());
+            match arrival.kind {
+                Kind::Once => call.header(header::IDEMPOTENCY_KEY, &id),
+                _ => call,
+            }
+        };
+        match self.send(arrival, call).await {
             Ok(response) if is_ran(&response) => echoed(response, &id, &body).await,
             Ok(response) => Answered::refused(response).await,
             Err(error) => Answered::failed(&error),
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -65,7 +65,7 @@
     pub placements: u64,
     /// The same, a second.
     pub placements_per_second: f64,
-    /// The time that the gate took to choose a slot where one was free.
+    /// The time that the gate took to choose the slot of an ordinary request, without waiting.
     pub decision: Summary,
     /// The refusals by reason.
     pub refusals: BTreeMap<String, u64>,
@@ -249,7 +249,9 @@
 
 fn decision(calls: &[Call]) -> Summary {
     let mut spans = Spans::default();
-    for span in calls.iter().filter_map(|call| call.timing.decision) {
+    // The decision on any other kind holds a round trip and an append to the log.
+    let ordinary = calls.iter().filter(|call| call.kind == Kind::Ordinary);
+    for span in ordinary.filter_map(|call| call.timing.decision) {
         spans.record(span);
     }
     spans.summary()
