--- a/crates/coordination/src/recovery/image.rs
+++ b/crates/coordination/src/recovery/image.rs
@@ -16,8 +16,15 @@
         TaskId,
         WorkerId, //
     },
-    job::Spec,
-    name::Service,
+    job::{
+        Kind,
+        Priority,
+        Spec, //
+    },
+    name::{
+        Service,
+        Team, //
+    },
     refusal::Outcome, //
 };
 use serde::{
@@ -110,11 +117,29 @@
     pub tasks: BTreeMap<u32, TaskState>,
 }
 
+/// What is still told of a job that has ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Past {
+    /// The team that owned it.
+    pub team: Team,
+    /// Whether it was a batch, a gang or a service.
+    pub kind: Kind,
+    /// How urgent it was.
+    pub priority: Priority,
+    /// How many tasks it had.
+    pub tasks: u32,
+}
+
 /// Why a job is no longer held.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Gone {
     /// It ended.
-    Ended(JobEnd),
+    Ended {
+        /// How.
+        end: JobEnd,
+        /// What it was.
+        past: Past,
+    },
     /// Another shard has it.
     Moved(ShardId),
 }
@@ -229,7 +254,7 @@
                     job.cancelled = true;
                 }
             }
-            Record::JobEnded { job, end } => self.drop_job(*job, Gone::Ended(*end)),
+            Record::JobEnded { job, end } => self.end_job(*job, *end),
             Record::Moved { job, to } => self.drop_job(*job, Gone::Moved(*to)),
             Record::Intent { .. } => self.intend(record),
             Record::Outcome {
@@ -288,6 +313,19 @@
         }
     }
 
+    fn end_job(&mut self, id: JobId, end: JobEnd) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let past = Past {
+            team: job.spec.team.clone(),
+            kind: job.spec.kind.clone(),
+            priority: job.spec.priority,
+            tasks: job.spec.tasks,
+        };
+        self.drop_job(id, Gone::Ended { end, past });
+    }
+
     fn drop_job(&mut self, job: JobId, gone: Gone) {
         self.jobs.remove(&job);
         self.gone.insert(job, gone);
--- a/crates/coordination/src/recovery/mod.rs
+++ b/crates/coordination/src/recovery/mod.rs
@@ -15,6 +15,7 @@
         Gone,
         Image,
         Job,
+        Past,
         Request,
         Settled,
         TaskState, //
--- a/crates/demo/src/cluster.rs
+++ b/crates/demo/src/cluster.rs
@@ -78,7 +78,7 @@
         let mut scheds = Vec::new();
         for number in 1..=size.nodes {
             let file = sched_settings(number, platform.control())?;
-            scheds.push(Sched::start(&file, log.clone())?);
+            scheds.push(Sched::start(&file, log)?);
         }
         let mut cluster = Self {
             platform,
--- a/crates/sched/src/main.rs
+++ b/crates/sched/src/main.rs
@@ -48,7 +48,7 @@
 
 fn run(file: &settings::sched::Sched) -> Result<(), Box<dyn Error>> {
     let log = Log::open("sched", file.log_level);
-    let sched = Sched::start(file, log.logger().clone())?;
+    let sched = Sched::start(file, log.logger())?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
--- a/crates/sched/src/node/tables.rs
+++ b/crates/sched/src/node/tables.rs
@@ -100,7 +100,7 @@
                 self.shard_rows(now),
             ),
             Subject::Services => (
-                &["service", "target", "worker", "slots_committed", "shard"],
+                &["service", "target", "worker", "held", "in_doubt", "shard"],
                 self.service_rows(),
             ),
             Subject::Teams => (
@@ -244,7 +244,8 @@
                     Cell::text(service),
                     Cell::text(target),
                     Cell::text(worker),
-                    self.credits.committed(target).into(),
+                    u32::from(self.credits.held(target)).into(),
+                    u32::from(self.credits.doubtful(target)).into(),
                     Cell::text(live.shard),
                 ]);
             }
--- a/crates/sched/src/process/sched.rs
+++ b/crates/sched/src/process/sched.rs
@@ -32,7 +32,8 @@
 use kameo::actor::Spawn;
 use slog::{
     Logger,
-    info, //
+    info,
+    o, //
 };
 use tokio::{
     runtime::{
@@ -106,8 +107,9 @@
     /// # Errors
     ///
     /// Fails where an address can't be listened on or the system refuses a thread.
-    pub fn start(file: &File, log: Logger) -> Result<Self, Error> {
+    pub fn start(file: &File, log: &Logger) -> Result<Self, Error> {
         let settings = options::node(file)?;
+        let log = log.new(o!("node" => file.node.to_string()));
         let (server, incoming) = rpc::Server::start(file.rpc_listen, rpc::ServerLimits::default())?;
         let traffic = Builder::new_multi_thread()
             .worker_threads(usize::from(file.traffic_threads))
@@ -147,7 +149,7 @@
                 // Nobody may be waiting for the end.
                 let _ = end.send(());
             })?;
-        info!(log, "sched started"; "node" => %file.node, "rpc" => %server.address(), "http" => %http);
+        info!(log, "sched started"; "rpc" => %server.address(), "http" => %http);
         Ok(Self {
             rpc_address: server.address(),
             rpc: Some(server),
--- a/crates/sched/src/shard/jobs.rs
+++ b/crates/sched/src/shard/jobs.rs
@@ -2,7 +2,13 @@
 
 use std::time::Duration;
 
-use fulmarpier_coordination::journal::Record;
+use fulmarpier_coordination::{
+    journal::{
+        JobEnd,
+        Record, //
+    },
+    recovery::Gone,
+};
 use fulmarpier_protocol::{
     http::job::{
         State,
@@ -99,9 +105,10 @@
         }
     }
 
-    /// Returns whether this shard knows a job.
+    /// Returns whether this shard has a job, or had it to its end.
     pub(crate) fn knows(&self, job: JobId) -> bool {
-        self.engine.job(job).is_some() || self.journal.image().gone.contains_key(&job)
+        let gone = self.journal.image().gone.get(&job);
+        self.engine.job(job).is_some() || matches!(gone, Some(Gone::Ended { .. }))
     }
 
     /// Cancels a job, and answers once that is kept.
@@ -199,9 +206,29 @@
         }
     }
 
+    /// Returns a job that ended before this node took the shard over.
+    fn past(&self, job: JobId) -> Option<View> {
+        let Gone::Ended { end, past } = self.journal.image().gone.get(&job)? else {
+            return None;
+        };
+        let (state, tasks) = ended(*end, past.tasks);
+        Some(View {
+            job,
+            state,
+            team: past.team.clone(),
+            kind: past.kind.word().to_owned(),
+            priority: past.priority,
+            tasks,
+            explanation: vec![format!("the job has ended: {end}")],
+            refusal: None,
+        })
+    }
+
     /// Returns a job as callers see it.
     pub(crate) fn view(&self, job: JobId, now: Timestamp) -> Option<View> {
-        let view = self.engine.job(job)?;
+        let Some(view) = self.engine.job(job) else {
+            return self.past(job);
+        };
         let explanation = self.engine.explain(job, now);
         Some(View {
             job,
@@ -234,6 +261,30 @@
     }
 }
 
+/// Returns the state of a job of which only the end is known, with its tasks.
+fn ended(end: JobEnd, count: u32) -> (State, Tasks) {
+    let mut tasks = Tasks::default();
+    let state = match end {
+        JobEnd::Succeeded => {
+            tasks.succeeded = count;
+            State::Succeeded
+        }
+        JobEnd::Failed => {
+            tasks.failed = count;
+            State::Failed
+        }
+        JobEnd::Cancelled => {
+            tasks.cancelled = count;
+            State::Cancelled
+        }
+        JobEnd::Unknown => {
+            tasks.unknown = count;
+            State::Failed
+        }
+    };
+    (state, tasks)
+}
+
 fn tasks(view: &JobView) -> Tasks {
     Tasks {
         waiting: view.waiting + view.starting,
--- a/crates/sched/tests/failure.rs
+++ b/crates/sched/tests/failure.rs
@@ -4,11 +4,9 @@
 
 use std::time::Duration;
 
+use fulmarpier_protocol::http::job::State;
 use fulmarpier_state::{
-    engine::{
-        Outcome,
-        State, //
-    },
+    engine,
     id::{
         NodeId,
         WorkerId, //
@@ -19,7 +17,7 @@
     World,
     jobs::{
         batch,
-        job,
+        id as job,
         once, //
     },
 };
@@ -76,7 +74,7 @@
     world.run(Duration::from_millis(2));
     world.kill(owner.0);
     let ended = |world: &World| {
-        (0..10).all(|number| matches!(world.state(job(number)), Some(State::Ended(_))))
+        (0..10).all(|number| matches!(world.state(job(number)), Some(engine::State::Ended(_))))
     };
     assert!(world.run_until(5 * MINUTE, ended));
     assert!(world.seen.starts.values().all(|starts| *starts == 1));
@@ -226,24 +224,27 @@
     }
     assert!(world.run_until(3 * MINUTE, |world| world.has_succeeded(job(1))));
     let state = world.state(job(1));
-    assert_eq!(state, Some(State::Ended(Outcome::Succeeded)));
+    assert_eq!(
+        state,
+        Some(engine::State::Ended(engine::Outcome::Succeeded))
+    );
 }
 
 #[test]
 fn every_node_restarts_in_turn_under_load() {
     let mut world = cell(11);
     let mut accepted = Vec::new();
-    for id in world.nodes() {
+    for node in world.nodes() {
         for number in 0..10 {
             let owner = world.owner().unwrap();
-            let id = job(id.0 * 100 + number);
+            let id = job(node.0 * 100 + number);
             let call = world.submit(owner, id, batch(3, 2 * SECOND));
             accepted.push((id, call));
             world.run(Duration::from_millis(200));
         }
-        world.kill(id);
+        world.kill(node);
         world.run(3 * SECOND);
-        world.start(id);
+        world.start(node);
         assert!(world.run_until(MINUTE, |world| world.owners().len() == SHARDS));
     }
     world.run(2 * MINUTE);
@@ -251,7 +252,7 @@
     for (id, call) in accepted {
         if world.submitted(call) == Some(Ok(())) {
             count += 1;
-            assert!(world.has_succeeded(id), "{id}: {:?}", world.state(id));
+            assert_eq!(world.look(id), Some(State::Succeeded), "{id}");
         }
     }
     assert!(count >= 20, "{count} jobs accepted");
--- a/crates/sched/tests/support/jobs.rs
+++ b/crates/sched/tests/support/jobs.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use fulmarpier_protocol::wire;
+use fulmarpier_protocol::{
+    http::job,
+    wire, //
+};
 use fulmarpier_sched::node::CallId;
 use fulmarpier_state::{
     engine::{
@@ -56,7 +59,7 @@
     }
 }
 
-pub(crate) fn job(number: u32) -> JobId {
+pub(crate) fn id(number: u32) -> JobId {
     JobId::from_u128(u128::from(number) + 1)
 }
 
@@ -128,6 +131,26 @@
         self.state(id) == Some(State::Ended(Outcome::Succeeded))
     }
 
+    /// Asks every node for a job; returns its state in the callers' words.
+    pub(crate) fn look(&mut self, id: JobId) -> Option<job::State> {
+        let wait = Duration::ZERO;
+        let call = wire::Call::Job(wire::job::Request { id, wait });
+        let up: Vec<NodeId> = self.nodes();
+        let up = up.into_iter().filter(|node| self.is_up(*node));
+        let up: Vec<NodeId> = up.collect();
+        let calls: Vec<CallId> = up.iter().map(|n| self.call(*n, call.clone())).collect();
+        self.run(Duration::from_millis(100));
+        calls
+            .into_iter()
+            .find_map(|call| match self.answers.get(&call)? {
+                wire::Answer::Job(wire::job::Reply::Found(json)) => {
+                    let view: job::View = serde_json::from_slice(json).unwrap();
+                    Some(view.state)
+                }
+                _ => None,
+            })
+    }
+
     /// Panics if something happened that must not.
     pub(crate) fn check(&self) {
         assert_eq!(self.seen.violations, Vec::<String>::new());
