--- a/crates/coordination/src/member/inquiry.rs
+++ b/crates/coordination/src/member/inquiry.rs
@@ -18,7 +18,7 @@
 /// What a peer's last answer is worth.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Stance {
-    /// It vouches for nobody and won't for two leases from when it was asked.
+    /// It vouches for nobody and won't for a lease from when it was asked, restarted or not.
     Clear {
         /// When it was asked.
         asked: Timestamp,
@@ -30,7 +30,7 @@
         /// When the question was sent that last showed it.
         asked: Timestamp,
     },
-    /// It vouches, may not say, or does not answer.
+    /// It vouches, or may not say.
     Blocking,
 }
 
@@ -69,7 +69,7 @@
             return false;
         }
         if let Some(Stance::Clear { asked }) = self.stances.get(&node)
-            && now.since(*asked) < timing.get_lease()
+            && now.since(*asked) < timing.get_lease() / 2
         {
             return false;
         }
@@ -96,10 +96,10 @@
     /// Returns whether, as of `now`, none of `peers` can vouch for the owner.
     pub(super) fn complete(&self, peers: &[NodeId], now: Timestamp, timing: &Timing) -> bool {
         let clear = |node: &NodeId| match self.stances.get(node) {
-            Some(Stance::Clear { asked }) => now.since(*asked) < timing.foreign_promise(),
+            Some(Stance::Clear { asked }) => now.since(*asked) < timing.get_lease(),
             Some(Stance::Ended { first, asked }) => {
                 let lapsed = now.since(*first) >= timing.foreign_lease();
-                let recent = now.since(*asked) + timing.get_drift() < timing.get_lease();
+                let recent = now.since(*asked) < timing.get_lease();
                 lapsed && recent
             }
             Some(Stance::Blocking) | None => false,
--- a/crates/coordination/src/member/machine/answer.rs
+++ b/crates/coordination/src/member/machine/answer.rs
@@ -156,9 +156,7 @@
             (Purpose::Inquire(owner), Unreachable::Refused) => {
                 self.note(owner, to, ended(sent, now));
             }
-            (Purpose::Inquire(owner), Unreachable::Timeout) => {
-                self.note(owner, to, Stance::Blocking);
-            }
+            // A missing answer proves nothing, and takes nothing back either.
             _ => {}
         }
     }
--- a/crates/coordination/src/member/machine/handover.rs
+++ b/crates/coordination/src/member/machine/handover.rs
@@ -87,6 +87,20 @@
         }
     }
 
+    /// Keeps a shard whose release certainly had no effect.
+    ///
+    /// Where it may have had one, this release or an earlier one, the shard stays suspended until
+    /// the log shows it, and the release is sent again.
+    pub(super) fn release_failed(&mut self, shard: ShardId, unknown: bool) {
+        let Some(offer) = self.offers.get_mut(&shard) else {
+            return;
+        };
+        offer.uncertain |= unknown;
+        if !offer.uncertain {
+            self.keep(shard);
+        }
+    }
+
     /// Lists the shards whose recovery has ended and that are not on offer.
     fn releasable(&self) -> Vec<ShardId> {
         let ready = |(shard, held): &(&ShardId, &Held)| {
@@ -110,7 +124,9 @@
             holding: held.holding(),
             to,
         };
-        self.offers.insert(shard, Offer { sent: now });
+        let uncertain = self.offers.contains_key(&shard);
+        let sent = now;
+        self.offers.insert(shard, Offer { sent, uncertain });
         self.append(&record, Sent::Release(shard));
     }
 }
--- a/crates/coordination/src/member/machine/mod.rs
+++ b/crates/coordination/src/member/machine/mod.rs
@@ -86,6 +86,8 @@
 #[derive(Debug)]
 struct Offer {
     sent: Timestamp,
+    /// Whether an earlier release of the same tenure may still take effect.
+    uncertain: bool,
 }
 
 /// Why a question was asked.
--- a/crates/coordination/src/member/machine/renew.rs
+++ b/crates/coordination/src/member/machine/renew.rs
@@ -138,14 +138,13 @@
         let Some(sent) = self.sent.remove(&token) else {
             return;
         };
-        if matches!(error, log::Error::Unknown) {
-            // Reading on will tell.
-            return;
-        }
+        let unknown = matches!(error, log::Error::Unknown);
         match sent {
+            Sent::Release(shard) => self.release_failed(shard, unknown),
+            // Reading on will tell.
+            _ if unknown => {}
             Sent::Renewal(sequence) => self.health.dropped(sequence),
             Sent::Claim(shard) => self.withdraw(shard, now),
-            Sent::Release(shard) => self.keep(shard),
         }
     }
 }
--- a/crates/coordination/src/member/machine/takeover.rs
+++ b/crates/coordination/src/member/machine/takeover.rs
@@ -40,6 +40,8 @@
     Owned,
     /// Its owner is silent, or not known; the evidence is not complete.
     Suspect(Option<Holder>),
+    /// The same, and the evidence is complete for as long as the answers last.
+    Silent(Option<Holder>),
     /// Its owner can start nothing there any more, or it never had one.
     Vacant,
 }
@@ -56,6 +58,10 @@
                     Verdict::Suspect(owner) => {
                         suspects.entry(owner).or_default().insert(shard);
                     }
+                    Verdict::Silent(owner) => {
+                        suspects.entry(owner).or_default().insert(shard);
+                        vacant.push(shard);
+                    }
                     Verdict::Vacant => vacant.push(shard),
                 }
             }
@@ -130,7 +136,7 @@
             inquiry.covers(shard) && inquiry.complete(&peers, now, &self.timing)
         });
         if complete && self.is_silent(shard, now) && !self.vouches.lasts(node, now) {
-            Verdict::Vacant
+            Verdict::Silent(owner)
         } else {
             Verdict::Suspect(owner)
         }
--- a/crates/coordination/src/member/timing.rs
+++ b/crates/coordination/src/member/timing.rs
@@ -175,13 +175,11 @@
     }
 
     /// Returns for how long a promise to vouch for nobody binds.
+    ///
+    /// A lease by the asker's clock, from when it asked. A node that forgets its promise by a
+    /// restart can't vouch any sooner.
     pub(super) fn promise(&self) -> Duration {
-        self.lease * 2
-    }
-
-    /// Returns for how long another node's promise is sure to bind, from when it was asked for.
-    pub(super) fn foreign_promise(&self) -> Duration {
-        self.promise().saturating_sub(self.drift)
+        self.lease + self.drift
     }
 
     /// Returns the age of the last renewal in the log from which on the log counts as down.
@@ -189,10 +187,6 @@
         self.renewal + self.renewal / 4
     }
 
-    pub(super) const fn get_drift(&self) -> Duration {
-        self.drift
-    }
-
     pub(super) const fn get_suspicion(&self) -> Duration {
         self.suspicion
     }
--- a/crates/coordination/src/peer/ownership.rs
+++ b/crates/coordination/src/peer/ownership.rs
@@ -52,7 +52,7 @@
     /// To [`Question::Takeover`]: a vouch for the owner still lasts.
     Vouched,
     /// To [`Question::Takeover`]: none is in use here and no vouch lasts; none will be given for
-    /// two leases.
+    /// a lease.
     Clear,
     /// The one asked has started too recently, or may not say.
     Unsure,
