--- a/crates/coordination/src/journal/envelope.rs
+++ b/crates/coordination/src/journal/envelope.rs
@@ -32,7 +32,8 @@
     ///
     /// Every record carries it, so that the last record alone tells a successor where to read from.
     pub base: Option<Offset>,
-    /// When it was put into its append, by the writer's clock; retries keep it.
+    /// When it was put into its append, by the writer's clock, or since when the log had been down
+    /// for the writer then; retries keep it.
     pub at: Timestamp,
 }
 
--- a/crates/coordination/src/journal/writer.rs
+++ b/crates/coordination/src/journal/writer.rs
@@ -242,7 +242,7 @@
 
     /// Returns when the log first failed since the last commit.
     ///
-    /// No record that is on the log was put into its append later than that.
+    /// No record that is on the log has a later time in its header.
     pub const fn down_since(&self) -> Option<Timestamp> {
         self.down_since
     }
@@ -509,7 +509,7 @@
             epoch: self.epoch,
             sequence: self.sequence,
             base: self.base,
-            at: now,
+            at: self.down_since.unwrap_or(now),
         };
         match header.frame(&item.body) {
             Ok(frame) => {
--- a/crates/coordination/src/recovery/image.rs
+++ b/crates/coordination/src/recovery/image.rs
@@ -347,7 +347,12 @@
         else {
             return;
         };
-        self.requests.entry(key.clone()).or_insert_with(|| Request {
+        // A second intent says that nothing of the first was sent, even if that record was lost.
+        let known = self.requests.get(key);
+        if known.is_some_and(|request| request.settled.is_some()) {
+            return;
+        }
+        let request = Request {
             digest: *digest,
             ticket: *ticket,
             target: *target,
@@ -355,7 +360,8 @@
             at: *at,
             deadline: *deadline,
             settled: None,
-        });
+        };
+        self.requests.insert(key.clone(), request);
     }
 
     /// Settles a request; one that was not run frees its key.
--- a/crates/coordination/src/request/ledger.rs
+++ b/crates/coordination/src/request/ledger.rs
@@ -190,12 +190,12 @@
         if let Some(entry) = self.entries.get(&ask.key) {
             return known(entry, ask, now);
         }
-        if ask.deadline <= now {
-            return Verdict::Refuse(refuse::late());
-        }
         if let Some(refusal) = self.forgotten(&ask.key, now) {
             return Verdict::Refuse(refusal);
         }
+        if ask.deadline <= now {
+            return Verdict::Refuse(refuse::late());
+        }
         if self.entries.len() >= self.settings.count {
             return Verdict::Refuse(refuse::full());
         }
--- a/crates/coordination/tests/journal.rs
+++ b/crates/coordination/tests/journal.rs
@@ -2,10 +2,14 @@
 
 #[path = "support/accepted.rs"]
 mod accepted;
+#[path = "support/history.rs"]
+mod history;
 #[path = "support/job.rs"]
 mod job;
 #[path = "support/owner.rs"]
 mod owner;
+#[path = "support/serve.rs"]
+mod serve;
 #[path = "support/stream.rs"]
 mod stream;
 
@@ -35,9 +39,9 @@
 use rstest::rstest;
 
 use accepted::accepted;
-use owner::{
+use owner::open;
+use serve::{
     append,
-    open,
     read,
     serve, //
 };
--- a/crates/coordination/tests/journal_history.rs
+++ b/crates/coordination/tests/journal_history.rs
@@ -7,6 +7,8 @@
 mod accepted;
 #[path = "support/cases.rs"]
 mod cases;
+#[path = "support/history.rs"]
+mod history;
 #[path = "support/job.rs"]
 mod job;
 #[path = "support/stream.rs"]
--- a/crates/coordination/tests/support/stream.rs
+++ b/crates/coordination/tests/support/stream.rs
@@ -1,21 +1,14 @@
 //! A small stream of the platform's log in memory.
 
 use bytes::Bytes;
-use fulmarpier_coordination::{
-    journal::{
-        Envelope,
-        Fold,
-        Replay, //
-    },
-    platform::log, //
-};
+use fulmarpier_coordination::platform::log;
 use fulmarpier_state::id::Offset;
 
 /// One stream: its whole history, of which the log may have dropped the beginning.
 #[derive(Default)]
 pub(crate) struct Stream {
-    records: Vec<Bytes>,
-    earliest: usize,
+    pub(crate) records: Vec<Bytes>,
+    pub(crate) earliest: usize,
 }
 
 impl Stream {
@@ -47,39 +40,8 @@
         })
     }
 
-    /// Drops everything in front of an offset.
-    pub(crate) fn truncate_to(&mut self, earliest: usize) {
-        self.earliest = earliest;
-    }
-
-    /// Checks a replay from the latest base against a fold over the whole history.
-    pub(crate) fn check_replay(&self) {
-        let Some(base) = self.base() else {
-            return;
-        };
-        let mut replay = Replay::from_base(base);
-        for record in self.records_between(base.0, self.end()) {
-            replay.on_record(&record).expect("a whole record");
-        }
-        let mut fold = Fold::default();
-        for envelope in self.envelopes() {
-            fold.apply(&envelope);
-        }
-        assert_eq!(replay.image(), Some(fold.image()));
-    }
-
-    /// Returns the latest base that a record names.
-    pub(crate) fn base(&self) -> Option<Offset> {
-        self.envelopes().filter_map(|e| e.header.base).max()
-    }
-
-    /// Returns the whole history.
-    pub(crate) fn envelopes(&self) -> impl Iterator<Item = Envelope> {
-        let decode = |data: &Bytes| Envelope::decode(data).expect("a whole record");
-        self.records.iter().map(decode)
-    }
-
-    fn records_between(&self, from: u64, to: u64) -> impl Iterator<Item = log::Record> {
+    /// Returns the records from one offset up to another.
+    pub(crate) fn records_between(&self, from: u64, to: u64) -> impl Iterator<Item = log::Record> {
         let take = to.saturating_sub(from);
         let records = self.records.iter().zip(0..);
         let within = records.skip_while(move |(_, offset)| *offset < from);
