Bound the calls in progress and the memory for bodies at the gate

The setting for calls in progress bounded connections, and the bodies of keyed requests, which are read whole for their digest, were bounded only one by one. Both now have one bound for the gate and a refusal with a time to come back.

--- a/crates/gate/src/app.rs
+++ b/crates/gate/src/app.rs
@@ -22,6 +22,7 @@
         Reason,
         Refusal, //
     },
+    unit::Bytes,
 };
 use fulmarpier_transport::{
     clock::Clock,
@@ -37,11 +38,14 @@
         Control,
         View, //
     },
+    load::Load,
     metrics::Metrics,
     phase::Gauge,
     slot::Pool, //
 };
 
+/// The most bytes of bodies that are held in memory at once.
+const MEMORY: Bytes = Bytes::from_mib(128);
 /// The share of a retry that each request pays for, in thousandths of one.
 const THOUSANDTHS: f64 = 1_000.0;
 
@@ -68,6 +72,8 @@
     pub rpc: rpc::Client,
     /// The client of the targets.
     pub targets: target::Client,
+    /// What is taken on at once.
+    pub load: Load,
     /// Work that goes on behind an answer, and that a drain waits for.
     pub tasks: TaskTracker,
     budget: Mutex<Budget>,
@@ -102,6 +108,7 @@
         let budget = budget(&parts.settings, parts.clock.now());
         Self {
             view: parts.control.view(),
+            load: Load::new(parts.settings.limits.in_flight, MEMORY),
             settings: parts.settings,
             clock: parts.clock,
             log: parts.log,
--- a/crates/gate/src/forward/keyed.rs
+++ b/crates/gate/src/forward/keyed.rs
@@ -18,12 +18,11 @@
     },
     response::Response,
 };
-use bytes::Bytes;
 use fulmarpier_coordination::{
     credit::End,
     platform::target::Error,
     request::{
-        Answer as Kept,
+        Answer as Replay,
         Key,
         shard_of, //
     },
@@ -78,6 +77,7 @@
         Miss,
         ask_owner, //
     },
+    upload::Kept,
 };
 use crate::{
     app::App,
@@ -94,7 +94,7 @@
 const ATTEMPTS: u8 = 3;
 
 /// A non-idempotent request.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Order {
     /// The key.
     pub key: Key,
@@ -103,7 +103,7 @@
     /// What is sent.
     pub envelope: Envelope,
     /// The whole body.
-    pub body: Bytes,
+    pub body: Kept,
 }
 
 /// What came of one grant.
@@ -189,7 +189,7 @@
         key: order.key.clone(),
         service: ask.service.clone(),
         team: ask.team.clone(),
-        digest: digest::of(method, &path, &order.body),
+        digest: digest::of(method, &path, &order.body.bytes),
         deadline: ask.deadline,
         gate: app.settings.node,
         shard,
@@ -214,7 +214,7 @@
         report(app, finisher.end(Outcome::NotRun), ask.deadline).await;
         return Ok(Sent::NotRun(NotRun::Lapsed));
     };
-    let request = order.envelope.fill(order.body.clone().into(), left);
+    let request = order.envelope.fill(order.body.bytes.clone().into(), left);
     let received = match app.targets.send(address, request).await {
         Ok(answer) => Delivery::receive(answer).await,
         Err(error) => Err(error),
@@ -273,8 +273,8 @@
 }
 
 /// Makes the response that gives a kept answer again.
-fn replay(kept: Kept) -> Response {
-    let Kept {
+fn replay(kept: Replay) -> Response {
+    let Replay {
         status,
         content_type,
         body,
--- a/crates/gate/src/forward/mod.rs
+++ b/crates/gate/src/forward/mod.rs
@@ -26,6 +26,7 @@
         ask_owner, //
     },
     upload::{
+        Kept,
         Limits,
         Upload, //
     },
--- a/crates/gate/src/forward/upload.rs
+++ b/crates/gate/src/forward/upload.rs
@@ -30,6 +30,12 @@
     stream, //
 };
 
+use crate::load::{
+    Bound,
+    Share,
+    no_memory, //
+};
+
 /// How much of a body is taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
@@ -43,11 +49,19 @@
 #[derive(Debug)]
 pub enum Upload {
     /// A small body; it can be sent again.
-    Whole(Bytes),
+    Whole(Kept),
     /// A large body; it can be sent once.
     Streamed(Streamed),
 }
 
+/// A body in memory, with its share of what the gate holds of bodies.
+#[derive(Debug)]
+pub struct Kept {
+    /// The whole body.
+    pub bytes: Bytes,
+    _share: Share,
+}
+
 /// A body that arrives while it is sent.
 #[derive(Debug)]
 pub struct Streamed {
@@ -80,23 +94,37 @@
 }
 
 impl Upload {
-    /// Reads a body up to the size that is kept.
+    /// Reads a body up to the size that is kept, within what the gate may hold of bodies.
     ///
     /// # Errors
     ///
-    /// Refuses a body that its length or its bytes show to be over the limit, and one that was cut.
-    pub async fn read(body: Body, length: Option<u64>, limits: Limits) -> Result<Self, Refusal> {
+    /// Refuses a body that its length or its bytes show to be over the limit, one that was cut, and
+    /// one for which there is no memory at the moment.
+    pub async fn read(
+        body: Body,
+        length: Option<u64>,
+        limits: Limits,
+        memory: &Bound,
+    ) -> Result<Self, Refusal> {
         let most = limits.most.get();
         if length.is_some_and(|length| length > most) {
             return Err(too_large(limits.most));
         }
+        let mut share = memory.take(0).ok_or_else(no_memory)?;
         let mut rest = body.into_data_stream();
         let mut first = BytesMut::new();
         while first.len() <= limits.keep {
             let Some(piece) = rest.next().await else {
-                return Ok(Self::Whole(first.freeze()));
+                return Ok(Self::Whole(Kept {
+                    bytes: first.freeze(),
+                    _share: share,
+                }));
             };
-            first.extend_from_slice(&piece.map_err(|_| cut())?);
+            let piece = piece.map_err(|_| cut())?;
+            if !share.grow(len(&piece)) {
+                return Err(no_memory());
+            }
+            first.extend_from_slice(&piece);
             if len(&first) > most {
                 return Err(too_large(limits.most));
             }
@@ -114,11 +142,16 @@
     /// # Errors
     ///
     /// As [`Self::read`].
-    pub async fn whole(body: Body, length: Option<u64>, limits: Limits) -> Result<Bytes, Refusal> {
+    pub async fn whole(
+        body: Body,
+        length: Option<u64>,
+        limits: Limits,
+        memory: &Bound,
+    ) -> Result<Kept, Refusal> {
         let keep = usize::try_from(limits.most.get()).unwrap_or(usize::MAX);
         let all = Limits { keep, ..limits };
-        match Self::read(body, length, all).await? {
-            Self::Whole(bytes) => Ok(bytes),
+        match Self::read(body, length, all, memory).await? {
+            Self::Whole(kept) => Ok(kept),
             // The body passes the size that is kept only where it passes the limit.
             Self::Streamed(_) => Err(too_large(limits.most)),
         }
@@ -127,9 +160,9 @@
     /// Returns the body for one send, and what can be sent after it.
     pub fn take(self) -> (target::Body, Option<Self>, Cut) {
         match self {
-            Self::Whole(bytes) => (
-                bytes.clone().into(),
-                Some(Self::Whole(bytes)),
+            Self::Whole(kept) => (
+                kept.bytes.clone().into(),
+                Some(Self::Whole(kept)),
                 Cut::default(),
             ),
             Self::Streamed(streamed) => {
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -55,6 +55,8 @@
     slot::Pool,
 };
 
+/// The most connections of callers; idle ones count too, so it lies above the calls in progress.
+const CONNECTIONS: usize = 20_000;
 /// How long a gate that is leaving takes new work, so that balancers notice first.
 const NOTICE: Duration = Duration::from_secs(2);
 /// The notice takes at most this part of the time for the drain.
@@ -136,7 +138,7 @@
         let notice = NOTICE.min(settings.drain.get() / NOTICE_PART);
         let app = Arc::new(app(settings.clone(), log).await?);
         let limits = http::Limits {
-            connections: usize::try_from(settings.limits.in_flight).unwrap_or(usize::MAX),
+            connections: CONNECTIONS,
             linger: notice,
             drain: settings.drain.get(),
             ..http::Limits::default()
--- a/crates/gate/src/http/command.rs
+++ b/crates/gate/src/http/command.rs
@@ -105,8 +105,9 @@
         keep: 0,
         most: LINE,
     };
-    let line = Upload::whole(body, head::length(&parts.headers), limits).await?;
-    let text = String::from_utf8(line.into())
+    let length = head::length(&parts.headers);
+    let line = Upload::whole(body, length, limits, &app.load.bytes).await?;
+    let text = String::from_utf8(line.bytes.to_vec())
         .map_err(|_| Refusal::new(Reason::Malformed, "the command is not UTF-8"))?;
     let command = Command {
         operator,
--- a/crates/gate/src/http/job.rs
+++ b/crates/gate/src/http/job.rs
@@ -51,6 +51,7 @@
 use crate::{
     app::App,
     forward::{
+        Kept,
         Limits,
         Upload, //
     },
@@ -90,6 +91,7 @@
     query: Result<Query<Wait>, QueryRejection>,
 ) -> Response {
     let viewed = async {
+        let _share = app.load.enter()?;
         let Query(query) = query.map_err(|error| answer::unreadable(&error))?;
         view(&app, parse(id)?, &query).await
     };
@@ -122,13 +124,13 @@
 async fn accept(app: &Arc<App>, request: Request) -> Result<Submitted, Refusal> {
     let came = app.now();
     if app.phase.get() == Phase::Closed {
-        // The id may have been submitted before, through another gate.
-        return Err(app.leaving().outcome(Outcome::Unknown));
+        return Err(untold(app.leaving()));
     }
     let (parts, body) = request.into_parts();
     let span = deadline(app, &parts.headers)?;
-    let body = declaration(&parts.headers, body).await?;
-    let raw = Raw::parse(&body)?;
+    let _share = app.load.enter().map_err(untold)?;
+    let body = declaration(app, &parts.headers, body).await?;
+    let raw = Raw::parse(&body.bytes)?;
     let submission = Submission::try_from(Received { raw, at: came })?;
     check(app, &submission)?;
     let shared = app.clone();
@@ -157,12 +159,18 @@
     Ok(())
 }
 
-async fn declaration(headers: &HeaderMap, body: Body) -> Result<bytes::Bytes, Refusal> {
+/// Widens the outcome of a refusal for which the job was not looked at: its id may have been submitted
+/// before, through another gate.
+fn untold(refusal: Refusal) -> Refusal {
+    refusal.outcome(Outcome::Unknown)
+}
+
+async fn declaration(app: &App, headers: &HeaderMap, body: Body) -> Result<Kept, Refusal> {
     let limits = Limits {
         keep: 0,
         most: DECLARATION,
     };
-    Upload::whole(body, head::length(headers), limits).await
+    Upload::whole(body, head::length(headers), limits, &app.load.bytes).await
 }
 
 fn deadline(app: &App, headers: &HeaderMap) -> Result<Duration, Refusal> {
--- a/crates/gate/src/http/request.rs
+++ b/crates/gate/src/http/request.rs
@@ -101,6 +101,10 @@
     let came = app.now();
     let (parts, body) = request.into_parts();
     let head = head::read(service, &parts.headers)?;
+    let _share = app
+        .load
+        .enter()
+        .map_err(|refusal| about_key(&head, refusal))?;
     let admission = admit(app, &head, came).map_err(|refusal| about_key(&head, refusal))?;
     let length = head::length(&parts.headers);
     let envelope = Envelope {
@@ -112,8 +116,9 @@
     let decided = began.elapsed();
     match head.key.clone().filter(|_| !head.idempotent) {
         Some(key) => {
-            let read = Upload::whole(body, length, admission.limits);
-            let body = in_time(app, came, &admission, read).await?;
+            let read = Upload::whole(body, length, admission.limits, &app.load.bytes);
+            let body = in_time(app, came, &admission, read).await;
+            let body = body.map_err(|refusal| about_key(&head, refusal))?;
             let order = Order {
                 key,
                 admission,
@@ -136,7 +141,7 @@
     body: Body,
     length: Option<u64>,
 ) -> Result<Upload, Refusal> {
-    let read = Upload::read(body, length, admission.limits);
+    let read = Upload::read(body, length, admission.limits, &app.load.bytes);
     in_time(app, came, admission, read).await
 }
 
@@ -167,10 +172,11 @@
 
 /// Widens the outcome of a refusal that says nothing about the request itself.
 ///
-/// A gate that is leaving has not asked the key's home shard, and an earlier call with the key may
-/// have run.
+/// A gate that is leaving or full has not asked the key's home shard, and an earlier call with the
+/// key may have run.
 fn about_key(head: &Head, refusal: Refusal) -> Refusal {
-    if head.idempotent || refusal.reason != Reason::Draining {
+    let is_about_gate = matches!(refusal.reason, Reason::Draining | Reason::QueueFull);
+    if head.idempotent || !is_about_gate {
         return refusal;
     }
     refusal.outcome(Outcome::Unknown)
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -11,6 +11,7 @@
 mod gate;
 pub mod http;
 pub mod job;
+pub mod load;
 pub mod metrics;
 pub mod phase;
 pub mod slot;
