Describe tasks of one job that run in several shards

A service never spread over data centres, because a job lives in one shard and a shard in one data centre. The home shard keeps what it delegates, and orders parts by what it wants of them, so that orders may be lost and doubled.

--- a/crates/coordination/src/journal/record.rs
+++ b/crates/coordination/src/journal/record.rs
@@ -7,6 +7,7 @@
 
 use fulmarpier_state::{
     clock::Timestamp,
+    engine::Counts,
     id::{
         Attempt,
         JobId,
@@ -24,6 +25,7 @@
 };
 
 use crate::{
+    part,
     platform::{
         target,
         worker::End, //
@@ -174,4 +176,48 @@
     Snapshot(Part),
     /// The writer reaches the log and has nothing to say.
     Alive,
+    /// From now on the shard itself runs only the first tasks of a job; an order to take a part may
+    /// leave once this is committed.
+    Delegated {
+        /// The job.
+        job: JobId,
+        /// How many tasks the shard itself runs.
+        home: u32,
+        /// Further parts in other shards.
+        parts: Vec<part::Share>,
+    },
+    /// All tasks of a part of a job have ended in its shard, or never start there.
+    PartEnded {
+        /// The job.
+        job: JobId,
+        /// The part.
+        part: JobId,
+        /// How its tasks ended; cancelled ones of a job that is not cancelled never ran there.
+        counts: Counts,
+    },
+    /// A part of another shard's job was accepted.
+    Hosted {
+        /// The part.
+        part: JobId,
+        /// Whose part it is.
+        of: part::Origin,
+        /// Its declaration.
+        spec: Arc<Spec>,
+        /// When it was accepted, by the owner's clock.
+        at: Timestamp,
+    },
+    /// Nothing of a part is left to do here.
+    Closed {
+        /// The part.
+        part: JobId,
+        /// Whose part it was.
+        of: part::Origin,
+        /// How its tasks ended.
+        counts: Counts,
+    },
+    /// The home of a part has kept its end, so it may be forgotten here.
+    Forgotten {
+        /// The part.
+        part: JobId,
+    },
 }
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod drain;
 pub mod journal;
 pub mod member;
+pub mod part;
 pub mod peer;
 pub mod platform;
 pub mod recovery;
--- a/crates/coordination/src/peer/message.rs
+++ b/crates/coordination/src/peer/message.rs
@@ -13,7 +13,8 @@
 
 use super::{
     hold,
-    ownership, //
+    ownership,
+    part, //
 };
 use crate::claim::Holder;
 
@@ -43,6 +44,8 @@
         /// The version that the asker has.
         have: Option<Offset>,
     },
+    /// About parts of jobs.
+    Part(part::Question),
 }
 
 /// The answer to a [`Message`].
@@ -68,6 +71,8 @@
     },
     /// The one asked can't answer at the moment.
     Unavailable,
+    /// To [`Question::Part`].
+    Part(part::Answer),
 }
 
 /// The ways in which the bytes of a message or reply can be wrong.
--- a/crates/coordination/src/peer/mod.rs
+++ b/crates/coordination/src/peer/mod.rs
@@ -5,6 +5,7 @@
 pub mod hold;
 mod message;
 pub mod ownership;
+pub mod part;
 
 pub use self::message::{
     Answer,
--- a/crates/coordination/src/recovery/image.rs
+++ b/crates/coordination/src/recovery/image.rs
@@ -8,6 +8,7 @@
 
 use fulmarpier_state::{
     clock::Timestamp,
+    engine::Counts,
     id::{
         Attempt,
         Epoch,
@@ -38,6 +39,13 @@
         JobEnd,
         Record, //
     },
+    part::{
+        Closed,
+        Delegation,
+        Origin,
+        Part,
+        Share, //
+    },
     platform::{
         target,
         worker::End, //
@@ -115,6 +123,40 @@
     pub cancelled: bool,
     /// The tasks that were started, by their place in the job.
     pub tasks: BTreeMap<u32, TaskState>,
+    /// Which of its tasks other shards run, where any do.
+    pub delegation: Option<Delegation>,
+    /// Whose part it is, where it is one.
+    pub of: Option<Origin>,
+}
+
+impl Job {
+    /// Returns how many tasks this shard itself runs.
+    pub fn share(&self) -> u32 {
+        self.delegation
+            .as_ref()
+            .map_or(self.spec.tasks, |delegation| delegation.home)
+    }
+
+    /// Returns the declaration of what this shard itself runs; `None` where that is nothing.
+    pub fn own(&self) -> Option<Arc<Spec>> {
+        let tasks = self.share();
+        match tasks {
+            0 => None,
+            _ if tasks == self.spec.tasks => Some(Arc::clone(&self.spec)),
+            _ => Some(Arc::new(Spec {
+                tasks,
+                ..self.spec.as_ref().clone()
+            })),
+        }
+    }
+
+    /// Returns how many tasks are to be delegated again; none of a job that is cancelled.
+    pub fn owed(&self) -> u32 {
+        match &self.delegation {
+            Some(delegation) if !self.cancelled => delegation.owed(self.spec.tasks),
+            _ => 0,
+        }
+    }
 }
 
 /// What is still told of a job that has ended.
@@ -198,6 +240,8 @@
     pub jobs: BTreeMap<JobId, Job>,
     /// The latest jobs that are gone.
     pub gone: BTreeMap<JobId, Gone>,
+    /// The parts of other shards' jobs that have ended, until their homes have kept that.
+    pub closed: BTreeMap<JobId, Closed>,
     /// The non-idempotent requests remembered.
     pub requests: BTreeMap<Key, Request>,
     /// Settled keys with a time of their own at or before this were dropped.
@@ -272,6 +316,13 @@
                 self.settle(key, *ticket, settled);
             }
             Record::Forgot { timed, opaque } => self.forget(*timed, *opaque),
+            Record::Delegated { job, home, parts } => self.delegate(*job, *home, parts),
+            Record::PartEnded { job, part, counts } => self.end_part(*job, *part, *counts),
+            Record::Hosted { part, of, spec, at } => self.host(*part, *of, spec, *at),
+            Record::Closed { part, of, counts } => self.close(*part, *of, *counts),
+            Record::Forgotten { part } => {
+                self.closed.remove(part);
+            }
         }
     }
 
@@ -299,9 +350,53 @@
             accepted,
             cancelled: false,
             tasks: BTreeMap::new(),
+            delegation: None,
+            of: None,
         });
     }
 
+    /// Takes tasks from this shard; what it knew of their starts is over.
+    fn delegate(&mut self, job: JobId, home: u32, shares: &[Share]) {
+        let Some(job) = self.jobs.get_mut(&job) else {
+            return;
+        };
+        job.tasks.retain(|index, _| *index < home);
+        let delegation = job.delegation.get_or_insert_default();
+        delegation.home = home;
+        for share in shares {
+            delegation.parts.entry(share.part).or_insert(Part {
+                shard: share.shard,
+                tasks: share.tasks,
+                ended: None,
+            });
+        }
+    }
+
+    fn end_part(&mut self, job: JobId, part: JobId, counts: Counts) {
+        let delegation = self
+            .jobs
+            .get_mut(&job)
+            .and_then(|job| job.delegation.as_mut());
+        if let Some(part) = delegation.and_then(|delegation| delegation.parts.get_mut(&part)) {
+            part.ended.get_or_insert(counts);
+        }
+    }
+
+    fn host(&mut self, part: JobId, of: Origin, spec: &Arc<Spec>, accepted: Timestamp) {
+        if self.closed.contains_key(&part) {
+            return;
+        }
+        self.accept(part, spec, accepted);
+        if let Some(job) = self.jobs.get_mut(&part) {
+            job.of.get_or_insert(of);
+        }
+    }
+
+    fn close(&mut self, part: JobId, of: Origin, counts: Counts) {
+        self.jobs.remove(&part);
+        self.closed.entry(part).or_insert(Closed { of, counts });
+    }
+
     /// Sets a task's state unless a later attempt is known.
     fn set(&mut self, task: TaskId, state: TaskState) {
         let Some(job) = self.jobs.get_mut(&task.job) else {
--- a/crates/coordination/src/recovery/machine.rs
+++ b/crates/coordination/src/recovery/machine.rs
@@ -330,12 +330,17 @@
         let Some(held) = self.jobs.get(&job).cloned() else {
             return;
         };
+        // The tasks of a job that is wholly delegated are other shards' to recover.
+        let Some(spec) = held.own() else {
+            return;
+        };
+        let tasks = spec.tasks;
         self.step(Step::Submit {
             job,
-            spec: held.spec.clone(),
+            spec,
             accepted: held.accepted,
         });
-        for index in 0..held.spec.tasks {
+        for index in 0..tasks {
             let state = held.tasks.get(&index).copied();
             let task = TaskId::new(job, index);
             self.restore(task, held.spec.idempotent, state);
--- a/crates/coordination/tests/recovery.rs
+++ b/crates/coordination/tests/recovery.rs
@@ -64,6 +64,8 @@
             accepted: START,
             cancelled: false,
             tasks: [(0, state)].into(),
+            delegation: None,
+            of: None,
         };
         image.jobs.insert(JobId::from_u128(job), held);
     }
@@ -241,6 +243,8 @@
             accepted: START,
             cancelled: false,
             tasks: [].into(),
+            delegation: None,
+            of: None,
         };
         image.jobs.insert(JobId::from_u128(job), held);
     }
--- a/crates/coordination/tests/recovery_history.rs
+++ b/crates/coordination/tests/recovery_history.rs
@@ -179,6 +179,8 @@
             accepted: START,
             cancelled: false,
             tasks: state.into_iter().map(|state| (0, state)).collect(),
+            delegation: None,
+            of: None,
         };
         image.jobs.insert(task(i).job, job);
     }
