--- a/crates/state/src/engine/mod.rs
+++ b/crates/state/src/engine/mod.rs
@@ -33,6 +33,7 @@
 mod task;
 mod timer;
 mod view;
+mod withdraw;
 mod worker;
 
 pub use self::{
