--- a/crates/sched/src/node/calls.rs
+++ b/crates/sched/src/node/calls.rs
@@ -168,6 +168,7 @@
             }
             peer::Question::Config { have } => self.config_for_peer(have),
             peer::Question::Hold(_) => peer::Answer::Unavailable,
+            peer::Question::Part(question) => peer::Answer::Part(self.answer_parts(&question, now)),
         }
     }
 
--- a/crates/sched/src/node/core.rs
+++ b/crates/sched/src/node/core.rs
@@ -20,6 +20,7 @@
         self,
         Machine, //
     },
+    part,
     platform::vm,
     topology::Map,
 };
@@ -84,6 +85,10 @@
     pub(super) draining: bool,
     pub(super) listing: bool,
     pub(super) list_at: Timestamp,
+    /// What the shards of the region have left, as far as it was asked for.
+    pub(super) rooms: part::Rooms,
+    pub(super) rooms_at: Timestamp,
+    pub(super) sites: Arc<part::Sites>,
     pub(super) out: Outbox,
 }
 
@@ -113,6 +118,9 @@
             draining: false,
             listing: false,
             list_at: now,
+            rooms: part::Rooms::default(),
+            rooms_at: now,
+            sites: Arc::default(),
             out: Outbox::default(),
             settings,
         };
@@ -222,6 +230,7 @@
         let mut scope = Scope {
             out: &mut self.out,
             credits: &mut self.credits,
+            rooms: &self.rooms,
             settings: &self.settings.shard,
             now,
         };
@@ -268,6 +277,7 @@
         if self.member.next_wake(now) <= now {
             self.member_event(member::Event::Tick, now);
         }
+        self.pump_parts(now);
         self.pump_shards(now);
     }
 
@@ -283,6 +293,7 @@
             return;
         }
         let map = Arc::new(self.map.clone());
+        self.sites = Arc::new(part::Sites::new(&map));
         self.member_event(member::Event::Topology(map), now);
         let nodes: BTreeSet<_> = self.map.nodes().map(|node| node.id).collect();
         self.progress.list(nodes.clone());
--- a/crates/sched/src/node/input.rs
+++ b/crates/sched/src/node/input.rs
@@ -51,6 +51,8 @@
     Member(member::Token),
     /// The configuration, for want of the log.
     Config,
+    /// Parts of jobs.
+    Part,
 }
 
 /// Names one message to a worker.
--- a/crates/sched/src/node/mod.rs
+++ b/crates/sched/src/node/mod.rs
@@ -11,6 +11,7 @@
 mod input;
 mod outbox;
 mod ownership;
+mod parts;
 mod settings;
 mod tables;
 
--- a/crates/sched/src/node/ownership.rs
+++ b/crates/sched/src/node/ownership.rs
@@ -156,6 +156,7 @@
                 self.member_event(event, now);
             }
             Asking::Config => self.config_from_peer(result.ok(), now),
+            Asking::Part => self.parts_answered(result, now),
         }
     }
 
@@ -246,6 +247,7 @@
                 let mut scope = Scope {
                     out: &mut self.out,
                     credits: &mut self.credits,
+                    rooms: &self.rooms,
                     settings: &self.settings.shard,
                     now,
                 };
@@ -272,7 +274,9 @@
     fn refresh_shard(&mut self, shard: ShardId, now: Timestamp) {
         let map = Arc::clone(self.member.map());
         let document = Arc::clone(self.register.document());
+        let sites = Arc::clone(&self.sites);
         self.with_live(shard, now, |live, scope| {
+            live.set_sites(sites);
             live.refresh(&map, &document, scope);
         });
     }
--- a/crates/sched/src/node/tables.rs
+++ b/crates/sched/src/node/tables.rs
@@ -151,8 +151,8 @@
     fn job_rows(&self, now: Timestamp, wanted: impl Fn(&JobView) -> bool) -> Rows {
         let mut rows = Vec::new();
         for live in self.lives() {
-            for view in live.engine().jobs().filter(|view| wanted(view)) {
-                rows.push(job_row(live, &view, now));
+            for view in live.job_views().iter().filter(|view| wanted(view)) {
+                rows.push(job_row(live, view, now));
             }
         }
         rows
--- a/crates/sched/src/shard/commit.rs
+++ b/crates/sched/src/shard/commit.rs
@@ -51,6 +51,14 @@
     },
     /// A caller, for its job to be cancelled.
     Cancel { job: JobId, call: CallId },
+    /// A job of this shard, for tasks of it to be other shards'.
+    Delegate { job: JobId },
+    /// A job of this shard, for the end of a part of it to be known.
+    PartEnded { job: JobId, part: JobId },
+    /// A part of another shard's job, to be run.
+    Host { part: JobId },
+    /// A part of another shard's job, for its end to be known.
+    Closed { part: JobId },
     /// The order to start a non-idempotent task.
     Start {
         worker: WorkerId,
@@ -104,11 +112,15 @@
             Pending::Accept {
                 job, spec, call, ..
             } => {
-                self.engine.submit(job, *spec, scope.now);
+                self.begin_job(job, *spec, scope);
                 let reply = wire::submit::Reply::Accepted;
                 scope.out.answer(call, wire::Answer::Submit(reply));
             }
             Pending::Cancel { job, call } => self.cancel_now(job, call, scope),
+            Pending::Delegate { job } => self.delegated(job, scope),
+            Pending::PartEnded { job, .. } => self.follow_parts(job, scope),
+            Pending::Host { part } => self.run_part(part, scope),
+            Pending::Closed { .. } => {}
             Pending::Start { worker, start } => self.order(worker, *start, scope),
             Pending::Ended { worker, key } => {
                 if let Some(link) = self.links.get_mut(&worker) {
@@ -190,6 +202,9 @@
                     wire::Answer::Cancel(wire::cancel::Reply::Found(reply)),
                 );
             }
+            Pending::Delegate { job } => self.undelegated(job, scope),
+            // The next order or report tries again.
+            Pending::PartEnded { .. } | Pending::Host { .. } | Pending::Closed { .. } => {}
             Pending::Start { worker, start } => {
                 let key = (start.task, start.attempt);
                 self.not_run(key, worker, Cause::Late, scope);
--- a/crates/sched/src/shard/jobs.rs
+++ b/crates/sched/src/shard/jobs.rs
@@ -70,8 +70,7 @@
         spec: &Spec,
         now: Timestamp,
     ) -> Result<Option<wire::submit::Reply>, Refusal> {
-        let image = self.journal.image();
-        if self.engine.job(job).is_some() || image.gone.contains_key(&job) {
+        if self.knows(job) {
             return Ok(Some(wire::submit::Reply::Known));
         }
         if !self.is_active(now) {
@@ -79,6 +78,7 @@
             return Err(refusal.retry_after(RETRY));
         }
         self.engine.check(spec, now)?;
+        self.check_sites(spec)?;
         if self.log_down_for(now) >= DOWN {
             return Err(log_down());
         }
@@ -107,15 +107,22 @@
 
     /// Returns whether this shard has a job, or had it to its end.
     pub(crate) fn knows(&self, job: JobId) -> bool {
-        let gone = self.journal.image().gone.get(&job);
-        self.engine.job(job).is_some() || matches!(gone, Some(Gone::Ended { .. }))
+        let image = self.journal.image();
+        let ended = matches!(image.gone.get(&job), Some(Gone::Ended { .. }));
+        ended || image.jobs.contains_key(&job) || self.engine.job(job).is_some()
     }
 
     /// Cancels a job, and answers once that is kept.
     pub(crate) fn cancel(&mut self, call: CallId, job: JobId, scope: &mut Scope<'_>) {
+        if let Some(of) = self.origin(job) {
+            let detail = format!("this is a part of job {}; cancel that", of.job);
+            let refusal = scope.out.refuse(Refusal::new(Reason::Malformed, detail));
+            let reply = wire::submit::Reply::Refused(refusal);
+            let reply = wire::cancel::Reply::Found(reply);
+            return scope.out.answer(call, wire::Answer::Cancel(reply));
+        }
         let ended = self
-            .engine
-            .job(job)
+            .job_view(job)
             .is_none_or(|view| matches!(view.state, engine::State::Ended(_)));
         if ended {
             let reply = wire::cancel::Reply::Found(wire::submit::Reply::Known);
@@ -138,8 +145,11 @@
                 self.carry_out(effects, scope);
                 wire::submit::Reply::Accepted
             }
+            // Its tasks are all in other shards, or are not back in the queue yet.
+            Err(_) if self.journal.image().jobs.contains_key(&job) => wire::submit::Reply::Accepted,
             Err(refusal) => wire::submit::Reply::Refused(scope.out.refuse(refusal)),
         };
+        self.follow_parts(job, scope);
         let reply = wire::cancel::Reply::Found(reply);
         scope.out.answer(call, wire::Answer::Cancel(reply));
     }
@@ -226,10 +236,14 @@
 
     /// Returns a job as callers see it.
     pub(crate) fn view(&self, job: JobId, now: Timestamp) -> Option<View> {
-        let Some(view) = self.engine.job(job) else {
+        if let Some(view) = self.finished(job) {
+            return Some(view.clone());
+        }
+        let Some(view) = self.job_view(job) else {
             return self.past(job);
         };
         let explanation = self.engine.explain(job, now);
+        let explanation = explanation.iter().map(ToString::to_string);
         Some(View {
             job,
             state: state(&view),
@@ -237,7 +251,7 @@
             kind: view.spec.kind.word().to_owned(),
             priority: view.spec.priority,
             tasks: tasks(&view),
-            explanation: explanation.iter().map(ToString::to_string).collect(),
+            explanation: explanation.chain(self.part_lines(job)).collect(),
             refusal: None,
         })
     }
--- a/crates/sched/src/shard/live.rs
+++ b/crates/sched/src/shard/live.rs
@@ -14,6 +14,7 @@
         Token,
         Urgency, //
     },
+    part::Rooms,
     platform::{
         log,
         target, //
@@ -39,7 +40,8 @@
 use super::{
     Settings,
     commit::Pending,
-    link::Link, //
+    link::Link,
+    part, //
 };
 use crate::node::{
     CallId,
@@ -59,6 +61,8 @@
     pub(crate) out: &'a mut Outbox,
     /// The slots of all targets of this node's shards.
     pub(crate) credits: &'a mut credit::Ledger,
+    /// What the shards have left, as far as it was asked for.
+    pub(crate) rooms: &'a Rooms,
     /// The spans and limits.
     pub(crate) settings: &'a Settings,
     /// The time.
@@ -95,6 +99,8 @@
     pub(super) wanted: BTreeMap<WorkerId, Condition>,
     /// Until when work may be placed, as the ownership says; `None` while it may not.
     pub(super) may_start: Option<Timestamp>,
+    /// What runs in other shards.
+    pub(super) parts: part::State,
     pub(super) down_since: Option<Timestamp>,
     next_token: u64,
     pub(super) report: Report,
@@ -132,6 +138,7 @@
             settings.recovery(),
             scope.now,
         );
+        let parts = part::State::new(shard, journal.image(), scope.now);
         let mut live = Self {
             shard,
             epoch,
@@ -144,6 +151,7 @@
             waiters: HashMap::default(),
             wanted: BTreeMap::new(),
             may_start: None,
+            parts,
             down_since: None,
             next_token: 0,
             report: Report::default(),
@@ -246,6 +254,7 @@
         self.pump_recovery(scope);
         self.expire(scope);
         self.lapse_workers(scope);
+        self.review_parts(scope);
         if self.is_active(scope.now) {
             let effects = self.engine.decide(scope.now, DECISIONS);
             self.carry_out(effects, scope);
@@ -272,6 +281,9 @@
             self.journal.next_wake(now),
             self.requests.next_wake(),
             self.next_accept(),
+            self.is_active(now)
+                .then(|| self.parts.next_wake())
+                .flatten(),
         ]
         .into_iter()
         .flatten()
--- a/crates/sched/src/shard/mod.rs
+++ b/crates/sched/src/shard/mod.rs
@@ -11,6 +11,7 @@
 mod live;
 mod opening;
 mod orders;
+mod part;
 mod requests;
 mod settings;
 mod steps;
--- a/crates/sched/src/shard/orders.rs
+++ b/crates/sched/src/shard/orders.rs
@@ -63,11 +63,7 @@
                 outcome: Outcome::Unknown,
             } => self.keep_unknown((task, attempt), scope.now),
             Effect::TaskEnded { .. } => {}
-            Effect::JobEnded { job, outcome } => {
-                let end = job_end(outcome);
-                self.keep(Record::JobEnded { job, end }, scope.now);
-                self.wake_waiters(job, scope);
-            }
+            Effect::JobEnded { job, outcome } => self.job_ended(job, outcome, scope),
             Effect::Quarantined { worker } => scope.out.note(Note::Worker {
                 worker,
                 state: "quarantined",
@@ -183,7 +179,7 @@
 }
 
 /// Returns how a job ended, as the journal keeps it.
-const fn job_end(outcome: Outcome) -> JobEnd {
+pub(super) const fn job_end(outcome: Outcome) -> JobEnd {
     match outcome {
         Outcome::Succeeded => JobEnd::Succeeded,
         Outcome::Failed => JobEnd::Failed,
--- /dev/null
+++ b/crates/sched/src/shard/part/division.rs
@@ -0,0 +1,131 @@
+//! Which tasks of a new job go to other shards.
+
+use fulmarpier_coordination::{
+    journal::Record,
+    part::{
+        self,
+        Share, //
+    },
+};
+use fulmarpier_state::{
+    id::{
+        JobId,
+        ShardId, //
+    },
+    job::{
+        Kind,
+        Spec,
+        Spread, //
+    },
+    refusal::{
+        Reason,
+        Refusal, //
+    },
+};
+
+use super::super::{
+    Live,
+    Scope,
+    commit::Pending,
+    jobs::RETRY, //
+};
+
+impl Live {
+    /// Refuses what no shard of the region has a worker for.
+    pub(in crate::shard) fn check_sites(&self, spec: &Spec) -> Result<(), Refusal> {
+        let sites = &self.parts.sites;
+        if sites.is_empty() {
+            let detail = "the VM list shows no worker in the region";
+            return Err(Refusal::new(Reason::NoOwner, detail).retry_after(RETRY));
+        }
+        if sites.fits(&spec.size) == 0 {
+            let detail = format!("a task needs {}, more than any worker has", spec.size);
+            return Err(Refusal::new(Reason::TooLarge, detail));
+        }
+        Ok(())
+    }
+
+    /// Brings a job whose record is kept into the queue, here and where its other tasks go.
+    pub(in crate::shard) fn begin_job(&mut self, job: JobId, spec: Spec, scope: &mut Scope<'_>) {
+        let (home, parts) = self.division(job, &spec);
+        if parts.is_empty() {
+            self.engine.submit(job, spec, scope.now);
+            return;
+        }
+        let record = Record::Delegated { job, home, parts };
+        if self
+            .push(record, Pending::Delegate { job }, scope.now)
+            .is_err()
+        {
+            // Nothing was delegated, so all of it is at home.
+            self.engine.submit(job, spec, scope.now);
+        }
+    }
+
+    /// Follows a delegation that is kept: what stays may start, and the orders may leave.
+    pub(in crate::shard) fn delegated(&mut self, job: JobId, scope: &mut Scope<'_>) {
+        self.parts.divided.insert(job);
+        self.queue_own(job, scope);
+        self.follow_parts(job, scope);
+    }
+
+    /// Lets a job start here after all, because its delegation is certainly not kept.
+    pub(in crate::shard) fn undelegated(&mut self, job: JobId, scope: &Scope<'_>) {
+        if self.report.fenced.is_none() {
+            self.queue_own(job, scope);
+        }
+    }
+
+    /// Puts into the queue what this shard itself runs of a job, by the journal.
+    fn queue_own(&mut self, job: JobId, scope: &Scope<'_>) {
+        // One that is cancelled already is cancelled by what comes next in the journal.
+        let held = self.journal.image().jobs.get(&job);
+        if let Some((own, at)) = held.and_then(|held| Some((held.own()?, held.accepted))) {
+            self.engine
+                .submit(job, own.as_ref().clone(), at.min(scope.now));
+        }
+    }
+
+    /// Returns how many tasks of a new job stay here, and the shares of the others.
+    fn division(&self, job: JobId, spec: &Spec) -> (u32, Vec<Share>) {
+        let spread = match (spec.spread, &spec.kind) {
+            (Spread::Any, Kind::Service { .. }) => self.engine.policy().spread,
+            (spread, _) => spread,
+        };
+        let sites = &self.parts.sites;
+        let here = sites.iter().find(|(shard, _)| *shard == self.shard);
+        let fits = here.map_or(0, |(_, site)| site.fits(&spec.size));
+        let divides = matches!(spec.kind, Kind::Service { .. }) && spread != Spread::Any;
+        if divides {
+            let mut tasks = part::spread(sites, self.shard, spec, spread);
+            let home = tasks.remove(&self.shard).unwrap_or_default();
+            let shares = tasks
+                .into_iter()
+                .map(|(shard, n)| self.share(job, shard, n));
+            return (home, shares.collect());
+        }
+        if fits > 0 {
+            return (spec.tasks, Vec::new());
+        }
+        // A shard without a worker for it passes it on whole.
+        let largest = sites
+            .iter()
+            .map(|(shard, site)| (site.fits(&spec.size), shard));
+        match largest.max().filter(|(fits, _)| *fits > 0) {
+            Some((_, shard)) => (0, vec![self.share(job, shard, spec.tasks)]),
+            None => (spec.tasks, Vec::new()),
+        }
+    }
+
+    /// Names a new part of a job.
+    pub(super) fn share(&self, job: JobId, shard: ShardId, tasks: u32) -> Share {
+        let held = self.journal.image().jobs.get(&job);
+        let delegation = held.and_then(|held| held.delegation.as_ref());
+        let round = delegation.map_or(0, part::Delegation::round);
+        Share {
+            part: part::part_id(job, shard, round),
+            shard,
+            tasks,
+        }
+    }
+}
