--- a/crates/demo/src/script.rs
+++ b/crates/demo/src/script.rs
@@ -1,6 +1,9 @@
 //! The demonstration, step by step.
 
-use std::time::Duration;
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
 
 use fulmarpier_ctl::render;
 use fulmarpier_protocol::http::table::Table;
@@ -26,6 +29,10 @@
 const SERVICE: &str = "desk";
 /// Ordinary requests sent while a node leaves.
 const REQUESTS: u32 = 300;
+/// Targets of the service.
+const TARGETS: u32 = 6;
+/// Data centres of the cluster.
+const DATA_CENTRES: usize = 3;
 
 /// Why the demonstration failed.
 #[derive(Debug, thiserror::Error)]
@@ -52,6 +59,14 @@
         /// Its state.
         state: String,
     },
+    /// A job is not shown as the one that it is.
+    #[error("job {job} is shown as {shown}")]
+    Shown {
+        /// The job.
+        job: String,
+        /// How it is shown.
+        shown: String,
+    },
     /// The cluster has no gate.
     #[error("the cluster has no gate")]
     NoGate,
@@ -78,7 +93,9 @@
     step("An operator changes the configuration; every node has it in force.");
     configure(first).await?;
     step("A long-running service starts its targets in three data centres.");
-    let desk = submit(first, &caller::service(SERVICE, 6), "service").await?;
+    let desk = submit(first, &caller::service(SERVICE, TARGETS), "service").await?;
+    spread_out(first).await?;
+    one_job(first, &desk).await?;
     served(first).await?;
     println!("service {SERVICE} is job {desk}");
     step("Callers send ordinary requests through every gate.");
@@ -107,6 +124,8 @@
     show(first, &format!("cancel job {long}")).await?;
     step("A node leaves with requests in flight; nothing is cut off.");
     leave(&mut cluster, &callers).await?;
+    step("The service is cancelled; its targets stop in every data centre.");
+    stopped(first, &desk).await?;
     step("The stand-ins' own record.");
     check(&cluster)
 }
@@ -190,6 +209,72 @@
     })
 }
 
+/// Waits until the service has all its targets, in every data centre alike.
+async fn spread_out(caller: &Caller) -> Result<(), Error> {
+    for _ in 0..PATIENCE {
+        let workers = caller.command("show workers limit 10000").await;
+        let targets = caller.command("show services limit 10000").await;
+        if let (Ok(workers), Ok(targets)) = (workers, targets) {
+            let counts = by_data_centre(&workers, &targets);
+            if counts.values().sum::<u32>() == TARGETS {
+                println!("targets by data centre: {counts:?}");
+                let even = TARGETS / u32::try_from(DATA_CENTRES).unwrap_or(1);
+                let is_even = counts.len() == DATA_CENTRES && counts.values().all(|n| *n == even);
+                let what = "targets in every data centre alike";
+                return is_even.then_some(()).ok_or(Error::Late { what });
+            }
+        }
+        sleep(PAUSE).await;
+    }
+    Err(Error::Late { what: "targets" })
+}
+
+fn by_data_centre(workers: &Table, targets: &Table) -> BTreeMap<String, u32> {
+    let column = |table: &Table, name: &str| table.columns.iter().position(|c| c == name);
+    let (Some(id), Some(centre)) = (column(workers, "worker"), column(workers, "data_centre"))
+    else {
+        return BTreeMap::new();
+    };
+    let Some(on) = column(targets, "worker") else {
+        return BTreeMap::new();
+    };
+    let of = |worker: &str| {
+        let row = workers
+            .rows
+            .iter()
+            .find(|row| row[id].to_string() == worker);
+        row.map(|row| row[centre].to_string())
+    };
+    let mut counts = BTreeMap::new();
+    for centre in targets
+        .rows
+        .iter()
+        .filter_map(|row| of(&row[on].to_string()))
+    {
+        *counts.entry(centre).or_default() += 1;
+    }
+    counts
+}
+
+/// Checks that a caller sees a job with parts as one, with all its tasks.
+async fn one_job(caller: &Caller, job: &str) -> Result<(), Error> {
+    let mut shown = String::new();
+    for _ in 0..PATIENCE {
+        let view = caller.wait(job, "0s").await.map_err(call("a view"))?;
+        let jobs = caller
+            .command("show jobs where kind = service")
+            .await
+            .map_err(call("show jobs"))?;
+        shown = format!("{} in {} jobs", view["tasks"], jobs.rows.len());
+        if view["tasks"]["running"] == TARGETS && jobs.rows.len() == 1 {
+            return Ok(());
+        }
+        sleep(PAUSE).await;
+    }
+    let job = job.to_owned();
+    Err(Error::Shown { job, shown })
+}
+
 async fn request(
     caller: &Caller,
     body: &str,
@@ -270,6 +355,19 @@
     Ok(())
 }
 
+/// Cancels the service and waits until each of its targets has stopped.
+async fn stopped(caller: &Caller, job: &str) -> Result<(), Error> {
+    show(caller, &format!("cancel job {job}")).await?;
+    let view = caller.wait(job, "20s").await.map_err(call("a wait"))?;
+    let shown = format!("{}, tasks {}", view["state"], view["tasks"]);
+    println!("service {job}: {shown}");
+    if view["state"] == "cancelled" && view["tasks"]["cancelled"] == TARGETS {
+        return Ok(());
+    }
+    let job = job.to_owned();
+    Err(Error::Shown { job, shown })
+}
+
 fn check(cluster: &Cluster) -> Result<(), Error> {
     let summary = cluster.platform.summary();
     let violations = &summary.violations;
