--- a/crates/sched/src/shard/jobs.rs
+++ b/crates/sched/src/shard/jobs.rs
@@ -70,7 +70,8 @@
         spec: &Spec,
         now: Timestamp,
     ) -> Result<Option<wire::submit::Reply>, Refusal> {
-        if self.knows(job) {
+        let moved = self.journal.image().gone.contains_key(&job);
+        if moved || self.knows(job) {
             return Ok(Some(wire::submit::Reply::Known));
         }
         if !self.is_active(now) {
--- a/crates/sched/src/shard/steps.rs
+++ b/crates/sched/src/shard/steps.rs
@@ -18,6 +18,7 @@
     },
     id::{
         Attempt,
+        JobId,
         TaskId,
         WorkerId, //
     },
@@ -35,10 +36,28 @@
 impl Live {
     /// Does what the recovery asks for.
     pub(super) fn pump_recovery(&mut self, scope: &mut Scope<'_>) {
+        let mut submitted = Vec::new();
         while let Some(effect) = self.recovery.as_mut().and_then(|r| r.poll(scope.now)) {
             match effect {
                 Effect::Take(workers) => self.take(&workers, scope),
-                Effect::Step(step) => self.step(step, scope),
+                Effect::Step(step) => {
+                    if let Step::Submit { job, .. } = &step {
+                        submitted.push(*job);
+                    }
+                    self.step(step, scope);
+                }
+            }
+        }
+        self.cancel_late(submitted, scope);
+    }
+
+    /// Cancels jobs whose cancellation was kept while their recovery waited for a worker.
+    fn cancel_late(&mut self, jobs: Vec<JobId>, scope: &mut Scope<'_>) {
+        for job in jobs {
+            let held = self.journal.image().jobs.get(&job);
+            if held.is_some_and(|held| held.cancelled) {
+                let effects = self.engine.cancel(job, scope.now).unwrap_or_default();
+                self.carry_out(effects, scope);
             }
         }
     }
