Grant slots only as the owner, and keep them across a change of owner

Cause: the ledger renewed credits whether or not the node might still act as the owner, so a successor could wait out the credits of a node that went on renewing them; and a reply that did not name a target withdrew it, so each handover left the gates without slots until the successor's wait and an inventory were over. A target that was withdrawn once was never offered again, and one that started to run on a leaving worker was offered.

Now a sync says which targets are owned; others are neither renewed nor withdrawn, and gates keep what they hold until it lapses or the next owner renews it. An end and a loss of ownership are told apart. Owners that are silent for 5 s no longer count in a gate's demands. Reservations for keyed requests are removed: these are sent in the gate's own slots since the sched names only a ticket, so nothing called them.

--- a/crates/coordination/src/credit/balance/mod.rs
+++ b/crates/coordination/src/credit/balance/mod.rs
@@ -5,7 +5,10 @@
 mod penalty;
 mod pool;
 
-use std::collections::BTreeMap;
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
 
 use fulmarpier_state::{
     alias::HashMap,
@@ -37,6 +40,8 @@
     Target, //
 };
 
+/// An owner that hasn't answered for so long is not counted on for slots.
+const SILENT: Duration = Duration::from_secs(5);
 /// What is kept over the wanted count before slots are given back, as a divisor of it.
 const SURPLUS: u32 = 4;
 
@@ -76,6 +81,15 @@
     Full,
 }
 
+/// An owner that was asked.
+#[derive(Clone, Debug)]
+struct Owner {
+    /// The statement under way.
+    pending: Option<Pending>,
+    /// When the last statement that it answered was made, or when it was first asked.
+    heard_at: Timestamp,
+}
+
 /// A statement under way.
 #[derive(Clone, Debug)]
 struct Pending {
@@ -108,8 +122,8 @@
     pools: BTreeMap<Service, Pool>,
     /// The service of each target.
     services: HashMap<target::Id, Service>,
-    /// The statement under way to each owner that was ever asked.
-    owners: BTreeMap<NodeId, Option<Pending>>,
+    /// The owners that were asked lately.
+    owners: BTreeMap<NodeId, Owner>,
     short: bool,
 }
 
@@ -226,7 +240,11 @@
         self.forget_over(now);
         self.short = false;
         self.sequence += 1;
-        self.owners.entry(owner).or_default();
+        let fresh = || Owner {
+            pending: None,
+            heard_at: now,
+        };
+        self.owners.entry(owner).or_insert_with(fresh);
         let demands = self.demand(owner, draining, now);
         let holds = self.holds(owner);
         let pending = Pending {
@@ -234,7 +252,9 @@
             sent_at: now,
             listed: holds.iter().map(|hold| hold.target).collect(),
         };
-        self.owners.insert(owner, Some(pending));
+        if let Some(asked) = self.owners.get_mut(&owner) {
+            asked.pending = Some(pending);
+        }
         Statement {
             gate: self.gate,
             incarnation: self.incarnation,
@@ -249,28 +269,24 @@
     ///
     /// See also [`Self::state`].
     pub fn apply(&mut self, owner: NodeId, reply: &Reply) -> bool {
-        let pending = self
-            .owners
-            .get_mut(&owner)
-            .and_then(|pending| pending.take_if(|pending| pending.sequence == reply.sequence));
-        let Some(pending) = pending else {
+        let Some(asked) = self.owners.get_mut(&owner) else {
             return false;
         };
-        self.settle_listed(owner, &pending, reply);
+        let answered = |pending: &mut Pending| pending.sequence == reply.sequence;
+        let Some(pending) = asked.pending.take_if(answered) else {
+            return false;
+        };
+        asked.heard_at = pending.sent_at;
+        self.settle_listed(owner, &pending);
         for grant in &reply.grants {
             self.apply_grant(owner, grant, pending.sent_at);
         }
         true
     }
 
-    /// Notes that an owner is gone for good, so that nothing more is asked of it.
-    pub fn forget_owner(&mut self, owner: NodeId) {
-        self.owners.remove(&owner);
-    }
-
     /// Decides what to want of one owner, and gives back what is too much.
     fn demand(&mut self, owner: NodeId, draining: bool, now: Timestamp) -> Vec<Demand> {
-        let owners = u32::try_from(self.owners.len()).unwrap_or(u32::MAX);
+        let owners = self.count_owners(owner, now);
         let mut demands = Vec::new();
         for (service, pool) in &mut self.pools {
             pool.need.decay();
@@ -297,6 +313,13 @@
         demands
     }
 
+    /// Returns how many owners share what is wanted: the one asked and those that answered lately.
+    fn count_owners(&mut self, asked: NodeId, now: Timestamp) -> u32 {
+        self.owners
+            .retain(|id, owner| *id == asked || owner.heard_at + SILENT > now);
+        u32::try_from(self.owners.len()).unwrap_or(u32::MAX)
+    }
+
     fn holds(&mut self, owner: NodeId) -> Vec<Hold> {
         let entries = self.pools.values_mut().flat_map(|pool| &mut pool.entries);
         let of_owner = entries.filter(|entry| entry.owner == owner && !entry.is_over());
@@ -311,8 +334,8 @@
         of_owner.map(hold).collect()
     }
 
-    /// Takes note of what the owner now knows, and of targets that it withdrew without a word.
-    fn settle_listed(&mut self, owner: NodeId, pending: &Pending, reply: &Reply) {
+    /// Takes note of what the owner now knows.
+    fn settle_listed(&mut self, owner: NodeId, pending: &Pending) {
         for target in &pending.listed {
             let Some(entry) = self.entry_mut(*target) else {
                 continue;
@@ -322,10 +345,6 @@
             }
             entry.abandoned = entry.abandoned.saturating_sub(entry.reported);
             entry.reported = 0;
-            let granted = reply.grants.iter().any(|grant| grant.target.id == *target);
-            if !granted {
-                entry.slots = 0;
-            }
         }
     }
 
--- a/crates/coordination/src/credit/ledger/grow.rs
+++ b/crates/coordination/src/credit/ledger/grow.rs
@@ -52,13 +52,6 @@
         usable.saturating_sub(self.held(target))
     }
 
-    /// Lets the peaks of reservations fall.
-    pub(super) fn decay_headroom(&mut self) {
-        for headroom in self.headroom.values_mut() {
-            headroom.decay();
-        }
-    }
-
     /// Asks gates to leave some targets whose slots have long been in doubt, so that an inventory
     /// shows exactly what still runs there.
     pub(super) fn quiet_stuck(&mut self, now: Timestamp) {
@@ -95,7 +88,6 @@
             .of_service(service)
             .map(|(_, stock)| u64::from(stock.usable()))
             .sum();
-        let capacity = capacity.saturating_sub(self.kept_back(service));
         let want =
             |account: &super::Account| account.wanted.get(service).map_or(0, |n| u64::from(*n));
         let wanted: Vec<u64> = self.accounts.values().map(want).collect();
@@ -105,14 +97,6 @@
         (place.map_or(0, |place| parts[place]), contended)
     }
 
-    /// Returns how many free slots are kept for reservations.
-    fn kept_back(&self, service: &Service) -> u64 {
-        let used = self.reserved(service);
-        self.headroom
-            .get(service)
-            .map_or(0, |headroom| u64::from(headroom.wanted(used)))
-    }
-
     fn sum_of_service(&self, service: &Service, totals: &Totals) -> u64 {
         let in_service = |(id, _): &(&target::Id, &u16)| self.stocks[*id].service == *service;
         totals
@@ -129,7 +113,7 @@
             .map(|(id, _)| (self.free(*id), *id))
             .collect();
         let sum: u64 = free.iter().map(|(free, _)| u64::from(*free)).sum();
-        let count = count.min(sum.saturating_sub(self.kept_back(service)));
+        let count = count.min(sum);
         for _ in 0..count {
             let preference = |(free, id): &&mut (u16, target::Id)| {
                 (*free, Reverse(totals.get(id).copied().unwrap_or(0)))
--- a/crates/coordination/src/credit/ledger/mod.rs
+++ b/crates/coordination/src/credit/ledger/mod.rs
@@ -3,7 +3,6 @@
 mod account;
 mod doubt;
 mod grow;
-mod reservation;
 mod share;
 mod stock;
 
@@ -21,18 +20,11 @@
     name::Service, //
 };
 
+pub use self::account::Ignored;
 use self::{
     account::Account,
-    reservation::Headroom,
     stock::Stock, //
 };
-pub use self::{
-    account::Ignored,
-    reservation::{
-        Release,
-        Reservation, //
-    },
-};
 use super::{
     Grant,
     Reply,
@@ -54,8 +46,6 @@
     terms: Terms,
     stocks: BTreeMap<target::Id, Stock>,
     accounts: BTreeMap<NodeId, Account>,
-    headroom: BTreeMap<Service, Headroom>,
-    next_ticket: u64,
 }
 
 impl Ledger {
@@ -65,23 +55,25 @@
             terms,
             stocks: BTreeMap::new(),
             accounts: BTreeMap::new(),
-            headroom: BTreeMap::new(),
-            next_ticket: 1,
         }
     }
 
     /// Adds a target that this owner started itself, so that nobody else holds any of it.
     ///
+    /// One that is there stays as it is, apart from an end that turns out not to be one.
+    ///
     /// See also [`Self::adopt`].
     pub fn add(&mut self, service: Service, target: Target, epoch: Epoch, slots: u16) {
-        let stock = Stock::new(service, target, epoch, slots);
-        self.stocks.entry(target.id).or_insert(stock);
+        let fresh = || Stock::new(service, target, epoch, slots);
+        let stock = self.stocks.entry(target.id).or_insert_with(fresh);
+        stock.ended_at = None;
     }
 
     /// Takes over a target that an earlier owner started and whose slots may be held by anyone.
     ///
     /// All slots are in doubt. A gate that states what it holds goes on with it at once; the rest
-    /// comes back after the credits of the earlier owner have lapsed, by an inventory.
+    /// comes back after the credits of the earlier owner have lapsed, by an inventory. One that is
+    /// there under the same epoch stays as it is.
     ///
     /// See also [`Self::add`].
     pub fn adopt(
@@ -92,33 +84,54 @@
         slots: u16,
         now: Timestamp,
     ) {
+        if self
+            .stocks
+            .get(&target.id)
+            .is_some_and(|stock| stock.epoch == epoch)
+        {
+            return;
+        }
+        self.forget(target.id);
         let mut stock = Stock::new(service, target, epoch, slots);
-        let ready = now + self.terms.owner_lease() + self.terms.settle;
-        stock.recover(ready);
+        stock.recover(now + self.terms.owner_lease() + self.terms.settle);
         self.stocks.insert(target.id, stock);
     }
 
     /// Gives out nothing more of a target, whose worker or task is leaving; gates are told with
     /// their next reply.
+    ///
+    /// See also [`Self::offer`].
     pub fn withdraw(&mut self, target: target::Id) {
+        self.set_leaving(target, true);
+    }
+
+    /// Gives slots of a target out again that was withdrawn.
+    ///
+    /// See also [`Self::withdraw`].
+    pub fn offer(&mut self, target: target::Id) {
+        self.set_leaving(target, false);
+    }
+
+    /// Notes that a target has ended; gates are told with their next reply.
+    ///
+    /// See also [`Self::forget`].
+    pub fn end(&mut self, target: target::Id, now: Timestamp) {
         if let Some(stock) = self.stocks.get_mut(&target) {
-            stock.leaving = true;
+            stock.ended_at = Some(now);
         }
     }
 
-    /// Forgets a target that has ended or is owned by another sched.
-    pub fn remove(&mut self, target: target::Id) {
+    /// Drops a target that this node no longer owns. Gates are not told: what they hold lasts until
+    /// it lapses, or until the next owner renews it.
+    ///
+    /// See also [`Self::end`].
+    pub fn forget(&mut self, target: target::Id) {
         self.stocks.remove(&target);
         for account in self.accounts.values_mut() {
             account.held.remove(&target);
         }
     }
 
-    /// Returns the targets in the ledger.
-    pub fn targets(&self) -> impl Iterator<Item = target::Id> + '_ {
-        self.stocks.keys().copied()
-    }
-
     /// Takes in how many slots of a target were busy, by an inventory asked for at `asked_at`.
     pub fn inventory(&mut self, target: target::Id, busy: u16, asked_at: Timestamp) {
         let idle = self.held(target) == 0;
@@ -129,11 +142,22 @@
 
     /// Takes in a statement and answers it.
     ///
+    /// `owned` says for which targets this node may act as the owner right now; of others, nothing
+    /// is granted or renewed.
+    ///
     /// # Errors
     ///
     /// [`Ignored`] where a later statement of the gate was answered before; the gate has given up on
     /// this one, so no answer is of use.
-    pub fn sync(&mut self, statement: &Statement, now: Timestamp) -> Result<Reply, Ignored> {
+    pub fn sync(
+        &mut self,
+        statement: &Statement,
+        owned: &dyn Fn(target::Id) -> bool,
+        now: Timestamp,
+    ) -> Result<Reply, Ignored> {
+        for (id, stock) in &mut self.stocks {
+            stock.suspended = !owned(*id);
+        }
         self.tick(now);
         self.admit(statement, now)?;
         self.take_in(statement, now);
@@ -144,7 +168,7 @@
         })
     }
 
-    /// Lets leases and reservations lapse.
+    /// Lets leases lapse.
     pub fn tick(&mut self, now: Timestamp) {
         let lapsed =
             |(gate, account): (&NodeId, &Account)| (account.expiry <= now).then_some(*gate);
@@ -152,17 +176,13 @@
         for gate in gates {
             self.close(gate, now);
         }
-        let settle = self.terms.settle;
-        for stock in self.stocks.values_mut() {
-            stock.lapse(now, settle);
-        }
+        self.stocks.retain(|_, stock| !stock.is_over(now));
         self.quiet_stuck(now);
     }
 
-    /// Returns how many slots of a target gates hold, are in doubt and are reserved, together.
+    /// Returns how many slots of a target gates hold or are in doubt, together.
     pub fn committed(&self, target: target::Id) -> u32 {
-        let rest = self.stocks.get(&target).map_or(0, Stock::withheld);
-        u32::from(self.held(target)) + u32::from(rest)
+        u32::from(self.held(target)) + u32::from(self.doubtful(target))
     }
 
     /// Returns how many slots of a target are in doubt.
@@ -178,6 +198,12 @@
         self.accounts.values().map(held).sum()
     }
 
+    fn set_leaving(&mut self, target: target::Id, leaving: bool) {
+        if let Some(stock) = self.stocks.get_mut(&target) {
+            stock.leaving = leaving;
+        }
+    }
+
     /// Returns the targets of a service with their slots.
     fn of_service<'a>(
         &'a self,
@@ -239,11 +265,11 @@
 
     /// Decides what the gate holds from now on.
     fn answer(&mut self, statement: &Statement, now: Timestamp) -> Vec<Grant> {
-        self.decay_headroom();
         let totals = self.allot(statement.gate);
         let lease = self.terms.lease;
         let mut grants = Vec::new();
-        for (id, stock) in &self.stocks {
+        let owned = self.stocks.iter().filter(|(_, stock)| !stock.suspended);
+        for (id, stock) in owned {
             let slots = totals.get(id).copied().unwrap_or(0);
             let stated = statement.holds.iter().any(|hold| hold.target == *id);
             if slots > 0 || stated || stock.is_recovering(now) {
--- a/crates/coordination/src/credit/ledger/stock.rs
+++ b/crates/coordination/src/credit/ledger/stock.rs
@@ -1,7 +1,6 @@
 //! The slots of one target.
 
 use std::{
-    collections::BTreeMap,
     fmt,
     time::Duration, //
 };
@@ -22,18 +21,22 @@
 const PATIENCE: Duration = Duration::from_secs(3);
 /// How long a target that was emptied is left alone.
 const RESPITE: Duration = Duration::from_secs(30);
+/// How long an ended target is kept.
+const KEEP: Duration = Duration::from_secs(60);
 
 /// The slots of one target, apart from what gates hold.
 #[derive(Debug)]
 pub(super) struct Stock {
     pub(super) service: Service,
     pub(super) target: Target,
-    epoch: Epoch,
-    pub(super) slots: u16,
+    pub(super) epoch: Epoch,
+    slots: u16,
     pub(super) leaving: bool,
     pub(super) doubt: Doubt,
-    /// Reserved slots: ticket and deadline.
-    pub(super) reserved: BTreeMap<u64, Timestamp>,
+    /// When the target ended; it is kept for a while, so that gates are told.
+    pub(super) ended_at: Option<Timestamp>,
+    /// Whether this node may not act as the owner at the moment.
+    pub(super) suspended: bool,
     /// Whether gates are asked to leave the target for a while, so that an inventory shows exactly
     /// what is in doubt.
     pub(super) quiet: bool,
@@ -52,45 +55,37 @@
             slots,
             leaving: false,
             doubt: Doubt::EMPTY,
-            reserved: BTreeMap::new(),
+            ended_at: None,
+            suspended: false,
             quiet: false,
             quiet_after: Timestamp::ZERO,
             recovers_until: Timestamp::ZERO,
         }
     }
 
-    /// Returns the slots that gates can't have: in doubt or reserved.
-    pub(super) fn withheld(&self) -> u16 {
-        let reserved = u16::try_from(self.reserved.len()).unwrap_or(u16::MAX);
-        self.doubt.total().saturating_add(reserved)
-    }
-
     /// Returns the slots that gates may share.
     pub(super) fn usable(&self) -> u16 {
-        if self.leaving || self.quiet {
+        if self.leaving || self.quiet || self.suspended || self.ended_at.is_some() {
             return 0;
         }
-        self.slots.saturating_sub(self.withheld())
+        self.slots.saturating_sub(self.doubt.total())
+    }
+
+    /// Returns whether the target ended so long ago that every gate has been told.
+    pub(super) fn is_over(&self, now: Timestamp) -> bool {
+        self.ended_at.is_some_and(|ended| ended + KEEP < now)
     }
 
     /// Takes in an inventory; `idle` says that no gate holds anything of the target.
     pub(super) fn evidence(&mut self, busy: u16, asked_at: Timestamp, idle: bool) {
         self.doubt.evidence(busy, asked_at);
-        let settled = idle && self.reserved.is_empty() || self.doubt.total() == 0;
+        let settled = idle || self.doubt.total() == 0;
         if self.quiet && settled {
             self.quiet = false;
             self.quiet_after = asked_at + RESPITE;
         }
     }
 
-    /// Moves reservations past their deadline into doubt.
-    pub(super) fn lapse(&mut self, now: Timestamp, settle: Duration) {
-        let before = self.reserved.len();
-        self.reserved.retain(|_, deadline| *deadline > now);
-        let lapsed = u16::try_from(before - self.reserved.len()).unwrap_or(u16::MAX);
-        self.doubt.add(lapsed, now + settle);
-    }
-
     /// Returns whether slots have been in doubt for so long that the target should be emptied.
     pub(super) fn is_stuck(&self, now: Timestamp) -> bool {
         let waited = self.doubt.since_before(now.saturating_sub(PATIENCE));
@@ -123,11 +118,10 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "service={} slots={} doubt={} reserved={} leaving={} quiet={}",
+            "service={} slots={} doubt={} leaving={} quiet={}",
             self.service,
             self.slots,
             self.doubt.total(),
-            self.reserved.len(),
             self.leaving,
             self.quiet
         )
--- a/crates/coordination/src/credit/message.rs
+++ b/crates/coordination/src/credit/message.rs
@@ -75,7 +75,7 @@
 pub struct Reply {
     /// The sequence of the statement that it answers.
     pub sequence: u64,
-    /// The slots that the gate holds now. A target that the statement listed and that is not here is
-    /// withdrawn.
+    /// The slots that the gate holds now. Of a target that the statement listed and that is not here
+    /// the owner can say nothing; what the gate holds of it stays until it lapses.
     pub grants: Vec<Grant>,
 }
--- a/crates/coordination/src/credit/mod.rs
+++ b/crates/coordination/src/credit/mod.rs
@@ -28,9 +28,7 @@
     },
     ledger::{
         Ignored,
-        Ledger,
-        Release,
-        Reservation, //
+        Ledger, //
     },
     message::{
         Demand,
--- a/crates/sched/src/node/calls.rs
+++ b/crates/sched/src/node/calls.rs
@@ -3,10 +3,12 @@
 use fulmarpier_coordination::{
     config,
     credit,
-    peer, //
+    peer,
+    platform::target, //
 };
 use fulmarpier_protocol::wire;
 use fulmarpier_state::{
+    alias::HashSet,
     clock::Timestamp,
     id::{
         JobId,
@@ -55,8 +57,14 @@
             now,
         );
         let statement = statement(request);
+        let owned: HashSet<target::Id> = self
+            .lives()
+            .filter(|live| live.is_owner(now))
+            .flat_map(Live::targets)
+            .collect();
         // A statement out of order gets no slots; its gate drops the answer.
-        let grants = match self.credits.sync(&statement, now) {
+        let owned = |target| owned.contains(&target);
+        let grants = match self.credits.sync(&statement, &owned, now) {
             Ok(reply) => reply.grants.into_iter().map(grant).collect(),
             Err(_) => Vec::new(),
         };
--- a/crates/sched/src/node/ownership.rs
+++ b/crates/sched/src/node/ownership.rs
@@ -103,7 +103,7 @@
         self.with_live(shard, now, |live, scope| {
             live.dismiss(scope);
             for target in live.targets() {
-                scope.credits.remove(target);
+                scope.credits.forget(target);
             }
         });
         self.shards.remove(&shard);
--- a/crates/sched/src/shard/inventory.rs
+++ b/crates/sched/src/shard/inventory.rs
@@ -170,15 +170,26 @@
             return;
         }
         self.engine.usage(running.task, running.usage, scope.now);
-        self.note_target(running, asked, scope);
+        self.note_target(worker, running, asked, scope);
     }
 
-    /// Offers the slots of a target, and takes its word on how many are busy.
-    fn note_target(&mut self, running: &Running, asked: Timestamp, scope: &mut Scope<'_>) {
+    /// Offers the slots of a target unless its worker is leaving, and takes its word on how many are
+    /// busy.
+    fn note_target(
+        &mut self,
+        worker: WorkerId,
+        running: &Running,
+        asked: Timestamp,
+        scope: &mut Scope<'_>,
+    ) {
         let Some((service, target, slots)) = self.target(running) else {
             return;
         };
         scope.credits.add(service, target, self.epoch, slots);
+        match self.wanted.get(&worker) {
+            Some(Condition::Leaving) => scope.credits.withdraw(target.id),
+            _ => scope.credits.offer(target.id),
+        }
         scope.credits.inventory(target.id, running.busy, asked);
     }
 
@@ -234,7 +245,8 @@
         scope: &mut Scope<'_>,
     ) {
         let (task, attempt) = key;
-        scope.credits.remove(target::Id { task, attempt });
+        let id = target::Id { task, attempt };
+        scope.credits.end(id, scope.now);
         let effects =
             self.engine
                 .adopt_ended(task, attempt, worker, engine_end(end), age, scope.now);
@@ -359,7 +371,8 @@
             self.not_run((start.task, start.attempt), worker, Cause::Late, scope);
         }
         for (task, attempt) in running {
-            scope.credits.remove(target::Id { task, attempt });
+            let id = target::Id { task, attempt };
+            scope.credits.end(id, scope.now);
         }
         let state = "lost";
         scope.out.note(Note::Worker { worker, state });
--- a/crates/sched/src/shard/live.rs
+++ b/crates/sched/src/shard/live.rs
@@ -167,10 +167,16 @@
         self.may_start = until;
     }
 
+    /// Returns whether this node may act as the owner now; slots of targets that it has adopted are
+    /// renewed also while others are still to be taken over.
+    pub(crate) fn is_owner(&self, now: Timestamp) -> bool {
+        self.may_start.is_some_and(|until| now < until)
+    }
+
     /// Returns whether work may be placed now.
     pub(super) fn is_active(&self, now: Timestamp) -> bool {
         let ready = self.recovery.as_ref().is_none_or(|r| r.is_ready());
-        ready && self.may_start.is_some_and(|until| now < until)
+        ready && self.is_owner(now)
     }
 
     /// Returns whether this shard places work now.
