--- a/crates/coordination/src/journal/opening.rs
+++ b/crates/coordination/src/journal/opening.rs
@@ -312,7 +312,9 @@
                 base: self.base,
                 at: now,
             },
-            record: Record::Opened,
+            record: Record::Opened {
+                blind: self.settings.blind,
+            },
         };
         let records = vec![envelope.encode().ok()?];
         Some(Effect::Append(log::Append {
--- a/crates/coordination/src/journal/record.rs
+++ b/crates/coordination/src/journal/record.rs
@@ -70,7 +70,10 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Record {
     /// The writer has taken the stream at the epoch of the envelope.
-    Opened,
+    Opened {
+        /// Whether it may begin requests without the log in an outage.
+        blind: bool,
+    },
     /// A job was accepted.
     Accepted {
         /// The job.
--- a/crates/coordination/src/journal/settings.rs
+++ b/crates/coordination/src/journal/settings.rs
@@ -24,6 +24,9 @@
     pub record: usize,
     /// The most bytes that wait in memory while the log is down.
     pub pending: usize,
+    /// Whether this owner may begin requests without the log in an outage, so that a successor has
+    /// to reckon with it; the same as `request::Settings::outage` being `Fresh`.
+    pub blind: bool,
     /// After how long without any record the writer says that it is alive.
     pub heartbeat: Duration,
     /// How long the log keeps a record.
@@ -47,6 +50,7 @@
             append: MIB,
             record: 256 * KIB,
             pending: 16 * MIB,
+            blind: true,
             heartbeat: Duration::from_secs(10),
             retention: Duration::from_secs(24 * 3600),
             snapshot_bytes: 32 * MIB,
--- a/crates/coordination/src/recovery/image.rs
+++ b/crates/coordination/src/recovery/image.rs
@@ -234,6 +234,8 @@
     pub sequence: Option<u64>,
     /// When the last counted record was put into its append, by its writer's clock.
     pub last_at: Timestamp,
+    /// Whether the last owner may begin requests without the log in an outage.
+    pub blind: bool,
     /// The times in which earlier owners may have gone on without the log.
     pub gaps: Vec<Gap>,
     /// The jobs that are not over.
@@ -253,12 +255,12 @@
 impl Image {
     /// Takes in a record that counts.
     pub(crate) fn apply(&mut self, header: &Header, record: &Record) {
-        if matches!(record, Record::Opened) {
-            self.note_gap(header.at);
-        }
-        self.last_at = self.last_at.max(header.at);
         match record {
-            Record::Opened | Record::Snapshot(_) | Record::Alive => {}
+            Record::Opened { blind } => {
+                self.note_gap(header.at);
+                self.blind = *blind;
+            }
+            Record::Snapshot(_) | Record::Alive => {}
             Record::Accepted { job, spec, at } => self.accept(*job, spec, *at),
             Record::Starting {
                 task,
@@ -324,6 +326,7 @@
                 self.closed.remove(part);
             }
         }
+        self.last_at = self.last_at.max(header.at);
     }
 
     /// Notes for how long an earlier owner may have gone on without the log.
@@ -332,7 +335,7 @@
             from: self.last_at,
             to: opened,
         };
-        if self.last_at > Timestamp::ZERO && opened.since(self.last_at) >= GAP_MIN {
+        if self.blind && opened.since(self.last_at) >= GAP_MIN {
             self.gaps.push(gap);
         }
         if self.gaps.len() > GAPS_MAX {
--- a/crates/coordination/tests/request_history.rs
+++ b/crates/coordination/tests/request_history.rs
@@ -138,7 +138,10 @@
         let clock = Duration::from_millis(clock);
         let now = self.now + clock;
         self.epoch += 1;
-        let settings = journal::Settings::default();
+        let settings = journal::Settings {
+            blind: self.settings.outage == Outage::Fresh,
+            ..journal::Settings::default()
+        };
         let opened = open(&mut self.stream, self.epoch, &settings, now);
         let claim = Claim {
             epoch: Epoch(self.epoch),
