Say unknown of every key that was not looked up; let a balancer send the load

A gate that refuses a keyed request before it has asked the key's home shard knows nothing of earlier calls with the key, whatever the reason; only malformed and oversize requests are certain. Two tests failed before: a deadline of 0s and a service that is gone both said not_run.

The load tool now sends callers as a balancer would, by each gate's readiness. In a rolling restart one request was lost in the queue of a port that closed, since callers were sent to a gate that had long said that it was leaving.

--- a/crates/gate/src/http/job.rs
+++ b/crates/gate/src/http/job.rs
@@ -127,7 +127,7 @@
         return Err(untold(app.leaving()));
     }
     let (parts, body) = request.into_parts();
-    let span = deadline(app, &parts.headers)?;
+    let span = deadline(app, &parts.headers).map_err(untold)?;
     let _share = app.load.enter().map_err(untold)?;
     let body = declaration(app, &parts.headers, body).await?;
     let raw = Raw::parse(&body.bytes)?;
@@ -162,7 +162,10 @@
 /// Widens the outcome of a refusal for which the job was not looked at: its id may have been submitted
 /// before, through another gate.
 fn untold(refusal: Refusal) -> Refusal {
-    refusal.outcome(Outcome::Unknown)
+    match refusal.reason {
+        Reason::Malformed => refusal,
+        _ => refusal.outcome(Outcome::Unknown),
+    }
 }
 
 async fn declaration(app: &App, headers: &HeaderMap, body: Body) -> Result<Kept, Refusal> {
--- a/crates/gate/src/http/request.rs
+++ b/crates/gate/src/http/request.rs
@@ -170,13 +170,13 @@
     })
 }
 
-/// Widens the outcome of a refusal that says nothing about the request itself.
+/// Widens the outcome of a refusal for which the key's home shard was not asked.
 ///
-/// A gate that is leaving or full has not asked the key's home shard, and an earlier call with the
-/// key may have run.
+/// An earlier call with the key may have run, whatever this gate thinks of the service, the deadline
+/// or itself by now. Only a request that could never have run is certain.
 fn about_key(head: &Head, refusal: Refusal) -> Refusal {
-    let is_about_gate = matches!(refusal.reason, Reason::Draining | Reason::QueueFull);
-    if head.idempotent || !is_about_gate {
+    let is_certain = matches!(refusal.reason, Reason::Malformed | Reason::BodyTooLarge);
+    if head.idempotent || is_certain {
         return refusal;
     }
     refusal.outcome(Outcome::Unknown)
--- a/crates/gate/tests/keyed.rs
+++ b/crates/gate/tests/keyed.rs
@@ -285,3 +285,25 @@
     assert_eq!(answer.status(), 200);
     assert_eq!(sched.calls(), []);
 }
+
+#[rstest]
+#[case::no_time("desk", "0s", "504 deadline unknown final")]
+#[case::service_gone("kitchen", "1s", "404 unknown-service unknown final")]
+#[tokio::test]
+async fn a_key_that_was_not_looked_up_is_not_said_not_to_have_run(
+    #[case] service: &str,
+    #[case] deadline: &str,
+    #[case] expected: &str,
+) {
+    let sched = Sched::start(NODES[0], document(), &[]);
+    let gate = gate(&[&sched]).await;
+    ready(&gate).await;
+    let answer = post(&gate, &format!("/v1/services/{service}/requests"))
+        .header("Idempotency-Key", KEY)
+        .header("Fulmarpier-Deadline", deadline)
+        .send()
+        .await
+        .unwrap();
+    assert_eq!(problem(answer).await, expected);
+    assert_eq!(sched.calls(), []);
+}
--- a/crates/load/src/caller/mod.rs
+++ b/crates/load/src/caller/mod.rs
@@ -31,6 +31,7 @@
 
 use crate::{
     arrival::Arrival,
+    balancer::Balancer,
     call::{
         Call,
         End,
@@ -46,6 +47,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Caller {
     http: Client,
+    balancer: Balancer,
     settings: Arc<Settings>,
     /// The wall clock at the start, from the Unix epoch.
     origin: Duration,
@@ -68,11 +70,17 @@
 
 impl Caller {
     /// Makes the callers of a run that starts now.
-    pub(crate) fn new(http: Client, settings: Arc<Settings>, origin: Duration) -> Self {
+    pub(crate) fn new(
+        http: Client,
+        balancer: Balancer,
+        settings: Arc<Settings>,
+        origin: Duration,
+    ) -> Self {
         let start = Instant::now();
         let until = start + settings.duration.get() + settings.settle.get();
         Self {
             http,
+            balancer,
             settings,
             origin,
             start,
@@ -120,19 +128,18 @@
         }
     }
 
-    /// Sends a call to its gate, and to the next one where no connection can be made, as the balancer
-    /// before the gates does.
+    /// Sends a call to the gate that the balancer names, and to the next one where no connection can
+    /// be made.
     async fn send(
         &self,
         arrival: &Arrival,
         call: impl Fn(&Url) -> RequestBuilder,
     ) -> reqwest::Result<Response> {
-        let gates = &self.settings.gates;
-        let count = u64::try_from(gates.len()).unwrap_or(1);
-        let first = usize::try_from(arrival.seed % count).unwrap_or(0);
-        let (before, from) = gates.split_at(first);
-        let mut answer = call(&gates[first]).send().await;
-        for gate in from.iter().chain(before).skip(1) {
+        let mut gates = self.balancer.order(arrival.seed).into_iter();
+        // The settings have at least one gate.
+        let first = gates.next().unwrap_or(&self.settings.gates[0]);
+        let mut answer = call(first).send().await;
+        for gate in gates {
             match &answer {
                 Err(error) if error.is_connect() => answer = call(gate).send().await,
                 _ => break,
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -5,6 +5,7 @@
 //! usual mistake coordinated omission). At the end every answer is compared with what really ran.
 
 mod arrival;
+mod balancer;
 mod call;
 mod caller;
 mod check;
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -26,6 +26,7 @@
 
 use crate::{
     arrival::Arrivals,
+    balancer::Balancer,
     call::Call,
     caller::Caller,
     control, prepare,
@@ -92,7 +93,9 @@
     let origin = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default();
-    let caller = Caller::new(http.clone(), settings.clone(), origin);
+    let balancer = Balancer::new(&settings.gates);
+    let watching = tokio::spawn(balancer.clone().watch(http.clone()));
+    let caller = Caller::new(http.clone(), balancer, settings.clone(), origin);
     let (done, mut calls) = mpsc::unbounded_channel();
     let sending = tokio::spawn(send(
         caller,
@@ -116,6 +119,7 @@
     }
     // The sender ends before the last call does.
     let _ = sending.await;
+    watching.abort();
     all
 }
 
