Hold a job after three failures on unknown workers too

Workers seldom fail together, so their assumed rate is now 0.1 against 0.25 for jobs: held after 3 failures among known workers and 3 among new ones.

A job now counts as failing everywhere only if it fails on four workers for each on which it does well. The test of the bound on quarantines had five workers fail the same jobs at once, where nothing tells jobs from workers; they now turn bad one after the other, and the two that must be found are named.

--- a/crates/state/src/reputation/book.rs
+++ b/crates/state/src/reputation/book.rs
@@ -29,6 +29,8 @@
 
 /// On how many different workers a job must fail before it is held.
 const WORKERS_TO_HOLD: usize = 3;
+/// A job that does well on one worker for each few where it fails doesn't fail everywhere.
+const FAILING_FOR_EACH_GOOD: usize = 4;
 /// One in this many of the known workers may be under quarantine by evidence at once, since a fault
 /// that many share is not theirs.
 const QUARANTINED_PART: usize = 4;
@@ -194,21 +196,24 @@
             return false;
         };
         let mut evidence = 0.0;
-        let mut workers = 0;
+        let mut failing = 0;
+        let mut good = 0;
         let shares = tally.shares(now);
         for (vote, share) in shares.filter(|(vote, _)| !self.is_quarantined(vote.worker)) {
             let record = self.workers.get(&vote.worker);
             let others = record.map(|record| record.rate_without(job, now));
-            let against = others.unwrap_or(Rate::new(0.0)).evidence();
+            let against = others.unwrap_or(Rate::of_worker()).evidence();
             evidence += share * against + (1.0 - share) * SUCCESS;
-            workers += usize::from(vote.failed > 0);
+            failing += usize::from(vote.failed > 0);
+            good += usize::from(share < 0.5);
         }
-        workers >= WORKERS_TO_HOLD && evidence >= TO_HOLD
+        let everywhere = failing >= WORKERS_TO_HOLD.max(FAILING_FOR_EACH_GOOD * good);
+        everywhere && evidence >= TO_HOLD
     }
 
     /// Returns how often the job fails on other workers that aren't under quarantine.
     fn elsewhere(&self, job: JobId, worker: WorkerId, now: Timestamp) -> Rate {
-        let mut rate = Rate::new(self.recent.rate_elsewhere(worker, now));
+        let mut rate = Rate::of_job(self.recent.rate_elsewhere(worker, now));
         let is_trusted = |other| !self.is_quarantined(other);
         if let Some(tally) = self.jobs.get(job) {
             tally.add_elsewhere(&mut rate, worker, now, is_trusted);
--- a/crates/state/src/reputation/evidence.rs
+++ b/crates/state/src/reputation/evidence.rs
@@ -26,14 +26,16 @@
 /// A task that has run for this long has started well, where nothing else is known.
 pub(super) const PROOF: Duration = Duration::from_secs(60);
 
-/// The rate of failures assumed of a party that nothing is known of.
+/// The rate of failures assumed of a job that nothing is known of.
 ///
-/// It is far above that of sound parties, since jobs that are submitted together often share a
-/// fault, and few new ones should not outweigh a worker.
-const PRIOR: f64 = 0.25;
+/// It is far above that of sound jobs, since jobs that are submitted together often share a fault,
+/// and few new ones should not outweigh a worker.
+const JOB_PRIOR: f64 = 0.25;
+/// The rate of failures assumed of a worker that nothing is known of; workers seldom fail together.
+const WORKER_PRIOR: f64 = 0.1;
 /// No party is taken to fail less often than this, however good it was so far.
 const LOWEST: f64 = 0.02;
-/// How many outcomes the assumption of [`PRIOR`] weighs as much as.
+/// How many outcomes such an assumption weighs as much as.
 const PRIOR_OUTCOMES: f64 = 1.0;
 
 /// Parts of outcomes that failed, each counted at most once for each counterpart.
@@ -45,10 +47,19 @@
 }
 
 impl Rate {
-    /// Makes the rate of a party that nothing is known of but how often failures are of late.
-    pub(super) fn new(others: f64) -> Self {
+    /// Makes the rate of a worker that nothing is known of.
+    pub(super) const fn of_worker() -> Self {
         Self {
-            failures: PRIOR_OUTCOMES * others.max(PRIOR),
+            failures: PRIOR_OUTCOMES * WORKER_PRIOR,
+            outcomes: PRIOR_OUTCOMES,
+            lowest: LOWEST,
+        }
+    }
+
+    /// Makes the rate of a job of which nothing is known but how often others failed of late.
+    pub(super) fn of_job(others: f64) -> Self {
+        Self {
+            failures: PRIOR_OUTCOMES * others.max(JOB_PRIOR),
             outcomes: PRIOR_OUTCOMES,
             lowest: others.max(LOWEST),
         }
--- a/crates/state/src/reputation/record.rs
+++ b/crates/state/src/reputation/record.rs
@@ -96,7 +96,7 @@
             .outcomes
             .iter()
             .filter(|o| o.job != job && !is_stale(o.at, now));
-        let mut rate = Rate::new(0.0);
+        let mut rate = Rate::of_worker();
         for outcome in others {
             rate.add(if outcome.kind == Kind::Failed {
                 1.0
--- a/crates/state/tests/reputation.rs
+++ b/crates/state/tests/reputation.rs
@@ -85,7 +85,7 @@
 /// A hundred tasks of a job fail, two on each of fifty good workers.
 #[rstest]
 #[case::among_known_workers(10, 3)]
-#[case::among_new_workers(0, 5)]
+#[case::among_new_workers(0, 3)]
 fn a_bad_job_is_held_and_no_worker_is_blamed(#[case] jobs: u128, #[case] expected: usize) {
     let mut book = Book::new();
     all_well(&mut book, 50, jobs);
@@ -161,20 +161,35 @@
     assert!(book.quarantined().count() <= 5);
 }
 
-/// Five of eight workers fail everything, and the others do well.
+/// Five of eight workers turn bad one after the other, and the others do well.
 #[test]
 fn at_most_a_quarter_is_under_quarantine() {
     let mut book = Book::new();
     all_well(&mut book, 8, 10);
-    for round in 0..20 {
-        for worker in 0..5 {
-            book.failed(WorkerId(worker), job(round % 10), secs(1));
+    for worker in 0..5 {
+        for id in 0..10 {
+            book.failed(WorkerId(worker), job(id), secs(1));
         }
         for (worker, id) in (5..8).flat_map(|w| (0..10).map(move |j| (w, j))) {
             book.completed(WorkerId(worker), job(id), secs(1));
         }
     }
-    assert_eq!(book.quarantined().count(), 2);
+    let quarantined: Vec<WorkerId> = book.quarantined().collect();
+    assert_eq!(quarantined, [WorkerId(0), WorkerId(1)]);
+}
+
+/// A job that fails on some workers and does well on others is not at fault everywhere.
+#[test]
+fn a_job_that_does_well_on_a_third_of_the_workers_is_not_held() {
+    let mut book = Book::new();
+    all_well(&mut book, 12, 10);
+    for worker in 0..4 {
+        book.completed(WorkerId(worker), job(999), secs(1));
+    }
+    for worker in 4..12 {
+        let verdict = book.failed(WorkerId(worker), job(999), secs(2));
+        assert_eq!(verdict, Verdict::None);
+    }
 }
 
 /// Many new jobs with the same fault fill one worker after the other.
