--- a/crates/coordination/src/credit/balance/mod.rs
+++ b/crates/coordination/src/credit/balance/mod.rs
@@ -124,7 +124,6 @@
     services: HashMap<target::Id, Service>,
     /// The owners that were asked lately.
     owners: BTreeMap<NodeId, Owner>,
-    short: bool,
 }
 
 impl Balance {
@@ -138,7 +137,6 @@
             pools: BTreeMap::new(),
             services: HashMap::default(),
             owners: BTreeMap::new(),
-            short: false,
         }
     }
 
@@ -151,14 +149,13 @@
     ///
     /// # Errors
     ///
-    /// [`Short`] where there is none; the request waits or is refused, and
-    /// [`Self::is_short`] asks for a statement ahead of time.
+    /// [`Short`] where there is none; the request waits or is refused, and the next statements should
+    /// be made ahead of time.
     ///
     /// See also [`Self::put_back`].
     pub fn take(&mut self, service: &Service, now: Timestamp) -> Result<Ticket, Short> {
         let Some(pool) = self.pools.get_mut(service) else {
             self.expect(service);
-            self.short = true;
             return Err(Short::NoTarget);
         };
         let none = if pool.entries.is_empty() {
@@ -167,7 +164,6 @@
             Short::Full
         };
         let Some(entry) = pool.pick(&mut self.rng, now) else {
-            self.short = true;
             return Err(none);
         };
         entry.in_use += 1;
@@ -210,12 +206,6 @@
         pool.need.wait(count);
     }
 
-    /// Returns whether a request found no slot since the last statement, so that the next one should
-    /// be made at once.
-    pub const fn is_short(&self) -> bool {
-        self.short
-    }
-
     /// Returns how many slots of a service are held and how many of them are in use.
     pub fn usage(&self, service: &Service, now: Timestamp) -> (u32, u32) {
         let pool = self.pools.get(service);
@@ -238,7 +228,6 @@
     /// See also [`Self::apply`].
     pub fn state(&mut self, owner: NodeId, draining: bool, now: Timestamp) -> Statement {
         self.forget_over(now);
-        self.short = false;
         self.sequence += 1;
         let fresh = || Owner {
             pending: None,
