Allow for refused connections that the transport repeats from memory

The transport repeats a refusal for up to its longest backoff of 1 s. A peer that started meanwhile could vouch before evidence that rests on the old refusal runs out. The age of a refusal is now a span of its own, taken off how long the evidence lasts, and the suspicion of an owner must exceed it. Vouches are asked only of nodes that may be there.

--- a/crates/coordination/src/member/inquiry.rs
+++ b/crates/coordination/src/member/inquiry.rs
@@ -99,7 +99,9 @@
             Some(Stance::Clear { asked }) => now.since(*asked) < timing.get_lease(),
             Some(Stance::Ended { first, asked }) => {
                 let lapsed = now.since(*first) >= timing.foreign_lease();
-                let recent = now.since(*asked) < timing.get_lease();
+                // A process that started right after the refusal can vouch a lease later.
+                let age = now.since(*asked) + timing.get_refusal_age();
+                let recent = age < timing.get_lease();
                 lapsed && recent
             }
             Some(Stance::Blocking) | None => false,
--- a/crates/coordination/src/member/machine/renew.rs
+++ b/crates/coordination/src/member/machine/renew.rs
@@ -79,7 +79,7 @@
             return;
         }
         self.next_plea = now + self.timing.get_retry();
-        for (node, address) in self.peers() {
+        for (node, address) in self.witnesses(None, now) {
             let question = ownership::Question::Vouch {
                 holdings: holdings.clone(),
             };
--- a/crates/coordination/src/member/timing.rs
+++ b/crates/coordination/src/member/timing.rs
@@ -25,6 +25,7 @@
     retry: Duration,
     rebalance: Duration,
     list_lag: Duration,
+    refusal_age: Duration,
 }
 
 /// The ways in which spans can contradict each other.
@@ -44,13 +45,21 @@
         /// The span that it must exceed.
         least: Duration,
     },
-    /// An owner would be suspected although it is in time.
-    #[error("the suspicion of {suspicion:?} must be longer than a renewal of {renewal:?}")]
+    /// An owner would be suspected although it is in time, or a refusal could be older than it.
+    #[error("the suspicion of {suspicion:?} must be longer than {least:?}")]
     Suspicion {
         /// The suspicion as given.
         suspicion: Duration,
-        /// The renewal as given.
-        renewal: Duration,
+        /// The longer of a renewal and the age of a refusal.
+        least: Duration,
+    },
+    /// A refusal could be too old to prove anything about the lease after it.
+    #[error("the age of a refusal, {age:?}, must be shorter than a lease of {lease:?}")]
+    RefusalAge {
+        /// The age as given.
+        age: Duration,
+        /// The lease as given.
+        lease: Duration,
     },
 }
 
@@ -65,6 +74,7 @@
             retry: Duration::from_millis(250),
             rebalance: Duration::from_secs(2),
             list_lag: Duration::from_secs(90),
+            refusal_age: Duration::from_secs(1),
         }
     }
 }
@@ -127,12 +137,20 @@
         self
     }
 
+    /// Sets how old a refused connection may be when it is reported: the longest backoff of the
+    /// transport, which repeats a refusal from memory.
+    #[must_use]
+    pub const fn refusal_age(mut self, span: Duration) -> Self {
+        self.refusal_age = span;
+        self
+    }
+
     /// Checks the spans against each other.
     ///
     /// # Errors
     ///
-    /// Refuses spans of zero, a lease not longer than two renewals and the drift, and a suspicion
-    /// not longer than a renewal.
+    /// Refuses spans of zero, a lease not longer than two renewals and the drift or than the age of
+    /// a refusal, and a suspicion not longer than a renewal or than that age.
     pub fn check(self) -> Result<Self, TimingError> {
         let named = [
             ("lease", self.lease),
@@ -150,10 +168,17 @@
                 least,
             });
         }
-        if self.suspicion <= self.renewal {
+        let least = self.renewal.max(self.refusal_age);
+        if self.suspicion <= least {
             return Err(TimingError::Suspicion {
                 suspicion: self.suspicion,
-                renewal: self.renewal,
+                least,
+            });
+        }
+        if self.refusal_age >= self.lease {
+            return Err(TimingError::RefusalAge {
+                age: self.refusal_age,
+                lease: self.lease,
             });
         }
         Ok(self)
@@ -203,6 +228,10 @@
         self.rebalance
     }
 
+    pub(super) const fn get_refusal_age(&self) -> Duration {
+        self.refusal_age
+    }
+
     pub(super) const fn get_list_lag(&self) -> Duration {
         self.list_lag
     }
