Say that a job is unknown only once every shard was told of

The peers now say for which shards they can tell; while one is missing the answer is no-owner with the outcome unknown.

`submit` as a command answers with the job's id.

--- a/crates/demo/src/script.rs
+++ b/crates/demo/src/script.rs
@@ -7,6 +7,7 @@
 
 use fulmarpier_ctl::render;
 use fulmarpier_protocol::http::table::Table;
+use reqwest::StatusCode;
 use serde_json::Value;
 use tokio::{
     task::JoinSet,
@@ -356,8 +357,19 @@
 }
 
 /// Cancels the service and waits until each of its targets has stopped.
+///
+/// Its shard may be between two owners; then the operator is told to ask again.
 async fn stopped(caller: &Caller, job: &str) -> Result<(), Error> {
-    show(caller, &format!("cancel job {job}")).await?;
+    for _ in 0..PATIENCE {
+        match show(caller, &format!("cancel job {job}")).await {
+            Ok(()) => break,
+            Err(Error::Call {
+                source: caller::Error::Refused { status, .. },
+                ..
+            }) if status == StatusCode::SERVICE_UNAVAILABLE => sleep(PAUSE).await,
+            Err(error) => return Err(error),
+        }
+    }
     let view = caller.wait(job, "20s").await.map_err(call("a wait"))?;
     let shown = format!("{}, tasks {}", view["state"], view["tasks"]);
     println!("service {job}: {shown}");
--- a/crates/sched/src/node/calls.rs
+++ b/crates/sched/src/node/calls.rs
@@ -193,7 +193,7 @@
     }
 
     /// Returns the shards for which this node can tell which jobs they have.
-    fn settled(&self) -> Vec<ShardId> {
+    pub(super) fn settled(&self) -> Vec<ShardId> {
         let settled = self.lives().filter(|live| live.is_settled());
         settled.map(|live| live.shard).collect()
     }
--- a/crates/sched/src/node/command/answer.rs
+++ b/crates/sched/src/node/command/answer.rs
@@ -1,14 +1,20 @@
 //! The answers to commands.
 
 use fulmarpier_protocol::{
-    http::table::Table,
+    http::table::{
+        Cell,
+        Table, //
+    },
     problem::Problem,
     query::Show,
     wire, //
 };
-use fulmarpier_state::refusal::{
-    Reason,
-    Refusal, //
+use fulmarpier_state::{
+    id::JobId,
+    refusal::{
+        Reason,
+        Refusal, //
+    },
 };
 
 use super::super::{
@@ -65,14 +71,14 @@
             let Output::Answer { id, answer } = output else {
                 continue;
             };
-            if self.as_command.remove(id) {
-                **answer = wire::Answer::Command(translated(answer));
+            if let Some(job) = self.as_command.remove(id) {
+                **answer = wire::Answer::Command(translated(answer, job));
             }
         }
     }
 }
 
-fn translated(answer: &wire::Answer) -> wire::command::Reply {
+fn translated(answer: &wire::Answer, job: JobId) -> wire::command::Reply {
     let reply = match answer {
         wire::Answer::Submit(reply) => reply,
         wire::Answer::Cancel(wire::cancel::Reply::Found(reply)) => reply,
@@ -80,8 +86,8 @@
         _ => return problem_reply(&Problem::from(&internal())),
     };
     match reply {
-        wire::submit::Reply::Accepted => table_reply(&note_table("accepted")),
-        wire::submit::Reply::Known => table_reply(&note_table("nothing to do")),
+        wire::submit::Reply::Accepted => table_reply(&job_table(job, "accepted")),
+        wire::submit::Reply::Known => table_reply(&job_table(job, "nothing to do")),
         wire::submit::Reply::Refused(refusal) => problem_reply(&Problem::from(refusal)),
         wire::submit::Reply::Elsewhere(node) => {
             let refusal = Refusal::new(Reason::NoOwner, format!("the shard has moved to {node}"));
@@ -97,6 +103,15 @@
     )
 }
 
+/// A table with the id of a job, so that a submitter learns it.
+fn job_table(job: JobId, note: &str) -> Table {
+    Table {
+        columns: vec!["job".to_owned()],
+        rows: vec![vec![Cell::text(job)]],
+        ..note_table(note)
+    }
+}
+
 fn note_table(note: &str) -> Table {
     Table {
         notes: vec![note.to_owned()],
--- a/crates/sched/src/node/command/gather.rs
+++ b/crates/sched/src/node/command/gather.rs
@@ -15,7 +15,8 @@
     clock::Timestamp,
     id::{
         JobId,
-        NodeId, //
+        NodeId,
+        ShardId, //
     },
 };
 
@@ -25,18 +26,26 @@
         Node,
         Output, //
     },
-    run::unknown_job,
+    run::{
+        unknown_job,
+        untold_job, //
+    },
 };
 
 /// The HTTP status of a command that was carried out.
 const OK: u16 = 200;
+/// The HTTP status of a peer's reply that it does not have the job, with the shards it speaks for.
+pub(super) const UNKNOWN: u16 = 404;
 
 /// What is done with the peers' answers.
 pub(super) enum Goal {
     /// Their rows are put behind those of this node.
     Show { show: Show, table: Table },
-    /// The first that knows the job has the answer.
-    First { job: JobId },
+    /// The first that knows the job has the answer; nobody does only once each shard was told of.
+    First {
+        job: JobId,
+        untold: BTreeSet<ShardId>,
+    },
     /// Their usage is added up, then the change is checked against it.
     Change {
         change: Change,
@@ -60,6 +69,27 @@
 }
 
 impl Node {
+    /// Asks every peer for a job that no shard of this node has, or tells a peer so.
+    pub(super) fn search(
+        &mut self,
+        call: CallId,
+        job: JobId,
+        request: &wire::command::Request,
+        now: Timestamp,
+    ) {
+        let settled = self.settled();
+        if request.local {
+            let reply = wire::command::Reply {
+                status: UNKNOWN,
+                json: serde_json::to_vec(&settled).unwrap_or_default().into(),
+            };
+            return self.answer(call, wire::Answer::Command(reply));
+        }
+        let untold = self.map.shards();
+        let untold = untold.filter(|shard| !settled.contains(shard)).collect();
+        self.gather(call, Goal::First { job, untold }, request, now);
+    }
+
     /// Passes a command to every peer and waits for their answers.
     pub(super) fn gather(
         &mut self,
@@ -115,13 +145,14 @@
         running.waiting.remove(&node);
         match &mut running.goal {
             Goal::Show { table, .. } => merge(table, &reply),
-            Goal::First { .. } => {
-                if reply.status == OK {
+            Goal::First { untold, .. } => match without(&reply) {
+                Some(settled) => untold.retain(|shard| !settled.contains(shard)),
+                None => {
                     let call = running.call;
                     self.commands.remove(&number);
                     return self.answer(call, wire::Answer::Command(reply));
                 }
-            }
+            },
             Goal::Change { usage, .. } => match serde_json::from_slice(&reply.json) {
                 Ok(more) if reply.status == OK => usage.merge(more),
                 _ => usage.partial = true,
@@ -176,7 +207,10 @@
         let call = running.call;
         match running.goal {
             Goal::Show { show, table } => self.finish_show(call, &show, table),
-            Goal::First { job } => self.refuse_command(call, unknown_job(job)),
+            Goal::First { job, untold } if untold.is_empty() => {
+                self.refuse_command(call, unknown_job(job));
+            }
+            Goal::First { job, untold } => self.refuse_command(call, untold_job(job, &untold)),
             Goal::Change {
                 change,
                 usage,
@@ -186,6 +220,15 @@
     }
 }
 
+/// Returns the shards for which a peer can tell that they don't have the job.
+///
+/// `None` where the reply is the answer to the command: the peer has the job.
+fn without(reply: &wire::command::Reply) -> Option<Vec<ShardId>> {
+    (reply.status == UNKNOWN)
+        .then(|| serde_json::from_slice(&reply.json).ok())
+        .flatten()
+}
+
 /// Puts a peer's rows behind those that are there.
 fn merge(table: &mut Table, reply: &wire::command::Reply) {
     if reply.status != OK {
--- a/crates/sched/src/node/command/run.rs
+++ b/crates/sched/src/node/command/run.rs
@@ -1,5 +1,10 @@
 //! The commands, one by one.
 
+use std::{
+    collections::BTreeSet,
+    time::Duration, //
+};
+
 use fulmarpier_protocol::{
     http::job::Draft,
     problem::Problem,
@@ -16,6 +21,7 @@
         ShardId, //
     },
     refusal::{
+        Outcome,
         Reason,
         Refusal, //
     },
@@ -30,6 +36,9 @@
     gather::Goal,
 };
 
+/// When to ask again for a job whose shard has no active owner.
+const RETRY: Duration = Duration::from_secs(1);
+
 impl Node {
     /// Runs one line of the operators' language.
     pub(in crate::node) fn command(
@@ -78,10 +87,7 @@
             let table = self.explanation(job, now);
             return self.answer_table(id, &table);
         }
-        if request.local {
-            return self.refuse_command(id, unknown_job(job));
-        }
-        self.gather(id, Goal::First { job }, request, now);
+        self.search(id, job, request, now);
     }
 
     fn cancel_job(
@@ -99,14 +105,11 @@
                     .push("dry run: the job would be cancelled".to_owned());
                 return self.answer_table(id, &table);
             }
-            self.as_command.insert(id);
+            self.as_command.insert(id, job);
             self.with_live(shard, now, |live, scope| live.cancel(id, job, scope));
             return;
         }
-        if request.local {
-            return self.refuse_command(id, unknown_job(job));
-        }
-        self.gather(id, Goal::First { job }, request, now);
+        self.search(id, job, request, now);
     }
 
     fn submit_draft(
@@ -131,7 +134,7 @@
                 _ => self.answer_note(id, "dry run: the job would be accepted"),
             };
         }
-        self.as_command.insert(id);
+        self.as_command.insert(id, job);
         self.with_live(shard, now, |live, scope| {
             live.submit(id, job, submission.spec, scope);
         });
@@ -156,7 +159,18 @@
     }
 }
 
-/// The refusal of a command about a job that nobody knows.
+/// The refusal of a command about a job that nobody knows; it may have run long ago.
 pub(super) fn unknown_job(job: JobId) -> Refusal {
-    Refusal::new(Reason::UnknownJob, format!("no shard knows job {job}"))
+    let refusal = Refusal::new(Reason::UnknownJob, format!("no shard knows job {job}"));
+    refusal.outcome(Outcome::Unknown)
+}
+
+/// The refusal of a command about a job that a shard may have that nobody could speak for.
+pub(super) fn untold_job(job: JobId, untold: &BTreeSet<ShardId>) -> Refusal {
+    let untold: Vec<String> = untold.iter().map(ToString::to_string).collect();
+    let untold = untold.join(", ");
+    let detail = format!("job {job} may be in a shard without an active owner: {untold}");
+    Refusal::new(Reason::NoOwner, detail)
+        .outcome(Outcome::Unknown)
+        .retry_after(RETRY)
 }
--- a/crates/sched/src/node/core.rs
+++ b/crates/sched/src/node/core.rs
@@ -25,12 +25,12 @@
     topology::Map,
 };
 use fulmarpier_state::{
-    alias::{
-        HashMap,
-        HashSet, //
-    },
+    alias::HashMap,
     clock::Timestamp,
-    id::ShardId, //
+    id::{
+        JobId,
+        ShardId, //
+    },
 };
 
 use super::{
@@ -80,7 +80,7 @@
     pub(super) publishing: bool,
     pub(super) commands: HashMap<u64, Running>,
     /// Calls about jobs that came as commands, to be answered as such.
-    pub(super) as_command: HashSet<CallId>,
+    pub(super) as_command: HashMap<CallId, JobId>,
     pub(super) next_number: u64,
     pub(super) draining: bool,
     pub(super) listing: bool,
@@ -113,7 +113,7 @@
             publications: Vec::new(),
             publishing: false,
             commands: HashMap::default(),
-            as_command: HashSet::default(),
+            as_command: HashMap::default(),
             next_number: 0,
             draining: false,
             listing: false,
--- a/crates/sched/src/shard/part/home.rs
+++ b/crates/sched/src/shard/part/home.rs
@@ -184,7 +184,7 @@
         };
         let own = |view: &engine::JobView| {
             let job = image.jobs.get(&view.id);
-            job.is_some_and(|job| job.of.is_none() && !job.cancelled && job.tasks.is_empty())
+            job.is_some_and(|job| job.of.is_none() && !job.cancelled)
         };
         let roomless = |view: &engine::JobView| {
             let why = self.engine.explain(view.id, now);
--- a/crates/sched/tests/support/mod.rs
+++ b/crates/sched/tests/support/mod.rs
@@ -103,6 +103,10 @@
     sequence: u64,
     /// Which question of which node each call answers.
     questions: BTreeMap<CallId, (NodeId, Incarnation, Asking)>,
+    /// Which command of which node each call carries.
+    forwards: BTreeMap<CallId, (NodeId, Incarnation, u64, NodeId)>,
+    /// Messages about parts that left.
+    pub(crate) part_messages: u64,
     next_call: u64,
     /// The answers to calls from outside.
     pub(crate) answers: BTreeMap<CallId, wire::Answer>,
@@ -125,6 +129,8 @@
             held: BTreeMap::new(),
             sequence: 0,
             questions: BTreeMap::new(),
+            forwards: BTreeMap::new(),
+            part_messages: 0,
             next_call: 0,
             answers: BTreeMap::new(),
             rng: SmallRng::seed_from_u64(seed),
@@ -332,15 +338,12 @@
                 address,
                 message,
             } => self.ask(from, asking, address, &message),
-            Output::Forward { number, node, .. } => {
-                let reply = None;
-                let input = Input::Forwarded {
-                    number,
-                    node,
-                    reply,
-                };
-                self.reply(from, TIMEOUT, input);
-            }
+            Output::Forward {
+                number,
+                node,
+                command,
+                ..
+            } => self.forward(from, number, node, command),
             Output::Answer { id, answer } => self.answer(id, *answer),
             Output::List => {
                 let list = self.list();
@@ -351,6 +354,8 @@
     }
 
     fn ask(&mut self, from: NodeId, asking: Asking, address: SocketAddr, message: &peer::Message) {
+        let about_parts = matches!(&message.question, peer::Question::Part(_));
+        self.part_messages += u64::from(about_parts);
         let to = NodeId(u32::from(address.port() - PORT));
         let life = &self.lives[&to];
         if life.node.is_none() {
@@ -368,7 +373,40 @@
         self.questions.insert(id, (from, asker, asking));
     }
 
+    fn forward(
+        &mut self,
+        from: NodeId,
+        number: u64,
+        node: NodeId,
+        command: wire::command::Request,
+    ) {
+        if !self.is_up(node) {
+            let reply = None;
+            let input = Input::Forwarded {
+                number,
+                node,
+                reply,
+            };
+            return self.reply(from, TIMEOUT, input);
+        }
+        let id = self.call(node, wire::Call::Command(command));
+        let asker = self.lives[&from].incarnation;
+        self.forwards.insert(id, (from, asker, number, node));
+    }
+
     fn answer(&mut self, id: CallId, answer: wire::Answer) {
+        if let Some((asker, life, number, node)) = self.forwards.remove(&id) {
+            let reply = match answer {
+                wire::Answer::Command(reply) => Some(reply),
+                _ => None,
+            };
+            let input = Input::Forwarded {
+                number,
+                node,
+                reply,
+            };
+            return self.send(WAY, Parcel::In(asker, life, input));
+        }
         let Some((asker, life, asking)) = self.questions.remove(&id) else {
             self.answers.insert(id, answer);
             return;
--- a/crates/sched/tests/support/worker.rs
+++ b/crates/sched/tests/support/worker.rs
@@ -54,7 +54,7 @@
     /// How often each task was started.
     pub(crate) starts: BTreeMap<TaskId, u32>,
     /// Where each running task runs.
-    places: BTreeMap<TaskId, WorkerId>,
+    pub(crate) places: BTreeMap<TaskId, WorkerId>,
     /// What must not happen.
     pub(crate) violations: Vec<String>,
 }
