Plan single tasks on a few workers, align ends, bound each pass

Placement is told when tasks should end. A due probe without a task to try made next_wake lie in the past; it is now looked at again after a second. The test of a held job first lets the workers do well with other jobs, which the book now asks for before it blames the job.

--- a/crates/state/src/engine/begin.rs
+++ b/crates/state/src/engine/begin.rs
@@ -92,6 +92,8 @@
             job.presence.add(spec);
         }
         job.active.insert(id.index, task);
+        // A start can be on record before its worker is; then there is nothing to note.
+        let _ = self.index.set_busy_until(worker, end);
         self.listing.entry(worker).or_default().insert(id);
         if end < Timestamp::MAX {
             self.ends.insert((end, id));
--- a/crates/state/src/engine/core.rs
+++ b/crates/state/src/engine/core.rs
@@ -86,6 +86,8 @@
     /// Jobs that have ended, the oldest first.
     pub(super) ended: VecDeque<(Timestamp, JobId)>,
     pub(super) outbox: Vec<Effect>,
+    /// When the last pass of decisions was.
+    pub(super) decided: Timestamp,
     /// When work that is not urgent is decided next.
     pub(super) tick: Timestamp,
     /// Starts since the last one out of turn for a job that has waited too long.
@@ -121,6 +123,7 @@
             ghosts: BTreeMap::new(),
             ended: VecDeque::new(),
             outbox: Vec::new(),
+            decided: Timestamp::ZERO,
             tick: Timestamp::ZERO,
             in_turn: 0,
             counters: Counters::default(),
--- a/crates/state/src/engine/decide.rs
+++ b/crates/state/src/engine/decide.rs
@@ -35,7 +35,9 @@
 const SINGLE: u32 = 1;
 /// Against a team that floods the queue, capacity is held on up to this part of the workers, so
 /// that its small tasks don't take every room before a larger task of another team fits.
-const FAIR_PART: usize = 2;
+const FAIR_PART: usize = 4;
+/// The wait before a quarantined worker without a probe is looked at again.
+const PROBE_AGAIN: Duration = Duration::from_secs(1);
 /// A deadline presses when its job has to start within this time.
 const PRESSING: Duration = Duration::from_secs(5);
 
@@ -47,10 +49,11 @@
     /// A call costs O(log n) in jobs and workers for each start, and one failed search for each
     /// size of task that waits and fits nowhere.
     pub fn decide(&mut self, now: Timestamp, limit: usize) -> Vec<Effect> {
+        self.decided = now;
         self.run_timers(now);
         self.start_complete(now);
         self.start_elsewhere(now);
-        let end = self.counters.starts + limit as u64;
+        let end = self.counters.starts.saturating_add(limit as u64);
         self.serve(Priority::Urgent, end, now);
         if now >= self.tick {
             self.serve_overdue(end, now);
@@ -72,7 +75,9 @@
         let open = CLASSES.iter().any(|class| self.queue.is_open(*class));
         let ready = open || !self.complete.is_empty();
         let tick = ready.then_some(self.tick);
-        let probe = self.book.next_probe().filter(|_| !self.queue.is_empty());
+        // A probe that is due and finds no task to try is looked at again a little later.
+        let probe = self.book.next_probe();
+        let probe = probe.map(|at| at.max(self.decided + PROBE_AGAIN));
         [timer, end, tick, probe].into_iter().flatten().min()
     }
 
@@ -153,7 +158,7 @@
     }
 
     fn place_one(&mut self, entry: &Entry, now: Timestamp) -> bool {
-        let Some(worker) = self.find_worker(entry.job, entry.size) else {
+        let Some(worker) = self.find_worker(entry.job, entry.size, now) else {
             return false;
         };
         if self.index.reserve(worker, entry.size).is_err() {
@@ -165,15 +170,25 @@
     }
 
     /// Returns the worker for one task of a job, if any has room.
-    pub(super) fn find_worker(&self, job: JobId, size: Resources) -> Option<WorkerId> {
+    pub(super) fn find_worker(
+        &self,
+        job: JobId,
+        size: Resources,
+        now: Timestamp,
+    ) -> Option<WorkerId> {
         let job = self.jobs.get(&job)?;
         let spread = match (job.spec.spread, job.is_service()) {
             (Spread::Any, true) => self.policy.spread,
             (spread, _) => spread,
         };
+        let end = match job.is_service() {
+            true => Timestamp::MAX,
+            false => now + self.estimator.runtime(&job.key, job.spec.runtime).p90,
+        };
         let rule = Rule::new()
             .weights(self.policy.weights)
-            .spread(spread, &job.presence);
+            .spread(spread, &job.presence)
+            .runs(now, end);
         let wary = rule.avoid(&job.avoid);
         let found = self.index.find(&size, &wary);
         // A worker where the job failed once is better than none.
--- a/crates/state/src/engine/elsewhere.rs
+++ b/crates/state/src/engine/elsewhere.rs
@@ -36,7 +36,7 @@
             return;
         }
         self.lay_down(id);
-        match self.find_all(job, size, tasks) {
+        match self.find_all(job, size, tasks, now) {
             Some(workers) => {
                 self.drop_reservation(id, now);
                 for worker in workers {
@@ -49,9 +49,15 @@
     }
 
     /// Reserves room for all tasks of a reservation, wherever it is.
-    fn find_all(&mut self, job: JobId, size: Resources, tasks: u32) -> Option<Vec<WorkerId>> {
+    fn find_all(
+        &mut self,
+        job: JobId,
+        size: Resources,
+        tasks: u32,
+        now: Timestamp,
+    ) -> Option<Vec<WorkerId>> {
         let workers = match tasks {
-            1 => vec![self.find_worker(job, size)?],
+            1 => vec![self.find_worker(job, size, now)?],
             _ => self.plan_now(self.jobs.get(&job)?, tasks)?,
         };
         self.reserve_all(&workers, size).then_some(workers)
--- a/crates/state/src/engine/events.rs
+++ b/crates/state/src/engine/events.rs
@@ -35,7 +35,7 @@
         id: TaskId,
         attempt: Attempt,
         worker: WorkerId,
-        _now: Timestamp,
+        now: Timestamp,
     ) -> Vec<Effect> {
         let Some(task) = self.task_mut(id) else {
             self.act(id, attempt, worker, Act::Stop);
@@ -48,6 +48,8 @@
         if task.phase != Phase::Running {
             task.phase = Phase::Running;
             self.note_victim(id);
+            let verdict = self.book.started_ok(worker, id.job, now);
+            self.follow(verdict, now);
         }
         self.drain()
     }
--- a/crates/state/src/engine/gang.rs
+++ b/crates/state/src/engine/gang.rs
@@ -1,4 +1,4 @@
-//! Plans of capacity that is still in use, for gangs and large tasks.
+//! Gangs, and plans of capacity that is still in use for several tasks at once.
 
 use std::collections::BTreeMap;
 
@@ -23,7 +23,7 @@
 };
 
 /// How many running tasks a plan looks at.
-const MOST_LOOKED_AT: usize = 8_192;
+const MOST_LOOKED_AT: usize = 4_096;
 
 /// Capacity that will be there once some running tasks have ended.
 #[derive(Debug, Default)]
@@ -96,7 +96,11 @@
             false => 1,
         };
         let ends = self.ends.iter().map(|(_, task)| *task);
-        let Some(plan) = self.plan_release(&size, count, ends) else {
+        let plan = match count {
+            1 => self.plan_by_ends(&size),
+            _ => self.plan_release(&size, count, ends),
+        };
+        let Some(plan) = plan else {
             return false;
         };
         let last = plan.ending.iter().filter_map(|task| self.task(*task));
@@ -115,7 +119,7 @@
         true
     }
 
-    /// Plans `count` tasks onto capacity that the named tasks free, looked at in their order.
+    /// Plans several tasks onto capacity that some tasks free, looked at in their order.
     ///
     /// What is free now counts only on workers where such a task runs. Workers with another
     /// reservation and closed ones are left out.
@@ -171,10 +175,6 @@
         rooms: &mut BTreeMap<WorkerId, Room>,
         plan: &mut Plan,
     ) {
-        if *missing <= 1 {
-            // A single task was tried just before and fits nowhere.
-            return;
-        }
         let rule = Rule::new().weights(self.policy.weights);
         let fitting = self.index.count_fitting(size, *missing);
         let workers = self.index.plan(size, fitting, &rule).unwrap_or_default();
@@ -193,7 +193,7 @@
         plan.ending.clear();
     }
 
-    fn may_reserve_on(&self, worker: WorkerId) -> bool {
+    pub(super) fn may_reserve_on(&self, worker: WorkerId) -> bool {
         let host = self.hosts.get(&worker);
         let unreserved = host.is_some_and(|host| host.reservations.is_empty());
         unreserved && self.index.is_open(worker)
--- a/crates/state/src/engine/mod.rs
+++ b/crates/state/src/engine/mod.rs
@@ -29,6 +29,7 @@
 mod reserve;
 mod service;
 mod settle;
+mod single;
 mod submit;
 mod task;
 mod timer;
--- a/crates/state/src/engine/preempt.rs
+++ b/crates/state/src/engine/preempt.rs
@@ -34,7 +34,11 @@
             false => 1,
         };
         let victims = self.victims.iter().map(|(_, task)| *task);
-        let Some(mut plan) = self.plan_release(&entry.size, count, victims) else {
+        let plan = match count {
+            1 => self.plan_by_loss(&entry.size, now),
+            _ => self.plan_release(&entry.size, count, victims),
+        };
+        let Some(mut plan) = plan else {
             return false;
         };
         self.trim(&mut plan, entry.size);
@@ -55,7 +59,7 @@
     }
 
     /// Spares tasks that need not stop, those with the greatest loss first.
-    fn trim(&self, plan: &mut Plan, size: Resources) {
+    pub(super) fn trim(&self, plan: &mut Plan, size: Resources) {
         let mut spare: Vec<(WorkerId, Resources)> = Vec::new();
         for (worker, tasks) in &plan.workers {
             let need = size.checked_mul(*tasks);
--- a/crates/state/src/engine/probe.rs
+++ b/crates/state/src/engine/probe.rs
@@ -13,7 +13,8 @@
 const DEPTH: usize = 32;
 
 impl Engine {
-    /// Starts one idempotent task on each quarantined worker whose probe is due.
+    /// Releases quarantined workers that have proved well, and starts one idempotent task on each
+    /// whose probe is due.
     pub(super) fn probe(&mut self, now: Timestamp) {
         if self.book.next_probe().is_none_or(|at| at > now) {
             return;
@@ -21,6 +22,9 @@
         for worker in self.book.release_proven(now) {
             self.follow(Verdict::Release(worker), now);
         }
+        for worker in self.book.release_proven(now) {
+            self.follow(Verdict::Release(worker), now);
+        }
         let due = |worker: &WorkerId| self.book.may_probe(*worker, now);
         let workers: Vec<WorkerId> = self.book.quarantined().filter(due).collect();
         for worker in workers {
--- a/crates/state/tests/engine/life.rs
+++ b/crates/state/tests/engine/life.rs
@@ -93,6 +93,19 @@
     assert_eq!(engine.audit(), Ok(()));
 }
 
+#[rstest]
+#[case(0, 0)]
+#[case(3, 3)]
+#[case(usize::MAX, 16)]
+fn a_pass_decides_as_many_starts_as_it_may(#[case] limit: usize, #[case] expected: usize) {
+    let mut engine = cell(2, 8);
+    engine.submit(job_id(1), batch(1, 1), at(0));
+    run(&mut engine, at(0));
+    engine.submit(job_id(2), batch(50, 1), at(1));
+    let room = expected.min(15);
+    assert_eq!(starts(&engine.decide(at(1), limit)).len(), room);
+}
+
 #[rstest]
 #[case::empty(batch(0, 1), Reason::Empty)]
 #[case::empty_gang(gang(0, 1), Reason::Empty)]
@@ -207,6 +220,14 @@
 #[test]
 fn a_job_that_fails_everywhere_is_held_and_spares_the_workers() {
     let mut engine = cell(8, 8);
+    for number in 10..40 {
+        engine.submit(job_id(number), batch(1, 8), at(0));
+    }
+    for _ in 0..4 {
+        for (task, attempt, worker) in run(&mut engine, at(0)) {
+            engine.ended(task, attempt, worker, End::Succeeded, AGE, at(0));
+        }
+    }
     engine.submit(job_id(1), batch(3, 8), at(0));
     let mut effects = Vec::new();
     for (task, attempt, worker) in run(&mut engine, at(1)) {
@@ -262,6 +283,7 @@
     assert!(quarantined);
     engine.submit(job_id(99), batch(40, 8), at(10));
     let placed = run(&mut engine, at(10));
+    assert!(engine.next_wake() > Some(at(10)), "it does not spin");
     assert!(placed.iter().all(|(_, _, worker)| *worker != WorkerId(2)));
     let probes = run(&mut engine, at(4_000));
     let probes: Vec<_> = probes.iter().filter(|s| s.2 == WorkerId(2)).collect();
--- a/crates/state/tests/engine/load.rs
+++ b/crates/state/tests/engine/load.rs
@@ -37,8 +37,8 @@
 
 /// Bounds in milliseconds of waiting, thousandths of the deadlines, and workers over the least.
 #[rstest]
-#[case::light(700, 500, 2_000, 2_000, 0, 1.25)]
-#[case::usual(900, 500, 20_000, 20_000, 2, 1.15)]
+#[case::light(700, 500, 2_000, 2_000, 0, 1.15)]
+#[case::usual(900, 500, 20_000, 20_000, 2, 1.10)]
 fn waits_and_packing_stay_within_bounds(
     #[case] load: u32,
     #[case] urgent: u64,
--- a/crates/state/tests/engine/main.rs
+++ b/crates/state/tests/engine/main.rs
@@ -8,3 +8,4 @@
 mod recovery;
 mod support;
 mod urgent;
+mod weights;
