--- a/crates/state/src/engine/settle.rs
+++ b/crates/state/src/engine/settle.rs
@@ -97,6 +97,7 @@
 
     /// A task that was stopped before its end waits again where it may.
     fn interrupt(&mut self, id: TaskId, task: &Task, end: End, age: Duration, now: Timestamp) {
+        self.book.stopped(task.worker, id.job);
         if self.is_closing(id.job) || task.halt == Some(Halt::Resized) {
             self.finish(id, task, Outcome::Cancelled, now);
             return;
--- a/crates/state/src/reputation/book.rs
+++ b/crates/state/src/reputation/book.rs
@@ -95,6 +95,11 @@
         self.judge(worker, now)
     }
 
+    /// Notes that a task of the job was stopped or lost, which tells nothing of either.
+    pub fn stopped(&mut self, worker: WorkerId, job: JobId) {
+        self.jobs.stop(job, worker);
+    }
+
     /// Notes that the worker refused a start, so that nothing ran.
     pub fn refused(&mut self, worker: WorkerId, job: JobId, now: Timestamp) -> Verdict {
         let record = self.workers.entry(worker).or_default();
--- a/crates/state/src/reputation/docket.rs
+++ b/crates/state/src/reputation/docket.rs
@@ -4,7 +4,10 @@
 
 use crate::{
     alias::HashMap,
-    id::JobId, //
+    id::{
+        JobId,
+        WorkerId, //
+    }, //
 };
 
 use super::tally::Tally;
@@ -40,6 +43,13 @@
         &mut entry.tally
     }
 
+    /// Notes that a task of a job no longer runs on the worker, if the job is known.
+    pub(super) fn stop(&mut self, job: JobId, worker: WorkerId) {
+        if let Some(entry) = self.tallies.get_mut(&job) {
+            entry.tally.stop(worker);
+        }
+    }
+
     /// Returns the tally of a job, if there is one.
     pub(super) fn get(&self, job: JobId) -> Option<&Tally> {
         self.tallies.get(&job).map(|entry| &entry.tally)
--- a/crates/state/src/reputation/tally.rs
+++ b/crates/state/src/reputation/tally.rs
@@ -59,6 +59,14 @@
         vote.started = now;
     }
 
+    /// Notes that a task no longer runs on the worker, for no reason of its own.
+    pub(super) fn stop(&mut self, worker: WorkerId) {
+        let mut votes = self.votes.iter_mut();
+        if let Some(vote) = votes.find(|vote| vote.worker == worker) {
+            vote.running = vote.running.saturating_sub(1);
+        }
+    }
+
     /// Notes that a task has succeeded on the worker.
     pub(super) fn succeed(&mut self, worker: WorkerId, now: Timestamp) {
         let vote = self.vote(worker, now);
--- a/crates/state/tests/reputation.rs
+++ b/crates/state/tests/reputation.rs
@@ -148,6 +148,21 @@
     }
 }
 
+/// Tasks that were stopped no longer speak for their job.
+#[test]
+fn a_job_whose_running_tasks_were_stopped_is_held() {
+    let mut book = Book::new();
+    all_well(&mut book, 40, 10);
+    let gone = job(999);
+    for worker in 0..30 {
+        book.started_ok(WorkerId(worker), gone, START);
+        book.stopped(WorkerId(worker), gone);
+    }
+    let fails = |worker| book.failed(WorkerId(worker), gone, secs(600));
+    let verdicts: Vec<Verdict> = (30..33).map(fails).collect();
+    assert_eq!(verdicts[2], Verdict::Hold(gone));
+}
+
 /// Everything fails on all workers: a fault they share must not close the cell.
 #[test]
 fn a_shared_fault_quarantines_at_most_a_quarter() {
