--- a/crates/state/benches/placement.rs
+++ b/crates/state/benches/placement.rs
@@ -43,6 +43,9 @@
         group.bench_function(usual, |b| cycle(b, &mut cell, &rule, &sizes));
 
         sizes.sort_by_key(|size| cell.index.find_counted(size, &rule).1);
+        let scanned = BenchmarkId::new("scan", workers);
+        group.bench_function(scanned, |b| scan(b, &cell, &sizes));
+
         let dearest = &sizes[SIZES - SIZES / 100..];
         let tail = BenchmarkId::new("dearest_hundredth", workers);
         group.bench_function(tail, |b| cycle(b, &mut cell, &rule, dearest));
@@ -61,5 +64,16 @@
     });
 }
 
+/// Times the choice alone, by a scan of all workers for the tightest fit, for comparison.
+fn scan(bencher: &mut criterion::Bencher, cell: &Cell, sizes: &[Resources]) {
+    let mut sizes = sizes.iter().cycle();
+    bencher.iter(|| {
+        let size = sizes.next().expect("endless");
+        let rest = |id| Some((cell.index.free(id)?.checked_sub(*size)?.cpu, id));
+        let ids = cell.index.iter().map(|spec| spec.id);
+        ids.filter_map(rest).min()
+    });
+}
+
 criterion_group!(benches, place);
 criterion_main!(benches);
