--- a/crates/coordination/src/member/machine/mod.rs
+++ b/crates/coordination/src/member/machine/mod.rs
@@ -1,28 +1,38 @@
 //! The machine itself: its state, its entry points and the order of its steps.
 
 mod answer;
+mod bid;
+mod evidence;
 mod fold;
 mod handover;
+mod pending;
 mod renew;
+mod send;
 mod takeover;
 mod tenures;
 
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    sync::Arc,
-    time::Duration, //
+    sync::Arc, //
 };
 
 use fulmarpier_state::{
     clock::Timestamp,
     id::{
-        Epoch,
         NodeId,
         ShardId, //
     },
 };
 
+use self::pending::{
+    Asked,
+    Bid,
+    Offer,
+    Purpose,
+    Reader,
+    Sent, //
+};
 use super::{
     Effect,
     Event,
@@ -58,68 +68,6 @@
     },
 };
 
-/// The most records asked for in one read.
-const PAGE: u32 = 512;
-
-/// The most questions whose answer is awaited.
-const MOST_ASKED: usize = 1_024;
-
-/// What an append on its way holds.
-#[derive(Debug)]
-enum Sent {
-    /// A renewal, by its sequence.
-    Renewal(u64),
-    /// A claim.
-    Claim(ShardId),
-    /// A release.
-    Release(ShardId),
-}
-
-/// A claim whose outcome has not been read yet.
-#[derive(Debug)]
-struct Bid {
-    sequence: u64,
-    sent: Timestamp,
-}
-
-/// A release that has not been read back yet.
-#[derive(Debug)]
-struct Offer {
-    sent: Timestamp,
-    /// Whether an earlier release of the same tenure may still take effect.
-    uncertain: bool,
-}
-
-/// Why a question was asked.
-#[derive(Debug)]
-enum Purpose {
-    /// To have this node's lease extended.
-    Vouch(Vec<Holding>),
-    /// To learn whether a silent owner's process lives.
-    Probe(Holder, Vec<(ShardId, Epoch)>),
-    /// To learn whether a peer vouched for a silent owner.
-    Inquire(Option<Holder>),
-}
-
-/// A question on its way.
-#[derive(Debug)]
-struct Asked {
-    to: NodeId,
-    sent: Timestamp,
-    purpose: Purpose,
-}
-
-/// How far the claims stream has been read.
-#[derive(Debug, Default)]
-struct Reader {
-    /// The read on its way, and when it was sent.
-    sent: Option<(Token, Timestamp)>,
-    /// Not before this time may the next read be sent.
-    retry_at: Timestamp,
-    /// When the last read was sent that reached the end of the stream.
-    current: Option<Timestamp>,
-}
-
 /// One node's part in ownership.
 ///
 /// # Examples
@@ -365,74 +313,4 @@
         let read = read.is_some_and(|sent| now.since(sent) < self.timing.get_lease());
         read && self.health.fresh(now, &self.timing).is_some()
     }
-
-    /// Sends a read where none is on its way.
-    fn read(&mut self, now: Timestamp) {
-        if self.reader.sent.is_some() || now < self.reader.retry_at {
-            return;
-        }
-        let token = self.token();
-        self.reader.sent = Some((token, now));
-        let read = log::Read {
-            stream: claim::stream(self.map.region()),
-            from: self.register.next(),
-            max: PAGE,
-            wait: self.timing.get_renewal(),
-        };
-        self.effects.push(Effect::Read { token, read });
-    }
-
-    fn append(&mut self, record: &Record, sent: Sent) {
-        let token = self.token();
-        self.sent.insert(token, sent);
-        self.effects.push(Effect::Append {
-            token,
-            append: log::Append {
-                stream: claim::stream(self.map.region()),
-                records: vec![record.encode()],
-            },
-        });
-    }
-
-    fn ask(
-        &mut self,
-        to: NodeId,
-        address: SocketAddr,
-        question: ownership::Question,
-        purpose: Purpose,
-        now: Timestamp,
-    ) {
-        let token = self.token();
-        let sent = now;
-        self.asked.insert(token, Asked { to, sent, purpose });
-        while self.asked.len() > MOST_ASKED {
-            self.asked.pop_first();
-        }
-        self.effects.push(Effect::Ask {
-            token,
-            address,
-            message: peer::Message {
-                from: self.me,
-                to,
-                question: peer::Question::Ownership(question),
-            },
-        });
-    }
-
-    fn token(&mut self) -> Token {
-        self.next_token += 1;
-        Token(self.next_token)
-    }
-
-    fn next_sequence(&mut self) -> u64 {
-        self.sequence += 1;
-        self.sequence
-    }
-
-    /// Returns a span below `most` that differs from node to node and from call to call.
-    fn jitter(&self, shard: ShardId, most: Duration) -> Duration {
-        let draw = topology::score(self.seed ^ self.next_token, u64::from(shard.0));
-        let share = u32::try_from(draw % 1_000).unwrap_or(0);
-        most * share / 1_000
-    }
 }
