--- a/crates/gate/src/forward/keyed.rs
+++ b/crates/gate/src/forward/keyed.rs
@@ -5,10 +5,7 @@
 
 use std::{
     sync::Arc,
-    time::{
-        Duration,
-        Instant, //
-    },
+    time::Instant, //
 };
 
 use axum::{
@@ -20,7 +17,6 @@
 };
 use fulmarpier_coordination::{
     credit::End,
-    platform::target::Error,
     request::{
         Answer as Replay,
         Key,
@@ -54,10 +50,15 @@
     StatusCode, //
 };
 use rand::random;
-use tokio::time::sleep;
 
 use super::{
     admission::Admission,
+    attempt::{
+        Envelope,
+        Failure,
+        again,
+        send, //
+    },
     deliver::{
         Content,
         Delivery,
@@ -69,10 +70,6 @@
         report,
         report_later, //
     },
-    ordinary::{
-        Envelope,
-        end, //
-    },
     owner::{
         Miss,
         ask_owner, //
@@ -86,8 +83,7 @@
         self,
         Timing, //
     },
-    metrics::Retry,
-    slot::Held, //
+    slot::Held,
 };
 
 /// How often a request may be granted in all; it is sent again only where it certainly wasn't run.
@@ -106,25 +102,6 @@
     pub body: Kept,
 }
 
-/// What came of one grant.
-enum Sent {
-    /// The target answered.
-    Answered(Response),
-    /// No target took anything on.
-    NotRun(NotRun),
-}
-
-/// Why one grant led to no run.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-enum NotRun {
-    /// The lease of the slot, or the time for the request, ended before it was sent.
-    #[error("the lease of the slot ended")]
-    Lapsed,
-    /// The target took nothing on.
-    #[error(transparent)]
-    Target(Error),
-}
-
 /// Serves one non-idempotent request.
 ///
 /// # Errors
@@ -157,20 +134,46 @@
             shard,
             ticket,
         };
-        let acquired = app.pool.acquire(&order.admission.ask).await;
-        let held = acquired.inspect_err(|_| {
-            report_later(app, finisher.end(Outcome::NotRun));
-        })?;
-        let timing = Timing {
-            decision: began.elapsed().saturating_sub(held.waited()),
-            waiting: held.waited(),
+        let failure = match run(app, order, &finisher, began).await? {
+            Ok(response) => return Ok(response),
+            Err(failure) => failure,
         };
-        match send(app, order, held, &finisher).await? {
-            Sent::Answered(mut response) => {
-                answer::time(&mut response, timing);
-                return Ok(response);
-            }
-            Sent::NotRun(why) => again(app, &mut plan, why).await?,
+        // Nothing was run, so the key may be granted again once the shard knows that.
+        report(app, finisher.end(Outcome::NotRun), deadline).await;
+        again(app, &mut plan, &failure).await?;
+    }
+}
+
+/// Uses one grant: waits for a slot of this gate and sends the request in it, once.
+///
+/// The inner error says that the target certainly took nothing on, so that the key may be granted
+/// again; the outer one is final.
+async fn run(
+    app: &Arc<App>,
+    order: &Order,
+    finisher: &Report,
+    began: Instant,
+) -> Result<Result<Response, Failure>, Refusal> {
+    let ask = &order.admission.ask;
+    let acquired = app.pool.acquire(ask).await;
+    let held = acquired.inspect_err(|_| report_later(app, finisher.end(Outcome::NotRun)))?;
+    let timing = Timing {
+        decision: began.elapsed().saturating_sub(held.waited()),
+        waiting: held.waited(),
+    };
+    let left = app.now().until(ask.deadline);
+    let request = order.envelope.fill(order.body.bytes.clone().into(), left);
+    match send(app.clone(), held, request).await {
+        Ok((delivery, held)) => {
+            let mut response = deliver(app, delivery, held, finisher);
+            answer::time(&mut response, timing);
+            Ok(Ok(response))
+        }
+        Err(failure) if failure.outcome() == Outcome::NotRun => Ok(Err(failure)),
+        Err(failure) => {
+            report_later(app, finisher.end(Outcome::Unknown));
+            let refusal = Refusal::new(Reason::TargetFailed, failure.to_string());
+            Err(refusal.outcome(Outcome::Unknown))
         }
     }
 }
@@ -196,49 +199,6 @@
     }
 }
 
-/// Sends the request once, in a slot of this gate.
-async fn send(
-    app: &Arc<App>,
-    order: &Order,
-    mut held: Held,
-    finisher: &Report,
-) -> Result<Sent, Refusal> {
-    let ask = &order.admission.ask;
-    let left = app.now().until(ask.deadline);
-    let address = match left.is_zero() {
-        true => None,
-        false => held.send(),
-    };
-    let Some(address) = address else {
-        drop(held);
-        report(app, finisher.end(Outcome::NotRun), ask.deadline).await;
-        return Ok(Sent::NotRun(NotRun::Lapsed));
-    };
-    let request = order.envelope.fill(order.body.bytes.clone().into(), left);
-    let received = match app.targets.send(address, request).await {
-        Ok(answer) => Delivery::receive(answer).await,
-        Err(error) => Err(error),
-    };
-    let error = match received {
-        Ok(delivery) => return Ok(Sent::Answered(deliver(app, delivery, held, finisher))),
-        Err(error) => error,
-    };
-    held.ended(end(&error));
-    drop(held);
-    match error {
-        error @ (Error::Refused | Error::Busy) => {
-            // Nothing was run, so the key may be granted again once the shard knows that.
-            report(app, finisher.end(Outcome::NotRun), ask.deadline).await;
-            Ok(Sent::NotRun(NotRun::Target(error)))
-        }
-        error @ Error::Unknown => {
-            report_later(app, finisher.end(Outcome::Unknown));
-            let refusal = Refusal::new(Reason::TargetFailed, error.to_string());
-            Err(refusal.outcome(Outcome::Unknown))
-        }
-    }
-}
-
 /// Passes the answer on and reports the end behind it.
 fn deliver(app: &Arc<App>, delivery: Delivery, mut held: Held, finisher: &Report) -> Response {
     let target = held.target();
@@ -307,21 +267,3 @@
     let refusal = Refusal::new(Reason::Internal, "the sched answered another call");
     refusal.outcome(Outcome::Unknown)
 }
-
-/// Waits for the next grant, or refuses where there is none.
-async fn again(app: &App, plan: &mut Plan, why: NotRun) -> Result<(), Refusal> {
-    let now = app.now();
-    let none = Duration::ZERO;
-    let decided = plan.again(Outcome::NotRun, &mut app.budget(), now, none, none);
-    let pause = decided.map_err(|denied| {
-        let refusal = Refusal::new(denied.reason(), format!("{why}; {denied}"));
-        refusal.retry_after(app.settings.sync_interval.get())
-    })?;
-    app.metrics.retried(match why {
-        NotRun::Lapsed => Retry::SlotLapsed,
-        NotRun::Target(Error::Busy) => Retry::TargetBusy,
-        NotRun::Target(_) => Retry::TargetRefused,
-    });
-    sleep(pause).await;
-    Ok(())
-}
--- a/crates/gate/src/forward/mod.rs
+++ b/crates/gate/src/forward/mod.rs
@@ -1,6 +1,7 @@
 //! The way of a request to a target, or to the owner of a shard, and back.
 
 mod admission;
+mod attempt;
 mod deliver;
 mod finish;
 mod keyed;
@@ -13,14 +14,12 @@
         Admission,
         admit, //
     },
+    attempt::Envelope,
     keyed::{
         Order,
         keyed, //
     },
-    ordinary::{
-        Envelope,
-        ordinary, //
-    },
+    ordinary::ordinary,
     owner::{
         Miss,
         ask_owner, //
