--- a/crates/state/src/placement/search.rs
+++ b/crates/state/src/placement/search.rs
@@ -9,7 +9,8 @@
 };
 
 use super::{
-    Rule, Visits,
+    Rule,
+    Visits,
     entry::Entry,
     orders::{
         Class,
@@ -21,7 +22,7 @@
         Slot,
         Tree, //
     },
-    weights::Factors,
+    weights::Factors, //
 };
 
 /// A search for a worker with room for a size under a rule.
