--- a/crates/state/src/engine/probe.rs
+++ b/crates/state/src/engine/probe.rs
@@ -22,9 +22,6 @@
         for worker in self.book.release_proven(now) {
             self.follow(Verdict::Release(worker), now);
         }
-        for worker in self.book.release_proven(now) {
-            self.follow(Verdict::Release(worker), now);
-        }
         let due = |worker: &WorkerId| self.book.may_probe(*worker, now);
         let workers: Vec<WorkerId> = self.book.quarantined().filter(due).collect();
         for worker in workers {
