--- a/crates/coordination/src/journal/mod.rs
+++ b/crates/coordination/src/journal/mod.rs
@@ -15,6 +15,7 @@
 mod replay;
 mod settings;
 mod snapshot;
+mod token;
 mod writer;
 
 pub use self::{
@@ -46,11 +47,11 @@
     },
     settings::Settings,
     snapshot::Part,
-    writer::{
-        Journal,
+    token::{
         Refused,
         Token,
         Urgency,
         Withdrawn, //
     },
+    writer::Journal, //
 };
--- a/crates/coordination/src/journal/replay.rs
+++ b/crates/coordination/src/journal/replay.rs
@@ -14,12 +14,17 @@
 };
 
 use super::{
-    CodecError, Envelope, Fold, Header, Record, Standing,
+    CodecError,
+    Envelope,
+    Fold,
+    Header,
+    Record,
+    Standing,
     fold::standing,
     snapshot::{
         Assembly,
         Whole, //
-    },
+    }, //
 };
 
 /// A record that could not be read, which a replay can't step over without losing something.
--- a/crates/coordination/src/recovery/step.rs
+++ b/crates/coordination/src/recovery/step.rs
@@ -13,7 +13,7 @@
         TaskId,
         WorkerId, //
     },
-    job::Spec,
+    job::Spec, //
 };
 
 use crate::platform::worker::{
--- a/crates/coordination/src/request/ledger.rs
+++ b/crates/coordination/src/request/ledger/mod.rs
@@ -1,5 +1,7 @@
 //! The ledger of one shard's non-idempotent requests.
 
+mod expiry;
+
 use std::collections::{
     BTreeMap,
     BTreeSet, //
@@ -7,8 +9,6 @@
 
 use fulmarpier_state::{
     clock::Timestamp,
-    id::Epoch,
-    name::Service,
     refusal::{
         Outcome,
         Reason,
@@ -18,7 +18,6 @@
 
 use crate::{
     journal::Record,
-    platform::target,
     recovery::{
         Gap,
         Image,
@@ -27,76 +26,22 @@
 };
 
 use super::{
-    Answer, Digest, Key, Outage, Settings, Ticket,
+    Answer,
+    Ask,
+    Claim,
+    Granted,
+    Key,
+    Outage,
+    Settings,
+    Ticket,
+    Verdict,
     entry::{
         Entry,
         State, //
     },
-    refuse,
+    refuse, //
 };
 
-/// The share of the ledger that is dropped at once when it is full.
-const EVICTION_SHARE: usize = 16;
-
-/// A non-idempotent request that a gate wants to send.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Ask {
-    /// The caller's key.
-    pub key: Key,
-    /// What is asked.
-    pub digest: Digest,
-    /// The target that would get it.
-    pub target: Option<target::Id>,
-    /// The service called.
-    pub service: Service,
-    /// When the caller stops waiting.
-    pub deadline: Timestamp,
-}
-
-/// What to do with a request.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Verdict {
-    /// Keep the intent first ([`Ledger::intent`]); once it is committed, ask [`Ledger::committed`].
-    Journal(Ticket),
-    /// Grant it now and keep the intent when the log is back.
-    Send(Ticket),
-    /// It ran before; this is its answer.
-    Replay(Answer),
-    /// It is refused.
-    Refuse(Refusal),
-}
-
-/// What may happen once an intent is kept.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Granted {
-    /// The request may be sent, once.
-    Send,
-    /// Its deadline has passed and nothing was sent; keep the record.
-    Late(Record),
-    /// No such request waits.
-    Absent,
-}
-
-/// When and after whom the shard was taken.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Claim {
-    /// The epoch of the claim.
-    pub epoch: Epoch,
-    /// When this node took the shard; every earlier owner had stopped by then.
-    pub at: Timestamp,
-    /// Whether the replay missed nothing.
-    pub complete: bool,
-}
-
-/// What the passing of time brought.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Due {
-    /// Requests whose deadline passed before their intent was kept; none was sent.
-    pub late: Vec<(Key, Ticket)>,
-    /// Records to keep.
-    pub records: Vec<Record>,
-}
-
 /// The ledger of one shard's non-idempotent requests.
 #[derive(Clone, Debug)]
 pub struct Ledger {
@@ -279,92 +224,6 @@
         Some(outcome(key, ticket, result, answer, now))
     }
 
-    /// Lets time pass: grants without a report become `unknown`, and old keys are dropped.
-    pub fn expire(&mut self, now: Timestamp) -> Due {
-        let mut due = Due::default();
-        while let Some((at, key)) = self.expiry.first().cloned() {
-            if at > now {
-                break;
-            }
-            self.expiry.remove(&(at, key.clone()));
-            self.expire_one(&key, now, &mut due);
-        }
-        due.records.extend(self.forget(now));
-        due
-    }
-
-    /// Returns when [`Self::expire`] is next of use.
-    pub fn next_wake(&self) -> Option<Timestamp> {
-        self.expiry.first().map(|(at, _)| *at)
-    }
-
-    fn expire_one(&mut self, key: &Key, now: Timestamp, due: &mut Due) {
-        let Some(entry) = self.entries.get(key) else {
-            return;
-        };
-        let ticket = entry.ticket;
-        match entry.state {
-            State::Intended => due.late.push((key.clone(), ticket)),
-            State::Granted => {
-                let end = entry.deadline + self.settings.grace;
-                if end > now {
-                    self.expiry.insert((end, key.clone()));
-                    return;
-                }
-                self.settle(key, Outcome::Unknown, None, now);
-                let record = outcome(key, ticket, Outcome::Unknown, None, now);
-                due.records.push(record);
-            }
-            State::Settled(_) => {}
-        }
-    }
-
-    /// Drops settled keys that are too old, or the oldest where too many are remembered.
-    fn forget(&mut self, now: Timestamp) -> Option<Record> {
-        let timed = now.saturating_sub(self.settings.age);
-        let opaque = now.saturating_sub(self.settings.opaque_age);
-        let crowded = self.entries.len() >= self.settings.count;
-        let timed = if crowded {
-            self.crowded_before(now).max(timed)
-        } else {
-            timed
-        };
-        let old = |index: &BTreeSet<(Timestamp, Key)>, limit| {
-            index.first().is_some_and(|(at, _)| *at <= limit)
-        };
-        if !old(&self.by_time, timed) && !old(&self.by_use, opaque) {
-            return None;
-        }
-        self.timed = self.timed.max(timed);
-        self.opaque = self.opaque.max(opaque);
-        self.drop_settled();
-        Some(Record::Forgot {
-            timed: self.timed,
-            opaque: self.opaque,
-        })
-    }
-
-    /// Returns the time up to which settled keys are dropped to make room.
-    fn crowded_before(&self, now: Timestamp) -> Timestamp {
-        let share = self.settings.count / EVICTION_SHARE;
-        self.by_time
-            .iter()
-            .map(|(at, _)| *at)
-            .take_while(|at| *at <= now)
-            .nth(share)
-            .unwrap_or(Timestamp::ZERO)
-    }
-
-    fn drop_settled(&mut self) {
-        let (timed, opaque) = (self.timed, self.opaque);
-        let old = self.by_time.iter().take_while(|(at, _)| *at <= timed);
-        let unused = self.by_use.iter().take_while(|(at, _)| *at <= opaque);
-        let keys: Vec<Key> = old.chain(unused).map(|(_, key)| key.clone()).collect();
-        for key in &keys {
-            self.remove(key);
-        }
-    }
-
     /// Returns the refusal of a key that is not remembered but may have been used.
     fn forgotten(&self, key: &Key, now: Timestamp) -> Option<Refusal> {
         let Some(time) = key.time() else {
--- a/crates/coordination/src/request/mod.rs
+++ b/crates/coordination/src/request/mod.rs
@@ -11,6 +11,7 @@
 mod refuse;
 mod settings;
 mod ticket;
+mod verdict;
 
 pub use self::{
     answer::{
@@ -22,17 +23,17 @@
         Key,
         KeyError, //
     },
-    ledger::{
+    ledger::Ledger,
+    settings::{
+        Outage,
+        Settings, //
+    },
+    ticket::Ticket,
+    verdict::{
         Ask,
         Claim,
         Due,
         Granted,
-        Ledger,
         Verdict, //
     },
-    settings::{
-        Outage,
-        Settings, //
-    },
-    ticket::Ticket, //
 };
--- a/crates/coordination/tests/journal.rs
+++ b/crates/coordination/tests/journal.rs
@@ -27,7 +27,7 @@
         Urgency,
         Withdrawn, //
     },
-    platform::log,
+    platform::log, //
 };
 use fulmarpier_state::{
     clock::Timestamp,
--- a/crates/coordination/tests/journal_history.rs
+++ b/crates/coordination/tests/journal_history.rs
@@ -19,7 +19,7 @@
         BTreeMap,
         BTreeSet, //
     },
-    time::Duration,
+    time::Duration, //
 };
 
 use bytes::Bytes;
--- a/crates/coordination/tests/recovery.rs
+++ b/crates/coordination/tests/recovery.rs
@@ -35,7 +35,7 @@
         TaskId,
         WorkerId, //
     },
-    resource::Resources,
+    resource::Resources, //
 };
 
 use job::spec;
--- a/crates/coordination/tests/recovery_history.rs
+++ b/crates/coordination/tests/recovery_history.rs
@@ -43,7 +43,7 @@
         TaskId,
         WorkerId, //
     },
-    resource::Resources,
+    resource::Resources, //
 };
 use proptest::prelude::*;
 
--- a/crates/coordination/tests/support/serve.rs
+++ b/crates/coordination/tests/support/serve.rs
@@ -6,7 +6,7 @@
         Journal,
         Token, //
     },
-    platform::log,
+    platform::log, //
 };
 use fulmarpier_state::clock::Timestamp;
 
