--- a/crates/coordination/src/part/room.rs
+++ b/crates/coordination/src/part/room.rs
@@ -7,7 +7,6 @@
 
 use fulmarpier_state::{
     clock::Timestamp,
-    engine::Digest,
     id::ShardId,
     resource::Resources, //
 };
@@ -19,7 +18,7 @@
 /// How long what a shard had left is of use.
 const FRESH: Duration = Duration::from_secs(10);
 
-/// What one shard has left, summed over its workers.
+/// What one shard has left, summed over its workers that take tasks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Room {
     /// The shard.
@@ -41,17 +40,26 @@
 }
 
 impl Room {
-    /// Sums up a shard.
-    pub const fn new(shard: ShardId, digest: &Digest) -> Self {
+    /// A shard with nothing left, and so many tasks that wait.
+    pub const fn none(shard: ShardId, waiting: u32) -> Self {
         Self {
             shard,
-            cpu: digest.free.cpu,
-            memory: digest.free.memory,
-            accelerators: digest.free.accelerators,
-            waiting: digest.waiting_tasks,
+            cpu: 0,
+            memory: 0,
+            accelerators: 0,
+            waiting,
         }
     }
 
+    /// Adds what one of its workers has left.
+    #[must_use]
+    pub fn and(mut self, free: Resources) -> Self {
+        self.cpu += u64::from(free.cpu.0);
+        self.memory = self.memory.saturating_add(free.memory.0);
+        self.accelerators += u64::from(free.accelerators);
+        self
+    }
+
     /// Returns how many tasks of a size the sum takes; worker by worker they may be fewer.
     pub fn fits(&self, size: &Resources) -> u64 {
         let per = |free: u64, size: u64| free.checked_div(size).unwrap_or(u64::MAX);
--- a/crates/sched/src/node/parts.rs
+++ b/crates/sched/src/node/parts.rs
@@ -142,8 +142,6 @@
 
     fn own_rooms(&self, now: Timestamp) -> Vec<Room> {
         let placing = self.lives().filter(|live| live.is_placing(now));
-        placing
-            .map(|live| Room::new(live.shard, &live.engine().digest()))
-            .collect()
+        placing.map(crate::shard::Live::room).collect()
     }
 }
--- a/crates/sched/src/shard/part/division.rs
+++ b/crates/sched/src/shard/part/division.rs
@@ -62,6 +62,33 @@
         }
     }
 
+    /// Divides jobs that an earlier owner accepted and certainly neither divided nor started.
+    pub(in crate::shard) fn divide_late(&mut self, jobs: &[JobId], scope: &mut Scope<'_>) {
+        for job in jobs {
+            let Some(held) = self.journal.image().jobs.get(job) else {
+                continue;
+            };
+            let whole = held.delegation.is_none() && held.of.is_none() && !held.cancelled;
+            let new = whole && held.tasks.is_empty() && self.engine.may_withdraw(*job);
+            if !new {
+                continue;
+            }
+            let (home, parts) = self.division(*job, &held.spec);
+            if parts.is_empty() {
+                continue;
+            }
+            let record = Record::Delegated {
+                job: *job,
+                home,
+                parts,
+            };
+            let pending = Pending::Delegate { job: *job };
+            if self.push(record, pending, scope.now).is_ok() {
+                self.engine.withdraw(*job, scope.now);
+            }
+        }
+    }
+
     /// Follows a delegation that is kept: what stays may start, and the orders may leave.
     pub(in crate::shard) fn delegated(&mut self, job: JobId, scope: &mut Scope<'_>) {
         self.parts.divided.insert(job);
--- a/crates/sched/src/shard/part/home.rs
+++ b/crates/sched/src/shard/part/home.rs
@@ -26,16 +26,14 @@
 use fulmarpier_state::{
     alias::HashMap,
     clock::Timestamp,
-    engine::{
-        self,
-        Counts, //
-    },
+    engine::Counts,
     explain::Explanation,
     id::{
         JobId,
         ShardId, //
     },
     job::Spec,
+    worker::Condition,
 };
 
 use super::super::{
@@ -102,6 +100,15 @@
         self.parts.sites = sites;
     }
 
+    /// Returns what the workers that take tasks have left.
+    pub(crate) fn room(&self) -> part::Room {
+        let open = self.engine.workers();
+        let open = open.filter(|(_, condition)| *condition == Condition::Open);
+        let free = open.filter_map(|(spec, _)| self.engine.free(spec.id));
+        let waiting = self.engine.digest().waiting_tasks;
+        free.fold(part::Room::none(self.shard, waiting), part::Room::and)
+    }
+
     /// Returns whether it matters here what other shards have left.
     pub(crate) const fn wants_rooms(&self) -> bool {
         self.parts.wants_rooms
@@ -175,33 +182,22 @@
 
     /// Lists the jobs of which nothing has started for want of room, the oldest first.
     fn stuck_jobs(&self, now: Timestamp) -> Vec<JobId> {
-        if self.engine.digest().waiting_jobs == 0 && self.engine.workers().next().is_some() {
-            return Vec::new();
-        }
         let image = self.journal.image();
-        let waits = |view: &engine::JobView| {
-            view.state == engine::State::Waiting && now.since(view.submitted) >= PATIENCE
-        };
-        let own = |view: &engine::JobView| {
-            let job = image.jobs.get(&view.id);
-            job.is_some_and(|job| job.of.is_none() && !job.cancelled)
+        let is_own = |job: &JobId| {
+            let held = image.jobs.get(job);
+            held.is_some_and(|held| held.of.is_none() && !held.cancelled)
         };
-        let roomless = |view: &engine::JobView| {
-            let why = self.engine.explain(view.id, now);
-            matches!(
-                why,
-                Some(Explanation::NoRoom { .. } | Explanation::AwaitingWorkers { .. })
-            )
+        let waits = |job: &JobId| match self.engine.explain(*job, now) {
+            Some(Explanation::NoRoom { .. } | Explanation::AwaitingWorkers { .. }) => true,
+            Some(
+                Explanation::Reserved { until } | Explanation::BehindReservation { until, .. },
+            ) => until > now + PATIENCE,
+            // A quota holds wherever a job is.
+            _ => false,
         };
-        let mut stuck: Vec<_> = self
-            .engine
-            .jobs()
-            .filter(|view| waits(view) && own(view) && roomless(view))
-            .map(|view| (view.submitted, view.id))
-            .collect();
-        stuck.sort_unstable();
-        stuck.truncate(MOVES);
-        stuck.into_iter().map(|(_, job)| job).collect()
+        let unstarted = self.engine.unstarted(now.saturating_sub(PATIENCE));
+        let stuck = unstarted.into_iter().filter(is_own).filter(waits);
+        stuck.take(MOVES).collect()
     }
 
     fn move_jobs(&mut self, jobs: Vec<JobId>, scope: &mut Scope<'_>) {
--- a/crates/sched/src/shard/steps.rs
+++ b/crates/sched/src/shard/steps.rs
@@ -48,15 +48,16 @@
                 }
             }
         }
-        self.cancel_late(submitted, scope);
+        self.cancel_late(&submitted, scope);
+        self.divide_late(&submitted, scope);
     }
 
     /// Cancels jobs whose cancellation was kept while their recovery waited for a worker.
-    fn cancel_late(&mut self, jobs: Vec<JobId>, scope: &mut Scope<'_>) {
+    fn cancel_late(&mut self, jobs: &[JobId], scope: &mut Scope<'_>) {
         for job in jobs {
-            let held = self.journal.image().jobs.get(&job);
+            let held = self.journal.image().jobs.get(job);
             if held.is_some_and(|held| held.cancelled) {
-                let effects = self.engine.cancel(job, scope.now).unwrap_or_default();
+                let effects = self.engine.cancel(*job, scope.now).unwrap_or_default();
                 self.carry_out(effects, scope);
             }
         }
--- a/crates/state/src/engine/withdraw.rs
+++ b/crates/state/src/engine/withdraw.rs
@@ -22,6 +22,24 @@
         unstarted && !ghost
     }
 
+    /// Lists the jobs that were submitted before `since` and could be withdrawn, the oldest first.
+    ///
+    /// The cost depends on the jobs that wait and not on those that run.
+    ///
+    /// See also [`Self::withdraw`].
+    pub fn unstarted(&self, since: Timestamp) -> Vec<JobId> {
+        let reserved = self.reservations.values().map(|held| held.job);
+        let waiting = self.queue.jobs().chain(self.unplaceable.iter().copied());
+        let mut jobs: Vec<(Timestamp, JobId)> = waiting
+            .chain(reserved)
+            .filter_map(|id| Some((self.jobs.get(&id)?.submitted, id)))
+            .filter(|(submitted, id)| *submitted < since && self.may_withdraw(*id))
+            .collect();
+        jobs.sort_unstable();
+        jobs.dedup();
+        jobs.into_iter().map(|(_, id)| id).collect()
+    }
+
     /// Takes out a job of which nothing runs, may run or has ended; returns whether it did.
     ///
     /// Nothing of it starts here afterwards, unless it is submitted again.
