Pass a job on from a shard whose workers can't hold it

A shard judged a job by its own workers: one with none took every job and one with small ones refused what others hold. Admission now counts the workers of all shards; a gang has to fit one of them, and is refused as too large otherwise.

--- a/crates/coordination/src/part/site.rs
+++ b/crates/coordination/src/part/site.rs
@@ -69,6 +69,12 @@
         self.sites.values().map(|site| site.fits(size)).sum()
     }
 
+    /// Returns the shard that takes most tasks of a size while it is empty, with how many.
+    pub fn largest(&self, size: &Resources) -> Option<(u64, ShardId)> {
+        let sites = self.sites.iter();
+        sites.map(|(shard, site)| (site.fits(size), *shard)).max()
+    }
+
     /// Returns whether no shard has a worker.
     pub fn is_empty(&self) -> bool {
         self.sites.is_empty()
--- a/crates/sched/src/node/command/run.rs
+++ b/crates/sched/src/node/command/run.rs
@@ -127,7 +127,7 @@
         };
         if request.dry_run {
             let checked = self.with_live(shard, now, |live, scope| {
-                live.engine_mut().check(&submission.spec, scope.now)
+                live.check(&submission.spec, scope.now)
             });
             return match checked {
                 Some(Err(refusal)) => self.refuse_command(id, refusal),
--- a/crates/sched/src/shard/jobs.rs
+++ b/crates/sched/src/shard/jobs.rs
@@ -78,8 +78,7 @@
             let refusal = Refusal::new(Reason::NoOwner, "the shard is not active yet");
             return Err(refusal.retry_after(RETRY));
         }
-        self.engine.check(spec, now)?;
-        self.check_sites(spec)?;
+        self.check(spec, now)?;
         if self.log_down_for(now) >= DOWN {
             return Err(log_down());
         }
--- a/crates/sched/src/shard/part/division.rs
+++ b/crates/sched/src/shard/part/division.rs
@@ -8,6 +8,7 @@
     },
 };
 use fulmarpier_state::{
+    clock::Timestamp,
     id::{
         JobId,
         ShardId, //
@@ -31,18 +32,19 @@
 };
 
 impl Live {
-    /// Refuses what no shard of the region has a worker for.
-    pub(in crate::shard) fn check_sites(&self, spec: &Spec) -> Result<(), Refusal> {
+    /// Returns whether a job may be accepted, with the workers of all shards in view.
+    pub(crate) fn check(&mut self, spec: &Spec, now: Timestamp) -> Result<(), Refusal> {
         let sites = &self.parts.sites;
         if sites.is_empty() {
             let detail = "the VM list shows no worker in the region";
             return Err(Refusal::new(Reason::NoOwner, detail).retry_after(RETRY));
         }
-        if sites.fits(&spec.size) == 0 {
-            let detail = format!("a task needs {}, more than any worker has", spec.size);
-            return Err(Refusal::new(Reason::TooLarge, detail));
-        }
-        Ok(())
+        let room = match spec.kind {
+            // A gang starts in one shard.
+            Kind::Gang => sites.largest(&spec.size).map_or(0, |(room, _)| room),
+            Kind::Batch | Kind::Service { .. } => sites.fits(&spec.size),
+        };
+        self.engine.check_in(spec, Some(room), now)
     }
 
     /// Brings a job whose record is kept into the queue, here and where its other tasks go.
@@ -131,14 +133,16 @@
                 .map(|(shard, n)| self.share(job, shard, n));
             return (home, shares.collect());
         }
-        if fits > 0 {
+        let least = match spec.kind {
+            Kind::Gang => spec.tasks.into(),
+            Kind::Batch | Kind::Service { .. } => 1,
+        };
+        if fits >= least {
             return (spec.tasks, Vec::new());
         }
-        // A shard without a worker for it passes it on whole.
-        let largest = sites
-            .iter()
-            .map(|(shard, site)| (site.fits(&spec.size), shard));
-        match largest.max().filter(|(fits, _)| *fits > 0) {
+        // A shard whose workers can't hold it passes it on whole.
+        let largest = sites.largest(&spec.size);
+        match largest.filter(|(fits, _)| *fits >= least) {
             Some((_, shard)) => (0, vec![self.share(job, shard, spec.tasks)]),
             None => (spec.tasks, Vec::new()),
         }
--- a/crates/sched/tests/cell.rs
+++ b/crates/sched/tests/cell.rs
@@ -1,5 +1,6 @@
 //! Many shards as one cell, in virtual time.
 
+#[expect(dead_code, reason = "each test file uses the helpers that it needs")]
 mod support;
 
 use std::{
@@ -28,6 +29,11 @@
         Spec,
         Spread, //
     },
+    resource::Resources,
+    unit::{
+        Bytes,
+        Millicores, //
+    },
 };
 use rstest::rstest;
 use support::{
@@ -284,6 +290,37 @@
     world.check();
 }
 
+/// A shard whose workers are too small passes a job on, and what fits nowhere is refused.
+#[rstest]
+#[case::batch(Kind::Batch, 2, true)]
+#[case::gang(Kind::Gang, 4, true)]
+#[case::gang_larger_than_every_shard(Kind::Gang, 60, false)]
+fn a_job_goes_to_a_shard_whose_workers_hold_it(
+    #[case] kind: Kind,
+    #[case] tasks: u32,
+    #[case] fits: bool,
+) {
+    let mut world = World::new(3, 12, 10);
+    let small = Resources::new(Millicores(100), Bytes::from_mib(64), 0);
+    let lost = world.workers.values_mut();
+    for worker in lost.filter(|worker| data_centre(worker.id) == DataCentreId(1)) {
+        worker.capacity = small;
+    }
+    let up = |world: &World| owner_of(world, ShardId(100)).is_some() && world.owners().len() == 3;
+    assert!(world.run_until(MINUTE, up));
+    let home = (owner_of(&world, ShardId(100)).unwrap(), ShardId(100));
+    let spec = Spec {
+        kind,
+        ..batch(tasks, SECOND)
+    };
+    let call = world.submit(home, job(1), spec);
+    world.run(30 * SECOND);
+    assert_eq!(world.submitted(call).unwrap().is_ok(), fits);
+    let state = fits.then_some(job::State::Succeeded);
+    assert_eq!(world.look(job(1)), state);
+    world.check();
+}
+
 #[test]
 fn a_job_whose_shard_has_no_owner_is_not_said_to_be_unknown() {
     let mut world = cell(7);
--- a/crates/state/src/admission/desk.rs
+++ b/crates/state/src/admission/desk.rs
@@ -61,6 +61,9 @@
     pub estimator: &'a Estimator,
     /// How fast waiting jobs are served.
     pub pace: Pace,
+    /// How many tasks of the job's size the cell takes while it is empty, where the caller knows;
+    /// else only the workers here count.
+    pub room: Option<u64>,
 }
 
 impl Desk<'_> {
@@ -108,17 +111,21 @@
 
     /// Refuses what could not run even on an empty cell; without workers nothing is known.
     fn check_size(&self, spec: &Spec) -> Result<(), Refusal> {
-        if self.index.is_empty() {
+        if self.index.is_empty() && self.room.is_none() {
             return Ok(());
         }
-        if !self.index.fits_empty(&spec.size) {
+        let fits = match self.room {
+            Some(room) => room > 0,
+            None => self.index.fits_empty(&spec.size),
+        };
+        if !fits {
             let detail = format!("a task needs {}, more than any worker has", spec.size);
             return Err(Refusal::new(Reason::TooLarge, detail));
         }
         if spec.kind != Kind::Gang {
             return Ok(());
         }
-        let room = self.empty_room(&spec.size);
+        let room = self.room.unwrap_or_else(|| self.empty_room(&spec.size));
         if room < u64::from(spec.tasks) {
             let detail = format!(
                 "the gang has {} tasks of {}, the empty cell takes {room}",
--- a/crates/state/src/engine/submit.rs
+++ b/crates/state/src/engine/submit.rs
@@ -28,6 +28,20 @@
     ///
     /// The [`Refusal`] to give to the caller; nothing was run. It is counted.
     pub fn check(&mut self, spec: &Spec, now: Timestamp) -> Result<(), Refusal> {
+        self.check_in(spec, None, now)
+    }
+
+    /// As [`Self::check`], where the whole cell takes `room` tasks of the size while it is empty.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::check`].
+    pub fn check_in(
+        &mut self,
+        spec: &Spec,
+        room: Option<u64>,
+        now: Timestamp,
+    ) -> Result<(), Refusal> {
         let desk = admission::Desk {
             policy: &self.policy,
             ledger: &self.ledger,
@@ -36,6 +50,7 @@
             shapes: &self.shapes,
             estimator: &self.estimator,
             pace: self.pace,
+            room,
         };
         let result = desk.check(spec, now);
         if let Err(refusal) = &result {
