--- a/crates/coordination/src/member/event.rs
+++ b/crates/coordination/src/member/event.rs
@@ -95,4 +95,6 @@
     },
     /// The node leaves: hand everything over and claim nothing more.
     Drain,
+    /// The node stays after all, and takes on shards again.
+    Undrain,
 }
--- a/crates/coordination/src/member/machine/mod.rs
+++ b/crates/coordination/src/member/machine/mod.rs
@@ -189,6 +189,10 @@
             Event::Ready { shard, epoch } => self.ready(shard, epoch, now),
             Event::Fenced { shard, epoch } => self.fenced(shard, epoch, now),
             Event::Drain => self.draining = true,
+            Event::Undrain => {
+                self.draining = false;
+                self.drained = false;
+            }
         }
         self.advance(now);
         std::mem::take(&mut self.effects)
--- a/crates/coordination/tests/ownership/cell/fault.rs
+++ b/crates/coordination/tests/ownership/cell/fault.rs
@@ -64,6 +64,7 @@
     Truncate,
     Lag(u64),
     Drain(NodeId),
+    Undrain(NodeId),
     /// Lets a node's address falsely refuse connections.
     Lie(NodeId),
 }
@@ -110,17 +111,20 @@
             Fault::JoinAll => self.links.cut.clear(),
             Fault::Truncate => self.log.earliest = self.log.end(),
             Fault::Lag(span) => self.lag = span,
-            Fault::Drain(node) => {
-                if let Some(holder) = self.machine(node).map(|machine| *machine.me()) {
-                    self.later(0, holder, Event::Drain);
-                }
-            }
+            Fault::Drain(node) => self.tell(node, Event::Drain),
+            Fault::Undrain(node) => self.tell(node, Event::Undrain),
             Fault::Lie(node) => {
                 self.links.lying.insert(address(node));
             }
         }
     }
 
+    fn tell(&mut self, node: NodeId, event: Event) {
+        if let Some(holder) = self.machine(node).map(|machine| *machine.me()) {
+            self.later(0, holder, event);
+        }
+    }
+
     fn start_or_replace(&mut self, node: NodeId) {
         let gone = !self.vms.contains_key(&node);
         let node = if gone { NodeId(node.0 + NEXT_VM) } else { node };
--- a/crates/coordination/tests/ownership/failures.rs
+++ b/crates/coordination/tests/ownership/failures.rs
@@ -221,6 +221,27 @@
     assert!(cell.overlaps.is_empty());
 }
 
+#[rstest]
+fn a_region_that_restarts_on_a_dropped_log_is_in_use_within_ten_seconds(
+    #[values(1, 2, 3, 4)] seed: u64,
+) {
+    let mut cell = settled(3, 3, seed);
+    cell.fault(12 * SECOND + 2, Fault::Truncate);
+    cell.fault(12 * SECOND, Fault::Lag(60 * SECOND));
+    for node in (1..=3).map(NodeId) {
+        // The third node's machine is replaced; the list still names the old one.
+        let vm = node == NodeId(3);
+        cell.fault(12 * SECOND, Fault::Kill { node, vm });
+        cell.fault(12 * SECOND + 1, Fault::Start(node));
+    }
+    cell.run_until(22 * SECOND);
+    for shard in cell.all_shards() {
+        let again = cell.active_after(shard, 12 * SECOND);
+        assert!(again.is_some(), "first use of {shard}");
+    }
+    assert!(cell.overlaps.is_empty());
+}
+
 #[test]
 fn restarts_of_every_node_in_turn_leave_every_shard_in_use() {
     let mut cell = settled(5, 5, 1);
@@ -249,6 +270,21 @@
     assert_eq!(causes, [Cause::Handover; 2]);
 }
 
+#[test]
+fn a_node_that_no_longer_drains_gets_its_share_again() {
+    let mut cell = settled(4, 8, 1);
+    let node = owner(&cell, FIRST);
+    cell.fault(10 * SECOND, Fault::Drain(node));
+    cell.fault(15 * SECOND, Fault::Undrain(node));
+    cell.run_until(30 * SECOND);
+    let share = in_use(&cell)
+        .iter()
+        .filter(|(_, user)| *user == node)
+        .count();
+    assert_eq!(share, 2);
+    assert!(cell.overlaps.is_empty());
+}
+
 #[test]
 fn a_node_that_joins_gets_its_share_with_as_few_moves_as_it_has_shards() {
     let mut cell = settled(2, 6, 1);
