Wait out a change of owner in place of passing its refusal on

In a rolling restart of three gates and three scheds at 500 calls/s, 4 of 22,416 calls were refused with no-owner while a shard changed hands, well within their deadlines; one of them, a batch job, with the outcome unknown. A refusal that says that the shard is between owners and nothing was run now leads to another try, and a submission that the owner can't tell about is sent again under its id.

--- a/crates/gate/src/forward/owner.rs
+++ b/crates/gate/src/forward/owner.rs
@@ -20,6 +20,7 @@
         ShardId, //
     },
     refusal::{
+        Outcome,
         Reason,
         Refusal, //
     },
@@ -98,8 +99,9 @@
             continue;
         };
         match app.rpc.call(address, call.clone(), left).await {
-            Ok(answer) => match elsewhere(&answer) {
-                Some(node) => hint = moved(app, &view, node),
+            Ok(answer) => match turned_away(&answer) {
+                Some(Away::To(node)) => hint = moved(app, &view, node),
+                Some(Away::Nowhere) => app.metrics.retried(Retry::NoOwner),
                 None => return Ok(answer),
             },
             Err(error) if error.not_run() => app.metrics.retried(Retry::SchedUnreachable),
@@ -129,11 +131,33 @@
     let _ = timeout(longest.min(LONGEST_PAUSE), changed).await;
 }
 
-fn elsewhere(answer: &Answer) -> Option<NodeId> {
+/// How a sched that isn't the owner answers; it did nothing.
+enum Away {
+    /// It points to the owner.
+    To(NodeId),
+    /// It knows of none at the moment.
+    Nowhere,
+}
+
+fn turned_away(answer: &Answer) -> Option<Away> {
     match answer {
         Answer::Submit(submit::Reply::Elsewhere(node))
         | Answer::Begin(begin::Reply::Elsewhere(node))
-        | Answer::Cancel(cancel::Reply::Found(submit::Reply::Elsewhere(node))) => Some(*node),
+        | Answer::Cancel(cancel::Reply::Found(submit::Reply::Elsewhere(node))) => {
+            Some(Away::To(*node))
+        }
+        Answer::Submit(submit::Reply::Refused(refusal))
+        | Answer::Begin(begin::Reply::Refused(refusal))
+            if is_between_owners(refusal) =>
+        {
+            Some(Away::Nowhere)
+        }
         _ => None,
     }
 }
+
+/// Tells whether a shard is on its way from one owner to another, so that asking again is of use.
+fn is_between_owners(refusal: &Refusal) -> bool {
+    let is_moving = matches!(refusal.reason, Reason::NoOwner | Reason::Draining);
+    is_moving && refusal.outcome == Outcome::NotRun
+}
--- a/crates/gate/src/job/submit.rs
+++ b/crates/gate/src/job/submit.rs
@@ -90,7 +90,9 @@
     }
 }
 
-/// Sends a submission until it is answered; `untold` is the outcome while no call was lost.
+/// Sends a submission until it is settled; `untold` is the outcome while no call was lost.
+///
+/// The id makes it idempotent, so it is sent again also where the owner can't tell what became of it.
 async fn send(
     app: &App,
     shard: ShardId,
@@ -101,18 +103,21 @@
     let mut backoff = Backoff::new(random());
     let mut outcome = untold;
     loop {
-        match ask_owner(app, shard, call, deadline).await {
+        let unsettled = match ask_owner(app, shard, call, deadline).await {
+            Ok(Answer::Submit(Reply::Refused(refusal))) if refusal.outcome == Outcome::Unknown => {
+                refusal
+            }
             Ok(Answer::Submit(reply)) => return Ok(reply),
             Ok(_) => return Err(unexpected()),
             Err(miss @ Miss::NoOwner { .. }) => return Err(miss.refusal().outcome(outcome)),
-            Err(miss @ Miss::Lost { .. }) => {
-                outcome = Outcome::Unknown;
-                app.metrics.retried(Retry::AnswerLost);
-                let none = Duration::ZERO;
-                let pause = backoff.next(app.now(), deadline, none, none);
-                let pause = pause.ok_or_else(|| miss.refusal().outcome(outcome))?;
-                sleep(pause).await;
-            }
+            Err(miss @ Miss::Lost { .. }) => miss.refusal(),
+        };
+        outcome = Outcome::Unknown;
+        app.metrics.retried(Retry::AnswerLost);
+        let none = Duration::ZERO;
+        match backoff.next(app.now(), deadline, none, none) {
+            Some(pause) => sleep(pause).await,
+            None => return Err(unsettled.outcome(outcome)),
         }
     }
 }
--- a/crates/gate/tests/job.rs
+++ b/crates/gate/tests/job.rs
@@ -21,6 +21,7 @@
         ShardId, //
     },
     refusal::{
+        Outcome,
         Reason,
         Refusal, //
     },
@@ -222,3 +223,31 @@
     assert!(at(1) < at(2));
     assert_eq!(home(at(1), &[ShardId(1), ShardId(302)]), Some(ShardId(302)));
 }
+
+#[tokio::test]
+async fn a_submission_whose_fate_the_owner_cannot_tell_is_sent_again() {
+    let sched = Sched::start(NODES[0], document(), &[]);
+    let refusal = Refusal::new(Reason::LogUnavailable, "the append is not settled");
+    let refusal = refusal.outcome(Outcome::Unknown);
+    sched.answers(Answer::Submit(submit::Reply::Refused(refusal)));
+    sched.answers(Answer::Submit(submit::Reply::Known));
+    let gate = gate(&[&sched]).await;
+    ready(&gate).await;
+    let answer = post(&gate, "/v1/jobs").json(&batch()).send().await.unwrap();
+    assert_eq!(answer.status(), 200);
+    let sent = submissions(&sched);
+    assert_eq!(sent[0], sent[1]);
+}
+
+#[tokio::test]
+async fn a_shard_between_two_owners_is_asked_again() {
+    let sched = Sched::start(NODES[0], document(), &[]);
+    let refusal = Refusal::new(Reason::NoOwner, "the shard is being handed over");
+    sched.answers(Answer::Submit(submit::Reply::Refused(refusal)));
+    sched.answers(accepted());
+    let gate = gate(&[&sched]).await;
+    ready(&gate).await;
+    let answer = post(&gate, "/v1/jobs").json(&batch()).send().await.unwrap();
+    assert_eq!(answer.status(), 202);
+    assert_eq!(submissions(&sched).len(), 2);
+}
