--- a/crates/coordination/src/journal/mod.rs
+++ b/crates/coordination/src/journal/mod.rs
@@ -5,7 +5,6 @@
 //! ignores every record whose epoch is lower than the highest epoch seen before it, and a
 //! [`Journal`] commits a batch only once it knows every record in front of it.
 
-mod backoff;
 mod batch;
 mod effect;
 mod envelope;
--- a/crates/coordination/src/journal/opening.rs
+++ b/crates/coordination/src/journal/opening.rs
@@ -14,7 +14,10 @@
     },
 };
 
-use crate::platform::log;
+use crate::{
+    platform::log,
+    retry::Backoff, //
+};
 
 use super::{
     Effect,
@@ -26,7 +29,6 @@
     Replay,
     ReplayError,
     Settings,
-    backoff::Backoff,
     writer::Start, //
 };
 
@@ -106,6 +108,7 @@
             stream,
             node,
             epoch,
+            backoff: settings.backoff(seed),
             settings,
             seed,
             stage: Stage::Locate {
@@ -115,7 +118,6 @@
             wake: Timestamp::ZERO,
             base: None,
             replay: Replay::from_beginning(),
-            backoff: Backoff::new(seed),
             effects: VecDeque::new(),
             error: None,
         }
@@ -188,7 +190,7 @@
         if let log::Error::Truncated { earliest } = error {
             self.truncated(*earliest);
         } else {
-            self.wake = now + self.backoff.next(&self.settings);
+            self.wake = now + self.backoff.wait();
         }
     }
 
@@ -281,7 +283,7 @@
         if self.replay.next() > opened {
             self.stage = Stage::Ready;
         } else if page.records.is_empty() {
-            self.wake = now + self.backoff.next(&self.settings);
+            self.wake = now + self.backoff.wait();
         }
     }
 
--- a/crates/coordination/src/journal/settings.rs
+++ b/crates/coordination/src/journal/settings.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::retry::Backoff;
+
 /// The smallest span after which a failed call is tried again.
 const RETRY_MIN: Duration = Duration::from_millis(50);
 /// The largest span after which a failed call is tried again.
@@ -100,6 +102,11 @@
         self
     }
 
+    /// Returns the waits between tries; `seed` spreads those of several nodes.
+    pub(super) fn backoff(&self, seed: u64) -> Backoff {
+        Backoff::new(seed).base(self.retry_min).most(self.retry_max)
+    }
+
     /// Returns the age of the oldest needed record at which a snapshot is due.
     ///
     /// A quarter of the retention leaves a twelfth to write the snapshot in before the oldest
--- a/crates/coordination/src/journal/writer/answer.rs
+++ b/crates/coordination/src/journal/writer/answer.rs
@@ -74,7 +74,7 @@
             return self.commit(now);
         }
         let wait = if page.records.is_empty() {
-            self.backoff.next(&self.settings)
+            self.backoff.wait()
         } else {
             Duration::ZERO
         };
@@ -90,7 +90,7 @@
         if !matches!(error, log::Error::Refused { .. }) {
             self.down_since.get_or_insert(now);
         }
-        let retry = now + self.backoff.next(&self.settings);
+        let retry = now + self.backoff.wait();
         match (&self.state, error) {
             (State::Appending, log::Error::Unavailable { .. }) => {
                 self.state = State::Append(retry);
--- a/crates/coordination/src/journal/writer/mod.rs
+++ b/crates/coordination/src/journal/writer/mod.rs
@@ -19,7 +19,8 @@
 
 use crate::{
     platform::log,
-    recovery::Image, //
+    recovery::Image,
+    retry::Backoff, //
 };
 
 use super::{
@@ -32,7 +33,6 @@
     Token,
     Urgency,
     Withdrawn,
-    backoff::Backoff,
     batch::{
         Batch,
         Item, //
@@ -137,6 +137,7 @@
     pub(super) fn new(start: Start) -> Self {
         Self {
             cap: start.settings.append,
+            backoff: start.settings.backoff(start.seed),
             stream: start.stream,
             node: start.node,
             epoch: start.epoch,
@@ -155,7 +156,6 @@
             last_commit: start.now,
             down_since: None,
             effects: VecDeque::new(),
-            backoff: Backoff::new(start.seed),
             base: start.base,
             base_taken: start.base_taken,
             bytes_behind: 0,
--- a/crates/coordination/src/retry/backoff.rs
+++ b/crates/coordination/src/retry/backoff.rs
@@ -67,12 +67,20 @@
         ask_after: Duration,
         takes: Duration,
     ) -> Option<Duration> {
-        let wait = self.draw().max(ask_after);
+        let wait = self.wait().max(ask_after);
         let end = now + wait + takes;
         (end < deadline).then_some(wait)
     }
 
-    fn draw(&mut self) -> Duration {
+    /// Forgets the attempts, after a success.
+    pub const fn reset(&mut self) {
+        self.tries = 0;
+    }
+
+    /// Returns how long to wait before the next attempt, whatever the deadline.
+    ///
+    /// See also [`Self::next`].
+    pub fn wait(&mut self) -> Duration {
         let factor = 1_u32 << self.tries.min(MAX_DOUBLINGS);
         let bound = self.base.saturating_mul(factor).min(self.most);
         self.tries = self.tries.saturating_add(1);
--- a/crates/sched/src/node/ownership.rs
+++ b/crates/sched/src/node/ownership.rs
@@ -1,6 +1,9 @@
 //! The ownership of shards: what the machine asks for, and what became of it.
 
-use std::sync::Arc;
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
 
 use fulmarpier_coordination::{
     member::{
@@ -211,17 +214,28 @@
     /// Lets every shard do what is due.
     pub(super) fn pump_shards(&mut self, now: Timestamp) {
         let ids: Vec<ShardId> = self.shards.keys().copied().collect();
+        let pace = self.journal_pace();
         for shard in ids {
             if matches!(self.shards.get(&shard), Some(Shard::Opening(_))) {
                 self.pump_opening(shard, now);
             }
-            let report = self.with_live(shard, now, |live, scope| (live.epoch, live.pump(scope)));
+            let report = self.with_live(shard, now, |live, scope| {
+                live.set_pace(pace);
+                (live.epoch, live.pump(scope))
+            });
             if let Some((epoch, report)) = report {
                 self.follow_report(shard, epoch, &report, now);
             }
         }
     }
 
+    /// Returns the span between two appends of a shard; a node has one budget for all its shards.
+    fn journal_pace(&self) -> Duration {
+        let shards = u32::try_from(self.shards.len()).unwrap_or(u32::MAX);
+        let pace = self.settings.shard.journal.pace;
+        pace.saturating_mul(shards.max(1))
+    }
+
     fn follow_report(&mut self, shard: ShardId, epoch: Epoch, report: &Report, now: Timestamp) {
         if report.ready {
             self.member_event(member::Event::Ready { shard, epoch }, now);
--- a/crates/sched/src/shard/live.rs
+++ b/crates/sched/src/shard/live.rs
@@ -173,6 +173,11 @@
         self.may_start.is_some_and(|until| now < until)
     }
 
+    /// Sets the shortest span between two appends of the journal.
+    pub(crate) const fn set_pace(&mut self, pace: Duration) {
+        self.journal.set_pace(pace);
+    }
+
     /// Returns whether work may be placed now.
     pub(super) fn is_active(&self, now: Timestamp) -> bool {
         let ready = self.recovery.as_ref().is_none_or(|r| r.is_ready());
