Bound what a pass does for reservations, and measure each weight

Cause: for each of 64 waiting jobs a pass compared all reservations for backfill, counted them for each new one, and gave their capacity back and took it again to look for room elsewhere (perf on the bench of the engine). Now 64 pieces of held capacity are listed once, counts are kept, and single tasks look only at other workers.

--- a/crates/state/benches/engine.rs
+++ b/crates/state/benches/engine.rs
@@ -137,15 +137,23 @@
     let mut full = Full::new(workers, waiting);
     let mut times: Vec<Duration> = (0..DECISIONS).map(|_| full.step()).collect();
     times.sort_unstable();
-    (times[DECISIONS / 2], times[DECISIONS * 99 / 100])
+    let digest = full.engine.digest();
+    let free = 100 * digest.free.cpu / digest.capacity.cpu;
+    let jobs = digest.waiting_jobs;
+    let reserved = full.engine.counters().reservations;
+    let (p50, p99) = (times[DECISIONS / 2], times[DECISIONS * 99 / 100]);
+    println!(
+        "{workers} workers, {waiting} waiting: p50 {p50:?} p99 {p99:?} \
+         ({free} % free, {jobs} jobs wait, {reserved} reservations made)"
+    );
+    (p50, p99)
 }
 
 /// Prints the quantiles of all cells, and fails where the median grows too fast with the cell.
 fn report() {
     for workers in CELLS {
         for waiting in QUEUES {
-            let (p50, p99) = quantiles(workers, waiting);
-            println!("{workers:>6} workers {waiting:>7} waiting: p50 {p50:?} p99 {p99:?}");
+            quantiles(workers, waiting);
         }
     }
     let design = quantiles(DESIGN.0, DESIGN.1).0.as_secs_f64();
--- a/crates/state/src/engine/backfill.rs
+++ b/crates/state/src/engine/backfill.rs
@@ -10,8 +10,16 @@
 
 /// How many waiting jobs a pass looks at.
 const DEPTH: usize = 64;
-/// How many parts of a reservation are looked at for one task.
-const PARTS: usize = 64;
+/// About how many pieces of held capacity a pass looks at.
+const LENDERS: usize = 64;
+
+/// Held capacity that can be lent until a time.
+struct Lender {
+    reservation: u64,
+    worker: WorkerId,
+    held: Resources,
+    until: Timestamp,
+}
 
 impl Engine {
     /// Lets short tasks use what reservations hold and can't use yet.
@@ -19,13 +27,36 @@
         if !self.policy.backfill || self.reservations.is_empty() {
             return;
         }
+        let mut lenders = self.lenders();
+        if lenders.is_empty() {
+            return;
+        }
         for entry in self.queue.sample(DEPTH) {
-            while self.counters.starts < end && self.backfill_one(&entry, now) {}
+            while self.counters.starts < end && self.backfill_one(&entry, &mut lenders, now) {}
+        }
+    }
+
+    /// Returns what can be lent, up to a bound.
+    fn lenders(&self) -> Vec<Lender> {
+        let mut lenders = Vec::new();
+        let kept = self.reservations.iter().filter(|(_, r)| !r.evicts);
+        for (id, reservation) in kept {
+            let parts = reservation.parts.iter().filter(|p| !p.held.is_zero());
+            lenders.extend(parts.map(|part| Lender {
+                reservation: *id,
+                worker: part.worker,
+                held: part.held,
+                until: reservation.until,
+            }));
+            if lenders.len() >= LENDERS {
+                break;
+            }
         }
+        lenders
     }
 
     /// Starts one task of a job on held capacity; returns whether it did.
-    fn backfill_one(&mut self, entry: &Entry, now: Timestamp) -> bool {
+    fn backfill_one(&mut self, entry: &Entry, lenders: &mut [Lender], now: Timestamp) -> bool {
         let Some(job) = self.jobs.get(&entry.job) else {
             return false;
         };
@@ -34,34 +65,30 @@
             return false;
         }
         let runtime = self.estimator.runtime(&job.key, job.spec.runtime);
-        let Some((id, worker)) = self.lender(entry.size, now + runtime.p90) else {
+        let until = now + runtime.p90;
+        let mut fitting = lenders.iter_mut();
+        let lender = fitting.find(|l| entry.size.fits(&l.held) && until <= l.until);
+        let Some(lender) = lender else {
             return false;
         };
-        if let Some(reservation) = self.reservations.get_mut(&id) {
-            let parts = &mut reservation.parts;
-            if let Some(part) = parts.iter_mut().find(|part| part.worker == worker) {
-                // The capacity stays reserved in the index and passes to the task.
-                part.held = part.held.checked_sub(entry.size).unwrap_or(part.held);
-            }
-        }
-        self.complete.remove(&id);
+        lender.held = lender.held.checked_sub(entry.size).unwrap_or_default();
+        let (id, worker) = (lender.reservation, lender.worker);
+        self.lend(id, worker, entry.size);
         self.begin(entry.job, worker, Some(id), now);
         self.counters.backfills += 1;
         self.dequeue_if_idle(entry.job);
         true
     }
 
-    /// Returns a reservation and a worker that can lend a size until a time.
-    fn lender(&self, size: Resources, until: Timestamp) -> Option<(u64, WorkerId)> {
-        for (id, reservation) in &self.reservations {
-            if reservation.evicts || reservation.until < until {
-                continue;
-            }
-            let mut parts = reservation.parts.iter().take(PARTS);
-            if let Some(part) = parts.find(|part| size.fits(&part.held)) {
-                return Some((*id, part.worker));
-            }
+    /// Takes a size off what a reservation holds; it stays reserved in the index for the task.
+    fn lend(&mut self, id: u64, worker: WorkerId, size: Resources) {
+        self.complete.remove(&id);
+        let Some(reservation) = self.reservations.get_mut(&id) else {
+            return;
+        };
+        let parts = &mut reservation.parts;
+        if let Some(part) = parts.iter_mut().find(|part| part.worker == worker) {
+            part.held = part.held.checked_sub(size).unwrap_or(part.held);
         }
-        None
     }
 }
--- a/crates/state/src/engine/core.rs
+++ b/crates/state/src/engine/core.rs
@@ -77,6 +77,8 @@
     /// The tasks that may be preempted, the least loss first.
     pub(super) victims: BTreeSet<(Loss, TaskId)>,
     pub(super) reservations: BTreeMap<u64, Reservation>,
+    /// How many reservations without evictions there are, for single tasks and for gangs.
+    pub(super) kept: [usize; 2],
     /// Reservations whose capacity is all there.
     pub(super) complete: BTreeSet<u64>,
     pub(super) serial: u64,
@@ -117,6 +119,7 @@
             ends: BTreeSet::new(),
             victims: BTreeSet::new(),
             reservations: BTreeMap::new(),
+            kept: [0; 2],
             complete: BTreeSet::new(),
             serial: 0,
             holds: BTreeMap::new(),
--- a/crates/state/src/engine/decide.rs
+++ b/crates/state/src/engine/decide.rs
@@ -4,8 +4,7 @@
 
 use super::{
     core::Engine,
-    effect::Effect,
-    reserve::Reservation, //
+    effect::Effect, //
 };
 use crate::{
     clock::Timestamp,
@@ -225,15 +224,12 @@
 
     /// Holds capacity for a job unless that is done for enough jobs of its kind.
     fn reserve_if_allowed(&mut self, entry: &Entry, now: Timestamp) -> bool {
-        let kept = self.reservations.values();
-        let of_kind = |r: &&Reservation| !r.evicts && (r.tasks() > 1) == entry.gang;
-        let count = kept.filter(of_kind).count();
         let most = match entry.gang {
             true => self.policy.gang_reservations as usize,
             false if self.queue.yields_to(entry.team) => self.index.len() / FAIR_PART,
             false => self.policy.task_reservations as usize,
         };
-        count < most && self.reserve_for(entry.job, now)
+        self.kept[usize::from(entry.gang)] < most && self.reserve_for(entry.job, now)
     }
 
     /// Lets a job that can't meet its deadline any more queue behind those that can.
--- a/crates/state/src/engine/elsewhere.rs
+++ b/crates/state/src/engine/elsewhere.rs
@@ -35,32 +35,42 @@
         if !self.admits(job, size, tasks) {
             return;
         }
-        self.lay_down(id);
-        match self.find_all(job, size, tasks, now) {
-            Some(workers) => {
-                self.drop_reservation(id, now);
-                for worker in workers {
-                    self.begin(job, worker, None, now);
-                }
-                self.dequeue_if_idle(job);
-            }
-            None => self.take_up(id),
+        let found = match tasks {
+            // What its own worker has free is held already, so only other workers count.
+            1 => self.find_one(job, size, now),
+            _ => self.find_all(id, job, size, tasks),
+        };
+        let Some(workers) = found else {
+            return;
+        };
+        self.drop_reservation(id, now);
+        for worker in workers {
+            self.begin(job, worker, None, now);
         }
+        self.dequeue_if_idle(job);
+    }
+
+    fn find_one(&mut self, job: JobId, size: Resources, now: Timestamp) -> Option<Vec<WorkerId>> {
+        let workers = vec![self.find_worker(job, size, now)?];
+        self.reserve_all(&workers, size).then_some(workers)
     }
 
     /// Reserves room for all tasks of a reservation, wherever it is.
     fn find_all(
         &mut self,
+        id: u64,
         job: JobId,
         size: Resources,
         tasks: u32,
-        now: Timestamp,
     ) -> Option<Vec<WorkerId>> {
-        let workers = match tasks {
-            1 => vec![self.find_worker(job, size, now)?],
-            _ => self.plan_now(self.jobs.get(&job)?, tasks)?,
-        };
-        self.reserve_all(&workers, size).then_some(workers)
+        self.lay_down(id);
+        let job = self.jobs.get(&job);
+        let workers = job.and_then(|job| self.plan_now(job, tasks));
+        let workers = workers.filter(|workers| self.reserve_all(workers, size));
+        if workers.is_none() {
+            self.take_up(id);
+        }
+        workers
     }
 
     /// Returns whether the team of a job may hold `tasks` more of a size.
--- a/crates/state/src/engine/reserve.rs
+++ b/crates/state/src/engine/reserve.rs
@@ -68,6 +68,11 @@
         self.parts.iter().map(|part| part.tasks).sum()
     }
 
+    /// Returns its place in the counts of reservations; those that evict are not counted.
+    fn kind(&self) -> Option<usize> {
+        (!self.evicts).then(|| usize::from(self.tasks() > 1))
+    }
+
     fn is_complete(&self) -> bool {
         self.parts.iter().all(Part::is_full)
     }
@@ -85,6 +90,9 @@
             job.claimed += reservation.tasks();
         }
         self.dequeue_if_idle(job);
+        if let Some(kind) = reservation.kind() {
+            self.kept[kind] += 1;
+        }
         self.reservations.insert(id, reservation);
         self.counters.reservations += 1;
         for worker in &workers {
@@ -190,6 +198,9 @@
     fn unlist(&mut self, id: u64) -> Option<Reservation> {
         let reservation = self.reservations.remove(&id)?;
         self.complete.remove(&id);
+        if let Some(kind) = reservation.kind() {
+            self.kept[kind] -= 1;
+        }
         self.timers
             .remove(&(reservation.until, Timer::Reservation(id)));
         for part in &reservation.parts {
