Let gates claim only slots that are theirs

- An inventory frees what is in doubt as a sum.
A gate whose idle slots were freed so stated them again and was given, out of the doubt that was left, what another gate's requests were still running in.
Doubt now says who may claim it: the gate that held it, in the same life, until an inventory has spoken; and any gate what it held from the former owner.
- A gate whose lease had lapsed before it heard of the new owner claimed slots that the former owner may have given to another gate since.
It claims nothing now; the requests in flight are covered by the new owner's doubt.
- A node that owned a shard a second time took a statement about its first time for a claim.
A hold carries the epoch of its grant now and is passed over at another one.
This adds 8 bytes to a hold on the wire.

Each has a test of its own beside the random histories.

--- a/crates/coordination/src/credit/balance/mod.rs
+++ b/crates/coordination/src/credit/balance/mod.rs
@@ -14,6 +14,7 @@
     alias::HashMap,
     clock::Timestamp,
     id::{
+        Epoch,
         Incarnation,
         NodeId, //
     },
@@ -55,6 +56,8 @@
     pub target: Target,
     /// The request must have been sent before this, or not be sent at all.
     pub expiry: Timestamp,
+    /// The epoch under which the slot was granted.
+    epoch: Epoch,
 }
 
 /// How a request that had a slot ended.
@@ -166,11 +169,12 @@
         let Some(entry) = pool.pick(&mut self.rng, now) else {
             return Err(none);
         };
-        entry.in_use += 1;
+        entry.take();
         let ticket = Ticket {
             service: service.clone(),
             target: entry.target,
             expiry: entry.expiry,
+            epoch: entry.epoch,
         };
         pool.need.take();
         Ok(ticket)
@@ -187,17 +191,7 @@
         let Some(entry) = pool.find_mut(ticket.target.id) else {
             return;
         };
-        entry.in_use = entry.in_use.saturating_sub(1);
-        match end {
-            End::Answered => entry.penalty.succeed(),
-            End::Unsent => {}
-            End::Refused => entry.penalty.fail(now),
-            End::Unknown => {
-                entry.penalty.fail(now);
-                entry.slots = entry.slots.saturating_sub(1);
-                entry.abandoned += 1;
-            }
-        }
+        entry.put_back(ticket.epoch, end, now);
     }
 
     /// Notes how many requests of the service wait for a slot.
@@ -257,7 +251,7 @@
     /// Applies the reply to the statement under way; returns whether it was that.
     ///
     /// See also [`Self::state`].
-    pub fn apply(&mut self, owner: NodeId, reply: &Reply) -> bool {
+    pub fn apply(&mut self, owner: NodeId, reply: &Reply, now: Timestamp) -> bool {
         let Some(asked) = self.owners.get_mut(&owner) else {
             return false;
         };
@@ -268,7 +262,7 @@
         asked.heard_at = pending.sent_at;
         self.settle_listed(owner, &pending);
         for grant in &reply.grants {
-            self.apply_grant(owner, grant, pending.sent_at);
+            self.apply_grant(owner, grant, pending.sent_at, now);
         }
         true
     }
@@ -311,11 +305,12 @@
 
     fn holds(&mut self, owner: NodeId) -> Vec<Hold> {
         let entries = self.pools.values_mut().flat_map(|pool| &mut pool.entries);
-        let of_owner = entries.filter(|entry| entry.owner == owner && !entry.is_over());
+        let of_owner = entries.filter(|entry| entry.is_stated_to(owner));
         let hold = |entry: &mut Entry| {
             entry.reported = entry.abandoned;
             Hold {
                 target: entry.target.id,
+                epoch: entry.epoch,
                 slots: entry.kept(),
                 abandoned: entry.abandoned,
             }
@@ -337,7 +332,7 @@
         }
     }
 
-    fn apply_grant(&mut self, owner: NodeId, grant: &Grant, sent_at: Timestamp) {
+    fn apply_grant(&mut self, owner: NodeId, grant: &Grant, sent_at: Timestamp, now: Timestamp) {
         let id = grant.target.id;
         let known = self.services.contains_key(&id);
         if !known && grant.slots == 0 {
@@ -352,17 +347,13 @@
         if grant.epoch < entry.epoch {
             return;
         }
-        let announced = grant.epoch > entry.epoch && grant.slots == 0;
-        entry.owner = owner;
-        entry.epoch = grant.epoch;
-        if announced {
-            // What the earlier owner granted stays until it lapses; the next statement names it.
-            entry.reported = 0;
-            return;
+        let succeeds = grant.epoch > entry.epoch;
+        if succeeds {
+            entry.succeed(owner, grant.epoch, now);
+        }
+        if !succeeds || grant.slots > 0 {
+            entry.grant(grant.slots, sent_at + grant.lease);
         }
-        // What was abandoned since the statement still counts against the total.
-        entry.slots = grant.slots.saturating_sub(entry.abandoned);
-        entry.expiry = sent_at + grant.lease;
     }
 
     fn forget_over(&mut self, now: Timestamp) {
--- a/crates/coordination/src/credit/ledger/mod.rs
+++ b/crates/coordination/src/credit/ledger/mod.rs
@@ -23,6 +23,7 @@
 pub use self::account::Ignored;
 use self::{
     account::Account,
+    doubt::Origin,
     stock::Stock, //
 };
 use super::{
@@ -174,7 +175,7 @@
             |(gate, account): (&NodeId, &Account)| (account.expiry <= now).then_some(*gate);
         let gates: Vec<NodeId> = self.accounts.iter().filter_map(lapsed).collect();
         for gate in gates {
-            self.close(gate, now);
+            self.close(gate, Origin::Gate(gate), now);
         }
         self.stocks.retain(|_, stock| !stock.is_over(now));
         self.quiet_stuck(now);
@@ -214,14 +215,14 @@
     }
 
     /// Moves everything that a gate holds into doubt.
-    fn close(&mut self, gate: NodeId, now: Timestamp) {
+    fn close(&mut self, gate: NodeId, origin: Origin, now: Timestamp) {
         let Some(account) = self.accounts.remove(&gate) else {
             return;
         };
         let ready = account.expiry.max(now) + self.terms.settle;
         for (target, slots) in account.held {
             if let Some(stock) = self.stocks.get_mut(&target) {
-                stock.doubt.add(slots, ready);
+                stock.doubt.add(slots, ready, origin);
             }
         }
     }
@@ -231,7 +232,7 @@
         if let Some(account) = self.accounts.get(&statement.gate) {
             account.admit(statement)?;
             if account.incarnation < statement.incarnation {
-                self.close(statement.gate, now);
+                self.close(statement.gate, Origin::Nobody, now);
             }
         }
         let fresh = || Account::new(statement.incarnation);
@@ -250,16 +251,18 @@
         let before = std::mem::take(&mut account.held);
         let ready = now + self.terms.settle;
         for hold in &statement.holds {
-            let Some(stock) = self.stocks.get_mut(&hold.target) else {
+            let known = |stock: &&mut Stock| stock.epoch == hold.epoch;
+            let Some(stock) = self.stocks.get_mut(&hold.target).filter(known) else {
                 continue;
             };
             let known = before.get(&hold.target).copied().unwrap_or(0);
-            let claimed = stock.doubt.take(hold.slots.saturating_sub(known));
+            let claimed = stock
+                .doubt
+                .claim(statement.gate, hold.slots.saturating_sub(known));
             let held = hold.slots.min(known + claimed);
             account.hold(hold.target, held);
-            stock
-                .doubt
-                .add(hold.abandoned.min(known.saturating_sub(held)), ready);
+            let abandoned = hold.abandoned.min(known.saturating_sub(held));
+            stock.doubt.add(abandoned, ready, Origin::Nobody);
         }
     }
 
--- a/crates/coordination/src/credit/ledger/stock.rs
+++ b/crates/coordination/src/credit/ledger/stock.rs
@@ -13,7 +13,10 @@
 
 use super::{
     Grant,
-    doubt::Doubt, //
+    doubt::{
+        Doubt,
+        Origin, //
+    }, //
 };
 use crate::platform::target::Target;
 
@@ -94,7 +97,7 @@
 
     /// Puts all slots in doubt until the credits of an earlier owner have lapsed at `ready`.
     pub(super) fn recover(&mut self, ready: Timestamp) {
-        self.doubt.add(self.slots, ready);
+        self.doubt.add(self.slots, ready, Origin::Former);
         self.recovers_until = ready;
     }
 
--- a/crates/coordination/src/credit/message.rs
+++ b/crates/coordination/src/credit/message.rs
@@ -30,6 +30,8 @@
 pub struct Hold {
     /// The target.
     pub target: target::Id,
+    /// The epoch of the owner that the gate knows; an owner at another epoch passes it over.
+    pub epoch: Epoch,
     /// The most slots that the gate will fill until it applies the reply; a total, not a difference.
     pub slots: u16,
     /// Slots that it gives up without knowing whether they are free, since the last reply that it
--- a/crates/coordination/tests/credit_cost.rs
+++ b/crates/coordination/tests/credit_cost.rs
@@ -42,7 +42,7 @@
 /// The bytes of a call and its answer, of a hold and of a grant on the wire, as measured in
 /// `docs/design/12-transport.md`.
 const CALL: u64 = 240 + 240;
-const HOLD: u64 = 48;
+const HOLD: u64 = 56;
 const GRANT: u64 = 136;
 
 #[derive(Debug, Default)]
@@ -111,7 +111,7 @@
             let reply = ledger
                 .sync(&statement, &|_| true, at(now))
                 .expect("the statement is in order");
-            self.gates[gate].apply(id, &reply);
+            self.gates[gate].apply(id, &reply, at(now));
             self.cost.calls += 1;
             self.cost.bytes += CALL;
             self.cost.bytes += HOLD * statement.holds.len() as u64;
--- a/crates/coordination/tests/credit_ledger.rs
+++ b/crates/coordination/tests/credit_ledger.rs
@@ -70,7 +70,7 @@
     let reply = ledger
         .sync(&statement, &|_| true, now)
         .expect("the statement is in order");
-    assert!(gate.apply(owner, &reply));
+    assert!(gate.apply(owner, &reply, now));
 }
 
 /// Takes as many slots as there are.
@@ -145,7 +145,7 @@
     let reply = ledger
         .sync(&statement, &|_| true, at(700))
         .expect("the statement is in order");
-    assert!(gate.apply(OWNER, &reply));
+    assert!(gate.apply(OWNER, &reply, at(1_000)));
     let lease = Terms::default().lease;
     assert!(gate.take(&service(), at(0) + lease).is_err());
     ledger.tick(at(700) + lease);
@@ -173,6 +173,79 @@
     assert_eq!((ledger.doubtful(id), held(&other, at(2_800))), (3, 5));
 }
 
+/// Found by the random histories: a gate whose idle slots an inventory had freed stated them again,
+/// and got those that another gate's requests were still running in.
+#[test]
+fn slots_that_an_inventory_freed_are_not_claimed_again() {
+    let mut ledger = ledger(1);
+    let (mut idle, mut busy) = (gate(1), gate(2));
+    idle.wait(&service(), 4);
+    sync(&mut ledger, OWNER, &mut idle, at(0));
+    ledger.tick(at(2_200));
+    ledger.inventory(target(0).id, 0, at(2_700));
+    busy.wait(&service(), 8);
+    sync(&mut ledger, OWNER, &mut busy, at(2_800));
+    assert_eq!(take_all(&mut busy, at(2_800)).len(), usize::from(SLOTS));
+    sync(&mut ledger, OWNER, &mut idle, at(5_000));
+    assert_eq!(held(&idle, at(5_000)), 0);
+    assert_eq!(ledger.doubtful(target(0).id), SLOTS);
+    sync(&mut ledger, OWNER, &mut busy, at(5_100));
+    assert_eq!(
+        ledger.doubtful(target(0).id),
+        0,
+        "they are the busy gate's to account for"
+    );
+}
+
+/// A gate that was cut off while its slots went to another may not claim them from a successor.
+#[test]
+fn what_had_lapsed_before_the_successor_was_known_is_not_claimed() {
+    let mut first = ledger(1);
+    let (mut stale, mut busy) = (gate(1), gate(2));
+    stale.wait(&service(), 4);
+    sync(&mut first, OWNER, &mut stale, at(0));
+    first.tick(at(2_200));
+    first.inventory(target(0).id, 0, at(2_700));
+    busy.wait(&service(), 8);
+    sync(&mut first, OWNER, &mut busy, at(2_800));
+    assert_eq!(held(&busy, at(2_800)), u32::from(SLOTS));
+
+    let mut second = Ledger::new(Terms::default());
+    second.adopt(service(), target(0), Epoch(2), SLOTS, at(3_000));
+    for now in [3_000, 3_100, 3_200].map(at) {
+        sync(&mut second, SUCCESSOR, &mut stale, now);
+    }
+    assert_eq!(held(&stale, at(3_200)), 0);
+    assert_eq!(take_all(&mut busy, at(3_200)).len(), usize::from(SLOTS));
+    sync(&mut second, SUCCESSOR, &mut busy, at(3_300));
+    sync(&mut second, SUCCESSOR, &mut busy, at(3_400));
+    assert_eq!(second.held(target(0).id), SLOTS, "the busy gate's are accounted for");
+}
+
+/// Found by the random histories: a node that owns a target for the second time took a statement
+/// about its first time for a claim.
+#[test]
+fn a_statement_about_an_earlier_epoch_of_the_same_node_claims_nothing() {
+    let mut first = ledger(1);
+    let mut gate = gate(1);
+    gate.wait(&service(), 4);
+    sync(&mut first, OWNER, &mut gate, at(0));
+    let tickets = take_all(&mut gate, at(0));
+    let mut again = Ledger::new(Terms::default());
+    again.adopt(service(), target(0), Epoch(3), SLOTS, at(2_000));
+    sync(&mut again, OWNER, &mut gate, at(2_000));
+    assert_eq!(
+        (held(&gate, at(2_000)), again.doubtful(target(0).id)),
+        (0, SLOTS)
+    );
+    for ticket in tickets {
+        gate.put_back(ticket, End::Answered, at(2_100));
+    }
+    again.inventory(target(0).id, 0, at(4_600));
+    sync(&mut again, OWNER, &mut gate, at(4_700));
+    assert!(held(&gate, at(4_700)) > 0);
+}
+
 #[test]
 fn a_target_whose_slots_stay_in_doubt_is_emptied_to_settle_them() {
     let mut ledger = ledger(1);
@@ -281,7 +354,7 @@
     let statement = gate.state(OWNER, false, at(1_000));
     let reply = ledger.sync(&statement, &|_| false, at(1_000));
     let reply = reply.expect("the statement is in order");
-    assert!(gate.apply(OWNER, &reply));
+    assert!(gate.apply(OWNER, &reply, at(1_000)));
     assert!(held(&gate, at(1_999)) > 0, "what was granted lasts");
     assert_eq!(held(&gate, at(2_000)), 0);
 }
--- a/crates/coordination/tests/credit_world/mod.rs
+++ b/crates/coordination/tests/credit_world/mod.rs
@@ -313,7 +313,8 @@
             return;
         };
         if life.0 == self.lives[gate] {
-            self.gates[gate].apply(owner, &reply);
+            let now = self.clock(gate);
+            self.gates[gate].apply(owner, &reply, now);
         }
         if keep {
             self.replies.push((owner, gate, life, reply));
--- a/crates/gate/src/control/exchange.rs
+++ b/crates/gate/src/control/exchange.rs
@@ -15,6 +15,7 @@
     };
     let hold = |hold: credit::Hold| sync::Hold {
         target: hold.target,
+        epoch: hold.epoch,
         slots: hold.slots,
         abandoned: hold.abandoned,
     };
--- a/crates/gate/src/slot/pool.rs
+++ b/crates/gate/src/slot/pool.rs
@@ -154,7 +154,7 @@
     pub fn apply(&self, owner: NodeId, reply: &Reply) -> bool {
         let now = self.now();
         let mut state = self.lock();
-        let applied = state.balance.apply(owner, reply);
+        let applied = state.balance.apply(owner, reply, now);
         state.serve_all(now);
         applied
     }
--- a/crates/gate/tests/support/sched.rs
+++ b/crates/gate/tests/support/sched.rs
@@ -201,6 +201,7 @@
     };
     let hold = |hold: sync::Hold| Hold {
         target: hold.target,
+        epoch: hold.epoch,
         slots: hold.slots,
         abandoned: hold.abandoned,
     };
--- a/crates/protocol/schema/sched.capnp
+++ b/crates/protocol/schema/sched.capnp
@@ -34,6 +34,8 @@
   # The most slots that it fills until it applies the reply; a total, not a difference.
   abandoned @2 :UInt16;
   # Slots that it gives up without knowing whether they are free.
+  epoch @3 :UInt64;
+  # That of the grant; an owner at another epoch knows nothing of it.
 }
 
 struct Grant {
--- a/crates/protocol/src/wire/sched_capnp.rs
+++ b/crates/protocol/src/wire/sched_capnp.rs
@@ -1479,6 +1479,10 @@
         pub fn get_abandoned(self) -> u16 {
             self.reader.get_data_field::<u16>(1)
         }
+        #[inline]
+        pub fn get_epoch(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
     }
 
     pub struct Builder<'a> {
@@ -1487,7 +1491,7 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 1,
+                data: 2,
                 pointers: 1,
             };
     }
@@ -1614,6 +1618,14 @@
         pub fn set_abandoned(&mut self, value: u16) {
             self.builder.set_data_field::<u16>(1, value);
         }
+        #[inline]
+        pub fn get_epoch(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_epoch(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(1, value);
+        }
     }
 
     pub struct Pipeline {
@@ -1632,45 +1644,52 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(103, 61, 42, 238, 141, 106, 206, 138),
-            ::capnp::word(12, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(86, 72, 233, 194, 167, 179, 240, 209),
             ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(115, 99, 104, 101, 100, 46, 99, 97),
             ::capnp::word(112, 110, 112, 58, 72, 111, 108, 100),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(116, 97, 114, 103, 101, 116, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(224, 143, 249, 77, 145, 230, 66, 152),
@@ -1696,12 +1715,21 @@
             ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 112, 111, 99, 104, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <crate::wire::sched_capnp::target_id::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1720,9 +1748,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 1, 0];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 3, 1, 0];
         pub(crate) const TYPE_ID: u64 = 0x8ace_6a8d_ee2a_3d67;
     }
 }
--- a/crates/protocol/src/wire/sync/request.rs
+++ b/crates/protocol/src/wire/sync/request.rs
@@ -3,6 +3,7 @@
 use fulmarpier_coordination::platform::target;
 use fulmarpier_state::{
     id::{
+        Epoch,
         Incarnation,
         NodeId,
         Offset, //
@@ -37,6 +38,8 @@
 pub struct Hold {
     /// The target.
     pub target: target::Id,
+    /// The epoch of the grant; an owner at another epoch knows nothing of it.
+    pub epoch: Epoch,
     /// The most slots that it fills until it applies the reply; a total, not a difference.
     pub slots: u16,
     /// Slots that it gives up without knowing whether they are free.
@@ -118,6 +121,7 @@
     fn read(reader: hold::Reader<'_>) -> Result<Self, Error> {
         Ok(Self {
             target: scalar::read_target_id(reader.get_target()?)?,
+            epoch: Epoch(reader.get_epoch()),
             slots: reader.get_slots(),
             abandoned: reader.get_abandoned(),
         })
@@ -125,6 +129,7 @@
 
     fn write(&self, mut builder: hold::Builder<'_>) {
         scalar::write_target_id(self.target, builder.reborrow().init_target());
+        builder.set_epoch(self.epoch.0);
         builder.set_slots(self.slots);
         builder.set_abandoned(self.abandoned);
     }
--- a/crates/protocol/tests/wire/round_trip.rs
+++ b/crates/protocol/tests/wire/round_trip.rs
@@ -50,9 +50,15 @@
 }
 
 fn hold() -> impl Strategy<Value = sync::Hold> {
-    let parts = (arbitrary::target_id(), any::<u16>(), any::<u16>());
-    parts.prop_map(|(target, slots, abandoned)| sync::Hold {
+    let parts = (
+        arbitrary::target_id(),
+        any::<u64>(),
+        any::<u16>(),
+        any::<u16>(),
+    );
+    parts.prop_map(|(target, epoch, slots, abandoned)| sync::Hold {
         target,
+        epoch: Epoch(epoch),
         slots,
         abandoned,
     })
--- a/crates/sched/src/node/calls.rs
+++ b/crates/sched/src/node/calls.rs
@@ -229,6 +229,7 @@
             .iter()
             .map(|hold| credit::Hold {
                 target: hold.target,
+                epoch: hold.epoch,
                 slots: hold.slots,
                 abandoned: hold.abandoned,
             })
--- a/crates/transport/examples/measure.rs
+++ b/crates/transport/examples/measure.rs
@@ -281,6 +281,7 @@
 const fn hold(index: u32) -> sync::Hold {
     sync::Hold {
         target: target(index),
+        epoch: Epoch(9),
         slots: 4,
         abandoned: 0,
     }
