--- a/crates/state/src/learn/estimator.rs
+++ b/crates/state/src/learn/estimator.rs
@@ -106,14 +106,16 @@
 
     /// Returns the run time to expect of the program's next task; O(log teams).
     ///
-    /// A program that is not known is judged by how far its team's declarations are off.
+    /// A program that is not known is judged by how far its team's declarations are off, if that is
+    /// much the same each time.
     pub fn runtime(&self, key: &Key, declared: Option<Duration>) -> Estimate {
         let shelf = self.teams.get(&key.team);
         let program = shelf.and_then(|shelf| shelf.get(&key.program));
         if let Some(estimate) = program.and_then(|program| program.runtime(declared)) {
             return estimate;
         }
-        if let Some(estimate) = shelf.and_then(|shelf| shelf.all.runtime_by_ratio(declared)) {
+        if let Some(estimate) = shelf.and_then(|shelf| shelf.all.runtime_by_steady_ratio(declared))
+        {
             let basis = Basis::Team;
             return Estimate { basis, ..estimate };
         }
--- a/crates/state/src/learn/history.rs
+++ b/crates/state/src/learn/history.rs
@@ -20,6 +20,10 @@
 const RATIO_ONE: u128 = 1 << 16;
 /// Below this many runs their spread says little, and the plain run times are used.
 const FEW_RUNS: u32 = 3;
+/// Below this many runs of other programs nothing is concluded from them.
+const FEWEST_OTHERS: u32 = 5;
+/// Ratios within this factor of each other are much the same.
+const STEADY: f64 = 3.0;
 
 /// The last runs and usage reports.
 #[derive(Clone, Debug, Default)]
@@ -62,8 +66,15 @@
         }
     }
 
+    /// Returns the declared run time corrected by how far declarations were off, where that was
+    /// much the same each time.
+    pub(super) fn runtime_by_steady_ratio(&self, declared: Option<Duration>) -> Option<Estimate> {
+        let steady = self.ratio.len() >= FEWEST_OTHERS && self.ratio.spread() <= STEADY;
+        self.runtime_by_ratio(declared).filter(|_| steady)
+    }
+
     /// Returns the declared run time corrected by how far such declarations were off.
-    pub(super) fn runtime_by_ratio(&self, declared: Option<Duration>) -> Option<Estimate> {
+    fn runtime_by_ratio(&self, declared: Option<Duration>) -> Option<Estimate> {
         let declared = declared?;
         estimate(&self.ratio, Basis::Program, |ratio| scale(declared, ratio))
     }
--- a/crates/state/tests/learn.rs
+++ b/crates/state/tests/learn.rs
@@ -143,6 +143,19 @@
     assert_eq!(nothing.basis, Basis::Default);
 }
 
+#[test]
+fn a_team_whose_declarations_are_off_either_way_tells_nothing_of_a_new_program() {
+    let mut estimator = Estimator::new();
+    for (id, secs) in [20, 50, 100, 200, 500].into_iter().enumerate() {
+        let declared = Some(Duration::from_secs(100));
+        let key = key("survey", &format!("run-{id}"));
+        estimator.record_run(&key, Duration::from_secs(secs), declared);
+    }
+    let declared = Some(Duration::from_secs(50));
+    let judged = estimator.runtime(&key("survey", "run-9"), declared);
+    assert_eq!(judged.basis, Basis::Declared);
+}
+
 #[test]
 fn a_team_that_names_each_run_anew_displaces_only_its_own() {
     let mut estimator = Estimator::new().most_programs(100);
--- a/crates/state/tests/support/cell.rs
+++ b/crates/state/tests/support/cell.rs
@@ -1,6 +1,9 @@
 //! A cell of equal workers whose tasks come and go in virtual time.
 
-use std::collections::BTreeMap;
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
 
 use fulmarpier_state::{
     clock::Timestamp,
@@ -86,26 +89,33 @@
     pub(crate) fn start(&mut self, workload: &mut Workload) -> bool {
         let size = workload.size();
         let span = workload.span();
-        let guess = self.now + workload.guess(span);
-        let Some(worker) = self.choose(&size, guess) else {
-            return false;
-        };
+        let guess = workload.guess(span);
+        self.start_task(size, span, guess).is_some()
+    }
+
+    /// Starts a task that runs for a span and is expected to run for another; returns its number.
+    pub(crate) fn start_task(
+        &mut self,
+        size: Resources,
+        span: Duration,
+        guess: Duration,
+    ) -> Option<u64> {
+        let guess = self.now + guess;
+        let worker = self.choose(&size, guess)?;
         self.index.reserve(worker, size).expect("there is room");
         self.index.set_busy_until(worker, guess).expect("known");
         self.started += 1;
         let end = (self.now + span, self.started);
         self.running.insert(end, (worker, size));
-        true
+        Some(self.started)
     }
 
-    /// Moves on to the next end of a task; returns whether there was one.
-    pub(crate) fn end_next(&mut self) -> bool {
-        let Some(((end, _), (worker, size))) = self.running.pop_first() else {
-            return false;
-        };
+    /// Moves on to the next end of a task; returns its number if there was one.
+    pub(crate) fn end_next(&mut self) -> Option<u64> {
+        let ((end, number), (worker, size)) = self.running.pop_first()?;
         self.now = end;
         self.index.release(worker, size).expect("it was reserved");
-        true
+        Some(number)
     }
 
     /// Starts and ends tasks so that the load stays at this share of the cell.
