--- a/crates/sched/tests/support/log.rs
+++ b/crates/sched/tests/support/log.rs
@@ -56,7 +56,7 @@
         let empty = Vec::new();
         let stream = self.streams.get(&read.stream.0).unwrap_or(&empty);
         let numbered = (0..).map(Offset).zip(stream);
-        let wanted = numbered.skip(read.from.0 as usize).take(read.max as usize);
+        let wanted = numbered.skip(size(read.from.0)).take(size(read.max.into()));
         let records: Vec<Record> = wanted
             .map(|(offset, data)| Record {
                 offset,
@@ -75,3 +75,7 @@
             .insert(stream.to_owned(), end.saturating_sub(kept));
     }
 }
+
+fn size(count: u64) -> usize {
+    usize::try_from(count).unwrap()
+}
