Wait for an owner that is not ready; a gate without configuration says so

Restarting every node in turn showed two refusals that need not be: a keyed request met an owner that was still recovering, and a gate that had just started called a known service unknown.

--- a/crates/demo/src/caller.rs
+++ b/crates/demo/src/caller.rs
@@ -72,6 +72,16 @@
         Ok(Self { http, gate })
     }
 
+    /// Returns whether the gate takes work.
+    pub async fn is_ready(&self) -> bool {
+        let answer = self
+            .http
+            .get(format!("http://{}/readyz", self.gate))
+            .send()
+            .await;
+        answer.is_ok_and(|answer| answer.status().is_success())
+    }
+
     /// Sends an ordinary request, or with a key a non-idempotent one, and checks that the answer is
     /// the caller's own.
     ///
--- a/crates/demo/src/script.rs
+++ b/crates/demo/src/script.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::BTreeMap,
+    net::SocketAddr,
     time::Duration, //
 };
 
@@ -20,6 +21,7 @@
         self,
         Caller, //
     },
+    cluster,
 };
 
 /// How often to ask again while something comes up.
@@ -27,7 +29,7 @@
 /// How often to ask before giving up.
 const PATIENCE: u32 = 300;
 /// The service of the demonstration.
-const SERVICE: &str = "desk";
+pub const SERVICE: &str = "desk";
 /// Ordinary requests sent while a node leaves.
 const REQUESTS: u32 = 300;
 /// Targets of the service.
@@ -71,9 +73,9 @@
     /// The cluster has no gate.
     #[error("the cluster has no gate")]
     NoGate,
-    /// A gate did not leave in order.
+    /// A node did not leave in order.
     #[error(transparent)]
-    Gate(#[from] fulmarpier_gate::Error),
+    Cluster(#[from] cluster::Error),
     /// The stand-ins' record shows a violation.
     #[error("violations: {found}")]
     Violations {
@@ -131,8 +133,40 @@
     check(&cluster)
 }
 
+/// Waits until a gate says that it is ready, as a balancer does.
+///
+/// # Errors
+///
+/// Fails if it does not become ready.
+pub async fn ready(gate: SocketAddr) -> Result<(), Error> {
+    let caller = Caller::new(gate).map_err(call("an HTTP client"))?;
+    for _ in 0..PATIENCE {
+        if caller.is_ready().await {
+            return Ok(());
+        }
+        sleep(PAUSE).await;
+    }
+    Err(Error::Late { what: "the gate" })
+}
+
+/// Configures a fresh cluster and starts the service, until it answers.
+///
+/// # Errors
+///
+/// Fails if something does not come up.
+pub async fn prepare(caller: &Caller) -> Result<(), Error> {
+    up(caller).await?;
+    let team = "set team demo weight=3 queue=500";
+    let service = format!("set service {SERVICE} slots=8 team=demo");
+    for line in [team, &service] {
+        caller.command(line).await.map_err(call("a command"))?;
+    }
+    submit(caller, &caller::service(SERVICE, 6), "service").await?;
+    served(caller).await
+}
+
 fn callers(cluster: &Cluster) -> Result<Vec<Caller>, Error> {
-    let addresses = cluster.gates.iter().map(fulmarpier_gate::Gate::address);
+    let addresses = cluster.gates().into_iter();
     addresses
         .map(|address| Caller::new(address).map_err(call("an HTTP client")))
         .collect()
@@ -335,12 +369,7 @@
         });
     }
     sleep(Duration::from_millis(400)).await;
-    if let Some(gate) = cluster.gates.pop() {
-        gate.stop().await?;
-    }
-    if let Some(sched) = cluster.scheds.pop() {
-        sched.leave().await;
-    }
+    cluster.leave(cluster.len() - 1).await?;
     let mut whole = 0;
     while let Some(result) = requests.join_next().await {
         match result {
--- a/crates/gate/src/app.rs
+++ b/crates/gate/src/app.rs
@@ -154,6 +154,13 @@
         refusal.retry_after(self.settings.sync_interval.get())
     }
 
+    /// Makes the refusal of what can't be judged before the configuration is known.
+    pub fn uninformed(&self) -> Refusal {
+        let detail = "this gate has started and has no configuration yet";
+        let refusal = Refusal::new(Reason::NoOwner, detail);
+        refusal.retry_after(self.settings.sync_interval.get())
+    }
+
     /// Returns the services that are configured.
     pub fn services(&self) -> Vec<Service> {
         self.config().services.keys().cloned().collect()
--- a/crates/gate/src/control/view.rs
+++ b/crates/gate/src/control/view.rs
@@ -73,6 +73,11 @@
             .collect()
     }
 
+    /// Tells whether the configuration is known; a region without one shows by all its scheds.
+    pub fn is_informed(&self) -> bool {
+        self.version != Version::NONE || self.scheds.values().all(|sched| sched.is_up)
+    }
+
     /// Tells whether any sched answered lately.
     pub fn is_connected(&self) -> bool {
         self.scheds.values().any(|sched| sched.is_up)
--- a/crates/gate/src/forward/admission.rs
+++ b/crates/gate/src/forward/admission.rs
@@ -51,6 +51,9 @@
     let config = app.config();
     let service = config.services.get(&head.service);
     if service.is_none() && !app.pool.holds(&head.service) {
+        if !app.view.borrow().is_informed() {
+            return Err(app.uninformed());
+        }
         let detail = format!("no service is called {}", head.service);
         return Err(Refusal::new(Reason::UnknownService, detail));
     }
--- a/crates/gate/src/forward/owner.rs
+++ b/crates/gate/src/forward/owner.rs
@@ -38,6 +38,8 @@
     metrics::Retry, //
 };
 
+/// How long to look for an owner at most; a takeover takes less.
+const PATIENCE: Duration = Duration::from_secs(6);
 /// The longest pause between two tries to reach an owner.
 const LONGEST_PAUSE: Duration = Duration::from_millis(200);
 
@@ -71,7 +73,8 @@
     }
 }
 
-/// Calls the owner of a shard, and waits for one as long as the deadline allows.
+/// Calls the owner of a shard, and waits for one as long as a takeover may take and the deadline
+/// allows.
 ///
 /// A call that certainly had no effect is made again; one whose answer was lost is not.
 ///
@@ -85,6 +88,7 @@
     deadline: Timestamp,
 ) -> Result<Answer, Miss> {
     let mut backoff = Backoff::new(random()).most(LONGEST_PAUSE);
+    let deadline = deadline.min(app.now() + PATIENCE);
     let mut hint = None;
     loop {
         let view = app.view.borrow().clone();
--- a/crates/gate/src/http/health.rs
+++ b/crates/gate/src/http/health.rs
@@ -32,7 +32,8 @@
 
 /// Answers whether balancers should send work here.
 ///
-/// The gate is not ready while it is leaving and while no sched has answered yet.
+/// The gate is not ready while it is leaving, while no sched has answered yet, and while it has no
+/// configuration.
 pub(super) async fn ready(State(app): State<Arc<App>>) -> Response {
     if app.phase.get() != Phase::Open {
         return answer::refusal(&app.leaving());
@@ -41,6 +42,9 @@
         let refusal = Refusal::new(Reason::NoOwner, "no sched answers");
         return answer::refusal(&refusal.retry_after(app.settings.sync_interval.get()));
     }
+    if !app.view.borrow().is_informed() {
+        return answer::refusal(&app.uninformed());
+    }
     "ok\n".into_response()
 }
 
--- a/crates/gate/tests/keyed.rs
+++ b/crates/gate/tests/keyed.rs
@@ -166,6 +166,23 @@
     assert!(retries(&gate, "no-owner").await > 0);
 }
 
+#[tokio::test]
+async fn an_owner_that_is_not_ready_is_asked_again() {
+    let mut targets = Targets::new();
+    let target = targets.open(1);
+    let sched = Sched::start(NODES[0], document(), &[(target, 1)]);
+    let refusal = Refusal::new(Reason::NoOwner, "the shard is not active yet");
+    sched.answers(Answer::Begin(begin::Reply::Refused(refusal)));
+    sched.answers(grant(6));
+    sched.answers(finished());
+    let gate = gate(&[&sched]).await;
+    ready(&gate).await;
+    let answer = order(&gate).send().await.unwrap();
+    assert_eq!(answer.status(), 200);
+    assert_eq!(targets.runs(), 1);
+    assert_eq!(retries(&gate, "no-owner").await, 1);
+}
+
 #[tokio::test]
 async fn a_moved_shard_is_followed() {
     let mut targets = Targets::new();
