--- a/crates/sched/tests/cell.rs
+++ b/crates/sched/tests/cell.rs
@@ -77,7 +77,7 @@
 /// Returns how many targets run in each data centre.
 fn targets(world: &World) -> BTreeMap<DataCentreId, usize> {
     let mut counts = BTreeMap::new();
-    for worker in world.seen.places.values() {
+    for (worker, _) in world.seen.places.values() {
         *counts.entry(data_centre(*worker)).or_default() += 1;
     }
     counts
