--- a/crates/sched/tests/cell.rs
+++ b/crates/sched/tests/cell.rs
@@ -1,6 +1,5 @@
 //! Many shards as one cell, in virtual time.
 
-#[expect(dead_code, reason = "each test file uses the helpers that it needs")]
 mod support;
 
 use std::{
