Let operators have jobs of unknown teams refused

A misspelt team was taken under the default limit and with a weight of its own. `set policy unknown_teams=off` refuses it as unknown-team; the default stays on, so that a cell without a configuration takes work.

--- a/crates/coordination/src/config/policy.rs
+++ b/crates/coordination/src/config/policy.rs
@@ -16,6 +16,8 @@
     pub backfill: bool,
     /// Where the tasks of a service are together when the job doesn't say so.
     pub spread: Spread,
+    /// Whether jobs of teams that are not configured are taken, under the default limit.
+    pub unknown_teams: bool,
 }
 
 impl Default for Policy {
@@ -24,6 +26,7 @@
             preemption: true,
             backfill: true,
             spread: Spread::Any,
+            unknown_teams: true,
         }
     }
 }
@@ -40,6 +43,9 @@
         if let Some(spread) = patch.spread {
             self.spread = spread;
         }
+        if let Some(unknown_teams) = patch.unknown_teams {
+            self.unknown_teams = unknown_teams;
+        }
     }
 }
 
@@ -56,4 +62,7 @@
     /// The default spread of services.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub spread: Option<Spread>,
+    /// Whether jobs of teams that are not configured are taken.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub unknown_teams: Option<bool>,
 }
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -55,7 +55,7 @@
             "team NAME [cpu=64] [memory=128GiB] [accelerators=2] [weight=3] [queue=10000]",
             "service NAME [slots=8] [queue=200] [deadline=2s] [team=NAME]",
             "weight [waiting=0.6] [packing=0.3] [control=0.1]",
-            "policy [preemption=on|off] [backfill=on|off] [spread=any|racks|data-centres]",
+            "policy [preemption=on|off] [backfill=on|off] [spread=any|racks|data-centres] [unknown_teams=on|off]",
             "limit [body=8MiB] [tasks=10000] [queue=100000]",
         ],
     },
--- a/crates/ctl/tests/cli/words.rs
+++ b/crates/ctl/tests/cli/words.rs
@@ -71,7 +71,7 @@
     Usage: fulmarpier-ctl set team NAME [cpu=64] [memory=128GiB] [accelerators=2] [weight=3] [queue=10000]
            fulmarpier-ctl set service NAME [slots=8] [queue=200] [deadline=2s] [team=NAME]
            fulmarpier-ctl set weight [waiting=0.6] [packing=0.3] [control=0.1]
-           fulmarpier-ctl set policy [preemption=on|off] [backfill=on|off] [spread=any|racks|data-centres]
+           fulmarpier-ctl set policy [preemption=on|off] [backfill=on|off] [spread=any|racks|data-centres] [unknown_teams=on|off]
            fulmarpier-ctl set limit [body=8MiB] [tasks=10000] [queue=100000]
 
     Arguments:
--- a/crates/protocol/src/query/command/display.rs
+++ b/crates/protocol/src/query/command/display.rs
@@ -94,7 +94,8 @@
     let switch = |on: bool| if on { "on" } else { "off" };
     pair(f, "preemption", patch.preemption.map(switch))?;
     pair(f, "backfill", patch.backfill.map(switch))?;
-    pair(f, "spread", patch.spread.map(word::of_spread))
+    pair(f, "spread", patch.spread.map(word::of_spread))?;
+    pair(f, "unknown_teams", patch.unknown_teams.map(switch))
 }
 
 fn write_limits(f: &mut fmt::Formatter<'_>, patch: &limits::Patch) -> fmt::Result {
--- a/crates/protocol/src/query/read/change.rs
+++ b/crates/protocol/src/query/read/change.rs
@@ -21,7 +21,7 @@
 const TEAM: &[&str] = &["cpu", "memory", "accelerators", "weight", "queue"];
 const SERVICE: &[&str] = &["slots", "queue", "deadline", "team"];
 const WEIGHTS: &[&str] = &["waiting", "packing", "control"];
-const POLICY: &[&str] = &["preemption", "backfill", "spread"];
+const POLICY: &[&str] = &["preemption", "backfill", "spread", "unknown_teams"];
 const LIMITS: &[&str] = &["body", "tasks", "queue"];
 const ON_OFF: &[&str; 2] = &["on", "off"];
 
@@ -90,6 +90,7 @@
         preemption: pairs.switch("preemption", ON_OFF)?,
         backfill: pairs.switch("backfill", ON_OFF)?,
         spread: pairs.checked("spread", |text| word::spread(Some(text)))?,
+        unknown_teams: pairs.switch("unknown_teams", ON_OFF)?,
     };
     Ok(Change::SetPolicy { patch })
 }
--- a/crates/protocol/tests/query/arbitrary.rs
+++ b/crates/protocol/tests/query/arbitrary.rs
@@ -170,15 +170,22 @@
 }
 
 fn set_policy() -> impl Strategy<Value = Change> {
-    (any::<bool>(), any::<Option<bool>>(), option::of(spread())).prop_map(
-        |(preemption, backfill, spread)| Change::SetPolicy {
-            patch: policy::Patch {
-                preemption: Some(preemption),
-                backfill,
-                spread,
-            },
-        },
+    (
+        any::<bool>(),
+        any::<Option<bool>>(),
+        option::of(spread()),
+        any::<Option<bool>>(),
     )
+        .prop_map(
+            |(preemption, backfill, spread, unknown_teams)| Change::SetPolicy {
+                patch: policy::Patch {
+                    preemption: Some(preemption),
+                    backfill,
+                    spread,
+                    unknown_teams,
+                },
+            },
+        )
 }
 
 fn set_limits() -> impl Strategy<Value = Change> {
--- a/crates/protocol/tests/query/meaning.rs
+++ b/crates/protocol/tests/query/meaning.rs
@@ -117,9 +117,10 @@
             preemption: Some(false),
             backfill: None,
             spread: Some(Spread::DataCentres),
+            unknown_teams: Some(false),
         },
     };
-    let line = "set policy preemption=off spread=data-centres";
+    let line = "set policy preemption=off spread=data-centres unknown_teams=off";
     assert_eq!(parse(line), Command::Change(expected));
 }
 
--- a/crates/sched/src/node/configure.rs
+++ b/crates/sched/src/node/configure.rs
@@ -25,7 +25,10 @@
         Offset,
         ShardId, //
     },
-    policy::Policy,
+    policy::{
+        Policy,
+        UnknownTeam, //
+    },
     quota,
     refusal::{
         Outcome,
@@ -325,6 +328,10 @@
         .backfill(document.policy.backfill);
     policy.weights = weights(&document.weights);
     policy.spread = document.policy.spread;
+    policy.unknown_team = match document.policy.unknown_teams {
+        true => UnknownTeam::Accept,
+        false => UnknownTeam::Refuse,
+    };
     policy
 }
 
--- a/crates/sched/tests/cell.rs
+++ b/crates/sched/tests/cell.rs
@@ -350,6 +350,24 @@
     assert_eq!(problem["reason"], "unknown-job");
 }
 
+#[test]
+fn operators_may_have_jobs_of_unknown_teams_refused() {
+    let mut world = cell(11);
+    let home = world.owner().unwrap();
+    world.accept(home, job(1), batch(1, SECOND));
+    let mut line = |line: &str| {
+        let reply = command(&mut world, home.0, line);
+        let shown: serde_json::Value = serde_json::from_slice(&reply.json).unwrap();
+        shown
+    };
+    line("set team known weight=1");
+    let confirm = line("set policy unknown_teams=off");
+    assert_eq!(confirm["notes"][0], "accepted; in force on this node");
+    let submit = |team| format!("submit batch team={team} cpu=500m memory=1GiB tasks=1 program=x");
+    assert_eq!(line(&submit("known"))["notes"][0], "accepted");
+    assert_eq!(line(&submit("unknown"))["reason"], "unknown-team");
+}
+
 #[test]
 fn a_job_submitted_as_a_command_is_answered_with_its_id() {
     let mut world = cell(9);
