Drop aged keys many at once

A ledger with keys of every second wrote a record for each key that aged, and the image went through all its requests for each. Keys now stay up to a sixteenth longer and go together: at one key a second and an age of 160 s at most one record in ten seconds. A full ledger with few timed keys drops those that it has.

--- a/crates/coordination/src/request/ledger/expiry.rs
+++ b/crates/coordination/src/request/ledger/expiry.rs
@@ -1,6 +1,9 @@
 //! What the passing of time does to a ledger.
 
-use std::collections::BTreeSet;
+use std::{
+    collections::BTreeSet,
+    time::Duration, //
+};
 
 use fulmarpier_state::{
     clock::Timestamp,
@@ -19,8 +22,8 @@
     outcome, //
 };
 
-/// The share of the ledger that is dropped at once when it is full.
-const EVICTION_SHARE: usize = 16;
+/// Keys go by sixteenths: of the ledger when it is full, of their span when they are old.
+const SHARE: u32 = 16;
 
 impl Ledger {
     /// Lets time pass: grants without a report become `unknown`, and old keys are dropped.
@@ -64,23 +67,22 @@
     }
 
     /// Drops settled keys that are too old, or the oldest where too many are remembered.
+    ///
+    /// Keys stay for up to a sixteenth longer than asked for, so that many go at once and a busy
+    /// ledger does not write a record for each.
     fn forget(&mut self, now: Timestamp) -> Option<Record> {
-        let timed = now.saturating_sub(self.settings.age);
-        let opaque = now.saturating_sub(self.settings.opaque_age);
-        let crowded = self.entries.len() >= self.settings.count;
-        let timed = if crowded {
-            self.crowded_before(now).max(timed)
-        } else {
-            timed
-        };
-        let old = |index: &BTreeSet<(Timestamp, Key)>, limit| {
-            index.first().is_some_and(|(at, _)| *at <= limit)
+        let aged = |index: &BTreeSet<(Timestamp, Key)>, age: Duration| {
+            let first = index.first().map(|(at, _)| *at);
+            let due = first.is_some_and(|at| now.since(at) >= age + age / SHARE);
+            due.then_some(now.saturating_sub(age))
         };
-        if !old(&self.by_time, timed) && !old(&self.by_use, opaque) {
+        let opaque = aged(&self.by_use, self.settings.opaque_age);
+        let timed = aged(&self.by_time, self.settings.age).max(self.crowded_before(now));
+        if timed.is_none() && opaque.is_none() {
             return None;
         }
-        self.timed = self.timed.max(timed);
-        self.opaque = self.opaque.max(opaque);
+        self.timed = timed.map_or(self.timed, |at| at.max(self.timed));
+        self.opaque = opaque.map_or(self.opaque, |at| at.max(self.opaque));
         self.drop_settled();
         Some(Record::Forgot {
             timed: self.timed,
@@ -88,15 +90,14 @@
         })
     }
 
-    /// Returns the time up to which settled keys are dropped to make room.
-    fn crowded_before(&self, now: Timestamp) -> Timestamp {
-        let share = self.settings.count / EVICTION_SHARE;
-        self.by_time
-            .iter()
-            .map(|(at, _)| *at)
-            .take_while(|at| *at <= now)
-            .nth(share)
-            .unwrap_or(Timestamp::ZERO)
+    /// Returns the time up to which settled keys are dropped to make room, where there is none.
+    fn crowded_before(&self, now: Timestamp) -> Option<Timestamp> {
+        if self.entries.len() < self.settings.count {
+            return None;
+        }
+        let share = self.settings.count.div_ceil(SHARE as usize);
+        let past = self.by_time.iter().map(|(at, _)| *at);
+        past.take_while(|at| *at <= now).take(share).last()
     }
 
     fn drop_settled(&mut self) {
