Keep a node from vouching for itself under a replaced node's name

A node now asks nobody at its own address and vouches for no life of itself. The new test fails on the code before and passes now.

--- a/crates/coordination/src/member/machine/answer.rs
+++ b/crates/coordination/src/member/machine/answer.rs
@@ -38,7 +38,8 @@
         if let Some(age) = self.health.fresh(now, &self.timing) {
             return Answer::Up { age };
         }
-        if !self.may_vouch(now) || self.vouches.forbidden(from.node, now) {
+        let own = from.node == self.me.node;
+        if own || !self.may_vouch(now) || self.vouches.forbidden(from.node, now) {
             return Answer::Unsure;
         }
         let known = |holding: &&Holding| self.may_own(from, **holding);
--- a/crates/coordination/src/member/machine/evidence.rs
+++ b/crates/coordination/src/member/machine/evidence.rs
@@ -116,6 +116,8 @@
     }
 
     /// Lists all other nodes of the VM list and the log, with where they listen.
+    ///
+    /// One that was listed at this node's own address has been replaced by this node.
     pub(super) fn peers(&self) -> BTreeMap<NodeId, SocketAddr> {
         let logged = self
             .register
@@ -124,6 +126,7 @@
         let listed = self.map.nodes().map(|node| (node.id, node.address));
         let mut nodes: BTreeMap<_, _> = logged.chain(listed).collect();
         nodes.remove(&self.me.node);
+        nodes.retain(|_, address| *address != self.me.address);
         nodes
     }
 
--- a/crates/coordination/tests/ownership/failures.rs
+++ b/crates/coordination/tests/ownership/failures.rs
@@ -153,6 +153,25 @@
     assert_eq!(users.len(), 2, "the others vouch for each other");
 }
 
+#[test]
+fn a_node_does_not_vouch_for_itself_under_the_name_of_the_one_it_replaced() {
+    let mut cell = settled(2, 2, 1);
+    // The list still shows node 2 where node 12 listens now.
+    cell.fault(10 * SECOND, Fault::Lag(60 * SECOND));
+    let vm = true;
+    let node = NodeId(2);
+    cell.fault(10 * SECOND, Fault::Kill { node, vm });
+    cell.fault(11 * SECOND, Fault::Start(node));
+    cell.run_until(20 * SECOND);
+    let node = NodeId(12);
+    assert!(in_use(&cell).iter().any(|(_, user)| *user == node));
+    cell.fault(20 * SECOND, Fault::Cut(node, NodeId(1)));
+    cell.fault(20 * SECOND, Fault::Log(Mode::Denied));
+    cell.run_until(23 * SECOND + 100 * MS);
+    let users: Vec<_> = in_use(&cell).into_iter().map(|(_, node)| node).collect();
+    assert!(!users.contains(&node), "nobody vouches for it");
+}
+
 #[test]
 fn a_node_paused_past_its_lease_starts_nothing_when_it_resumes() {
     let mut cell = settled(3, 3, 1);
