Keep the epoch of a target in mind after its slots are gone

A late reply of the former owner then looked like a new grant, beside a request that was still running: 2 requests on 1 slot. The entry is kept for a minute now, and a test holds the case.

--- a/crates/coordination/src/credit/balance/entry.rs
+++ b/crates/coordination/src/credit/balance/entry.rs
@@ -16,7 +16,8 @@
 };
 use crate::platform::target::Target;
 
-/// How long after its lapse a target without requests is still kept in mind, for its owner to renew.
+/// How long after its lapse a target without requests is still kept in mind: for its owner to renew,
+/// and so that a late reply of a former owner is known for what it is.
 const KEEP: Duration = Duration::from_secs(60);
 
 /// What a gate holds of one target.
@@ -104,6 +105,7 @@
             self.in_use = 0;
             self.abandoned = 0;
             self.since = epoch;
+            self.expiry = now;
         }
     }
 
--- a/crates/coordination/src/credit/balance/mod.rs
+++ b/crates/coordination/src/credit/balance/mod.rs
@@ -161,7 +161,7 @@
             self.expect(service);
             return Err(Short::NoTarget);
         };
-        let none = if pool.entries.is_empty() {
+        let none = if pool.is_empty() {
             Short::NoTarget
         } else {
             Short::Full
@@ -221,7 +221,7 @@
     ///
     /// See also [`Self::apply`].
     pub fn state(&mut self, owner: NodeId, draining: bool, now: Timestamp) -> Statement {
-        self.forget_over(now);
+        self.forget_stale(now);
         self.sequence += 1;
         let fresh = || Owner {
             pending: None,
@@ -356,14 +356,14 @@
         }
     }
 
-    fn forget_over(&mut self, now: Timestamp) {
+    fn forget_stale(&mut self, now: Timestamp) {
         for pool in self.pools.values_mut() {
             pool.entries.retain(|entry| {
-                let over = entry.is_over() || entry.is_stale(now);
-                if over {
+                let stale = entry.is_stale(now);
+                if stale {
                     self.services.remove(&entry.target.id);
                 }
-                !over
+                !stale
             });
         }
     }
--- a/crates/coordination/src/credit/balance/pool.rs
+++ b/crates/coordination/src/credit/balance/pool.rs
@@ -64,6 +64,11 @@
         usable.min_by_key(|index| self.entries[*index].in_use)
     }
 
+    /// Returns whether no target is held or in use.
+    pub(super) fn is_empty(&self) -> bool {
+        self.entries.iter().all(Entry::is_over)
+    }
+
     pub(super) fn find(&self, target: target::Id) -> Option<&Entry> {
         let index = self.position(target).ok()?;
         Some(&self.entries[index])
--- a/crates/coordination/tests/credit_ledger.rs
+++ b/crates/coordination/tests/credit_ledger.rs
@@ -219,7 +219,32 @@
     assert_eq!(take_all(&mut busy, at(3_200)).len(), usize::from(SLOTS));
     sync(&mut second, SUCCESSOR, &mut busy, at(3_300));
     sync(&mut second, SUCCESSOR, &mut busy, at(3_400));
-    assert_eq!(second.held(target(0).id), SLOTS, "the busy gate's are accounted for");
+    assert_eq!(
+        second.held(target(0).id),
+        SLOTS,
+        "the busy gate's are accounted for"
+    );
+}
+
+/// Found by the random histories: a gate forgot a target that it held nothing of any more, and then
+/// took a former owner's late reply for a new grant.
+#[test]
+fn a_late_reply_of_a_former_owner_is_void() {
+    let mut first = ledger(1);
+    let mut gate = gate(1);
+    gate.wait(&service(), 8);
+    sync(&mut first, OWNER, &mut gate, at(0));
+    let statement = gate.state(OWNER, false, at(1_500));
+    let late = first.sync(&statement, &|_| true, at(1_500));
+    let late = late.expect("the statement is in order");
+    assert_eq!(take_all(&mut gate, at(1_900)).len(), usize::from(SLOTS));
+
+    let mut second = Ledger::new(Terms::default());
+    second.adopt(service(), target(0), Epoch(2), SLOTS, at(2_000));
+    sync(&mut second, SUCCESSOR, &mut gate, at(2_000));
+    let _lost = gate.state(SUCCESSOR, false, at(2_100));
+    assert!(gate.apply(OWNER, &late, at(2_200)));
+    assert!(gate.take(&service(), at(2_200)).is_err());
 }
 
 /// Found by the random histories: a node that owns a target for the second time took a statement
