Make a gang whole again when one of its starts did not run

Now the others are stopped and all start again together; where they may not be started twice, the missing task follows on its own. The test fails without the change in both cases.

--- a/crates/state/src/engine/audit.rs
+++ b/crates/state/src/engine/audit.rs
@@ -6,6 +6,7 @@
         Job,
         Stage, //
     },
+    requeue::is_whole,
 };
 use crate::{
     alias::HashMap,
@@ -200,8 +201,7 @@
     fn audit_queued(&self, id: JobId, job: &Job) -> Result<(), Violation> {
         let queued = self.queue.get(id).is_some() || self.unplaceable.contains(&id);
         let ready = job.ready();
-        let together = !job.is_gang() || (job.active.is_empty() && job.delayed.is_empty());
-        let expected = ready > 0 && together && job.stage == Stage::Open;
+        let expected = ready > 0 && is_whole(job) && job.stage == Stage::Open;
         if queued != expected {
             return Err(Violation::Queue {
                 job: id,
--- a/crates/state/src/engine/events.rs
+++ b/crates/state/src/engine/events.rs
@@ -79,10 +79,10 @@
     ) -> Vec<Effect> {
         let current = self.task(id).is_some_and(|task| task.is(attempt, worker));
         if !current {
-            self.drop_ghost(id, attempt, now);
+            self.drop_ghost(id, attempt);
             return self.drain();
         }
-        let Some(task) = self.vacate(id, now) else {
+        let Some(task) = self.vacate(id) else {
             return self.drain();
         };
         if cause.blames_worker() {
@@ -91,6 +91,7 @@
             self.avoid(id, worker);
         }
         self.wait_again(id, &task, now);
+        self.regroup(id.job);
         self.drain()
     }
 
@@ -106,10 +107,10 @@
     ) -> Vec<Effect> {
         let current = self.task(id).is_some_and(|task| task.is(attempt, worker));
         if !current {
-            self.drop_ghost(id, attempt, now);
+            self.drop_ghost(id, attempt);
             return self.drain();
         }
-        if let Some(task) = self.vacate(id, now) {
+        if let Some(task) = self.vacate(id) {
             self.settle(id, &task, end, age, now);
         }
         self.drain()
@@ -133,7 +134,7 @@
             }
             Verdict::Release(worker) => {
                 self.reopen(worker);
-                self.freed(worker, now);
+                self.freed(worker);
                 self.outbox.push(Effect::Released { worker });
             }
             Verdict::Hold(job) => self.hold_job(job, now),
--- a/crates/state/src/engine/gang.rs
+++ b/crates/state/src/engine/gang.rs
@@ -115,7 +115,7 @@
             evicts: false,
             slips: 0,
         };
-        self.add_reservation(reservation, now);
+        self.add_reservation(reservation);
         true
     }
 
--- a/crates/state/src/engine/hold.rs
+++ b/crates/state/src/engine/hold.rs
@@ -86,7 +86,7 @@
     ) -> Option<Vec<Effect>> {
         let hold = self.unlist_hold(id)?;
         if hold.expiry <= now || hold.size != spec.size || self.jobs.contains_key(&job) {
-            self.free_hold(&hold, now);
+            self.free_hold(&hold);
             return None;
         }
         let count = u32::try_from(hold.workers.len()).unwrap_or(u32::MAX);
@@ -116,11 +116,11 @@
     }
 
     /// Gives up a hold; returns whether it was still held.
-    pub fn release_hold(&mut self, id: HoldId, now: Timestamp) -> bool {
+    pub fn release_hold(&mut self, id: HoldId, _now: Timestamp) -> bool {
         let Some(hold) = self.unlist_hold(id) else {
             return false;
         };
-        self.free_hold(&hold, now);
+        self.free_hold(&hold);
         true
     }
 
@@ -134,7 +134,7 @@
         let ids: Vec<HoldId> = self.holds.iter().filter_map(on).collect();
         for id in ids {
             if let Some(hold) = self.unlist_hold(id) {
-                self.free_hold(&hold, hold.expiry);
+                self.free_hold(&hold);
             }
         }
     }
@@ -154,13 +154,13 @@
         Some(hold)
     }
 
-    fn free_hold(&mut self, hold: &Hold, now: Timestamp) {
+    fn free_hold(&mut self, hold: &Hold) {
         for worker in &hold.workers {
             // A hold's capacity is reserved in the index.
             let _ = self.index.release(*worker, hold.size);
         }
         for worker in &hold.workers {
-            self.freed(*worker, now);
+            self.freed(*worker);
         }
     }
 }
--- a/crates/state/src/engine/lost.rs
+++ b/crates/state/src/engine/lost.rs
@@ -37,13 +37,13 @@
     pub(super) fn lose_tasks_of(&mut self, worker: WorkerId, now: Timestamp) {
         let tasks: Vec<TaskId> = self.tasks_on(worker).collect();
         for id in tasks {
-            if let Some(task) = self.vacate(id, now) {
+            if let Some(task) = self.vacate(id) {
                 let age = now.since(task.begun);
                 self.settle(id, &task, End::Lapsed, age, now);
             }
         }
         for (task, attempt) in self.ghosts_on(worker) {
-            self.drop_ghost(task, attempt, now);
+            self.drop_ghost(task, attempt);
         }
     }
 
--- a/crates/state/src/engine/preempt.rs
+++ b/crates/state/src/engine/preempt.rs
@@ -51,7 +51,7 @@
             evicts: true,
             slips: 0,
         };
-        self.add_reservation(reservation, now);
+        self.add_reservation(reservation);
         for task in plan.ending {
             self.preempt(task, now);
         }
--- a/crates/state/src/engine/recovery.rs
+++ b/crates/state/src/engine/recovery.rs
@@ -202,7 +202,7 @@
             false => (other, found),
         };
         if kept == found {
-            self.turn_to_ghost(id, &known, now);
+            self.turn_to_ghost(id, &known);
             self.adopt_new(id, attempt, worker, size, age, now);
         } else {
             self.add_ghost(id, attempt, worker, size);
@@ -212,8 +212,8 @@
     }
 
     /// Takes a start off its task but keeps its capacity reserved until it has ended.
-    fn turn_to_ghost(&mut self, id: TaskId, known: &Task, now: Timestamp) {
-        self.vacate(id, now);
+    fn turn_to_ghost(&mut self, id: TaskId, known: &Task) {
+        self.vacate(id);
         if let Some(job) = self.jobs.get_mut(&id.job) {
             job.again.push((id.index, known.attempt));
         }
@@ -239,7 +239,7 @@
     }
 
     /// Releases the capacity of a start that belongs to no task, now that it has ended.
-    pub(super) fn drop_ghost(&mut self, id: TaskId, attempt: Attempt, now: Timestamp) {
+    pub(super) fn drop_ghost(&mut self, id: TaskId, attempt: Attempt) {
         let Some(ghost) = self.ghosts.remove(&(id, attempt)) else {
             return;
         };
@@ -247,7 +247,7 @@
             // It was reserved when the start was found.
             let _ = self.index.release(ghost.worker, ghost.size);
         }
-        self.freed(ghost.worker, now);
+        self.freed(ghost.worker);
     }
 
     /// Returns the starts on a worker that belong to no task.
--- a/crates/state/src/engine/release.rs
+++ b/crates/state/src/engine/release.rs
@@ -4,17 +4,14 @@
     core::Engine,
     task::Task, //
 };
-use crate::{
-    clock::Timestamp,
-    id::{
-        TaskId,
-        WorkerId, //
-    },
+use crate::id::{
+    TaskId,
+    WorkerId, //
 };
 
 impl Engine {
     /// Takes a task off its worker, on evidence that it holds nothing there any more.
-    pub(super) fn vacate(&mut self, id: TaskId, now: Timestamp) -> Option<Task> {
+    pub(super) fn vacate(&mut self, id: TaskId) -> Option<Task> {
         self.forget_victim(id);
         let job = self.jobs.get_mut(&id.job)?;
         let task = job.active.remove(&id.index)?;
@@ -35,12 +32,12 @@
             // The reservation was made when the task was placed, so the index knows it.
             let _ = self.index.release(task.worker, task.size);
         }
-        self.freed(task.worker, now);
+        self.freed(task.worker);
         Some(task)
     }
 
     /// Gives what is free on a worker to its reservations, and the rest to the queue.
-    pub(super) fn freed(&mut self, worker: WorkerId, now: Timestamp) {
+    pub(super) fn freed(&mut self, worker: WorkerId) {
         let Some(host) = self.hosts.get(&worker) else {
             return;
         };
@@ -48,7 +45,7 @@
             self.reserve_running(worker);
             self.reopen(worker);
         }
-        self.fill_reservations_on(worker, now);
+        self.fill_reservations_on(worker);
         if !self.index.is_open(worker) {
             return;
         }
--- a/crates/state/src/engine/requeue.rs
+++ b/crates/state/src/engine/requeue.rs
@@ -81,7 +81,10 @@
     }
 }
 
-/// Returns whether a gang has all its tasks together; other jobs always do.
-fn is_whole(job: &Job) -> bool {
-    !job.is_gang() || (job.active.is_empty() && job.delayed.is_empty() && job.claimed == 0)
+/// Returns whether all tasks of a gang that start together are there; other jobs always do.
+///
+/// Tasks of a gang that may not be started again can't wait for the others.
+pub(super) fn is_whole(job: &Job) -> bool {
+    let together = job.active.is_empty() && job.delayed.is_empty() && job.claimed == 0;
+    !job.is_gang() || !job.restarts() || together
 }
--- a/crates/state/src/engine/reserve.rs
+++ b/crates/state/src/engine/reserve.rs
@@ -80,7 +80,7 @@
 
 impl Engine {
     /// Puts a reservation into force and gives it what is free already.
-    pub(super) fn add_reservation(&mut self, reservation: Reservation, now: Timestamp) -> u64 {
+    pub(super) fn add_reservation(&mut self, reservation: Reservation) {
         self.serial += 1;
         let id = self.serial;
         let job = reservation.job;
@@ -101,13 +101,12 @@
             }
         }
         for worker in workers {
-            self.fill_reservations_on(worker, now);
+            self.fill_reservations_on(worker);
         }
-        id
     }
 
     /// Gives what is free on a worker to the reservations there, the oldest first.
-    pub(super) fn fill_reservations_on(&mut self, worker: WorkerId, _now: Timestamp) {
+    pub(super) fn fill_reservations_on(&mut self, worker: WorkerId) {
         let Some(host) = self.hosts.get(&worker) else {
             return;
         };
@@ -189,7 +188,7 @@
             }
         }
         for part in &reservation.parts {
-            self.freed(part.worker, now);
+            self.freed(part.worker);
         }
         self.enqueue(reservation.job, now);
     }
--- a/crates/state/src/engine/settle.rs
+++ b/crates/state/src/engine/settle.rs
@@ -143,10 +143,13 @@
         self.enqueue(id.job, now);
     }
 
-    /// Stops the other tasks of a gang that has lost one, so that all start again together.
-    fn regroup(&mut self, id: JobId) {
-        let is_gang = self.jobs.get(&id).is_some_and(|job| job.is_gang());
-        if is_gang {
+    /// Stops the other tasks of a gang that lacks one, so that all start again together.
+    ///
+    /// Where they may not be started again, the missing one follows on its own.
+    pub(super) fn regroup(&mut self, id: JobId) {
+        let job = self.jobs.get(&id);
+        let stops = job.is_some_and(|job| job.is_gang() && job.restarts());
+        if stops && !self.is_closing(id) {
             self.halt_tasks_of(id, Halt::Regrouped);
         }
     }
--- a/crates/state/src/engine/worker.rs
+++ b/crates/state/src/engine/worker.rs
@@ -37,7 +37,7 @@
         }
         self.attach(spec, condition.unwrap_or_default());
         self.wake_unplaceable(now);
-        self.freed(worker, now);
+        self.freed(worker);
         self.drain()
     }
 
@@ -62,7 +62,7 @@
         }
         self.reopen(worker);
         if self.index.is_open(worker) {
-            self.freed(worker, now);
+            self.freed(worker);
         } else {
             self.drop_reservations_on(worker, now);
         }
--- a/crates/state/tests/engine/life.rs
+++ b/crates/state/tests/engine/life.rs
@@ -393,6 +393,41 @@
     assert_eq!(run(&mut engine, at(9)).len(), 3);
 }
 
+#[rstest]
+#[case::idempotent(true, 2, 0, 3)]
+#[case::non_idempotent(false, 0, 1, 0)]
+fn a_gang_with_a_refused_start_is_made_whole(
+    #[case] idempotent: bool,
+    #[case] stopped: usize,
+    #[case] at_once: usize,
+    #[case] together: usize,
+) {
+    let mut engine = cell(3, 8);
+    engine.submit(
+        job_id(1),
+        Spec {
+            idempotent,
+            ..gang(3, 8)
+        },
+        at(0),
+    );
+    let started = starts(&engine.decide(at(0), 10));
+    let (task, attempt, worker) = started[0];
+    let effects = engine.not_run(task, attempt, worker, Cause::Late, at(1));
+    let stops = effects.iter().filter(|e| matches!(e, Effect::Act { .. }));
+    assert_eq!(stops.count(), stopped);
+    assert_eq!(starts(&engine.decide(at(1), 10)).len(), at_once);
+    for (task, attempt, worker) in &started[1..] {
+        let end = match idempotent {
+            true => End::Stopped,
+            false => End::Succeeded,
+        };
+        engine.ended(*task, *attempt, *worker, end, AGE, at(2));
+    }
+    assert_eq!(starts(&engine.decide(at(3), 10)).len(), together);
+    assert_eq!(engine.audit(), Ok(()));
+}
+
 #[test]
 fn urgent_work_takes_the_room_that_loses_the_least() {
     let mut engine = cell(3, 8);
