--- a/crates/gate/src/control/actor.rs
+++ b/crates/gate/src/control/actor.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::BTreeMap,
+    net::SocketAddr,
     sync::Arc,
     time::Duration, //
 };
@@ -39,8 +40,8 @@
 
 use super::{
     exchange,
-    peer::{
-        Peer,
+    pace::{
+        Pace,
         Turn, //
     },
     view::View,
@@ -54,6 +55,12 @@
     slot::Pool,
 };
 
+/// One sched and the pace of the exchanges with it.
+pub(super) struct Peer {
+    pub(super) address: SocketAddr,
+    pub(super) pace: Pace,
+}
+
 /// What the actor works with.
 pub(super) struct Parts {
     pub(super) peers: BTreeMap<NodeId, Peer>,
@@ -202,7 +209,11 @@
         let now = Instant::now();
         let nodes: Vec<NodeId> = self.parts.peers.keys().copied().collect();
         for node in nodes {
-            let turn = self.parts.peers.get_mut(&node).map(|peer| peer.ask(now));
+            let turn = self
+                .parts
+                .peers
+                .get_mut(&node)
+                .map(|peer| peer.pace.ask(now));
             self.turn(node, turn.unwrap_or(Turn::Later), &own);
         }
     }
@@ -214,7 +225,11 @@
     async fn handle(&mut self, Due(node): Due, ctx: &mut Context<Self, ()>) {
         let own = ctx.actor_ref().clone();
         let now = Instant::now();
-        let turn = self.parts.peers.get_mut(&node).map(|peer| peer.due(now));
+        let turn = self
+            .parts
+            .peers
+            .get_mut(&node)
+            .map(|peer| peer.pace.due(now));
         self.turn(node, turn.unwrap_or(Turn::Later), &own);
     }
 }
@@ -233,8 +248,8 @@
         let Some(peer) = self.parts.peers.get_mut(&node) else {
             return;
         };
-        if peer.end() {
-            let turn = peer.ask(now);
+        if peer.pace.end() {
+            let turn = peer.pace.ask(now);
             self.turn(node, turn, &own);
         }
     }
--- a/crates/gate/src/control/mod.rs
+++ b/crates/gate/src/control/mod.rs
@@ -2,11 +2,15 @@
 
 mod actor;
 mod exchange;
-mod peer;
+mod pace;
 mod thread;
 mod view;
 
 pub use self::{
+    pace::{
+        Pace,
+        Turn, //
+    },
     thread::{
         Control,
         Error,
--- a/crates/gate/src/control/peer.rs
+++ b/crates/gate/src/control/pace.rs
@@ -1,18 +1,19 @@
 //! The pace of the exchanges with one sched.
 
-use std::{
-    net::SocketAddr,
-    time::Duration, //
-};
+use std::time::Duration;
 
 use tokio::time::Instant;
 
-/// The least time between two exchanges with one sched, so that a burst of shortages makes one.
-const GAP: Duration = Duration::from_millis(5);
+/// The first gap between two exchanges, so that a burst of shortages makes one.
+const FIRST: Duration = Duration::from_millis(5);
+/// The longest gap that a lasting shortage leads to.
+const LONGEST: Duration = Duration::from_millis(80);
+/// A pause of so many gaps ends a shortage.
+const CALM: u32 = 4;
 
 /// When the next exchange with a sched may begin.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Turn {
+pub enum Turn {
     /// Now.
     Now,
     /// At that time; the caller comes back then.
@@ -21,20 +22,25 @@
     Later,
 }
 
-/// One sched and the exchange that is under way with it.
+/// The pace of the exchanges with one sched: one at a time, at once where the last is long ago, and
+/// with a gap that doubles while one is asked for after the other.
+///
+/// A shortage that one exchange did not end seldom ends with the next: the slots are with others, and
+/// the gate's own come free without asking. Asking on every few milliseconds only costs bytes.
 #[derive(Clone, Debug)]
-pub(super) struct Peer {
-    pub(super) address: SocketAddr,
+pub struct Pace {
+    gap: Duration,
     under_way: bool,
     scheduled: bool,
     wanted: bool,
     began: Option<Instant>,
 }
 
-impl Peer {
-    pub(super) const fn new(address: SocketAddr) -> Self {
+impl Pace {
+    /// Starts without an exchange.
+    pub const fn new() -> Self {
         Self {
-            address,
+            gap: FIRST,
             under_way: false,
             scheduled: false,
             wanted: false,
@@ -43,7 +49,9 @@
     }
 
     /// Asks for an exchange.
-    pub(super) fn ask(&mut self, now: Instant) -> Turn {
+    ///
+    /// See also [`Self::due`] and [`Self::end`].
+    pub fn ask(&mut self, now: Instant) -> Turn {
         if self.under_way {
             self.wanted = true;
             return Turn::Later;
@@ -51,7 +59,7 @@
         if self.scheduled {
             return Turn::Later;
         }
-        match self.began.map(|began| began + GAP) {
+        match self.began.map(|began| began + self.gap) {
             Some(due) if due > now => {
                 self.scheduled = true;
                 Turn::At(due)
@@ -64,7 +72,7 @@
     }
 
     /// Begins the exchange whose time was given out, unless one began otherwise.
-    pub(super) fn due(&mut self, now: Instant) -> Turn {
+    pub fn due(&mut self, now: Instant) -> Turn {
         self.scheduled = false;
         if self.under_way {
             return Turn::Later;
@@ -74,13 +82,26 @@
     }
 
     /// Ends the exchange under way; returns whether another was asked for meanwhile.
-    pub(super) const fn end(&mut self) -> bool {
+    pub const fn end(&mut self) -> bool {
         self.under_way = false;
         std::mem::replace(&mut self.wanted, false)
     }
 
-    const fn begin(&mut self, now: Instant) {
+    fn begin(&mut self, now: Instant) {
+        let is_calm = self
+            .began
+            .is_none_or(|began| now.duration_since(began) >= self.gap * CALM);
+        self.gap = match is_calm {
+            true => FIRST,
+            false => (self.gap * 2).min(LONGEST),
+        };
         self.under_way = true;
         self.began = Some(now);
     }
 }
+
+impl Default for Pace {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- a/crates/gate/src/control/thread.rs
+++ b/crates/gate/src/control/thread.rs
@@ -2,6 +2,7 @@
 
 use std::{
     io,
+    net::SocketAddr,
     sync::Arc,
     thread,
     time::Duration, //
@@ -37,9 +38,10 @@
         Everyone,
         Exchanger,
         Farewell,
-        Parts, //
+        Parts,
+        Peer, //
     },
-    peer::Peer,
+    pace::Pace,
     view::{
         Sched,
         View, //
@@ -159,6 +161,11 @@
     }
 }
 
+fn first_peer(address: SocketAddr) -> Peer {
+    let pace = Pace::new();
+    Peer { address, pace }
+}
+
 async fn run(
     setup: Setup,
     view: watch::Sender<Arc<View>>,
@@ -170,7 +177,7 @@
     let scheds = settings.scheds.iter();
     let actor = Exchanger::spawn(Exchanger::new(Parts {
         peers: scheds
-            .map(|peer| (peer.node, Peer::new(peer.rpc_address)))
+            .map(|peer| (peer.node, first_peer(peer.rpc_address)))
             .collect(),
         pool: setup.pool,
         rpc: setup.rpc,
