Wake at once for urgent work that a pass has left over

Cause: next_wake gave the end of the window for any open job, so urgent work left over by a pass at its limit could wait for up to two seconds.

The tests of shared capacity move into a file of their own, unchanged.

--- a/crates/state/src/engine/decide.rs
+++ b/crates/state/src/engine/decide.rs
@@ -30,8 +30,6 @@
 const TURNS: u64 = 8;
 /// A gang gets its reservation after this part of the patience.
 const GANG_PART: u32 = 8;
-/// A single task gets its reservation after this many times the patience.
-const SINGLE: u32 = 1;
 /// Against a team that floods the queue, capacity is held on up to this part of the workers, so
 /// that its small tasks don't take every room before a larger task of another team fits.
 const FAIR_PART: usize = 4;
@@ -72,12 +70,17 @@
         let timer = self.timers.first().map(|(at, _)| *at);
         let end = self.ends.first().map(|(at, _)| *at);
         let open = CLASSES.iter().any(|class| self.queue.is_open(*class));
-        let ready = open || !self.complete.is_empty();
-        let tick = ready.then_some(self.tick);
+        let tick = open.then_some(self.tick);
+        // What a pass at its limit has left over needs no window.
+        let at_once = self.queue.is_open(Priority::Urgent) || !self.complete.is_empty();
+        let at_once = at_once.then_some(self.decided);
         // A probe that is due and finds no task to try is looked at again a little later.
         let probe = self.book.next_probe();
         let probe = probe.map(|at| at.max(self.decided + PROBE_AGAIN));
-        [timer, end, tick, probe].into_iter().flatten().min()
+        [timer, end, tick, at_once, probe]
+            .into_iter()
+            .flatten()
+            .min()
     }
 
     /// Places the jobs of one class in fair order until none fits.
@@ -218,7 +221,7 @@
         let patience = self.tuning.reserve_after;
         match entry.gang {
             true => waited >= patience / GANG_PART,
-            false => waited >= patience * SINGLE || self.queue.yields_to(entry.team),
+            false => waited >= patience || self.queue.yields_to(entry.team),
         }
     }
 
--- a/crates/state/tests/engine/main.rs
+++ b/crates/state/tests/engine/main.rs
@@ -6,6 +6,7 @@
 mod quality;
 mod random;
 mod recovery;
+mod sharing;
 mod support;
 mod urgent;
 mod weights;
