Bind an owner to its answer also before it has read its claim

Found by a random history: a paused owner whose winning claim it had not read yet answered that it held nothing, then read the claim and started work on a lease that counted from when the claim was sent, while the asker took the shard over on that answer. Such an answer now takes the lease off the claim; the next renewal brings it, or the asker reads that renewal first. The history is kept as a test: it fails on the code before and passes now.

--- a/crates/coordination/src/member/machine/answer.rs
+++ b/crates/coordination/src/member/machine/answer.rs
@@ -109,10 +109,13 @@
     /// renewal before it claims, or it voids the claim.
     fn disown(&mut self, shards: &[ShardId], now: Timestamp) {
         for shard in shards {
-            if let Some(held) = self.tenures.get_mut(shard)
-                && held.until() <= now
-            {
-                held.disown(now);
+            match self.tenures.get_mut(shard) {
+                Some(held) if held.until() <= now => held.disown(now),
+                Some(_) => {}
+                // The claim that made this node the owner has not been read back here yet.
+                None => {
+                    self.bids.remove(shard);
+                }
             }
         }
     }
--- a/crates/coordination/tests/ownership/histories.rs
+++ b/crates/coordination/tests/ownership/histories.rs
@@ -9,6 +9,7 @@
         RngSeed, //
     },
 };
+use rstest::rstest;
 
 use crate::cell::{
     Cell,
@@ -113,3 +114,21 @@
         prop_assert!(all_in_use(&cell), "not all shards are in use again");
     }
 }
+
+/// Histories that failed once, shrunk.
+#[rstest]
+#[case::an_owner_that_had_not_read_its_claim_said_that_it_held_nothing(
+    2_689_451_245_043_815_337,
+    vec![
+        (83_215, Fault::Pause(NodeId(1), 2_205_220)),
+        (24_577, Fault::Pause(NodeId(3), 2_501_122)),
+    ]
+)]
+fn a_history_that_failed_once_holds(#[case] seed: u64, #[case] faults: Vec<(u64, Fault)>) {
+    let mut cell = Cell::new(3, 3, seed);
+    for (at, fault) in faults {
+        cell.fault(at, fault);
+    }
+    cell.run_until(TROUBLE);
+    assert_eq!(cell.overlaps, []);
+}
