--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -6,7 +6,6 @@
 pub mod claim;
 pub mod config;
 pub mod credit;
-pub mod drain;
 pub mod journal;
 pub mod member;
 pub mod part;
--- a/crates/coordination/tests/config_register.rs
+++ b/crates/coordination/tests/config_register.rs
@@ -1,5 +1,8 @@
 //! Every node reaches the same verdicts, and what is in force never goes back.
 
+#[path = "support/cases.rs"]
+mod cases;
+
 use std::sync::Arc;
 
 use fulmarpier_coordination::{
@@ -372,11 +375,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        failure_persistence: None,
-        rng_seed: proptest::test_runner::RngSeed::Fixed(1),
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(ProptestConfig { cases: cases::config().cases.max(256), ..cases::config() })]
 
     /// One node reads everything and appends snapshots now and then; another reads as it can, starts
     /// anew, takes the first one's state and meets truncations. They never disagree, and the version
--- a/crates/coordination/tests/credit_history.rs
+++ b/crates/coordination/tests/credit_history.rs
@@ -1,5 +1,7 @@
 //! Whatever is lost, late, doubled or dead, no target gets more requests than it has slots.
 
+#[path = "support/cases.rs"]
+mod cases;
 mod credit_world;
 
 use proptest::prelude::*;
@@ -10,11 +12,7 @@
 };
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        failure_persistence: None,
-        rng_seed: proptest::test_runner::RngSeed::Fixed(1),
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(ProptestConfig { cases: cases::config().cases.max(256), ..cases::config() })]
 
     #[test]
     fn requests_in_flight_never_exceed_slots(
--- a/crates/coordination/tests/retry.rs
+++ b/crates/coordination/tests/retry.rs
@@ -1,5 +1,8 @@
 //! What is sent again, when, and how much of it.
 
+#[path = "support/cases.rs"]
+mod cases;
+
 use std::time::Duration;
 
 use fulmarpier_coordination::retry::{
@@ -136,11 +139,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        failure_persistence: None,
-        rng_seed: proptest::test_runner::RngSeed::Fixed(1),
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(ProptestConfig { cases: cases::config().cases.max(256), ..cases::config() })]
 
     #[test]
     fn no_wait_passes_its_bound_or_the_deadline(
