Ask workers rarely, look for ends when expected, answer with what changed

Each worker was called every second, to renew leases and to see ends, and told all of its running tasks each time: 551 bytes of traffic for a call without tasks and 0.32 KB more for each running task, so 1,200 idle workers cost 627 KB a second (measured on loopback, real processes).

An inventory now has a version, and a call names the one that was taken in. `renew_known` renews what that inventory showed without naming it.

Ends are looked for at the learned or declared run time and then after half of a task's age, so that the interval may be long. Calls without orders leave on a grid and are spread over an eighth of the interval; a failed call is repeated within a second, and a worker that was silent is renewed as soon as it answers. Adopted tasks are renewed at once after a takeover.

--- a/crates/coordination/src/platform/worker/message.rs
+++ b/crates/coordination/src/platform/worker/message.rs
@@ -1,7 +1,4 @@
-//! What a worker understands: fenced orders, batched lease renewal and inventories.
-//!
-//! Every call carries an epoch. A worker remembers the highest epoch that it has seen and refuses a
-//! call with a lower one. A task whose lease lapses is stopped by the worker itself.
+//! The messages between the owner of a shard and a worker.
 
 use std::{
     net::SocketAddr,
@@ -56,9 +53,19 @@
     Stop,
 }
 
+/// An inventory that the caller has taken in: a state of one life of a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Known {
+    /// The life of the worker.
+    pub life: Incarnation,
+    /// The version of the inventory, within that life.
+    pub version: u64,
+}
+
 /// The one call to a worker: everything for it in one message.
 ///
 /// With no orders it still takes the worker at the epoch, renews leases and asks for the inventory.
+/// What is empty is left out of the encoding.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Sync {
     /// The caller's epoch; lower than the worker's is refused.
@@ -68,14 +75,24 @@
     /// How long the leases of all renewed and started tasks last from receipt.
     pub lease: Duration,
     /// Running tasks whose lease is renewed.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub renew: Vec<(TaskId, Attempt)>,
+    /// What the caller has taken in last, so that the answer may be relative to it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub known: Option<Known>,
+    /// Whether all tasks are renewed that ran in the inventory `known`, without naming them.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub renew_known: bool,
     /// Tasks to start.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub start: Vec<Start>,
     /// Things to do to running tasks.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub act: Vec<(TaskId, Attempt, Act)>,
     /// The grace for tasks that are stopped.
     pub grace: Duration,
     /// Ended tasks whose result has been kept; the worker may forget them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub acknowledge: Vec<(TaskId, Attempt)>,
 }
 
@@ -148,6 +165,13 @@
 }
 
 /// What a worker holds.
+///
+/// It is whole, or relative to an inventory that the caller has taken in: then a running task is
+/// left out where nothing but its age and its lease has changed since. Ended tasks are never left
+/// out, so that it makes no difference which of the answers in between were lost. [`View`] makes
+/// it whole again.
+///
+/// [`View`]: super::View
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Inventory {
     /// The worker.
@@ -160,9 +184,18 @@
     pub clock: Timestamp,
     /// What it offers.
     pub capacity: Resources,
+    /// Rises when a task begins or ends, or its report changes; zero on a worker whose inventories
+    /// are always whole.
+    #[serde(default)]
+    pub version: u64,
+    /// The version that this inventory is relative to; `None` where it is whole.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub base: Option<u64>,
     /// The tasks that run.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub running: Vec<Running>,
     /// The tasks that ended and were not acknowledged.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub ended: Vec<Ended>,
 }
 
@@ -170,6 +203,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Reply {
     /// One answer for each start, in the order of the call.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub started: Vec<Answer>,
     /// What the worker holds after the call.
     pub inventory: Inventory,
--- a/crates/coordination/tests/recovery.rs
+++ b/crates/coordination/tests/recovery.rs
@@ -101,6 +101,8 @@
         epoch,
         clock: START,
         capacity: Resources::ZERO,
+        version: 0,
+        base: None,
         running: tasks.iter().map(running).collect(),
         ended: Vec::new(),
     }
--- a/crates/coordination/tests/recovery_history.rs
+++ b/crates/coordination/tests/recovery_history.rs
@@ -323,6 +323,8 @@
             epoch: NEW,
             clock: self.now,
             capacity: Resources::ZERO,
+            version: 0,
+            base: None,
             running: worker.running.iter().map(running).collect(),
             ended: worker.ended.iter().map(ended).collect(),
         };
--- a/crates/sched/src/shard/inventory.rs
+++ b/crates/sched/src/shard/inventory.rs
@@ -1,5 +1,10 @@
 //! What the workers say, and what follows from it.
 
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
 use fulmarpier_coordination::{
     journal::Record,
     platform::{
@@ -29,7 +34,10 @@
         TaskId,
         WorkerId, //
     },
-    job::Kind,
+    job::{
+        Kind,
+        Spec, //
+    },
     worker::Condition, //
 };
 
@@ -79,7 +87,14 @@
             self.back(worker, scope);
         }
         self.take_answers(worker, &landed, scope);
-        self.take_inventory(worker, &inventory, landed.sent, scope);
+        let Some(link) = self.links.get_mut(&worker) else {
+            return;
+        };
+        match link.view.take(inventory) {
+            Ok(inventory) => self.take_inventory(worker, &inventory, landed.sent, scope),
+            // The worker is asked for the whole at once.
+            Err(_) => link.hurry(scope.now),
+        }
     }
 
     /// Returns whether the recovery still waits for a worker's first inventory.
@@ -122,13 +137,26 @@
 
     fn started(&mut self, key: Key, worker: WorkerId, scope: &mut Scope<'_>) {
         let (task, attempt) = key;
-        if let Some(link) = self.links.get_mut(&worker) {
-            link.running.insert(task, attempt);
-        }
+        self.watch(key, worker, Duration::ZERO, scope.now);
         let effects = self.engine.started(task, attempt, worker, scope.now);
         self.carry_out(effects, scope);
     }
 
+    /// Renews a start from now on, and looks for its end.
+    pub(super) fn watch(&mut self, key: Key, worker: WorkerId, age: Duration, now: Timestamp) {
+        let (task, attempt) = key;
+        let is_service = |spec: &Arc<Spec>| matches!(spec.kind, Kind::Service { .. });
+        let ends = !self.engine.spec(task.job).is_some_and(is_service);
+        let runtime = self.engine.expected_runtime(task.job);
+        let Some(link) = self.links.get_mut(&worker) else {
+            return;
+        };
+        link.running.insert(task, attempt);
+        if ends {
+            link.checks.expect(key, now.saturating_sub(age), runtime);
+        }
+    }
+
     /// Compares what a worker holds with what the owner believes; the worker is right.
     fn take_inventory(
         &mut self,
@@ -236,14 +264,7 @@
         self.end(key, worker, ended.end, ended.age, scope);
     }
 
-    fn end(
-        &mut self,
-        key: Key,
-        worker: WorkerId,
-        end: End,
-        age: std::time::Duration,
-        scope: &mut Scope<'_>,
-    ) {
+    fn end(&mut self, key: Key, worker: WorkerId, end: End, age: Duration, scope: &mut Scope<'_>) {
         let (task, attempt) = key;
         let id = target::Id { task, attempt };
         scope.credits.end(id, scope.now);
@@ -290,7 +311,7 @@
             .collect();
         for key in vanished {
             if let Some(link) = self.links.get_mut(&worker) {
-                link.running.remove(&key.0);
+                forget(link, key);
             }
             let (task, attempt) = key;
             let end = End::Lapsed;
@@ -301,7 +322,7 @@
                 end,
             };
             self.keep(record, scope.now);
-            self.end(key, worker, end, std::time::Duration::ZERO, scope);
+            self.end(key, worker, end, Duration::ZERO, scope);
         }
     }
 
@@ -367,6 +388,8 @@
         let running: Vec<(TaskId, _)> = std::mem::take(&mut link.running).into_iter().collect();
         let unsent = link.take_starts();
         link.suspects.clear();
+        link.checks.clear();
+        link.view.forget();
         for start in unsent {
             self.not_run((start.task, start.attempt), worker, Cause::Late, scope);
         }
@@ -387,6 +410,7 @@
 
 /// Drops a start from what is renewed and awaited.
 fn forget(link: &mut super::link::Link, key: Key) {
+    link.checks.remove(key);
     link.suspects.remove(&key);
     if link.running.get(&key.0) == Some(&key.1) {
         link.running.remove(&key.0);
--- a/crates/sched/src/shard/link.rs
+++ b/crates/sched/src/shard/link.rs
@@ -11,7 +11,8 @@
     Answer,
     Error,
     Start,
-    Sync, //
+    Sync,
+    View, //
 };
 use fulmarpier_state::{
     alias::HashSet,
@@ -24,7 +25,19 @@
     },
 };
 
-use super::Settings;
+use super::{
+    Settings,
+    checks::Checks, //
+};
+
+/// How soon a worker that did not answer is asked again, at most.
+const RETRY: Duration = Duration::from_secs(1);
+/// The share of the interval by which messages are sent earlier, so that they spread.
+const SPREAD: u32 = 8;
+/// Spreads the bits of a number, by the golden ratio.
+const MIX: u64 = 0x9e37_79b9_7f4a_7c15;
+/// Messages without orders leave at multiples of this, so that one pass serves many workers.
+const GRID: Duration = Duration::from_millis(200);
 
 /// One start of one task.
 pub(super) type Key = (TaskId, Attempt);
@@ -36,6 +49,8 @@
     sent: Timestamp,
     starts: Vec<Key>,
     start_by: Timestamp,
+    /// Whether something ran that was not renewed.
+    starved: bool,
 }
 
 /// What came of the starts of one message.
@@ -71,6 +86,10 @@
     acknowledge: Vec<Key>,
     /// What runs there, to be renewed.
     pub(super) running: BTreeMap<TaskId, Attempt>,
+    /// What the worker has shown of itself.
+    pub(super) view: View,
+    /// When the ends of running tasks are looked for.
+    pub(super) checks: Checks,
     /// Starts whose answer was lost, with their start-by time on the worker's clock.
     pub(super) suspects: BTreeMap<Key, Timestamp>,
     /// Ends that are being journalled or wait to be forgotten by the worker.
@@ -94,6 +113,8 @@
             acts: Vec::new(),
             acknowledge: Vec::new(),
             running: BTreeMap::new(),
+            view: View::default(),
+            checks: Checks::default(),
             suspects: BTreeMap::new(),
             reported: HashSet::default(),
             flight: None,
@@ -154,7 +175,8 @@
         if self.flight.is_some() {
             return None;
         }
-        Some(self.due)
+        let check = self.checks.next().unwrap_or(self.due);
+        Some(self.due.min(check))
     }
 
     /// Makes the next message if one is due.
@@ -165,33 +187,39 @@
         now: Timestamp,
     ) -> Option<(u64, Sync)> {
         let urgent = !self.starts.is_empty() || !self.acts.is_empty();
-        if self.flight.is_some() || (self.due > now && !urgent) {
+        let due = self.next_wake().is_some_and(|due| due <= now);
+        if self.flight.is_some() || !(due || urgent) {
             return None;
         }
         let start_by = self.start_by(settings, now);
         let start = std::mem::take(&mut self.starts);
         let starts: Vec<Key> = start.iter().map(|s| (s.task, s.attempt)).collect();
-        let renew = if self.is_silent(settings, now) {
-            Vec::new()
+        let (renew, renew_known) = if self.is_silent(settings, now) {
+            (Vec::new(), false)
         } else {
             self.renewals()
         };
-        if !renew.is_empty() || !starts.is_empty() {
+        let renews = renew_known || !renew.is_empty();
+        if renews || !starts.is_empty() {
             self.renewed = now;
         }
         self.number += 1;
-        self.due = now + settings.worker_sync;
+        self.due = self.next_due(settings, now);
+        self.checks.asked(now, settings.worker_sync);
         self.flight = Some(Flight {
             number: self.number,
             sent: now,
             starts,
             start_by,
+            starved: !renews && !self.running.is_empty(),
         });
         let sync = Sync {
             epoch,
             start_by,
             lease: settings.worker_lease,
             renew,
+            known: self.view.known(),
+            renew_known,
             start,
             act: std::mem::take(&mut self.acts),
             grace: settings.grace,
@@ -211,6 +239,9 @@
         self.heard = Some(flight.sent);
         self.clock = Some((clock, flight.sent));
         self.lost = false;
+        if flight.starved {
+            self.due = Timestamp::ZERO;
+        }
         let mut landed = Landed {
             sent: flight.sent,
             answers: Vec::with_capacity(flight.starts.len()),
@@ -234,7 +265,7 @@
         now: Timestamp,
     ) -> Option<Failed> {
         let flight = self.flight.take_if(|flight| flight.number == number)?;
-        self.due = now + settings.worker_sync;
+        self.due = now + settings.worker_sync.min(RETRY);
         Some(match error {
             Error::Refused => Failed::Void(flight.starts),
             Error::Fenced { epoch } => Failed::Fenced(*epoch, flight.starts),
@@ -255,9 +286,35 @@
             .is_none_or(|heard| now.since(heard) > settings.worker_lease / 2)
     }
 
-    fn renewals(&self) -> Vec<Key> {
+    /// Returns the starts to be renewed by name, and whether all that the worker has shown are.
+    fn renewals(&self) -> (Vec<Key>, bool) {
         let running = self.running.iter().map(|(task, attempt)| (*task, *attempt));
-        running.chain(self.suspects.keys().copied()).collect()
+        let wanted = running.chain(self.suspects.keys().copied());
+        let shown: Vec<Key> = self.view.running().collect();
+        let whole = !shown.is_empty() && shown.iter().all(|key| self.wants(key));
+        if !whole || self.view.known().is_none() {
+            return (wanted.collect(), false);
+        }
+        let unshown = |key: &Key| !self.view.holds(key.0, key.1);
+        (wanted.filter(unshown).collect(), true)
+    }
+
+    fn wants(&self, key: &Key) -> bool {
+        self.running.get(&key.0) == Some(&key.1) || self.suspects.contains_key(key)
+    }
+
+    /// Returns when the next message is due: somewhat before the interval is over, each time by
+    /// another part of it.
+    fn next_due(&self, settings: &Settings, now: Timestamp) -> Timestamp {
+        let interval = settings.worker_sync;
+        let mixed = u64::from(self.worker.0)
+            .wrapping_add(self.number << 32)
+            .wrapping_mul(MIX);
+        let part = u32::try_from(mixed >> 48).unwrap_or(0);
+        let due = now + (interval - interval / SPREAD * part / (1 << 16));
+        let grid = GRID.min(interval / SPREAD).max(Duration::from_micros(1));
+        let over = due.since(Timestamp::ZERO).as_micros() % grid.as_micros();
+        due.saturating_sub(Duration::from_micros(u64::try_from(over).unwrap_or(0)))
     }
 
     /// Returns the latest time, on the worker's clock, at which a start of now may be taken.
--- a/crates/sched/src/shard/mod.rs
+++ b/crates/sched/src/shard/mod.rs
@@ -3,6 +3,7 @@
 //! A shard is first [`Opening`]: it announces its epoch in the journal and replays it. Then it is
 //! [`Live`]: it takes its workers, adopts what runs, and places work while the ownership allows it.
 
+mod checks;
 mod commit;
 mod fleet;
 mod inventory;
--- a/crates/sched/src/shard/steps.rs
+++ b/crates/sched/src/shard/steps.rs
@@ -214,8 +214,10 @@
         scope: &mut Scope<'_>,
     ) {
         let key = (running.task, running.attempt);
+        self.watch(key, worker, running.age, scope.now);
         if let Some(link) = self.links.get_mut(&worker) {
-            link.running.insert(running.task, running.attempt);
+            // An earlier owner may have renewed it long ago.
+            link.hurry(scope.now);
         }
         let adopted = self.engine.adopt(
             running.task,
--- a/crates/sched/tests/support/mod.rs
+++ b/crates/sched/tests/support/mod.rs
@@ -123,6 +123,11 @@
     rng: SmallRng,
     /// How many answers in a hundred are lost after the effect.
     pub(crate) lost: u32,
+    /// The spans and limits of the nodes that are started from now on.
+    pub(crate) settings: Settings,
+    /// How many messages workers got, and how often the VM list was read.
+    pub(crate) syncs: u32,
+    pub(crate) lists: u32,
 }
 
 impl World {
@@ -146,6 +151,9 @@
             answers: BTreeMap::new(),
             rng: SmallRng::seed_from_u64(seed),
             lost: 0,
+            settings: Settings::new(RegionId(1), Count::ONE),
+            syncs: 0,
+            lists: 0,
         };
         for number in 1..=nodes {
             world.start(NodeId(number));
@@ -161,9 +169,7 @@
             incarnation,
             address: address(id),
         };
-        let count = Count::try_from(1).unwrap();
-        let settings = Settings::new(RegionId(1), count);
-        let node = Node::new(holder, settings, u64::from(id.0), self.now);
+        let node = Node::new(holder, self.settings.clone(), u64::from(id.0), self.now);
         let life = Life {
             node: Some(node),
             incarnation,
@@ -243,6 +249,13 @@
         done(self)
     }
 
+    /// Ends all tasks on all workers well.
+    pub(crate) fn end_all(&mut self) {
+        for worker in self.workers.values_mut() {
+            worker.end_all(self.now, &mut self.seen);
+        }
+    }
+
     fn next_time(&self) -> Option<Timestamp> {
         let parcel = self.parcels.peek().map(|Reverse((at, _))| *at);
         let running = self.lives.values().filter(|life| !life.paused);
@@ -336,6 +349,7 @@
                 self.reply(from, WAY, Input::Page { purpose, result });
             }
             Output::Sync { dispatch, sync, .. } => {
+                self.syncs += 1;
                 let worker = self.workers.get_mut(&dispatch.worker).unwrap();
                 let result = match (worker.dead, worker.paused) {
                     (true, _) => Err(Error::Refused),
@@ -362,6 +376,7 @@
             } => self.forward(from, number, node, command),
             Output::Answer { id, answer } => self.answer(id, *answer),
             Output::List => {
+                self.lists += 1;
                 let list = self.list();
                 self.reply(from, WAY, Input::Listed(Some(list)));
             }
--- a/crates/sched/tests/support/worker.rs
+++ b/crates/sched/tests/support/worker.rs
@@ -34,6 +34,8 @@
     began: Timestamp,
     ends: Timestamp,
     lease: Timestamp,
+    /// The first version of the inventory that shows it.
+    since: u64,
 }
 
 /// A worker.
@@ -42,6 +44,7 @@
     pub(crate) capacity: Resources,
     epoch: Epoch,
     incarnation: u64,
+    version: u64,
     tasks: BTreeMap<TaskId, Task>,
     ended: Vec<Ended>,
     pub(crate) dead: bool,
@@ -75,6 +78,7 @@
             capacity,
             epoch: Epoch(0),
             incarnation: 1,
+            version: 1,
             tasks: BTreeMap::new(),
             ended: Vec::new(),
             dead: false,
@@ -104,6 +108,7 @@
     fn end(&mut self, id: TaskId, end: End, now: Timestamp, seen: &mut Seen) {
         if let Some(task) = self.tasks.remove(&id) {
             seen.forget(id, self.id);
+            self.version += 1;
             self.ended.push(Ended {
                 task: id,
                 attempt: task.attempt,
@@ -113,6 +118,13 @@
         }
     }
 
+    /// Ends everything on it well.
+    pub(crate) fn end_all(&mut self, now: Timestamp, seen: &mut Seen) {
+        for id in self.tasks.keys().copied().collect::<Vec<_>>() {
+            self.end(id, End::Succeeded, now, seen);
+        }
+    }
+
     /// Dies with everything on it, and forgets all.
     pub(crate) fn die(&mut self, seen: &mut Seen) {
         self.dead = true;
@@ -143,6 +155,13 @@
                 seen.places.insert(*id, (self.id, task.lease));
             }
         }
+        let known = sync.known.filter(|k| k.life.0 == self.incarnation);
+        let base = known.map(|known| known.version);
+        for task in self.tasks.values_mut() {
+            if sync.renew_known && base.is_some_and(|base| task.since <= base) {
+                task.lease = now + sync.lease;
+            }
+        }
         for (id, attempt, act) in &sync.act {
             let current = self.tasks.get(id).is_some_and(|t| t.attempt == *attempt);
             if current && *act == Act::Stop {
@@ -161,7 +180,7 @@
             .collect();
         Ok(Reply {
             started,
-            inventory: self.inventory(now),
+            inventory: self.inventory(now, base),
         })
     }
 
@@ -196,7 +215,9 @@
             began: now,
             ends: start.runtime.map_or(Timestamp::MAX, |span| now + span),
             lease,
+            since: self.version + 1,
         };
+        self.version += 1;
         self.tasks.insert(start.task, task);
         Answer::Started
     }
@@ -210,8 +231,10 @@
         self.capacity.checked_sub(used).unwrap_or_default()
     }
 
-    fn inventory(&self, now: Timestamp) -> Inventory {
-        let running = self.tasks.iter().map(|(id, task)| Running {
+    fn inventory(&self, now: Timestamp, base: Option<u64>) -> Inventory {
+        let news = |task: &Task| base.is_none_or(|base| task.since > base);
+        let tasks = self.tasks.iter().filter(|(_, task)| news(task));
+        let running = tasks.map(|(id, task)| Running {
             task: *id,
             attempt: task.attempt,
             epoch: task.epoch,
@@ -228,6 +251,8 @@
             epoch: self.epoch,
             clock: now,
             capacity: self.capacity,
+            version: self.version,
+            base,
             running: running.collect(),
             ended: self.ended.clone(),
         }
--- a/crates/standin/src/worker/machine.rs
+++ b/crates/standin/src/worker/machine.rs
@@ -14,6 +14,7 @@
         Ended,
         Inventory,
         Reply,
+        Running,
         Start,
         Sync, //
     },
@@ -35,6 +36,7 @@
     saved::Saved,
     task::{
         FULL_RATE,
+        Report,
         Task,
         Work, //
     },
@@ -57,6 +59,8 @@
     id: WorkerId,
     incarnation: Incarnation,
     epoch: Epoch,
+    /// The version of the inventory.
+    version: u64,
     capacity: Resources,
     used: Resources,
     tasks: BTreeMap<TaskId, Task>,
@@ -76,6 +80,7 @@
             id: host.worker,
             incarnation: Incarnation(1),
             epoch: Epoch(0),
+            version: 1,
             capacity,
             used: Resources::ZERO,
             tasks: BTreeMap::new(),
@@ -109,6 +114,10 @@
                 task.lease_until = now + sync.lease;
             }
         }
+        let known = sync.known.filter(|known| known.life == self.incarnation);
+        if let Some(known) = known.filter(|_| sync.renew_known) {
+            self.renew_shown(known.version, now + sync.lease);
+        }
         for (task, attempt, act) in &sync.act {
             self.act(now, *task, *attempt, *act, sync.grace);
         }
@@ -120,10 +129,19 @@
         self.settle(now);
         Ok(Reply {
             started,
-            inventory: self.inventory(now),
+            inventory: self.inventory(now, known.map(|known| known.version)),
         })
     }
 
+    /// Renews all tasks that the inventory of a version has shown.
+    fn renew_shown(&mut self, version: u64, until: Timestamp) {
+        for task in self.tasks.values_mut() {
+            if task.since <= version {
+                task.lease_until = until;
+            }
+        }
+    }
+
     /// Ends what has ended by now: done work, lapsed leases and ordered stops.
     ///
     /// In a pause only leases lapse: what is frozen past its lease never goes on.
@@ -255,6 +273,7 @@
             return Answer::Failed;
         };
         self.used = used;
+        self.version += 1;
         self.record.used(self.id, &used, &self.capacity);
         let task = Task {
             attempt: start.attempt,
@@ -274,6 +293,9 @@
                 end: None,
                 ending: None,
             }),
+            since: self.version,
+            changed: self.version,
+            shown: None,
         };
         self.tasks.insert(start.task, task);
         if self.failing {
@@ -313,6 +335,7 @@
         let Some(task) = self.tasks.remove(&id) else {
             return;
         };
+        self.version += 1;
         // What was added at the start can be taken off again.
         self.used = self.used.checked_sub(task.size).unwrap_or_default();
         self.record.ended(task.place, at, end.into());
@@ -327,17 +350,29 @@
         );
     }
 
-    fn inventory(&self, now: Timestamp) -> Inventory {
-        let running = self.tasks.iter();
+    /// Returns what it holds, relative to the inventory of a version where one is given.
+    fn inventory(&mut self, now: Timestamp, base: Option<u64>) -> Inventory {
+        let mut running: Vec<Running> = Vec::with_capacity(self.tasks.len());
+        for (id, task) in &mut self.tasks {
+            let report = task.running(*id, now, &self.profile);
+            let shown = Report::from(&report);
+            if task.shown.replace(shown) != Some(shown) {
+                self.version += 1;
+                task.changed = self.version;
+            }
+            if base.is_none_or(|base| task.changed > base) {
+                running.push(report);
+            }
+        }
         Inventory {
             worker: self.id,
             incarnation: self.incarnation,
             epoch: self.epoch,
             clock: now,
             capacity: self.capacity,
-            running: running
-                .map(|(id, task)| task.running(*id, now, &self.profile))
-                .collect(),
+            version: self.version,
+            base,
+            running,
             ended: self.ended.values().cloned().collect(),
         }
     }
--- a/crates/standin/src/worker/task.rs
+++ b/crates/standin/src/worker/task.rs
@@ -1,6 +1,9 @@
 //! One running task.
 
-use std::time::Duration;
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
 
 use fulmarpier_coordination::platform::worker::{
     End,
@@ -73,6 +76,30 @@
     /// When a stop that was ordered is enforced.
     pub(super) stop_by: Option<Timestamp>,
     pub(super) place: Place,
+    /// The first version of the inventory that shows it.
+    pub(super) since: u64,
+    /// The version at which its report last changed.
+    pub(super) changed: u64,
+    /// That report.
+    pub(super) shown: Option<Report>,
+}
+
+/// What an inventory says of a task besides its age and its lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Report {
+    usage: Resources,
+    target: Option<SocketAddr>,
+    busy: u16,
+}
+
+impl From<&Running> for Report {
+    fn from(running: &Running) -> Self {
+        Self {
+            usage: running.usage,
+            target: running.target,
+            busy: running.busy,
+        }
+    }
 }
 
 impl Task {
--- a/crates/standin/tests/worker.rs
+++ b/crates/standin/tests/worker.rs
@@ -13,7 +13,8 @@
     Answer,
     End,
     Start,
-    Sync, //
+    Sync,
+    View, //
 };
 use fulmarpier_standin::{
     fault::Faults,
@@ -302,3 +303,59 @@
     let summary = cell.record.summary();
     assert_eq!((summary.started, summary.dropped), (100, 1));
 }
+
+#[rstest]
+fn a_worker_tells_only_what_has_changed_since_the_inventory_that_is_known(mut cell: Cell) {
+    let mut view = View::default();
+    let reply = cell.first.sync(at(100), &start(1)).expect("a reply");
+    view.take(reply.inventory).expect("a whole inventory");
+    let look_again = |view: &View| Sync {
+        known: view.known(),
+        renew_known: true,
+        lease: secs(20),
+        ..look()
+    };
+    let same = cell.first.sync(at(105), &look_again(&view));
+    let same = same.expect("a reply").inventory;
+    assert!(same.base.is_some() && same.running.is_empty());
+    assert_eq!(view.take(same).expect("relative").running.len(), 1);
+
+    // Its usage is first reported after ten seconds; the answer is lost.
+    let lost = cell.first.sync(at(111), &look_again(&view));
+    assert_eq!(lost.expect("a reply").inventory.running.len(), 1);
+    let again = cell.first.sync(at(112), &look_again(&view));
+    assert_eq!(again.expect("a reply").inventory.running.len(), 1);
+
+    // The last call that renewed it lets the lease run down to 132.
+    let ended = cell.first.sync(at(131), &look_again(&view));
+    let ended = view.take(ended.expect("a reply").inventory);
+    let ended = ended.expect("relative");
+    assert_eq!(
+        (ended.running.len(), ended.ended[0].end),
+        (0, End::Succeeded)
+    );
+}
+
+#[rstest]
+fn a_new_life_renews_nothing_by_an_inventory_of_the_old_one(mut cell: Cell) {
+    let mut view = View::default();
+    let reply = cell.first.sync(at(100), &start(1)).expect("a reply");
+    view.take(reply.inventory).expect("a whole inventory");
+    cell.first.die(at(101));
+    let short = Sync {
+        lease: secs(5),
+        ..start(2)
+    };
+    cell.first.sync(at(102), &short).expect("a reply");
+    let renew = Sync {
+        known: view.known(),
+        renew_known: true,
+        lease: secs(60),
+        ..look()
+    };
+    let reply = cell.first.sync(at(104), &renew).expect("a reply");
+    assert_eq!(reply.inventory.base, None);
+    cell.first.settle(at(110));
+    let last = ends(&cell.record).pop();
+    assert_eq!(last, Some((Some(Ending::Lapsed), Some(at(107)))));
+}
--- a/crates/state/src/engine/view.rs
+++ b/crates/state/src/engine/view.rs
@@ -2,7 +2,8 @@
 
 use std::{
     fmt,
-    sync::Arc, //
+    sync::Arc,
+    time::Duration, //
 };
 
 use serde::{
@@ -33,6 +34,7 @@
         Priority,
         Spec, //
     },
+    learn::Basis,
     name::Team,
     placement::Total,
     quota::Account,
@@ -142,6 +144,13 @@
         self.jobs.get(&id).map(|job| &job.spec)
     }
 
+    /// Returns how long a task of a job is expected to run, where anything is known of that.
+    pub fn expected_runtime(&self, id: JobId) -> Option<Duration> {
+        let job = self.jobs.get(&id)?;
+        let estimate = self.estimator.runtime(&job.key, job.spec.runtime);
+        (estimate.basis != Basis::Default).then_some(estimate.p50)
+    }
+
     /// Iterates over all jobs in no order.
     pub fn jobs(&self) -> impl Iterator<Item = JobView> + '_ {
         self.jobs.iter().map(|(id, job)| view(*id, job))
