--- a/crates/coordination/src/part/home.rs
+++ b/crates/coordination/src/part/home.rs
@@ -69,6 +69,8 @@
 pub struct Home {
     shard: ShardId,
     entries: BTreeMap<JobId, Entry>,
+    /// No order is due before, so that an event costs nothing while none is.
+    wake: Timestamp,
 }
 
 impl Home {
@@ -77,6 +79,7 @@
         let mut home = Self {
             shard,
             entries: BTreeMap::new(),
+            wake: Timestamp::MAX,
         };
         for id in image.jobs.keys() {
             home.follow(*id, image, now);
@@ -100,6 +103,7 @@
                 idle_since: None,
             });
             entry.follow(known, job.cancelled, now);
+            self.wake = self.wake.min(entry.next);
         }
     }
 
@@ -114,6 +118,9 @@
         now: Timestamp,
     ) -> Vec<Order> {
         let mut orders = Vec::new();
+        if self.wake > now {
+            return orders;
+        }
         let shard = self.shard;
         self.entries.retain(|id, entry| {
             if entry.next > now {
@@ -124,6 +131,8 @@
             orders.extend(order);
             kept
         });
+        let next = self.entries.values().map(|entry| entry.next).min();
+        self.wake = next.unwrap_or(Timestamp::MAX);
         orders
     }
 
@@ -164,7 +173,7 @@
 
     /// Returns when the next order is due.
     pub fn next_wake(&self) -> Option<Timestamp> {
-        self.entries.values().map(|entry| entry.next).min()
+        (!self.entries.is_empty()).then_some(self.wake)
     }
 }
 
--- a/crates/state/tests/engine/main.rs
+++ b/crates/state/tests/engine/main.rs
@@ -10,3 +10,4 @@
 mod support;
 mod urgent;
 mod weights;
+mod withdraw;
