Close an opening whose announcement the log has dropped

It committed nothing wrongly, since its first append would have been read back, but it could not have told whether another owner had come in between. It now closes, and the shard has to be claimed anew.

--- a/crates/coordination/src/journal/opening.rs
+++ b/crates/coordination/src/journal/opening.rs
@@ -260,6 +260,8 @@
 
     fn truncated(&mut self, earliest: Offset) {
         match self.stage {
+            // The announcement itself is gone, and what stood behind it may name another owner.
+            Stage::Replay { opened } if opened < earliest => self.close(Fence::default()),
             Stage::Replay { .. } => self.replay = Replay::from_base(earliest),
             Stage::Locate { .. } | Stage::Peek { .. } => self.stage = Stage::Locate { earliest },
             Stage::Announce | Stage::Ready | Stage::Closed => {}
@@ -288,21 +290,24 @@
     }
 
     fn unreadable(&mut self, error: ReplayError) {
-        self.stage = Stage::Closed;
         let cause = Some(error.cause.clone());
         self.error = Some(error);
-        self.effects.push_back(Effect::Fenced(Fence {
+        self.close(Fence {
             cause,
             ..Fence::default()
-        }));
+        });
     }
 
     fn fenced(&mut self, epoch: Epoch) {
-        self.stage = Stage::Closed;
-        self.effects.push_back(Effect::Fenced(Fence {
+        self.close(Fence {
             epoch: Some(epoch),
             ..Fence::default()
-        }));
+        });
+    }
+
+    fn close(&mut self, fence: Fence) {
+        self.stage = Stage::Closed;
+        self.effects.push_back(Effect::Fenced(fence));
     }
 
     fn announce(&self, now: Timestamp) -> Option<Effect> {
--- a/crates/coordination/tests/journal.rs
+++ b/crates/coordination/tests/journal.rs
@@ -19,6 +19,7 @@
     journal::{
         CodecError,
         Effect,
+        Fence,
         Journal,
         Opening,
         Refused,
@@ -33,7 +34,8 @@
     clock::Timestamp,
     id::{
         Epoch,
-        NodeId, //
+        NodeId,
+        Offset, //
     },
 };
 use rstest::rstest;
@@ -354,6 +356,30 @@
     assert_eq!(opened.journal.image().jobs.len(), 2);
 }
 
+#[test]
+fn an_opening_that_was_paused_past_the_retention_is_closed() {
+    let mut log = Stream::default();
+    let settings = Settings::default();
+    let mut opening = Opening::new(Stream::name(), NodeId(1), Epoch(5), settings, 0);
+    while let Some(effect) = opening.poll(START) {
+        match effect {
+            Effect::Append(append) => opening.appended(log.append(&append.records), START),
+            Effect::Read(read) if log.end() == 0 => {
+                let page = log.read(&read, 0).expect("a page");
+                opening.on_page(&page, START);
+            }
+            _ => break,
+        }
+    }
+    // Its last read is under way while another owner comes, and the log drops both announcements.
+    open(&mut log, 9, &Settings::default(), START);
+    log.truncate_to(2);
+    let earliest = Offset(2);
+    opening.failed(&log::Error::Truncated { earliest }, START);
+    assert_eq!(opening.poll(START), Some(Effect::Fenced(Fence::default())));
+    assert!(opening.finish(START).is_err());
+}
+
 #[test]
 fn a_record_of_a_later_version_closes_the_opening() {
     let mut log = Stream::default();
