--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -28,6 +28,7 @@
         Builder,
         Runtime, //
     },
+    sync::oneshot,
     task::JoinHandle,
     time::{
         sleep,
@@ -46,6 +47,7 @@
         Control,
         Setup, //
     },
+    drain,
     http::router,
     metrics::Metrics,
     phase::{
@@ -118,7 +120,7 @@
     address: SocketAddr,
     notice: Duration,
     leave: CancellationToken,
-    serving: JoinHandle<Result<Drained, http::Error>>,
+    serving: Serving,
     traffic: Option<Runtime>,
 }
 
@@ -130,13 +132,13 @@
     /// Fails where the address can't be listened on or the system gives no thread.
     pub async fn start(settings: Settings, log: Logger) -> Result<Self, Error> {
         let settings = Arc::new(settings);
+        let app = Arc::new(app(settings.clone(), log).await?);
         let traffic = Builder::new_multi_thread()
             .worker_threads(usize::from(settings.traffic_threads))
             .thread_name("traffic")
             .enable_all()
             .build()?;
         let notice = NOTICE.min(settings.drain.get() / NOTICE_PART);
-        let app = Arc::new(app(settings.clone(), log).await?);
         let limits = http::Limits {
             connections: CONNECTIONS,
             linger: notice,
@@ -145,21 +147,15 @@
         };
         let leave = CancellationToken::new();
         let stop = leave.clone().cancelled_owned();
-        let routes = router(app.clone());
-        let (bound, binding) = tokio::sync::oneshot::channel();
-        let listen = settings.listen;
-        let serving = traffic.spawn(async move {
-            let server = Server::bind(listen, limits).await?;
-            // Whoever started the gate may have given up.
-            let _ = bound.send(server.address());
-            server.serve(routes, stop).await
-        });
-        let Ok(address) = binding.await else {
-            let ended = serving.await.map_err(|_| Error::Panicked)?;
-            traffic.shutdown_background();
-            return Err(ended.map_or_else(Error::from, |_| Error::Panicked));
+        let (address, serving) = match serve(&traffic, app.clone(), limits, stop).await {
+            Ok(serving) => serving,
+            Err(error) => {
+                // Waiting for the threads is not allowed in the context of another runtime.
+                traffic.shutdown_background();
+                return Err(error);
+            }
         };
-        traffic.spawn(follow_config(app.clone(), leave.clone(), notice));
+        traffic.spawn(drain::follow(app.clone(), leave.clone(), notice));
         slog::info!(app.log, "started"; "node" => %settings.node, "address" => %address);
         Ok(Self {
             app,
@@ -212,6 +208,33 @@
     }
 }
 
+type Serving = JoinHandle<Result<Drained, http::Error>>;
+
+/// Listens and serves on the traffic threads; returns the address once it listens.
+async fn serve(
+    traffic: &Runtime,
+    app: Arc<App>,
+    limits: http::Limits,
+    stop: impl Future<Output = ()> + Send + 'static,
+) -> Result<(SocketAddr, Serving), Error> {
+    let listen = app.settings.listen;
+    let routes = router(app);
+    let (bound, binding) = oneshot::channel();
+    let serving = traffic.spawn(async move {
+        let server = Server::bind(listen, limits).await?;
+        // Whoever started the gate may have given up.
+        let _ = bound.send(server.address());
+        server.serve(routes, stop).await
+    });
+    match binding.await {
+        Ok(address) => Ok((address, serving)),
+        Err(_) => {
+            let ended = serving.await.map_err(|_| Error::Panicked)?;
+            Err(ended.map_or_else(Error::from, |_| Error::Panicked))
+        }
+    }
+}
+
 async fn app(settings: Arc<Settings>, log: Logger) -> Result<App, Error> {
     let clock = Clock::start();
     let metrics = Metrics::new()?;
@@ -242,30 +265,3 @@
         targets,
     }))
 }
-
-/// Drains the gate while operators say so; it takes work again when they take that back.
-async fn follow_config(app: Arc<App>, leave: CancellationToken, notice: Duration) {
-    let mut views = app.view.clone();
-    loop {
-        let drained = views.borrow_and_update().config.drained.nodes.clone();
-        let is_drained = drained.contains(&app.settings.node);
-        let phase = match (is_drained, app.phase.get()) {
-            (true, Phase::Open) => {
-                slog::info!(app.log, "drained by command");
-                app.phase.set(Phase::Notice);
-                sleep(notice).await;
-                Phase::Closed
-            }
-            (false, Phase::Notice | Phase::Closed) => Phase::Open,
-            (_, phase) => phase,
-        };
-        if leave.is_cancelled() {
-            return;
-        }
-        app.phase.set(phase);
-        tokio::select! {
-            changed = views.changed() => if changed.is_err() { return },
-            () = leave.cancelled() => return,
-        }
-    }
-}
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod app;
 pub mod control;
 pub mod digest;
+mod drain;
 pub mod forward;
 mod gate;
 pub mod http;
