Let a flow that missed its grant ask again

Each request now carries a nonce of the one flow at a gate that serves it; the flow asks again only while nothing was sent, and the ledger then frees the key and begins it anew, under a new ticket.

--- a/crates/coordination/src/journal/record.rs
+++ b/crates/coordination/src/journal/record.rs
@@ -144,6 +144,8 @@
         key: Key,
         /// What was asked, as a digest.
         digest: Digest,
+        /// Names the one flow at a gate that serves the request.
+        nonce: u64,
         /// The one permission to send.
         ticket: Ticket,
         /// The target that gets the request.
--- a/crates/coordination/src/recovery/image.rs
+++ b/crates/coordination/src/recovery/image.rs
@@ -202,6 +202,8 @@
 pub struct Request {
     /// What was asked.
     pub digest: Digest,
+    /// Names the one flow at a gate that serves it.
+    pub nonce: u64,
     /// The one permission to send.
     pub ticket: Ticket,
     /// The target that got it.
@@ -436,6 +438,7 @@
         let Record::Intent {
             key,
             digest,
+            nonce,
             ticket,
             target,
             service,
@@ -452,6 +455,7 @@
         }
         let request = Request {
             digest: *digest,
+            nonce: *nonce,
             ticket: *ticket,
             target: *target,
             service: service.clone(),
--- a/crates/coordination/src/request/entry.rs
+++ b/crates/coordination/src/request/entry.rs
@@ -37,6 +37,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct Entry {
     pub(super) digest: Digest,
+    pub(super) nonce: u64,
     pub(super) ticket: Ticket,
     pub(super) target: Option<target::Id>,
     pub(super) service: Service,
@@ -55,6 +56,7 @@
         };
         Self {
             digest: request.digest,
+            nonce: request.nonce,
             ticket: request.ticket,
             target: request.target,
             service: request.service.clone(),
--- a/crates/coordination/src/request/ledger/mod.rs
+++ b/crates/coordination/src/request/ledger/mod.rs
@@ -153,12 +153,31 @@
         }
     }
 
+    /// Frees a key for the flow that began it and asks again; returns the record to keep.
+    ///
+    /// That flow had no use of a grant: its answer was lost, or its owner was replaced before it was
+    /// given. Only this flow could have sent the request, and it asks only while it has not.
+    ///
+    /// See also [`Self::begin`], which is called next.
+    pub fn retake(&mut self, ask: &Ask, now: Timestamp) -> Option<Record> {
+        let entry = self.entries.get(&ask.key)?;
+        let same = entry.nonce == ask.nonce && entry.digest == ask.digest;
+        let ran = matches!(&entry.state, State::Settled(s) if s.outcome == Outcome::Ran);
+        if !same || ran || ask.deadline <= now {
+            return None;
+        }
+        let ticket = entry.ticket;
+        self.remove(&ask.key);
+        Some(outcome(&ask.key, ticket, Outcome::NotRun, None, now))
+    }
+
     /// Returns the record of a request's intent.
     pub fn intent(&self, key: &Key) -> Option<Record> {
         let entry = self.entries.get(key)?;
         Some(Record::Intent {
             key: key.clone(),
             digest: entry.digest,
+            nonce: entry.nonce,
             ticket: entry.ticket,
             target: entry.target,
             service: entry.service.clone(),
@@ -259,6 +278,7 @@
         };
         let entry = Entry {
             digest: ask.digest,
+            nonce: ask.nonce,
             ticket,
             target: ask.target,
             service: ask.service.clone(),
--- a/crates/coordination/src/request/verdict.rs
+++ b/crates/coordination/src/request/verdict.rs
@@ -26,6 +26,9 @@
     pub key: Key,
     /// What is asked.
     pub digest: Digest,
+    /// Names the one flow at a gate that serves the request, drawn at random. It asks again only
+    /// while nothing of the request was sent, or what was sent certainly was not run.
+    pub nonce: u64,
     /// The target that would get it.
     pub target: Option<target::Id>,
     /// The service called.
--- a/crates/coordination/tests/request.rs
+++ b/crates/coordination/tests/request.rs
@@ -9,6 +9,7 @@
 };
 
 use fulmarpier_coordination::{
+    journal::Record,
     recovery::{
         Gap,
         Image, //
@@ -64,6 +65,7 @@
     Ask {
         key: key.clone(),
         digest: Digest([1; 32]),
+        nonce: 1,
         target: None,
         service: "desk".parse().expect("a name"),
         deadline: now + Duration::from_secs(5),
@@ -365,3 +367,49 @@
     let fixed = shard_of(&keys::opaque(1), &shards);
     assert_eq!(fixed, Some(ShardId(4)), "a home must never move");
 }
+
+#[test]
+fn the_flow_that_missed_its_grant_gets_another() {
+    let mut ledger = ledger(Settings::default());
+    let key: Key = "order-1".parse().expect("a key");
+    let now = START;
+    let first = begin(&mut ledger, &key, now);
+    assert_eq!(ledger.committed(&key, first, now), Granted::Send);
+    // Another flow, as when the caller asks a second gate, gets nothing.
+    let other = Ask {
+        nonce: 2,
+        ..ask(&key, now)
+    };
+    assert_eq!(ledger.retake(&other, now), None);
+    let verdict = ledger.begin(&other, None, now);
+    assert_eq!(refused(&verdict).0, Reason::KeyBusy);
+    // The flow itself has sent nothing, since the answer with the grant was lost.
+    let record = ledger.retake(&ask(&key, now), now);
+    let freed = |record: &Record| match record {
+        Record::Outcome {
+            ticket, outcome, ..
+        } => (*ticket, *outcome) == (first, Outcome::NotRun),
+        _ => false,
+    };
+    assert!(record.as_ref().is_some_and(freed));
+    let second = begin(&mut ledger, &key, now);
+    assert_ne!(first, second);
+    // The first ticket is void.
+    assert_eq!(ledger.finish(&key, first, Outcome::Ran, None, now), None);
+    assert_eq!(ledger.committed(&key, second, now), Granted::Send);
+}
+
+#[test]
+fn a_request_that_ran_is_not_begun_again_by_its_own_flow() {
+    let mut ledger = ledger(Settings::default());
+    let key: Key = "order-1".parse().expect("a key");
+    let now = START;
+    let ticket = begin(&mut ledger, &key, now);
+    assert_eq!(ledger.committed(&key, ticket, now), Granted::Send);
+    assert!(
+        ledger
+            .finish(&key, ticket, Outcome::Ran, None, now)
+            .is_some()
+    );
+    assert_eq!(ledger.retake(&ask(&key, now), now), None);
+}
--- a/crates/coordination/tests/request_history.rs
+++ b/crates/coordination/tests/request_history.rs
@@ -215,6 +215,7 @@
         let ask = Ask {
             key: key.clone(),
             digest: Digest([7; 32]),
+            nonce: 7,
             target: None,
             service: "desk".parse().expect("a name"),
             deadline: own + PATIENCE,
--- a/crates/gate/src/forward/keyed.rs
+++ b/crates/gate/src/forward/keyed.rs
@@ -5,7 +5,10 @@
 
 use std::{
     sync::Arc,
-    time::Instant, //
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use axum::{
@@ -50,6 +53,7 @@
     StatusCode, //
 };
 use rand::random;
+use tokio::time::sleep;
 
 use super::{
     admission::Admission,
@@ -83,6 +87,7 @@
         self,
         Timing, //
     },
+    metrics::Retry,
     slot::Held,
 };
 
@@ -118,8 +123,12 @@
     app.budget().request(app.now());
     loop {
         let began = Instant::now();
-        let answer = ask_owner(app, shard, &call, deadline).await;
-        let answer = answer.map_err(|miss| unasked(&miss))?;
+        let answer = match ask_owner(app, shard, &call, deadline).await {
+            Ok(answer) => answer,
+            // Nothing was sent, so this flow may ask again for the grant that it may have missed.
+            Err(Miss::Lost { .. }) if ask_again(app, &mut plan).await => continue,
+            Err(miss) => return Err(unasked(&miss)),
+        };
         let Answer::Begin(reply) = answer else {
             return Err(unexpected());
         };
@@ -178,6 +187,18 @@
     }
 }
 
+/// Waits before the owner is asked again; `false` where that is of no use any more.
+async fn ask_again(app: &App, plan: &mut Plan) -> bool {
+    let none = Duration::ZERO;
+    let decided = plan.again(Outcome::NotRun, &mut app.budget(), app.now(), none, none);
+    let Ok(pause) = decided else {
+        return false;
+    };
+    app.metrics.retried(Retry::SchedUnreachable);
+    sleep(pause).await;
+    true
+}
+
 /// Returns the home shard of a key.
 fn home(app: &App, key: &Key) -> Result<ShardId, Refusal> {
     let shards = app.view.borrow().shards.clone();
@@ -194,6 +215,7 @@
         team: ask.team.clone(),
         digest: digest::of(method, &path, &order.body.bytes),
         deadline: ask.deadline,
+        nonce: random(),
         gate: app.settings.node,
         shard,
     }
--- a/crates/protocol/schema/sched.capnp
+++ b/crates/protocol/schema/sched.capnp
@@ -154,6 +154,8 @@
   # Since the Unix epoch.
   gate @5 :UInt32;
   shard @6 :UInt16;
+  nonce @7 :UInt64;
+  # Names the one flow at the gate that serves the request; it asks again only while nothing was sent.
 }
 
 struct BeginReply {
--- a/crates/protocol/src/wire/begin.rs
+++ b/crates/protocol/src/wire/begin.rs
@@ -45,6 +45,8 @@
     pub digest: Digest,
     /// When the request is of no more use.
     pub deadline: Timestamp,
+    /// Names the one flow at the gate that serves the request, drawn at random.
+    pub nonce: u64,
     /// The gate that is to send it.
     pub gate: NodeId,
     /// The home shard of the key.
@@ -77,6 +79,7 @@
         builder.set_digest(&self.digest.0);
         builder.set_deadline_micros(self.deadline.as_micros());
         builder.set_gate(self.gate.0);
+        builder.set_nonce(self.nonce);
         builder.set_shard(self.shard.0);
     }
 }
@@ -95,6 +98,7 @@
             team: scalar::read_name("team", reader.get_team()?)?,
             digest: Digest(digest),
             deadline: Timestamp::from_micros(reader.get_deadline_micros()),
+            nonce: reader.get_nonce(),
             gate: NodeId(reader.get_gate()),
             shard: ShardId(reader.get_shard()),
         })
--- a/crates/protocol/src/wire/sched_capnp.rs
+++ b/crates/protocol/src/wire/sched_capnp.rs
@@ -6414,6 +6414,10 @@
         pub fn get_shard(self) -> u16 {
             self.reader.get_data_field::<u16>(6)
         }
+        #[inline]
+        pub fn get_nonce(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
     }
 
     pub struct Builder<'a> {
@@ -6422,7 +6426,7 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 2,
+                data: 3,
                 pointers: 4,
             };
     }
@@ -6623,6 +6627,14 @@
         pub fn set_shard(&mut self, value: u16) {
             self.builder.set_data_field::<u16>(6, value);
         }
+        #[inline]
+        pub fn get_nonce(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_nonce(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(2, value);
+        }
     }
 
     pub struct Pipeline {
@@ -6637,17 +6649,17 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 124] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 139] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(20, 227, 95, 87, 98, 59, 142, 228),
-            ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(12, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(86, 72, 233, 194, 167, 179, 240, 209),
             ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 143, 1, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 199, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(115, 99, 104, 101, 100, 46, 99, 97),
@@ -6655,56 +6667,63 @@
             ::capnp::word(110, 82, 101, 113, 117, 101, 115, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(217, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(221, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 0, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(225, 0, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(233, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(107, 101, 121, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -6762,6 +6781,14 @@
             ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 111, 110, 99, 101, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -6772,6 +6799,7 @@
                 4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 5 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 6 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                7 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -6790,9 +6818,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[4, 3, 5, 0, 1, 6, 2];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[4, 3, 5, 0, 7, 1, 6, 2];
         pub(crate) const TYPE_ID: u64 = 0xe48e_3b62_575f_e314;
     }
 }
--- a/crates/protocol/tests/wire/round_trip.rs
+++ b/crates/protocol/tests/wire/round_trip.rs
@@ -158,11 +158,13 @@
         key in arbitrary::key(),
         names in (arbitrary::name(), arbitrary::name()),
         digest: [u8; 32],
+        nonce: u64,
         deadline in arbitrary::time(),
         ids in (any::<u32>(), any::<u16>()),
         reply in begun(),
     ) {
         let message = begin::Request {
+            nonce,
             key,
             service: names.0,
             team: names.1,
--- a/crates/sched/src/process/meter.rs
+++ b/crates/sched/src/process/meter.rs
@@ -15,6 +15,7 @@
     "config-read",
     "log-append",
     "log-read",
+    "request-again",
     "start-failed",
     "start-full",
     "start-held",
--- a/crates/sched/src/shard/requests.rs
+++ b/crates/sched/src/shard/requests.rs
@@ -39,10 +39,15 @@
         let ask = Ask {
             key: key.clone(),
             digest: request.digest,
+            nonce: request.nonce,
             target: None,
             service: request.service.clone(),
             deadline: request.deadline,
         };
+        if let Some(record) = self.requests.retake(&ask, scope.now) {
+            scope.out.retry("request-again");
+            self.keep(record, scope.now);
+        }
         match self.requests.begin(&ask, self.down_since, scope.now) {
             Verdict::Journal(ticket) => self.intend(call, key, ticket, scope),
             Verdict::Send(ticket) => {
