--- a/crates/demo/src/script.rs
+++ b/crates/demo/src/script.rs
@@ -161,6 +161,7 @@
     for line in [team, &service] {
         caller.command(line).await.map_err(call("a command"))?;
     }
+    everywhere(caller).await?;
     submit(caller, &caller::service(SERVICE, 6), "service").await?;
     served(caller).await
 }
@@ -201,14 +202,20 @@
 async fn configure(caller: &Caller) -> Result<(), Error> {
     show(caller, "set team demo weight=3 queue=500").await?;
     show(caller, &format!("set service {SERVICE} slots=8 team=demo")).await?;
+    let nodes = everywhere(caller).await?;
+    print!("{}", render::table(&nodes));
+    Ok(())
+}
+
+/// Waits until every node and its gate have the configuration in force; returns the nodes.
+async fn everywhere(caller: &Caller) -> Result<Table, Error> {
     for _ in 0..PATIENCE {
         let nodes = caller
             .command("show nodes")
             .await
             .map_err(call("show nodes"))?;
         if in_force(&nodes) {
-            print!("{}", render::table(&nodes));
-            return Ok(());
+            return Ok(nodes);
         }
         sleep(PAUSE).await;
     }
