--- a/crates/coordination/src/credit/ledger/mod.rs
+++ b/crates/coordination/src/credit/ledger/mod.rs
@@ -39,7 +39,7 @@
 
 /// Which gate holds which slots of the targets that one sched owns.
 ///
-/// For each target, what gates hold, what is in doubt and what is reserved never pass its slots.
+/// For each target, what gates hold and what is in doubt never pass its slots.
 /// The sched uses it only while it is the active owner; on losing a shard it removes the shard's
 /// targets.
 #[derive(Debug)]
@@ -251,8 +251,8 @@
         let before = std::mem::take(&mut account.held);
         let ready = now + self.terms.settle;
         for hold in &statement.holds {
-            let known = |stock: &&mut Stock| stock.epoch == hold.epoch;
-            let Some(stock) = self.stocks.get_mut(&hold.target).filter(known) else {
+            let is_meant = |stock: &&mut Stock| stock.epoch == hold.epoch;
+            let Some(stock) = self.stocks.get_mut(&hold.target).filter(is_meant) else {
                 continue;
             };
             let known = before.get(&hold.target).copied().unwrap_or(0);
