Remember a voucher for a lease after the VM list drops it

Found by the 28,920th random history of a run: a node whose records the log had dropped was known from the VM list only. When the list dropped it, evidence that waited for its vouch to end was complete at once. It now counts as a witness until the list has dropped it for a lease. The history is kept as a test.

--- a/crates/coordination/src/member/machine/evidence.rs
+++ b/crates/coordination/src/member/machine/evidence.rs
@@ -115,16 +115,17 @@
         nodes.into_iter().collect()
     }
 
-    /// Lists all other nodes of the VM list and the log, with where they listen.
+    /// Lists all other nodes that the VM list or the log has or had, with where they listen.
     ///
     /// One that was listed at this node's own address has been replaced by this node.
-    pub(super) fn peers(&self) -> BTreeMap<NodeId, SocketAddr> {
+    fn peers(&self) -> BTreeMap<NodeId, SocketAddr> {
         let logged = self
             .register
             .nodes()
             .map(|p| (p.holder.node, p.holder.address));
         let listed = self.map.nodes().map(|node| (node.id, node.address));
-        let mut nodes: BTreeMap<_, _> = logged.chain(listed).collect();
+        let known = logged.chain(self.watch.all_unlisted()).chain(listed);
+        let mut nodes: BTreeMap<_, _> = known.collect();
         nodes.remove(&self.me.node);
         nodes.retain(|_, address| *address != self.me.address);
         nodes
--- a/crates/coordination/src/member/machine/mod.rs
+++ b/crates/coordination/src/member/machine/mod.rs
@@ -291,7 +291,7 @@
         }
         for node in self.map.nodes() {
             if map.node(node.id).is_none() {
-                self.watch.unlisted(node.id, now);
+                self.watch.unlisted(node.id, node.address, now);
             }
         }
         for node in map.nodes() {
--- a/crates/coordination/src/member/watch.rs
+++ b/crates/coordination/src/member/watch.rs
@@ -1,8 +1,11 @@
 //! What this node saw of the others, and when.
 
-use std::collections::{
-    BTreeMap,
-    BTreeSet, //
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    net::SocketAddr, //
 };
 
 use fulmarpier_state::{
@@ -25,7 +28,7 @@
     nodes: BTreeMap<NodeId, Timestamp>,
     gone: BTreeSet<(NodeId, Incarnation)>,
     lapsed: BTreeMap<ShardId, Epoch>,
-    dropped: BTreeMap<NodeId, Timestamp>,
+    dropped: BTreeMap<NodeId, (Timestamp, SocketAddr)>,
 }
 
 impl Watch {
@@ -85,9 +88,15 @@
         self.lapsed.get(&shard) == Some(&epoch)
     }
 
-    /// Notes that the VM list no longer has `node`.
-    pub(super) fn unlisted(&mut self, node: NodeId, now: Timestamp) {
-        self.dropped.insert(node, now);
+    /// Notes that the VM list no longer has `node`, which listened at `address`.
+    pub(super) fn unlisted(&mut self, node: NodeId, address: SocketAddr, now: Timestamp) {
+        self.dropped.insert(node, (now, address));
+    }
+
+    /// Lists the nodes that the VM list has lost, with where they listened.
+    pub(super) fn all_unlisted(&self) -> impl Iterator<Item = (NodeId, SocketAddr)> {
+        let nodes = self.dropped.iter();
+        nodes.map(|(node, (_, address))| (*node, *address))
     }
 
     /// Notes that the VM list has `node`.
@@ -97,6 +106,6 @@
 
     /// Returns when the VM list lost `node`, where it had it before.
     pub(super) fn unlisted_at(&self, node: NodeId) -> Option<Timestamp> {
-        self.dropped.get(&node).copied()
+        self.dropped.get(&node).map(|(at, _)| *at)
     }
 }
--- a/crates/coordination/tests/ownership/histories.rs
+++ b/crates/coordination/tests/ownership/histories.rs
@@ -124,6 +124,18 @@
         (24_577, Fault::Pause(NodeId(3), 2_501_122)),
     ]
 )]
+#[case::a_voucher_was_forgotten_when_the_list_dropped_it(
+    11_592_301_874_473_344_370,
+    vec![
+        (2_526_153, Fault::LogFor(NodeId(1), Mode::Denied)),
+        (8_979_034, Fault::Kill { node: NodeId(1), vm: true }),
+        (1_182_326, Fault::Pause(NodeId(3), 4_138_151)),
+        (2_533_734, Fault::LoseQuestions(32)),
+        (5_973_125, Fault::LogFor(NodeId(2), Mode::Denied)),
+        (2_658_316, Fault::Pause(NodeId(1), 2_088_834)),
+        (2_028_674, Fault::Truncate),
+    ]
+)]
 fn a_history_that_failed_once_holds(#[case] seed: u64, #[case] faults: Vec<(u64, Fault)>) {
     let mut cell = Cell::new(3, 3, seed);
     for (at, fault) in faults {
