--- a/crates/demo/src/script.rs
+++ b/crates/demo/src/script.rs
@@ -123,6 +123,7 @@
     let long = submit(first, &large(), "large").await?;
     show(first, "show workers limit 4").await?;
     show(first, "show nodes").await?;
+    tried(first, &long).await?;
     show(first, &format!("explain job {long}")).await?;
     show(first, &format!("cancel job {long}")).await?;
     step("A node leaves with requests in flight; nothing is cut off.");
@@ -326,6 +327,18 @@
     answered.map_err(call("a request"))
 }
 
+/// Waits until a job has been tried, so that there is a reason to show.
+async fn tried(caller: &Caller, job: &str) -> Result<(), Error> {
+    for _ in 0..PATIENCE {
+        let view = caller.wait(job, "0s").await.map_err(call("a job"))?;
+        if !view["explanation"].to_string().contains("not been tried") {
+            return Ok(());
+        }
+        sleep(PAUSE).await;
+    }
+    Err(Error::Late { what: "a decision" })
+}
+
 async fn submit(caller: &Caller, job: &Value, step: &'static str) -> Result<String, Error> {
     caller.submit(job).await.map_err(call(step))
 }
--- a/crates/state/src/explain/explanation.rs
+++ b/crates/state/src/explain/explanation.rs
@@ -22,7 +22,7 @@
     Started,
     /// The job has ended.
     Ended,
-    /// It has not been tried yet; other jobs come first in the fair order.
+    /// It has not been tried yet; its turn comes in the fair order.
     Turn,
     /// The last attempt found no worker with enough room.
     NoRoom {
@@ -76,7 +76,7 @@
         match self {
             Self::Started => f.write_str("every task has been started"),
             Self::Ended => f.write_str("the job has ended"),
-            Self::Turn => f.write_str("other jobs come first in the fair order"),
+            Self::Turn => f.write_str("it has not been tried yet; its turn comes in the fair order"),
             Self::NoRoom { size, free, .. } => {
                 write!(
                     f,
