--- a/crates/state/src/explain/explanation.rs
+++ b/crates/state/src/explain/explanation.rs
@@ -76,7 +76,9 @@
         match self {
             Self::Started => f.write_str("every task has been started"),
             Self::Ended => f.write_str("the job has ended"),
-            Self::Turn => f.write_str("it has not been tried yet; its turn comes in the fair order"),
+            Self::Turn => {
+                f.write_str("it has not been tried yet; its turn comes in the fair order")
+            }
             Self::NoRoom { size, free, .. } => {
                 write!(
                     f,
--- a/crates/state/src/placement/total.rs
+++ b/crates/state/src/placement/total.rs
@@ -7,7 +7,13 @@
     Serialize, //
 };
 
-use crate::resource::Resources;
+use crate::{
+    resource::Resources,
+    unit::Bytes, //
+};
+
+/// Thousandths of a core in a whole one.
+const MILLICORES: u64 = 1_000;
 
 /// A sum of [`Resources`] over many workers, wide enough not to overflow.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -44,6 +50,14 @@
             memory,
             accelerators,
         } = self;
-        write!(f, "{cpu}m cpu, {memory}B, {accelerators} acc")
+        match cpu % MILLICORES {
+            0 => write!(f, "{} cpu", cpu / MILLICORES)?,
+            _ => write!(f, "{cpu}m cpu")?,
+        }
+        write!(f, ", {}", Bytes(*memory))?;
+        if *accelerators > 0 {
+            write!(f, ", {accelerators} acc")?;
+        }
+        Ok(())
     }
 }
