--- a/crates/coordination/src/config/policy.rs
+++ b/crates/coordination/src/config/policy.rs
@@ -25,7 +25,7 @@
         Self {
             preemption: true,
             backfill: true,
-            spread: Spread::Any,
+            spread: Spread::DataCentres,
             unknown_teams: true,
         }
     }
--- a/crates/sched/src/node/configure.rs
+++ b/crates/sched/src/node/configure.rs
@@ -15,7 +15,7 @@
         Snapshot,
         Verdict, //
     },
-    peer,
+    member, peer,
     platform::log,
 };
 use fulmarpier_protocol::http::table::Table;
@@ -133,10 +133,21 @@
         }
         self.refresh_shards(now);
         let drained = &self.register.document().drained.nodes;
-        if drained.contains(&self.holder.node) && !self.draining {
-            self.draining = true;
-            self.member_event(fulmarpier_coordination::member::Event::Drain, now);
+        let drained = drained.contains(&self.holder.node);
+        self.drain_by_command(drained, now);
+    }
+
+    /// Lets the node leave, or stay again, as operators say; a process that ends goes on leaving.
+    fn drain_by_command(&mut self, drained: bool, now: Timestamp) {
+        if self.ending || drained == self.draining {
+            return;
         }
+        self.draining = drained;
+        let event = match drained {
+            true => member::Event::Drain,
+            false => member::Event::Undrain,
+        };
+        self.member_event(event, now);
     }
 
     /// Sets the policy and the quotas of one shard.
--- a/crates/sched/src/node/core.rs
+++ b/crates/sched/src/node/core.rs
@@ -82,7 +82,10 @@
     /// Calls about jobs that came as commands, to be answered as such.
     pub(super) as_command: HashMap<CallId, JobId>,
     pub(super) next_number: u64,
+    /// Whether the node takes nothing more on.
     pub(super) draining: bool,
+    /// Whether its process is about to end.
+    pub(super) ending: bool,
     pub(super) listing: bool,
     pub(super) list_at: Timestamp,
     /// What the shards of the region have left, as far as it was asked for.
@@ -116,6 +119,7 @@
             as_command: HashMap::default(),
             next_number: 0,
             draining: false,
+            ending: false,
             listing: false,
             list_at: now,
             rooms: part::Rooms::default(),
@@ -259,6 +263,7 @@
             Input::Listed(list) => self.listed(list, now),
             Input::Drain => {
                 self.draining = true;
+                self.ending = true;
                 self.member_event(member::Event::Drain, now);
             }
         }
--- a/crates/sched/tests/cell.rs
+++ b/crates/sched/tests/cell.rs
@@ -379,3 +379,18 @@
     let id: JobId = table.rows[0][0].to_string().parse().unwrap();
     assert!(world.run_until(MINUTE, |world| world.has_succeeded(id)));
 }
+
+#[test]
+fn a_node_that_is_drained_and_taken_back_owns_shards_again() {
+    let mut world = cell(21);
+    let node = NodeId(1);
+    let owns = |world: &World| world.owners().iter().any(|(owner, _)| *owner == node);
+    assert!(world.run_until(MINUTE, owns));
+    let other = NodeId(2);
+    assert_eq!(command(&mut world, other, "drain node n1").status, 200);
+    assert!(world.run_until(MINUTE, |world| !owns(world)
+        && world.owners().len() == SHARDS));
+    assert_eq!(command(&mut world, other, "undrain node n1").status, 200);
+    assert!(world.run_until(MINUTE, owns));
+    world.check();
+}
