End what an earlier life of a worker may have run

Cause: a start whose answer was lost was taken not to have run when the worker's inventory did not show it past its start-by time. The owner now remembers which life of a worker it has seen; what it asked of an earlier one has lapsed, and a non-idempotent task ends as unknown. The history that found it is kept; it fails without the change.

--- a/crates/sched/src/shard/inventory.rs
+++ b/crates/sched/src/shard/inventory.rs
@@ -106,6 +106,9 @@
     }
 
     fn recovered(&mut self, inventory: &Inventory) {
+        if let Some(link) = self.links.get_mut(&inventory.worker) {
+            link.life = Some(inventory.incarnation);
+        }
         let Some(recovery) = &mut self.recovery else {
             return;
         };
@@ -171,9 +174,11 @@
         for ended in &inventory.ended {
             self.take_ended(worker, ended, scope);
         }
+        self.settle_reborn(worker, inventory, scope);
         self.settle_suspects(worker, inventory, scope);
         self.settle_vanished(worker, inventory, scope);
         if let Some(link) = self.links.get_mut(&worker) {
+            link.life = Some(inventory.incarnation);
             let told = |key: &Key| inventory.ended.iter().any(|e| (e.task, e.attempt) == *key);
             link.reported.retain(told);
         }
@@ -274,6 +279,23 @@
         self.carry_out(effects, scope);
     }
 
+    /// Ends starts whose answer was lost and that an earlier life of the worker may have run.
+    ///
+    /// The worker has forgotten that life, so that it does not hold them proves nothing but their
+    /// end.
+    fn settle_reborn(&mut self, worker: WorkerId, inventory: &Inventory, scope: &mut Scope<'_>) {
+        let Some(link) = self.links.get_mut(&worker) else {
+            return;
+        };
+        let same = link.life.is_none_or(|life| life == inventory.incarnation);
+        if same {
+            return;
+        }
+        for key in std::mem::take(&mut link.suspects).into_keys() {
+            self.vanish(key, worker, scope);
+        }
+    }
+
     /// Settles starts whose answer was lost and that the worker does not hold.
     fn settle_suspects(&mut self, worker: WorkerId, inventory: &Inventory, scope: &mut Scope<'_>) {
         let Some(link) = self.links.get_mut(&worker) else {
@@ -313,19 +335,24 @@
             if let Some(link) = self.links.get_mut(&worker) {
                 forget(link, key);
             }
-            let (task, attempt) = key;
-            let end = End::Lapsed;
-            let record = Record::Ended {
-                task,
-                attempt,
-                worker,
-                end,
-            };
-            self.keep(record, scope.now);
-            self.end(key, worker, end, Duration::ZERO, scope);
+            self.vanish(key, worker, scope);
         }
     }
 
+    /// Ends a start of which its worker knows nothing any more.
+    fn vanish(&mut self, key: Key, worker: WorkerId, scope: &mut Scope<'_>) {
+        let (task, attempt) = key;
+        let end = End::Lapsed;
+        let record = Record::Ended {
+            task,
+            attempt,
+            worker,
+            end,
+        };
+        self.keep(record, scope.now);
+        self.end(key, worker, end, Duration::ZERO, scope);
+    }
+
     fn sync_failed(&mut self, worker: WorkerId, number: u64, error: &Error, scope: &mut Scope<'_>) {
         let Some(link) = self.links.get_mut(&worker) else {
             return;
--- a/crates/sched/src/shard/link.rs
+++ b/crates/sched/src/shard/link.rs
@@ -20,6 +20,7 @@
     id::{
         Attempt,
         Epoch,
+        Incarnation,
         TaskId,
         WorkerId, //
     },
@@ -92,6 +93,8 @@
     pub(super) checks: Checks,
     /// Starts whose answer was lost, with their start-by time on the worker's clock.
     pub(super) suspects: BTreeMap<Key, Timestamp>,
+    /// Which life of the worker the last inventory that was taken in came from.
+    pub(super) life: Option<Incarnation>,
     /// Ends that are being journalled or wait to be forgotten by the worker.
     pub(super) reported: HashSet<Key>,
     flight: Option<Flight>,
@@ -116,6 +119,7 @@
             view: View::default(),
             checks: Checks::default(),
             suspects: BTreeMap::new(),
+            life: None,
             reported: HashSet::default(),
             flight: None,
             due: now,
--- a/crates/sched/tests/history.rs
+++ b/crates/sched/tests/history.rs
@@ -207,3 +207,33 @@
         .and_then(|text| text.parse().ok())
         .unwrap_or(CASES)
 }
+
+/// Kept from a run of 10,000: the answer to a start was lost, its worker died and came back with
+/// nothing, and the start was taken not to have run.
+#[test]
+fn a_start_that_an_earlier_life_of_its_worker_may_have_run_is_not_made_again() {
+    let batch = |tasks, seconds, idempotent| Step::Submit {
+        tasks,
+        seconds,
+        idempotent,
+    };
+    let steps = [
+        Step::Lose(36),
+        batch(2, 4, false),
+        batch(4, 4, true),
+        Step::Wait(2_630),
+        Step::Wait(3_608),
+        batch(2, 1, false),
+        batch(1, 7, true),
+        Step::Wait(1_532),
+        Step::Wait(2_340),
+        Step::WorkerDies(1),
+        batch(1, 1, false),
+    ];
+    let mut history = History::new(17_925_805_171_790_414_427);
+    for step in &steps {
+        history.take(step);
+    }
+    history.heal();
+    history.check();
+}
