Make fresh ids and the status of an answered command in one place

The id of a job and that of a proposal were made by the same four lines, and the status stood in three files. Behaviour is the same.

--- a/crates/sched/src/node/command/answer.rs
+++ b/crates/sched/src/node/command/answer.rs
@@ -17,15 +17,15 @@
     },
 };
 
-use super::super::{
-    CallId,
-    Node,
-    Output, //
+use super::{
+    super::{
+        CallId,
+        Node,
+        Output, //
+    },
+    OK,
 };
 
-/// The HTTP status of a command that was carried out.
-const OK: u16 = 200;
-
 impl Node {
     pub(in crate::node) fn answer_table(&mut self, id: CallId, table: &Table) {
         self.answer(id, wire::Answer::Command(table_reply(table)));
--- a/crates/sched/src/node/command/change.rs
+++ b/crates/sched/src/node/command/change.rs
@@ -20,19 +20,16 @@
         Refusal, //
     },
 };
-use uuid::Builder;
 
 use super::{
     super::{
         CallId,
         Node, //
     },
+    OK,
     gather::Goal,
 };
 
-/// The HTTP status of a summary for a peer.
-const OK: u16 = 200;
-
 impl Node {
     /// Checks a change against what runs on all nodes, then publishes it.
     ///
@@ -86,7 +83,7 @@
             return self.refuse_command(call, refusal);
         }
         let proposal = Proposal {
-            id: self.proposal_id(now),
+            id: self.fresh_id(now),
             base,
             operator: request.operator.clone(),
             at: now,
@@ -94,13 +91,6 @@
         };
         self.propose(call, proposal, now);
     }
-
-    fn proposal_id(&mut self, now: Timestamp) -> uuid::Uuid {
-        let mut random = [0; 10];
-        random[..4].copy_from_slice(&self.holder.node.0.to_be_bytes());
-        random[4..].copy_from_slice(&self.number().to_be_bytes()[2..]);
-        Builder::from_unix_timestamp_millis(now.as_millis(), &random).into_uuid()
-    }
 }
 
 fn confirmed(report: &Report, confirm: &str) -> Result<(), Refusal> {
--- a/crates/sched/src/node/command/gather.rs
+++ b/crates/sched/src/node/command/gather.rs
@@ -26,14 +26,13 @@
         Node,
         Output, //
     },
+    OK,
     run::{
         unknown_job,
         untold_job, //
     },
 };
 
-/// The HTTP status of a command that was carried out.
-const OK: u16 = 200;
 /// The HTTP status of a peer's reply that it does not have the job, with the shards it speaks for.
 pub(super) const UNKNOWN: u16 = 404;
 
--- a/crates/sched/src/node/command/mod.rs
+++ b/crates/sched/src/node/command/mod.rs
@@ -6,3 +6,6 @@
 mod run;
 
 pub(super) use self::gather::Running;
+
+/// The HTTP status of a command that was carried out.
+const OK: u16 = 200;
--- a/crates/sched/src/node/command/run.rs
+++ b/crates/sched/src/node/command/run.rs
@@ -26,7 +26,6 @@
         Refusal, //
     },
 };
-use uuid::Builder;
 
 use super::{
     super::{
@@ -120,7 +119,7 @@
         now: Timestamp,
     ) {
         let submission = draft.received(now);
-        let job = submission.id.unwrap_or_else(|| self.job_id(now));
+        let job = submission.id.unwrap_or_else(|| JobId(self.fresh_id(now)));
         let Some(shard) = self.roomiest(now) else {
             let detail = "this node has no shard with workers; try another node";
             return self.refuse_command(id, Refusal::new(Reason::NoOwner, detail));
@@ -149,14 +148,6 @@
             .max_by_key(|(digest, _)| digest.free.cpu)
             .map(|(_, shard)| shard)
     }
-
-    /// Makes an id for a job whose submitter chose none.
-    fn job_id(&mut self, now: Timestamp) -> JobId {
-        let mut random = [0; 10];
-        random[..4].copy_from_slice(&self.holder.node.0.to_be_bytes());
-        random[4..].copy_from_slice(&self.number().to_be_bytes()[2..]);
-        JobId(Builder::from_unix_timestamp_millis(now.as_millis(), &random).into_uuid())
-    }
 }
 
 /// The refusal of a command about a job that nobody knows; it may have run long ago.
--- a/crates/sched/src/node/core.rs
+++ b/crates/sched/src/node/core.rs
@@ -33,6 +33,11 @@
     },
 };
 
+use uuid::{
+    Builder,
+    Uuid, //
+};
+
 use super::{
     CallId,
     Counts,
@@ -339,6 +344,14 @@
         }
     }
 
+    /// Makes an id that no other node makes, and this one only once.
+    pub(super) fn fresh_id(&mut self, now: Timestamp) -> Uuid {
+        let mut own = [0; 10];
+        own[..4].copy_from_slice(&self.holder.node.0.to_be_bytes());
+        own[4..].copy_from_slice(&self.number().to_be_bytes()[2..]);
+        Builder::from_unix_timestamp_millis(now.as_millis(), &own).into_uuid()
+    }
+
     /// Returns a number that was not used before.
     pub(super) const fn number(&mut self) -> u64 {
         self.next_number += 1;
