--- /dev/null
+++ b/crates/cell/src/advice.rs
@@ -0,0 +1,127 @@
+//! What is known of the workers that may run a step, and the nodes that ask for it.
+
+use std::collections::BTreeMap;
+
+use fulmarpier_state::{
+    alias::HashMap,
+    clock::Timestamp, //
+};
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use crate::{
+    engine::Slot,
+    id::{
+        NodeName,
+        StepId, //
+    },
+};
+
+/// A ticket is not used any more this long before its end: an order has to arrive first.
+const TICKET_MARGIN: Duration = Duration::from_millis(150);
+
+/// What allows a step on a worker for a while.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ticket {
+    /// What orders carry.
+    pub text: Arc<str>,
+    /// Until when it is valid, at the earliest.
+    pub until: Timestamp,
+}
+
+impl Ticket {
+    /// Returns whether an order that is sent now arrives in time.
+    pub fn is_usable(&self, now: Timestamp) -> bool {
+        now + TICKET_MARGIN < self.until
+    }
+}
+
+/// What is known of the workers that may run a step.
+///
+/// The set doesn't change for as long as the step exists; only the tickets age.
+#[derive(Clone, Debug, Default)]
+pub struct Advice {
+    /// The workers that may run the step, with their newest tickets.
+    pub allowed: HashMap<Slot, Ticket>,
+    /// The workers that were asked about.
+    pub named: Vec<Slot>,
+    /// The node that asks now.
+    pub asking: Option<NodeName>,
+    /// Before this nothing is asked again.
+    pub pause: Timestamp,
+}
+
+impl Advice {
+    /// Returns the ticket for a worker, where there is one that can be used.
+    pub fn ticket(&self, slot: Slot, now: Timestamp) -> Option<&Ticket> {
+        self.allowed
+            .get(&slot)
+            .filter(|ticket| ticket.is_usable(now))
+    }
+}
+
+/// A call for advice that is out.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// The step.
+    pub step: StepId,
+    /// The workers that are asked about.
+    pub named: Vec<Slot>,
+    /// Since when.
+    pub since: Timestamp,
+    /// Whether it takes long, so that shorter ones shouldn't have to wait behind it.
+    pub is_long: bool,
+}
+
+/// The nodes that ask; the service answers each one call at a time.
+#[derive(Clone, Debug, Default)]
+pub struct Desk {
+    hands: BTreeMap<NodeName, Option<Call>>,
+}
+
+impl Desk {
+    /// Says which nodes there are; a call of a node that is gone is given back.
+    pub fn set_hands(&mut self, nodes: &[NodeName]) -> Vec<Call> {
+        let mut lost = Vec::new();
+        self.hands.retain(|node, call| {
+            let stays = nodes.contains(node);
+            if !stays {
+                lost.extend(call.take());
+            }
+            stays
+        });
+        for node in nodes {
+            self.hands.entry(node.clone()).or_default();
+        }
+        lost
+    }
+
+    /// Returns a node for a call, or `None` while all that may take it are busy.
+    ///
+    /// Long calls get at most half of the nodes (rounded up), so that a short one never waits behind
+    /// them everywhere.
+    pub fn idle(&self, is_long: bool) -> Option<&NodeName> {
+        let long = self.hands.values().flatten().filter(|call| call.is_long);
+        if is_long && long.count() >= self.hands.len().div_ceil(2) {
+            return None;
+        }
+        let mut idle = self.hands.iter().filter(|(_, call)| call.is_none());
+        idle.next().map(|(node, _)| node)
+    }
+
+    /// Notes that a node asks.
+    pub fn begin(&mut self, node: &NodeName, call: Call) {
+        self.hands.insert(node.clone(), Some(call));
+    }
+
+    /// Notes that a node has finished asking about a step.
+    pub fn finish(&mut self, node: &NodeName, step: StepId) -> Option<Call> {
+        let busy = self.hands.get_mut(node)?;
+        if busy.as_ref().is_some_and(|call| call.step == step) {
+            return busy.take();
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/cell/src/bounds.rs
@@ -0,0 +1,42 @@
+//! The platform's figures that decisions depend on.
+
+use std::time::Duration;
+
+/// What the platform promises of its workers, from the settings.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bounds {
+    /// The longest lease that a worker grants.
+    pub lease: Duration,
+    /// How long a worker may take to stop a task.
+    pub stop_grace: Duration,
+    /// How long the members of a gang wait for the others before they end.
+    pub gang_wait: Duration,
+    /// How many times as long a task takes away from its data, or a gang over several racks.
+    pub remote_penalty: f64,
+    /// How long a task takes to resume from a checkpoint.
+    pub restore: Duration,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Self {
+            lease: Duration::from_secs(6),
+            stop_grace: Duration::from_millis(900),
+            gang_wait: Duration::from_secs(3),
+            remote_penalty: 1.5,
+            restore: Duration::from_millis(250),
+        }
+    }
+}
+
+/// A worker's clock may be this much slower than the owner's, in thousandths.
+const DRIFT: u32 = 20;
+/// Allowance for rounding to milliseconds and for timers that fire late.
+const SLACK: Duration = Duration::from_millis(200);
+
+impl Bounds {
+    /// Returns how long after an order a lease that it granted has certainly lapsed.
+    pub fn lapse(&self) -> Duration {
+        self.lease + self.lease * DRIFT / (1_000 - DRIFT) + SLACK
+    }
+}
--- /dev/null
+++ b/crates/cell/src/effect.rs
@@ -0,0 +1,193 @@
+//! What the engine asks its node to do.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration, //
+};
+
+use fulmarpier_state::clock::Timestamp;
+
+use crate::{
+    event::How,
+    id::{
+        Epoch,
+        NodeName,
+        Run,
+        StepId,
+        TaskId,
+        WorkerId, //
+    },
+    record::Entry,
+};
+
+/// Which worker an order is for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Destination {
+    /// The incarnation that is meant.
+    pub worker: WorkerId,
+    /// Where it takes orders.
+    pub address: SocketAddr,
+    /// The ownership that gives the order.
+    pub epoch: Epoch,
+}
+
+/// An order to start a task.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Start {
+    /// Where.
+    pub to: Destination,
+    /// The task.
+    pub task: TaskId,
+    /// Which start of it.
+    pub run: Run,
+    /// What the task is told.
+    pub text: Arc<str>,
+    /// Until when the worker may run it, on the worker's clock, in milliseconds.
+    pub deadline: u64,
+    /// Where it resumes from.
+    pub checkpoint: Option<Arc<str>>,
+    /// What allows the step on this worker, where that is asked for.
+    pub ticket: Option<Arc<str>>,
+}
+
+/// An order to stop a task.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Stop {
+    /// Where.
+    pub to: Destination,
+    /// The task.
+    pub task: TaskId,
+    /// Which start of it.
+    pub run: Run,
+}
+
+/// A call that extends a worker's lease and asks for its inventory.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Hold {
+    /// Where.
+    pub to: Destination,
+    /// Until when the worker may run what it holds, on its clock; absent leaves the lease alone.
+    pub deadline: Option<u64>,
+    /// The last end that the worker may forget.
+    pub acknowledged: u64,
+    /// How long the worker may wait for an end before it answers.
+    pub wait: Duration,
+}
+
+/// A decision or a change of belief, for the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Note {
+    /// A run was decided: its task, place, and how old the view of the worker was.
+    Placed {
+        /// The task.
+        task: TaskId,
+        /// Which start of it.
+        run: Run,
+        /// Where.
+        worker: WorkerId,
+        /// How long ago the worker was last heard.
+        heard: Duration,
+        /// How long the step has waited since its turn came.
+        waited: Duration,
+    },
+    /// A start was not carried out, or nobody knows.
+    NotStarted {
+        /// The task.
+        task: TaskId,
+        /// Which start of it.
+        run: Run,
+        /// Where.
+        worker: WorkerId,
+        /// Why, as one word.
+        why: &'static str,
+    },
+    /// A run has ended.
+    Ended {
+        /// The task.
+        task: TaskId,
+        /// Which start of it.
+        run: Run,
+        /// Where.
+        worker: WorkerId,
+        /// How.
+        how: How,
+    },
+    /// A stop was decided.
+    Stopping {
+        /// The task.
+        task: TaskId,
+        /// Which start of it.
+        run: Run,
+        /// Where.
+        worker: WorkerId,
+        /// Why, as one word.
+        why: &'static str,
+    },
+    /// What is believed of a worker has changed.
+    Worker {
+        /// The worker.
+        worker: WorkerId,
+        /// What it is believed to be now, as one word.
+        belief: &'static str,
+        /// When it was last heard.
+        heard: Timestamp,
+    },
+    /// A run of a former owner was taken over.
+    Adopted {
+        /// The task.
+        task: TaskId,
+        /// Which start of it.
+        run: Run,
+        /// Where.
+        worker: WorkerId,
+    },
+    /// A job has reached its end, and that is on record.
+    Finished {
+        /// The job, with its end as one word.
+        job: crate::id::JobId,
+        /// Its end, as one word.
+        outcome: &'static str,
+        /// How long after its arrival.
+        after: Duration,
+    },
+    /// Advice came in: how many workers were asked about and how many may run the step.
+    Advised {
+        /// The step.
+        step: StepId,
+        /// The node that asked.
+        node: NodeName,
+        /// How many workers were named.
+        named: usize,
+        /// How many of them may run it; absent where no answer came.
+        allowed: Option<usize>,
+        /// How long it took.
+        took: Duration,
+    },
+}
+
+/// What the engine's node is asked to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Give an order to start.
+    Start(Box<Start>),
+    /// Give an order to stop.
+    Stop(Stop),
+    /// Extend a lease and ask for an inventory.
+    Hold(Hold),
+    /// Have a node ask which workers may run a step.
+    Advise {
+        /// The node that asks.
+        node: NodeName,
+        /// The step.
+        step: StepId,
+        /// The workers to ask about.
+        workers: Vec<WorkerId>,
+    },
+    /// Keep records, all or none, and tell [`crate::engine::Engine::recorded`].
+    Record(Vec<Entry>),
+    /// Write to the log.
+    Note(Note),
+    /// A worker has seen a higher epoch: another node owns the cell.
+    Deposed,
+}
--- /dev/null
+++ b/crates/cell/src/engine/contact.rs
@@ -0,0 +1,418 @@
+//! Workers that come and go, their leases and their inventories.
+
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use fulmarpier_state::{
+    clock::Timestamp,
+    resource::Resources, //
+};
+
+use super::{
+    Engine,
+    Slot, //
+};
+use crate::{
+    effect::{
+        Effect,
+        Hold,
+        Note, //
+    },
+    event::{
+        HoldAnswer,
+        Inventory,
+        Registration,
+        Running, //
+    },
+    id::{
+        PoolName,
+        Run,
+        TaskId,
+        WorkerId, //
+    },
+    worker::{
+        Claim,
+        Contact,
+        Phase,
+        Worker, //
+    },
+};
+
+/// How long a worker waits for an end before it answers; the platform takes at most 2 s, and a lost
+/// call is noticed only after this time.
+const HOLD_WAIT: Duration = Duration::from_millis(1_000);
+/// The wait before a worker that gave no answer is asked again.
+const SILENT_AGAIN: Duration = Duration::from_millis(200);
+/// The longest time between two renewals while an end waits for its record.
+const UNKEPT_AGAIN: Duration = Duration::from_millis(500);
+/// How long a worker that nobody lists and that runs nothing is remembered.
+const FORGET: Duration = Duration::from_secs(10);
+
+impl Engine {
+    /// Takes what a worker reports of itself, a new one or a change.
+    pub fn register(&mut self, registration: Registration, now: Timestamp) {
+        self.is_stirred = true;
+        if let Some(slot) = self.slots.get(&registration.id) {
+            let Some(worker) = self.workers.get_mut(slot) else {
+                return;
+            };
+            let was = worker.registration.leaving.is_some();
+            let leaves = registration.leaving.is_some();
+            worker.unlisted = None;
+            worker.registration = registration;
+            worker.adopt_capacity();
+            if leaves && !was {
+                self.note_worker(*slot, "leaving");
+            }
+            return;
+        }
+        let worker = Worker::new(registration, now, now);
+        let slot = self.insert_worker(worker);
+        self.ledger.add_worker(slot);
+        self.note_worker(slot, "listed");
+    }
+
+    /// Notes that the store doesn't list a worker any more.
+    pub fn unregister(&mut self, id: &WorkerId, now: Timestamp) {
+        let Some(slot) = self.slots.get(id).copied() else {
+            return;
+        };
+        if let Some(worker) = self.workers.get_mut(&slot)
+            && worker.unlisted.is_none()
+        {
+            worker.unlisted = Some(now);
+            self.note_worker(slot, "unlisted");
+        }
+    }
+
+    /// Looks for a worker that former owners may have given tasks.
+    pub(super) fn expect_worker(
+        &mut self,
+        id: WorkerId,
+        address: SocketAddr,
+        lapses: Timestamp,
+        now: Timestamp,
+    ) {
+        let registration = Registration {
+            id: id.clone(),
+            address,
+            pool: PoolName::from(""),
+            capacity: Resources::ZERO,
+            labels: Vec::new(),
+            leaving: None,
+        };
+        let mut worker = Worker::new(registration, now, lapses);
+        worker.unlisted = Some(now);
+        worker.is_kept = true;
+        self.insert_worker(worker);
+        self.unheard.insert(id, lapses);
+    }
+
+    fn insert_worker(&mut self, worker: Worker) -> Slot {
+        let slot = Slot(self.next_slot);
+        self.next_slot += 1;
+        self.slots.insert(worker.registration.id.clone(), slot);
+        self.workers.insert(slot, worker);
+        slot
+    }
+
+    /// Calls every worker whose turn it is.
+    pub(super) fn call_workers(&mut self, now: Timestamp) {
+        for worker in self.workers.values_mut() {
+            let Contact::Due(at) = worker.contact else {
+                continue;
+            };
+            if at > now {
+                continue;
+            }
+            // A worker that doesn't answer may still get its calls: its lease must be able to lapse.
+            let deadline = match worker.silent {
+                None => worker.extend(&self.bounds, now),
+                Some(_) => None,
+            };
+            let wait = match worker.heard {
+                Some(_) if worker.silent.is_none() => HOLD_WAIT,
+                _ => Duration::ZERO,
+            };
+            worker.contact = Contact::Out(now);
+            self.outbox.push(Effect::Hold(Hold {
+                to: crate::effect::Destination {
+                    worker: worker.registration.id.clone(),
+                    address: worker.registration.address,
+                    epoch: self.epoch,
+                },
+                deadline,
+                acknowledged: worker.kept,
+                wait,
+            }));
+        }
+    }
+
+    /// Takes the answer to a call for an inventory.
+    pub fn held(&mut self, id: &WorkerId, answer: HoldAnswer, now: Timestamp) {
+        let Some(slot) = self.slots.get(id).copied() else {
+            return;
+        };
+        let Some(worker) = self.workers.get_mut(&slot) else {
+            return;
+        };
+        let Contact::Out(asked) = worker.contact else {
+            return;
+        };
+        match answer {
+            HoldAnswer::Listed(inventory) => self.take_inventory(slot, inventory, asked, now),
+            HoldAnswer::Fenced => self.outbox.push(Effect::Deposed),
+            HoldAnswer::Gone => self.lose_worker(slot, "replaced", now),
+            HoldAnswer::Silent | HoldAnswer::Refused => {
+                worker.contact = Contact::Due(now + SILENT_AGAIN);
+                if worker.silent.is_none() {
+                    worker.silent = Some(now);
+                    self.note_worker(slot, "silent");
+                }
+            }
+        }
+    }
+
+    fn take_inventory(
+        &mut self,
+        slot: Slot,
+        inventory: Inventory,
+        asked: Timestamp,
+        now: Timestamp,
+    ) {
+        let Some(worker) = self.workers.get_mut(&slot) else {
+            return;
+        };
+        let was_heard = worker.heard.is_some() && worker.silent.is_none();
+        worker.heard = Some(now);
+        worker.silent = None;
+        worker.read_clock(inventory.clock, now);
+        let seen = worker.seen;
+        let id = worker.registration.id.clone();
+        if !was_heard {
+            self.note_worker(slot, "heard");
+        }
+        self.unheard.remove(&id);
+        self.is_stirred = true;
+        let mut listed: Vec<(TaskId, Run)> = Vec::new();
+        for running in &inventory.running {
+            listed.push((running.task, running.run));
+            self.take_running(slot, running, now);
+        }
+        for ended in inventory.ended {
+            listed.push((ended.task, ended.run));
+            if ended.serial > seen {
+                if let Some(worker) = self.workers.get_mut(&slot) {
+                    worker.seen = worker.seen.max(ended.serial);
+                }
+                self.take_end(slot, ended, now);
+            }
+        }
+        self.release_absent(slot, &listed, asked, now);
+        let Some(worker) = self.workers.get_mut(&slot) else {
+            return;
+        };
+        worker.contact = match worker.seen > worker.kept {
+            // The record of the ends brings the next call forward.
+            true => Contact::Due(now + UNKEPT_AGAIN),
+            false => Contact::Due(now),
+        };
+        self.ledger.add_ends(slot, worker.seen);
+    }
+
+    /// Takes in a run that a worker lists.
+    fn take_running(&mut self, slot: Slot, running: &Running, now: Timestamp) {
+        let task = running.task;
+        let Some(worker) = self.workers.get_mut(&slot) else {
+            return;
+        };
+        let claim = worker.claims.get_mut(&(task, running.run));
+        let Some(claim) = claim else {
+            self.adopt(slot, running, now);
+            return;
+        };
+        if claim.phase == Phase::Starting {
+            claim.phase = Phase::Running { since: now };
+        }
+        self.save(task, running.checkpoint.as_ref());
+    }
+
+    /// Takes over a run that this owner did not start, or has it stopped.
+    fn adopt(&mut self, slot: Slot, running: &Running, now: Timestamp) {
+        let (task, run) = (running.task, running.run);
+        let job = self.jobs.get_mut(&task.step.job);
+        let is_over = job.as_ref().is_none_or(|job| job.is_over());
+        let size = job
+            .as_ref()
+            .and_then(|job| job.step(task.step))
+            .map_or(Resources::ZERO, super::place::charge);
+        let mut is_wanted = false;
+        if let Some(job) = job
+            && let Some(stage) = job.stage_mut(task.step)
+            && let Some(own) = stage.task_mut(task.index)
+        {
+            own.last = own.last.max(run);
+            if !is_over && own.active.is_none() && !own.is_done {
+                own.active = Some((slot, run));
+                stage.waiting.remove(&task.index);
+                stage.opened.get_or_insert(now);
+                is_wanted = true;
+                job.has_begun = true;
+            }
+        }
+        let Some(worker) = self.workers.get_mut(&slot) else {
+            return;
+        };
+        let claim = Claim {
+            size,
+            phase: Phase::Running { since: now },
+            since: now,
+        };
+        worker.adopt(task, run, claim);
+        let worker = worker.registration.id.clone();
+        self.note(Note::Adopted { task, run, worker });
+        match is_wanted {
+            true => self.save(task, running.checkpoint.as_ref()),
+            false => self.stop(slot, task, run, "unwanted", now),
+        }
+    }
+
+    /// Gives back the room of runs that an inventory proves to be gone.
+    ///
+    /// It proves that only for what was settled before it was asked for.
+    fn release_absent(
+        &mut self,
+        slot: Slot,
+        listed: &[(TaskId, Run)],
+        asked: Timestamp,
+        now: Timestamp,
+    ) {
+        let Some(worker) = self.workers.get(&slot) else {
+            return;
+        };
+        let absent: Vec<(TaskId, Run)> = worker
+            .claims
+            .iter()
+            .filter(|(key, claim)| {
+                let is_settled = match claim.phase {
+                    Phase::Starting => false,
+                    Phase::Running { since } => since <= asked,
+                    Phase::Stopping { confirmed, .. } => confirmed.is_some_and(|at| at <= asked),
+                };
+                is_settled && !listed.contains(key)
+            })
+            .map(|(key, _)| *key)
+            .collect();
+        for (task, run) in absent {
+            self.release(slot, task, run, now);
+        }
+    }
+
+    /// Gives back the room of a run that is certainly gone, and lets its task be started again.
+    pub(super) fn release(&mut self, slot: Slot, task: TaskId, run: Run, now: Timestamp) {
+        self.is_stirred = true;
+        if let Some(worker) = self.workers.get_mut(&slot) {
+            worker.release(task, run);
+        }
+        self.stopping.remove(&(slot, task, run));
+        let Some(job) = self.jobs.get_mut(&task.step.job) else {
+            return;
+        };
+        let is_over = job.is_over();
+        let Some(stage) = job.stage_mut(task.step) else {
+            return;
+        };
+        let Some(own) = stage.task_mut(task.index) else {
+            return;
+        };
+        if own.active != Some((slot, run)) {
+            return;
+        }
+        own.active = None;
+        if own.is_done || is_over {
+            return;
+        }
+        stage.waiting.insert(task.index);
+        stage.opened.get_or_insert(now);
+        self.open.insert(task.step);
+    }
+
+    /// Notes that an incarnation is gone with all that it ran.
+    pub(super) fn lose_worker(&mut self, slot: Slot, why: &'static str, now: Timestamp) {
+        self.note_worker(slot, why);
+        self.release_all(slot, now);
+        if let Some(worker) = self.workers.remove(&slot) {
+            self.unheard.remove(&worker.registration.id);
+            self.slots.remove(&worker.registration.id);
+            self.ledger.remove_worker(worker.registration.id);
+        }
+    }
+
+    fn release_all(&mut self, slot: Slot, now: Timestamp) {
+        let claims = self.workers.get(&slot).map(|worker| &worker.claims);
+        let claims: Vec<(TaskId, Run)> = claims.into_iter().flatten().map(|(key, _)| *key).collect();
+        for (task, run) in claims {
+            self.release(slot, task, run, now);
+        }
+    }
+
+    /// Gives up what ran on workers whose leases have certainly lapsed.
+    pub(super) fn expire_workers(&mut self, now: Timestamp) {
+        let was_waiting = !self.unheard.is_empty();
+        self.unheard.retain(|_, until| *until > now);
+        self.is_stirred |= was_waiting && self.unheard.is_empty();
+        let lapsed: Vec<Slot> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| {
+                let is_quiet = worker.silent.is_some() && worker.lapses() <= now;
+                is_quiet && (!worker.claims.is_empty() || worker.unlisted.is_some())
+            })
+            .map(|(slot, _)| *slot)
+            .collect();
+        for slot in lapsed {
+            let is_listed = self
+                .workers
+                .get(&slot)
+                .is_some_and(|worker| worker.unlisted.is_none());
+            match is_listed {
+                true => {
+                    self.note_worker(slot, "lapsed");
+                    self.release_all(slot, now);
+                }
+                false => self.lose_worker(slot, "gone", now),
+            }
+        }
+        self.forget_idle(now);
+    }
+
+    /// Forgets workers that answer, but that nobody lists and that run nothing.
+    fn forget_idle(&mut self, now: Timestamp) {
+        let idle: Vec<Slot> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| {
+                let unlisted = worker.unlisted.is_some_and(|at| now.since(at) > FORGET);
+                unlisted && worker.claims.is_empty() && worker.lapses() <= now
+            })
+            .map(|(slot, _)| *slot)
+            .collect();
+        for slot in idle {
+            self.lose_worker(slot, "gone", now);
+        }
+    }
+
+    fn note_worker(&mut self, slot: Slot, belief: &'static str) {
+        let Some(worker) = self.workers.get(&slot) else {
+            return;
+        };
+        let note = Note::Worker {
+            worker: worker.registration.id.clone(),
+            belief,
+            heard: worker.heard.unwrap_or_default(),
+        };
+        self.note(note);
+    }
+}
--- /dev/null
+++ b/crates/cell/src/engine/job.rs
@@ -0,0 +1,234 @@
+//! A job with its occurrences, stages and tasks.
+
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    sync::Arc,
+    time::Duration, //
+};
+
+use fulmarpier_state::clock::Timestamp;
+
+use super::Slot;
+use crate::{
+    advice::Advice,
+    id::{
+        Run,
+        StepId, //
+    },
+    job::{
+        Spec,
+        Step, //
+    },
+    record::{
+        Accepted,
+        Outcome,
+        Progress,
+        StepProgress, //
+    },
+};
+
+/// A task and where it is.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Task {
+    /// The run that may be under way.
+    pub(super) active: Option<(Slot, Run)>,
+    pub(super) is_done: bool,
+    pub(super) failures: u32,
+    /// The last run that was started.
+    pub(super) last: Run,
+    pub(super) checkpoint: Option<Arc<str>>,
+    /// Where it failed last; not tried there again while others have room.
+    pub(super) avoid: Option<Slot>,
+}
+
+/// One step of one occurrence.
+#[derive(Clone, Debug)]
+pub(super) struct Stage {
+    pub(super) tasks: Vec<Task>,
+    /// Tasks that are neither done nor under way.
+    pub(super) waiting: BTreeSet<u16>,
+    pub(super) done: u16,
+    /// How many tasks are done by the record; later steps go by that.
+    pub(super) kept: u16,
+    /// When its turn came.
+    pub(super) opened: Option<Timestamp>,
+    pub(super) advice: Advice,
+    /// When the present run of a gang was decided.
+    pub(super) gang_since: Timestamp,
+    /// The last run of a gang whose failure was counted; all members report it.
+    pub(super) gang_failed: Run,
+}
+
+impl Stage {
+    fn new(step: &Step, kept: &StepProgress) -> Self {
+        let mut stage = Self {
+            tasks: vec![Task::default(); usize::from(step.count)],
+            waiting: BTreeSet::new(),
+            done: 0,
+            kept: 0,
+            opened: None,
+            advice: Advice::default(),
+            gang_since: Timestamp::ZERO,
+            gang_failed: Run(0),
+        };
+        for (index, failures) in &kept.failures {
+            if let Some(task) = stage.tasks.get_mut(usize::from(*index)) {
+                task.failures = *failures;
+            }
+        }
+        for index in 0..step.count {
+            if kept.is_done(index) {
+                stage.tasks[usize::from(index)].is_done = true;
+                stage.done += 1;
+            } else {
+                stage.waiting.insert(index);
+            }
+        }
+        stage.kept = stage.done;
+        stage
+    }
+
+    pub(super) fn task(&self, index: u16) -> Option<&Task> {
+        self.tasks.get(usize::from(index))
+    }
+
+    pub(super) fn task_mut(&mut self, index: u16) -> Option<&mut Task> {
+        self.tasks.get_mut(usize::from(index))
+    }
+
+    pub(super) fn progress(&self) -> StepProgress {
+        let mut progress = StepProgress::default();
+        for (index, task) in (0u16..).zip(&self.tasks) {
+            if task.is_done {
+                progress.set_done(index);
+            }
+            if task.failures > 0 {
+                progress.failures.push((index, task.failures));
+            }
+        }
+        progress
+    }
+
+    /// Returns how many tasks have a run that may be under way.
+    pub(super) fn active(&self) -> usize {
+        let active = self.tasks.iter().filter(|task| task.active.is_some());
+        active.count()
+    }
+}
+
+/// A job as the engine keeps it.
+#[derive(Clone, Debug)]
+pub(super) struct Job {
+    pub(super) accepted: Accepted,
+    /// A former owner may have started its tasks.
+    pub(super) is_inherited: bool,
+    pub(super) is_cancelled: bool,
+    pub(super) has_begun: bool,
+    pub(super) occurrences: BTreeMap<u32, Vec<Stage>>,
+    /// How it ended, once that is decided.
+    pub(super) outcome: Option<Outcome>,
+    /// How it ended by the record, which is what callers see.
+    pub(super) kept_outcome: Option<Outcome>,
+    /// When it has to be completed to be in time.
+    pub(super) due: Timestamp,
+    /// From when on its completion is worth nothing any more.
+    pub(super) worthless: Timestamp,
+}
+
+/// A job that ends later than this many times its latency objective is worth nothing.
+const WORTHLESS_AFTER: u32 = 3;
+
+impl Job {
+    pub(super) fn new(accepted: Accepted, progress: &Progress) -> Self {
+        let spec = accepted.spec.clone();
+        let chain = (0..spec.steps.len())
+            .map(|step| spec.chain_from(u16::try_from(step).unwrap_or(u16::MAX)))
+            .max()
+            .unwrap_or_default();
+        let queue = &accepted.queue;
+        let objective = chain.mul_f64(queue.stretch.max(0.0)) + queue.objective;
+        let mut job = Self {
+            is_inherited: false,
+            is_cancelled: false,
+            has_begun: !progress.occurrences.is_empty(),
+            occurrences: BTreeMap::new(),
+            outcome: progress.outcome,
+            kept_outcome: progress.outcome,
+            due: accepted.received + objective,
+            worthless: accepted.received + objective * WORTHLESS_AFTER,
+            accepted,
+        };
+        for (occurrence, steps) in &progress.occurrences {
+            job.begin_occurrence(*occurrence, steps);
+        }
+        job
+    }
+
+    pub(super) fn spec(&self) -> &Arc<Spec> {
+        &self.accepted.spec
+    }
+
+    /// Returns whether nothing of it is to be started any more.
+    pub(super) const fn is_over(&self) -> bool {
+        self.is_cancelled || self.outcome.is_some()
+    }
+
+    /// Sets up the stages of an occurrence.
+    pub(super) fn begin_occurrence(&mut self, occurrence: u32, kept: &[StepProgress]) {
+        let none = StepProgress::default();
+        let stages = self
+            .accepted
+            .spec
+            .steps
+            .iter()
+            .enumerate()
+            .map(|(index, step)| Stage::new(step, kept.get(index).unwrap_or(&none)))
+            .collect();
+        self.occurrences.entry(occurrence).or_insert(stages);
+    }
+
+    /// Returns how many times the steps run.
+    pub(super) fn times(&self) -> u32 {
+        self.spec().schedule.map_or(1, |schedule| schedule.times)
+    }
+
+    pub(super) fn step(&self, id: StepId) -> Option<&Step> {
+        self.accepted.spec.steps.get(usize::from(id.step))
+    }
+
+    pub(super) fn stage(&self, id: StepId) -> Option<&Stage> {
+        let stages = self.occurrences.get(&id.occurrence)?;
+        stages.get(usize::from(id.step))
+    }
+
+    pub(super) fn stage_mut(&mut self, id: StepId) -> Option<&mut Stage> {
+        let stages = self.occurrences.get_mut(&id.occurrence)?;
+        stages.get_mut(usize::from(id.step))
+    }
+
+    /// Returns whether every task of every occurrence is done.
+    pub(super) fn is_done(&self) -> bool {
+        let begun = u32::try_from(self.occurrences.len()).unwrap_or(u32::MAX);
+        let mut stages = self.occurrences.values().flatten();
+        begun >= self.times() && stages.all(|stage| usize::from(stage.done) == stage.tasks.len())
+    }
+
+    pub(super) fn progress(&self) -> Progress {
+        let occurrences = self.occurrences.iter();
+        Progress {
+            occurrences: occurrences
+                .map(|(index, stages)| (*index, stages.iter().map(Stage::progress).collect()))
+                .collect(),
+            outcome: self.outcome,
+        }
+    }
+
+    /// Returns the latest time at which a step may start for the job to be in time.
+    pub(super) fn latest_start(&self, step: u16) -> Timestamp {
+        let chain: Duration = self.spec().chain_from(step);
+        self.due.saturating_sub(chain)
+    }
+}
--- /dev/null
+++ b/crates/cell/src/engine/keep.rs
@@ -0,0 +1,189 @@
+//! What has to be on record before it is acted on.
+
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
+
+use fulmarpier_state::clock::Timestamp;
+
+use super::{
+    Engine,
+    Slot, //
+};
+use crate::{
+    effect::{
+        Effect,
+        Note, //
+    },
+    id::{
+        JobId,
+        StepId,
+        WorkerId, //
+    },
+    record::{
+        Entry,
+        Outcome, //
+    },
+    worker::Contact,
+};
+
+/// What waits for its record, and the record that is on its way; one at a time.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Ledger {
+    jobs: BTreeSet<JobId>,
+    workers: BTreeSet<Slot>,
+    /// The last end of each worker that was taken in.
+    ends: BTreeMap<Slot, u64>,
+    flight: Option<Flight>,
+}
+
+/// What one record covers.
+#[derive(Clone, Debug, Default)]
+struct Flight {
+    jobs: Vec<Snapshot>,
+    workers: Vec<Slot>,
+    ends: BTreeMap<Slot, u64>,
+}
+
+/// How far a job had come when the record was written.
+#[derive(Clone, Debug)]
+struct Snapshot {
+    job: JobId,
+    outcome: Option<Outcome>,
+    done: Vec<(StepId, u16)>,
+}
+
+impl Ledger {
+    pub(super) fn add_job(&mut self, job: JobId) {
+        self.jobs.insert(job);
+    }
+
+    pub(super) fn add_worker(&mut self, slot: Slot) {
+        self.workers.insert(slot);
+    }
+
+    pub(super) fn add_ends(&mut self, slot: Slot, last: u64) {
+        self.ends.insert(slot, last);
+    }
+
+    pub(super) fn remove_worker(&mut self, _worker: WorkerId) {
+        // Its record stays: a new owner finds the incarnation gone by asking at its address.
+    }
+}
+
+impl Engine {
+    /// Writes what has changed, unless a record is on its way.
+    ///
+    /// What comes up meanwhile goes into the next one, so records are grouped by the store's pace.
+    pub(super) fn keep(&mut self) {
+        if self.ledger.flight.is_some() {
+            return;
+        }
+        let jobs = std::mem::take(&mut self.ledger.jobs);
+        let workers = std::mem::take(&mut self.ledger.workers);
+        let ends = std::mem::take(&mut self.ledger.ends);
+        let mut entries = Vec::new();
+        let mut snapshots = Vec::new();
+        for id in jobs {
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
+            entries.push(Entry::Job(id, job.progress()));
+            snapshots.push(self.snapshot(id));
+        }
+        for slot in &workers {
+            if let Some(worker) = self.workers.get(slot) {
+                let registration = &worker.registration;
+                entries.push(Entry::Worker(registration.id.clone(), registration.address));
+            }
+        }
+        let flight = Flight {
+            jobs: snapshots,
+            workers: workers.into_iter().collect(),
+            ends,
+        };
+        if entries.is_empty() {
+            self.acknowledge(&flight.ends, None);
+            return;
+        }
+        self.ledger.flight = Some(flight);
+        self.outbox.push(Effect::Record(entries));
+    }
+
+    fn snapshot(&self, id: JobId) -> Snapshot {
+        let job = self.jobs.get(&id);
+        let occurrences = job.map(|job| &job.occurrences).into_iter().flatten();
+        let done = occurrences.flat_map(|(occurrence, stages)| {
+            (0u16..).zip(stages).map(move |(step, stage)| {
+                let step = StepId {
+                    job: id,
+                    occurrence: *occurrence,
+                    step,
+                };
+                (step, stage.done)
+            })
+        });
+        Snapshot {
+            job: id,
+            outcome: job.and_then(|job| job.outcome),
+            done: done.collect(),
+        }
+    }
+
+    /// Notes that the record on its way is kept.
+    pub fn recorded(&mut self, now: Timestamp) {
+        let Some(flight) = self.ledger.flight.take() else {
+            return;
+        };
+        for slot in flight.workers {
+            if let Some(worker) = self.workers.get_mut(&slot) {
+                worker.is_kept = true;
+                self.is_stirred = true;
+            }
+        }
+        for snapshot in flight.jobs {
+            self.apply(snapshot, now);
+        }
+        self.acknowledge(&flight.ends, Some(now));
+    }
+
+    fn apply(&mut self, snapshot: Snapshot, now: Timestamp) {
+        let Some(job) = self.jobs.get_mut(&snapshot.job) else {
+            return;
+        };
+        for (step, done) in snapshot.done {
+            if let Some(stage) = job.stage_mut(step) {
+                stage.kept = done;
+            }
+        }
+        let is_new = job.kept_outcome.is_none();
+        job.kept_outcome = job.kept_outcome.or(snapshot.outcome);
+        if let Some(outcome) = snapshot.outcome.filter(|_| is_new) {
+            let after = now.since(job.accepted.received);
+            self.note(Note::Finished {
+                job: snapshot.job,
+                outcome: match outcome {
+                    Outcome::Completed => "completed",
+                    Outcome::Failed => "failed",
+                },
+                after,
+            });
+        }
+        self.open_steps(snapshot.job, now);
+    }
+
+    /// Lets workers forget ends that are on record or need none.
+    fn acknowledge(&mut self, ends: &BTreeMap<Slot, u64>, now: Option<Timestamp>) {
+        for (slot, last) in ends {
+            let Some(worker) = self.workers.get_mut(slot) else {
+                continue;
+            };
+            let is_news = *last > worker.kept;
+            worker.kept = worker.kept.max(*last);
+            if is_news && let Contact::Due(due) = worker.contact {
+                worker.contact = Contact::Due(now.unwrap_or(Timestamp::ZERO).min(due));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/cell/src/engine/mod.rs
@@ -0,0 +1,204 @@
+//! The scheduler of a whole cell: events and the time go in, effects come out.
+//!
+//! | module | what it does |
+//! |---|---|
+//! | `submit` | takes jobs and cancellations, opens steps whose turn has come |
+//! | `schedule` | goes through the open steps in order of urgency |
+//! | `place` | finds workers for single tasks and gangs |
+//! | `reserve` | makes room for a gang or an urgent task by preemption |
+//! | `ask` | asks which workers may run a step |
+//! | `order` | answers to orders, and stops until they are settled |
+//! | `contact` | inventories, leases, and workers that come and go |
+//! | `end` | ends of runs, tries, and ends of jobs |
+//! | `keep` | what is put on record, and what that allows |
+//! | `view` | what callers and operators see |
+
+mod ask;
+mod contact;
+mod end;
+mod job;
+mod keep;
+mod order;
+mod place;
+mod reserve;
+mod schedule;
+mod submit;
+mod view;
+
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
+
+use fulmarpier_state::{
+    alias::HashMap,
+    clock::Timestamp, //
+};
+
+pub use self::view::{
+    Counts,
+    State, //
+};
+use self::{
+    job::Job,
+    keep::Ledger, //
+};
+use crate::{
+    advice::Desk,
+    bounds::Bounds,
+    config::Config,
+    effect::{
+        Destination,
+        Effect,
+        Note, //
+    },
+    event::Registration,
+    id::{
+        Epoch,
+        JobId,
+        NodeName,
+        QueueName,
+        Run,
+        StepId,
+        TaskId,
+        WorkerId, //
+    },
+    record::{
+        Accepted,
+        Progress, //
+    },
+    worker::Worker,
+};
+
+/// A worker's place in the engine's tables; never used for another worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Slot(u32);
+
+/// What a new owner has read from the store.
+#[derive(Clone, Debug, Default)]
+pub struct Inheritance {
+    /// The jobs that were accepted.
+    pub accepted: Vec<Accepted>,
+    /// The jobs that were cancelled.
+    pub cancelled: Vec<JobId>,
+    /// How far jobs have come.
+    pub progress: Vec<(JobId, Progress)>,
+    /// The workers that former owners may have given tasks, with their addresses.
+    pub workers: Vec<(WorkerId, std::net::SocketAddr)>,
+}
+
+/// The scheduler of a cell.
+#[derive(Debug)]
+pub struct Engine {
+    epoch: Epoch,
+    /// When the ownership began.
+    since: Timestamp,
+    bounds: Bounds,
+    config: Config,
+    jobs: HashMap<JobId, Job>,
+    /// Cancellations that came before their jobs.
+    cancelled: BTreeSet<JobId>,
+    workers: BTreeMap<Slot, Worker>,
+    slots: HashMap<WorkerId, Slot>,
+    next_slot: u32,
+    /// Steps whose turn has come and that have tasks to start.
+    open: BTreeSet<StepId>,
+    /// Runs that have to end: they are told so until they are gone.
+    stopping: BTreeSet<(Slot, TaskId, Run)>,
+    /// When occurrences of jobs are due.
+    due: BTreeSet<(Timestamp, JobId, u32)>,
+    /// How many jobs of each queue have begun nothing.
+    pending: HashMap<QueueName, u32>,
+    desk: Desk,
+    ledger: Ledger,
+    /// Workers of former owners that have not been heard of yet, and until when they may run tasks.
+    unheard: BTreeMap<WorkerId, Timestamp>,
+    /// Whether something has changed that may let a task start.
+    is_stirred: bool,
+    outbox: Vec<Effect>,
+}
+
+impl Engine {
+    /// Makes the engine of a new ownership from what the store keeps.
+    ///
+    /// What is inherited starts again only once every worker that may still run it was heard of, or
+    /// has let its leases lapse.
+    pub fn new(epoch: Epoch, bounds: Bounds, inheritance: Inheritance, now: Timestamp) -> Self {
+        let mut engine = Self {
+            epoch,
+            since: now,
+            bounds,
+            config: Config::default(),
+            jobs: HashMap::default(),
+            cancelled: inheritance.cancelled.into_iter().collect(),
+            workers: BTreeMap::new(),
+            slots: HashMap::default(),
+            next_slot: 0,
+            open: BTreeSet::new(),
+            stopping: BTreeSet::new(),
+            due: BTreeSet::new(),
+            pending: HashMap::default(),
+            desk: Desk::default(),
+            ledger: Ledger::default(),
+            unheard: BTreeMap::new(),
+            is_stirred: true,
+            outbox: Vec::new(),
+        };
+        let mut progress: HashMap<JobId, Progress> = inheritance.progress.into_iter().collect();
+        for accepted in inheritance.accepted {
+            let progress = progress.remove(&accepted.job).unwrap_or_default();
+            engine.inherit(accepted, progress, now);
+        }
+        let lapses = now + engine.bounds.lapse();
+        for (worker, address) in inheritance.workers {
+            engine.expect_worker(worker, address, lapses, now);
+        }
+        engine
+    }
+
+    /// Returns the ownership that the engine acts under.
+    pub const fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// Puts a configuration in force; an older one than the present changes nothing.
+    pub fn configure(&mut self, config: Config) {
+        if config.version >= self.config.version {
+            self.config = config;
+            self.is_stirred = true;
+        }
+    }
+
+    /// Says which nodes can ask for advice.
+    pub fn set_hands(&mut self, nodes: &[NodeName], now: Timestamp) {
+        for call in self.desk.set_hands(nodes) {
+            self.unask(call.step, now);
+        }
+        self.is_stirred = true;
+    }
+
+    /// Does what is due and hands out what has to be done; nothing of it may be dropped.
+    pub fn advance(&mut self, now: Timestamp) -> Vec<Effect> {
+        self.open_due(now);
+        self.expire_workers(now);
+        self.send_stops(now);
+        if std::mem::take(&mut self.is_stirred) {
+            self.schedule(now);
+        }
+        self.keep();
+        self.call_workers(now);
+        std::mem::take(&mut self.outbox)
+    }
+
+    fn destination(&self, worker: &Registration) -> Destination {
+        Destination {
+            worker: worker.id.clone(),
+            address: worker.address,
+            epoch: self.epoch,
+        }
+    }
+
+    fn note(&mut self, note: Note) {
+        self.outbox.push(Effect::Note(note));
+    }
+}
--- /dev/null
+++ b/crates/cell/src/engine/order.rs
@@ -0,0 +1,181 @@
+//! What comes of orders, and stops that are repeated until they are settled.
+
+use std::time::Duration;
+
+use fulmarpier_state::clock::Timestamp;
+
+use super::{
+    Engine,
+    Slot, //
+};
+use crate::{
+    effect::{
+        Effect,
+        Note,
+        Stop, //
+    },
+    event::{
+        StartAnswer,
+        StopAnswer, //
+    },
+    id::{
+        Run,
+        TaskId,
+        WorkerId, //
+    },
+    worker::Phase,
+};
+
+/// How long a worker that turned a start away gets no other.
+const REST: Duration = Duration::from_millis(500);
+/// How long to wait before a stop is sent again.
+const STOP_AGAIN: Duration = Duration::from_millis(300);
+
+impl Engine {
+    /// Takes the answer to an order to start.
+    pub fn started(
+        &mut self,
+        worker: &WorkerId,
+        task: TaskId,
+        run: Run,
+        answer: StartAnswer,
+        now: Timestamp,
+    ) {
+        let Some(slot) = self.slots.get(worker).copied() else {
+            return;
+        };
+        if answer != StartAnswer::Started {
+            self.note(Note::NotStarted {
+                task,
+                run,
+                worker: worker.clone(),
+                why: answer.word(),
+            });
+        }
+        match answer {
+            StartAnswer::Started => self.confirm(slot, task, run, now),
+            StartAnswer::Fenced => self.outbox.push(Effect::Deposed),
+            StartAnswer::Gone => self.lose_worker(slot, "replaced", now),
+            StartAnswer::Silent => self.stop(slot, task, run, "unanswered", now),
+            StartAnswer::Ticket => {
+                let stage = self.jobs.get_mut(&task.step.job);
+                let stage = stage.and_then(|job| job.stage_mut(task.step));
+                if let Some(stage) = stage
+                    && let Some(ticket) = stage.advice.allowed.get_mut(&slot)
+                {
+                    ticket.until = Timestamp::ZERO;
+                }
+                self.release(slot, task, run, now);
+            }
+            StartAnswer::Old => self.release(slot, task, run, now),
+            StartAnswer::Late
+            | StartAnswer::Full
+            | StartAnswer::Unhealthy
+            | StartAnswer::Malformed
+            | StartAnswer::Unsent => {
+                if let Some(worker) = self.workers.get_mut(&slot) {
+                    worker.rests = worker.rests.max(now + REST);
+                }
+                self.release(slot, task, run, now);
+            }
+        }
+    }
+
+    fn confirm(&mut self, slot: Slot, task: TaskId, run: Run, now: Timestamp) {
+        let worker = self.workers.get_mut(&slot);
+        let claim = worker.and_then(|worker| worker.claims.get_mut(&(task, run)));
+        if let Some(claim) = claim
+            && claim.phase == Phase::Starting
+        {
+            claim.phase = Phase::Running { since: now };
+        }
+    }
+
+    /// Has a run end, or never begin.
+    pub(super) fn stop(
+        &mut self,
+        slot: Slot,
+        task: TaskId,
+        run: Run,
+        why: &'static str,
+        now: Timestamp,
+    ) {
+        let Some(worker) = self.workers.get_mut(&slot) else {
+            return;
+        };
+        let Some(claim) = worker.claims.get_mut(&(task, run)) else {
+            return;
+        };
+        if matches!(claim.phase, Phase::Stopping { .. }) {
+            return;
+        }
+        claim.phase = Phase::Stopping {
+            confirmed: None,
+            next: Some(now),
+        };
+        let worker = worker.registration.id.clone();
+        self.stopping.insert((slot, task, run));
+        self.note(Note::Stopping {
+            task,
+            run,
+            worker,
+            why,
+        });
+    }
+
+    /// Sends the stops that are due.
+    pub(super) fn send_stops(&mut self, now: Timestamp) {
+        let stopping: Vec<_> = self.stopping.iter().copied().collect();
+        for (slot, task, run) in stopping {
+            let Some(worker) = self.workers.get_mut(&slot) else {
+                self.stopping.remove(&(slot, task, run));
+                continue;
+            };
+            let Some(claim) = worker.claims.get_mut(&(task, run)) else {
+                self.stopping.remove(&(slot, task, run));
+                continue;
+            };
+            let Phase::Stopping { next, .. } = &mut claim.phase else {
+                continue;
+            };
+            if next.is_none_or(|at| at > now) {
+                continue;
+            }
+            *next = None;
+            let registration = worker.registration.clone();
+            let to = self.destination(&registration);
+            self.outbox.push(Effect::Stop(Stop { to, task, run }));
+        }
+    }
+
+    /// Takes the answer to an order to stop.
+    pub fn stopped(
+        &mut self,
+        worker: &WorkerId,
+        task: TaskId,
+        run: Run,
+        answer: StopAnswer,
+        now: Timestamp,
+    ) {
+        let Some(slot) = self.slots.get(worker).copied() else {
+            return;
+        };
+        let claim = self.workers.get_mut(&slot);
+        let claim = claim.and_then(|worker| worker.claims.get_mut(&(task, run)));
+        let Some(claim) = claim else {
+            return;
+        };
+        let Phase::Stopping { confirmed, next } = &mut claim.phase else {
+            return;
+        };
+        match answer {
+            StopAnswer::Confirmed => {
+                *confirmed = Some(now);
+                self.stopping.remove(&(slot, task, run));
+            }
+            StopAnswer::Silent => *next = Some(now + STOP_AGAIN),
+            StopAnswer::Fenced => self.outbox.push(Effect::Deposed),
+            StopAnswer::Gone => self.lose_worker(slot, "replaced", now),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cell/src/engine/place.rs
@@ -0,0 +1,380 @@
+//! Finding workers for tasks.
+
+use std::collections::BTreeMap;
+
+use fulmarpier_state::{
+    clock::Timestamp,
+    resource::Resources, //
+};
+
+use super::{
+    Engine,
+    Slot,
+    job::Job,
+    reserve::Reserved, //
+};
+use crate::{
+    config::Queue,
+    effect::{
+        Effect,
+        Note,
+        Start, //
+    },
+    id::{
+        Run,
+        StepId, //
+    },
+    job::Step,
+    worker::{
+        Claim,
+        Phase,
+        Worker, //
+    },
+};
+
+/// A gang whose members did not all start is completed on other workers for this part of the time
+/// that the members wait for each other, and after that begun anew.
+const GANG_REPAIR_PART: u32 = 2;
+
+/// What a step asks of a worker.
+pub(super) struct Demand<'a> {
+    pub(super) id: StepId,
+    pub(super) step: &'a Step,
+    pub(super) queue: &'a Queue,
+    pub(super) size: Resources,
+}
+
+impl Engine {
+    /// Returns the queue of a job as it is set now, or as it was when the job was accepted.
+    pub(super) fn queue_of<'a>(&'a self, job: &'a Job) -> &'a Queue {
+        let accepted = &job.accepted.queue;
+        self.config.queues.get(&accepted.name).unwrap_or(accepted)
+    }
+
+    pub(super) fn demand<'a>(&'a self, job: &'a Job, id: StepId) -> Option<Demand<'a>> {
+        let step = job.step(id)?;
+        Some(Demand {
+            id,
+            step,
+            queue: self.queue_of(job),
+            size: charge(step),
+        })
+    }
+
+    /// Returns whether a worker may run tasks of a step, room aside.
+    pub(super) fn suits(
+        &self,
+        job: &Job,
+        demand: &Demand<'_>,
+        slot: Slot,
+        worker: &Worker,
+        now: Timestamp,
+    ) -> bool {
+        if worker.registration.pool != demand.queue.pool || !worker.is_open(now) {
+            return false;
+        }
+        let label = demand.step.requires.as_deref();
+        if label.is_some_and(|label| !worker.has_label(label)) {
+            return false;
+        }
+        let stage = job.stage(demand.id);
+        demand.queue.advice.is_none()
+            || stage.is_some_and(|stage| stage.advice.ticket(slot, now).is_some())
+    }
+
+    /// Returns how many more tasks of a step the rule against crowding allows on a worker.
+    fn spread_left(&self, demand: &Demand<'_>, worker: &Worker) -> usize {
+        let Some(most) = demand.step.anti_affinity else {
+            return usize::MAX;
+        };
+        let here = worker.claims.keys();
+        let here = here.filter(|(task, _)| task.step == demand.id).count();
+        usize::from(most).saturating_sub(here)
+    }
+
+    /// Starts tasks of a step one by one; true where none is left waiting.
+    pub(super) fn place_singles(
+        &mut self,
+        id: StepId,
+        reserved: &Reserved,
+        now: Timestamp,
+    ) -> bool {
+        loop {
+            let Some(index) = self.first_waiting(id) else {
+                self.open.remove(&id);
+                return true;
+            };
+            let Some(slot) = self.find(id, index, reserved, now) else {
+                return false;
+            };
+            let run = self.next_run(id, index);
+            if !self.start(id, index, slot, run, now) {
+                return false;
+            }
+        }
+    }
+
+    fn first_waiting(&self, id: StepId) -> Option<u16> {
+        let stage = self.jobs.get(&id.job)?.stage(id)?;
+        stage.waiting.first().copied()
+    }
+
+    /// Returns the number that the next start of a task gets.
+    fn next_run(&self, id: StepId, index: u16) -> Run {
+        let stage = self.jobs.get(&id.job).and_then(|job| job.stage(id));
+        let last = stage.and_then(|stage| stage.task(index));
+        let last = last.map_or(Run(0), |task| task.last);
+        self.epoch.first_run().max(Run(last.0 + 1))
+    }
+
+    /// Returns the best worker for one task.
+    fn find(
+        &self,
+        id: StepId,
+        index: u16,
+        reserved: &Reserved,
+        now: Timestamp,
+    ) -> Option<Slot> {
+        let job = self.jobs.get(&id.job)?;
+        let demand = self.demand(job, id)?;
+        let avoid = job.stage(id)?.task(index)?.avoid;
+        let fitting = self.workers.iter().filter(|(slot, worker)| {
+            demand.size.fits(&worker.free)
+                && !reserved.holds(**slot, id)
+                && self.suits(job, &demand, **slot, worker, now)
+                && self.spread_left(&demand, worker) > 0
+        });
+        fitting
+            .min_by_key(|(slot, worker)| {
+                let is_avoided = avoid == Some(**slot);
+                (is_avoided, is_remote(&demand, worker), left(&demand, worker))
+            })
+            .map(|(slot, _)| *slot)
+    }
+
+    /// Starts a whole gang, or completes one whose members did not all start; true where none is
+    /// left waiting.
+    pub(super) fn place_gang(&mut self, id: StepId, reserved: &Reserved, now: Timestamp) -> bool {
+        let Some(stage) = self.jobs.get(&id.job).and_then(|job| job.stage(id)) else {
+            return true;
+        };
+        if stage.waiting.is_empty() {
+            self.open.remove(&id);
+            return true;
+        }
+        if stage.active() > 0 {
+            return self.repair_gang(id, reserved, now);
+        }
+        let waiting: Vec<u16> = stage.waiting.iter().copied().collect();
+        let Some(places) = self.find_gang(id, waiting.len(), reserved, now) else {
+            return false;
+        };
+        let run = waiting.iter().map(|index| self.next_run(id, *index)).max();
+        let run = run.unwrap_or_default();
+        if let Some(stage) = self.jobs.get_mut(&id.job).and_then(|job| job.stage_mut(id)) {
+            stage.gang_since = now;
+        }
+        for (index, slot) in waiting.into_iter().zip(places) {
+            // Room was counted for all of them a moment ago.
+            self.start(id, index, slot, run, now);
+        }
+        self.open.remove(&id);
+        true
+    }
+
+    /// Starts missing members of a gang elsewhere, or stops those that wait in vain.
+    fn repair_gang(&mut self, id: StepId, reserved: &Reserved, now: Timestamp) -> bool {
+        let Some(stage) = self.jobs.get(&id.job).and_then(|job| job.stage(id)) else {
+            return true;
+        };
+        let active = stage.tasks.iter().enumerate();
+        let active: Vec<(u16, Slot, Run)> = active
+            .filter_map(|(index, task)| {
+                let (slot, run) = task.active?;
+                Some((u16::try_from(index).ok()?, slot, run))
+            })
+            .collect();
+        let run = active.iter().map(|(_, _, run)| *run).max();
+        let is_ending = active.iter().any(|(index, slot, run)| {
+            let worker = self.workers.get(slot);
+            let claim = worker.and_then(|worker| worker.claims.get(&(id.task(*index), *run)));
+            claim.is_none_or(|claim| matches!(claim.phase, Phase::Stopping { .. }))
+        });
+        let until = stage.gang_since + self.bounds.gang_wait / GANG_REPAIR_PART;
+        if !is_ending && now < until {
+            while let (Some(run), Some(index)) = (run, self.first_waiting(id)) {
+                let found = self.find(id, index, reserved, now);
+                if !found.is_some_and(|slot| self.start(id, index, slot, run, now)) {
+                    break;
+                }
+            }
+            if self.first_waiting(id).is_none() {
+                self.open.remove(&id);
+            }
+            return true;
+        }
+        for (index, slot, run) in active {
+            self.stop(slot, id.task(index), run, "incomplete", now);
+        }
+        true
+    }
+
+    /// Returns a worker for each member of a gang, or `None` where they don't all fit.
+    fn find_gang(
+        &self,
+        id: StepId,
+        count: usize,
+        reserved: &Reserved,
+        now: Timestamp,
+    ) -> Option<Vec<Slot>> {
+        let job = self.jobs.get(&id.job)?;
+        let demand = self.demand(job, id)?;
+        let mut rooms: Vec<(Slot, usize, &Worker)> = Vec::new();
+        for (slot, worker) in &self.workers {
+            if !demand.size.fits(&worker.free) || reserved.holds(*slot, id) {
+                continue;
+            }
+            if !self.suits(job, &demand, *slot, worker, now) {
+                continue;
+            }
+            let room = room_for(&worker.free, &demand.size).min(self.spread_left(&demand, worker));
+            if room > 0 {
+                rooms.push((*slot, room, worker));
+            }
+        }
+        if demand.step.same_rack
+            && let Some(places) = in_one_rack(&rooms, count)
+        {
+            return Some(places);
+        }
+        rooms.sort_by_key(|(_, _, worker)| (is_remote(&demand, worker), left(&demand, worker)));
+        fill(rooms.iter().map(|(slot, room, _)| (*slot, *room)), count)
+    }
+
+    /// Takes the room for a run and orders its start.
+    fn start(&mut self, id: StepId, index: u16, slot: Slot, run: Run, now: Timestamp) -> bool {
+        let task = id.task(index);
+        let Some(job) = self.jobs.get_mut(&id.job) else {
+            return false;
+        };
+        let spec = job.accepted.spec.clone();
+        let Some(step) = spec.steps.get(usize::from(id.step)) else {
+            return false;
+        };
+        let Some(worker) = self.workers.get_mut(&slot) else {
+            return false;
+        };
+        let claim = Claim {
+            size: charge(step),
+            phase: Phase::Starting,
+            since: now,
+        };
+        let Some(deadline) = worker.extend(&self.bounds, now) else {
+            return false;
+        };
+        if !worker.claim(task, run, claim) {
+            return false;
+        }
+        let heard = worker.age(now);
+        let registration = worker.registration.clone();
+        let Some(stage) = job.stage_mut(id) else {
+            return false;
+        };
+        let waited = stage.opened.map(|opened| now.since(opened));
+        let ticket = stage.advice.ticket(slot, now);
+        let ticket = ticket.map(|ticket| ticket.text.clone());
+        stage.waiting.remove(&index);
+        let mut checkpoint = None;
+        if let Some(task) = stage.task_mut(index) {
+            task.active = Some((slot, run));
+            task.last = run;
+            checkpoint = task.checkpoint.clone();
+        }
+        let has_begun = std::mem::replace(&mut job.has_begun, true);
+        let queue = job.accepted.queue.name.clone();
+        if !has_begun {
+            self.count_begun(&queue);
+        }
+        let to = self.destination(&registration);
+        self.note(Note::Placed {
+            task,
+            run,
+            worker: registration.id,
+            heard,
+            waited: waited.unwrap_or_default(),
+        });
+        self.outbox.push(Effect::Start(Box::new(Start {
+            to,
+            task,
+            run,
+            text: spec.text.clone(),
+            deadline,
+            checkpoint,
+            ticket,
+        })));
+        true
+    }
+}
+
+/// Returns what a task of a step takes from a worker; what fills takes only memory.
+pub(super) fn charge(step: &Step) -> Resources {
+    let mut size = step.size;
+    if step.fills {
+        size.cpu = fulmarpier_state::unit::Millicores(0);
+    }
+    size
+}
+
+fn is_remote(demand: &Demand<'_>, worker: &Worker) -> bool {
+    let rack = demand.step.affinity.as_deref();
+    rack.is_some_and(|rack| !worker.has_label(rack))
+}
+
+/// Returns the processor time that a worker has left after the task; little is good packing.
+fn left(demand: &Demand<'_>, worker: &Worker) -> u32 {
+    worker.free.cpu.get().saturating_sub(demand.size.cpu.get())
+}
+
+/// Returns how many tasks of a size fit into some room.
+pub(super) fn room_for(free: &Resources, size: &Resources) -> usize {
+    let mut room = *free;
+    let mut count = 0;
+    while size.fits(&room) && count < usize::from(u16::MAX) {
+        let Some(rest) = room.checked_sub(*size) else {
+            break;
+        };
+        if rest == room {
+            return usize::from(u16::MAX);
+        }
+        room = rest;
+        count += 1;
+    }
+    count
+}
+
+fn fill(rooms: impl Iterator<Item = (Slot, usize)>, count: usize) -> Option<Vec<Slot>> {
+    let mut places = Vec::with_capacity(count);
+    for (slot, room) in rooms {
+        let take = room.min(count - places.len());
+        places.extend(std::iter::repeat_n(slot, take));
+        if places.len() == count {
+            return Some(places);
+        }
+    }
+    None
+}
+
+/// Returns places for all members in the one rack with the least room that holds them.
+fn in_one_rack(rooms: &[(Slot, usize, &Worker)], count: usize) -> Option<Vec<Slot>> {
+    let mut racks: BTreeMap<&str, Vec<(Slot, usize)>> = BTreeMap::new();
+    for (slot, room, worker) in rooms {
+        // A worker's labels are its kind and its rack.
+        if let Some(rack) = worker.registration.labels.last() {
+            racks.entry(rack).or_default().push((*slot, *room));
+        }
+    }
+    let total = |rooms: &[(Slot, usize)]| rooms.iter().map(|(_, room)| *room).sum::<usize>();
+    let fitting = racks.into_values().filter(|rooms| total(rooms) >= count);
+    let rooms = fitting.min_by_key(|rooms| total(rooms))?;
+    fill(rooms.into_iter(), count)
+}
--- /dev/null
+++ b/crates/cell/src/engine/submit.rs
@@ -0,0 +1,179 @@
+//! Jobs and cancellations that come in, and steps whose turn comes.
+
+use std::time::Duration;
+
+use fulmarpier_state::clock::Timestamp;
+
+use super::{
+    Engine,
+    job::Job, //
+};
+use crate::{
+    id::{
+        JobId,
+        StepId, //
+    },
+    record::{
+        Accepted,
+        Progress, //
+    },
+};
+
+/// For this long after a takeover a former owner may not know of it yet and may have started jobs
+/// that came in since; nodes exchange who owns the cell every half second, and one call may be lost.
+const FORMER_OWNER: Duration = Duration::from_secs(2);
+
+impl Engine {
+    /// Takes a job whose acceptance is on record; false where it is known already.
+    pub fn submit(&mut self, accepted: Accepted, now: Timestamp) -> bool {
+        if self.jobs.contains_key(&accepted.job) {
+            return false;
+        }
+        let mut job = Job::new(accepted, &Progress::default());
+        job.is_inherited = now.since(self.since) < FORMER_OWNER;
+        self.insert(job, now);
+        true
+    }
+
+    /// Takes a job that a former owner may have begun.
+    pub(super) fn inherit(&mut self, accepted: Accepted, progress: Progress, now: Timestamp) {
+        let mut job = Job::new(accepted, &progress);
+        job.is_inherited = true;
+        self.insert(job, now);
+    }
+
+    fn insert(&mut self, mut job: Job, now: Timestamp) {
+        let id = job.accepted.job;
+        job.is_cancelled = self.cancelled.contains(&id);
+        let is_over = job.is_over();
+        if !job.has_begun && !is_over {
+            let queue = job.accepted.queue.name.clone();
+            *self.pending.entry(queue).or_default() += 1;
+        }
+        let schedule = job.spec().schedule;
+        self.jobs.insert(id, job);
+        if is_over {
+            return;
+        }
+        match schedule {
+            Some(schedule) => {
+                for occurrence in 0..schedule.times {
+                    let at = schedule.first + schedule.period * occurrence;
+                    self.due.insert((Timestamp::ZERO + at, id, occurrence));
+                }
+            }
+            None => self.begin_occurrence(id, 0, now),
+        }
+    }
+
+    /// Begins the occurrences whose time has come.
+    pub(super) fn open_due(&mut self, now: Timestamp) {
+        while let Some((at, job, occurrence)) = self.due.first().copied() {
+            if at > now {
+                return;
+            }
+            self.due.pop_first();
+            self.begin_occurrence(job, occurrence, now);
+        }
+    }
+
+    fn begin_occurrence(&mut self, id: JobId, occurrence: u32, now: Timestamp) {
+        let Some(job) = self.jobs.get_mut(&id).filter(|job| !job.is_over()) else {
+            return;
+        };
+        job.begin_occurrence(occurrence, &[]);
+        self.open_steps(id, now);
+    }
+
+    /// Opens the steps of a job that wait for nothing, by what is on record.
+    pub(super) fn open_steps(&mut self, id: JobId, now: Timestamp) {
+        let Some(job) = self.jobs.get_mut(&id).filter(|job| !job.is_over()) else {
+            return;
+        };
+        let spec = job.spec().clone();
+        for (occurrence, stages) in &mut job.occurrences {
+            for (index, step) in spec.steps.iter().enumerate() {
+                let is_ready = step.after.iter().all(|after| {
+                    let earlier = &stages[usize::from(*after)];
+                    usize::from(earlier.kept) == earlier.tasks.len()
+                });
+                let stage = &mut stages[index];
+                if !is_ready || stage.waiting.is_empty() {
+                    continue;
+                }
+                stage.opened.get_or_insert(now);
+                self.open.insert(StepId {
+                    job: id,
+                    occurrence: *occurrence,
+                    step: u16::try_from(index).unwrap_or(u16::MAX),
+                });
+                self.is_stirred = true;
+            }
+        }
+    }
+
+    /// Cancels a job, whose cancellation is on record; returns whether the job is known.
+    pub fn cancel(&mut self, id: JobId, now: Timestamp) -> bool {
+        self.cancelled.insert(id);
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return false;
+        };
+        if job.is_over() {
+            return true;
+        }
+        job.is_cancelled = true;
+        self.close(id, "cancelled", now);
+        true
+    }
+
+    /// Takes a job that is over out of all queues and stops what runs of it.
+    pub(super) fn close(&mut self, id: JobId, why: &'static str, now: Timestamp) {
+        let range = StepId {
+            job: id,
+            occurrence: 0,
+            step: 0,
+        }..=StepId {
+            job: id,
+            occurrence: u32::MAX,
+            step: u16::MAX,
+        };
+        let closed: Vec<StepId> = self.open.range(range).copied().collect();
+        for step in closed {
+            self.open.remove(&step);
+        }
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if !job.has_begun {
+            job.has_begun = true;
+            let queue = job.accepted.queue.name.clone();
+            self.count_begun(&queue);
+        }
+        let mut active = Vec::new();
+        if let Some(job) = self.jobs.get(&id) {
+            for (occurrence, stages) in &job.occurrences {
+                for (index, stage) in (0u16..).zip(stages) {
+                    let step = StepId {
+                        job: id,
+                        occurrence: *occurrence,
+                        step: index,
+                    };
+                    let tasks = (0u16..).zip(&stage.tasks);
+                    active.extend(tasks.filter_map(|(index, task)| {
+                        task.active.map(|(slot, run)| (slot, step.task(index), run))
+                    }));
+                }
+            }
+        }
+        for (slot, task, run) in active {
+            self.stop(slot, task, run, why, now);
+        }
+    }
+
+    /// Notes that a job of a queue has begun or will never begin.
+    pub(super) fn count_begun(&mut self, queue: &crate::id::QueueName) {
+        if let Some(count) = self.pending.get_mut(queue) {
+            *count = count.saturating_sub(1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/cell/src/record.rs
@@ -0,0 +1,141 @@
+//! What outlasts a node, each under a key of its own in the platform's store.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc, //
+};
+
+use fulmarpier_state::clock::Timestamp;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::{
+    config::Queue,
+    id::{
+        Epoch,
+        JobId,
+        NodeName,
+        WorkerId, //
+    },
+    job::Spec,
+};
+
+/// A record can't be read.
+#[derive(Debug, thiserror::Error)]
+#[error("a record can't be decoded")]
+pub struct Error(#[from] postcard::Error);
+
+/// A job that was accepted; kept before its caller is told so.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Accepted {
+    /// The job.
+    pub job: JobId,
+    /// Its queue as it was then; jobs outlive queues that are removed.
+    pub queue: Arc<Queue>,
+    /// What it runs.
+    pub spec: Arc<Spec>,
+    /// When the node that took it received it; orders jobs, and nothing more.
+    pub received: Timestamp,
+}
+
+/// How a job came to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// All tasks are done.
+    Completed,
+    /// A task or a gang has used its tries.
+    Failed,
+}
+
+/// What is done of one step.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StepProgress {
+    /// One bit for each task that is done.
+    pub done: Vec<u8>,
+    /// How often a task has failed, where it has; for a gang under index zero.
+    pub failures: Vec<(u16, u32)>,
+}
+
+impl StepProgress {
+    /// Returns whether a task is done.
+    pub fn is_done(&self, index: u16) -> bool {
+        let byte = self.done.get(usize::from(index / 8)).copied();
+        byte.unwrap_or(0) & (1 << (index % 8)) != 0
+    }
+
+    /// Marks a task as done.
+    pub fn set_done(&mut self, index: u16) {
+        let place = usize::from(index / 8);
+        if self.done.len() <= place {
+            self.done.resize(place + 1, 0);
+        }
+        self.done[place] |= 1 << (index % 8);
+    }
+}
+
+/// How far a job has come; kept before a worker may forget an end and before a caller sees it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Progress {
+    /// The steps of each occurrence that has begun.
+    pub occurrences: Vec<(u32, Vec<StepProgress>)>,
+    /// How it ended, once it has.
+    pub outcome: Option<Outcome>,
+}
+
+/// What the owner keeps: each variant under its own key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Entry {
+    /// How far a job has come.
+    Job(JobId, Progress),
+    /// A worker that may be given tasks; kept before the first one.
+    ///
+    /// A new owner has to hear from each of these, or wait until its leases have lapsed.
+    Worker(WorkerId, SocketAddr),
+}
+
+impl Entry {
+    /// Returns the key that it is kept under.
+    pub fn key(&self) -> String {
+        match self {
+            Self::Job(job, _) => job.to_string(),
+            Self::Worker(worker, _) => format!("w/{worker}"),
+        }
+    }
+}
+
+/// Who owns the cell; a later claim names the one that it replaces by its place in the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    /// The ordinal of the ownership.
+    pub epoch: Epoch,
+    /// The owner.
+    pub node: NodeName,
+    /// Where the owner answers the other nodes.
+    pub address: SocketAddr,
+    /// Tells two lives of one node apart.
+    pub incarnation: u64,
+    /// Rises with each renewal.
+    pub renewal: u32,
+    /// The owner has given the cell up; anyone may claim it at once.
+    pub released: bool,
+}
+
+/// Encodes a record.
+///
+/// # Errors
+///
+/// Fails only where a collection is too large to be counted.
+pub fn encode<T: Serialize>(record: &T) -> Result<Vec<u8>, Error> {
+    Ok(postcard::to_stdvec(record)?)
+}
+
+/// Decodes a record.
+///
+/// # Errors
+///
+/// Fails where the bytes are not such a record.
+pub fn decode<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Result<T, Error> {
+    Ok(postcard::from_bytes(bytes)?)
+}
--- /dev/null
+++ b/crates/cell/src/worker.rs
@@ -0,0 +1,197 @@
+//! One incarnation of a worker: its room, its lease and what it is believed to hold.
+
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
+
+use fulmarpier_state::{
+    clock::Timestamp,
+    resource::Resources, //
+};
+
+use crate::{
+    bounds::Bounds,
+    event::Registration,
+    id::{
+        Run,
+        TaskId, //
+    },
+};
+
+/// How far a run has come on its worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Its order is on its way.
+    Starting,
+    /// The worker has confirmed or listed it.
+    Running {
+        /// When it was confirmed; inventories asked for earlier may not list it yet.
+        since: Timestamp,
+    },
+    /// It has to end, or must never begin.
+    Stopping {
+        /// When the worker confirmed the stop.
+        confirmed: Option<Timestamp>,
+        /// When the stop is sent next; absent while one is on its way.
+        next: Option<Timestamp>,
+    },
+}
+
+/// A run that may use a worker's room, from the decision to start it to proof that it is gone.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Claim {
+    /// What it takes.
+    pub size: Resources,
+    /// How far it has come.
+    pub phase: Phase,
+    /// When it was decided or adopted.
+    pub since: Timestamp,
+}
+
+/// A reading of a worker's clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Reading {
+    millis: u64,
+    at: Timestamp,
+}
+
+/// The call that renews the lease and asks for the inventory; one at a time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Contact {
+    /// The next call is made at this time.
+    Due(Timestamp),
+    /// A call is on its way since this time.
+    Out(Timestamp),
+}
+
+/// One incarnation of a worker.
+#[derive(Clone, Debug)]
+pub struct Worker {
+    /// What it reports of itself.
+    pub registration: Registration,
+    /// What no claim takes.
+    pub free: Resources,
+    /// What may use it.
+    pub claims: BTreeMap<(TaskId, Run), Claim>,
+    /// The call for its inventory.
+    pub contact: Contact,
+    /// When an inventory last came in under this ownership.
+    pub heard: Option<Timestamp>,
+    /// Since when its calls stay unanswered.
+    pub silent: Option<Timestamp>,
+    /// Since when the store doesn't list it.
+    pub unlisted: Option<Timestamp>,
+    /// Whether it is on record, so that a new owner will look for it.
+    pub is_kept: bool,
+    /// The last end that was taken in.
+    pub seen: u64,
+    /// The last end that is on record and may be forgotten by the worker.
+    pub kept: u64,
+    /// Until when it gets nothing new, since it turned work away or failed what it started.
+    pub rests: Timestamp,
+    /// Failures in a row of tasks that it started, without a success between them.
+    pub failures: u32,
+    reading: Option<Reading>,
+    lapses: Timestamp,
+}
+
+impl Worker {
+    /// Makes a worker of which nothing is known but its registration.
+    ///
+    /// Until `lapses` it may hold tasks under a lease that a former owner granted.
+    pub fn new(registration: Registration, now: Timestamp, lapses: Timestamp) -> Self {
+        Self {
+            free: registration.capacity,
+            registration,
+            claims: BTreeMap::new(),
+            contact: Contact::Due(now),
+            heard: None,
+            silent: None,
+            unlisted: None,
+            is_kept: false,
+            seen: 0,
+            kept: 0,
+            rests: Timestamp::ZERO,
+            failures: 0,
+            reading: None,
+            lapses,
+        }
+    }
+
+    /// Notes what the worker's clock showed when it answered.
+    pub fn read_clock(&mut self, millis: u64, now: Timestamp) {
+        self.reading = Some(Reading { millis, at: now });
+    }
+
+    /// Returns the end of the longest lease on the worker's clock, and notes that it is granted.
+    pub fn extend(&mut self, bounds: &Bounds, now: Timestamp) -> Option<u64> {
+        let reading = self.reading?;
+        let elapsed = now.since(reading.at) + bounds.lease;
+        self.lapses = self.lapses.max(now + bounds.lapse());
+        Some(reading.millis + u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX))
+    }
+
+    /// Returns when every lease that was granted has certainly lapsed.
+    pub const fn lapses(&self) -> Timestamp {
+        self.lapses
+    }
+
+    /// Returns whether new tasks may be placed on it.
+    pub fn is_open(&self, now: Timestamp) -> bool {
+        self.heard.is_some()
+            && self.silent.is_none()
+            && self.unlisted.is_none()
+            && self.is_kept
+            && self.registration.leaving.is_none()
+            && self.rests <= now
+    }
+
+    /// Takes room for a run; false where there is not enough.
+    pub fn claim(&mut self, task: TaskId, run: Run, claim: Claim) -> bool {
+        let Some(free) = self.free.checked_sub(claim.size) else {
+            return false;
+        };
+        self.free = free;
+        self.claims.insert((task, run), claim);
+        true
+    }
+
+    /// Takes in a run that is there already, whatever room there is.
+    pub fn adopt(&mut self, task: TaskId, run: Run, claim: Claim) {
+        self.claims.insert((task, run), claim);
+        self.recount();
+    }
+
+    /// Gives back the room of a run that is certainly gone.
+    pub fn release(&mut self, task: TaskId, run: Run) -> Option<Claim> {
+        let claim = self.claims.remove(&(task, run))?;
+        self.recount();
+        Some(claim)
+    }
+
+    /// Takes in a change of the worker's own capacity.
+    pub fn adopt_capacity(&mut self) {
+        self.recount();
+    }
+
+    /// Counts the free room anew; where more is held than fits, nothing is free.
+    fn recount(&mut self) {
+        let sizes = self.claims.values().map(|claim| claim.size);
+        let used = sizes.fold(Resources::ZERO, |sum, size| {
+            sum.checked_add(size).unwrap_or(sum)
+        });
+        let capacity = self.registration.capacity;
+        self.free = capacity.checked_sub(used).unwrap_or(Resources::ZERO);
+    }
+
+    /// Returns whether a label is among the worker's own.
+    pub fn has_label(&self, label: &str) -> bool {
+        self.registration.labels.iter().any(|own| &**own == label)
+    }
+
+    /// Returns for how long nothing was heard of it.
+    pub fn age(&self, now: Timestamp) -> Duration {
+        self.heard.map_or(Duration::MAX, |heard| now.since(heard))
+    }
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,36 @@
+//! A node of a cell.
+//!
+//! All nodes run the same program. Each takes callers' jobs and puts them on record; one of them
+//! owns the cell at a time and decides; the others ask for advice on its behalf. Whatever the
+//! platform offers comes through the [`port::Platform`] that the node is made with.
+//!
+//! | module | what it does |
+//! |---|---|
+//! | [`front`] | takes, shows and cancels jobs at any node |
+//! | `intake` | groups acceptances and cancellations into appends |
+//! | `member` | who owns the cell, and when this node claims it |
+//! | `owner` | the owner's actor, its takeover, and what it reads and writes |
+//! | `watch` | follows the configuration and the list of workers |
+//! | `message` | what nodes ask each other |
+//! | `report` | logs and metrics |
+
+pub mod front;
+mod intake;
+mod member;
+mod message;
+mod node;
+mod owner;
+pub mod port;
+mod report;
+mod shared;
+mod watch;
+
+pub use self::{
+    node::{
+        Error,
+        Identity,
+        Node,
+        Parts, //
+    },
+    report::Meter,
+};
--- /dev/null
+++ b/crates/node/src/member.rs
@@ -0,0 +1,386 @@
+//! Who owns the cell, and when this node claims it.
+//!
+//! The owner is whoever wrote the newest claim; a claim is appended only where the one that it
+//! replaces is still the last record, so one of several claimants wins. Evidence that the owner is
+//! gone, best first: it has released the cell; its address refuses connections or is answered by a
+//! process that doesn't own the cell; its claim was not renewed for a lease while the store answered.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use fulmarpier_cell::record::{
+    self,
+    Claim, //
+};
+use fulmarpier_transport::rpc;
+use futures::future::join_all;
+use rand::random_range;
+use tokio::time::{
+    Instant,
+    sleep,
+    timeout, //
+};
+
+use crate::{
+    message::{
+        self,
+        Question,
+        Reply, //
+    },
+    owner::{
+        Event,
+        take_over, //
+    },
+    port::{
+        Append,
+        Condition,
+        Error,
+        Platform,
+        Record,
+        Topic, //
+    },
+    shared::{
+        Acting,
+        Shared, //
+    },
+    watch::{
+        Batch,
+        Reader,
+        pause, //
+    },
+};
+
+/// The key of the claim.
+const KEY: &str = "owner";
+/// How often a node asks the owner whether it still owns the cell.
+const HELLO: Duration = Duration::from_millis(500);
+/// How long the owner may take to answer that.
+const HELLO_PATIENCE: Duration = Duration::from_millis(500);
+/// How often the owner renews its claim.
+const RENEW: Duration = Duration::from_millis(800);
+/// A claim that was not renewed for this long has lapsed: two renewals and a lost answer.
+const LEASE: Duration = Duration::from_millis(2_500);
+/// An owner that is silent for this long has its renewals watched.
+const SILENCE: Duration = Duration::from_millis(900);
+/// Claimants wait up to this long, so that they don't all append at once.
+const JITTER: Duration = Duration::from_millis(60);
+/// After this long without the store the owner asks the others whether it is away for them too.
+const ASK_PEERS: Duration = Duration::from_millis(1_500);
+/// Without the store and without any other node the owner stops giving orders after this long.
+const ALONE: Duration = Duration::from_millis(3_000);
+
+/// The newest claim as it was read, and where the topic ends.
+struct Seen {
+    claim: Option<Claim>,
+    end: u64,
+    /// When this renewal was first seen.
+    since: Instant,
+}
+
+/// Follows the owner, or is it, for as long as the process runs.
+pub(crate) async fn run<P: Platform>(shared: Arc<Shared<P>>) {
+    let mut seen = read(&shared).await;
+    loop {
+        let own = seen.claim.as_ref().is_some_and(|claim| is_own(&shared, claim));
+        match seen.claim.clone().filter(|_| own) {
+            Some(claim) => {
+                own_cell(&shared, claim, seen.end).await;
+                seen = read(&shared).await;
+            }
+            None => seen = follow(&shared, seen).await,
+        }
+    }
+}
+
+/// Returns whether a claim is this process's own and stands.
+fn is_own<P: Platform>(shared: &Shared<P>, claim: &Claim) -> bool {
+    claim.node == shared.name && claim.incarnation == shared.incarnation && !claim.released
+}
+
+/// Reads the newest claim, until the store gives it.
+async fn read<P: Platform>(shared: &Shared<P>) -> Seen {
+    loop {
+        if let Some(seen) = try_read(shared).await {
+            return seen;
+        }
+        pause().await;
+    }
+}
+
+async fn try_read<P: Platform>(shared: &Shared<P>) -> Option<Seen> {
+    let mut reader = Reader::new(Topic::Claims, "claims");
+    let page = match reader.read(shared, Duration::ZERO).await {
+        Ok(Batch::Whole(page) | Batch::More(page)) => page,
+        Err(_) => return None,
+    };
+    let record = page.records.iter().find(|record| record.key == KEY);
+    let value = record.and_then(|record| record.value.as_ref());
+    let claim = match value.map(|value| record::decode::<Claim>(value)) {
+        None => None,
+        Some(Ok(claim)) => Some(claim),
+        Some(Err(error)) => {
+            slog::error!(shared.log, "claim-unreadable"; "why" => %error);
+            return None;
+        }
+    };
+    let known = shared.claim.borrow().clone();
+    if known.as_ref().map(|claim| claim.epoch) != claim.as_ref().map(|claim| claim.epoch)
+        && let Some(claim) = &claim
+    {
+        slog::info!(shared.log, "owner"; "epoch" => %claim.epoch, "node" => claim.node.as_str(),
+            "address" => %claim.address, "released" => claim.released);
+    }
+    if claim.is_some() {
+        shared.claim.send_replace(claim.clone());
+    }
+    Some(Seen {
+        claim,
+        end: page.next,
+        since: Instant::now(),
+    })
+}
+
+/// Reads the newest claim again; a renewal that was seen before keeps its age.
+async fn reread<P: Platform>(shared: &Shared<P>, seen: Seen) -> Seen {
+    match try_read(shared).await {
+        Some(newer) if newer.end == seen.end => seen,
+        Some(newer) => newer,
+        None => {
+            pause().await;
+            // The lease counts only while the store is known to answer.
+            Seen {
+                since: Instant::now(),
+                ..seen
+            }
+        }
+    }
+}
+
+/// What is believed of the owner.
+enum Belief {
+    /// It answers as the owner.
+    Well,
+    /// It is gone, or says that it doesn't own the cell.
+    Vacant(&'static str),
+    /// It gave no answer.
+    Silent,
+    /// There is a later owner.
+    Replaced,
+}
+
+async fn follow<P: Platform>(shared: &Shared<P>, mut seen: Seen) -> Seen {
+    let mut answered = Instant::now();
+    loop {
+        let belief = believe(shared, seen.claim.as_ref()).await;
+        let why = match belief {
+            Belief::Well => {
+                answered = Instant::now();
+                // A released claim or a peer's word may come before the next exchange.
+                let _ = timeout(HELLO, shared.vacant.notified()).await;
+                continue;
+            }
+            Belief::Replaced => {
+                return reread(shared, seen).await;
+            }
+            Belief::Vacant(why) => why,
+            Belief::Silent => {
+                if answered.elapsed() >= SILENCE {
+                    let before = seen.end;
+                    seen = reread(shared, seen).await;
+                    if seen.end != before {
+                        return seen;
+                    }
+                }
+                if answered.elapsed() < SILENCE || seen.since.elapsed() < LEASE {
+                    sleep(HELLO / 4).await;
+                    continue;
+                }
+                "lapsed"
+            }
+        };
+        if shared.is_leaving() {
+            sleep(HELLO).await;
+            return reread(shared, seen).await;
+        }
+        sleep(JITTER.mul_f64(random_range(0.0..=1.0))).await;
+        // Renewals have moved the end since the claim was read, and another may have come first.
+        let Some(fresh) = try_read(shared).await else {
+            pause().await;
+            return seen;
+        };
+        let epoch = |seen: &Seen| seen.claim.as_ref().map(|claim| claim.epoch);
+        if epoch(&fresh) != epoch(&seen) {
+            return fresh;
+        }
+        return claim(shared, fresh, why).await;
+    }
+}
+
+async fn believe<P: Platform>(shared: &Shared<P>, claim: Option<&Claim>) -> Belief {
+    let Some(claim) = claim else {
+        return Belief::Vacant("first");
+    };
+    if claim.released {
+        return Belief::Vacant("released");
+    }
+    if claim.node == shared.name {
+        // It is this node's, and this process doesn't hold it.
+        return Belief::Vacant("former-life");
+    }
+    let hello = Question::Hello {
+        node: shared.name.clone(),
+        address: shared.address,
+    };
+    match message::ask(&shared.rpc, claim.address, &hello, HELLO_PATIENCE).await {
+        Ok(Reply::Owner { epoch, .. }) if epoch == claim.epoch => Belief::Well,
+        Ok(Reply::Owner { epoch, .. } | Reply::NotOwner { epoch }) if epoch > claim.epoch => {
+            Belief::Replaced
+        }
+        Ok(Reply::NotOwner { .. }) => Belief::Vacant("disowned"),
+        Err(rpc::Error::Refused { .. }) => Belief::Vacant("refused"),
+        Ok(_) | Err(_) => Belief::Silent,
+    }
+}
+
+/// Claims the cell, if the claim that was seen is still the newest.
+async fn claim<P: Platform>(shared: &Shared<P>, seen: Seen, why: &'static str) -> Seen {
+    let former = seen.claim.as_ref().map(|claim| claim.epoch);
+    let claim = Claim {
+        epoch: former.unwrap_or_default().next(),
+        node: shared.name.clone(),
+        address: shared.address,
+        incarnation: shared.incarnation,
+        renewal: 0,
+        released: false,
+    };
+    let result = append(shared, &claim, seen.end).await;
+    let outcome = result.as_ref().err().map_or("won", Error::word);
+    slog::info!(shared.log, "claim"; "epoch" => %claim.epoch, "why" => why,
+        "outcome" => outcome);
+    match result {
+        Ok(end) => {
+            shared.claim.send_replace(Some(claim.clone()));
+            Seen {
+                claim: Some(claim),
+                end,
+                since: Instant::now(),
+            }
+        }
+        Err(Error::Moved { .. }) => read(shared).await,
+        Err(_) => {
+            pause().await;
+            read(shared).await
+        }
+    }
+}
+
+async fn append<P: Platform>(shared: &Shared<P>, claim: &Claim, end: u64) -> Result<u64, Error> {
+    let value = record::encode(claim).map_err(|error| Error::Malformed(error.to_string()))?;
+    let append = Append {
+        topic: Topic::Claims,
+        records: vec![Record {
+            key: KEY.to_owned(),
+            value: Some(value.into()),
+        }],
+        condition: Condition::EndsAt(end),
+    };
+    let began = Instant::now();
+    let result = shared.platform.append(append).await;
+    shared.store.note(&result, &shared.log);
+    shared.meter.store_call("claim", began.elapsed(), &result);
+    result
+}
+
+/// Owns the cell until the claim is lost, given up or can't be trusted any more.
+async fn own_cell<P: Platform>(shared: &Arc<Shared<P>>, mut claim: Claim, mut end: u64) {
+    shared.acting.send_replace(Some(Acting {
+        claim: claim.clone(),
+        control: None,
+    }));
+    let taking = tokio::spawn({
+        let shared = shared.clone();
+        let claim = claim.clone();
+        async move { take_over(&shared, &claim).await.is_ok() }
+    });
+    let mut acting = shared.acting.subscribe();
+    let mut is_certain = true;
+    let why = loop {
+        let changed = timeout(RENEW, acting.changed()).await.is_ok();
+        if changed && acting.borrow_and_update().is_none() {
+            break "fenced";
+        }
+        if shared.is_leaving() {
+            break "leaving";
+        }
+        if changed {
+            continue;
+        }
+        if !is_certain {
+            match try_read(shared).await {
+                Some(seen) if seen.claim.as_ref().is_some_and(|c| is_own(shared, c)) => {
+                    end = seen.end;
+                    is_certain = true;
+                }
+                Some(_) => break "replaced",
+                None => {}
+            }
+        }
+        if is_certain {
+            claim.renewal = claim.renewal.wrapping_add(1);
+            match append(shared, &claim, end).await {
+                Ok(newer) => end = newer,
+                Err(_) => is_certain = false,
+            }
+        }
+        if let Some(why) = doubt(shared).await {
+            break why;
+        }
+    };
+    slog::info!(shared.log, "ownership-ends"; "epoch" => %claim.epoch, "why" => why);
+    taking.abort();
+    if let Some(control) = shared.control() {
+        // It may have ended already.
+        let _ = control.tell(Event::Deposed).await;
+    }
+    shared.acting.send_replace(None);
+    let peers = shared.peers.lock().await.clone();
+    if why == "leaving" {
+        claim.released = true;
+        // Without it the others see that this process is gone.
+        let _ = append(shared, &claim, end).await;
+    }
+    if why != "replaced" {
+        let vacant = Question::Vacant(claim.epoch);
+        let told = peers
+            .iter()
+            .map(|(_, address)| message::ask(&shared.rpc, *address, &vacant, HELLO_PATIENCE));
+        join_all(told).await;
+    }
+}
+
+/// Returns why the owner must not go on while it can't reach the store, if it must not.
+///
+/// While the store is away for everybody nobody can claim the cell, so the owner goes on. Where it
+/// answers another node, that one may own the cell already or should.
+async fn doubt<P: Platform>(shared: &Shared<P>) -> Option<&'static str> {
+    let failing = shared.store.failing_for();
+    if failing < ASK_PEERS {
+        return None;
+    }
+    let peers = shared.peers.lock().await.clone();
+    let asked = peers
+        .iter()
+        .map(|(_, address)| message::ask(&shared.rpc, *address, &Question::Store, HELLO_PATIENCE));
+    let answers = join_all(asked).await;
+    let mut heard = 0;
+    for answer in answers {
+        match answer {
+            Ok(Reply::Store(true)) => return Some("store-answers-others"),
+            Ok(_) => heard += 1,
+            Err(_) => {}
+        }
+    }
+    (heard == 0 && failing >= ALONE).then_some("alone")
+}
--- /dev/null
+++ b/crates/node/src/message.rs
@@ -0,0 +1,127 @@
+//! What nodes ask each other, carried by the call between peers.
+
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use fulmarpier_cell::{
+    engine::State,
+    event::Advised,
+    id::{
+        Epoch,
+        JobId,
+        NodeName,
+        QueueName,
+        StepId,
+        WorkerId, //
+    },
+    record::Accepted,
+};
+use fulmarpier_protocol::wire::{
+    Answer,
+    Call,
+    peer, //
+};
+use fulmarpier_transport::rpc;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+/// A question of one node to another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) enum Question {
+    /// A node is there and asks the owner whether it still owns the cell.
+    Hello {
+        /// The node.
+        node: NodeName,
+        /// Where it answers.
+        address: SocketAddr,
+    },
+    /// A job was accepted; its record is kept.
+    Accepted(Box<Accepted>),
+    /// A job was cancelled; that is on record.
+    Cancelled(JobId),
+    /// What is the state of a job?
+    Look(JobId),
+    /// How many jobs of a queue have begun nothing?
+    Pending(QueueName),
+    /// Which workers may run a step?
+    Advise {
+        /// The step.
+        step: StepId,
+        /// The workers to ask about.
+        workers: Vec<WorkerId>,
+        /// How long the asking may take.
+        patience: Duration,
+    },
+    /// Does the store answer this node?
+    Store,
+    /// The owner has given the cell up.
+    Vacant(Epoch),
+}
+
+/// The answer to a [`Question`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) enum Reply {
+    /// This node owns the cell.
+    Owner {
+        /// The ownership.
+        epoch: Epoch,
+        /// Whether the engine is at work.
+        is_active: bool,
+    },
+    /// This node doesn't own the cell.
+    NotOwner {
+        /// The highest ownership that it knows of.
+        epoch: Epoch,
+    },
+    /// It is taken in.
+    Noted,
+    /// The state of a job, or `None` where it is not known.
+    State(Option<State>),
+    /// A count of jobs.
+    Pending(u32),
+    /// The workers that may run a step; `None` where the service gave no answer.
+    Advised(Option<Vec<Advised>>),
+    /// Whether the store has answered this node lately.
+    Store(bool),
+}
+
+/// Asks a node and waits for its answer.
+pub(crate) async fn ask(
+    client: &rpc::Client,
+    address: SocketAddr,
+    question: &Question,
+    timeout: Duration,
+) -> Result<Reply, rpc::Error> {
+    let malformed = |error: postcard::Error| rpc::Error::Malformed {
+        reason: error.to_string(),
+    };
+    let message = postcard::to_stdvec(question).map_err(malformed)?;
+    let call = Call::Peer(peer::Request {
+        message: message.into(),
+    });
+    match client.call(address, call, timeout).await? {
+        Answer::Peer(reply) => postcard::from_bytes(&reply.message).map_err(malformed),
+        _ => Err(rpc::Error::Malformed {
+            reason: "an answer to another call".to_owned(),
+        }),
+    }
+}
+
+/// Reads a question out of a call; `None` where it is none.
+pub(crate) fn question(call: &Call) -> Option<Question> {
+    match call {
+        Call::Peer(request) => postcard::from_bytes(&request.message).ok(),
+        _ => None,
+    }
+}
+
+/// Writes a reply into an answer.
+pub(crate) fn answer(reply: &Reply) -> Option<Answer> {
+    let message = postcard::to_stdvec(reply).ok()?;
+    let message = message.into();
+    Some(Answer::Peer(peer::Reply { message }))
+}
--- /dev/null
+++ b/crates/node/src/port.rs
@@ -0,0 +1,187 @@
+//! What a node needs of its platform: a store, workers and an advice service.
+
+use std::{
+    future::Future,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use fulmarpier_cell::{
+    config::Config,
+    effect::{
+        Hold,
+        Start,
+        Stop, //
+    },
+    event::{
+        Advised,
+        HoldAnswer,
+        Registration,
+        StartAnswer,
+        StopAnswer, //
+    },
+    id::{
+        Epoch,
+        StepId,
+        WorkerId, //
+    },
+};
+
+/// What the store keeps, each with the newest record of every key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Topic {
+    /// Jobs that were accepted or cancelled, in partitions by job.
+    Jobs(u16),
+    /// How far jobs have come, and the workers that were used; written by the owner alone.
+    Progress,
+    /// Who owns the cell.
+    Claims,
+    /// The operator's configuration; read only.
+    Configuration,
+    /// What workers report of themselves; read only.
+    Workers,
+}
+
+/// A record under its key; without a value the key is removed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Record {
+    /// The key.
+    pub key: String,
+    /// The value.
+    pub value: Option<Bytes>,
+}
+
+/// What must hold for an append to be carried out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Condition {
+    /// Nothing.
+    None,
+    /// The topic ends at this offset.
+    EndsAt(u64),
+    /// No writer of a higher epoch has written, and this is the writer's next append; the same
+    /// append sent again is carried out once.
+    Writer {
+        /// The writer's epoch.
+        epoch: Epoch,
+        /// The place of the append in the writer's own order.
+        sequence: u64,
+    },
+}
+
+/// Records to append, all or none.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Append {
+    /// Where.
+    pub topic: Topic,
+    /// What; nothing only raises the writer's epoch.
+    pub records: Vec<Record>,
+    /// What must hold.
+    pub condition: Condition,
+}
+
+/// The ways in which a call of the store can fail.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// It was not carried out, and will not be.
+    #[error("the store refused: {0}")]
+    Refused(&'static str),
+    /// No answer came: it may have been carried out, or may be later.
+    #[error("the store gave no answer; the effect is unknown")]
+    Unanswered,
+    /// The topic ends elsewhere; nothing was appended.
+    #[error("the topic ends at {end}")]
+    Moved {
+        /// Where it ends.
+        end: u64,
+    },
+    /// A writer of a higher epoch has written.
+    #[error("a later writer has taken over")]
+    Fenced,
+    /// The writer's order was broken; nothing was appended.
+    #[error("the store expects append {expected}")]
+    Sequence {
+        /// The place that it expects.
+        expected: u64,
+    },
+    /// The records asked for are no longer kept.
+    #[error("the store keeps records only from {first} on")]
+    Forgotten {
+        /// The first record that is kept.
+        first: u64,
+    },
+    /// The answer can't be read.
+    #[error("the store's answer can't be read: {0}")]
+    Malformed(String),
+}
+
+impl Error {
+    /// Returns the bare word, for logs and counters.
+    pub const fn word(&self) -> &'static str {
+        match self {
+            Self::Refused(why) => why,
+            Self::Unanswered => "unanswered",
+            Self::Moved { .. } => "moved",
+            Self::Fenced => "fenced",
+            Self::Sequence { .. } => "sequence",
+            Self::Forgotten { .. } => "forgotten",
+            Self::Malformed(_) => "malformed",
+        }
+    }
+}
+
+/// Records and where the topic ends behind them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Page {
+    /// The records, in order.
+    pub records: Vec<Record>,
+    /// The offset to read on from.
+    pub next: u64,
+}
+
+/// The platform as a node uses it. No method retries; each gives up after a time of its own.
+pub trait Platform: Clone + Send + Sync + 'static {
+    /// Appends records; returns where the topic ends behind them.
+    fn append(&self, append: Append) -> impl Future<Output = Result<u64, Error>> + Send;
+
+    /// Reads on from an offset; waits up to `wait` for a record.
+    fn read(
+        &self,
+        topic: Topic,
+        from: u64,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Page, Error>> + Send;
+
+    /// Reads the newest record of each key.
+    fn newest(&self, topic: Topic) -> impl Future<Output = Result<Page, Error>> + Send;
+
+    /// Orders a start.
+    fn start(&self, order: Start) -> impl Future<Output = StartAnswer> + Send;
+
+    /// Orders a stop.
+    fn stop(&self, order: Stop) -> impl Future<Output = StopAnswer> + Send;
+
+    /// Extends a worker's lease and asks for its inventory.
+    fn hold(&self, order: Hold) -> impl Future<Output = HoldAnswer> + Send;
+
+    /// Asks which of some workers may run a step; `None` where no answer came.
+    fn advise(
+        &self,
+        step: StepId,
+        workers: Vec<WorkerId>,
+        patience: Duration,
+    ) -> impl Future<Output = Option<Vec<Advised>>> + Send;
+
+    /// Reads a configuration out of its record; `None` where the record is another one.
+    ///
+    /// # Errors
+    ///
+    /// Fails where it can't be read.
+    fn configuration(&self, record: &Record) -> Result<Option<Config>, Error>;
+
+    /// Reads what a worker reports of itself.
+    ///
+    /// # Errors
+    ///
+    /// Fails where it can't be read.
+    fn registration(&self, record: &Record) -> Result<Registration, Error>;
+}
--- /dev/null
+++ b/crates/node/src/report.rs
@@ -0,0 +1,296 @@
+//! Logs and metrics of a node.
+
+use std::{
+    fmt,
+    sync::{
+        Arc,
+        Mutex, //
+    },
+    time::Duration,
+};
+
+use fulmarpier_cell::{
+    effect::Note,
+    engine::Counts, //
+};
+use fulmarpier_state::alias::HashMap;
+use fulmarpier_transport::metrics::{
+    Error as MetricsError,
+    Registry, //
+};
+use opentelemetry::{
+    KeyValue,
+    metrics::{
+        Counter,
+        Gauge,
+        Histogram, //
+    },
+};
+use slog::Logger;
+use tokio::time::Instant;
+
+use crate::port::Error;
+
+/// How many lines of one kind are written a second; a busy second has some 400 decisions, and the
+/// rest is counted. A line is about 150 bytes.
+const LINES_A_SECOND: u32 = 120;
+const SECOND: Duration = Duration::from_secs(1);
+
+/// How many lines of one kind were written in the present second.
+#[derive(Debug)]
+struct Budget {
+    since: Instant,
+    written: u32,
+    left_out: u64,
+}
+
+struct Inner {
+    registry: Registry,
+    requests: Counter<u64>,
+    decisions: Counter<u64>,
+    store_calls: Histogram<f64>,
+    worker_calls: Histogram<f64>,
+    accept: Histogram<f64>,
+    wait: Histogram<f64>,
+    finish: Histogram<f64>,
+    advice: Histogram<f64>,
+    believed: Gauge<u64>,
+    left_out: Counter<u64>,
+    budgets: Mutex<HashMap<&'static str, Budget>>,
+}
+
+/// The metrics of a node and the budgets of its log; cheap to clone.
+#[derive(Clone)]
+pub struct Meter(Arc<Inner>);
+
+impl fmt::Debug for Meter {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Meter").finish_non_exhaustive()
+    }
+}
+
+impl Meter {
+    /// Sets up the metrics.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the exporter can't be built.
+    pub fn new() -> Result<Self, MetricsError> {
+        let registry = Registry::new("node", &[])?;
+        let inner = Inner {
+            requests: registry.counter(
+                "fulmarpier_requests",
+                "Calls of callers by kind and outcome.",
+            ),
+            decisions: registry.counter("fulmarpier_decisions", "Decisions by kind and reason."),
+            store_calls: registry.histogram(
+                "fulmarpier_store_call_seconds",
+                "Calls of the store by purpose and outcome.",
+            ),
+            worker_calls: registry.histogram(
+                "fulmarpier_worker_call_seconds",
+                "Calls of workers by kind and outcome.",
+            ),
+            accept: registry.histogram(
+                "fulmarpier_accept_seconds",
+                "From a job's arrival to its record.",
+            ),
+            wait: registry.histogram(
+                "fulmarpier_wait_seconds",
+                "From a step's turn to the start of a task.",
+            ),
+            finish: registry.histogram(
+                "fulmarpier_finish_seconds",
+                "From a job's arrival to the record of its end.",
+            ),
+            advice: registry.histogram("fulmarpier_advice_seconds", "Calls for advice."),
+            believed: registry.gauge("fulmarpier_believed", "What the owner believes, by kind."),
+            left_out: registry.counter(
+                "fulmarpier_log_lines_left_out",
+                "Lines left out of the log by kind.",
+            ),
+            budgets: Mutex::default(),
+            registry,
+        };
+        Ok(Self(Arc::new(inner)))
+    }
+
+    /// Returns all metrics as text.
+    ///
+    /// # Errors
+    ///
+    /// Fails where an instrument can't be encoded.
+    pub fn render(&self) -> Result<String, MetricsError> {
+        self.0.registry.render()
+    }
+
+    /// Returns whether a line of this kind is within its budget.
+    pub(crate) fn may_log(&self, kind: &'static str) -> bool {
+        let now = Instant::now();
+        let Ok(mut budgets) = self.0.budgets.lock() else {
+            return false;
+        };
+        let budget = budgets.entry(kind).or_insert(Budget {
+            since: now,
+            written: 0,
+            left_out: 0,
+        });
+        if now.duration_since(budget.since) >= SECOND {
+            budget.since = now;
+            budget.written = 0;
+        }
+        if budget.written < LINES_A_SECOND {
+            budget.written += 1;
+            return true;
+        }
+        budget.left_out += 1;
+        self.0.left_out.add(1, &[KeyValue::new("kind", kind)]);
+        false
+    }
+
+    /// Returns how many lines of each kind were left out since the last call.
+    pub(crate) fn take_left_out(&self) -> Vec<(&'static str, u64)> {
+        let Ok(mut budgets) = self.0.budgets.lock() else {
+            return Vec::new();
+        };
+        let left = budgets
+            .iter_mut()
+            .map(|(kind, budget)| (*kind, std::mem::take(&mut budget.left_out)));
+        left.filter(|(_, count)| *count > 0).collect()
+    }
+
+    pub(crate) fn request(&self, what: &'static str, outcome: &'static str) {
+        let labels = [KeyValue::new("call", what), KeyValue::new("outcome", outcome)];
+        self.0.requests.add(1, &labels);
+    }
+
+    pub(crate) fn accepted(&self, took: Duration) {
+        self.0.accept.record(took.as_secs_f64(), &[]);
+    }
+
+    pub(crate) fn store_call<T>(
+        &self,
+        purpose: &'static str,
+        took: Duration,
+        result: &Result<T, Error>,
+    ) {
+        let outcome = result.as_ref().err().map_or("ok", Error::word);
+        let labels = [
+            KeyValue::new("purpose", purpose),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.0.store_calls.record(took.as_secs_f64(), &labels);
+    }
+
+    pub(crate) fn worker_call(&self, kind: &'static str, took: Duration, outcome: &'static str) {
+        let labels = [KeyValue::new("kind", kind), KeyValue::new("outcome", outcome)];
+        self.0.worker_calls.record(took.as_secs_f64(), &labels);
+    }
+
+    /// Sets the gauges of what the owner believes.
+    pub(crate) fn believed(&self, counts: &Counts, epoch: u64) {
+        let gauges: [(&'static str, usize); 6] = [
+            ("jobs", counts.jobs),
+            ("open_steps", counts.open_steps),
+            ("claims", counts.claims),
+            ("workers_heard", counts.workers_heard),
+            ("workers_silent", counts.workers_silent),
+            ("workers_unheard", counts.workers_unheard),
+        ];
+        for (kind, value) in gauges {
+            let value = u64::try_from(value).unwrap_or(u64::MAX);
+            self.0.believed.record(value, &[KeyValue::new("kind", kind)]);
+        }
+        self.0.believed.record(epoch, &[KeyValue::new("kind", "epoch")]);
+    }
+
+    /// Counts a decision and writes its line.
+    pub(crate) fn note(&self, log: &Logger, note: &Note) {
+        let (kind, reason) = summary(note);
+        let labels = [KeyValue::new("kind", kind), KeyValue::new("reason", reason)];
+        self.0.decisions.add(1, &labels);
+        match note {
+            Note::Placed { waited, .. } => self.0.wait.record(waited.as_secs_f64(), &[]),
+            Note::Finished { after, .. } => self.0.finish.record(after.as_secs_f64(), &[]),
+            Note::Advised { took, .. } => self.0.advice.record(took.as_secs_f64(), &[]),
+            _ => {}
+        }
+        if self.may_log(kind) {
+            write(log, note);
+        }
+    }
+}
+
+const fn summary(note: &Note) -> (&'static str, &'static str) {
+    match note {
+        Note::Placed { .. } => ("placed", ""),
+        Note::NotStarted { why, .. } => ("not-started", why),
+        Note::Ended { how, .. } => ("ended", how.word()),
+        Note::Stopping { why, .. } => ("stopping", why),
+        Note::Worker { belief, .. } => ("worker", belief),
+        Note::Adopted { .. } => ("adopted", ""),
+        Note::Finished { outcome, .. } => ("finished", outcome),
+        Note::Advised { .. } => ("advised", ""),
+    }
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn write(log: &Logger, note: &Note) {
+    match note {
+        Note::Placed {
+            task,
+            run,
+            worker,
+            heard,
+            waited,
+        } => slog::info!(log, "placed"; "task" => %task, "run" => run.0,
+            "worker" => worker.as_str(), "heard_ms" => millis(*heard), "waited_ms" => millis(*waited)),
+        Note::NotStarted {
+            task,
+            run,
+            worker,
+            why,
+        } => slog::info!(log, "not-started"; "task" => %task, "run" => run.0,
+            "worker" => worker.as_str(), "why" => why),
+        Note::Ended {
+            task,
+            run,
+            worker,
+            how,
+        } => slog::info!(log, "ended"; "task" => %task, "run" => run.0,
+            "worker" => worker.as_str(), "how" => how.word()),
+        Note::Stopping {
+            task,
+            run,
+            worker,
+            why,
+        } => slog::info!(log, "stopping"; "task" => %task, "run" => run.0,
+            "worker" => worker.as_str(), "why" => why),
+        Note::Worker {
+            worker,
+            belief,
+            heard,
+        } => slog::info!(log, "worker"; "worker" => worker.as_str(), "belief" => belief,
+            "heard" => %heard),
+        Note::Adopted { task, run, worker } => slog::info!(log, "adopted"; "task" => %task,
+            "run" => run.0, "worker" => worker.as_str()),
+        Note::Finished {
+            job,
+            outcome,
+            after,
+        } => slog::info!(log, "finished"; "job" => %job, "outcome" => outcome,
+            "after_ms" => millis(*after)),
+        Note::Advised {
+            step,
+            node,
+            named,
+            allowed,
+            took,
+        } => slog::info!(log, "advised"; "step" => %step, "node" => node.as_str(),
+            "named" => named, "allowed" => allowed.map_or(-1, |count| i64::try_from(count).unwrap_or(i64::MAX)),
+            "took_ms" => millis(*took)),
+    }
+}
--- /dev/null
+++ b/crates/node/src/watch.rs
@@ -0,0 +1,132 @@
+//! Follows the configuration, and on the owner the list of workers and the jobs.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use rand::random_range;
+use tokio::time::{
+    Instant,
+    sleep, //
+};
+
+use crate::{
+    port::{
+        Error,
+        Page,
+        Platform,
+        Topic, //
+    },
+    shared::Shared,
+};
+
+/// How long the store may wait for a change of the configuration: a call that is lost is noticed
+/// only after this time, and a change has to be in force within 2 s.
+const CONFIG_WAIT: Duration = Duration::from_millis(1_000);
+/// The pause after a failed call, half to whole; refused calls are priced like others.
+const PAUSE: Duration = Duration::from_millis(250);
+
+/// Reads a topic on, from its newest records or from where it was read last.
+pub(crate) struct Reader {
+    topic: Topic,
+    purpose: &'static str,
+    next: Option<u64>,
+}
+
+/// What a read brought.
+pub(crate) enum Batch {
+    /// The newest record of every key; what isn't among them is gone.
+    Whole(Page),
+    /// The records since the last read.
+    More(Page),
+}
+
+impl Reader {
+    /// Makes a reader that begins with the newest records.
+    pub(crate) const fn new(topic: Topic, purpose: &'static str) -> Self {
+        Self {
+            topic,
+            purpose,
+            next: None,
+        }
+    }
+
+    /// Makes a reader that begins at an offset.
+    pub(crate) const fn from(topic: Topic, purpose: &'static str, next: u64) -> Self {
+        Self {
+            topic,
+            purpose,
+            next: Some(next),
+        }
+    }
+
+    /// Reads once. After a gap in the history it begins with the newest records again.
+    pub(crate) async fn read<P: Platform>(
+        &mut self,
+        shared: &Shared<P>,
+        wait: Duration,
+    ) -> Result<Batch, Error> {
+        let began = Instant::now();
+        let result = match self.next {
+            None => shared.platform.newest(self.topic).await.map(Batch::Whole),
+            Some(from) => {
+                let page = shared.platform.read(self.topic, from, wait).await;
+                page.map(Batch::More)
+            }
+        };
+        shared.store.note(&result, &shared.log);
+        shared
+            .meter
+            .store_call(self.purpose, began.elapsed(), &result);
+        match &result {
+            Ok(Batch::Whole(page) | Batch::More(page)) => self.next = Some(page.next),
+            Err(Error::Forgotten { first }) => {
+                slog::warn!(shared.log, "history-gone"; "topic" => self.purpose, "first" => first);
+                self.next = None;
+            }
+            Err(_) => {}
+        }
+        result
+    }
+}
+
+/// Waits between half of the pause and the whole, so that nodes don't call together.
+pub(crate) async fn pause() {
+    sleep(PAUSE.mul_f64(random_range(0.5..=1.0))).await;
+}
+
+/// Follows the configuration for as long as the process runs.
+pub(crate) async fn follow_config<P: Platform>(shared: Arc<Shared<P>>) {
+    let mut reader = Reader::new(Topic::Configuration, "configuration");
+    loop {
+        match reader.read(&shared, CONFIG_WAIT).await {
+            Ok(Batch::Whole(page) | Batch::More(page)) => {
+                for record in &page.records {
+                    take_config(&shared, record);
+                }
+            }
+            Err(_) => pause().await,
+        }
+    }
+}
+
+/// Puts a configuration in force here; an older one than the present changes nothing.
+fn take_config<P: Platform>(shared: &Shared<P>, record: &crate::port::Record) {
+    let config = match shared.platform.configuration(record) {
+        Ok(Some(config)) => config,
+        Ok(None) => return,
+        Err(error) => {
+            slog::error!(shared.log, "configuration-unreadable"; "why" => %error);
+            return;
+        }
+    };
+    let present = shared.config.borrow().as_ref().map(|config| config.version);
+    if present.is_some_and(|present| present >= config.version) {
+        return;
+    }
+    slog::info!(shared.log, "configuration"; "version" => config.version,
+        "before" => present.unwrap_or(0), "queues" => config.queues.len(),
+        "pools" => config.pools.len());
+    shared.config.send_replace(Some(Arc::new(config)));
+}
--- a/crates/protocol/src/settings/form/section.rs
+++ b/crates/protocol/src/settings/form/section.rs
@@ -71,6 +71,14 @@
         }
     }
 
+    /// Reads a field that may be missing.
+    pub fn optional<T: Field>(&mut self, key: &'static str) -> Option<Option<T>> {
+        match self.get(key) {
+            Some(value) => self.value(key, value).map(Some),
+            None => Some(None),
+        }
+    }
+
     /// Reads a field that has a default and a range.
     pub fn within<T>(
         &mut self,
--- a/crates/protocol/src/settings/mod.rs
+++ b/crates/protocol/src/settings/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! A file goes through two phases. First it becomes a [`Document`], which is any JSON without a
 //! repeated key; a truncated file fails here with its line and column. Then the document becomes
-//! [`Gate`], [`Sched`], [`Standin`] or [`Load`] by `TryFrom`, and all its mistakes are reported at
+//! [`Gate`], [`Sched`], [`Node`], [`Standin`] or [`Load`] by `TryFrom`, and all its mistakes are reported at
 //! once, each with its path. Keys that are not known are refused.
 
 mod document;
@@ -10,6 +10,7 @@
 pub mod form;
 pub mod gate;
 pub mod load;
+pub mod node;
 pub mod sched;
 mod source;
 pub mod standin;
@@ -20,6 +21,7 @@
     error::Error,
     gate::Gate,
     load::Load,
+    node::Node,
     sched::Sched,
     source::{
         Kind,
--- a/crates/protocol/src/settings/source.rs
+++ b/crates/protocol/src/settings/source.rs
@@ -11,6 +11,7 @@
     Error,
     Gate,
     Load,
+    Node,
     Sched,
     Standin,
     form::Errors, //
@@ -57,6 +58,7 @@
         Kind::Sched => load::<Sched>(path).map(drop),
         Kind::Standin => load::<Standin>(path).map(drop),
         Kind::Load => load::<Load>(path).map(drop),
+        Kind::Node => load::<Node>(path).map(drop),
     }
 }
 
@@ -71,16 +73,18 @@
     Standin,
     /// `fulmarpier-load`.
     Load,
+    /// `fulmarpier-platform`.
+    Node,
 }
 
 impl Kind {
     /// The words of all kinds.
-    pub const WORDS: [&'static str; 4] = ["gate", "sched", "standin", "load"];
+    pub const WORDS: [&'static str; 5] = ["gate", "sched", "standin", "load", "node"];
 }
 
 /// The word stands for no program.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("expected `gate`, `sched`, `standin` or `load`, found `{found}`{}", hint(.suggestion))]
+#[error("expected `gate`, `sched`, `standin`, `load` or `node`, found `{found}`{}", hint(.suggestion))]
 pub struct UnknownKind {
     /// The word as given.
     pub found: String,
@@ -97,6 +101,7 @@
             "sched" => Ok(Self::Sched),
             "standin" => Ok(Self::Standin),
             "load" => Ok(Self::Load),
+            "node" => Ok(Self::Node),
             _ => Err(UnknownKind {
                 found: text.to_owned(),
                 suggestion: suggest::nearest(text, Self::WORDS),
