--- a/crates/cell/src/engine/contact.rs
+++ b/crates/cell/src/engine/contact.rs
@@ -352,7 +352,8 @@
 
     fn release_all(&mut self, slot: Slot, now: Timestamp) {
         let claims = self.workers.get(&slot).map(|worker| &worker.claims);
-        let claims: Vec<(TaskId, Run)> = claims.into_iter().flatten().map(|(key, _)| *key).collect();
+        let claims: Vec<(TaskId, Run)> =
+            claims.into_iter().flatten().map(|(key, _)| *key).collect();
         for (task, run) in claims {
             self.release(slot, task, run, now);
         }
--- a/crates/cell/src/engine/place.rs
+++ b/crates/cell/src/engine/place.rs
@@ -128,13 +128,7 @@
     }
 
     /// Returns the best worker for one task.
-    fn find(
-        &self,
-        id: StepId,
-        index: u16,
-        reserved: &Reserved,
-        now: Timestamp,
-    ) -> Option<Slot> {
+    fn find(&self, id: StepId, index: u16, reserved: &Reserved, now: Timestamp) -> Option<Slot> {
         let job = self.jobs.get(&id.job)?;
         let demand = self.demand(job, id)?;
         let avoid = job.stage(id)?.task(index)?.avoid;
@@ -147,7 +141,11 @@
         fitting
             .min_by_key(|(slot, worker)| {
                 let is_avoided = avoid == Some(**slot);
-                (is_avoided, is_remote(&demand, worker), left(&demand, worker))
+                (
+                    is_avoided,
+                    is_remote(&demand, worker),
+                    left(&demand, worker),
+                )
             })
             .map(|(slot, _)| *slot)
     }
--- a/crates/cell/src/engine/reserve.rs
+++ b/crates/cell/src/engine/reserve.rs
@@ -7,8 +7,7 @@
 };
 
 use super::{
-    Engine,
-    Slot,
+    Engine, Slot,
     place::{
         Demand,
         room_for, //
@@ -199,12 +198,7 @@
     }
 
     /// Keeps the workers on which a gang fits while its tickets are renewed.
-    pub(super) fn keep_for(
-        &self,
-        id: StepId,
-        slots: &[Slot],
-        reserved: &mut Reserved,
-    ) {
+    pub(super) fn keep_for(&self, id: StepId, slots: &[Slot], reserved: &mut Reserved) {
         reserved.keep(slots.iter().copied(), id);
     }
 }
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -122,11 +122,7 @@
     }
 }
 
-async fn append<P: Platform>(
-    shared: &Shared<P>,
-    partition: u16,
-    records: Vec<Record>,
-) -> Kept {
+async fn append<P: Platform>(shared: &Shared<P>, partition: u16, records: Vec<Record>) -> Kept {
     let append = Append {
         topic: Topic::Jobs(partition),
         records,
--- a/crates/node/src/member.rs
+++ b/crates/node/src/member.rs
@@ -83,7 +83,10 @@
 pub(crate) async fn run<P: Platform>(shared: Arc<Shared<P>>) {
     let mut seen = read(&shared).await;
     loop {
-        let own = seen.claim.as_ref().is_some_and(|claim| is_own(&shared, claim));
+        let own = seen
+            .claim
+            .as_ref()
+            .is_some_and(|claim| is_own(&shared, claim));
         match seen.claim.clone().filter(|_| own) {
             Some(claim) => {
                 own_cell(&shared, claim, seen.end).await;
--- a/crates/node/src/owner/control.rs
+++ b/crates/node/src/owner/control.rs
@@ -134,9 +134,7 @@
             Some(Reply::Noted)
         }
         Question::Look(job) => Some(Reply::State(control.ask(Look(job)).await.ok()?.0)),
-        Question::Pending(queue) => {
-            Some(Reply::Pending(control.ask(Pending(queue)).await.ok()?))
-        }
+        Question::Pending(queue) => Some(Reply::Pending(control.ask(Pending(queue)).await.ok()?)),
         _ => None,
     }
 }
--- a/crates/node/src/report.rs
+++ b/crates/node/src/report.rs
@@ -160,7 +160,10 @@
     }
 
     pub(crate) fn request(&self, what: &'static str, outcome: &'static str) {
-        let labels = [KeyValue::new("call", what), KeyValue::new("outcome", outcome)];
+        let labels = [
+            KeyValue::new("call", what),
+            KeyValue::new("outcome", outcome),
+        ];
         self.0.requests.add(1, &labels);
     }
 
@@ -183,7 +186,10 @@
     }
 
     pub(crate) fn worker_call(&self, kind: &'static str, took: Duration, outcome: &'static str) {
-        let labels = [KeyValue::new("kind", kind), KeyValue::new("outcome", outcome)];
+        let labels = [
+            KeyValue::new("kind", kind),
+            KeyValue::new("outcome", outcome),
+        ];
         self.0.worker_calls.record(took.as_secs_f64(), &labels);
     }
 
@@ -199,9 +205,13 @@
         ];
         for (kind, value) in gauges {
             let value = u64::try_from(value).unwrap_or(u64::MAX);
-            self.0.believed.record(value, &[KeyValue::new("kind", kind)]);
+            self.0
+                .believed
+                .record(value, &[KeyValue::new("kind", kind)]);
         }
-        self.0.believed.record(epoch, &[KeyValue::new("kind", "epoch")]);
+        self.0
+            .believed
+            .record(epoch, &[KeyValue::new("kind", "epoch")]);
     }
 
     /// Counts a decision and writes its line.
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -103,8 +103,7 @@
         let was = *self.failing.borrow();
         match (was, is_failure) {
             (None, true) => {
-                self.failing
-                    .send_replace(Some(tokio::time::Instant::now()));
+                self.failing.send_replace(Some(tokio::time::Instant::now()));
                 let why = result.as_ref().err().map_or("", Error::word);
                 slog::warn!(log, "store-failing"; "why" => why);
             }
@@ -143,6 +142,8 @@
     /// Returns the highest ownership that is known here.
     pub(crate) fn epoch(&self) -> fulmarpier_cell::id::Epoch {
         let claim = self.claim.borrow();
-        claim.as_ref().map_or_else(Default::default, |claim| claim.epoch)
+        claim
+            .as_ref()
+            .map_or_else(Default::default, |claim| claim.epoch)
     }
 }
--- a/crates/protocol/src/settings/node.rs
+++ b/crates/protocol/src/settings/node.rs
@@ -92,13 +92,11 @@
 impl Form for Workers {
     fn read(section: &mut Section<'_>) -> Option<Self> {
         let hour = Span::from_secs(3_600);
-        let lease = section.within(
-            "lease",
-            Span::from_secs(6),
-            Span::from_secs(1)..=hour,
-        );
-        let stop_grace = section.within("stop_grace", Span::from_millis(900), Span::default()..=hour);
-        let gang_wait = section.within("gang_wait", Span::from_secs(3), Span::from_millis(1)..=hour);
+        let lease = section.within("lease", Span::from_secs(6), Span::from_secs(1)..=hour);
+        let stop_grace =
+            section.within("stop_grace", Span::from_millis(900), Span::default()..=hour);
+        let gang_wait =
+            section.within("gang_wait", Span::from_secs(3), Span::from_millis(1)..=hour);
         let remote_penalty = section.within("remote_penalty", 1.5, 1.0..=MOST_PENALTY);
         let restore = section.within("restore", Span::from_millis(250), Span::default()..=hour);
         Some(Self {
