--- a/crates/cell/src/effect.rs
+++ b/crates/cell/src/effect.rs
@@ -73,6 +73,8 @@
     pub acknowledged: u64,
     /// How long the worker may wait for an end before it answers.
     pub wait: Duration,
+    /// When the call was made; tells its answer from that of another call to the same worker.
+    pub asked: Timestamp,
 }
 
 /// A decision or a change of belief, for the log.
--- a/crates/cell/src/engine/contact.rs
+++ b/crates/cell/src/engine/contact.rs
@@ -124,10 +124,21 @@
     /// Calls every worker whose turn it is.
     pub(super) fn call_workers(&mut self, now: Timestamp) {
         for worker in self.workers.values_mut() {
-            let Contact::Due(at) = worker.contact else {
-                continue;
-            };
-            if at > now {
+            if worker.peek.is_some_and(|peek| peek.is_due(now)) {
+                worker.peek = Some(Contact::Out(now));
+                self.outbox.push(Effect::Hold(Hold {
+                    to: crate::effect::Destination {
+                        worker: worker.registration.id.clone(),
+                        address: worker.registration.address,
+                        epoch: self.epoch,
+                    },
+                    deadline: None,
+                    acknowledged: worker.kept,
+                    wait: Duration::ZERO,
+                    asked: now,
+                }));
+            }
+            if !worker.contact.is_due(now) || worker.peek == Some(Contact::Out(now)) {
                 continue;
             }
             // A worker that doesn't answer may still get its calls: its lease must be able to lapse.
@@ -149,25 +160,34 @@
                 deadline,
                 acknowledged: worker.kept,
                 wait,
+                asked: now,
             }));
         }
     }
 
     /// Takes the answer to a call for an inventory.
-    pub fn held(&mut self, id: &WorkerId, answer: HoldAnswer, now: Timestamp) {
+    ///
+    /// `asked` is when the call was made.
+    pub fn held(&mut self, id: &WorkerId, asked: Timestamp, answer: HoldAnswer, now: Timestamp) {
         let Some(slot) = self.slots.get(id).copied() else {
             return;
         };
         let Some(worker) = self.workers.get_mut(&slot) else {
             return;
         };
-        let Contact::Out(asked) = worker.contact else {
+        let is_peek = worker.peek == Some(Contact::Out(asked));
+        if is_peek {
+            worker.peek = None;
+        } else if worker.contact != Contact::Out(asked) {
             return;
-        };
+        }
         match answer {
             HoldAnswer::Listed(inventory) => self.take_inventory(slot, inventory, asked, now),
             HoldAnswer::Fenced => self.outbox.push(Effect::Deposed),
             HoldAnswer::Gone => self.lose_worker(slot, "replaced", now),
+            HoldAnswer::Silent | HoldAnswer::Refused if is_peek => {
+                worker.peek = Some(Contact::Due(now + SILENT_AGAIN));
+            }
             HoldAnswer::Silent | HoldAnswer::Refused => {
                 worker.contact = Contact::Due(now + SILENT_AGAIN);
                 if worker.silent.is_none() {
@@ -217,11 +237,13 @@
         let Some(worker) = self.workers.get_mut(&slot) else {
             return;
         };
-        worker.contact = match worker.seen > worker.kept {
-            // The record of the ends brings the next call forward.
-            true => Contact::Due(now + UNKEPT_AGAIN),
-            false => Contact::Due(now),
-        };
+        if worker.contact == Contact::Out(asked) {
+            worker.contact = match worker.seen > worker.kept {
+                // The record of the ends brings the next call forward.
+                true => Contact::Due(now + UNKEPT_AGAIN),
+                false => Contact::Due(now),
+            };
+        }
         self.ledger.add_ends(slot, worker.seen);
     }
 
--- a/crates/cell/src/engine/order.rs
+++ b/crates/cell/src/engine/order.rs
@@ -23,13 +23,19 @@
         TaskId,
         WorkerId, //
     },
-    worker::Phase,
+    worker::{
+        Contact,
+        Phase, //
+    },
 };
 
 /// How long a worker that turned a start away gets no other.
 const REST: Duration = Duration::from_millis(500);
 /// How long to wait before a stop is sent again.
-const STOP_AGAIN: Duration = Duration::from_millis(300);
+const STOP_AGAIN: Duration = Duration::from_millis(100);
+
+/// The wait between a confirmed stop and the look at whether the run was there at all.
+const PEEK_AFTER: Duration = Duration::from_millis(1);
 
 impl Engine {
     /// Takes the answer to an order to start.
@@ -172,6 +178,12 @@
             StopAnswer::Confirmed => {
                 *confirmed = Some(now);
                 self.stopping.remove(&(slot, task, run));
+                if let Some(worker) = self.workers.get_mut(&slot)
+                    && worker.peek.is_none()
+                {
+                    // Due a moment later, so that the call is certainly made after this answer.
+                    worker.peek = Some(Contact::Due(now + PEEK_AFTER));
+                }
             }
             StopAnswer::Silent => *next = Some(now + STOP_AGAIN),
             StopAnswer::Fenced => self.outbox.push(Effect::Deposed),
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -65,6 +65,13 @@
     Out(Timestamp),
 }
 
+impl Contact {
+    /// Returns whether the call should be made now.
+    pub fn is_due(self, now: Timestamp) -> bool {
+        matches!(self, Self::Due(at) if at <= now)
+    }
+}
+
 /// One incarnation of a worker.
 #[derive(Clone, Debug)]
 pub struct Worker {
@@ -76,6 +83,9 @@
     pub claims: BTreeMap<(TaskId, Run), Claim>,
     /// The call for its inventory.
     pub contact: Contact,
+    /// A second call, which doesn't wait for an end: whether a start without an answer has come to
+    /// anything should be known at once, not when the first call returns up to a second later.
+    pub peek: Option<Contact>,
     /// When an inventory last came in under this ownership.
     pub heard: Option<Timestamp>,
     /// Since when its calls stay unanswered.
@@ -106,6 +116,7 @@
             registration,
             claims: BTreeMap::new(),
             contact: Contact::Due(now),
+            peek: None,
             heard: None,
             silent: None,
             unlisted: None,
--- a/crates/cell/tests/world/mod.rs
+++ b/crates/cell/tests/world/mod.rs
@@ -98,11 +98,11 @@
     Started(WorkerId, TaskId, Run, StartAnswer),
     Stopped(WorkerId, TaskId, Run, StopAnswer),
     Hold(Box<fulmarpier_cell::effect::Hold>),
-    HoldTimeout(WorkerId, u64),
+    HoldTimeout(WorkerId, Timestamp),
     LateStart(Box<fulmarpier_cell::effect::Start>),
     Start(Box<fulmarpier_cell::effect::Start>),
     Stop(fulmarpier_cell::effect::Stop),
-    Held(WorkerId, u64, HoldAnswer),
+    Held(WorkerId, Timestamp, HoldAnswer),
     Recorded(Vec<Entry>),
     Advised(NodeName, StepId, Vec<WorkerId>),
 }
@@ -123,8 +123,8 @@
     records: BTreeMap<String, Entry>,
     events: BTreeMap<(Timestamp, u64), (Epoch, Event)>,
     serial: u64,
-    /// The call for an inventory of each worker that is not answered yet.
-    calls: BTreeMap<WorkerId, u64>,
+    /// The calls for inventories that are not answered yet, by when they were made.
+    calls: BTreeSet<(WorkerId, Timestamp)>,
     store_back: Timestamp,
     next_second: Timestamp,
     /// Tasks whose `done` end was acknowledged, or whose job was seen as completed.
@@ -204,7 +204,7 @@
             records: BTreeMap::new(),
             events: BTreeMap::new(),
             serial: 0,
-            calls: BTreeMap::new(),
+            calls: BTreeSet::new(),
             store_back: now,
             next_second: now,
             done: BTreeSet::new(),
@@ -409,10 +409,10 @@
                 }
             }
             Effect::Hold(order) => {
-                let worker = order.to.worker.clone();
+                let (worker, asked) = (order.to.worker.clone(), order.asked);
                 let timeout = order.wait + Duration::from_millis(800);
-                self.later(timeout, Event::HoldTimeout(worker.clone(), self.serial + 1));
-                self.calls.insert(worker, self.serial);
+                self.later(timeout, Event::HoldTimeout(worker.clone(), asked));
+                self.calls.insert((worker, asked));
                 self.later(WAY, Event::Hold(Box::new(order)));
             }
             Effect::Advise {
@@ -447,8 +447,8 @@
             Event::Stopped(worker, task, run, answer) => {
                 self.engine.stopped(&worker, task, run, answer, self.now);
             }
-            Event::Held(worker, call, answer) => self.end_call(&worker, call, answer),
-            Event::HoldTimeout(worker, call) => self.end_call(&worker, call, HoldAnswer::Silent),
+            Event::Held(worker, asked, answer) => self.end_call(&worker, asked, answer),
+            Event::HoldTimeout(worker, asked) => self.end_call(&worker, asked, HoldAnswer::Silent),
             Event::Recorded(entries) => {
                 for entry in entries {
                     self.records.insert(entry.key(), entry);
@@ -528,17 +528,18 @@
     fn deliver_hold(&mut self, order: fulmarpier_cell::effect::Hold, is_alive: bool) {
         let (now, id) = (self.now, order.to.worker.clone());
         let is_lost = self.chance(self.faults.lost_holds);
-        let Some(call) = self.calls.get(&id).copied().filter(|_| is_alive) else {
+        let asked = order.asked;
+        if !is_alive || !self.calls.contains(&(id.clone(), asked)) {
             return;
-        };
+        }
         if !self.workers.contains_key(&id) {
-            return self.later(WAY, Event::Held(id, call, HoldAnswer::Gone));
+            return self.later(WAY, Event::Held(id, asked, HoldAnswer::Gone));
         }
         let Some(worker) = self.reach(&id) else {
             return;
         };
-        let acknowledged = worker.hold(&order, now);
-        let is_waiting = worker.waiting.is_some();
+        let acknowledged = worker.hold(&order, is_lost, now);
+        let is_waiting = worker.waiting.is_some_and(|(_, call)| call == asked);
         for (task, run, is_done) in acknowledged {
             if is_done {
                 self.done.insert(task);
@@ -546,22 +547,15 @@
                 self.failed.entry(task).or_default().insert(run);
             }
         }
-        if let Some(worker) = self.workers.get_mut(&id) {
-            worker.call = call;
-            if is_lost {
-                worker.waiting = None;
-            }
-        }
         if !is_lost && !is_waiting {
-            self.answer_hold(&id);
+            self.answer_hold(&id, asked);
         }
     }
 
     /// Hands the answer to a call to the engine, unless the call is over.
-    fn end_call(&mut self, id: &WorkerId, call: u64, answer: HoldAnswer) {
-        if self.calls.get(id) == Some(&call) {
-            self.calls.remove(id);
-            self.engine.held(id, answer, self.now);
+    fn end_call(&mut self, id: &WorkerId, asked: Timestamp, answer: HoldAnswer) {
+        if self.calls.remove(&(id.clone(), asked)) {
+            self.engine.held(id, asked, answer, self.now);
         }
     }
 
@@ -570,19 +564,18 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        if worker.waiting.take().is_some() {
-            self.answer_hold(id);
+        if let Some((_, asked)) = worker.waiting.take() {
+            self.answer_hold(id, asked);
         }
     }
 
-    fn answer_hold(&mut self, id: &WorkerId) {
+    fn answer_hold(&mut self, id: &WorkerId, asked: Timestamp) {
         let now = self.now;
         let Some(worker) = self.reach(id) else {
             return;
         };
-        let call = worker.call;
         let answer = HoldAnswer::Listed(worker.inventory(now));
-        self.later(WAY, Event::Held(id.clone(), call, answer));
+        self.later(WAY, Event::Held(id.clone(), asked, answer));
     }
 
     /// Checks every promise about starts.
--- a/crates/cell/tests/world/worker.rs
+++ b/crates/cell/tests/world/worker.rs
@@ -55,10 +55,8 @@
     pub(crate) place: u32,
     /// Until when nothing reaches it.
     pub(crate) cut_until: Timestamp,
-    /// A call that waits for an end, and until when.
-    pub(crate) waiting: Option<Timestamp>,
-    /// The last call for an inventory that arrived.
-    pub(crate) call: u64,
+    /// Until when a call waits for an end, and when it was made.
+    pub(crate) waiting: Option<(Timestamp, Timestamp)>,
     born: Timestamp,
     rate: f64,
     fence: Epoch,
@@ -81,7 +79,6 @@
             place,
             cut_until: now,
             waiting: None,
-            call: 0,
             born: now,
             rate,
             fence: Epoch(0),
@@ -173,7 +170,12 @@
     }
 
     /// Takes a call for the inventory; returns the ends that it may forget, done or failed.
-    pub(crate) fn hold(&mut self, order: &Hold, now: Timestamp) -> Vec<(TaskId, Run, bool)> {
+    pub(crate) fn hold(
+        &mut self,
+        order: &Hold,
+        is_lost: bool,
+        now: Timestamp,
+    ) -> Vec<(TaskId, Run, bool)> {
         if order.to.epoch < self.fence {
             return Vec::new();
         }
@@ -184,7 +186,10 @@
             .partition(|end| end.serial <= order.acknowledged);
         self.ended = kept;
         let is_waiting = self.ended.is_empty() && !order.wait.is_zero();
-        self.waiting = is_waiting.then_some(now + order.wait);
+        if !order.wait.is_zero() {
+            // The answer to a call that is lost takes the place of one that waits.
+            self.waiting = (is_waiting && !is_lost).then_some((now + order.wait, order.asked));
+        }
         let forgotten: Vec<Ended> = forgotten;
         let counted = forgotten
             .into_iter()
@@ -218,7 +223,8 @@
                 checkpoint: None,
             });
         }
-        self.waiting.is_some_and(|until| has_ended || until <= now)
+        self.waiting
+            .is_some_and(|(until, _)| has_ended || until <= now)
     }
 
     pub(crate) fn inventory(&self, now: Timestamp) -> Inventory {
--- a/crates/node/src/owner/control.rs
+++ b/crates/node/src/owner/control.rs
@@ -39,6 +39,7 @@
         Entry, //
     },
 };
+use fulmarpier_state::clock::Timestamp;
 use kameo::{
     Actor,
     actor::{
@@ -90,7 +91,7 @@
     /// An order to stop was answered.
     Stopped(WorkerId, TaskId, Run, StopAnswer),
     /// A call for an inventory was answered.
-    Held(WorkerId, HoldAnswer),
+    Held(WorkerId, Timestamp, HoldAnswer),
     /// A call for advice was answered.
     Advised(NodeName, StepId, Option<Vec<Advised>>),
     /// The record on its way is kept.
@@ -169,7 +170,7 @@
             Event::Stopped(worker, task, run, answer) => {
                 engine.stopped(&worker, task, run, answer, now);
             }
-            Event::Held(worker, answer) => engine.held(&worker, answer, now),
+            Event::Held(worker, asked, answer) => engine.held(&worker, asked, answer, now),
             Event::Advised(node, step, answer) => engine.advised(&node, step, answer, now),
             Event::Recorded => engine.recorded(now),
             Event::Registered(registration) => engine.register(registration, now),
@@ -246,7 +247,7 @@
     fn hold(&self, order: fulmarpier_cell::effect::Hold, own: WeakActorRef<Self>) {
         let shared = self.shared.clone();
         tokio::spawn(async move {
-            let worker = order.to.worker.clone();
+            let (worker, asked) = (order.to.worker.clone(), order.asked);
             let began = Instant::now();
             let answer = shared.platform.hold(order).await;
             let outcome = match answer {
@@ -257,7 +258,7 @@
                 HoldAnswer::Refused => "refused",
             };
             shared.meter.worker_call("hold", began.elapsed(), outcome);
-            tell(&own, Event::Held(worker, answer)).await;
+            tell(&own, Event::Held(worker, asked, answer)).await;
         });
     }
 
