Record starts before their orders; bound the passes over waiting steps; wait for a claim's own node

Cause: a new owner could not tell what a silent worker may run, so everything that it inherited waited for that worker's leases: 6 to 10 s after each takeover with a dead or cut worker. With the runs of each worker on record only those wait. The gate that marked jobs as inherited goes. With 500 waiting steps a pass over them (48 workers, their claims, for each step) kept the owner from answers that were there, so calls timed out: passes are 4 ms apart and end a queue after 12 steps without room.

--- a/crates/cell/src/engine/ask.rs
+++ b/crates/cell/src/engine/ask.rs
@@ -32,7 +32,7 @@
 
 impl Engine {
     /// Returns whether it is known which workers may run a step.
-    pub(super) fn has_advice(&self, id: StepId, _now: Timestamp) -> bool {
+    pub(super) fn has_advice(&self, id: StepId) -> bool {
         let Some(job) = self.jobs.get(&id.job) else {
             return true;
         };
--- a/crates/cell/src/engine/contact.rs
+++ b/crates/cell/src/engine/contact.rs
@@ -1,9 +1,6 @@
 //! Workers that come and go, their leases and their inventories.
 
-use std::{
-    net::SocketAddr,
-    time::Duration, //
-};
+use std::time::Duration;
 
 use fulmarpier_state::{
     clock::Timestamp,
@@ -32,6 +29,7 @@
         TaskId,
         WorkerId, //
     },
+    record::Usage,
     worker::{
         Claim,
         Contact,
@@ -73,7 +71,6 @@
         }
         let worker = Worker::new(registration, now, now);
         let slot = self.insert_worker(worker);
-        self.ledger.add_worker(slot);
         self.note_worker(slot, "listed");
     }
 
@@ -94,13 +91,13 @@
     pub(super) fn expect_worker(
         &mut self,
         id: WorkerId,
-        address: SocketAddr,
+        usage: Usage,
         lapses: Timestamp,
         now: Timestamp,
     ) {
         let registration = Registration {
-            id: id.clone(),
-            address,
+            id,
+            address: usage.address,
             pool: PoolName::from(""),
             capacity: Resources::ZERO,
             labels: Vec::new(),
@@ -108,9 +105,15 @@
         };
         let mut worker = Worker::new(registration, now, lapses);
         worker.unlisted = Some(now);
-        worker.is_kept = true;
-        self.insert_worker(worker);
-        self.unheard.insert(id, lapses);
+        let slot = self.insert_worker(worker);
+        for (task, run) in usage.runs {
+            let running = Running {
+                task,
+                run,
+                checkpoint: None,
+            };
+            self.adopt(slot, &running, now);
+        }
     }
 
     fn insert_worker(&mut self, worker: Worker) -> Slot {
@@ -213,11 +216,9 @@
         worker.silent = None;
         worker.read_clock(inventory.clock, now);
         let seen = worker.seen;
-        let id = worker.registration.id.clone();
         if !was_heard {
             self.note_worker(slot, "heard");
         }
-        self.unheard.remove(&id);
         self.is_stirred = true;
         let mut listed: Vec<(TaskId, Run)> = Vec::new();
         for running in &inventory.running {
@@ -322,7 +323,7 @@
             .iter()
             .filter(|(key, claim)| {
                 let is_settled = match claim.phase {
-                    Phase::Starting => false,
+                    Phase::Recording | Phase::Starting => false,
                     Phase::Running { since } => since <= asked,
                     Phase::Stopping { confirmed, .. } => confirmed.is_some_and(|at| at <= asked),
                 };
@@ -340,7 +341,10 @@
         self.is_stirred = true;
         if let Some(worker) = self.workers.get_mut(&slot) {
             worker.release(task, run);
+            // A record that lists it elsewhere must not be kept before one that doesn't list it here.
+            self.ledger.add_worker(slot);
         }
+        self.orders.remove(&(slot, task, run));
         self.stopping.remove(&(slot, task, run));
         let Some(job) = self.jobs.get_mut(&task.step.job) else {
             return;
@@ -369,7 +373,6 @@
         self.note_worker(slot, why);
         self.release_all(slot, now);
         if let Some(worker) = self.workers.remove(&slot) {
-            self.unheard.remove(&worker.registration.id);
             self.slots.remove(&worker.registration.id);
             self.ledger.remove_worker(worker.registration.id);
         }
@@ -400,9 +403,6 @@
 
     /// Gives up what ran on workers whose leases have certainly lapsed.
     pub(super) fn expire_workers(&mut self, now: Timestamp) {
-        let was_waiting = !self.unheard.is_empty();
-        self.unheard.retain(|_, until| *until > now);
-        self.is_stirred |= was_waiting && self.unheard.is_empty();
         let lapsed: Vec<Slot> = self
             .workers
             .iter()
--- a/crates/cell/src/engine/job.rs
+++ b/crates/cell/src/engine/job.rs
@@ -142,8 +142,6 @@
 #[derive(Clone, Debug)]
 pub(super) struct Job {
     pub(super) accepted: Accepted,
-    /// A former owner may have started its tasks.
-    pub(super) is_inherited: bool,
     pub(super) is_cancelled: bool,
     pub(super) has_begun: bool,
     pub(super) occurrences: BTreeMap<u32, Vec<Stage>>,
@@ -153,6 +151,8 @@
     pub(super) kept_outcome: Option<Outcome>,
     /// When it has to be completed to be in time.
     pub(super) due: Timestamp,
+    /// The longest chain of work from each step on, by the estimates.
+    chains: Vec<Duration>,
     /// From when on its completion is worth nothing any more.
     pub(super) worthless: Timestamp,
 }
@@ -163,19 +163,17 @@
 impl Job {
     pub(super) fn new(accepted: Accepted, progress: &Progress) -> Self {
         let spec = accepted.spec.clone();
-        let chain = (0..spec.steps.len())
-            .map(|step| spec.chain_from(u16::try_from(step).unwrap_or(u16::MAX)))
-            .max()
-            .unwrap_or_default();
+        let chains = spec.chains();
+        let chain = chains.iter().max().copied().unwrap_or_default();
         let queue = &accepted.queue;
         let objective = chain.mul_f64(queue.stretch.max(0.0)) + queue.objective;
         let mut job = Self {
-            is_inherited: false,
             is_cancelled: false,
             has_begun: !progress.occurrences.is_empty(),
             occurrences: BTreeMap::new(),
             outcome: progress.outcome,
             kept_outcome: progress.outcome,
+            chains,
             due: accepted.received + objective,
             worthless: accepted.received + objective * WORTHLESS_AFTER,
             accepted,
@@ -247,7 +245,7 @@
 
     /// Returns the latest time at which a step may start for the job to be in time.
     pub(super) fn latest_start(&self, step: u16) -> Timestamp {
-        let chain: Duration = self.spec().chain_from(step);
-        self.due.saturating_sub(chain)
+        let chain = self.chains.get(usize::from(step)).copied();
+        self.due.saturating_sub(chain.unwrap_or_default())
     }
 }
--- a/crates/cell/src/engine/keep.rs
+++ b/crates/cell/src/engine/keep.rs
@@ -18,14 +18,20 @@
     },
     id::{
         JobId,
+        Run,
         StepId,
+        TaskId,
         WorkerId, //
     },
     record::{
         Entry,
-        Outcome, //
+        Outcome,
+        Usage, //
+    },
+    worker::{
+        Contact,
+        Phase, //
     },
-    worker::Contact,
 };
 
 /// What waits for its record, and the record that is on its way; one at a time.
@@ -33,6 +39,8 @@
 pub(super) struct Ledger {
     jobs: BTreeSet<JobId>,
     workers: BTreeSet<Slot>,
+    /// Workers that are gone for good.
+    gone: BTreeSet<WorkerId>,
     /// The last end of each worker that was taken in.
     ends: BTreeMap<Slot, u64>,
     flight: Option<Flight>,
@@ -42,7 +50,8 @@
 #[derive(Clone, Debug, Default)]
 struct Flight {
     jobs: Vec<Snapshot>,
-    workers: Vec<Slot>,
+    /// The starts that were decided when the record was written.
+    starts: Vec<(Slot, TaskId, Run)>,
     ends: BTreeMap<Slot, u64>,
 }
 
@@ -67,8 +76,8 @@
         self.ends.insert(slot, last);
     }
 
-    pub(super) fn remove_worker(&mut self, _worker: WorkerId) {
-        // Its record stays: a new owner finds the incarnation gone by asking at its address.
+    pub(super) fn remove_worker(&mut self, worker: WorkerId) {
+        self.gone.insert(worker);
     }
 }
 
@@ -92,15 +101,25 @@
             entries.push(Entry::Job(id, job.progress()));
             snapshots.push(self.snapshot(id));
         }
-        for slot in &workers {
-            if let Some(worker) = self.workers.get(slot) {
-                let registration = &worker.registration;
-                entries.push(Entry::Worker(registration.id.clone(), registration.address));
-            }
+        let mut starts = Vec::new();
+        for slot in workers {
+            let Some(worker) = self.workers.get(&slot) else {
+                continue;
+            };
+            let usage = Usage {
+                address: worker.registration.address,
+                runs: worker.claims.keys().copied().collect(),
+            };
+            entries.push(Entry::Worker(worker.registration.id.clone(), usage));
+            let decided = worker.claims.iter();
+            let decided = decided.filter(|(_, claim)| claim.phase == Phase::Recording);
+            starts.extend(decided.map(|((task, run), _)| (slot, *task, *run)));
         }
+        let gone = std::mem::take(&mut self.ledger.gone);
+        entries.extend(gone.into_iter().map(Entry::Gone));
         let flight = Flight {
             jobs: snapshots,
-            workers: workers.into_iter().collect(),
+            starts,
             ends,
         };
         if entries.is_empty() {
@@ -136,11 +155,8 @@
         let Some(flight) = self.ledger.flight.take() else {
             return;
         };
-        for slot in flight.workers {
-            if let Some(worker) = self.workers.get_mut(&slot) {
-                worker.is_kept = true;
-                self.is_stirred = true;
-            }
+        for (slot, task, run) in flight.starts {
+            self.send_start(slot, task, run, now);
         }
         for snapshot in flight.jobs {
             self.apply(snapshot, now);
--- a/crates/cell/src/engine/mod.rs
+++ b/crates/cell/src/engine/mod.rs
@@ -25,9 +25,13 @@
 mod submit;
 mod view;
 
-use std::collections::{
-    BTreeMap,
-    BTreeSet, //
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    sync::Arc,
+    time::Duration, //
 };
 
 use fulmarpier_state::{
@@ -65,15 +69,28 @@
     },
     record::{
         Accepted,
-        Progress, //
+        Progress,
+        Usage, //
     },
     worker::Worker,
 };
 
+/// The least time between two passes over the open steps: a busy second has some 1,000 events, and
+/// a pass over a long queue takes most of a millisecond.
+const PASS_GAP: Duration = Duration::from_millis(4);
+
 /// A worker's place in the engine's tables; never used for another worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Slot(u32);
 
+/// What an order to start carries, apart from what is decided when it leaves.
+#[derive(Clone, Debug)]
+struct Order {
+    text: Arc<str>,
+    checkpoint: Option<Arc<str>>,
+    ticket: Option<Arc<str>>,
+}
+
 /// What a new owner has read from the store.
 #[derive(Clone, Debug, Default)]
 pub struct Inheritance {
@@ -83,16 +100,14 @@
     pub cancelled: Vec<JobId>,
     /// How far jobs have come.
     pub progress: Vec<(JobId, Progress)>,
-    /// The workers that former owners may have given tasks, with their addresses.
-    pub workers: Vec<(WorkerId, std::net::SocketAddr)>,
+    /// What workers may run by order of former owners.
+    pub workers: Vec<(WorkerId, Usage)>,
 }
 
 /// The scheduler of a cell.
 #[derive(Debug)]
 pub struct Engine {
     epoch: Epoch,
-    /// When the ownership began.
-    since: Timestamp,
     bounds: Bounds,
     config: Config,
     jobs: HashMap<JobId, Job>,
@@ -111,22 +126,23 @@
     pending: HashMap<QueueName, u32>,
     desk: Desk,
     ledger: Ledger,
-    /// Workers of former owners that have not been heard of yet, and until when they may run tasks.
-    unheard: BTreeMap<WorkerId, Timestamp>,
+    /// Orders that wait for their record.
+    orders: HashMap<(Slot, TaskId, Run), Order>,
     /// Whether something has changed that may let a task start.
     is_stirred: bool,
+    /// Before this the open steps are not gone through again.
+    next_pass: Timestamp,
     outbox: Vec<Effect>,
 }
 
 impl Engine {
     /// Makes the engine of a new ownership from what the store keeps.
     ///
-    /// What is inherited starts again only once every worker that may still run it was heard of, or
-    /// has let its leases lapse.
+    /// A task that a worker may still run by order of a former owner starts again only once that
+    /// worker was heard of, or has let its leases lapse.
     pub fn new(epoch: Epoch, bounds: Bounds, inheritance: Inheritance, now: Timestamp) -> Self {
         let mut engine = Self {
             epoch,
-            since: now,
             bounds,
             config: Config::default(),
             jobs: HashMap::default(),
@@ -140,8 +156,9 @@
             pending: HashMap::default(),
             desk: Desk::default(),
             ledger: Ledger::default(),
-            unheard: BTreeMap::new(),
+            orders: HashMap::default(),
             is_stirred: true,
+            next_pass: now,
             outbox: Vec::new(),
         };
         let mut progress: HashMap<JobId, Progress> = inheritance.progress.into_iter().collect();
@@ -150,8 +167,8 @@
             engine.inherit(accepted, progress, now);
         }
         let lapses = now + engine.bounds.lapse();
-        for (worker, address) in inheritance.workers {
-            engine.expect_worker(worker, address, lapses, now);
+        for (worker, usage) in inheritance.workers {
+            engine.expect_worker(worker, usage, lapses, now);
         }
         engine
     }
@@ -182,7 +199,9 @@
         self.open_due(now);
         self.expire_workers(now);
         self.send_stops(now);
-        if std::mem::take(&mut self.is_stirred) {
+        if self.is_stirred && now >= self.next_pass {
+            self.is_stirred = false;
+            self.next_pass = now + PASS_GAP;
             self.schedule(now);
         }
         self.keep();
@@ -190,6 +209,11 @@
         std::mem::take(&mut self.outbox)
     }
 
+    /// Returns when [`Self::advance`] has something to decide, if it has.
+    pub fn next_pass(&self) -> Option<Timestamp> {
+        self.is_stirred.then_some(self.next_pass)
+    }
+
     fn destination(&self, worker: &Registration) -> Destination {
         Destination {
             worker: worker.id.clone(),
--- a/crates/cell/src/engine/order.rs
+++ b/crates/cell/src/engine/order.rs
@@ -12,6 +12,7 @@
     effect::{
         Effect,
         Note,
+        Start,
         Stop, //
     },
     event::{
@@ -87,6 +88,34 @@
         }
     }
 
+    /// Orders a start whose decision is on record.
+    pub(super) fn send_start(&mut self, slot: Slot, task: TaskId, run: Run, now: Timestamp) {
+        let Some(order) = self.orders.remove(&(slot, task, run)) else {
+            return;
+        };
+        let Some(worker) = self.workers.get_mut(&slot) else {
+            return;
+        };
+        let Some(deadline) = worker.extend(&self.bounds, now) else {
+            self.release(slot, task, run, now);
+            return;
+        };
+        let registration = worker.registration.clone();
+        if let Some(claim) = worker.claims.get_mut(&(task, run)) {
+            claim.phase = Phase::Starting;
+        }
+        let to = self.destination(&registration);
+        self.outbox.push(Effect::Start(Box::new(Start {
+            to,
+            task,
+            run,
+            text: order.text,
+            deadline,
+            checkpoint: order.checkpoint,
+            ticket: order.ticket,
+        })));
+    }
+
     fn confirm(&mut self, slot: Slot, task: TaskId, run: Run, now: Timestamp) {
         let worker = self.workers.get_mut(&slot);
         let claim = worker.and_then(|worker| worker.claims.get_mut(&(task, run)));
@@ -115,6 +144,11 @@
         if matches!(claim.phase, Phase::Stopping { .. }) {
             return;
         }
+        if claim.phase == Phase::Recording {
+            // Its order has not left and never will.
+            self.release(slot, task, run, now);
+            return;
+        }
         claim.phase = Phase::Stopping {
             confirmed: None,
             next: Some(now),
--- a/crates/cell/src/engine/place.rs
+++ b/crates/cell/src/engine/place.rs
@@ -9,17 +9,14 @@
 
 use super::{
     Engine,
+    Order,
     Slot,
     job::Job,
     reserve::Reserved, //
 };
 use crate::{
     config::Queue,
-    effect::{
-        Effect,
-        Note,
-        Start, //
-    },
+    effect::Note,
     id::{
         Run,
         StepId, //
@@ -273,7 +270,7 @@
         fill(rooms.iter().map(|(slot, room, _)| (*slot, *room)), count)
     }
 
-    /// Takes the room for a run and orders its start.
+    /// Takes the room for a run; its order leaves once that is on record.
     fn start(&mut self, id: StepId, index: u16, slot: Slot, run: Run, now: Timestamp) -> bool {
         let task = id.task(index);
         let Some(job) = self.jobs.get_mut(&id.job) else {
@@ -288,17 +285,14 @@
         };
         let claim = Claim {
             size: charge(step),
-            phase: Phase::Starting,
+            phase: Phase::Recording,
             since: now,
         };
-        let Some(deadline) = worker.extend(&self.bounds, now) else {
-            return false;
-        };
         if !worker.claim(task, run, claim) {
             return false;
         }
         let heard = worker.age(now);
-        let registration = worker.registration.clone();
+        let worker = worker.registration.id.clone();
         let Some(stage) = job.stage_mut(id) else {
             return false;
         };
@@ -317,23 +311,20 @@
         if !has_begun {
             self.count_begun(&queue);
         }
-        let to = self.destination(&registration);
         self.note(Note::Placed {
             task,
             run,
-            worker: registration.id,
+            worker,
             heard,
             waited: waited.unwrap_or_default(),
         });
-        self.outbox.push(Effect::Start(Box::new(Start {
-            to,
-            task,
-            run,
+        let order = Order {
             text: spec.text.clone(),
-            deadline,
             checkpoint,
             ticket,
-        })));
+        };
+        self.orders.insert((slot, task, run), order);
+        self.ledger.add_worker(slot);
         true
     }
 }
--- a/crates/cell/src/engine/schedule.rs
+++ b/crates/cell/src/engine/schedule.rs
@@ -2,8 +2,21 @@
 
 use fulmarpier_state::clock::Timestamp;
 
-use super::Engine;
-use crate::id::StepId;
+use fulmarpier_state::alias::HashMap;
+
+use super::{
+    Engine,
+    reserve::Reserved, //
+};
+use crate::id::{
+    QueueName,
+    StepId, //
+};
+
+/// So many steps of one queue may find no room in a pass; the others of the queue, which are less
+/// urgent and of much the same size, are passed over then. Without it a pass over 500 waiting steps
+/// kept the owner from everything else.
+const MOST_BLOCKED: u32 = 12;
 
 /// How urgent a step is; the least comes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -24,18 +37,25 @@
             .filter_map(|step| self.rank(*step, now))
             .collect();
         ranks.sort_unstable();
-        let mut reserved = super::reserve::Reserved::default();
+        let mut reserved = Reserved::default();
+        let mut blocked: HashMap<QueueName, u32> = HashMap::default();
         for rank in ranks {
-            self.serve(rank.step, &mut reserved, now);
+            let Some(job) = self.jobs.get(&rank.step.job) else {
+                continue;
+            };
+            let queue = job.accepted.queue.name.clone();
+            let blocked = blocked.entry(queue).or_default();
+            if *blocked >= MOST_BLOCKED {
+                continue;
+            }
+            if !self.serve(rank.step, &mut reserved, now) {
+                *blocked += 1;
+            }
         }
     }
 
     fn rank(&self, id: StepId, now: Timestamp) -> Option<Rank> {
         let job = self.jobs.get(&id.job)?;
-        if job.is_inherited && !self.unheard.is_empty() {
-            // A worker that was not heard of yet may run it.
-            return None;
-        }
         let latest_start = job.latest_start(id.step);
         let lateness = match () {
             () if now <= latest_start => 0,
@@ -50,11 +70,11 @@
         })
     }
 
-    /// Starts what fits of one step.
-    fn serve(&mut self, id: StepId, reserved: &mut super::reserve::Reserved, now: Timestamp) {
-        if !self.has_advice(id, now) {
+    /// Starts what fits of one step; false where something of it has to wait.
+    fn serve(&mut self, id: StepId, reserved: &mut Reserved, now: Timestamp) -> bool {
+        if !self.has_advice(id) {
             self.ask(id, now);
-            return;
+            return false;
         }
         let is_gang = self
             .jobs
@@ -66,9 +86,10 @@
             false => self.place_singles(id, reserved, now),
         };
         if is_placed {
-            return;
+            return true;
         }
         self.refresh_advice(id, reserved, now);
         self.make_room(id, reserved, now);
+        false
     }
 }
--- a/crates/cell/src/engine/submit.rs
+++ b/crates/cell/src/engine/submit.rs
@@ -1,7 +1,5 @@
 //! Jobs and cancellations that come in, and steps whose turn comes.
 
-use std::time::Duration;
-
 use fulmarpier_state::clock::Timestamp;
 
 use super::{
@@ -19,27 +17,19 @@
     },
 };
 
-/// For this long after a takeover a former owner may not know of it yet and may have started jobs
-/// that came in since; nodes exchange who owns the cell every half second, and one call may be lost.
-const FORMER_OWNER: Duration = Duration::from_secs(2);
-
 impl Engine {
     /// Takes a job whose acceptance is on record; false where it is known already.
     pub fn submit(&mut self, accepted: Accepted, now: Timestamp) -> bool {
         if self.jobs.contains_key(&accepted.job) {
             return false;
         }
-        let mut job = Job::new(accepted, &Progress::default());
-        job.is_inherited = now.since(self.since) < FORMER_OWNER;
-        self.insert(job, now);
+        self.insert(Job::new(accepted, &Progress::default()), now);
         true
     }
 
     /// Takes a job that a former owner may have begun.
     pub(super) fn inherit(&mut self, accepted: Accepted, progress: Progress, now: Timestamp) {
-        let mut job = Job::new(accepted, &progress);
-        job.is_inherited = true;
-        self.insert(job, now);
+        self.insert(Job::new(accepted, &progress), now);
     }
 
     fn insert(&mut self, mut job: Job, now: Timestamp) {
--- a/crates/cell/src/engine/view.rs
+++ b/crates/cell/src/engine/view.rs
@@ -39,7 +39,7 @@
     pub workers_heard: usize,
     /// Workers that don't answer.
     pub workers_silent: usize,
-    /// Workers of former owners that were not heard of yet.
+    /// Workers that may run tasks of former owners and were not heard of yet.
     pub workers_unheard: usize,
 }
 
@@ -74,6 +74,8 @@
         let heard = self.workers.values().filter(|worker| {
             worker.heard.is_some() && worker.silent.is_none() && worker.unlisted.is_none()
         });
+        let unheard = self.workers.values();
+        let unheard = unheard.filter(|worker| worker.heard.is_none() && !worker.claims.is_empty());
         Counts {
             jobs: self.jobs.len(),
             open_steps: self.open.len(),
@@ -84,7 +86,7 @@
                 .sum(),
             workers_heard: heard.count(),
             workers_silent: silent,
-            workers_unheard: self.unheard.len(),
+            workers_unheard: unheard.count(),
         }
     }
 }
--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -130,17 +130,16 @@
         Ok(())
     }
 
-    /// Returns the longest chain of work from a step on, by the estimates; the step included.
-    pub fn chain_from(&self, step: u16) -> Duration {
-        let from = usize::from(step);
+    /// Returns the longest chain of work from each step on, by the estimates; the step included.
+    pub fn chains(&self) -> Vec<Duration> {
         let mut longest = vec![Duration::ZERO; self.steps.len()];
-        for index in (from..self.steps.len()).rev() {
-            longest[index] += self.steps[index].estimate;
-            for after in &self.steps[index].after {
+        for (index, step) in self.steps.iter().enumerate().rev() {
+            longest[index] += step.estimate;
+            for after in &step.after {
                 let after = usize::from(*after);
                 longest[after] = longest[after].max(longest[index]);
             }
         }
-        longest[from]
+        longest
     }
 }
--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -18,6 +18,7 @@
         JobId,
         NodeName,
         Run,
+        TaskId,
         WorkerId, //
     },
     job::Spec,
@@ -100,10 +101,22 @@
 pub enum Entry {
     /// How far a job has come.
     Job(JobId, Progress),
-    /// A worker that may be given tasks; kept before the first one.
+    /// What a worker may run; kept before an order to start leaves.
     ///
-    /// A new owner has to hear from each of these, or wait until its leases have lapsed.
-    Worker(WorkerId, SocketAddr),
+    /// A new owner has to hear from the worker, or wait until its leases have lapsed, before it
+    /// starts one of these elsewhere.
+    Worker(WorkerId, Usage),
+    /// A worker that is gone for good.
+    Gone(WorkerId),
+}
+
+/// What a worker may run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Usage {
+    /// Where the worker takes orders.
+    pub address: SocketAddr,
+    /// The runs.
+    pub runs: Vec<(TaskId, Run)>,
 }
 
 impl Entry {
@@ -111,9 +124,14 @@
     pub fn key(&self) -> String {
         match self {
             Self::Job(job, _) => job.to_string(),
-            Self::Worker(worker, _) => format!("w/{worker}"),
+            Self::Worker(worker, _) | Self::Gone(worker) => format!("w/{worker}"),
         }
     }
+
+    /// Returns whether the key is to be removed.
+    pub const fn is_removal(&self) -> bool {
+        matches!(self, Self::Gone(_))
+    }
 }
 
 /// Who owns the cell; a later claim names the one that it replaces by its place in the store.
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -22,6 +22,8 @@
 /// How far a run has come on its worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
+    /// It was decided; its order waits until the decision is on record.
+    Recording,
     /// Its order is on its way.
     Starting,
     /// The worker has confirmed or listed it.
@@ -92,8 +94,6 @@
     pub silent: Option<Timestamp>,
     /// Since when the store doesn't list it.
     pub unlisted: Option<Timestamp>,
-    /// Whether it is on record, so that a new owner will look for it.
-    pub is_kept: bool,
     /// The last end that was taken in.
     pub seen: u64,
     /// The last end that is on record and may be forgotten by the worker.
@@ -120,7 +120,6 @@
             heard: None,
             silent: None,
             unlisted: None,
-            is_kept: false,
             seen: 0,
             kept: 0,
             rests: Timestamp::ZERO,
@@ -153,7 +152,6 @@
         self.heard.is_some()
             && self.silent.is_none()
             && self.unlisted.is_none()
-            && self.is_kept
             && self.registration.leaving.is_none()
             && self.rests <= now
     }
--- a/crates/cell/tests/world/mod.rs
+++ b/crates/cell/tests/world/mod.rs
@@ -347,7 +347,8 @@
         for entry in self.records.values() {
             match entry {
                 Entry::Job(job, progress) => inheritance.progress.push((*job, progress.clone())),
-                Entry::Worker(id, address) => inheritance.workers.push((id.clone(), *address)),
+                Entry::Worker(id, usage) => inheritance.workers.push((id.clone(), usage.clone())),
+                Entry::Gone(_) => {}
             }
         }
         self.calls.clear();
@@ -634,7 +635,7 @@
                 .occurrences
                 .iter()
                 .any(|(_, steps)| steps[usize::from(task.step.step)].is_done(task.index)),
-            Entry::Worker(..) => false,
+            Entry::Worker(..) | Entry::Gone(_) => false,
         });
         listed || kept || self.done.contains(&task)
     }
--- a/crates/node/src/member.rs
+++ b/crates/node/src/member.rs
@@ -238,9 +238,15 @@
     };
     match message::ask(&shared.rpc, claim.address, &hello, HELLO_PATIENCE).await {
         Ok(Reply::Owner { epoch, .. }) if epoch == claim.epoch => Belief::Well,
-        Ok(Reply::Owner { epoch, .. } | Reply::NotOwner { epoch }) if epoch > claim.epoch => {
+        Ok(Reply::Owner { epoch, .. } | Reply::NotOwner { epoch, .. }) if epoch > claim.epoch => {
             Belief::Replaced
         }
+        // It may not have heard yet that its own claim was kept.
+        Ok(Reply::NotOwner { epoch, incarnation })
+            if incarnation == claim.incarnation && epoch < claim.epoch =>
+        {
+            Belief::Silent
+        }
         Ok(Reply::NotOwner { .. }) => Belief::Vacant("disowned"),
         Err(rpc::Error::Refused { .. }) => Belief::Vacant("refused"),
         Ok(_) | Err(_) => Belief::Silent,
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -76,6 +76,8 @@
     NotOwner {
         /// The highest ownership that it knows of.
         epoch: Epoch,
+        /// Which life of the node answers.
+        incarnation: u64,
     },
     /// It is taken in.
     Noted,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -262,6 +262,7 @@
             other => {
                 let not_owner = Reply::NotOwner {
                     epoch: shared.epoch(),
+                    incarnation: shared.incarnation,
                 };
                 match shared.control() {
                     Some(control) => owner::accept(&control, other).await.unwrap_or(not_owner),
@@ -277,6 +278,7 @@
         let Some(acting) = acting else {
             return Reply::NotOwner {
                 epoch: shared.epoch(),
+                incarnation: shared.incarnation,
             };
         };
         let now = shared.clock.now();
--- a/crates/node/src/owner/control.rs
+++ b/crates/node/src/owner/control.rs
@@ -53,7 +53,10 @@
 };
 use tokio::{
     sync::mpsc,
-    time::Instant, //
+    time::{
+        Instant,
+        sleep_until, //
+    },
 };
 
 use crate::{
@@ -75,6 +78,8 @@
     engine: Engine,
     shared: Arc<Shared<P>>,
     records: mpsc::UnboundedSender<Vec<Entry>>,
+    /// Whether the actor will be told that time has passed when a pass is due.
+    is_timed: bool,
     /// Set once another node may own the cell: no order leaves any more.
     is_deposed: bool,
 }
@@ -106,6 +111,8 @@
     Hands(Vec<NodeName>),
     /// Time has passed.
     Tick,
+    /// A pass over the open steps is due.
+    Pass,
     /// Another node owns the cell, or may.
     Deposed,
 }
@@ -150,6 +157,7 @@
             engine,
             shared,
             records,
+            is_timed: false,
             is_deposed: false,
         }
     }
@@ -178,6 +186,7 @@
             Event::Configured(config) => engine.configure(config.as_ref().clone()),
             Event::Hands(nodes) => engine.set_hands(&nodes, now),
             Event::Tick => {}
+            Event::Pass => self.is_timed = false,
             Event::Deposed => self.is_deposed = true,
         }
     }
@@ -211,6 +220,20 @@
         }
     }
 
+    /// Comes back when the next pass is due, if that is before the next tick.
+    fn set_timer(&mut self, own: &ActorRef<Self>) {
+        let Some(at) = self.engine.next_pass().filter(|_| !self.is_timed) else {
+            return;
+        };
+        self.is_timed = true;
+        let at = self.shared.clock.instant(at);
+        let own = own.downgrade();
+        tokio::spawn(async move {
+            sleep_until(at).await;
+            tell(&own, Event::Pass).await;
+        });
+    }
+
     fn note(&self, note: &Note) {
         self.shared.meter.note(&self.shared.log, note);
     }
@@ -330,6 +353,7 @@
         let effects = self.engine.advance(self.shared.clock.now());
         let own = context.actor_ref().clone();
         self.carry_out(effects, &own);
+        self.set_timer(&own);
     }
 }
 
--- a/crates/node/src/owner/recorder.rs
+++ b/crates/node/src/owner/recorder.rs
@@ -87,10 +87,13 @@
     let records: Vec<Record> = entries
         .iter()
         .filter_map(|entry| {
-            let value = record::encode(entry).ok()?;
+            let value = match entry.is_removal() {
+                true => None,
+                false => Some(record::encode(entry).ok()?.into()),
+            };
             Some(Record {
                 key: entry.key(),
-                value: Some(value.into()),
+                value,
             })
         })
         .collect();
--- a/crates/node/src/owner/takeover.rs
+++ b/crates/node/src/owner/takeover.rs
@@ -92,11 +92,11 @@
         let entry = record.value.as_ref().map(|value| record::decode(value));
         match entry {
             Some(Ok(Entry::Job(job, progress))) => inheritance.progress.push((job, progress)),
-            Some(Ok(Entry::Worker(id, address))) => inheritance.workers.push((id, address)),
+            Some(Ok(Entry::Worker(id, usage))) => inheritance.workers.push((id, usage)),
+            Some(Ok(Entry::Gone(_))) | None => {}
             Some(Err(error)) => {
                 slog::error!(shared.log, "record-unreadable"; "key" => record.key, "why" => %error);
             }
-            None => {}
         }
     }
     let ends: Vec<u64> = jobs.iter().map(|page| page.next).collect();
