--- a/crates/cell/src/engine/submit.rs
+++ b/crates/cell/src/engine/submit.rs
@@ -28,7 +28,12 @@
     }
 
     /// Takes a job that a former owner may have begun.
+    ///
+    /// A job that was handed in at two nodes is on record twice; it is one job.
     pub(super) fn inherit(&mut self, accepted: Accepted, progress: Progress, now: Timestamp) {
+        if self.jobs.contains_key(&accepted.job) {
+            return;
+        }
         self.insert(Job::new(accepted, &progress), now);
     }
 
--- a/crates/cell/tests/world/mod.rs
+++ b/crates/cell/tests/world/mod.rs
@@ -344,6 +344,9 @@
             cancelled: self.cancelled.keys().copied().collect(),
             ..Inheritance::default()
         };
+        // A job that was handed in at two nodes stands in two partitions.
+        let again = self.accepted.iter().step_by(3).cloned();
+        inheritance.accepted.extend(again);
         for entry in self.records.values() {
             match entry {
                 Entry::Job(job, progress) => inheritance.progress.push((*job, progress.clone())),
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -173,7 +173,7 @@
             value: Some(value.into()),
         };
         let began = Instant::now();
-        match self.intake.keep(&self.shared, job, record, deadline).await {
+        match self.intake.keep(&self.shared, record, deadline).await {
             Kept::Yes => {}
             Kept::No => return Err(Refusal::NotKept),
             Kept::Unknown => return Err(Refusal::Unknown),
@@ -235,7 +235,7 @@
             key: cancellation_key(job),
             value: Some(vec![1].into()),
         };
-        match self.intake.keep(&self.shared, job, record, deadline).await {
+        match self.intake.keep(&self.shared, record, deadline).await {
             Kept::Yes => {}
             Kept::No => return Err(Refusal::NotKept),
             Kept::Unknown => return Err(Refusal::Unknown),
--- a/crates/node/src/health.rs
+++ b/crates/node/src/health.rs
@@ -15,7 +15,7 @@
 
 /// A store that has not answered for this long counts as away. Slow days take up to 0.7 s for an
 /// append, and a lost answer alone says nothing.
-const AWAY: Duration = Duration::from_millis(900);
+const AWAY: Duration = Duration::from_millis(1_200);
 
 /// A call of the store that is on its way.
 #[derive(Debug)]
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -1,10 +1,14 @@
 //! Groups acceptances and cancellations into appends.
 //!
-//! Each partition has one append on its way; what comes meanwhile goes into the next one. An append
+//! Each node has one append on its way; what comes meanwhile goes into the next one. An append
 //! without an answer is sent again as it was: the records stand under keys, so a second copy changes
 //! nothing. Only a record that was never on its way can be refused as not kept.
 
 use std::{
+    hash::{
+        Hash,
+        Hasher, //
+    },
     sync::{
         Arc,
         atomic::{
@@ -15,7 +19,8 @@
     time::Duration,
 };
 
-use fulmarpier_cell::id::JobId;
+use fulmarpier_cell::id::NodeName;
+use fulmarpier_state::alias::FxHasher;
 use tokio::{
     sync::{
         mpsc,
@@ -40,9 +45,9 @@
     shared::Shared,
 };
 
-/// Into how many partitions jobs fall; an append takes its partition 3 ms on the platform, and one
-/// node has one append on its way in each.
-pub(crate) const PARTITIONS: u16 = 4;
+/// Into how many partitions jobs fall. Each node writes to one of them: a partition carries out one
+/// append at a time, in 3 ms and on slow days in 0.3 s, which nodes should not wait for one by one.
+pub(crate) const PARTITIONS: u16 = 16;
 /// How many records wait for one partition at most.
 const QUEUE: usize = 1_024;
 /// How many records go into one append at most; jobs have some kilobytes, calls take two megabytes.
@@ -52,7 +57,8 @@
 /// How long an append without an answer is tried: the platform carries it out up to 6 s late.
 const MOST_TRIED: Duration = Duration::from_secs(6);
 /// A store that has owed an answer for this long takes no new records from this node.
-const REFUSE: Duration = Duration::from_millis(800);
+/// A store that is slow takes up to 1.4 s, and what it takes late is worth more than a refusal.
+const REFUSE: Duration = Duration::from_millis(1_600);
 /// How often a record that waits is looked at.
 const LOOK: Duration = Duration::from_millis(100);
 
@@ -98,26 +104,24 @@
 /// The way into the store for jobs and cancellations.
 #[derive(Clone)]
 pub(crate) struct Intake {
-    partitions: Arc<Vec<mpsc::Sender<Entry>>>,
+    entries: mpsc::Sender<Entry>,
 }
 
-/// Returns the partition of a job.
-pub(crate) fn partition(job: JobId) -> u16 {
-    // The caller's digits are random, so the lowest bits spread evenly.
-    u16::try_from(job.0 % u64::from(PARTITIONS)).unwrap_or(0)
+/// Returns the partition that a node writes to.
+///
+/// A job that is handed in twice may stand in two of them; it is one job by its id all the same.
+fn partition(node: &NodeName) -> u16 {
+    let mut hasher = FxHasher::default();
+    node.hash(&mut hasher);
+    u16::try_from(hasher.finish() % u64::from(PARTITIONS)).unwrap_or(0)
 }
 
 impl Intake {
-    /// Starts one task for each partition.
+    /// Starts the task that appends.
     pub(crate) fn start<P: Platform>(shared: &Arc<Shared<P>>) -> Self {
-        let partitions = (0..PARTITIONS).map(|partition| {
-            let (sender, receiver) = mpsc::channel(QUEUE);
-            tokio::spawn(run(shared.clone(), partition, receiver));
-            sender
-        });
-        Self {
-            partitions: Arc::new(partitions.collect()),
-        }
+        let (entries, queue) = mpsc::channel(QUEUE);
+        tokio::spawn(run(shared.clone(), partition(&shared.name), queue));
+        Self { entries }
     }
 
     /// Keeps a record and tells what became of it, at the latest when `deadline` comes.
@@ -127,7 +131,6 @@
     pub(crate) async fn keep<P: Platform>(
         &self,
         shared: &Shared<P>,
-        job: JobId,
         record: Record,
         deadline: Instant,
     ) -> Kept {
@@ -141,8 +144,7 @@
             place: place.clone(),
             done,
         };
-        let sender = &self.partitions[usize::from(partition(job))];
-        if sender.try_send(entry).is_err() {
+        if self.entries.try_send(entry).is_err() {
             return Kept::No;
         }
         loop {
--- a/crates/node/src/owner/tail.rs
+++ b/crates/node/src/owner/tail.rs
@@ -36,8 +36,9 @@
 /// How often the list of workers is read: 48 of them write 32 records a second, so waiting for each
 /// would cost a call a record; a leaving worker has to be known within 2 s.
 const WORKERS_EVERY: Duration = Duration::from_millis(300);
-/// How often jobs are read that no node has told of.
-const JOBS_EVERY: Duration = Duration::from_millis(1_000);
+/// How often jobs are read that no node has told of: a node that took a job and died within
+/// milliseconds. Each partition costs a call.
+const JOBS_EVERY: Duration = Duration::from_millis(1_500);
 /// For this long after an outage of the store a worker that isn't listed may come back.
 const LIST_SETTLES: Duration = Duration::from_millis(2_300);
 /// An outage shorter than this lets no entry lapse: entries outlive three intervals of heartbeats.
--- a/crates/state/src/alias.rs
+++ b/crates/state/src/alias.rs
@@ -5,5 +5,8 @@
 /// A hash map with a fast hasher.
 pub type HashMap<K, V> = rustc_hash::FxHashMap<K, V>;
 
+/// The hasher of both.
+pub type FxHasher = rustc_hash::FxHasher;
+
 /// A hash set with a fast hasher.
 pub type HashSet<T> = rustc_hash::FxHashSet<T>;
