Replace a silent owner after 1.5 s

Cause: an owner without power was noticed after 3.4 s (0.9 s of silence, then a lease of 2.5 s counted from there). The owner now says how often it has renewed its claim, so the lease counts from its last answer, and is 1.5 s.

--- a/crates/node/src/member.rs
+++ b/crates/node/src/member.rs
@@ -10,9 +10,12 @@
     time::Duration, //
 };
 
-use fulmarpier_cell::record::{
-    self,
-    Claim, //
+use fulmarpier_cell::{
+    id::Epoch,
+    record::{
+        self,
+        Claim, //
+    },
 };
 use fulmarpier_transport::rpc;
 use futures::future::join_all;
@@ -53,13 +56,14 @@
 /// How often a node asks the owner whether it still owns the cell.
 const HELLO: Duration = Duration::from_millis(500);
 /// How long the owner may take to answer that.
-const HELLO_PATIENCE: Duration = Duration::from_millis(500);
+const HELLO_PATIENCE: Duration = Duration::from_millis(400);
 /// How often the owner renews its claim.
-const RENEW: Duration = Duration::from_millis(800);
-/// A claim that was not renewed for this long has lapsed: two renewals and a lost answer.
-const LEASE: Duration = Duration::from_millis(2_500);
+const RENEW: Duration = Duration::from_millis(500);
+/// A claim that was not renewed for this long has lapsed: two renewals and a slow answer. It may be
+/// short, since a claim that turns out to be wrong costs a takeover and nothing more.
+const LEASE: Duration = Duration::from_millis(1_500);
 /// An owner that is silent for this long has its renewals watched.
-const SILENCE: Duration = Duration::from_millis(900);
+const SILENCE: Duration = Duration::from_millis(700);
 /// Claimants wait up to this long, so that they don't all append at once.
 const JITTER: Duration = Duration::from_millis(60);
 /// After this long without the store the owner asks the others whether it is away for them too.
@@ -199,8 +203,8 @@
 
 /// What is believed of the owner.
 enum Belief {
-    /// It answers as the owner.
-    Well,
+    /// It answers as the owner, under a claim that was renewed so often.
+    Well(u32),
     /// It is gone, or says that it doesn't own the cell.
     Vacant(&'static str),
     /// It gave no answer.
@@ -209,13 +213,20 @@
     Replaced(Claim),
 }
 
+fn epoch(seen: &Seen) -> Option<Epoch> {
+    seen.claim.as_ref().map(|claim| claim.epoch)
+}
+
 async fn follow<P: Platform>(shared: &Shared<P>, mut seen: Seen) -> Seen {
     let mut answered = Instant::now();
+    // How often the claim had been renewed by then, where the owner has said so.
+    let mut renewed = 0;
     loop {
         let belief = believe(shared, seen.claim.as_ref()).await;
         let why = match belief {
-            Belief::Well => {
+            Belief::Well(renewal) => {
                 answered = Instant::now();
+                renewed = renewal;
                 // A released claim or a peer's word may come before the next exchange.
                 let _ = timeout(HELLO, shared.vacant.notified()).await;
                 continue;
@@ -224,11 +235,16 @@
             Belief::Vacant(why) => why,
             Belief::Silent => {
                 if answered.elapsed() >= SILENCE {
-                    let before = seen.end;
+                    let before = epoch(&seen);
                     seen = reread(shared, seen).await;
-                    if seen.end != before {
+                    if epoch(&seen) != before {
                         return seen;
                     }
+                    let renewal = seen.claim.as_ref().map(|claim| claim.renewal);
+                    if renewal.is_some_and(|renewal| renewal <= renewed) {
+                        // It was not renewed since the owner last answered.
+                        seen.since = seen.since.min(answered);
+                    }
                 }
                 if answered.elapsed() < SILENCE || seen.since.elapsed() < LEASE {
                     sleep(HELLO / 4).await;
@@ -250,7 +266,6 @@
             pause().await;
             return seen;
         };
-        let epoch = |seen: &Seen| seen.claim.as_ref().map(|claim| claim.epoch);
         if epoch(&fresh) != epoch(&seen) {
             return fresh;
         }
@@ -274,7 +289,7 @@
         address: shared.address,
     };
     match message::ask(&shared.rpc, claim.address, &hello, HELLO_PATIENCE).await {
-        Ok(Reply::Owner(newer)) if newer.epoch == claim.epoch => Belief::Well,
+        Ok(Reply::Owner(newer)) if newer.epoch == claim.epoch => Belief::Well(newer.renewal),
         Ok(Reply::Owner(newer)) if newer.epoch > claim.epoch => Belief::Replaced(newer),
         Ok(Reply::NotOwner {
             claim: known,
@@ -378,7 +393,10 @@
         if is_certain {
             claim.renewal = claim.renewal.wrapping_add(1);
             match append(shared, &claim, end).await {
-                Ok(newer) => end = newer,
+                Ok(newer) => {
+                    end = newer;
+                    tell_renewal(shared, claim.renewal);
+                }
                 Err(_) => is_certain = false,
             }
         }
@@ -408,6 +426,17 @@
     }
 }
 
+/// Lets other nodes hear how often the claim was renewed.
+fn tell_renewal<P: Platform>(shared: &Shared<P>, renewal: u32) {
+    shared.acting.send_if_modified(|acting| {
+        if let Some(acting) = acting {
+            acting.claim.renewal = renewal;
+        }
+        // Nobody waits for this change.
+        false
+    });
+}
+
 /// Returns why the owner must not go on while it can't reach the store, if it must not.
 ///
 /// While the store is away for everybody nobody can claim the cell, so the owner goes on. Where it
