--- a/crates/cell/src/bounds.rs
+++ b/crates/cell/src/bounds.rs
@@ -15,6 +15,8 @@
     pub remote_penalty: f64,
     /// How long a task takes to resume from a checkpoint.
     pub restore: Duration,
+    /// How much work lies between two checkpoints of a task.
+    pub checkpoint: Duration,
 }
 
 impl Default for Bounds {
@@ -25,6 +27,7 @@
             gang_wait: Duration::from_secs(3),
             remote_penalty: 1.5,
             restore: Duration::from_millis(250),
+            checkpoint: Duration::from_millis(500),
         }
     }
 }
@@ -35,6 +38,11 @@
 const SLACK: Duration = Duration::from_millis(200);
 
 impl Bounds {
+    /// Returns how much of its processor time a task that makes way loses on average.
+    pub fn preemption_loss(&self) -> Duration {
+        self.checkpoint / 2 + self.restore
+    }
+
     /// Returns how long after an order a lease that it granted has certainly lapsed.
     pub fn lapse(&self) -> Duration {
         self.lease + self.lease * DRIFT / (1_000 - DRIFT) + SLACK
--- a/crates/cell/src/engine/reserve.rs
+++ b/crates/cell/src/engine/reserve.rs
@@ -1,5 +1,7 @@
 //! Making room: preemption, and workers that are kept for a gang until it fits.
 
+use std::time::Duration;
+
 use fulmarpier_state::{
     alias::HashMap,
     clock::Timestamp,
@@ -26,7 +28,11 @@
 };
 
 /// For how many gangs workers are kept at a time; each makes others wait.
-const MOST_GANGS: usize = 2;
+const MOST_GANGS: usize = 4;
+
+/// How long it takes, about, until what runs on a kept worker has ended by itself; most tasks that
+/// are neither a gang's nor urgent run 2.2 s.
+const ENDS_BY_ITSELF: Duration = Duration::from_millis(1_000);
 
 /// The workers that are kept for a step in one pass.
 #[derive(Debug, Default)]
@@ -48,21 +54,26 @@
     }
 }
 
-/// What a worker could offer a step if lower priorities made way.
+/// What a worker could offer a step.
 struct Offer {
     slot: Slot,
     /// How many tasks fit once those that end already have ended.
     soon: usize,
-    /// How many tasks fit if `victims` end as well.
+    /// How many tasks fit once all that is short or makes way has ended.
     most: usize,
+    /// The processor time that is free already.
+    idle: u64,
+    /// What makes way, that with the least to lose first.
     victims: Vec<(TaskId, Run, Resources)>,
 }
 
 impl Engine {
-    /// Preempts for a step that finds no room, and keeps workers for it if it is a gang.
+    /// Makes room for a step that finds none.
     ///
-    /// Only work of a lower priority that saves itself makes way: it loses at most what it did since
-    /// its last checkpoint.
+    /// For a gang, workers on which it will fit are kept from all that is less urgent. What runs
+    /// there ends by itself or, once that is cheaper than to let the kept room lie idle, makes way.
+    /// Urgent tasks have others make way at once. Only work of a lower priority that saves itself
+    /// makes way.
     pub(super) fn make_room(&mut self, id: StepId, reserved: &mut Reserved, now: Timestamp) {
         let Some(job) = self.jobs.get(&id.job) else {
             return;
@@ -80,6 +91,8 @@
         let Some(stage) = job.stage(id) else {
             return;
         };
+        let is_pressing = !is_gang || now >= job.latest_start(id.step);
+        let size = demand.size;
         let count = stage.waiting.len();
         let mut offers: Vec<Offer> = self
             .workers
@@ -89,34 +102,38 @@
             })
             .map(|(slot, worker)| self.offer(&demand, *slot, worker))
             .collect();
-        // Those that need the fewest victims come first.
-        offers.sort_by_key(|offer| (offer.most - offer.soon, std::cmp::Reverse(offer.soon)));
-        let mut left = count;
-        let mut chosen = Vec::new();
-        for offer in offers {
-            if left == 0 {
-                break;
-            }
-            if offer.most == 0 {
-                continue;
-            }
-            let wanted = left.min(offer.most);
-            left -= wanted;
-            chosen.push((offer, wanted));
-        }
-        if left > 0 && is_gang {
+        offers.sort_by_key(|offer| {
+            let missing = offer.most - offer.soon;
+            (
+                std::cmp::Reverse(offer.soon),
+                missing,
+                std::cmp::Reverse(offer.idle),
+            )
+        });
+        let Some(chosen) = choose(offers, count, is_gang) else {
             return;
-        }
-        let size = demand.size;
+        };
         if is_gang {
             reserved.gangs += 1;
             reserved.keep(chosen.iter().map(|(offer, _)| offer.slot), id);
         }
-        for (offer, wanted) in chosen {
-            self.preempt(&offer, wanted, size, now);
+        if is_pressing || self.is_idling_dearer(&chosen) {
+            for (offer, wanted) in chosen {
+                self.preempt(&offer, wanted, size, now);
+            }
         }
     }
 
+    /// Returns whether the room that is kept idle until the rest ends by itself is worth more than
+    /// what is lost if the rest makes way now.
+    fn is_idling_dearer(&self, chosen: &[(Offer, usize)]) -> bool {
+        let idle: u64 = chosen.iter().map(|(offer, _)| offer.idle).sum();
+        let victims = chosen.iter().flat_map(|(offer, _)| &offer.victims);
+        let making_way: u64 = victims.map(|(_, _, size)| u64::from(size.cpu.get())).sum();
+        let loss = self.bounds.preemption_loss().as_secs_f64();
+        idle as f64 * ENDS_BY_ITSELF.as_secs_f64() >= making_way as f64 * loss
+    }
+
     /// Returns whether a worker may run a step, whatever its room and the age of its ticket.
     pub(super) fn is_eligible(
         &self,
@@ -145,12 +162,15 @@
 
     fn offer(&self, demand: &Demand<'_>, slot: Slot, worker: &Worker) -> Offer {
         let mut soon = worker.free;
+        let mut later = Resources::ZERO;
         let mut victims = Vec::new();
         for ((task, run), claim) in &worker.claims {
             if matches!(claim.phase, Phase::Stopping { .. }) {
                 soon = soon.checked_add(claim.size).unwrap_or(soon);
             } else if matches!(claim.phase, Phase::Running { .. }) && self.yields(*task, demand) {
                 victims.push((*task, *run, claim.size, claim.since));
+            } else if demand.step.gang && self.is_short(*task) {
+                later = later.checked_add(claim.size).unwrap_or(later);
             }
         }
         // The youngest have the least to lose.
@@ -158,10 +178,12 @@
         let most = victims.iter().fold(soon, |room, (_, _, size, _)| {
             room.checked_add(*size).unwrap_or(room)
         });
+        let most = most.checked_add(later).unwrap_or(most);
         Offer {
             slot,
             soon: room_for(&soon, &demand.size),
             most: room_for(&most, &demand.size),
+            idle: u64::from(worker.free.cpu.get()),
             victims: victims
                 .into_iter()
                 .map(|(task, run, size, _)| (task, run, size))
@@ -169,6 +191,13 @@
         }
     }
 
+    /// Returns whether a running task will soon end by itself: neither a gang's nor one that lasts.
+    fn is_short(&self, task: TaskId) -> bool {
+        let job = self.jobs.get(&task.step.job);
+        let step = job.and_then(|job| job.step(task.step));
+        step.is_some_and(|step| !step.gang && !step.lasting)
+    }
+
     /// Returns whether a running task makes way for a step.
     fn yields(&self, task: TaskId, demand: &Demand<'_>) -> bool {
         let Some(job) = self.jobs.get(&task.step.job) else {
@@ -202,3 +231,21 @@
         reserved.keep(slots.iter().copied(), id);
     }
 }
+
+/// Chooses workers that offer room for all tasks, with how many each takes; a gang needs all of them.
+fn choose(offers: Vec<Offer>, count: usize, is_gang: bool) -> Option<Vec<(Offer, usize)>> {
+    let mut left = count;
+    let mut chosen = Vec::new();
+    for offer in offers {
+        if left == 0 {
+            break;
+        }
+        if offer.most == 0 {
+            continue;
+        }
+        let wanted = left.min(offer.most);
+        left -= wanted;
+        chosen.push((offer, wanted));
+    }
+    (left == 0 || !is_gang).then_some(chosen)
+}
--- a/crates/protocol/src/settings/node.rs
+++ b/crates/protocol/src/settings/node.rs
@@ -1,8 +1,9 @@
 //! Settings of a node of a cell, `fulmarpier-platform`.
 
-use std::net::SocketAddr;
-
-use fulmarpier_state::unit::Span;
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
 
 use super::{
     Document,
@@ -17,6 +18,8 @@
 
 /// The largest factor that a task may slow down by away from its data.
 const MOST_PENALTY: f64 = 100.0;
+/// The longest of the times here, in seconds.
+const HOUR_S: f64 = 3_600.0;
 
 /// The settings of one node.
 #[derive(Clone, Debug, PartialEq)]
@@ -38,7 +41,7 @@
     /// What the platform promises of its workers.
     pub workers: Workers,
     /// How long a graceful stop may take until the process is killed.
-    pub grace: Span,
+    pub grace: Duration,
     /// How much is logged.
     pub log_level: Level,
 }
@@ -47,15 +50,17 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Workers {
     /// The longest lease that a worker grants.
-    pub lease: Span,
+    pub lease: Duration,
     /// How long a worker may take to stop a task.
-    pub stop_grace: Span,
+    pub stop_grace: Duration,
     /// How long the members of a gang wait for the others.
-    pub gang_wait: Span,
+    pub gang_wait: Duration,
     /// How many times as long a task takes away from its data.
     pub remote_penalty: f64,
     /// How long a task takes to resume from a checkpoint.
-    pub restore: Span,
+    pub restore: Duration,
+    /// How much work lies between two checkpoints of a task.
+    pub checkpoint: Duration,
 }
 
 impl Form for Node {
@@ -68,11 +73,7 @@
         let store = section.required("store");
         let advice = section.optional("advice");
         let workers = section.form("workers");
-        let grace = section.within(
-            "grace",
-            Span::from_secs(6),
-            Span::from_millis(500)..=Span::from_secs(600),
-        );
+        let grace = seconds(section, "grace_s", 6.0, 0.5);
         let log_level = section.or("log_level", Level::Info);
         Some(Self {
             name: name?,
@@ -91,24 +92,45 @@
 
 impl Form for Workers {
     fn read(section: &mut Section<'_>) -> Option<Self> {
-        let hour = Span::from_secs(3_600);
-        let lease = section.within("lease", Span::from_secs(6), Span::from_secs(1)..=hour);
-        let stop_grace =
-            section.within("stop_grace", Span::from_millis(900), Span::default()..=hour);
-        let gang_wait =
-            section.within("gang_wait", Span::from_secs(3), Span::from_millis(1)..=hour);
+        let lease = millis(section, "lease_ms", 6_000.0, 1_000.0);
+        let stop_grace = millis(section, "stop_grace_ms", 900.0, 0.0);
+        let gang_wait = millis(section, "gang_wait_ms", 3_000.0, 1.0);
         let remote_penalty = section.within("remote_penalty", 1.5, 1.0..=MOST_PENALTY);
-        let restore = section.within("restore", Span::from_millis(250), Span::default()..=hour);
+        let restore = millis(section, "restore_ms", 250.0, 0.0);
+        let checkpoint = seconds(section, "checkpoint_s", 0.5, 0.0);
         Some(Self {
             lease: lease?,
             stop_grace: stop_grace?,
             gang_wait: gang_wait?,
             remote_penalty: remote_penalty?,
             restore: restore?,
+            checkpoint: checkpoint?,
         })
     }
 }
 
+/// Reads a number of seconds, which may be a fraction.
+fn seconds(
+    section: &mut Section<'_>,
+    key: &'static str,
+    default: f64,
+    least: f64,
+) -> Option<Duration> {
+    let value = section.within(key, default, least..=HOUR_S)?;
+    Duration::try_from_secs_f64(value).ok()
+}
+
+/// Reads a number of milliseconds, which may be a fraction.
+fn millis(
+    section: &mut Section<'_>,
+    key: &'static str,
+    default: f64,
+    least: f64,
+) -> Option<Duration> {
+    let value = section.within(key, default, least..=HOUR_S * 1_000.0)?;
+    Duration::try_from_secs_f64(value / 1_000.0).ok()
+}
+
 impl TryFrom<Document> for Node {
     type Error = Errors;
 
