Never say 'not run' of a job whose record may be kept

Cause: a gate returned a later refusal of the same id as it stood after an attempt was lost; the owner of a shard refused a second submission with 'log-unavailable, not run' while the record of the first was still on its way, and told a cancellation that it didn't know the job. Mend: the gate keeps 'unknown' once an attempt is unsettled; a second submission waits for the record that is on its way; questions about such a job belong to its shard, and its cancellation is refused with a time to come back. Keyed requests were looked at: a lost grant is never sent, so 'not run' stays true there. Parts of jobs were not looked at.

--- a/crates/gate/src/job/submit.rs
+++ b/crates/gate/src/job/submit.rs
@@ -102,17 +102,23 @@
 ) -> Result<Reply, Refusal> {
     let mut backoff = Backoff::new(random());
     let mut outcome = untold;
+    // An attempt that was lost may still be kept, whatever a later one is told.
+    let mut is_unsettled = false;
     loop {
         let unsettled = match ask_owner(app, shard, call, deadline).await {
             Ok(Answer::Submit(Reply::Refused(refusal))) if refusal.outcome == Outcome::Unknown => {
                 refusal
             }
+            Ok(Answer::Submit(Reply::Refused(refusal))) if is_unsettled => {
+                return Ok(Reply::Refused(refusal.outcome(Outcome::Unknown)));
+            }
             Ok(Answer::Submit(reply)) => return Ok(reply),
             Ok(_) => return Err(unexpected()),
             Err(miss @ Miss::NoOwner { .. }) => return Err(miss.refusal().outcome(outcome)),
             Err(miss @ Miss::Lost { .. }) => miss.refusal(),
         };
         outcome = Outcome::Unknown;
+        is_unsettled = true;
         app.metrics.retried(Retry::AnswerLost);
         let none = Duration::ZERO;
         match backoff.next(app.now(), deadline, none, none) {
--- a/crates/gate/tests/job.rs
+++ b/crates/gate/tests/job.rs
@@ -109,6 +109,18 @@
     assert_eq!(retries(&gate, "answer-lost").await, 1);
 }
 
+#[tokio::test]
+async fn a_refusal_after_a_lost_answer_does_not_say_not_run() {
+    let sched = Sched::start(NODES[0], document(), &[]);
+    sched.answers(None);
+    let refusal = Refusal::new(Reason::LogUnavailable, "the log is away");
+    sched.answers(Answer::Submit(submit::Reply::Refused(refusal)));
+    let gate = gate(&[&sched]).await;
+    ready(&gate).await;
+    let answer = post(&gate, "/v1/jobs").json(&batch()).send().await.unwrap();
+    assert_eq!(problem(answer).await, "503 log-unavailable unknown final");
+}
+
 #[rstest]
 #[case::own_id(None, "503 no-owner not_run later")]
 #[case::callers_id(Some(ID), "503 no-owner unknown later")]
--- a/crates/sched/src/node/calls.rs
+++ b/crates/sched/src/node/calls.rs
@@ -188,7 +188,7 @@
     /// Returns the shard of this node that knows a job.
     pub(super) fn shard_with(&self, job: JobId) -> Option<ShardId> {
         self.lives()
-            .find(|live| live.knows(job))
+            .find(|live| live.concerns(job))
             .map(|live| live.shard)
     }
 
--- a/crates/sched/src/shard/commit.rs
+++ b/crates/sched/src/shard/commit.rs
@@ -42,11 +42,11 @@
 /// What waits for a record to be kept.
 #[derive(Debug)]
 pub(crate) enum Pending {
-    /// A caller, for its job to be accepted.
+    /// Callers, for a job to be accepted; nobody where all were told that it is not known.
     Accept {
         job: JobId,
         spec: Box<Spec>,
-        call: CallId,
+        calls: Vec<CallId>,
         since: Timestamp,
     },
     /// A caller, for its job to be cancelled.
@@ -110,11 +110,10 @@
     fn follow(&mut self, pending: Pending, scope: &mut Scope<'_>) {
         match pending {
             Pending::Accept {
-                job, spec, call, ..
+                job, spec, calls, ..
             } => {
                 self.begin_job(job, *spec, scope);
-                let reply = wire::submit::Reply::Accepted;
-                scope.out.answer(call, wire::Answer::Submit(reply));
+                answer_all(calls, &wire::submit::Reply::Accepted, scope);
             }
             Pending::Cancel { job, call } => self.cancel_now(job, call, scope),
             Pending::Delegate { job } => self.delegated(job, scope),
@@ -167,9 +166,8 @@
         for token in fence.kept {
             match self.pending.remove(&token) {
                 // The record counts, so the successor has the job.
-                Some(Pending::Accept { call, .. }) => {
-                    let reply = wire::submit::Reply::Accepted;
-                    scope.out.answer(call, wire::Answer::Submit(reply));
+                Some(Pending::Accept { calls, .. }) => {
+                    answer_all(calls, &wire::submit::Reply::Accepted, scope);
                 }
                 Some(pending) => self.give_up(pending, lost_shard(), scope),
                 None => {}
@@ -190,9 +188,9 @@
     /// Ends what waited for a record that is not kept, or whose shard is lost.
     fn give_up(&mut self, pending: Pending, refusal: Refusal, scope: &mut Scope<'_>) {
         match pending {
-            Pending::Accept { call, .. } => {
+            Pending::Accept { calls, .. } => {
                 let reply = wire::submit::Reply::Refused(scope.out.refuse(refusal));
-                scope.out.answer(call, wire::Answer::Submit(reply));
+                answer_all(calls, &reply, scope);
             }
             Pending::Cancel { call, .. } => {
                 let refusal = refusal.outcome(Outcome::Unknown);
@@ -283,7 +281,7 @@
             let orphan = Pending::Accept {
                 job: *job,
                 spec: spec.clone(),
-                call: CallId(u64::MAX),
+                calls: Vec::new(),
                 since: Timestamp::MAX,
             };
             self.pending.insert(token, orphan);
@@ -304,6 +302,13 @@
     }
 }
 
+/// Gives all who wait for a job the same answer.
+fn answer_all(calls: Vec<CallId>, reply: &wire::submit::Reply, scope: &mut Scope<'_>) {
+    for call in calls {
+        scope.out.answer(call, wire::Answer::Submit(reply.clone()));
+    }
+}
+
 /// The refusal of work because the log does not answer.
 pub(super) fn log_down() -> Refusal {
     Refusal::new(
--- a/crates/sched/src/shard/jobs.rs
+++ b/crates/sched/src/shard/jobs.rs
@@ -51,7 +51,13 @@
 
 impl Live {
     /// Takes a job, and answers once its record is kept.
+    ///
+    /// A job whose record is on its way already is not refused and not recorded again: whoever
+    /// submits it gets the answer to that record.
     pub(crate) fn submit(&mut self, call: CallId, job: JobId, spec: Spec, scope: &mut Scope<'_>) {
+        if self.join(job, call, scope.now) {
+            return;
+        }
         let reply = match self.admit(job, &spec, scope.now) {
             Ok(None) => {
                 self.accept(call, job, spec, scope);
@@ -95,7 +101,7 @@
         let pending = Pending::Accept {
             job,
             spec: Box::new(spec),
-            call,
+            calls: vec![call],
             since: at,
         };
         if self.push(record, pending, at).is_err() {
@@ -105,6 +111,41 @@
         }
     }
 
+    /// Adds a caller to those who wait for a job's record; false where none is on its way.
+    fn join(&mut self, job: JobId, call: CallId, now: Timestamp) -> bool {
+        let mut waiting = self.pending.values_mut();
+        let found = waiting.find_map(|pending| match pending {
+            Pending::Accept {
+                job: other,
+                calls,
+                since,
+                ..
+            } if *other == job => Some((calls, since)),
+            _ => None,
+        });
+        let Some((calls, since)) = found else {
+            return false;
+        };
+        if calls.is_empty() {
+            // All who waited before were told that it is not known.
+            *since = now;
+        }
+        calls.push(call);
+        true
+    }
+
+    /// Returns whether questions about a job are this shard's to answer.
+    pub(crate) fn concerns(&self, job: JobId) -> bool {
+        self.knows(job) || self.is_settling(job)
+    }
+
+    /// Returns whether a job's record is on its way.
+    fn is_settling(&self, job: JobId) -> bool {
+        let mut waiting = self.pending.values();
+        waiting
+            .any(|pending| matches!(pending, Pending::Accept { job: other, .. } if *other == job))
+    }
+
     /// Returns whether this shard has a job, or had it to its end.
     pub(crate) fn knows(&self, job: JobId) -> bool {
         let image = self.journal.image();
@@ -121,6 +162,12 @@
             let reply = wire::cancel::Reply::Found(reply);
             return scope.out.answer(call, wire::Answer::Cancel(reply));
         }
+        if self.is_settling(job) {
+            // The job may be kept or not, so there is nothing yet that could be cancelled.
+            let reply = wire::submit::Reply::Refused(scope.out.refuse(log_down()));
+            let reply = wire::cancel::Reply::Found(reply);
+            return scope.out.answer(call, wire::Answer::Cancel(reply));
+        }
         let ended = self
             .job_view(job)
             .is_none_or(|view| matches!(view.state, engine::State::Ended(_)));
--- a/crates/sched/tests/failure.rs
+++ b/crates/sched/tests/failure.rs
@@ -122,6 +122,31 @@
     world.check();
 }
 
+#[test]
+fn a_job_whose_record_may_be_kept_is_never_said_not_to_have_run() {
+    let mut world = cell(10);
+    let owner = world.owner().unwrap();
+    world.lost = 100;
+    let first = world.submit(owner, job(1), batch(1, SECOND));
+    world.run(Duration::from_millis(5));
+    world.log.down = true;
+    world.run(3 * SECOND);
+    let again = world.submit(owner, job(1), batch(1, SECOND));
+    let cancelled = world.cancel(owner, job(1));
+    world.run(10 * SECOND);
+    assert_eq!(world.submitted(first), Some(Err(refusal::Outcome::Unknown)));
+    world.lost = 0;
+    world.log.down = false;
+    assert!(world.run_until(MINUTE, |world| world.has_succeeded(job(1))));
+    assert_ne!(world.submitted(again), Some(Err(refusal::Outcome::NotRun)));
+    // The job ran, so nobody may have been told that it had ended.
+    assert_eq!(
+        world.cancelled(cancelled),
+        Some(Err(refusal::Outcome::NotRun))
+    );
+    world.check();
+}
+
 #[test]
 fn a_node_that_alone_can_not_reach_the_log_hands_its_shards_to_others() {
     let mut world = cell(6);
--- a/crates/sched/tests/support/jobs.rs
+++ b/crates/sched/tests/support/jobs.rs
@@ -111,6 +111,23 @@
         }
     }
 
+    /// Cancels a job and does not wait.
+    pub(crate) fn cancel(&mut self, to: (NodeId, ShardId), id: JobId) -> CallId {
+        self.call(to.0, wire::Call::Cancel(wire::cancel::Request { id }))
+    }
+
+    /// Returns what a cancellation was answered, where it was and the job was known.
+    pub(crate) fn cancelled(&self, call: CallId) -> Option<Result<(), refusal::Outcome>> {
+        match self.answers.get(&call)? {
+            wire::Answer::Cancel(wire::cancel::Reply::Found(reply)) => Some(match reply {
+                wire::submit::Reply::Accepted | wire::submit::Reply::Known => Ok(()),
+                wire::submit::Reply::Refused(refusal) => Err(refusal.outcome),
+                wire::submit::Reply::Elsewhere(_) => Err(refusal::Outcome::NotRun),
+            }),
+            _ => None,
+        }
+    }
+
     /// Submits a job and waits until it is accepted.
     pub(crate) fn accept(&mut self, to: (NodeId, ShardId), id: JobId, spec: Spec) {
         let call = self.submit(to, id, spec);
