--- /dev/null
+++ b/crates/node/tests/node.rs
@@ -0,0 +1,180 @@
+//! Whole nodes on loopback over a platform in memory.
+
+mod support;
+
+use std::time::Duration;
+
+use fulmarpier_cell::{
+    engine::State,
+    id::{
+        JobId,
+        QueueName, //
+    },
+    job::{
+        Spec,
+        Step, //
+    },
+};
+use fulmarpier_node::{
+    Node,
+    front::Refusal, //
+};
+use fulmarpier_state::{
+    resource::Resources,
+    unit::{
+        Bytes,
+        Millicores, //
+    },
+};
+use support::{
+    Fake,
+    Mode,
+    node,
+    until, //
+};
+use tokio::time::Instant;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn spec() -> Spec {
+    let step = Step {
+        count: 2,
+        size: Resources::new(Millicores(500), Bytes::from_mib(100), 0),
+        estimate: Duration::from_millis(40),
+        ..Step::default()
+    };
+    let then = Step {
+        after: vec![0],
+        ..step.clone()
+    };
+    Spec {
+        text: "text".into(),
+        steps: vec![step, then],
+        schedule: None,
+    }
+}
+
+async fn submit(node: &Node<Fake>, job: u64) -> Result<(), Refusal> {
+    let queue = QueueName::from("q");
+    let deadline = Instant::now() + 3 * SECOND;
+    node.front()
+        .submit(&queue, JobId(job), spec(), deadline)
+        .await
+}
+
+async fn ready(node: &Node<Fake>) {
+    until(|| async {
+        node.front().is_ready() && node.front().look(JobId(0)).await == Err(Refusal::NoJob)
+    })
+    .await;
+}
+
+async fn completed(node: &Node<Fake>, job: u64) {
+    until(|| async { node.front().look(JobId(job)).await == Ok(State::Completed) }).await;
+}
+
+#[tokio::test]
+async fn a_job_runs_to_its_end_whichever_node_takes_it() {
+    let platform = Fake::new();
+    let (one, two) = (node("one", &platform), node("two", &platform));
+    ready(&one).await;
+    ready(&two).await;
+    submit(&one, 1).await.unwrap();
+    submit(&two, 2).await.unwrap();
+    completed(&two, 1).await;
+    completed(&one, 2).await;
+    assert_eq!((platform.starts(1), platform.starts(2)), (4, 4));
+}
+
+#[tokio::test]
+async fn a_job_that_is_handed_in_twice_runs_once() {
+    let platform = Fake::new();
+    let (one, two) = (node("one", &platform), node("two", &platform));
+    ready(&one).await;
+    ready(&two).await;
+    submit(&one, 1).await.unwrap();
+    completed(&one, 1).await;
+    submit(&two, 1).await.unwrap();
+    tokio::time::sleep(SECOND).await;
+    assert_eq!(platform.starts(1), 4);
+}
+
+#[tokio::test]
+async fn another_node_takes_over_and_knows_what_was_done() {
+    let platform = Fake::new();
+    let one = node("one", &platform);
+    ready(&one).await;
+    let two = node("two", &platform);
+    ready(&two).await;
+    submit(&two, 1).await.unwrap();
+    completed(&two, 1).await;
+    one.leave();
+    one.disowned(SECOND).await;
+    one.stop(SECOND).await;
+    submit(&two, 2).await.unwrap();
+    completed(&two, 2).await;
+    assert_eq!(two.front().look(JobId(1)).await, Ok(State::Completed));
+    assert_eq!(platform.starts(1), 4);
+}
+
+#[tokio::test]
+async fn a_store_that_refuses_means_that_the_job_was_not_taken() {
+    let platform = Fake::new();
+    let one = node("one", &platform);
+    ready(&one).await;
+    platform.set(Mode::Refusing);
+    assert_eq!(submit(&one, 1).await, Err(Refusal::NotKept));
+    platform.set(Mode::Well);
+    ready(&one).await;
+    assert!(!platform.keeps(&JobId(1).to_string()));
+    assert_eq!(one.front().look(JobId(1)).await, Err(Refusal::NoJob));
+}
+
+#[tokio::test]
+async fn a_store_that_gives_no_answer_leaves_it_unknown() {
+    let platform = Fake::new();
+    let one = node("one", &platform);
+    ready(&one).await;
+    platform.set(Mode::Mute);
+    assert_eq!(submit(&one, 1).await, Err(Refusal::Unknown));
+    platform.set(Mode::Well);
+    // It was kept, so it runs.
+    completed(&one, 1).await;
+}
+
+#[tokio::test]
+async fn calls_of_a_store_that_refuses_are_bounded() {
+    let platform = Fake::new();
+    let one = node("one", &platform);
+    ready(&one).await;
+    platform.set(Mode::Refusing);
+    let before = platform.appends();
+    for job in 1..200 {
+        assert_eq!(submit(&one, job).await, Err(Refusal::NotKept));
+    }
+    // Refused calls never get as far as an append.
+    assert_eq!(platform.appends(), before);
+}
+
+#[tokio::test]
+async fn a_cancelled_job_is_shown_as_cancelled_and_an_unknown_one_is_none() {
+    let platform = Fake::new();
+    let one = node("one", &platform);
+    ready(&one).await;
+    let queue = QueueName::from("q");
+    let deadline = Instant::now() + 3 * SECOND;
+    submit(&one, 1).await.unwrap();
+    until(|| async { one.front().look(JobId(1)).await.is_ok() }).await;
+    let front = one.front();
+    front.cancel(&queue, JobId(1), deadline).await.unwrap();
+    until(|| async {
+        let state = one.front().look(JobId(1)).await;
+        matches!(state, Ok(State::Cancelled | State::Completed))
+    })
+    .await;
+    let unknown = front.cancel(&queue, JobId(9), deadline).await;
+    assert_eq!(unknown, Err(Refusal::NoJob));
+    let missing = QueueName::from("missing");
+    let refused = front.submit(&missing, JobId(3), spec(), deadline).await;
+    assert_eq!(refused, Err(Refusal::NoQueue));
+}
--- /dev/null
+++ b/crates/node/tests/support/mod.rs
@@ -0,0 +1,361 @@
+//! A platform in memory, with faults, for whole nodes on loopback.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard, //
+    },
+    time::Duration,
+};
+
+use fulmarpier_cell::{
+    bounds::Bounds,
+    config::{
+        Config,
+        Queue, //
+    },
+    effect::{
+        Hold,
+        Start,
+        Stop, //
+    },
+    event::{
+        Advised,
+        Ended,
+        HoldAnswer,
+        How,
+        Inventory,
+        Registration,
+        Running,
+        StartAnswer,
+        StopAnswer, //
+    },
+    id::{
+        NodeName,
+        PoolName,
+        QueueName,
+        Run,
+        StepId,
+        TaskId,
+        WorkerId, //
+    },
+};
+use fulmarpier_node::{
+    Identity, Meter, Node, Parts,
+    port::{
+        Append,
+        Condition,
+        Error,
+        Page,
+        Platform,
+        Record,
+        Topic, //
+    },
+};
+use fulmarpier_state::{
+    resource::Resources,
+    unit::{
+        Bytes,
+        Millicores, //
+    },
+};
+use tokio::time::{
+    Instant,
+    sleep, //
+};
+
+/// How the store behaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Mode {
+    /// It answers.
+    #[default]
+    Well,
+    /// It refuses every call.
+    Refusing,
+    /// It carries appends out and gives no answer.
+    Mute,
+}
+
+#[derive(Default)]
+struct State {
+    mode: Mode,
+    topics: BTreeMap<String, Vec<Record>>,
+    fence: u32,
+    /// The writer's last append, to answer a repeat of it.
+    written: Option<(u32, u64, u64)>,
+    running: BTreeMap<TaskId, (Run, Instant)>,
+    ended: Vec<Ended>,
+    /// The place of the last end.
+    serial: u64,
+    starts: Vec<(TaskId, Run)>,
+    appends: usize,
+}
+
+/// The platform; cheap to clone.
+#[derive(Clone, Default)]
+pub(crate) struct Fake(Arc<Mutex<State>>);
+
+/// The one worker.
+const WORKER: &str = "w1";
+/// How long its tasks run.
+const RUNS: Duration = Duration::from_millis(40);
+/// How long a call takes.
+const CALL: Duration = Duration::from_millis(2);
+/// How long a call without an answer takes to fail.
+const LOST: Duration = Duration::from_millis(100);
+
+impl Fake {
+    pub(crate) fn new() -> Self {
+        let fake = Self::default();
+        let config = vec![Record {
+            key: "config".to_owned(),
+            value: Some("1".into()),
+        }];
+        let worker = vec![Record {
+            key: WORKER.to_owned(),
+            value: Some("here".into()),
+        }];
+        let mut state = fake.state();
+        state.topics.insert(name(Topic::Configuration), config);
+        state.topics.insert(name(Topic::Workers), worker);
+        drop(state);
+        fake
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.0.lock().unwrap()
+    }
+
+    pub(crate) fn set(&self, mode: Mode) {
+        self.state().mode = mode;
+    }
+
+    /// Returns how often each task was started.
+    pub(crate) fn starts(&self, job: u64) -> usize {
+        let state = self.state();
+        let starts = state.starts.iter();
+        starts.filter(|(task, _)| task.step.job.0 == job).count()
+    }
+
+    pub(crate) fn appends(&self) -> usize {
+        self.state().appends
+    }
+
+    /// Returns whether the store keeps a record under a key in any topic.
+    pub(crate) fn keeps(&self, key: &str) -> bool {
+        let state = self.state();
+        let mut records = state.topics.values().flatten();
+        records.any(|record| record.key == key)
+    }
+
+    async fn answer(&self) -> Result<(), Error> {
+        let mode = self.state().mode;
+        match mode {
+            Mode::Well => {
+                sleep(CALL).await;
+                Ok(())
+            }
+            Mode::Refusing => Err(Error::Refused("unavailable")),
+            Mode::Mute => {
+                sleep(LOST).await;
+                Err(Error::Unanswered)
+            }
+        }
+    }
+
+    fn carry_out(&self, append: Append) -> Result<u64, Error> {
+        let mut state = self.state();
+        state.appends += 1;
+        let place = name(append.topic);
+        let end = state.topics.entry(place.clone()).or_default().len() as u64;
+        match append.condition {
+            Condition::None => {}
+            Condition::EndsAt(at) if at == end => {}
+            Condition::EndsAt(_) => return Err(Error::Moved { end }),
+            Condition::Writer { epoch, sequence } => {
+                if epoch.0 < state.fence {
+                    return Err(Error::Fenced);
+                }
+                state.fence = epoch.0;
+                if let Some((writer, last, at)) = state.written
+                    && (writer, last) == (epoch.0, sequence)
+                {
+                    return Ok(at);
+                }
+                state.written = Some((epoch.0, sequence, end + append.records.len() as u64));
+            }
+        }
+        let topic = state.topics.entry(place).or_default();
+        topic.extend(append.records);
+        Ok(topic.len() as u64)
+    }
+}
+
+fn name(topic: Topic) -> String {
+    format!("{topic:?}")
+}
+
+impl Platform for Fake {
+    async fn append(&self, append: Append) -> Result<u64, Error> {
+        let mode = self.state().mode;
+        match mode {
+            Mode::Refusing => self.answer().await.map(|()| 0),
+            Mode::Mute => {
+                // What it gives back is lost with the answer.
+                let _ = self.carry_out(append);
+                self.answer().await.map(|()| 0)
+            }
+            Mode::Well => {
+                self.answer().await?;
+                self.carry_out(append)
+            }
+        }
+    }
+
+    async fn read(&self, topic: Topic, from: u64, wait: Duration) -> Result<Page, Error> {
+        let until = Instant::now() + wait;
+        loop {
+            self.answer().await?;
+            let records: Vec<Record> = {
+                let state = self.state();
+                let records = state.topics.get(&name(topic)).into_iter().flatten();
+                let skipped = usize::try_from(from).unwrap();
+                records.skip(skipped).cloned().collect()
+            };
+            if !records.is_empty() || Instant::now() >= until {
+                let next = from + records.len() as u64;
+                return Ok(Page { records, next });
+            }
+            sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    async fn newest(&self, topic: Topic) -> Result<Page, Error> {
+        self.answer().await?;
+        let state = self.state();
+        let records = state.topics.get(&name(topic)).cloned().unwrap_or_default();
+        let next = records.len() as u64;
+        let newest: BTreeMap<String, Record> = records
+            .into_iter()
+            .map(|record| (record.key.clone(), record))
+            .collect();
+        let records = newest.into_values();
+        Ok(Page {
+            records: records.filter(|record| record.value.is_some()).collect(),
+            next,
+        })
+    }
+
+    async fn start(&self, order: Start) -> StartAnswer {
+        sleep(CALL).await;
+        let mut state = self.state();
+        state.starts.push((order.task, order.run));
+        state
+            .running
+            .insert(order.task, (order.run, Instant::now() + RUNS));
+        StartAnswer::Started
+    }
+
+    async fn stop(&self, order: Stop) -> StopAnswer {
+        sleep(CALL).await;
+        self.state().running.remove(&order.task);
+        StopAnswer::Confirmed
+    }
+
+    async fn hold(&self, order: Hold) -> HoldAnswer {
+        let until = Instant::now() + order.wait;
+        loop {
+            sleep(CALL).await;
+            let now = Instant::now();
+            let mut state = self.state();
+            state.ended.retain(|end| end.serial > order.acknowledged);
+            let over = state.running.iter().filter(|(_, (_, ends))| *ends <= now);
+            let over: Vec<(TaskId, Run)> = over.map(|(task, (run, _))| (*task, *run)).collect();
+            for (task, run) in over {
+                state.running.remove(&task);
+                state.serial += 1;
+                let serial = state.serial;
+                state.ended.push(Ended {
+                    serial,
+                    task,
+                    run,
+                    how: How::Done,
+                    checkpoint: None,
+                });
+            }
+            if !state.ended.is_empty() || now >= until {
+                let running = state.running.iter().map(|(task, (run, _))| Running {
+                    task: *task,
+                    run: *run,
+                    checkpoint: None,
+                });
+                return HoldAnswer::Listed(Inventory {
+                    clock: 1,
+                    running: running.collect(),
+                    ended: state.ended.clone(),
+                });
+            }
+        }
+    }
+
+    async fn advise(&self, _: StepId, _: Vec<WorkerId>, _: Duration) -> Option<Vec<Advised>> {
+        None
+    }
+
+    fn configuration(&self, record: &Record) -> Result<Option<Config>, Error> {
+        let mut config = Config {
+            version: 1,
+            ..Config::default()
+        };
+        let queue = Queue {
+            name: QueueName::from("q"),
+            pool: PoolName::from("p"),
+            priority: 0,
+            tries: 2,
+            stretch: 2.0,
+            objective: Duration::from_secs(1),
+            advice: None,
+        };
+        config.queues.insert(queue.name.clone(), Arc::new(queue));
+        Ok((record.key == "config").then_some(config))
+    }
+
+    fn registration(&self, record: &Record) -> Result<Registration, Error> {
+        Ok(Registration {
+            id: WorkerId::from(record.key.as_str()),
+            address: SocketAddr::from(([127, 0, 0, 1], 1)),
+            pool: PoolName::from("p"),
+            capacity: Resources::new(Millicores::from_cores(4), Bytes::from_gib(4), 0),
+            labels: Vec::new(),
+            leaving: None,
+        })
+    }
+}
+
+/// Starts a node on any port.
+pub(crate) fn node(name: &str, platform: &Fake) -> Node<Fake> {
+    Node::start(Parts {
+        identity: Identity {
+            name: NodeName::from(name),
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            incarnation: rand::random(),
+        },
+        bounds: Bounds::default(),
+        platform: platform.clone(),
+        log: slog::Logger::root(slog::Discard, slog::o!()),
+        meter: Meter::new().unwrap(),
+    })
+    .unwrap()
+}
+
+/// Waits until something holds; the limit only ends a test that hangs.
+pub(crate) async fn until<F: Future<Output = bool>>(mut holds: impl FnMut() -> F) {
+    let limit = Instant::now() + Duration::from_secs(60);
+    while !holds().await {
+        assert!(Instant::now() < limit, "it never came to hold");
+        sleep(Duration::from_millis(20)).await;
+    }
+}
