Send appends again whose answer is overdue; count a job as begun once it was seen on a worker

Cause 1: with a third of the store's answers lost, each loss held the owner's records and a node's acceptances for the 1.8 s of a call. Appends that can be sent twice without harm are, after four times the usual time; at most four copies, since a slow store must not be loaded further.

--- a/crates/cell/src/engine/contact.rs
+++ b/crates/cell/src/engine/contact.rs
@@ -222,6 +222,7 @@
         self.is_stirred = true;
         let mut listed: Vec<(TaskId, Run)> = Vec::new();
         for running in &inventory.running {
+            self.mark_begun(running.task.step.job);
             listed.push((running.task, running.run));
             self.take_running(slot, running, now);
         }
@@ -285,7 +286,6 @@
                 stage.waiting.remove(&task.index);
                 stage.opened.get_or_insert(now);
                 is_wanted = true;
-                job.has_begun = true;
             }
         }
         let Some(worker) = self.workers.get_mut(&slot) else {
--- a/crates/cell/src/engine/end.rs
+++ b/crates/cell/src/engine/end.rs
@@ -42,6 +42,7 @@
                 how,
             });
         }
+        self.mark_begun(task.step.job);
         self.save(task, ended.checkpoint.as_ref());
         match how {
             How::Done => self.take_done(slot, task, run, now),
--- a/crates/cell/src/engine/order.rs
+++ b/crates/cell/src/engine/order.rs
@@ -117,6 +117,7 @@
     }
 
     fn confirm(&mut self, slot: Slot, task: TaskId, run: Run, now: Timestamp) {
+        self.mark_begun(task.step.job);
         let worker = self.workers.get_mut(&slot);
         let claim = worker.and_then(|worker| worker.claims.get_mut(&(task, run)));
         if let Some(claim) = claim
--- a/crates/cell/src/engine/place.rs
+++ b/crates/cell/src/engine/place.rs
@@ -306,11 +306,6 @@
             task.last = run;
             checkpoint = task.checkpoint.clone();
         }
-        let has_begun = std::mem::replace(&mut job.has_begun, true);
-        let queue = job.accepted.queue.name.clone();
-        if !has_begun {
-            self.count_begun(&queue);
-        }
         self.note(Note::Placed {
             task,
             run,
--- a/crates/cell/src/engine/submit.rs
+++ b/crates/cell/src/engine/submit.rs
@@ -136,14 +136,7 @@
         for step in closed {
             self.open.remove(&step);
         }
-        let Some(job) = self.jobs.get_mut(&id) else {
-            return;
-        };
-        if !job.has_begun {
-            job.has_begun = true;
-            let queue = job.accepted.queue.name.clone();
-            self.count_begun(&queue);
-        }
+        self.mark_begun(id);
         let mut active = Vec::new();
         if let Some(job) = self.jobs.get(&id) {
             for (occurrence, stages) in &job.occurrences {
@@ -165,8 +158,17 @@
         }
     }
 
-    /// Notes that a job of a queue has begun or will never begin.
-    pub(super) fn count_begun(&mut self, queue: &crate::id::QueueName) {
+    /// Notes that a task of a job was seen on a worker, or that none will ever be.
+    ///
+    /// A decision to start one is not enough: its order may come to nothing.
+    pub(super) fn mark_begun(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if std::mem::replace(&mut job.has_begun, true) {
+            return;
+        }
+        let queue = &job.accepted.queue.name;
         if let Some(count) = self.pending.get_mut(queue) {
             *count = count.saturating_sub(1);
         }
--- a/crates/node/src/health.rs
+++ b/crates/node/src/health.rs
@@ -17,6 +17,11 @@
 /// append, and a lost answer alone says nothing.
 const AWAY: Duration = Duration::from_millis(1_200);
 
+/// An answer is overdue after so many times of what calls usually take.
+const OVERDUE: u32 = 4;
+/// No answer is overdue before this: the usual one takes 8 ms, a busy processor some tens more.
+const LEAST_PATIENCE: Duration = Duration::from_millis(100);
+
 /// A call of the store that is on its way.
 #[derive(Debug)]
 pub(crate) struct Call {
@@ -52,6 +57,8 @@
     answered: Instant,
     /// Since when calls have failed without a success in between.
     failing: Option<Instant>,
+    /// How long an answered call takes, of late.
+    typical: Duration,
 }
 
 impl Default for StoreHealth {
@@ -61,6 +68,7 @@
             waiting: BTreeMap::new(),
             answered: Instant::now(),
             failing: None,
+            typical: Duration::ZERO,
         }))
     }
 }
@@ -83,10 +91,15 @@
         let is_failure = matches!(result, Err(Error::Refused(_) | Error::Unanswered));
         if !is_failure {
             state.answered = Instant::now();
+            if let Some(due) = due {
+                let took = state.answered.saturating_duration_since(due);
+                state.typical = (state.typical * 3 + took) / 4;
+            }
             let since = state.failing.take()?;
             return Some(Change::Answers(since.elapsed()));
         }
-        if state.failing.is_some() {
+        if state.failing.is_some() || state.answered > call.began {
+            // Others were answered since, so this answer was lost on its way.
             return None;
         }
         let due = due.unwrap_or(call.began).max(state.answered);
@@ -105,6 +118,12 @@
         })
     }
 
+    /// Returns how long an answer may take before it is overdue.
+    pub(crate) fn patience(&self) -> Duration {
+        let state = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        (state.typical * OVERDUE).max(LEAST_PATIENCE)
+    }
+
     /// Returns whether the store counts as away for this node.
     pub(crate) fn is_away(&self) -> bool {
         self.failing_for() >= AWAY
--- /dev/null
+++ b/crates/node/src/hedge.rs
@@ -0,0 +1,69 @@
+//! Sends an append again whose answer is overdue.
+
+use std::time::Duration;
+
+use futures::{
+    StreamExt,
+    stream::FuturesUnordered, //
+};
+use tokio::time::{
+    Instant,
+    sleep_until, //
+};
+
+use crate::port::{
+    Append,
+    Error,
+    Platform, //
+};
+
+/// How many copies are sent at most, the first included.
+const MOST_COPIES: u32 = 4;
+
+/// Appends, with another copy each time that `patience` has passed, doubled from copy to copy.
+///
+/// With a third of the answers lost, an append takes some 0.1 s so; without it, it takes as long as a
+/// call may.
+///
+/// # Errors
+///
+/// [`Error::Refused`] only where every copy was refused; otherwise one of them may be carried out.
+pub(crate) async fn append<P: Platform>(
+    platform: &P,
+    append: &Append,
+    patience: Duration,
+) -> Result<u64, Error> {
+    let mut copies = FuturesUnordered::new();
+    copies.push(platform.append(append.clone()));
+    let mut sent = 1;
+    let mut next = Instant::now() + patience;
+    let mut failure: Option<Error> = None;
+    loop {
+        let finished = tokio::select! {
+            finished = copies.next() => finished,
+            () = sleep_until(next), if sent < MOST_COPIES => {
+                copies.push(platform.append(append.clone()));
+                next = Instant::now() + patience * 2u32.pow(sent);
+                sent += 1;
+                continue;
+            }
+        };
+        match finished {
+            Some(Err(error @ (Error::Refused(_) | Error::Unanswered))) => {
+                failure = Some(match failure {
+                    Some(Error::Unanswered) => Error::Unanswered,
+                    _ => error,
+                });
+                if matches!(failure, Some(Error::Refused(_))) && copies.is_empty() {
+                    // The store refuses: another copy would be refused like this one.
+                    sent = MOST_COPIES;
+                }
+            }
+            Some(settled) => return settled,
+            None => return Err(failure.unwrap_or(Error::Unanswered)),
+        }
+        if copies.is_empty() && sent >= MOST_COPIES {
+            return Err(failure.unwrap_or(Error::Unanswered));
+        }
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 //! |---|---|
 //! | [`front`] | takes, shows and cancels jobs at any node |
 //! | `health` | whether the store answers this node |
+//! | `hedge` | sends an append again whose answer is overdue |
 //! | `intake` | groups acceptances and cancellations into appends |
 //! | `member` | who owns the cell, and when this node claims it |
 //! | `owner` | the owner's actor, its takeover, and what it reads and writes |
@@ -17,6 +18,7 @@
 
 pub mod front;
 mod health;
+mod hedge;
 mod intake;
 mod member;
 mod message;
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -36,9 +36,11 @@
         Change,
         StoreHealth, //
     },
+    hedge,
     owner::Control,
     port::{
         Append,
+        Condition,
         Error,
         Page,
         Platform,
@@ -90,9 +92,18 @@
 
 impl<P: Platform> Shared<P> {
     /// Appends to the store.
+    ///
+    /// An append that can be sent twice without harm is, where its answer is overdue: it may be lost.
     pub(crate) async fn append(&self, purpose: &'static str, append: Append) -> Result<u64, Error> {
         let call = self.store.begin(Duration::ZERO);
-        let result = self.platform.append(append).await;
+        let result = match append.condition {
+            // A second copy would find that the topic has moved, by the first one.
+            Condition::EndsAt(_) => self.platform.append(append).await,
+            Condition::None | Condition::Writer { .. } => {
+                let patience = self.store.patience();
+                hedge::append(&self.platform, &append, patience).await
+            }
+        };
         self.end(call, purpose, &result);
         result
     }
--- a/crates/node/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -142,6 +142,21 @@
     completed(&one, 1).await;
 }
 
+#[tokio::test]
+async fn an_append_whose_answer_is_lost_is_sent_again_while_the_caller_waits() {
+    let platform = Fake::new();
+    let one = node("one", &platform);
+    ready(&one).await;
+    platform.set(Mode::Losing);
+    for job in 1..6 {
+        assert_eq!(submit(&one, job).await, Ok(()));
+    }
+    for job in 1..6 {
+        completed(&one, job).await;
+        assert_eq!(platform.starts(job), 4);
+    }
+}
+
 #[tokio::test]
 async fn calls_of_a_store_that_refuses_are_bounded() {
     let platform = Fake::new();
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -77,6 +77,8 @@
     Refusing,
     /// It carries appends out and gives no answer.
     Mute,
+    /// It carries appends out and loses the answer to every second one of each topic.
+    Losing,
 }
 
 #[derive(Default)]
@@ -92,6 +94,8 @@
     serial: u64,
     starts: Vec<(TaskId, Run)>,
     appends: usize,
+    /// How many appends of each topic there were while answers were lost.
+    lost: BTreeMap<String, u32>,
 }
 
 /// The platform; cheap to clone.
@@ -104,6 +108,8 @@
 const RUNS: Duration = Duration::from_millis(40);
 /// How long a call takes.
 const CALL: Duration = Duration::from_millis(2);
+/// Longer than any caller of the tests waits.
+const NEVER: Duration = Duration::from_secs(4);
 /// How long a call without an answer takes to fail.
 const LOST: Duration = Duration::from_millis(100);
 
@@ -154,7 +160,7 @@
     async fn answer(&self) -> Result<(), Error> {
         let mode = self.state().mode;
         match mode {
-            Mode::Well => {
+            Mode::Well | Mode::Losing => {
                 sleep(CALL).await;
                 Ok(())
             }
@@ -212,6 +218,22 @@
                 self.answer().await?;
                 self.carry_out(append)
             }
+            Mode::Losing => {
+                self.answer().await?;
+                let topic = name(append.topic);
+                let result = self.carry_out(append);
+                let count = {
+                    let mut state = self.state();
+                    let count = state.lost.entry(topic).or_default();
+                    *count += 1;
+                    *count
+                };
+                if count.is_multiple_of(2) {
+                    return result;
+                }
+                sleep(NEVER).await;
+                Err(Error::Unanswered)
+            }
         }
     }
 
