Don't take up again what an overtaken inventory still lists

The look after an unanswered start overtakes the call that waits for an end. Runs that are over are remembered for 2 s per worker. The test fails without the mend.

--- a/crates/cell/src/engine/contact.rs
+++ b/crates/cell/src/engine/contact.rs
@@ -255,6 +255,9 @@
         let Some(worker) = self.workers.get_mut(&slot) else {
             return;
         };
+        if worker.is_over(task, running.run) {
+            return;
+        }
         let claim = worker.claims.get_mut(&(task, running.run));
         let Some(claim) = claim else {
             self.adopt(slot, running, now);
@@ -340,6 +343,7 @@
     pub(super) fn release(&mut self, slot: Slot, task: TaskId, run: Run, now: Timestamp) {
         self.is_stirred = true;
         if let Some(worker) = self.workers.get_mut(&slot) {
+            worker.end(task, run, now);
             worker.release(task, run);
             // A record that lists it elsewhere must not be kept before one that doesn't list it here.
             self.ledger.add_worker(slot);
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -1,7 +1,10 @@
 //! One incarnation of a worker: its room, its lease and what it is believed to hold.
 
 use std::{
-    collections::BTreeMap,
+    collections::{
+        BTreeMap,
+        VecDeque, //
+    },
     time::Duration, //
 };
 
@@ -19,6 +22,10 @@
     },
 };
 
+/// For this long an inventory may have been overtaken by another: calls wait 1 s for an end and are
+/// given up 0.8 s later.
+const OVERTAKEN: Duration = Duration::from_secs(2);
+
 /// How far a run has come on its worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -98,6 +105,8 @@
     pub seen: u64,
     /// The last end that is on record and may be forgotten by the worker.
     pub kept: u64,
+    /// Runs that are over, by when that was learnt: an inventory that was overtaken still lists them.
+    over: VecDeque<(Timestamp, TaskId, Run)>,
     /// Until when it gets nothing new, since it turned work away or failed what it started.
     pub rests: Timestamp,
     /// Failures in a row of tasks that it started, without a success between them.
@@ -122,6 +131,7 @@
             unlisted: None,
             seen: 0,
             kept: 0,
+            over: VecDeque::new(),
             rests: Timestamp::ZERO,
             failures: 0,
             reading: None,
@@ -194,6 +204,22 @@
         self.free = capacity.checked_sub(used).unwrap_or(Resources::ZERO);
     }
 
+    /// Notes that a run is over.
+    pub fn end(&mut self, task: TaskId, run: Run, now: Timestamp) {
+        while let Some((at, ..)) = self.over.front()
+            && now.since(*at) > OVERTAKEN
+        {
+            self.over.pop_front();
+        }
+        self.over.push_back((now, task, run));
+    }
+
+    /// Returns whether a run is known to be over.
+    pub fn is_over(&self, task: TaskId, run: Run) -> bool {
+        let mut over = self.over.iter();
+        over.any(|(_, ended, of)| (*ended, *of) == (task, run))
+    }
+
     /// Returns whether a label is among the worker's own.
     pub fn has_label(&self, label: &str) -> bool {
         self.registration.labels.iter().any(|own| &**own == label)
--- a/crates/cell/tests/history.rs
+++ b/crates/cell/tests/cell/history.rs
@@ -1,15 +1,12 @@
 //! Random histories of a cell: callers, failing workers, lost and late orders, and new owners.
 
-#[path = "../../coordination/tests/support/cases.rs"]
-mod cases;
-mod world;
-
 use std::time::Duration;
 
-use cases::config;
 use fulmarpier_cell::job::Step;
 use proptest::prelude::*;
-use world::{
+
+use crate::cases::config;
+use crate::world::{
     Faults,
     World,
     size, //
--- /dev/null
+++ b/crates/cell/tests/cell/main.rs
@@ -0,0 +1,8 @@
+//! The engine of a cell: what it promises, in virtual time.
+
+#[path = "../../../coordination/tests/support/cases.rs"]
+mod cases;
+mod history;
+mod overtaking;
+mod pending;
+mod world;
--- a/crates/cell/tests/pending.rs
+++ b/crates/cell/tests/cell/pending.rs
@@ -1,19 +1,17 @@
 //! How many jobs are said to wait.
 
-mod world;
-
 use std::time::Duration;
 
+use crate::world::{
+    Faults,
+    World,
+    size, //
+};
 use fulmarpier_cell::{
     engine::State,
     id::QueueName,
     job::Step, //
 };
-use world::{
-    Faults,
-    World,
-    size, //
-};
 
 #[test]
 fn a_job_whose_start_came_to_nothing_still_waits() {
