--- a/crates/cell/src/engine/reserve.rs
+++ b/crates/cell/src/engine/reserve.rs
@@ -70,10 +70,10 @@
 impl Engine {
     /// Makes room for a step that finds none.
     ///
-    /// For a gang, workers on which it will fit are kept from all that is less urgent. What runs
-    /// there ends by itself or, once that is cheaper than to let the kept room lie idle, makes way.
-    /// Urgent tasks have others make way at once. Only work of a lower priority that saves itself
-    /// makes way.
+    /// Workers on which it will fit are kept from all that is less urgent; without that, smaller
+    /// tasks take each piece of room before it is large enough. What runs there ends by itself or,
+    /// once that is cheaper than to let the kept room lie idle, makes way; urgent tasks have others
+    /// make way at once. Only work of a lower priority that saves itself makes way.
     pub(super) fn make_room(&mut self, id: StepId, reserved: &mut Reserved, now: Timestamp) {
         let Some(job) = self.jobs.get(&id.job) else {
             return;
@@ -113,10 +113,8 @@
         let Some(chosen) = choose(offers, count, is_gang) else {
             return;
         };
-        if is_gang {
-            reserved.gangs += 1;
-            reserved.keep(chosen.iter().map(|(offer, _)| offer.slot), id);
-        }
+        reserved.gangs += usize::from(is_gang);
+        reserved.keep(chosen.iter().map(|(offer, _)| offer.slot), id);
         if is_pressing || self.is_idling_dearer(&chosen) {
             for (offer, wanted) in chosen {
                 self.preempt(&offer, wanted, size, now);
@@ -169,7 +167,7 @@
                 soon = soon.checked_add(claim.size).unwrap_or(soon);
             } else if matches!(claim.phase, Phase::Running { .. }) && self.yields(*task, demand) {
                 victims.push((*task, *run, claim.size, claim.since));
-            } else if demand.step.gang && self.is_short(*task) {
+            } else if self.is_short(*task) {
                 later = later.checked_add(claim.size).unwrap_or(later);
             }
         }
