--- a/crates/protocol/tests/pages.rs
+++ b/crates/protocol/tests/pages.rs
@@ -51,7 +51,7 @@
 #[rstest]
 fn every_field_of_the_ready_sets_is_described(
     #[values("vidgerdarvit", "kurzeme")] set: &str,
-    #[values("gate", "sched", "standin", "load")] program: &str,
+    #[values("gate", "sched", "standin", "load", "node")] program: &str,
 ) {
     let page = page("SETTINGS.md").to_lowercase();
     let heading = format!("\n## {program}\n");
--- a/crates/protocol/tests/settings.rs
+++ b/crates/protocol/tests/settings.rs
@@ -14,6 +14,7 @@
     Gate,
     Kind,
     Load,
+    Node,
     Sched,
     Standin,
     check,
@@ -40,7 +41,7 @@
 #[rstest]
 fn ready_sets_pass_their_check(
     #[values("vidgerdarvit", "kurzeme")] set: &str,
-    #[values("gate", "sched", "standin", "load")] program: &str,
+    #[values("gate", "sched", "standin", "load", "node")] program: &str,
 ) {
     let kind: Kind = program.parse().expect("the program is known");
     let path = ready(set, &format!("{program}.json"));
@@ -174,7 +175,7 @@
     let error = "shced"
         .parse::<Kind>()
         .expect_err("there is no such program");
-    insta::assert_snapshot!(error, @"expected `gate`, `sched`, `standin` or `load`, found `shced`; did you mean `sched`?");
+    insta::assert_snapshot!(error, @"expected `gate`, `sched`, `standin`, `load` or `node`, found `shced`; did you mean `sched`?");
 }
 
 #[test]
@@ -235,6 +236,7 @@
         "gate" => parse::<Gate>(&text).map(drop),
         "sched" => parse::<Sched>(&text).map(drop),
         "standin" => parse::<Standin>(&text).map(drop),
+        "node" => parse::<Node>(&text).map(drop),
         _ => parse::<Load>(&text).map(drop),
     };
     result.expect_err("the settings are wrong").to_string()
@@ -242,7 +244,7 @@
 
 #[rstest]
 fn every_field_that_is_misspelt_is_refused_with_the_right_one(
-    #[values("gate", "sched", "standin", "load")] program: &str,
+    #[values("gate", "sched", "standin", "load", "node")] program: &str,
 ) {
     let path = ready("kurzeme", &format!("{program}.json"));
     let text = fs::read_to_string(path).expect("the ready set is there");
