--- a/crates/cell/src/effect.rs
+++ b/crates/cell/src/effect.rs
@@ -132,8 +132,8 @@
         worker: WorkerId,
         /// What it is believed to be now, as one word.
         belief: &'static str,
-        /// When it was last heard.
-        heard: Timestamp,
+        /// How long ago it was last heard, where it ever was.
+        heard: Option<Duration>,
     },
     /// A run of a former owner was taken over.
     Adopted {
--- a/crates/cell/src/engine/contact.rs
+++ b/crates/cell/src/engine/contact.rs
@@ -65,13 +65,13 @@
             worker.registration = registration;
             worker.adopt_capacity();
             if leaves && !was {
-                self.note_worker(*slot, "leaving");
+                self.note_worker(*slot, "leaving", now);
             }
             return;
         }
         let worker = Worker::new(registration, now, now);
         let slot = self.insert_worker(worker);
-        self.note_worker(slot, "listed");
+        self.note_worker(slot, "listed", now);
     }
 
     /// Notes that the store doesn't list a worker any more.
@@ -83,7 +83,7 @@
             && worker.unlisted.is_none()
         {
             worker.unlisted = Some(now);
-            self.note_worker(slot, "unlisted");
+            self.note_worker(slot, "unlisted", now);
         }
     }
 
@@ -195,7 +195,7 @@
                 worker.contact = Contact::Due(now + SILENT_AGAIN);
                 if worker.silent.is_none() {
                     worker.silent = Some(now);
-                    self.note_worker(slot, "silent");
+                    self.note_worker(slot, "silent", now);
                 }
             }
         }
@@ -217,7 +217,7 @@
         worker.read_clock(inventory.clock, now);
         let seen = worker.seen;
         if !was_heard {
-            self.note_worker(slot, "heard");
+            self.note_worker(slot, "heard", now);
         }
         self.is_stirred = true;
         let mut listed: Vec<(TaskId, Run)> = Vec::new();
@@ -374,7 +374,7 @@
 
     /// Notes that an incarnation is gone with all that it ran.
     pub(super) fn lose_worker(&mut self, slot: Slot, why: &'static str, now: Timestamp) {
-        self.note_worker(slot, why);
+        self.note_worker(slot, why, now);
         self.release_all(slot, now);
         if let Some(worker) = self.workers.remove(&slot) {
             self.slots.remove(&worker.registration.id);
@@ -423,7 +423,7 @@
                 .is_some_and(|worker| worker.unlisted.is_none());
             match is_listed {
                 true => {
-                    self.note_worker(slot, "lapsed");
+                    self.note_worker(slot, "lapsed", now);
                     self.doubt_runs(slot, now);
                     self.release_all(slot, now);
                 }
@@ -452,14 +452,14 @@
         }
     }
 
-    fn note_worker(&mut self, slot: Slot, belief: &'static str) {
+    fn note_worker(&mut self, slot: Slot, belief: &'static str, now: Timestamp) {
         let Some(worker) = self.workers.get(&slot) else {
             return;
         };
         let note = Note::Worker {
             worker: worker.registration.id.clone(),
             belief,
-            heard: worker.heard.unwrap_or_default(),
+            heard: worker.heard.map(|heard| now.since(heard)),
         };
         self.note(note);
     }
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -44,6 +44,7 @@
         Platform,
         Record, //
     },
+    report::millis,
     shared::Shared,
 };
 
@@ -144,8 +145,9 @@
         spec: Spec,
         deadline: Instant,
     ) -> Result<(), Refusal> {
+        let began = Instant::now();
         let result = self.try_submit(queue, job, spec, deadline).await;
-        self.report("submit", Some(job), queue, &result);
+        self.report("submit", job, queue, began.elapsed(), &result);
         result
     }
 
@@ -224,8 +226,9 @@
         job: JobId,
         deadline: Instant,
     ) -> Result<(), Refusal> {
+        let began = Instant::now();
         let result = self.try_cancel(job, deadline).await;
-        self.report("cancel", Some(job), queue, &result);
+        self.report("cancel", job, queue, began.elapsed(), &result);
         result
     }
 
@@ -298,8 +301,9 @@
     fn report(
         &self,
         what: &'static str,
-        job: Option<JobId>,
+        job: JobId,
         queue: &QueueName,
+        took: Duration,
         result: &Result<(), Refusal>,
     ) {
         let outcome = match result {
@@ -307,14 +311,15 @@
             Err(refusal) => refusal.word(),
         };
         self.shared.meter.request(what, outcome);
-        let job = job.map_or_else(String::new, |job| job.to_string());
-        let version = self.config().map_or(0, |config| config.version);
-        let failing = u64::try_from(self.shared.store.failing_for().as_millis()).unwrap_or(0);
-        if self.shared.meter.may_log("request") {
-            slog::info!(self.shared.log, "request"; "call" => what, "job" => job,
-                "queue" => queue.as_str(), "config" => version,
-                "store_failing_ms" => failing, "outcome" => outcome);
+        if !self.shared.meter.may_log("request") {
+            return;
         }
+        let version = self.config().map_or(0, |config| config.version);
+        slog::info!(self.shared.log, "request"; "call" => what, "job" => %job,
+            "queue" => queue.as_str(), "config" => version,
+            "store_failing_ms" => millis(self.shared.store.failing_for()),
+            "store_usual_ms" => millis(self.shared.store.usual()),
+            "took_ms" => millis(took), "outcome" => outcome);
     }
 }
 
--- a/crates/node/src/health.rs
+++ b/crates/node/src/health.rs
@@ -118,6 +118,12 @@
         })
     }
 
+    /// Returns how long an answered call takes, of late.
+    pub(crate) fn usual(&self) -> Duration {
+        let state = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        state.typical
+    }
+
     /// Returns how long an answer may take before it is overdue.
     pub(crate) fn patience(&self) -> Duration {
         let state = self.0.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/node/src/report.rs
+++ b/crates/node/src/report.rs
@@ -244,7 +244,8 @@
     }
 }
 
-fn millis(span: Duration) -> u64 {
+/// Returns the whole milliseconds of a span, as the log writes them.
+pub(crate) fn millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
 
@@ -284,7 +285,7 @@
             belief,
             heard,
         } => slog::info!(log, "worker"; "worker" => worker.as_str(), "belief" => belief,
-            "heard" => %heard),
+            "heard_ms" => heard.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(-1))),
         Note::Adopted { task, run, worker } => slog::info!(log, "adopted"; "task" => %task,
             "run" => run.0, "worker" => worker.as_str()),
         Note::Finished {
