Send unanswered orders again; look at passed-over steps in turn; occurrences due at a takeover; a stopped run is gone only after its grace

TWICE at a takeover: an occurrence that was due began only after the workers' runs were taken in, so its run was stopped as unwanted; and while a run is being stopped it is listed neither as running nor as ended, which was taken for proof that it is gone. It is now only after the stop's grace. 2. Since that proof takes up to a second, a start without an answer is sent again as it was, at most three times, which the worker takes for the same one; it is stopped only after that, or once its task isn't wanted (the histories showed a start of a done gang when that was missing, which also left runs of a gang under way that was done elsewhere). 3. LOST: steps that wait for long at the head of a queue hid one behind them that had room. Four of those passed over are looked at in each pass.

--- a/crates/cell/src/bounds.rs
+++ b/crates/cell/src/bounds.rs
@@ -38,6 +38,12 @@
 const SLACK: Duration = Duration::from_millis(200);
 
 impl Bounds {
+    /// Returns how long after a stop was confirmed a run that was there has certainly been listed as
+    /// ended.
+    pub fn stopped(&self) -> Duration {
+        self.stop_grace + SLACK
+    }
+
     /// Returns how much of its processor time a task that makes way loses on average.
     pub fn preemption_loss(&self) -> Duration {
         self.checkpoint / 2 + self.restore
--- a/crates/cell/src/engine/contact.rs
+++ b/crates/cell/src/engine/contact.rs
@@ -298,6 +298,7 @@
             size,
             phase: Phase::Running { since: now },
             since: now,
+            unanswered: 0,
         };
         worker.adopt(task, run, claim);
         let worker = worker.registration.id.clone();
@@ -328,7 +329,10 @@
                 let is_settled = match claim.phase {
                     Phase::Recording | Phase::Starting => false,
                     Phase::Running { since } => since <= asked,
-                    Phase::Stopping { confirmed, .. } => confirmed.is_some_and(|at| at <= asked),
+                    // While it is being stopped a run may be listed neither as running nor as ended.
+                    Phase::Stopping { confirmed, .. } => {
+                        confirmed.is_some_and(|at| at + self.bounds.stopped() <= asked)
+                    }
                 };
                 is_settled && !listed.contains(key)
             })
--- a/crates/cell/src/engine/end.rs
+++ b/crates/cell/src/engine/end.rs
@@ -102,9 +102,9 @@
             let Some(own) = stage.task_mut(index) else {
                 continue;
             };
-            if !is_gang {
-                others.extend(own.active.filter(|active| *active != (slot, run)));
-            }
+            // The members of one run of a gang end together; other runs of a task are not needed.
+            let other = own.active.filter(|(_, active)| *active != run);
+            others.extend(other.map(|(slot, run)| (slot, index, run)));
             if !std::mem::replace(&mut own.is_done, true) {
                 stage.done += 1;
                 stage.waiting.remove(&index);
@@ -117,8 +117,8 @@
             job.outcome = Some(Outcome::Completed);
         }
         self.ledger.add_job(task.step.job);
-        for (slot, run) in others {
-            self.stop(slot, task, run, "done-elsewhere", now);
+        for (slot, index, run) in others {
+            self.stop(slot, task.step.task(index), run, "done-elsewhere", now);
         }
     }
 
--- a/crates/cell/src/engine/mod.rs
+++ b/crates/cell/src/engine/mod.rs
@@ -130,6 +130,8 @@
     orders: HashMap<(Slot, TaskId, Run), Order>,
     /// Whether something has changed that may let a task start.
     is_stirred: bool,
+    /// Where among the steps that were passed over the next pass begins.
+    turn: usize,
     /// Before this the open steps are not gone through again.
     next_pass: Timestamp,
     outbox: Vec<Effect>,
@@ -158,6 +160,7 @@
             ledger: Ledger::default(),
             orders: HashMap::default(),
             is_stirred: true,
+            turn: 0,
             next_pass: now,
             outbox: Vec::new(),
         };
--- a/crates/cell/src/engine/order.rs
+++ b/crates/cell/src/engine/order.rs
@@ -32,6 +32,9 @@
 
 /// How long a worker that turned a start away gets no other.
 const REST: Duration = Duration::from_millis(500);
+/// How many orders to start a run may go unanswered; a twentieth of them does on bad days, and a worker
+/// that answers none is silent for its inventory too.
+const MOST_COPIES: u8 = 3;
 /// How long to wait before a stop is sent again.
 const STOP_AGAIN: Duration = Duration::from_millis(100);
 
@@ -63,7 +66,8 @@
             StartAnswer::Started => self.confirm(slot, task, run, now),
             StartAnswer::Fenced => self.outbox.push(Effect::Deposed),
             StartAnswer::Gone => self.lose_worker(slot, "replaced", now),
-            StartAnswer::Silent => self.stop(slot, task, run, "unanswered", now),
+            StartAnswer::Silent => self.start_again(slot, task, run, now),
+            StartAnswer::Old => self.confirm(slot, task, run, now),
             StartAnswer::Ticket => {
                 let stage = self.jobs.get_mut(&task.step.job);
                 let stage = stage.and_then(|job| job.stage_mut(task.step));
@@ -74,7 +78,6 @@
                 }
                 self.release(slot, task, run, now);
             }
-            StartAnswer::Old => self.release(slot, task, run, now),
             StartAnswer::Late
             | StartAnswer::Full
             | StartAnswer::Unhealthy
@@ -83,14 +86,54 @@
                 if let Some(worker) = self.workers.get_mut(&slot) {
                     worker.rests = worker.rests.max(now + REST);
                 }
-                self.release(slot, task, run, now);
+                match self.unanswered(slot, task, run) {
+                    0 => self.release(slot, task, run, now),
+                    // An earlier copy may still be carried out.
+                    _ => self.stop(slot, task, run, "unanswered", now),
+                }
             }
         }
+        if answer != StartAnswer::Silent {
+            self.orders.remove(&(slot, task, run));
+        }
+    }
+
+    /// Returns whether a task still has to run.
+    fn is_wanted(&self, task: TaskId) -> bool {
+        let job = self.jobs.get(&task.step.job).filter(|job| !job.is_over());
+        let stage = job.and_then(|job| job.stage(task.step));
+        let own = stage.and_then(|stage| stage.task(task.index));
+        own.is_some_and(|own| !own.is_done)
+    }
+
+    fn unanswered(&self, slot: Slot, task: TaskId, run: Run) -> u8 {
+        let claim = self.workers.get(&slot);
+        let claim = claim.and_then(|worker| worker.claims.get(&(task, run)));
+        claim.map_or(0, |claim| claim.unanswered)
+    }
+
+    /// Sends an order again that got no answer: the worker takes it for the same one.
+    ///
+    /// Its answer tells at once what a stop and an inventory tell only after the time that a worker may
+    /// take to stop.
+    fn start_again(&mut self, slot: Slot, task: TaskId, run: Run, now: Timestamp) {
+        let claim = self.workers.get_mut(&slot);
+        let claim = claim.and_then(|worker| worker.claims.get_mut(&(task, run)));
+        let Some(claim) = claim.filter(|claim| claim.phase == Phase::Starting) else {
+            return;
+        };
+        claim.unanswered += 1;
+        let is_spent = claim.unanswered >= MOST_COPIES;
+        if is_spent || !self.is_wanted(task) {
+            self.stop(slot, task, run, "unanswered", now);
+        } else {
+            self.send_start(slot, task, run, now);
+        }
     }
 
     /// Orders a start whose decision is on record.
     pub(super) fn send_start(&mut self, slot: Slot, task: TaskId, run: Run, now: Timestamp) {
-        let Some(order) = self.orders.remove(&(slot, task, run)) else {
+        let Some(order) = self.orders.get(&(slot, task, run)).cloned() else {
             return;
         };
         let Some(worker) = self.workers.get_mut(&slot) else {
--- a/crates/cell/src/engine/place.rs
+++ b/crates/cell/src/engine/place.rs
@@ -287,6 +287,7 @@
             size: charge(step),
             phase: Phase::Recording,
             since: now,
+            unanswered: 0,
         };
         if !worker.claim(task, run, claim) {
             return false;
--- a/crates/cell/src/engine/schedule.rs
+++ b/crates/cell/src/engine/schedule.rs
@@ -17,6 +17,8 @@
 /// urgent and of much the same size, are passed over then. Without it a pass over 500 waiting steps
 /// kept the owner from everything else.
 const MOST_BLOCKED: u32 = 12;
+/// How many of those that were passed over are looked at in a pass all the same.
+const IN_TURN: usize = 4;
 
 /// How urgent a step is; the least comes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -38,6 +40,7 @@
             .collect();
         ranks.sort_unstable();
         let mut reserved = Reserved::default();
+        let mut passed_over = Vec::new();
         let mut blocked: HashMap<QueueName, u32> = HashMap::default();
         for rank in ranks {
             let Some(job) = self.jobs.get(&rank.step.job) else {
@@ -46,12 +49,29 @@
             let queue = job.accepted.queue.name.clone();
             let blocked = blocked.entry(queue).or_default();
             if *blocked >= MOST_BLOCKED {
+                passed_over.push(rank.step);
                 continue;
             }
             if !self.serve(rank.step, &mut reserved, now) {
+                self.make_room(rank.step, &mut reserved, now);
                 *blocked += 1;
             }
         }
+        self.serve_in_turn(&passed_over, &mut reserved, now);
+    }
+
+    /// Looks at some of the steps that were passed over, others in each pass, so that steps which find
+    /// no room for a long time don't hide one that would. No room is made for them.
+    fn serve_in_turn(&mut self, steps: &[StepId], reserved: &mut Reserved, now: Timestamp) {
+        if steps.is_empty() {
+            return;
+        }
+        let begin = self.turn % steps.len();
+        let turn = steps.iter().cycle().skip(begin);
+        for step in turn.take(IN_TURN.min(steps.len())) {
+            self.serve(*step, reserved, now);
+        }
+        self.turn = begin + IN_TURN;
     }
 
     fn rank(&self, id: StepId, now: Timestamp) -> Option<Rank> {
@@ -89,7 +109,6 @@
             return true;
         }
         self.refresh_advice(id, reserved, now);
-        self.make_room(id, reserved, now);
         false
     }
 }
--- a/crates/cell/src/engine/submit.rs
+++ b/crates/cell/src/engine/submit.rs
@@ -53,8 +53,12 @@
         match schedule {
             Some(schedule) => {
                 for occurrence in 0..schedule.times {
-                    let at = schedule.first + schedule.period * occurrence;
-                    self.due.insert((Timestamp::ZERO + at, id, occurrence));
+                    let at = Timestamp::ZERO + schedule.first + schedule.period * occurrence;
+                    match at <= now {
+                        // A worker may run it by order of a former owner.
+                        true => self.begin_occurrence(id, occurrence, now),
+                        false => drop(self.due.insert((at, id, occurrence))),
+                    }
                 }
             }
             None => self.begin_occurrence(id, 0, now),
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -56,6 +56,8 @@
     pub phase: Phase,
     /// When it was decided or adopted.
     pub since: Timestamp,
+    /// How many orders to start it got no answer; each may still be carried out.
+    pub unanswered: u8,
 }
 
 /// A reading of a worker's clock.
--- a/crates/cell/tests/cell/overtaking.rs
+++ b/crates/cell/tests/cell/overtaking.rs
@@ -116,9 +116,11 @@
     };
     let (task, doubted) = (step.task(0), step.task(1));
     engine.started(&worker, task, Run(1), StartAnswer::Started, now);
-    // The start without an answer brings a second call, which overtakes the first.
-    engine.started(&worker, doubted, Run(1), StartAnswer::Silent, now);
-    effects(&mut engine, now);
+    // A start that is given up after several copies brings a second call, which overtakes the first.
+    for _ in 0..3 {
+        engine.started(&worker, doubted, Run(1), StartAnswer::Silent, now);
+        effects(&mut engine, now);
+    }
     engine.stopped(&worker, doubted, Run(1), StopAnswer::Confirmed, now);
     now = now + 5 * MILLISECOND;
     let peek = hold(&effects(&mut engine, now), true);
@@ -152,6 +154,6 @@
         .iter()
         .filter(|effect| matches!(effect, Effect::Stop(_)));
     assert_eq!(stops.count(), 0, "nothing runs that could be stopped");
-    // Only the task whose start came to nothing is under way again.
+    // Only the run whose start was given up still holds room, until it is certainly gone.
     assert_eq!(engine.counts().claims, 1);
 }
