What a former owner was stopping isn't proven gone by the first inventory

A run that is known by record alone is gone only after the stop's grace. Steps that were passed over are looked at every 50 ms also where nothing happens; a hundred steps without a worker had hidden one for 10 s.

--- a/crates/cell/src/engine/contact.rs
+++ b/crates/cell/src/engine/contact.rs
@@ -112,7 +112,8 @@
                 run,
                 checkpoint: None,
             };
-            self.adopt(slot, &running, now);
+            // What a former owner was stopping is not listed, and ends within its grace.
+            self.adopt(slot, &running, now + self.bounds.stopped(), now);
         }
     }
 
@@ -260,7 +261,7 @@
         }
         let claim = worker.claims.get_mut(&(task, running.run));
         let Some(claim) = claim else {
-            self.adopt(slot, running, now);
+            self.adopt(slot, running, now, now);
             return;
         };
         if claim.phase == Phase::Starting {
@@ -270,7 +271,9 @@
     }
 
     /// Takes over a run that this owner did not start, or has it stopped.
-    fn adopt(&mut self, slot: Slot, running: &Running, now: Timestamp) {
+    ///
+    /// An inventory that was asked for from `proves` on and doesn't list it proves that it is gone.
+    fn adopt(&mut self, slot: Slot, running: &Running, proves: Timestamp, now: Timestamp) {
         let (task, run) = (running.task, running.run);
         let job = self.jobs.get_mut(&task.step.job);
         let is_over = job.as_ref().is_none_or(|job| job.is_over());
@@ -296,7 +299,7 @@
         };
         let claim = Claim {
             size,
-            phase: Phase::Running { since: now },
+            phase: Phase::Running { since: proves },
             since: now,
             unanswered: 0,
         };
--- a/crates/cell/src/engine/mod.rs
+++ b/crates/cell/src/engine/mod.rs
@@ -132,6 +132,8 @@
     is_stirred: bool,
     /// Where among the steps that were passed over the next pass begins.
     turn: usize,
+    /// When the steps that were passed over are looked at again, if nothing happens before.
+    look_again: Option<Timestamp>,
     /// Before this the open steps are not gone through again.
     next_pass: Timestamp,
     outbox: Vec<Effect>,
@@ -161,6 +163,7 @@
             orders: HashMap::default(),
             is_stirred: true,
             turn: 0,
+            look_again: None,
             next_pass: now,
             outbox: Vec::new(),
         };
@@ -202,6 +205,10 @@
         self.open_due(now);
         self.expire_workers(now);
         self.send_stops(now);
+        if self.look_again.is_some_and(|at| at <= now) {
+            self.look_again = None;
+            self.is_stirred = true;
+        }
         if self.is_stirred && now >= self.next_pass {
             self.is_stirred = false;
             self.next_pass = now + PASS_GAP;
--- a/crates/cell/src/engine/schedule.rs
+++ b/crates/cell/src/engine/schedule.rs
@@ -1,5 +1,7 @@
 //! The order in which open steps get their turn.
 
+use std::time::Duration;
+
 use fulmarpier_state::clock::Timestamp;
 
 use fulmarpier_state::alias::HashMap;
@@ -19,6 +21,8 @@
 const MOST_BLOCKED: u32 = 12;
 /// How many of those that were passed over are looked at in a pass all the same.
 const IN_TURN: usize = 4;
+/// The time to the next pass while steps were passed over, if nothing happens before.
+const TURN_GAP: Duration = Duration::from_millis(50);
 
 /// How urgent a step is; the least comes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -72,6 +76,7 @@
             self.serve(*step, reserved, now);
         }
         self.turn = begin + IN_TURN;
+        self.look_again = Some(now + TURN_GAP);
     }
 
     fn rank(&self, id: StepId, now: Timestamp) -> Option<Rank> {
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -3,6 +3,8 @@
 #[path = "../../../coordination/tests/support/cases.rs"]
 mod cases;
 mod history;
+mod order;
 mod overtaking;
 mod pending;
+mod takeover;
 mod world;
--- /dev/null
+++ b/crates/cell/tests/cell/takeover.rs
@@ -0,0 +1,111 @@
+//! What a new owner does with what it finds.
+
+use std::time::Duration;
+
+use fulmarpier_cell::{
+    bounds::Bounds,
+    effect::Effect,
+    engine::{
+        Engine,
+        Inheritance,
+        State, //
+    },
+    event::{
+        HoldAnswer,
+        Inventory,
+        Running, //
+    },
+    id::{
+        Epoch,
+        JobId,
+        Run,
+        StepId,
+        WorkerId, //
+    },
+    job::{
+        Schedule,
+        Spec,
+        Step, //
+    },
+    record::{
+        Accepted,
+        Usage, //
+    },
+};
+use fulmarpier_state::clock::Timestamp;
+
+use crate::world::{
+    queue,
+    size, //
+};
+
+const JOB: JobId = JobId(7);
+
+/// A job that was due a second ago and is due again in a minute.
+fn repeated(now: Timestamp) -> Accepted {
+    let step = Step {
+        count: 1,
+        size: size(1_000, 1_024),
+        ..Step::default()
+    };
+    Accepted {
+        job: JOB,
+        queue: queue("batch", 2, false).into(),
+        spec: Spec {
+            text: "text".into(),
+            steps: vec![step],
+            schedule: Some(Schedule {
+                times: 2,
+                first: Duration::from_micros(now.as_micros()) - Duration::from_secs(1),
+                period: Duration::from_secs(61),
+            }),
+        }
+        .into(),
+        received: now,
+    }
+}
+
+#[test]
+fn a_run_of_an_occurrence_that_was_due_is_taken_over() {
+    let now = Timestamp::from_millis(100_000);
+    let worker = WorkerId::from("w1");
+    let task = StepId {
+        job: JOB,
+        occurrence: 0,
+        step: 0,
+    }
+    .task(0);
+    let usage = Usage {
+        address: "127.0.0.1:1".parse().unwrap(),
+        runs: vec![(task, Run(1))],
+    };
+    let inheritance = Inheritance {
+        accepted: vec![repeated(now)],
+        workers: vec![(worker.clone(), usage)],
+        ..Inheritance::default()
+    };
+    let mut engine = Engine::new(Epoch(2), Bounds::default(), inheritance, now);
+    let effects = engine.advance(now);
+    let asked = effects.iter().find_map(|effect| match effect {
+        Effect::Hold(hold) => Some(hold.asked),
+        _ => None,
+    });
+    let running = Running {
+        task,
+        run: Run(1),
+        checkpoint: None,
+    };
+    let inventory = Inventory {
+        clock: 5,
+        running: vec![running],
+        ended: Vec::new(),
+    };
+    let asked = asked.expect("the worker is called");
+    engine.held(&worker, asked, HoldAnswer::Listed(inventory), now);
+    let effects = [effects, engine.advance(now)].concat();
+    let stops = effects
+        .iter()
+        .filter(|effect| matches!(effect, Effect::Stop(_)));
+    assert_eq!(stops.count(), 0);
+    assert_eq!(engine.state(JOB), Some(State::Running));
+}
--- a/crates/cell/tests/cell/world/worker.rs
+++ b/crates/cell/tests/cell/world/worker.rs
@@ -228,7 +228,10 @@
     }
 
     pub(crate) fn inventory(&self, now: Timestamp) -> Inventory {
-        let running = self.tasks.iter().map(|(id, task)| Running {
+        // What is being stopped is not listed until it has ended.
+        let running = self.tasks.iter();
+        let running = running.filter(|(_, task)| task.how != How::Stopped);
+        let running = running.map(|(id, task)| Running {
             task: *id,
             run: task.run,
             checkpoint: None,
