Rank an occurrence by its own time

Cause: a job that repeats was ranked by its arrival, so its later occurrences counted as worth nothing and waited behind everything else. The test fails without it.

--- a/crates/cell/src/engine/job.rs
+++ b/crates/cell/src/engine/job.rs
@@ -149,12 +149,10 @@
     pub(super) outcome: Option<Outcome>,
     /// How it ended by the record, which is what callers see.
     pub(super) kept_outcome: Option<Outcome>,
-    /// When it has to be completed to be in time.
-    pub(super) due: Timestamp,
+    /// How long it may take from its start to be in time.
+    objective: Duration,
     /// The longest chain of work from each step on, by the estimates.
     chains: Vec<Duration>,
-    /// From when on its completion is worth nothing any more.
-    pub(super) worthless: Timestamp,
 }
 
 /// A job that ends later than this many times its latency objective is worth nothing.
@@ -174,8 +172,7 @@
             outcome: progress.outcome,
             kept_outcome: progress.outcome,
             chains,
-            due: accepted.received + objective,
-            worthless: accepted.received + objective * WORTHLESS_AFTER,
+            objective,
             accepted,
         };
         for (occurrence, steps) in &progress.occurrences {
@@ -243,9 +240,23 @@
         }
     }
 
-    /// Returns the latest time at which a step may start for the job to be in time.
-    pub(super) fn latest_start(&self, step: u16) -> Timestamp {
-        let chain = self.chains.get(usize::from(step)).copied();
-        self.due.saturating_sub(chain.unwrap_or_default())
+    /// Returns when an occurrence counts from: its own time, or the job's arrival.
+    fn start_of(&self, occurrence: u32) -> Timestamp {
+        match self.spec().schedule {
+            Some(schedule) => Timestamp::ZERO + schedule.first + schedule.period * occurrence,
+            None => self.accepted.received,
+        }
+    }
+
+    /// Returns the latest time at which a step may start for its occurrence to be in time.
+    pub(super) fn latest_start(&self, id: StepId) -> Timestamp {
+        let chain = self.chains.get(usize::from(id.step)).copied();
+        let due = self.start_of(id.occurrence) + self.objective;
+        due.saturating_sub(chain.unwrap_or_default())
+    }
+
+    /// Returns from when on the completion of an occurrence is worth nothing any more.
+    pub(super) fn worthless(&self, occurrence: u32) -> Timestamp {
+        self.start_of(occurrence) + self.objective * WORTHLESS_AFTER
     }
 }
--- a/crates/cell/src/engine/reserve.rs
+++ b/crates/cell/src/engine/reserve.rs
@@ -91,7 +91,7 @@
         let Some(stage) = job.stage(id) else {
             return;
         };
-        let is_pressing = !is_gang || now >= job.latest_start(id.step);
+        let is_pressing = !is_gang || now >= job.latest_start(id);
         let size = demand.size;
         let count = stage.waiting.len();
         let mut offers: Vec<Offer> = self
--- a/crates/cell/src/engine/schedule.rs
+++ b/crates/cell/src/engine/schedule.rs
@@ -81,10 +81,10 @@
 
     fn rank(&self, id: StepId, now: Timestamp) -> Option<Rank> {
         let job = self.jobs.get(&id.job)?;
-        let latest_start = job.latest_start(id.step);
+        let latest_start = job.latest_start(id);
         let lateness = match () {
             () if now <= latest_start => 0,
-            () if now <= job.worthless => 1,
+            () if now <= job.worthless(id.occurrence) => 1,
             () => 2,
         };
         Some(Rank {
--- a/crates/cell/tests/cell/order.rs
+++ b/crates/cell/tests/cell/order.rs
@@ -4,7 +4,10 @@
 
 use fulmarpier_cell::{
     engine::State,
-    job::Step, //
+    job::{
+        Schedule,
+        Step, //
+    },
 };
 
 use crate::world::{
@@ -31,3 +34,29 @@
     assert_eq!(world.engine.state(job), Some(State::Completed));
     assert_eq!(world.starts, 1);
 }
+
+#[test]
+fn an_occurrence_is_as_urgent_as_a_job_that_arrives_at_its_time() {
+    let mut world = World::new(1, Faults::default());
+    let step = |count| Step {
+        count,
+        size: size(1_000, 1_024),
+        estimate: Duration::from_secs(1),
+        ..Step::default()
+    };
+    let minute = Duration::from_secs(60);
+    let schedule = Schedule {
+        times: 1,
+        first: Duration::from_micros(world.now.as_micros()) + minute,
+        period: minute,
+    };
+    let repeated = world.submit_repeated("batch", vec![step(1)], Some(schedule));
+    world.run(minute - Duration::from_millis(500));
+    // All room is taken when its time comes, and others wait that arrive later.
+    world.submit("batch", vec![step(32)]);
+    world.run(Duration::from_secs(1));
+    let later = world.submit("batch", vec![step(200)]);
+    world.run(Duration::from_secs(4));
+    assert_eq!(world.engine.state(repeated), Some(State::Completed));
+    assert_eq!(world.engine.state(later), Some(State::Running));
+}
--- a/crates/cell/tests/cell/world/mod.rs
+++ b/crates/cell/tests/cell/world/mod.rs
@@ -47,6 +47,7 @@
         WorkerId, //
     },
     job::{
+        Schedule,
         Spec,
         Step, //
     },
@@ -239,6 +240,16 @@
 
     /// Submits a job; its record is kept.
     pub(crate) fn submit(&mut self, queue: &str, steps: Vec<Step>) -> JobId {
+        self.submit_repeated(queue, steps, None)
+    }
+
+    /// Submits a job that may run at other times; its record is kept.
+    pub(crate) fn submit_repeated(
+        &mut self,
+        queue: &str,
+        steps: Vec<Step>,
+        schedule: Option<Schedule>,
+    ) -> JobId {
         self.serial += 1;
         let job = JobId(self.serial);
         let accepted = Accepted {
@@ -247,7 +258,7 @@
             spec: Arc::new(Spec {
                 text: "text".into(),
                 steps,
-                schedule: None,
+                schedule,
             }),
             received: self.now,
         };
