--- a/crates/cell/tests/cell/order.rs
+++ b/crates/cell/tests/cell/order.rs
@@ -52,11 +52,11 @@
     };
     let repeated = world.submit_repeated("batch", vec![step(1)], Some(schedule));
     world.run(minute - Duration::from_millis(500));
-    // All room is taken when its time comes, and others wait that arrive later.
-    world.submit("batch", vec![step(32)]);
-    world.run(Duration::from_secs(1));
-    let later = world.submit("batch", vec![step(200)]);
-    world.run(Duration::from_secs(4));
+    // All room is taken when its time comes, and others wait that arrive earlier and later.
+    world.submit("batch", vec![step(80)]);
+    world.run(Duration::from_millis(550));
+    let later = world.submit("batch", vec![step(400)]);
+    world.run(Duration::from_secs(8));
     assert_eq!(world.engine.state(repeated), Some(State::Completed));
     assert_eq!(world.engine.state(later), Some(State::Running));
 }
