Say in one place which workers a step admits

Pool, openness and label were checked in four places in the same words (suits, is_eligible, ask, unnamed): Demand::admits serves all of them now. The claims of a worker were listed twice for the same loop.

--- a/crates/cell/src/engine/ask.rs
+++ b/crates/cell/src/engine/ask.rs
@@ -50,15 +50,11 @@
         let Some(demand) = self.demand(job, id) else {
             return;
         };
-        let label = demand.step.requires.as_deref();
         let mut named: Vec<(Slot, u32)> = self
             .workers
             .iter()
             .filter(|(_, worker)| {
-                worker.registration.pool == demand.queue.pool
-                    && worker.is_open(now)
-                    && demand.size.fits(&worker.registration.capacity)
-                    && label.is_none_or(|label| worker.has_label(label))
+                demand.admits(worker, now) && demand.size.fits(&worker.registration.capacity)
             })
             .map(|(slot, worker)| (*slot, worker.free.cpu.get()))
             .collect();
@@ -126,14 +122,11 @@
         let (Some(demand), Some(stage)) = (self.demand(job, id), job.stage(id)) else {
             return Vec::new();
         };
-        let label = demand.step.requires.as_deref();
         let unnamed = self.workers.iter().filter(|(slot, worker)| {
             !stage.advice.named.contains(slot)
-                && worker.registration.pool == demand.queue.pool
-                && worker.is_open(now)
+                && demand.admits(worker, now)
                 && demand.size.fits(&worker.free)
                 && !reserved.holds(**slot, id)
-                && label.is_none_or(|label| worker.has_label(label))
         });
         unnamed.map(|(slot, _)| *slot).take(MOST_NAMED).collect()
     }
--- a/crates/cell/src/engine/contact.rs
+++ b/crates/cell/src/engine/contact.rs
@@ -389,12 +389,14 @@
         }
     }
 
+    fn claims_of(&self, slot: Slot) -> Vec<(TaskId, Run)> {
+        let claims = self.workers.get(&slot).map(|worker| &worker.claims);
+        claims.into_iter().flatten().map(|(key, _)| *key).collect()
+    }
+
     /// Notes that the runs of a worker that is given up on may have failed there.
     fn doubt_runs(&mut self, slot: Slot, now: Timestamp) {
-        let claims = self.workers.get(&slot).map(|worker| &worker.claims);
-        let claims: Vec<(TaskId, Run)> =
-            claims.into_iter().flatten().map(|(key, _)| *key).collect();
-        for (task, run) in claims {
+        for (task, run) in self.claims_of(slot) {
             let stage = self.jobs.get_mut(&task.step.job);
             let stage = stage.and_then(|job| job.stage_mut(task.step));
             if let Some(own) = stage.and_then(|stage| stage.task_mut(task.index)) {
@@ -404,10 +406,7 @@
     }
 
     fn release_all(&mut self, slot: Slot, now: Timestamp) {
-        let claims = self.workers.get(&slot).map(|worker| &worker.claims);
-        let claims: Vec<(TaskId, Run)> =
-            claims.into_iter().flatten().map(|(key, _)| *key).collect();
-        for (task, run) in claims {
+        for (task, run) in self.claims_of(slot) {
             self.release(slot, task, run, now);
         }
     }
--- a/crates/cell/src/engine/place.rs
+++ b/crates/cell/src/engine/place.rs
@@ -41,6 +41,16 @@
     pub(super) size: Resources,
 }
 
+impl Demand<'_> {
+    /// Returns whether a worker takes tasks of the step, room and advice aside.
+    pub(super) fn admits(&self, worker: &Worker, now: Timestamp) -> bool {
+        let label = self.step.requires.as_deref();
+        worker.registration.pool == self.queue.pool
+            && worker.is_open(now)
+            && label.is_none_or(|label| worker.has_label(label))
+    }
+}
+
 impl Engine {
     /// Returns the queue of a job as it is set now, or as it was when the job was accepted.
     pub(super) fn queue_of<'a>(&'a self, job: &'a Job) -> &'a Queue {
@@ -67,11 +77,7 @@
         worker: &Worker,
         now: Timestamp,
     ) -> bool {
-        if worker.registration.pool != demand.queue.pool || !worker.is_open(now) {
-            return false;
-        }
-        let label = demand.step.requires.as_deref();
-        if label.is_some_and(|label| !worker.has_label(label)) {
+        if !demand.admits(worker, now) {
             return false;
         }
         let stage = job.stage(demand.id);
--- a/crates/cell/src/engine/reserve.rs
+++ b/crates/cell/src/engine/reserve.rs
@@ -146,11 +146,7 @@
         let Some(demand) = self.demand(job, id) else {
             return false;
         };
-        if worker.registration.pool != demand.queue.pool || !worker.is_open(now) {
-            return false;
-        }
-        let label = demand.step.requires.as_deref();
-        if label.is_some_and(|label| !worker.has_label(label)) {
+        if !demand.admits(worker, now) {
             return false;
         }
         let stage = job.stage(id);
