Give the connections to an address up together when one falls silent

Cause: connections may go silent for good without a reset while new ones work. Each of the four idle connections to a worker or the store then cost a call of its own (250 ms to 1.8 s). Ruled out: probes of the kernel alone; they take whole seconds and notice an idle connection after 2 s.

--- a/crates/node/src/hedge.rs
+++ b/crates/node/src/hedge.rs
@@ -42,6 +42,7 @@
         let finished = tokio::select! {
             finished = copies.next() => finished,
             () = sleep_until(next), if sent < MOST_COPIES => {
+                platform.reconnect();
                 copies.push(platform.append(append.clone()));
                 next = Instant::now() + patience * 2u32.pow(sent);
                 sent += 1;
--- a/crates/node/src/port.rs
+++ b/crates/node/src/port.rs
@@ -154,6 +154,10 @@
     /// Reads the newest record of each key.
     fn newest(&self, topic: Topic) -> impl Future<Output = Result<Page, Error>> + Send;
 
+    /// Has further calls of the store connect anew: an answer is overdue, and connections may have fallen
+    /// silent.
+    fn reconnect(&self);
+
     /// Orders a start.
     fn start(&self, order: Start) -> impl Future<Output = StartAnswer> + Send;
 
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -271,6 +271,8 @@
         })
     }
 
+    fn reconnect(&self) {}
+
     async fn start(&self, order: Start) -> StartAnswer {
         sleep(CALL).await;
         let mut state = self.state();
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod platform;
 pub mod rpc;
 pub mod signal;
+pub mod silence;
--- a/crates/transport/src/rpc/link.rs
+++ b/crates/transport/src/rpc/link.rs
@@ -33,6 +33,7 @@
     Counted,
     Traffic, //
 };
+use crate::silence;
 
 /// The network of one connection, with its bytes counted.
 pub(super) fn network(
@@ -43,6 +44,8 @@
 ) -> VatNetwork<impl futures::AsyncRead + Unpin + 'static> {
     // Without it answers are only slower.
     let _ = stream.set_nodelay(true);
+    // Without it a connection that falls silent is noticed by the next call that gets no answer.
+    let _ = silence::watch(&stream);
     let (reader, writer) = stream.into_split();
     let reader = Counted::new(reader, all.clone(), link.clone()).compat();
     let writer = Counted::new(writer, all, link).compat_write();
