--- a/crates/node/src/health.rs
+++ b/crates/node/src/health.rs
@@ -118,6 +118,12 @@
         })
     }
 
+    /// Returns whether calls have failed without a success in between.
+    pub(crate) fn is_failing(&self) -> bool {
+        let state = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        state.failing.is_some()
+    }
+
     /// Returns how long an answered call takes, of late.
     pub(crate) fn usual(&self) -> Duration {
         let state = self.0.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/node/src/member.rs
+++ b/crates/node/src/member.rs
@@ -54,16 +54,22 @@
 /// The key of the claim.
 const KEY: &str = "owner";
 /// How often a node asks the owner whether it still owns the cell.
-const HELLO: Duration = Duration::from_millis(500);
-/// How long the owner may take to answer that.
-const HELLO_PATIENCE: Duration = Duration::from_millis(400);
+const HELLO: Duration = Duration::from_millis(250);
+/// How long the owner may take to answer that: a way there and back takes 3 ms, and an owner whose share
+/// of its processor is used up some 80 ms.
+const HELLO_PATIENCE: Duration = Duration::from_millis(250);
 /// How often the owner renews its claim.
-const RENEW: Duration = Duration::from_millis(500);
-/// A claim that was not renewed for this long has lapsed: two renewals and a slow answer. It may be
-/// short, since a claim that turns out to be wrong costs a takeover and nothing more.
-const LEASE: Duration = Duration::from_millis(1_500);
+const RENEW: Duration = Duration::from_millis(300);
+/// How long a renewal may take before it is read what became of it, beside the store's usual time.
+const RENEWAL_PATIENCE: Duration = Duration::from_millis(500);
+/// A claim that was not renewed for this long, beside the store's usual time, has lapsed: two renewals.
+/// Only an owner that doesn't answer is judged by it. It may be short, since a claim that turns out to be
+/// wrong costs a takeover of some 0.1 s, and each 0.1 s without an owner some 5 urgent jobs.
+const LEASE: Duration = Duration::from_millis(700);
+/// How many times the store's usual time a lease and a renewal may take longer.
+const STORE_TIMES: u32 = 3;
 /// An owner that is silent for this long has its renewals watched.
-const SILENCE: Duration = Duration::from_millis(700);
+const SILENCE: Duration = Duration::from_millis(200);
 /// Claimants wait up to this long, so that they don't all append at once.
 const JITTER: Duration = Duration::from_millis(60);
 /// After this long without the store the owner asks the others whether it is away for them too.
@@ -201,6 +207,11 @@
     }
 }
 
+/// Returns how long a claim that is not renewed stands.
+fn lease<P: Platform>(shared: &Shared<P>) -> Duration {
+    LEASE + STORE_TIMES * shared.store.usual()
+}
+
 /// What is believed of the owner.
 enum Belief {
     /// It answers as the owner, under a claim that was renewed so often.
@@ -246,7 +257,7 @@
                         seen.since = seen.since.min(answered);
                     }
                 }
-                if answered.elapsed() < SILENCE || seen.since.elapsed() < LEASE {
+                if answered.elapsed() < SILENCE || seen.since.elapsed() < lease(shared) {
                     sleep(HELLO / 4).await;
                     continue;
                 }
@@ -392,12 +403,13 @@
         }
         if is_certain {
             claim.renewal = claim.renewal.wrapping_add(1);
-            match append(shared, &claim, end).await {
-                Ok(newer) => {
+            let patience = RENEWAL_PATIENCE + STORE_TIMES * shared.store.usual();
+            match timeout(patience, append(shared, &claim, end)).await {
+                Ok(Ok(newer)) => {
                     end = newer;
                     tell_renewal(shared, claim.renewal);
                 }
-                Err(_) => is_certain = false,
+                Ok(Err(_)) | Err(_) => is_certain = false,
             }
         }
         if let Some(why) = doubt(shared).await {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -61,7 +61,7 @@
 
 /// A node that has not said that it is there for this long gets no calls for advice.
 const PEER_GONE: Duration = Duration::from_millis(1_600);
-/// How often nodes that went away are noticed.
+/// How often nodes that went away are noticed; new ones are at once.
 const SWEEP: Duration = Duration::from_millis(400);
 /// How often lines that were left out of the log are counted.
 const LEFT_OUT: Duration = Duration::from_secs(1);
@@ -206,6 +206,8 @@
     shared: Arc<Shared<P>>,
     /// When each node was last heard.
     heard: Arc<Mutex<HashMap<NodeName, (SocketAddr, Timestamp)>>>,
+    /// Rung when a node is heard that was not there.
+    news: Arc<Notify>,
 }
 
 impl<P: Platform> Clone for Answering<P> {
@@ -213,6 +215,7 @@
         Self {
             shared: self.shared.clone(),
             heard: self.heard.clone(),
+            news: self.news.clone(),
         }
     }
 }
@@ -222,6 +225,7 @@
         Self {
             shared,
             heard: Arc::default(),
+            news: Arc::default(),
         }
     }
 
@@ -274,7 +278,10 @@
             return self.not_owner();
         };
         let now = shared.clock.now();
-        self.heard.lock().await.insert(node, (address, now));
+        let before = self.heard.lock().await.insert(node, (address, now));
+        if before.is_none_or(|(at, _)| at != address) {
+            self.news.notify_one();
+        }
         Reply::Owner(acting.claim)
     }
 
@@ -290,8 +297,14 @@
         let mut told: Option<(u32, Vec<NodeName>)> = None;
         let mut ticks = interval(SWEEP);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut ownership = self.shared.acting.subscribe();
         loop {
-            ticks.tick().await;
+            tokio::select! {
+                _ = ticks.tick() => {}
+                () = self.news.notified() => {}
+                // The sender lives as long as this task.
+                _ = ownership.changed() => {}
+            }
             let acting = self.shared.acting.borrow().clone();
             let Some((acting, control)) =
                 acting.and_then(|acting| Some((acting.claim, acting.control?)))
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -95,7 +95,12 @@
 pub(crate) async fn follow_config<P: Platform>(shared: Arc<Shared<P>>) {
     let mut reader = Reader::new(Topic::Configuration, "configuration");
     loop {
-        match reader.read(&shared, CONFIG_WAIT).await {
+        // A store that comes back answers such a call at once, and one that waits only after its wait.
+        let wait = match shared.store.is_failing() {
+            true => Duration::ZERO,
+            false => CONFIG_WAIT,
+        };
+        match reader.read(&shared, wait).await {
             Ok(Batch::Whole(page) | Batch::More(page)) => {
                 for record in &page.records {
                     take_config(&shared, record);
