--- a/crates/node/src/health.rs
+++ b/crates/node/src/health.rs
@@ -3,15 +3,21 @@
 use std::{
     collections::BTreeMap,
     sync::{
+        Arc,
         Mutex,
+        MutexGuard,
         PoisonError, //
     },
     time::Duration,
 };
 
+use slog::Logger;
 use tokio::time::Instant;
 
-use crate::port::Error;
+use crate::{
+    port::Error,
+    report::millis, //
+};
 
 /// A store that has not answered for this long counts as away. Slow days take up to 0.7 s for an
 /// append, and a lost answer alone says nothing.
@@ -22,11 +28,13 @@
 /// No answer is overdue before this: the usual one takes 8 ms, a busy processor some tens more.
 const LEAST_PATIENCE: Duration = Duration::from_millis(100);
 
-/// A call of the store that is on its way.
+/// A call of the store that is on its way; dropped, it counts as given up.
 #[derive(Debug)]
 pub(crate) struct Call {
     id: u64,
+    purpose: &'static str,
     began: Instant,
+    health: StoreHealth,
 }
 
 impl Call {
@@ -36,18 +44,19 @@
     }
 }
 
-/// A change of what is believed of the store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Change {
-    /// It fails now.
-    Fails,
-    /// It answers again, after this time.
-    Answers(Duration),
+impl Drop for Call {
+    fn drop(&mut self) {
+        self.health.give_up(self);
+    }
 }
 
-/// Whether the store answers this node, judged by finished calls and by those without an answer.
-#[derive(Debug)]
-pub(crate) struct StoreHealth(Mutex<State>);
+/// Whether the store answers this node, judged by finished calls and by those without an answer; cheap
+/// to clone.
+#[derive(Clone, Debug)]
+pub(crate) struct StoreHealth {
+    state: Arc<Mutex<State>>,
+    log: Logger,
+}
 
 #[derive(Debug)]
 struct State {
@@ -61,55 +70,93 @@
     typical: Duration,
 }
 
-impl Default for StoreHealth {
-    fn default() -> Self {
-        Self(Mutex::new(State {
+impl State {
+    /// Returns how long an answer may take before it is overdue.
+    fn patience(&self) -> Duration {
+        (self.typical * OVERDUE).max(LEAST_PATIENCE)
+    }
+}
+
+impl StoreHealth {
+    /// Takes the store for well; `log` is told of each change.
+    pub(crate) fn new(log: Logger) -> Self {
+        let state = State {
             next: 0,
             waiting: BTreeMap::new(),
             answered: Instant::now(),
             failing: None,
             typical: Duration::ZERO,
-        }))
+        };
+        Self {
+            state: Arc::new(Mutex::new(state)),
+            log,
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
-}
 
-impl StoreHealth {
     /// Notes that a call is made that may take `wait` until something happens.
-    pub(crate) fn begin(&self, wait: Duration) -> Call {
+    pub(crate) fn begin(&self, purpose: &'static str, wait: Duration) -> Call {
         let began = Instant::now();
-        let mut state = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut state = self.state();
         state.next += 1;
         let id = state.next;
         state.waiting.insert(id, began + wait);
-        Call { id, began }
+        Call {
+            id,
+            purpose,
+            began,
+            health: self.clone(),
+        }
     }
 
-    /// Notes what came of a call; returns the change, if there is one.
-    pub(crate) fn end<T>(&self, call: Call, result: &Result<T, Error>) -> Option<Change> {
-        let mut state = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+    /// Notes that a call is not waited for any more; one whose answer is overdue has failed.
+    fn give_up(&self, call: &Call) {
+        let mut state = self.state();
+        // A call that has ended is not among them.
+        let Some(due) = state.waiting.remove(&call.id) else {
+            return;
+        };
+        let is_overdue = due + state.patience() <= Instant::now();
+        if is_overdue && state.failing.is_none() && state.answered <= call.began {
+            state.failing = Some(due.max(state.answered));
+            self.log_failure(call, "given-up");
+        }
+    }
+
+    fn log_failure(&self, call: &Call, why: &'static str) {
+        slog::warn!(self.log, "store-failing"; "why" => why, "purpose" => call.purpose);
+    }
+
+    /// Notes what came of a call.
+    pub(crate) fn end<T>(&self, call: &Call, result: &Result<T, Error>) {
+        let mut state = self.state();
         let due = state.waiting.remove(&call.id);
-        let is_failure = matches!(result, Err(Error::Refused(_) | Error::Unanswered));
-        if !is_failure {
+        let Err(error @ (Error::Refused(_) | Error::Unanswered)) = result else {
             state.answered = Instant::now();
             if let Some(due) = due {
                 let took = state.answered.saturating_duration_since(due);
                 state.typical = (state.typical * 3 + took) / 4;
             }
-            let since = state.failing.take()?;
-            return Some(Change::Answers(since.elapsed()));
-        }
+            if let Some(since) = state.failing.take() {
+                slog::info!(self.log, "store-answers"; "after_ms" => millis(since.elapsed()));
+            }
+            return;
+        };
         if state.failing.is_some() || state.answered > call.began {
             // Others were answered since, so this answer was lost on its way.
-            return None;
+            return;
         }
         let due = due.unwrap_or(call.began).max(state.answered);
         state.failing = Some(due.min(Instant::now()));
-        Some(Change::Fails)
+        self.log_failure(call, error.word());
     }
 
     /// Returns for how long the store has owed an answer without giving any.
     pub(crate) fn failing_for(&self) -> Duration {
-        let state = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let state = self.state();
         let oldest = state.waiting.values().min();
         let silent = oldest.map(|due| (*due).max(state.answered));
         let since = [state.failing, silent].into_iter().flatten().min();
@@ -120,20 +167,17 @@
 
     /// Returns whether calls have failed without a success in between.
     pub(crate) fn is_failing(&self) -> bool {
-        let state = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        state.failing.is_some()
+        self.state().failing.is_some()
     }
 
     /// Returns how long an answered call takes, of late.
     pub(crate) fn usual(&self) -> Duration {
-        let state = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        state.typical
+        self.state().typical
     }
 
     /// Returns how long an answer may take before it is overdue.
     pub(crate) fn patience(&self) -> Duration {
-        let state = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        (state.typical * OVERDUE).max(LEAST_PATIENCE)
+        self.state().patience()
     }
 
     /// Returns whether the store counts as away for this node.
--- a/crates/node/src/member.rs
+++ b/crates/node/src/member.rs
@@ -18,7 +18,11 @@
     },
 };
 use fulmarpier_transport::rpc;
-use futures::future::join_all;
+use futures::{
+    StreamExt,
+    future::join_all,
+    stream::FuturesUnordered, //
+};
 use rand::random_range;
 use tokio::time::{
     Instant,
@@ -73,7 +77,9 @@
 /// Claimants wait up to this long, so that they don't all append at once.
 const JITTER: Duration = Duration::from_millis(60);
 /// After this long without the store the owner asks the others whether it is away for them too.
-const ASK_PEERS: Duration = Duration::from_millis(1_000);
+const ASK_PEERS: Duration = Duration::from_millis(600);
+/// How often the owner looks whether the store owes it an answer for so long.
+const DOUBT: Duration = Duration::from_millis(100);
 /// How long the store may take to answer a node that is asked whether it does; it takes 4 ms, and
 /// 0.4 s on slow days.
 const PROBE: Duration = Duration::from_millis(450);
@@ -156,10 +162,12 @@
     }
 }
 
-/// Returns whether the store answers this node now.
-pub(crate) async fn probe<P: Platform>(shared: &Shared<P>) -> bool {
+/// Returns how long the store takes to answer this node now, if it does.
+pub(crate) async fn probe<P: Platform>(shared: &Shared<P>) -> Option<Duration> {
+    let began = Instant::now();
     let read = shared.newest("probe", Topic::Claims);
-    matches!(timeout(PROBE, read).await, Ok(Ok(_)))
+    let answer = timeout(PROBE, read).await;
+    matches!(answer, Ok(Ok(_))).then(|| began.elapsed())
 }
 
 async fn try_read<P: Platform>(shared: &Shared<P>) -> Option<Seen> {
@@ -378,43 +386,10 @@
         let claim = claim.clone();
         async move { take_over(&shared, &claim).await.is_ok() }
     });
-    let mut acting = shared.acting.subscribe();
-    let mut is_certain = true;
-    let why = loop {
-        let changed = timeout(RENEW, acting.changed()).await.is_ok();
-        if changed && acting.borrow_and_update().is_none() {
-            break "fenced";
-        }
-        if shared.is_leaving() {
-            break "leaving";
-        }
-        if changed {
-            continue;
-        }
-        if !is_certain {
-            match try_read(shared).await {
-                Some(seen) if seen.claim.as_ref().is_some_and(|c| is_own(shared, c)) => {
-                    end = seen.end;
-                    is_certain = true;
-                }
-                Some(_) => break "replaced",
-                None => {}
-            }
-        }
-        if is_certain {
-            claim.renewal = claim.renewal.wrapping_add(1);
-            let patience = RENEWAL_PATIENCE + STORE_TIMES * shared.store.usual();
-            match timeout(patience, append(shared, &claim, end)).await {
-                Ok(Ok(newer)) => {
-                    end = newer;
-                    tell_renewal(shared, claim.renewal);
-                }
-                Ok(Err(_)) | Err(_) => is_certain = false,
-            }
-        }
-        if let Some(why) = doubt(shared).await {
-            break why;
-        }
+    let why = tokio::select! {
+        why = dismissed(shared) => why,
+        why = renew(shared, &mut claim, &mut end) => why,
+        why = doubt(shared) => why,
     };
     slog::info!(shared.log, "ownership-ends"; "epoch" => %claim.epoch, "why" => why);
     taking.abort();
@@ -438,6 +413,48 @@
     }
 }
 
+/// Waits until a worker or the store tells of a later owner, or the process is to end.
+async fn dismissed<P: Platform>(shared: &Shared<P>) -> &'static str {
+    let mut acting = shared.acting.subscribe();
+    loop {
+        if acting.borrow_and_update().is_none() {
+            return "fenced";
+        }
+        if shared.is_leaving() {
+            return "leaving";
+        }
+        // The sender lives as long as this task.
+        let _ = acting.changed().await;
+    }
+}
+
+/// Renews the claim until it turns out to be replaced.
+async fn renew<P: Platform>(shared: &Shared<P>, claim: &mut Claim, end: &mut u64) -> &'static str {
+    let mut is_certain = true;
+    loop {
+        sleep(RENEW).await;
+        let patience = RENEWAL_PATIENCE + STORE_TIMES * shared.store.usual();
+        if !is_certain {
+            match timeout(patience, try_read(shared)).await {
+                Ok(Some(seen)) if seen.claim.as_ref().is_some_and(|c| is_own(shared, c)) => {
+                    *end = seen.end;
+                    is_certain = true;
+                }
+                Ok(Some(_)) => return "replaced",
+                Ok(None) | Err(_) => continue,
+            }
+        }
+        claim.renewal = claim.renewal.wrapping_add(1);
+        match timeout(patience, append(shared, claim, *end)).await {
+            Ok(Ok(newer)) => {
+                *end = newer;
+                tell_renewal(shared, claim.renewal);
+            }
+            Ok(Err(_)) | Err(_) => is_certain = false,
+        }
+    }
+}
+
 /// Lets other nodes hear how often the claim was renewed.
 fn tell_renewal<P: Platform>(shared: &Shared<P>, renewal: u32) {
     shared.acting.send_if_modified(|acting| {
@@ -449,27 +466,37 @@
     });
 }
 
-/// Returns why the owner must not go on while it can't reach the store, if it must not.
+/// Waits until the owner must not go on since it can't reach the store; returns why.
 ///
 /// While the store is away for everybody nobody can claim the cell, so the owner goes on. Where it
 /// answers another node, that one may own the cell already or should.
-async fn doubt<P: Platform>(shared: &Shared<P>) -> Option<&'static str> {
-    let failing = shared.store.failing_for();
-    if failing < ASK_PEERS {
-        return None;
-    }
-    let peers = shared.peers.lock().await.clone();
-    let asked = peers.iter().map(|(_, address)| {
-        message::ask(&shared.rpc, *address, &Question::Store, 2 * HELLO_PATIENCE)
-    });
-    let answers = join_all(asked).await;
-    let mut heard = 0;
-    for answer in answers {
-        match answer {
-            Ok(Reply::Store(true)) => return Some("store-answers-others"),
-            Ok(_) => heard += 1,
-            Err(_) => {}
+async fn doubt<P: Platform>(shared: &Shared<P>) -> &'static str {
+    loop {
+        sleep(DOUBT).await;
+        let failing = shared.store.failing_for();
+        if failing < ASK_PEERS {
+            continue;
+        }
+        let peers = shared.peers.lock().await.clone();
+        let mut asked: FuturesUnordered<_> = peers
+            .iter()
+            .map(|(_, address)| {
+                message::ask(&shared.rpc, *address, &Question::Store, 2 * HELLO_PATIENCE)
+            })
+            .collect();
+        let mut heard = 0;
+        while let Some(answer) = asked.next().await {
+            match answer {
+                // A store that is slow for the others is slow for the owner too.
+                Ok(Reply::Store(Some(took))) if failing >= ASK_PEERS + STORE_TIMES * took => {
+                    return "store-answers-others";
+                }
+                Ok(_) => heard += 1,
+                Err(_) => {}
+            }
+        }
+        if heard == 0 && failing >= ALONE {
+            return "alone";
         }
     }
-    (heard == 0 && failing >= ALONE).then_some("alone")
 }
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -85,8 +85,8 @@
     Pending(u32),
     /// The workers that may run a step; `None` where the service gave no answer.
     Advised(Option<Vec<Advised>>),
-    /// Whether the store has answered this node lately.
-    Store(bool),
+    /// How long the store took to answer this node just now, if it did.
+    Store(Option<Duration>),
 }
 
 /// Asks a node and waits for its answer.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -139,7 +139,7 @@
             platform: parts.platform,
             rpc: client,
             clock: Clock::start(),
-            log: parts.log,
+            log: parts.log.clone(),
             meter: parts.meter,
             config: watch::Sender::new(None),
             claim: watch::Sender::new(None),
@@ -147,7 +147,7 @@
             peers: Mutex::default(),
             is_leaving: AtomicBool::new(false),
             vacant: Notify::new(),
-            store: StoreHealth::default(),
+            store: StoreHealth::new(parts.log),
         });
         let intake = Intake::start(&shared);
         tokio::spawn(follow::follow_config(shared.clone()));
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -33,7 +33,6 @@
 use crate::{
     health::{
         Call,
-        Change,
         StoreHealth, //
     },
     hedge,
@@ -95,7 +94,7 @@
     ///
     /// An append that can be sent twice without harm is, where its answer is overdue: it may be lost.
     pub(crate) async fn append(&self, purpose: &'static str, append: Append) -> Result<u64, Error> {
-        let call = self.store.begin(Duration::ZERO);
+        let call = self.store.begin(purpose, Duration::ZERO);
         let result = match append.condition {
             // A second copy would find that the topic has moved, by the first one.
             Condition::EndsAt(_) => self.platform.append(append).await,
@@ -104,7 +103,7 @@
                 hedge::append(&self.platform, &append, patience).await
             }
         };
-        self.end(call, purpose, &result);
+        self.end(&call, purpose, &result);
         result
     }
 
@@ -116,33 +115,23 @@
         from: u64,
         wait: Duration,
     ) -> Result<Page, Error> {
-        let call = self.store.begin(wait);
+        let call = self.store.begin(purpose, wait);
         let result = self.platform.read(topic, from, wait).await;
-        self.end(call, purpose, &result);
+        self.end(&call, purpose, &result);
         result
     }
 
     /// Reads the newest record of each key.
     pub(crate) async fn newest(&self, purpose: &'static str, topic: Topic) -> Result<Page, Error> {
-        let call = self.store.begin(Duration::ZERO);
+        let call = self.store.begin(purpose, Duration::ZERO);
         let result = self.platform.newest(topic).await;
-        self.end(call, purpose, &result);
+        self.end(&call, purpose, &result);
         result
     }
 
-    fn end<T>(&self, call: Call, purpose: &'static str, result: &Result<T, Error>) {
+    fn end<T>(&self, call: &Call, purpose: &'static str, result: &Result<T, Error>) {
         self.meter.store_call(purpose, call.took(), result);
-        match self.store.end(call, result) {
-            Some(Change::Fails) => {
-                let why = result.as_ref().err().map_or("", Error::word);
-                slog::warn!(self.log, "store-failing"; "why" => why, "purpose" => purpose);
-            }
-            Some(Change::Answers(after)) => {
-                let after = u64::try_from(after.as_millis()).unwrap_or(u64::MAX);
-                slog::info!(self.log, "store-answers"; "after_ms" => after);
-            }
-            None => {}
-        }
+        self.store.end(call, result);
     }
 
     pub(crate) fn is_leaving(&self) -> bool {
--- a/crates/node/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -117,6 +117,21 @@
     assert_eq!(platform.starts(1), 4);
 }
 
+#[tokio::test]
+async fn an_owner_that_only_it_can_t_reach_the_store_gives_up_before_its_calls_run_out() {
+    let platform = Fake::new();
+    let one = node("one", &platform);
+    ready(&one).await;
+    let apart = platform.machine();
+    let two = node("two", &apart);
+    ready(&two).await;
+    platform.set_here(Mode::Silent);
+    submit(&two, 1).await.unwrap();
+    completed(&two, 1).await;
+    assert_eq!(platform.run_out(), 0);
+    assert_eq!(apart.run_out(), 0);
+}
+
 #[tokio::test]
 async fn a_store_that_refuses_means_that_the_job_was_not_taken() {
     let platform = Fake::new();
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -4,9 +4,11 @@
     collections::BTreeMap,
     net::SocketAddr,
     sync::{
-        Arc,
-        Mutex,
-        MutexGuard, //
+        Arc, Mutex, MutexGuard,
+        atomic::{
+            AtomicUsize,
+            Ordering, //
+        },
     },
     time::Duration,
 };
@@ -79,6 +81,8 @@
     Mute,
     /// It carries appends out and loses the answer to every second one of each topic.
     Losing,
+    /// It does nothing and gives no answer for very long.
+    Silent,
 }
 
 #[derive(Default)]
@@ -98,9 +102,15 @@
     lost: BTreeMap<String, u32>,
 }
 
-/// The platform; cheap to clone.
+/// The platform as one machine sees it; cheap to clone.
 #[derive(Clone, Default)]
-pub(crate) struct Fake(Arc<Mutex<State>>);
+pub(crate) struct Fake {
+    state: Arc<Mutex<State>>,
+    /// How the store behaves towards this machine, where that differs.
+    own: Arc<Mutex<Option<Mode>>>,
+    /// How many calls of this machine the silent store has let run out.
+    run_out: Arc<AtomicUsize>,
+}
 
 /// The one worker.
 const WORKER: &str = "w1";
@@ -112,6 +122,8 @@
 const NEVER: Duration = Duration::from_secs(4);
 /// How long a call without an answer takes to fail.
 const LOST: Duration = Duration::from_millis(100);
+/// How long a call of a silent store takes to fail: longer than anything that should wait for it.
+const RUNS_OUT: Duration = Duration::from_secs(30);
 
 impl Fake {
     pub(crate) fn new() -> Self {
@@ -132,13 +144,36 @@
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
-        self.0.lock().unwrap()
+        self.state.lock().unwrap()
     }
 
     pub(crate) fn set(&self, mode: Mode) {
         self.state().mode = mode;
     }
 
+    /// Returns the same platform for another machine.
+    pub(crate) fn machine(&self) -> Self {
+        Self {
+            state: self.state.clone(),
+            ..Self::default()
+        }
+    }
+
+    /// Has the store behave differently towards this machine alone.
+    pub(crate) fn set_here(&self, mode: Mode) {
+        *self.own.lock().unwrap() = Some(mode);
+    }
+
+    /// Returns how many calls of this machine a silent store has let run out.
+    pub(crate) fn run_out(&self) -> usize {
+        self.run_out.load(Ordering::Relaxed)
+    }
+
+    fn mode(&self) -> Mode {
+        let own = *self.own.lock().unwrap();
+        own.unwrap_or_else(|| self.state().mode)
+    }
+
     /// Returns how often each task was started.
     pub(crate) fn starts(&self, job: u64) -> usize {
         let state = self.state();
@@ -158,7 +193,7 @@
     }
 
     async fn answer(&self) -> Result<(), Error> {
-        let mode = self.state().mode;
+        let mode = self.mode();
         match mode {
             Mode::Well | Mode::Losing => {
                 sleep(CALL).await;
@@ -169,6 +204,11 @@
                 sleep(LOST).await;
                 Err(Error::Unanswered)
             }
+            Mode::Silent => {
+                sleep(RUNS_OUT).await;
+                self.run_out.fetch_add(1, Ordering::Relaxed);
+                Err(Error::Unanswered)
+            }
         }
     }
 
@@ -206,9 +246,9 @@
 
 impl Platform for Fake {
     async fn append(&self, append: Append) -> Result<u64, Error> {
-        let mode = self.state().mode;
+        let mode = self.mode();
         match mode {
-            Mode::Refusing => self.answer().await.map(|()| 0),
+            Mode::Refusing | Mode::Silent => self.answer().await.map(|()| 0),
             Mode::Mute => {
                 // What it gives back is lost with the answer.
                 let _ = self.carry_out(append);
