The strongest node owns the cell: weak ones wait with their claims and give the cell up

Cause (grown deployments, 6 nodes of 0.5 core among 36 of 0.12): the owner was mostly a weak node, which can't carry 900 starts a second. Ruled out: the engine (57 ms/s at 350 workers).

--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -5,7 +5,10 @@
     sync::Arc, //
 };
 
-use fulmarpier_state::clock::Timestamp;
+use fulmarpier_state::{
+    clock::Timestamp,
+    unit::Millicores, //
+};
 use serde::{
     Deserialize,
     Serialize, //
@@ -149,6 +152,8 @@
     pub renewal: u32,
     /// The owner has given the cell up; anyone may claim it at once.
     pub released: bool,
+    /// The processor of the owner, or of the node that it gave the cell up for.
+    pub processor: Millicores,
 }
 
 /// Encodes a record.
--- a/crates/node/src/member.rs
+++ b/crates/node/src/member.rs
@@ -17,6 +17,7 @@
         Claim, //
     },
 };
+use fulmarpier_state::unit::Millicores;
 use fulmarpier_transport::rpc;
 use futures::{
     StreamExt,
@@ -74,6 +75,12 @@
 const STORE_TIMES: u32 = 3;
 /// An owner that is silent for this long has its renewals watched.
 const SILENCE: Duration = Duration::from_millis(200);
+/// A node outranks another whose processor is less than two thirds of its own.
+const OUTRANKS: (u64, u64) = (3, 2);
+/// For this long a weak node leaves the cell to stronger ones: their jitter and a slow append.
+const WEAK_WAIT: Duration = Duration::from_millis(250);
+/// An owner gives the cell up for a stronger node after this time: each change of owners costs 0.1 s.
+const TENURE: Duration = Duration::from_secs(3);
 /// Claimants wait up to this long, so that they don't all append at once.
 const JITTER: Duration = Duration::from_millis(60);
 /// After this long without the store the owner asks the others whether it is away for them too.
@@ -136,6 +143,7 @@
     let hello = Question::Hello {
         node: shared.name.clone(),
         address: shared.address,
+        processor: offered(shared),
     };
     let asked = peers
         .iter()
@@ -276,7 +284,7 @@
             sleep(HELLO).await;
             return reread(shared, seen).await;
         }
-        sleep(JITTER.mul_f64(random_range(0.0..=1.0))).await;
+        sleep(wait_before_claim(shared, seen.claim.as_ref())).await;
         // Renewals have moved the end since the claim was read, and another may have come first.
         let Some(fresh) = try_read(shared).await else {
             if let Some(claim) = hear_of_owner(shared).await {
@@ -306,6 +314,7 @@
     let hello = Question::Hello {
         node: shared.name.clone(),
         address: shared.address,
+        processor: offered(shared),
     };
     match message::ask(&shared.rpc, claim.address, &hello, HELLO_PATIENCE).await {
         Ok(Reply::Owner(newer)) if newer.epoch == claim.epoch => Belief::Well(newer.renewal),
@@ -330,6 +339,28 @@
     }
 }
 
+/// Returns the processor that this node could own the cell with: none while it couldn't claim it.
+fn offered<P: Platform>(shared: &Shared<P>) -> Millicores {
+    match shared.store.is_failing() || shared.is_leaving() {
+        true => Millicores(0),
+        false => shared.processor,
+    }
+}
+
+/// Returns whether a node is so much stronger than another that it should own the cell in its place.
+pub(crate) fn outranks(processor: Millicores, other: Millicores) -> bool {
+    let (processor, other) = (u64::from(processor.get()), u64::from(other.get()));
+    processor * OUTRANKS.1 >= other * OUTRANKS.0
+}
+
+/// Returns how long to wait before a claim: those who decided before, or were to, had a stronger
+/// processor than the weak nodes, which leave the cell to others like them.
+fn wait_before_claim<P: Platform>(shared: &Shared<P>, former: Option<&Claim>) -> Duration {
+    let is_weak = former.is_some_and(|former| outranks(former.processor, shared.processor));
+    let least = if is_weak { WEAK_WAIT } else { Duration::ZERO };
+    least + JITTER.mul_f64(random_range(0.0..=1.0))
+}
+
 /// Claims the cell, if the claim that was seen is still the newest.
 async fn claim<P: Platform>(shared: &Shared<P>, seen: Seen, why: &'static str) -> Seen {
     let former = seen.claim.as_ref().map(|claim| claim.epoch);
@@ -340,6 +371,7 @@
         incarnation: shared.incarnation,
         renewal: 0,
         released: false,
+        processor: shared.processor,
     };
     let result = append(shared, &claim, seen.end).await;
     let outcome = result.as_ref().err().map_or("won", Error::word);
@@ -388,6 +420,7 @@
     });
     let why = tokio::select! {
         why = dismissed(shared) => why,
+        why = outranked(shared) => why,
         why = renew(shared, &mut claim, &mut end) => why,
         why = doubt(shared) => why,
     };
@@ -399,8 +432,9 @@
     }
     shared.acting.send_replace(None);
     let peers = shared.peers.lock().await.clone();
-    if why == "leaving" {
+    if why == "leaving" || why == "outranked" {
         claim.released = true;
+        claim.processor = claim.processor.max(*shared.outranked.borrow());
         // Without it the others see that this process is gone.
         let _ = append(shared, &claim, end).await;
     }
@@ -428,6 +462,16 @@
     }
 }
 
+/// Waits until the cell should be given up for a stronger node.
+async fn outranked<P: Platform>(shared: &Shared<P>) -> &'static str {
+    shared.outranked.send_replace(Millicores(0));
+    sleep(TENURE).await;
+    let mut stronger = shared.outranked.subscribe();
+    // The sender lives as long as this task.
+    let _ = stronger.wait_for(|processor| processor.get() > 0).await;
+    "outranked"
+}
+
 /// Renews the claim until it turns out to be replaced.
 async fn renew<P: Platform>(shared: &Shared<P>, claim: &mut Claim, end: &mut u64) -> &'static str {
     let mut is_certain = true;
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -26,6 +26,7 @@
     Call,
     peer, //
 };
+use fulmarpier_state::unit::Millicores;
 use fulmarpier_transport::rpc;
 use serde::{
     Deserialize,
@@ -41,6 +42,8 @@
         node: NodeName,
         /// Where it answers.
         address: SocketAddr,
+        /// How much of a processor it may use.
+        processor: Millicores,
     },
     /// A job was accepted; its record is kept.
     Accepted(Box<Accepted>),
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -19,7 +19,8 @@
 };
 use fulmarpier_state::{
     alias::HashMap,
-    clock::Timestamp, //
+    clock::Timestamp,
+    unit::Millicores, //
 };
 use fulmarpier_transport::{
     clock::Clock,
@@ -91,6 +92,8 @@
     pub address: SocketAddr,
     /// Tells this life from earlier ones.
     pub incarnation: u64,
+    /// How much of a processor it may use.
+    pub processor: Millicores,
 }
 
 /// What a node is made of.
@@ -126,6 +129,7 @@
             name,
             address,
             incarnation,
+            processor,
         } = parts.identity;
         let listen = |source| Error::Listen { address, source };
         let (server, calls) =
@@ -135,6 +139,7 @@
             name,
             address: server.address(),
             incarnation,
+            processor,
             bounds: parts.bounds,
             platform: parts.platform,
             rpc: client,
@@ -147,6 +152,7 @@
             peers: Mutex::default(),
             is_leaving: AtomicBool::new(false),
             vacant: Notify::new(),
+            outranked: watch::Sender::new(Millicores(0)),
             store: StoreHealth::new(parts.log),
         });
         let intake = Intake::start(&shared);
@@ -248,7 +254,11 @@
     async fn reply(&self, question: Question) -> Reply {
         let shared = &self.shared;
         match question {
-            Question::Hello { node, address } => self.hello(node, address).await,
+            Question::Hello {
+                node,
+                address,
+                processor,
+            } => self.hello(node, address, processor).await,
             Question::Advise {
                 step,
                 workers,
@@ -271,12 +281,15 @@
         }
     }
 
-    async fn hello(&self, node: NodeName, address: SocketAddr) -> Reply {
+    async fn hello(&self, node: NodeName, address: SocketAddr, processor: Millicores) -> Reply {
         let shared = &self.shared;
         let acting = shared.acting.borrow().clone();
         let Some(acting) = acting else {
             return self.not_owner();
         };
+        if member::outranks(processor, shared.processor) {
+            shared.outranked.send_replace(processor);
+        }
         let now = shared.clock.now();
         let before = self.heard.lock().await.insert(node, (address, now));
         if before.is_none_or(|(at, _)| at != address) {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -18,6 +18,7 @@
     id::NodeName,
     record::Claim, //
 };
+use fulmarpier_state::unit::Millicores;
 use fulmarpier_transport::{
     clock::Clock,
     rpc, //
@@ -69,6 +70,7 @@
     pub(crate) name: NodeName,
     pub(crate) address: SocketAddr,
     pub(crate) incarnation: u64,
+    pub(crate) processor: Millicores,
     pub(crate) bounds: Bounds,
     pub(crate) platform: P,
     pub(crate) rpc: rpc::Client,
@@ -86,6 +88,8 @@
     pub(crate) is_leaving: AtomicBool,
     /// Rung when the owner may be gone.
     pub(crate) vacant: Notify,
+    /// The processor of a much stronger node that has greeted this one as the owner; zero while none has.
+    pub(crate) outranked: watch::Sender<Millicores>,
     pub(crate) store: StoreHealth,
 }
 
--- a/crates/node/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -30,6 +30,7 @@
     Fake,
     Mode,
     node,
+    node_with,
     until, //
 };
 use tokio::time::Instant;
@@ -132,6 +133,25 @@
     assert_eq!(apart.run_out(), 0);
 }
 
+#[tokio::test]
+async fn a_weak_owner_gives_the_cell_up_for_a_strong_node_and_for_no_equal_one() {
+    let platform = Fake::new();
+    let weak = node_with("weak", &platform, Millicores(120));
+    ready(&weak).await;
+    assert_eq!(platform.owner().as_deref(), Some("weak"));
+    let strong = node_with("strong", &platform, Millicores(500));
+    until(|| async { platform.owner().as_deref() == Some("strong") }).await;
+    let equal = node_with("equal", &platform, Millicores(400));
+    submit(&weak, 1).await.unwrap();
+    completed(&equal, 1).await;
+    // Longer than an owner keeps the cell from a stronger node.
+    tokio::time::sleep(4 * SECOND).await;
+    assert_eq!(platform.owner().as_deref(), Some("strong"));
+    strong.leave();
+    strong.disowned(SECOND).await;
+    until(|| async { platform.owner().as_deref() == Some("equal") }).await;
+}
+
 #[tokio::test]
 async fn a_store_that_refuses_means_that_the_job_was_not_taken() {
     let platform = Fake::new();
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -44,6 +44,10 @@
         TaskId,
         WorkerId, //
     },
+    record::{
+        self,
+        Claim, //
+    },
 };
 use fulmarpier_node::{
     Identity, Meter, Node, Parts,
@@ -185,6 +189,14 @@
         self.state().appends
     }
 
+    /// Returns the node that owns the cell by the newest claim.
+    pub(crate) fn owner(&self) -> Option<String> {
+        let state = self.state();
+        let newest = state.topics.get(&name(Topic::Claims))?.last()?;
+        let claim: Claim = record::decode(newest.value.as_ref()?).unwrap();
+        (!claim.released).then(|| claim.node.to_string())
+    }
+
     /// Returns whether the store keeps a record under a key in any topic.
     pub(crate) fn keeps(&self, key: &str) -> bool {
         let state = self.state();
@@ -401,11 +413,17 @@
 
 /// Starts a node on any port.
 pub(crate) fn node(name: &str, platform: &Fake) -> Node<Fake> {
+    node_with(name, platform, Millicores(250))
+}
+
+/// Starts a node with a processor.
+pub(crate) fn node_with(name: &str, platform: &Fake, processor: Millicores) -> Node<Fake> {
     Node::start(Parts {
         identity: Identity {
             name: NodeName::from(name),
             address: SocketAddr::from(([127, 0, 0, 1], 0)),
             incarnation: rand::random(),
+            processor,
         },
         bounds: Bounds::default(),
         platform: platform.clone(),
--- a/crates/protocol/src/settings/node.rs
+++ b/crates/protocol/src/settings/node.rs
@@ -5,6 +5,8 @@
     time::Duration, //
 };
 
+use fulmarpier_state::unit::Millicores;
+
 use super::{
     Document,
     form::{
@@ -20,6 +22,9 @@
 const MOST_PENALTY: f64 = 100.0;
 /// The longest of the times here, in seconds.
 const HOUR_S: f64 = 3_600.0;
+/// The least and the most of a processor that a node can be given, in cores.
+const LEAST_CORES: f64 = 0.01;
+const MOST_CORES: f64 = 1_024.0;
 
 /// The settings of one node.
 #[derive(Clone, Debug, PartialEq)]
@@ -42,6 +47,8 @@
     pub workers: Workers,
     /// How long a graceful stop may take until the process is killed.
     pub grace: Duration,
+    /// How much of a processor the node may use.
+    pub processor: Millicores,
     /// How much is logged.
     pub log_level: Level,
 }
@@ -74,6 +81,7 @@
         let advice = section.optional("advice");
         let workers = section.form("workers");
         let grace = seconds(section, "grace_s", 6.0, 0.5);
+        let processor = cores(section, "processor_cores", 1.0);
         let log_level = section.or("log_level", Level::Info);
         Some(Self {
             name: name?,
@@ -85,6 +93,7 @@
             advice: advice?,
             workers: workers?,
             grace: grace?,
+            processor: processor?,
             log_level: log_level?,
         })
     }
@@ -109,6 +118,13 @@
     }
 }
 
+/// Reads a number of cores, which may be a fraction.
+fn cores(section: &mut Section<'_>, key: &'static str, default: f64) -> Option<Millicores> {
+    let value = section.within(key, default, LEAST_CORES..=MOST_CORES)?;
+    let millicores = Duration::try_from_secs_f64(value).ok()?.as_millis();
+    u32::try_from(millicores).ok().map(Millicores)
+}
+
 /// Reads a number of seconds, which may be a fraction.
 fn seconds(
     section: &mut Section<'_>,
