Have strong nodes give the orders to large fleets

Cause: at 350 workers the owner spent its half core on HTTP calls of workers (900 starts and 850 inventories a second). The small sites give all orders from the owner as before.

--- a/crates/cell/src/effect.rs
+++ b/crates/cell/src/effect.rs
@@ -7,6 +7,10 @@
 };
 
 use fulmarpier_state::clock::Timestamp;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 
 use crate::{
     event::How,
@@ -22,7 +26,7 @@
 };
 
 /// Which worker an order is for.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Destination {
     /// The incarnation that is meant.
     pub worker: WorkerId,
@@ -33,7 +37,7 @@
 }
 
 /// An order to start a task.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Start {
     /// Where.
     pub to: Destination,
@@ -52,7 +56,7 @@
 }
 
 /// An order to stop a task.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Stop {
     /// Where.
     pub to: Destination,
@@ -63,7 +67,7 @@
 }
 
 /// A call that extends a worker's lease and asks for its inventory.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Hold {
     /// Where.
     pub to: Destination,
--- a/crates/cell/src/engine/mod.rs
+++ b/crates/cell/src/engine/mod.rs
@@ -184,6 +184,11 @@
         self.epoch
     }
 
+    /// Returns how many workers are known.
+    pub fn worker_count(&self) -> usize {
+        self.workers.len()
+    }
+
     /// Puts a configuration in force; an older one than the present changes nothing.
     pub fn configure(&mut self, config: Config) {
         if config.version >= self.config.version {
--- a/crates/cell/src/event.rs
+++ b/crates/cell/src/event.rs
@@ -37,7 +37,7 @@
 }
 
 /// How a run ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum How {
     /// It succeeded.
     Done,
@@ -68,7 +68,7 @@
 }
 
 /// A run that a worker holds.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Running {
     /// The task.
     pub task: TaskId,
@@ -79,7 +79,7 @@
 }
 
 /// A run that has ended and that the worker still tells of.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ended {
     /// The place of the end in the worker's list; it only rises.
     pub serial: u64,
@@ -94,7 +94,7 @@
 }
 
 /// What a worker holds and what has ended there.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Inventory {
     /// The worker's clock, in milliseconds.
     pub clock: u64,
@@ -105,7 +105,7 @@
 }
 
 /// What came of asking a worker for its inventory.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum HoldAnswer {
     /// It told what it holds.
     Listed(Inventory),
@@ -120,7 +120,7 @@
 }
 
 /// What came of an order to start a task.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StartAnswer {
     /// It is there.
     Started,
@@ -146,6 +146,31 @@
     Silent,
 }
 
+impl HoldAnswer {
+    /// Returns the bare word, for logs.
+    pub const fn word(&self) -> &'static str {
+        match self {
+            Self::Listed(_) => "listed",
+            Self::Fenced => "fenced",
+            Self::Gone => "gone",
+            Self::Silent => "silent",
+            Self::Refused => "refused",
+        }
+    }
+}
+
+impl StopAnswer {
+    /// Returns the bare word, for logs.
+    pub const fn word(self) -> &'static str {
+        match self {
+            Self::Confirmed => "confirmed",
+            Self::Fenced => "fenced",
+            Self::Gone => "gone",
+            Self::Silent => "silent",
+        }
+    }
+}
+
 impl StartAnswer {
     /// Returns the bare word, for logs.
     pub const fn word(self) -> &'static str {
@@ -166,7 +191,7 @@
 }
 
 /// What came of an order to stop a task.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StopAnswer {
     /// The run ends, or will be refused where it isn't there yet.
     Confirmed,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,21 +8,25 @@
 //! |---|---|
 //! | [`front`] | takes, shows and cancels jobs at any node |
 //! | `health` | whether the store answers this node |
+//! | `hand` | gives orders to workers on behalf of the owner |
 //! | `hedge` | sends an append again whose answer is overdue |
 //! | `intake` | groups acceptances and cancellations into appends |
 //! | `member` | who owns the cell, and when this node claims it |
+//! | `order` | orders to workers, and what came of them |
 //! | `owner` | the owner's actor, its takeover, and what it reads and writes |
 //! | `watch` | follows the configuration and the list of workers |
 //! | `message` | what nodes ask each other |
 //! | `report` | logs and metrics |
 
 pub mod front;
+mod hand;
 mod health;
 mod hedge;
 mod intake;
 mod member;
 mod message;
 mod node;
+mod order;
 mod owner;
 pub mod port;
 mod report;
--- a/crates/node/src/member.rs
+++ b/crates/node/src/member.rs
@@ -143,11 +143,12 @@
     let hello = Question::Hello {
         node: shared.name.clone(),
         address: shared.address,
-        processor: offered(shared),
+        processor: shared.processor,
+        may_own: may_own(shared),
     };
     let asked = peers
         .iter()
-        .map(|(_, address)| message::ask(&shared.rpc, *address, &hello, HELLO_PATIENCE));
+        .map(|peer| message::ask(&shared.rpc, peer.address, &hello, HELLO_PATIENCE));
     let answers = join_all(asked).await;
     let claims = answers.into_iter().filter_map(|answer| match answer {
         Ok(Reply::Owner(claim)) => Some(claim),
@@ -314,7 +315,8 @@
     let hello = Question::Hello {
         node: shared.name.clone(),
         address: shared.address,
-        processor: offered(shared),
+        processor: shared.processor,
+        may_own: may_own(shared),
     };
     match message::ask(&shared.rpc, claim.address, &hello, HELLO_PATIENCE).await {
         Ok(Reply::Owner(newer)) if newer.epoch == claim.epoch => Belief::Well(newer.renewal),
@@ -339,12 +341,9 @@
     }
 }
 
-/// Returns the processor that this node could own the cell with: none while it couldn't claim it.
-fn offered<P: Platform>(shared: &Shared<P>) -> Millicores {
-    match shared.store.is_failing() || shared.is_leaving() {
-        true => Millicores(0),
-        false => shared.processor,
-    }
+/// Returns whether this node could claim the cell now.
+fn may_own<P: Platform>(shared: &Shared<P>) -> bool {
+    !shared.store.is_failing() && !shared.is_leaving()
 }
 
 /// Returns whether a node is so much stronger than another that it should own the cell in its place.
@@ -442,7 +441,7 @@
         let vacant = Question::Vacant(claim.epoch);
         let told = peers
             .iter()
-            .map(|(_, address)| message::ask(&shared.rpc, *address, &vacant, HELLO_PATIENCE));
+            .map(|peer| message::ask(&shared.rpc, peer.address, &vacant, HELLO_PATIENCE));
         join_all(told).await;
     }
 }
@@ -524,8 +523,13 @@
         let peers = shared.peers.lock().await.clone();
         let mut asked: FuturesUnordered<_> = peers
             .iter()
-            .map(|(_, address)| {
-                message::ask(&shared.rpc, *address, &Question::Store, 2 * HELLO_PATIENCE)
+            .map(|peer| {
+                message::ask(
+                    &shared.rpc,
+                    peer.address,
+                    &Question::Store,
+                    2 * HELLO_PATIENCE,
+                )
             })
             .collect();
         let mut heard = 0;
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -33,6 +33,11 @@
     Serialize, //
 };
 
+use crate::hand::{
+    Orders,
+    Reports, //
+};
+
 /// A question of one node to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) enum Question {
@@ -44,6 +49,8 @@
         address: SocketAddr,
         /// How much of a processor it may use.
         processor: Millicores,
+        /// Whether it could claim the cell.
+        may_own: bool,
     },
     /// A job was accepted; its record is kept.
     Accepted(Box<Accepted>),
@@ -64,6 +71,10 @@
     },
     /// Does the store answer this node?
     Store,
+    /// Give these orders to workers.
+    Orders(Orders),
+    /// What came of orders that the owner had this node give.
+    Reports(Reports),
     /// The owner has given the cell up.
     Vacant(Epoch),
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -42,6 +42,7 @@
 
 use crate::{
     front::Front,
+    hand::Hand,
     health::StoreHealth,
     intake::Intake,
     member,
@@ -52,7 +53,8 @@
     },
     owner::{
         self,
-        Event, //
+        Event,
+        Peer, //
     },
     port::Platform,
     report::Meter,
@@ -211,7 +213,8 @@
 struct Answering<P: Platform> {
     shared: Arc<Shared<P>>,
     /// When each node was last heard.
-    heard: Arc<Mutex<HashMap<NodeName, (SocketAddr, Timestamp)>>>,
+    heard: Arc<Mutex<HashMap<NodeName, (Peer, Timestamp)>>>,
+    hand: Hand<P>,
     /// Rung when a node is heard that was not there.
     news: Arc<Notify>,
 }
@@ -221,6 +224,7 @@
         Self {
             shared: self.shared.clone(),
             heard: self.heard.clone(),
+            hand: self.hand.clone(),
             news: self.news.clone(),
         }
     }
@@ -229,6 +233,7 @@
 impl<P: Platform> Answering<P> {
     fn new(shared: Arc<Shared<P>>) -> Self {
         Self {
+            hand: Hand::start(shared.clone()),
             shared,
             heard: Arc::default(),
             news: Arc::default(),
@@ -258,13 +263,25 @@
                 node,
                 address,
                 processor,
-            } => self.hello(node, address, processor).await,
+                may_own,
+            } => {
+                let peer = Peer {
+                    node,
+                    address,
+                    processor,
+                };
+                self.hello(peer, may_own).await
+            }
             Question::Advise {
                 step,
                 workers,
                 patience,
             } => Reply::Advised(shared.platform.advise(step, workers, patience).await),
             Question::Store => Reply::Store(member::probe(shared).await),
+            Question::Orders(orders) => match self.hand.take(orders) {
+                true => Reply::Noted,
+                false => self.not_owner(),
+            },
             Question::Vacant(epoch) => {
                 if shared.epoch() == epoch {
                     shared.vacant.notify_waiters();
@@ -281,18 +298,19 @@
         }
     }
 
-    async fn hello(&self, node: NodeName, address: SocketAddr, processor: Millicores) -> Reply {
+    async fn hello(&self, peer: Peer, may_own: bool) -> Reply {
         let shared = &self.shared;
         let acting = shared.acting.borrow().clone();
         let Some(acting) = acting else {
             return self.not_owner();
         };
-        if member::outranks(processor, shared.processor) {
-            shared.outranked.send_replace(processor);
+        if may_own && member::outranks(peer.processor, shared.processor) {
+            shared.outranked.send_replace(peer.processor);
         }
         let now = shared.clock.now();
-        let before = self.heard.lock().await.insert(node, (address, now));
-        if before.is_none_or(|(at, _)| at != address) {
+        let mut heard = self.heard.lock().await;
+        let before = heard.insert(peer.node.clone(), (peer.clone(), now));
+        if before.is_none_or(|(before, _)| before != peer) {
             self.news.notify_one();
         }
         Reply::Owner(acting.claim)
@@ -307,7 +325,7 @@
 
     /// Tells the engine which nodes are there, whenever that changes.
     async fn sweep(self) {
-        let mut told: Option<(u32, Vec<NodeName>)> = None;
+        let mut told: Option<(u32, Vec<Peer>)> = None;
         let mut ticks = interval(SWEEP);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut ownership = self.shared.acting.subscribe();
@@ -328,23 +346,18 @@
             let now = self.shared.clock.now();
             let mut heard = self.heard.lock().await;
             heard.retain(|_, (_, at)| now.since(*at) < PEER_GONE);
-            let mut peers: Vec<(NodeName, SocketAddr)> = heard
-                .iter()
-                .map(|(node, (address, _))| (node.clone(), *address))
-                .collect();
+            let mut peers: Vec<Peer> = heard.values().map(|(peer, _)| peer.clone()).collect();
             drop(heard);
             peers.sort_unstable();
-            let mut nodes: Vec<NodeName> = peers.iter().map(|(node, _)| node.clone()).collect();
-            *self.shared.peers.lock().await = peers;
-            nodes.push(self.shared.name.clone());
-            let news = (acting.epoch.0, nodes.clone());
+            *self.shared.peers.lock().await = peers.clone();
+            let news = (acting.epoch.0, peers.clone());
             if told.as_ref() == Some(&news) {
                 continue;
             }
             slog::info!(self.shared.log, "nodes"; "epoch" => %acting.epoch,
-                "count" => nodes.len());
+                "count" => peers.len() + 1);
             // The actor may be ending.
-            let _ = control.tell(Event::Hands(nodes)).await;
+            let _ = control.tell(Event::Peers(peers)).await;
             told = Some(news);
         }
     }
--- /dev/null
+++ b/crates/node/src/order.rs
@@ -0,0 +1,129 @@
+//! Orders to workers, and what came of them.
+
+use std::time::Duration;
+
+use fulmarpier_cell::{
+    effect::{
+        Destination,
+        Hold,
+        Start,
+        Stop, //
+    },
+    event::{
+        HoldAnswer,
+        StartAnswer,
+        StopAnswer, //
+    },
+    id::{
+        Run,
+        TaskId,
+        WorkerId, //
+    },
+};
+use fulmarpier_state::clock::Timestamp;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use tokio::time::Instant;
+
+use crate::{
+    port::Platform,
+    report::Meter, //
+};
+
+/// How long an order takes at most until it is answered or given up: the platform's client gives up
+/// after 0.25 s, and after 0.8 s an inventory that the worker doesn't hold back.
+const ORDER: Duration = Duration::from_millis(250);
+const INVENTORY: Duration = Duration::from_millis(800);
+
+/// An order to a worker.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) enum Order {
+    /// Start a task.
+    Start(Box<Start>),
+    /// Stop a task.
+    Stop(Stop),
+    /// Extend the lease and tell what is there.
+    Hold(Hold),
+}
+
+/// What came of an order.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) enum Report {
+    /// Of an order to start.
+    Started(WorkerId, TaskId, Run, StartAnswer),
+    /// Of an order to stop.
+    Stopped(WorkerId, TaskId, Run, StopAnswer),
+    /// Of a call for an inventory that was made at this time.
+    Held(WorkerId, Timestamp, HoldAnswer),
+}
+
+impl Order {
+    /// Returns where it goes.
+    pub(crate) fn to(&self) -> &Destination {
+        match self {
+            Self::Start(order) => &order.to,
+            Self::Stop(order) => &order.to,
+            Self::Hold(order) => &order.to,
+        }
+    }
+
+    /// Returns how long it takes at most until it is answered or given up.
+    pub(crate) fn patience(&self) -> Duration {
+        match self {
+            Self::Start(_) | Self::Stop(_) => ORDER,
+            Self::Hold(order) => order.wait + INVENTORY,
+        }
+    }
+
+    /// Returns what an order comes to that may or may not be carried out.
+    pub(crate) fn unanswered(&self) -> Report {
+        let worker = self.to().worker.clone();
+        match self {
+            Self::Start(order) => {
+                Report::Started(worker, order.task, order.run, StartAnswer::Silent)
+            }
+            Self::Stop(order) => Report::Stopped(worker, order.task, order.run, StopAnswer::Silent),
+            Self::Hold(order) => Report::Held(worker, order.asked, HoldAnswer::Silent),
+        }
+    }
+
+    /// Returns what an order comes to that certainly never leaves.
+    pub(crate) fn unsent(&self) -> Report {
+        match self {
+            Self::Start(order) => {
+                let worker = order.to.worker.clone();
+                Report::Started(worker, order.task, order.run, StartAnswer::Unsent)
+            }
+            Self::Stop(_) | Self::Hold(_) => self.unanswered(),
+        }
+    }
+
+    /// Gives the order and waits for its answer.
+    pub(crate) async fn carry_out<P: Platform>(self, platform: &P, meter: &Meter) -> Report {
+        let began = Instant::now();
+        let (kind, report, outcome) = match self {
+            Self::Start(order) => {
+                let (worker, task, run) = (order.to.worker.clone(), order.task, order.run);
+                let answer = platform.start(*order).await;
+                let report = Report::Started(worker, task, run, answer);
+                ("start", report, answer.word())
+            }
+            Self::Stop(order) => {
+                let (worker, task, run) = (order.to.worker.clone(), order.task, order.run);
+                let answer = platform.stop(order).await;
+                let report = Report::Stopped(worker, task, run, answer);
+                ("stop", report, answer.word())
+            }
+            Self::Hold(order) => {
+                let (worker, asked) = (order.to.worker.clone(), order.asked);
+                let answer = platform.hold(order).await;
+                let outcome = answer.word();
+                ("hold", Report::Held(worker, asked, answer), outcome)
+            }
+        };
+        meter.worker_call(kind, began.elapsed(), outcome);
+        report
+    }
+}
--- a/crates/node/src/owner/control.rs
+++ b/crates/node/src/owner/control.rs
@@ -1,6 +1,7 @@
 //! The actor that holds the engine.
 
 use std::{
+    net::SocketAddr,
     sync::Arc,
     time::Duration, //
 };
@@ -20,18 +21,13 @@
     },
     event::{
         Advised,
-        HoldAnswer,
-        Registration,
-        StartAnswer,
-        StopAnswer, //
+        Registration, //
     },
     id::{
         JobId,
         NodeName,
         QueueName,
-        Run,
         StepId,
-        TaskId,
         WorkerId, //
     },
     record::{
@@ -39,7 +35,7 @@
         Entry, //
     },
 };
-use fulmarpier_state::clock::Timestamp;
+use fulmarpier_state::alias::HashMap;
 use kameo::{
     Actor,
     actor::{
@@ -53,18 +49,30 @@
 };
 use tokio::{
     sync::mpsc,
-    time::{
-        Instant,
-        sleep_until, //
-    },
+    time::sleep_until, //
 };
 
+use super::{
+    given::Given,
+    share::{
+        Peer,
+        Share, //
+    },
+};
 use crate::{
+    hand::{
+        Orders,
+        Reports, //
+    },
     message::{
         self,
         Question,
         Reply, //
     },
+    order::{
+        Order,
+        Report, //
+    },
     port::Platform,
     shared::Shared,
 };
@@ -74,6 +82,9 @@
 /// ten times that. At 1.5 s the most urgent jobs were late whenever connections to nodes fell silent.
 const ADVICE_SLACK: Duration = Duration::from_millis(300);
 
+/// How long a node may take to take orders in.
+const ORDERS_PATIENCE: Duration = Duration::from_millis(300);
+
 /// The actor that holds the engine; the only one that gives orders.
 #[derive(Actor)]
 pub(crate) struct Control<P: Platform> {
@@ -84,6 +95,26 @@
     is_timed: bool,
     /// Set once another node may own the cell: no order leaves any more.
     is_deposed: bool,
+    share: Share,
+    given: Given,
+}
+
+/// Why a node did not take orders.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Failure {
+    /// They certainly didn't reach it, or it refused them.
+    Unsent,
+    /// It gave no answer.
+    Unanswered,
+}
+
+impl Failure {
+    const fn word(self) -> &'static str {
+        match self {
+            Self::Unsent => "unsent",
+            Self::Unanswered => "unanswered",
+        }
+    }
 }
 
 /// What happened.
@@ -93,12 +124,12 @@
     Accepted(Box<Accepted>),
     /// A job's cancellation is on record.
     Cancelled(JobId),
-    /// An order to start was answered.
-    Started(WorkerId, TaskId, Run, StartAnswer),
-    /// An order to stop was answered.
-    Stopped(WorkerId, TaskId, Run, StopAnswer),
-    /// A call for an inventory was answered.
-    Held(WorkerId, Timestamp, HoldAnswer),
+    /// An order that this node gave was answered, or given up.
+    Reported(Report),
+    /// Other nodes tell what came of orders that they gave.
+    Reports(Reports),
+    /// A node did not take orders.
+    NotGiven(SocketAddr, Failure, Vec<u64>),
     /// A call for advice was answered.
     Advised(NodeName, StepId, Option<Vec<Advised>>),
     /// The record on its way is kept.
@@ -109,8 +140,8 @@
     Unregistered(WorkerId),
     /// Another configuration is in force.
     Configured(Arc<Config>),
-    /// These nodes are there.
-    Hands(Vec<NodeName>),
+    /// These nodes are there beside the owner.
+    Peers(Vec<Peer>),
     /// Time has passed.
     Tick,
     /// A pass over the open steps is due.
@@ -143,6 +174,10 @@
             control.tell(Event::Cancelled(job)).await.ok()?;
             Some(Reply::Noted)
         }
+        Question::Reports(reports) => {
+            control.tell(Event::Reports(reports)).await.ok()?;
+            Some(Reply::Noted)
+        }
         Question::Look(job) => Some(Reply::State(control.ask(Look(job)).await.ok()?.0)),
         Question::Pending(queue) => Some(Reply::Pending(control.ask(Pending(queue)).await.ok()?)),
         _ => None,
@@ -161,6 +196,8 @@
             records,
             is_timed: false,
             is_deposed: false,
+            share: Share::default(),
+            given: Given::default(),
         }
     }
 
@@ -174,40 +211,48 @@
             Event::Cancelled(job) => {
                 engine.cancel(job, now);
             }
-            Event::Started(worker, task, run, answer) => {
-                engine.started(&worker, task, run, answer, now);
-            }
-            Event::Stopped(worker, task, run, answer) => {
-                engine.stopped(&worker, task, run, answer, now);
+            Event::Reported(report) => self.take_report(report),
+            Event::Reports(reports) => self.take_reports(reports),
+            Event::NotGiven(node, failure, numbers) => {
+                self.take_not_given(node, failure, &numbers);
             }
-            Event::Held(worker, asked, answer) => engine.held(&worker, asked, answer, now),
             Event::Advised(node, step, answer) => engine.advised(&node, step, answer, now),
             Event::Recorded => engine.recorded(now),
             Event::Registered(registration) => engine.register(registration, now),
             Event::Unregistered(worker) => engine.unregister(&worker, now),
             Event::Configured(config) => engine.configure(config.as_ref().clone()),
-            Event::Hands(nodes) => engine.set_hands(&nodes, now),
-            Event::Tick => {}
+            Event::Peers(peers) => {
+                let own = self.shared.peer();
+                let names = peers.iter().map(|peer| peer.node.clone());
+                let names: Vec<NodeName> = names.chain([own.node.clone()]).collect();
+                engine.set_hands(&names, now);
+                self.share = Share::new(own, peers);
+            }
+            Event::Tick => {
+                for report in self.given.overdue() {
+                    self.take_report(report);
+                }
+            }
             Event::Pass => self.is_timed = false,
             Event::Deposed => self.is_deposed = true,
         }
     }
 
     fn carry_out(&mut self, effects: Vec<Effect>, own: &ActorRef<Self>) {
+        let mut orders = Vec::new();
         for effect in effects {
             if self.is_deposed {
                 return;
             }
-            let own = own.downgrade();
             match effect {
-                Effect::Start(order) => self.start(*order, own),
-                Effect::Stop(order) => self.stop(order, own),
-                Effect::Hold(order) => self.hold(order, own),
+                Effect::Start(order) => orders.push(Order::Start(order)),
+                Effect::Stop(order) => orders.push(Order::Stop(order)),
+                Effect::Hold(order) => orders.push(Order::Hold(order)),
                 Effect::Advise {
                     node,
                     step,
                     workers,
-                } => self.advise(node, step, workers, own),
+                } => self.advise(node, step, workers, own.downgrade()),
                 Effect::Record(entries) => {
                     // The recorder ends only with the actor.
                     let _ = self.records.send(entries);
@@ -220,6 +265,9 @@
                 }
             }
         }
+        if !self.is_deposed {
+            self.order(orders, own);
+        }
     }
 
     /// Comes back when the next pass is due, if that is before the next tick.
@@ -240,53 +288,93 @@
         self.shared.meter.note(&self.shared.log, note);
     }
 
-    fn start(&self, order: fulmarpier_cell::effect::Start, own: WeakActorRef<Self>) {
-        let shared = self.shared.clone();
-        tokio::spawn(async move {
-            let (worker, task, run) = (order.to.worker.clone(), order.task, order.run);
-            let began = Instant::now();
-            let answer = shared.platform.start(order).await;
-            let took = began.elapsed();
-            shared.meter.worker_call("start", took, answer.word());
-            tell(&own, Event::Started(worker, task, run, answer)).await;
-        });
+    /// Has orders given, each by the node that it falls to.
+    fn order(&mut self, orders: Vec<Order>, own: &ActorRef<Self>) {
+        let workers = self.engine.worker_count();
+        let mut parts: HashMap<SocketAddr, Vec<(u64, Order)>> = HashMap::default();
+        for order in orders {
+            match self.share.node_of(&order.to().worker, workers) {
+                Some(node) => {
+                    let number = self.given.add(order.clone());
+                    parts.entry(node).or_default().push((number, order));
+                }
+                None => self.order_here(order, own.downgrade()),
+            }
+        }
+        for (node, orders) in parts {
+            self.order_there(node, orders, own.downgrade());
+        }
     }
 
-    fn stop(&self, order: fulmarpier_cell::effect::Stop, own: WeakActorRef<Self>) {
+    fn order_here(&self, order: Order, own: WeakActorRef<Self>) {
         let shared = self.shared.clone();
         tokio::spawn(async move {
-            let (worker, task, run) = (order.to.worker.clone(), order.task, order.run);
-            let began = Instant::now();
-            let answer = shared.platform.stop(order).await;
-            let outcome = match answer {
-                StopAnswer::Confirmed => "confirmed",
-                StopAnswer::Fenced => "fenced",
-                StopAnswer::Gone => "gone",
-                StopAnswer::Silent => "silent",
-            };
-            shared.meter.worker_call("stop", began.elapsed(), outcome);
-            tell(&own, Event::Stopped(worker, task, run, answer)).await;
+            let report = order.carry_out(&shared.platform, &shared.meter).await;
+            tell(&own, Event::Reported(report)).await;
         });
     }
 
-    fn hold(&self, order: fulmarpier_cell::effect::Hold, own: WeakActorRef<Self>) {
+    fn order_there(&self, node: SocketAddr, orders: Vec<(u64, Order)>, own: WeakActorRef<Self>) {
         let shared = self.shared.clone();
+        let epoch = self.engine.epoch();
+        let numbers: Vec<u64> = orders.iter().map(|(number, _)| *number).collect();
+        let orders = Question::Orders(Orders {
+            epoch,
+            owner: shared.address,
+            orders,
+        });
         tokio::spawn(async move {
-            let (worker, asked) = (order.to.worker.clone(), order.asked);
-            let began = Instant::now();
-            let answer = shared.platform.hold(order).await;
-            let outcome = match answer {
-                HoldAnswer::Listed(_) => "listed",
-                HoldAnswer::Fenced => "fenced",
-                HoldAnswer::Gone => "gone",
-                HoldAnswer::Silent => "silent",
-                HoldAnswer::Refused => "refused",
+            let answer = message::ask(&shared.rpc, node, &orders, ORDERS_PATIENCE).await;
+            let failure = match answer {
+                Ok(Reply::Noted) => return,
+                Ok(_) => Failure::Unsent,
+                Err(error) if error.not_run() => Failure::Unsent,
+                Err(_) => Failure::Unanswered,
             };
-            shared.meter.worker_call("hold", began.elapsed(), outcome);
-            tell(&own, Event::Held(worker, asked, answer)).await;
+            tell(&own, Event::NotGiven(node, failure, numbers)).await;
         });
     }
 
+    /// Takes in what came of orders that other nodes gave.
+    fn take_reports(&mut self, reports: Reports) {
+        if reports.epoch != self.engine.epoch() {
+            return;
+        }
+        for (number, report) in reports.reports {
+            if self.given.settle(number) {
+                self.take_report(report);
+            }
+        }
+    }
+
+    fn take_not_given(&mut self, node: SocketAddr, failure: Failure, numbers: &[u64]) {
+        if self.share.avoid(node) {
+            slog::warn!(self.shared.log, "orders-not-given"; "node" => %node,
+                "orders" => numbers.len(), "why" => failure.word());
+        }
+        let reports = match failure {
+            Failure::Unsent => self.given.unsent(numbers),
+            Failure::Unanswered => self.given.unanswered(numbers),
+        };
+        for report in reports {
+            self.take_report(report);
+        }
+    }
+
+    fn take_report(&mut self, report: Report) {
+        let now = self.shared.clock.now();
+        let engine = &mut self.engine;
+        match report {
+            Report::Started(worker, task, run, answer) => {
+                engine.started(&worker, task, run, answer, now);
+            }
+            Report::Stopped(worker, task, run, answer) => {
+                engine.stopped(&worker, task, run, answer, now);
+            }
+            Report::Held(worker, asked, answer) => engine.held(&worker, asked, answer, now),
+        }
+    }
+
     /// Asks for advice here, or has another node ask.
     fn advise(
         &self,
@@ -321,8 +409,8 @@
         .lock()
         .await
         .iter()
-        .find(|(name, _)| name == node)
-        .map(|(_, address)| *address)?;
+        .find(|peer| peer.node == *node)
+        .map(|peer| peer.address)?;
     let question = Question::Advise {
         step,
         workers,
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -1,7 +1,9 @@
 //! The owner of the cell: its actor, its takeover, and what it reads and writes.
 
 mod control;
+mod given;
 mod recorder;
+mod share;
 mod tail;
 mod takeover;
 
@@ -13,5 +15,6 @@
         Pending,
         accept, //
     },
+    share::Peer,
     takeover::take_over,
 };
--- a/crates/node/src/report.rs
+++ b/crates/node/src/report.rs
@@ -56,6 +56,7 @@
     advice: Histogram<f64>,
     believed: Gauge<u64>,
     left_out: Counter<u64>,
+    lost_reports: Counter<u64>,
     budgets: Mutex<HashMap<&'static str, Budget>>,
 }
 
@@ -109,6 +110,10 @@
                 "fulmarpier_log_lines_left_out",
                 "Lines left out of the log by kind.",
             ),
+            lost_reports: registry.counter(
+                "fulmarpier_reports_lost",
+                "Reports on orders that the owner did not take.",
+            ),
             budgets: Mutex::default(),
             registry,
         };
@@ -193,6 +198,10 @@
         self.0.worker_calls.record(took.as_secs_f64(), &labels);
     }
 
+    pub(crate) fn report_lost(&self, why: &'static str) {
+        self.0.lost_reports.add(1, &[KeyValue::new("reason", why)]);
+    }
+
     /// Sets the gauges of what the owner believes.
     pub(crate) fn believed(&self, counts: &Counts, epoch: u64) {
         let gauges: [(&'static str, usize); 6] = [
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -37,7 +37,10 @@
         StoreHealth, //
     },
     hedge,
-    owner::Control,
+    owner::{
+        Control,
+        Peer, //
+    },
     port::{
         Append,
         Condition,
@@ -83,8 +86,8 @@
     pub(crate) claim: watch::Sender<Option<Claim>>,
     /// This node's own ownership.
     pub(crate) acting: watch::Sender<Option<Acting<P>>>,
-    /// The nodes that the owner knows, with their addresses.
-    pub(crate) peers: Mutex<Vec<(NodeName, SocketAddr)>>,
+    /// The nodes that the owner knows, but for itself.
+    pub(crate) peers: Mutex<Vec<Peer>>,
     pub(crate) is_leaving: AtomicBool,
     /// Rung when the owner may be gone.
     pub(crate) vacant: Notify,
@@ -147,6 +150,15 @@
         self.acting.borrow().as_ref()?.control.clone()
     }
 
+    /// Returns this node as others know it.
+    pub(crate) fn peer(&self) -> Peer {
+        Peer {
+            node: self.name.clone(),
+            address: self.address,
+            processor: self.processor,
+        }
+    }
+
     /// Returns the highest ownership that is known here.
     pub(crate) fn epoch(&self) -> fulmarpier_cell::id::Epoch {
         let claim = self.claim.borrow();
--- a/crates/node/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -152,6 +152,52 @@
     until(|| async { platform.owner().as_deref() == Some("equal") }).await;
 }
 
+/// More workers than the owner gives all orders to.
+const FLEET: usize = 120;
+
+#[tokio::test]
+async fn the_orders_to_a_large_fleet_are_given_by_several_nodes() {
+    let platform = Fake::with_workers(FLEET);
+    let one = node("one", &platform);
+    ready(&one).await;
+    let (apart, weak) = (platform.machine(), platform.machine());
+    let two = node("two", &apart);
+    let three = node_with("three", &weak, Millicores(100));
+    ready(&two).await;
+    ready(&three).await;
+    let jobs = 1..20;
+    for job in jobs.clone() {
+        submit(&two, job).await.unwrap();
+    }
+    for job in jobs {
+        completed(&one, job).await;
+        assert_eq!(platform.starts(job), 4);
+    }
+    // The owner's equal gives some of them, the weak node none.
+    assert!(apart.ordered() > 0);
+    assert_eq!(weak.ordered(), 0);
+}
+
+#[tokio::test]
+async fn the_owner_gives_the_orders_of_a_node_that_is_gone() {
+    let platform = Fake::with_workers(FLEET);
+    let one = node("one", &platform);
+    ready(&one).await;
+    let apart = platform.machine();
+    let two = node("two", &apart);
+    ready(&two).await;
+    submit(&one, 1).await.unwrap();
+    completed(&one, 1).await;
+    two.stop(Duration::ZERO).await;
+    for job in 2..12 {
+        submit(&one, job).await.unwrap();
+    }
+    for job in 2..12 {
+        completed(&one, job).await;
+        assert_eq!(platform.starts(job), 4);
+    }
+}
+
 #[tokio::test]
 async fn a_store_that_refuses_means_that_the_job_was_not_taken() {
     let platform = Fake::new();
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -96,16 +96,22 @@
     fence: u32,
     /// The writer's last append, to answer a repeat of it.
     written: Option<(u32, u64, u64)>,
-    running: BTreeMap<TaskId, (Run, Instant)>,
-    ended: Vec<Ended>,
-    /// The place of the last end.
-    serial: u64,
+    workers: BTreeMap<WorkerId, Host>,
     starts: Vec<(TaskId, Run)>,
     appends: usize,
     /// How many appends of each topic there were while answers were lost.
     lost: BTreeMap<String, u32>,
 }
 
+/// What a worker holds.
+#[derive(Default)]
+struct Host {
+    running: BTreeMap<TaskId, (Run, Instant)>,
+    ended: Vec<Ended>,
+    /// The place of the last end.
+    serial: u64,
+}
+
 /// The platform as one machine sees it; cheap to clone.
 #[derive(Clone, Default)]
 pub(crate) struct Fake {
@@ -114,10 +120,10 @@
     own: Arc<Mutex<Option<Mode>>>,
     /// How many calls of this machine the silent store has let run out.
     run_out: Arc<AtomicUsize>,
+    /// How many orders to start this machine has given.
+    ordered: Arc<AtomicUsize>,
 }
 
-/// The one worker.
-const WORKER: &str = "w1";
 /// How long its tasks run.
 const RUNS: Duration = Duration::from_millis(40);
 /// How long a call takes.
@@ -130,19 +136,25 @@
 const RUNS_OUT: Duration = Duration::from_secs(30);
 
 impl Fake {
+    /// Makes a platform with one worker.
     pub(crate) fn new() -> Self {
+        Self::with_workers(1)
+    }
+
+    pub(crate) fn with_workers(count: usize) -> Self {
         let fake = Self::default();
         let config = vec![Record {
             key: "config".to_owned(),
             value: Some("1".into()),
         }];
-        let worker = vec![Record {
-            key: WORKER.to_owned(),
+        let workers = (0..count).map(|nth| Record {
+            key: format!("w{nth}"),
             value: Some("here".into()),
-        }];
+        });
+        let workers = workers.collect();
         let mut state = fake.state();
         state.topics.insert(name(Topic::Configuration), config);
-        state.topics.insert(name(Topic::Workers), worker);
+        state.topics.insert(name(Topic::Workers), workers);
         drop(state);
         fake
     }
@@ -173,6 +185,11 @@
         self.run_out.load(Ordering::Relaxed)
     }
 
+    /// Returns how many orders to start this machine has given.
+    pub(crate) fn ordered(&self) -> usize {
+        self.ordered.load(Ordering::Relaxed)
+    }
+
     fn mode(&self) -> Mode {
         let own = *self.own.lock().unwrap();
         own.unwrap_or_else(|| self.state().mode)
@@ -327,17 +344,20 @@
 
     async fn start(&self, order: Start) -> StartAnswer {
         sleep(CALL).await;
+        self.ordered.fetch_add(1, Ordering::Relaxed);
         let mut state = self.state();
         state.starts.push((order.task, order.run));
-        state
-            .running
-            .insert(order.task, (order.run, Instant::now() + RUNS));
+        let host = state.workers.entry(order.to.worker).or_default();
+        let ends = Instant::now() + RUNS;
+        host.running.insert(order.task, (order.run, ends));
         StartAnswer::Started
     }
 
     async fn stop(&self, order: Stop) -> StopAnswer {
         sleep(CALL).await;
-        self.state().running.remove(&order.task);
+        let mut state = self.state();
+        let host = state.workers.entry(order.to.worker).or_default();
+        host.running.remove(&order.task);
         StopAnswer::Confirmed
     }
 
@@ -347,14 +367,15 @@
             sleep(CALL).await;
             let now = Instant::now();
             let mut state = self.state();
-            state.ended.retain(|end| end.serial > order.acknowledged);
-            let over = state.running.iter().filter(|(_, (_, ends))| *ends <= now);
+            let host = state.workers.entry(order.to.worker.clone()).or_default();
+            host.ended.retain(|end| end.serial > order.acknowledged);
+            let over = host.running.iter().filter(|(_, (_, ends))| *ends <= now);
             let over: Vec<(TaskId, Run)> = over.map(|(task, (run, _))| (*task, *run)).collect();
             for (task, run) in over {
-                state.running.remove(&task);
-                state.serial += 1;
-                let serial = state.serial;
-                state.ended.push(Ended {
+                host.running.remove(&task);
+                host.serial += 1;
+                let serial = host.serial;
+                host.ended.push(Ended {
                     serial,
                     task,
                     run,
@@ -362,8 +383,8 @@
                     checkpoint: None,
                 });
             }
-            if !state.ended.is_empty() || now >= until {
-                let running = state.running.iter().map(|(task, (run, _))| Running {
+            if !host.ended.is_empty() || now >= until {
+                let running = host.running.iter().map(|(task, (run, _))| Running {
                     task: *task,
                     run: *run,
                     checkpoint: None,
@@ -371,7 +392,7 @@
                 return HoldAnswer::Listed(Inventory {
                     clock: 1,
                     running: running.collect(),
-                    ended: state.ended.clone(),
+                    ended: host.ended.clone(),
                 });
             }
         }
