--- a/crates/cell/src/engine/keep.rs
+++ b/crates/cell/src/engine/keep.rs
@@ -155,9 +155,7 @@
         let Some(flight) = self.ledger.flight.take() else {
             return;
         };
-        for (slot, task, run) in flight.starts {
-            self.send_start(slot, task, run, now);
-        }
+        self.send_starts(flight.starts, now);
         for snapshot in flight.jobs {
             self.apply(snapshot, now);
         }
--- a/crates/cell/src/engine/mod.rs
+++ b/crates/cell/src/engine/mod.rs
@@ -48,7 +48,10 @@
     keep::Ledger, //
 };
 use crate::{
-    advice::Desk,
+    advice::{
+        Desk,
+        Ticket, //
+    },
     bounds::Bounds,
     config::Config,
     effect::{
@@ -91,7 +94,7 @@
 struct Order {
     text: Arc<str>,
     checkpoint: Option<Arc<str>>,
-    ticket: Option<Arc<str>>,
+    ticket: Option<Ticket>,
 }
 
 /// What a new owner has read from the store.
--- a/crates/cell/src/engine/order.rs
+++ b/crates/cell/src/engine/order.rs
@@ -1,6 +1,9 @@
 //! What comes of orders, and stops that are repeated until they are settled.
 
-use std::time::Duration;
+use std::{
+    collections::BTreeSet,
+    time::Duration, //
+};
 
 use fulmarpier_state::clock::Timestamp;
 
@@ -21,6 +24,7 @@
     },
     id::{
         Run,
+        StepId,
         TaskId,
         WorkerId, //
     },
@@ -155,10 +159,50 @@
             text: order.text,
             deadline,
             checkpoint: order.checkpoint,
-            ticket: order.ticket,
+            ticket: order.ticket.map(|ticket| ticket.text),
         })));
     }
 
+    /// Orders the starts whose decisions are on record.
+    ///
+    /// A ticket may have run out while the record waited for the store; its worker would turn the order
+    /// away, and the members of a gang that did start would wait for the others in vain.
+    pub(super) fn send_starts(&mut self, starts: Vec<(Slot, TaskId, Run)>, now: Timestamp) {
+        let aged = starts.iter().filter(|start| {
+            let ticket = self
+                .orders
+                .get(start)
+                .and_then(|order| order.ticket.as_ref());
+            ticket.is_some_and(|ticket| !ticket.is_usable(now))
+        });
+        let aged: BTreeSet<TaskId> = aged.map(|(_, task, _)| *task).collect();
+        let broken: BTreeSet<StepId> = aged
+            .iter()
+            .map(|task| task.step)
+            .filter(|step| {
+                let job = self.jobs.get(&step.job);
+                job.and_then(|job| job.step(*step)).is_some_and(|s| s.gang)
+            })
+            .collect();
+        for (slot, task, run) in starts {
+            if !aged.contains(&task) && !broken.contains(&task.step) {
+                self.send_start(slot, task, run, now);
+                continue;
+            }
+            if let Some(worker) = self.workers.get(&slot) {
+                let worker = worker.registration.id.clone();
+                let why = "ticket-aged";
+                self.note(Note::NotStarted {
+                    task,
+                    run,
+                    worker,
+                    why,
+                });
+            }
+            self.release(slot, task, run, now);
+        }
+    }
+
     fn confirm(&mut self, slot: Slot, task: TaskId, run: Run, now: Timestamp) {
         self.mark_begun(task.step.job);
         let worker = self.workers.get_mut(&slot);
--- a/crates/cell/src/engine/place.rs
+++ b/crates/cell/src/engine/place.rs
@@ -304,8 +304,7 @@
             return false;
         };
         let waited = stage.opened.map(|opened| now.since(opened));
-        let ticket = stage.advice.ticket(slot, now);
-        let ticket = ticket.map(|ticket| ticket.text.clone());
+        let ticket = stage.advice.ticket(slot, now).cloned();
         stage.waiting.remove(&index);
         let mut checkpoint = None;
         if let Some(task) = stage.task_mut(index) {
--- a/crates/cell/tests/cell/order.rs
+++ b/crates/cell/tests/cell/order.rs
@@ -10,6 +10,8 @@
     },
 };
 
+use rstest::rstest;
+
 use crate::world::{
     Faults,
     World,
@@ -35,6 +37,25 @@
     assert_eq!(world.starts, 1);
 }
 
+#[rstest]
+#[case::singles(false)]
+#[case::gang(true)]
+fn a_ticket_that_ran_out_while_the_store_was_away_is_not_used(#[case] gang: bool) {
+    let mut world = World::new(1, Faults::default());
+    world.run(Duration::from_secs(1));
+    world.lose_store(Duration::from_secs(4));
+    let step = Step {
+        count: 4,
+        size: size(1_000, 1_024),
+        gang,
+        ..Step::default()
+    };
+    let job = world.submit("urgent", vec![step]);
+    world.run(Duration::from_secs(12));
+    assert_eq!(world.engine.state(job), Some(State::Completed));
+    assert_eq!((world.starts, world.turned_away), (4, 0));
+}
+
 #[test]
 fn an_occurrence_is_as_urgent_as_a_job_that_arrives_at_its_time() {
     let mut world = World::new(1, Faults::default());
--- a/crates/cell/tests/cell/world/mod.rs
+++ b/crates/cell/tests/cell/world/mod.rs
@@ -134,6 +134,18 @@
     failed: BTreeMap<TaskId, BTreeSet<Run>>,
     /// How many starts there were.
     pub starts: u32,
+    /// How many orders to start came with a ticket that had run out.
+    pub turned_away: u32,
+    /// How many calls for advice there were, with how many workers each.
+    pub asked: Vec<usize>,
+}
+
+/// How long a ticket, which tells when it was given, is valid.
+const VALIDITY: Duration = Duration::from_millis(1_500);
+
+fn is_aged(ticket: &str, now: Timestamp) -> bool {
+    let given = Timestamp::from_micros(ticket.parse().unwrap());
+    given + VALIDITY < now
 }
 
 /// How long a call takes one way.
@@ -159,7 +171,7 @@
         advice: advice.then_some(AdviceTerms {
             base: Duration::from_millis(20),
             each: Duration::from_millis(1),
-            validity: Duration::from_millis(1_500),
+            validity: VALIDITY,
         }),
     }
 }
@@ -211,6 +223,8 @@
             done: BTreeSet::new(),
             failed: BTreeMap::new(),
             starts: 0,
+            turned_away: 0,
+            asked: Vec::new(),
         };
         for place in 0..WORKERS {
             world.add_worker(place);
@@ -308,6 +322,11 @@
         self.store_back = self.now;
     }
 
+    /// Has the store go away for a while.
+    pub(crate) fn lose_store(&mut self, span: Duration) {
+        self.store_back = self.now + span;
+    }
+
     fn chance(&mut self, thousandths: u32) -> bool {
         self.rng.random_range(0..1_000) < thousandths
     }
@@ -435,6 +454,7 @@
                 step,
                 workers,
             } => {
+                self.asked.push(workers.len());
                 let took = Duration::from_millis(20 + workers.len() as u64);
                 self.later(took, Event::Advised(node, step, workers));
             }
@@ -478,7 +498,7 @@
                 });
                 let advised = advised
                     .map(|worker| Advised {
-                        ticket: format!("{worker}").into(),
+                        ticket: self.now.as_micros().to_string().into(),
                         worker,
                     })
                     .collect();
@@ -516,6 +536,14 @@
             }
             return;
         };
+        if order.ticket.as_deref().is_some_and(|t| is_aged(t, now)) {
+            self.turned_away += 1;
+            if is_alive && is_answered {
+                let answer = Event::Started(id, order.task, order.run, StartAnswer::Ticket);
+                self.later(WAY, answer);
+            }
+            return;
+        }
         let answer = worker.start(order, works, fails, now);
         if answer == StartAnswer::Started {
             self.starts += 1;
