--- a/crates/cell/src/bounds.rs
+++ b/crates/cell/src/bounds.rs
@@ -37,6 +37,10 @@
 /// Allowance for rounding to milliseconds and for timers that fire late.
 const SLACK: Duration = Duration::from_millis(200);
 
+/// For this long an owner that is cut off may go on extending leases after another has taken over: it stops
+/// 1.2 s after it last reached the store or a node, and notices that within 0.6 s.
+pub const FORMER_OWNER: Duration = Duration::from_millis(1_800);
+
 impl Bounds {
     /// Returns how long after a stop was confirmed a run that was there has certainly been listed as
     /// ended.
--- a/crates/cell/src/engine/ask.rs
+++ b/crates/cell/src/engine/ask.rs
@@ -7,7 +7,10 @@
 use super::{
     Engine,
     Slot,
-    place::room_for,
+    place::{
+        Demand,
+        room_for, //
+    },
     reserve::Reserved, //
 };
 use crate::{
@@ -41,6 +44,13 @@
 /// How long to wait after a call that brought nothing.
 const PAUSE: Duration = Duration::from_millis(100);
 
+/// Returns whether a step is asked about only where it is likely to run: a gang takes its places at once, and
+/// an urgent task the first one. Other tasks wait for room that may come up anywhere; asked about as few
+/// workers, they were worth a quarter less on a busy fleet of 350.
+fn is_choosy(demand: &Demand<'_>) -> bool {
+    demand.step.gang || demand.queue.priority == 0
+}
+
 impl Engine {
     /// Returns whether it is known which workers may run a step.
     pub(super) fn has_advice(&self, id: StepId) -> bool {
@@ -88,7 +98,8 @@
             true => usize::MAX,
             false => MOST_NAMED,
         };
-        let count = enough.map_or(most, |last| (last + 1).max(LEAST_NAMED));
+        let count = enough.filter(|_| is_choosy(&demand));
+        let count = count.map_or(most, |last| (last + 1).max(LEAST_NAMED));
         named.truncate(count.min(most));
         let named = named.into_iter().map(|(slot, ..)| slot).collect();
         self.call(id, named, now);
@@ -136,7 +147,7 @@
         let mut sum = 0.0;
         let enough = rooms.iter().position(|(_, room)| {
             sum += *room as f64;
-            sum >= wanted
+            sum >= wanted && is_choosy(&demand)
         });
         rooms.truncate(enough.map_or(rooms.len(), |last| last + 1));
         let slots: Vec<Slot> = rooms.into_iter().map(|(slot, _)| slot).collect();
--- a/crates/cell/src/engine/mod.rs
+++ b/crates/cell/src/engine/mod.rs
@@ -53,7 +53,10 @@
         Experience,
         Ticket, //
     },
-    bounds::Bounds,
+    bounds::{
+        Bounds,
+        FORMER_OWNER, //
+    },
     config::Config,
     effect::{
         Destination,
@@ -181,7 +184,7 @@
             let progress = progress.remove(&accepted.job).unwrap_or_default();
             engine.inherit(accepted, progress, now);
         }
-        let lapses = now + engine.bounds.lapse();
+        let lapses = now + engine.bounds.lapse() + FORMER_OWNER;
         for (worker, usage) in inheritance.workers {
             engine.expect_worker(worker, usage, lapses, now);
         }
--- a/crates/cell/tests/cell/takeover.rs
+++ b/crates/cell/tests/cell/takeover.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use fulmarpier_cell::{
-    bounds::Bounds,
+    bounds::{
+        Bounds,
+        FORMER_OWNER, //
+    },
     effect::Effect,
     engine::{
         Engine,
@@ -13,11 +16,13 @@
     event::{
         HoldAnswer,
         Inventory,
+        Registration,
         Running, //
     },
     id::{
         Epoch,
         JobId,
+        PoolName,
         Run,
         StepId,
         WorkerId, //
@@ -65,6 +70,71 @@
     }
 }
 
+fn registration(id: &WorkerId) -> Registration {
+    Registration {
+        id: id.clone(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        pool: PoolName::from("pool"),
+        capacity: size(4_000, 4_096),
+        labels: Vec::new(),
+        leaving: None,
+    }
+}
+
+#[test]
+fn a_task_on_a_silent_worker_waits_for_leases_that_the_former_owner_may_still_extend() {
+    let began = Timestamp::from_millis(100_000);
+    let (silent, well) = (WorkerId::from("w1"), WorkerId::from("w2"));
+    let step = StepId {
+        job: JOB,
+        occurrence: 0,
+        step: 0,
+    };
+    let mut accepted = repeated(began);
+    let mut spec = (*accepted.spec).clone();
+    spec.schedule = None;
+    accepted.spec = spec.into();
+    let usage = Usage {
+        address: "127.0.0.1:1".parse().unwrap(),
+        runs: vec![(step.task(0), Run(1))],
+    };
+    let inheritance = Inheritance {
+        accepted: vec![accepted],
+        workers: vec![(silent.clone(), usage)],
+        ..Inheritance::default()
+    };
+    let bounds = Bounds::default();
+    let mut engine = Engine::new(Epoch(2), bounds, inheritance, began);
+    engine.register(registration(&well), began);
+    let mut now = began;
+    let started = loop {
+        let mut effects = engine.advance(now);
+        assert!(now.since(began) < Duration::from_secs(60), "it starts");
+        if effects.iter().any(|e| matches!(e, Effect::Start(_))) {
+            break now.since(began);
+        }
+        for effect in effects.drain(..) {
+            match effect {
+                Effect::Hold(hold) if hold.to.worker == silent => {
+                    engine.held(&silent, hold.asked, HoldAnswer::Silent, now);
+                }
+                Effect::Hold(hold) => {
+                    let empty = HoldAnswer::Listed(Inventory::default());
+                    engine.held(&well, hold.asked, empty, now);
+                }
+                Effect::Record(_) => engine.recorded(now),
+                _ => {}
+            }
+        }
+        now = now + Duration::from_millis(20);
+    };
+    assert!(started >= bounds.lapse() + FORMER_OWNER, "{started:?}");
+    assert!(
+        started < bounds.lapse() + FORMER_OWNER + Duration::from_secs(1),
+        "{started:?}"
+    );
+}
+
 #[test]
 fn a_run_of_an_occurrence_that_was_due_is_taken_over() {
     let now = Timestamp::from_millis(100_000);
--- a/crates/node/src/member.rs
+++ b/crates/node/src/member.rs
@@ -93,8 +93,9 @@
 /// How long the store may take to answer a node that is asked whether it does; it takes 4 ms, and
 /// 0.4 s on slow days.
 const PROBE: Duration = Duration::from_millis(450);
-/// Without the store and without any other node the owner stops giving orders after this long.
-const ALONE: Duration = Duration::from_millis(3_000);
+/// Without the store and without any other node the owner stops giving orders after this long. With the
+/// time in which it notices, that is what the next owner waits longer for leases of silent workers.
+const ALONE: Duration = Duration::from_millis(1_200);
 
 /// The newest claim as it was read, and where the topic ends.
 struct Seen {
@@ -432,6 +433,7 @@
         why = outranked(shared) => why,
         why = renew(shared, &mut claim, &mut end) => why,
         why = doubt(shared) => why,
+        () = shared.stalled.notified() => "stalled",
     };
     slog::info!(shared.log, "ownership-ends"; "epoch" => %claim.epoch, "why" => why);
     taking.abort();
@@ -441,11 +443,11 @@
     }
     shared.acting.send_replace(None);
     let peers = shared.peers.lock().await.clone();
-    if why == "leaving" || why == "outranked" {
+    if matches!(why, "leaving" | "outranked" | "stalled") {
         claim.released = true;
         claim.processor = claim.processor.max(*shared.outranked.borrow());
-        // Without it the others see that this process is gone.
-        let _ = append(shared, &claim, end).await;
+        // Without it the others see that this process is gone, or have seen it.
+        let _ = timeout(RENEWAL_PATIENCE, append(shared, &claim, end)).await;
     }
     if why != "replaced" {
         let vacant = Question::Vacant(claim.epoch);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -154,6 +154,7 @@
             peers: Mutex::default(),
             is_leaving: AtomicBool::new(false),
             vacant: Notify::new(),
+            stalled: Notify::new(),
             outranked: watch::Sender::new(Millicores(0)),
             store: StoreHealth::new(parts.log),
         });
--- a/crates/node/src/owner/control.rs
+++ b/crates/node/src/owner/control.rs
@@ -50,6 +50,7 @@
 use tokio::{
     sync::mpsc,
     time::{
+        Instant,
         sleep,
         sleep_until, //
     },
@@ -77,6 +78,7 @@
         Report, //
     },
     port::Platform,
+    report::millis,
     shared::Shared,
 };
 
@@ -88,6 +90,9 @@
 /// How long orders for other nodes are gathered. Each call between nodes costs the owner some 0.1 ms, and
 /// a fleet of 350 workers has 1,750 orders a second; the most urgent jobs have 650 ms to spare.
 const GATHER: Duration = Duration::from_millis(6);
+/// The actor is told each 25 ms that time has passed; without any event for this long its process stood
+/// still. A claim lapses after 0.7 s, so another owner may be at work.
+const STALLED: Duration = Duration::from_millis(900);
 /// How long a node may take to take orders in.
 const ORDERS_PATIENCE: Duration = Duration::from_millis(300);
 
@@ -101,6 +106,8 @@
     is_timed: bool,
     /// Set once another node may own the cell: no order leaves any more.
     is_deposed: bool,
+    /// When the last event was taken.
+    last: Instant,
     share: Share,
     given: Given,
     /// Orders that other nodes give, until they are sent together.
@@ -208,6 +215,7 @@
             records,
             is_timed: false,
             is_deposed: false,
+            last: Instant::now(),
             share: Share::default(),
             given: Given::default(),
             gathered: HashMap::default(),
@@ -215,6 +223,19 @@
         }
     }
 
+    /// Gives no order any more where the process stood still for so long that another node may own the
+    /// cell: a lease that it would extend is one that the other doesn't know of.
+    fn check_stall(&mut self) {
+        let stood = std::mem::replace(&mut self.last, Instant::now()).elapsed();
+        if stood < STALLED || self.is_deposed {
+            return;
+        }
+        slog::warn!(self.shared.log, "stalled"; "epoch" => %self.engine.epoch(),
+            "stood_ms" => millis(stood));
+        self.is_deposed = true;
+        self.shared.stalled.notify_one();
+    }
+
     fn take(&mut self, event: Event) {
         let now = self.shared.clock.now();
         let engine = &mut self.engine;
@@ -464,6 +485,7 @@
 
     async fn handle(&mut self, event: Event, context: &mut Context<Self, ()>) {
         let is_gathered = matches!(event, Event::Gathered);
+        self.check_stall();
         self.take(event);
         if self.is_deposed {
             context.actor_ref().kill();
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -91,6 +91,8 @@
     pub(crate) is_leaving: AtomicBool,
     /// Rung when the owner may be gone.
     pub(crate) vacant: Notify,
+    /// Rung when the owner's actor finds that it stood still.
+    pub(crate) stalled: Notify,
     /// The processor of a much stronger node that has greeted this one as the owner; zero while none has.
     pub(crate) outranked: watch::Sender<Millicores>,
     pub(crate) store: StoreHealth,
