--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod advice;
 pub mod bounds;
 pub mod config;
+pub mod doubt;
 pub mod effect;
 pub mod engine;
 pub mod event;
