--- a/crates/cell/src/engine/end.rs
+++ b/crates/cell/src/engine/end.rs
@@ -79,7 +79,6 @@
     fn take_done(&mut self, slot: Slot, task: TaskId, run: Run, now: Timestamp) {
         if let Some(worker) = self.workers.get_mut(&slot) {
             worker.failures = 0;
-            worker.doubt.succeeded(now);
         }
         let Some(job) = self.jobs.get_mut(&task.step.job) else {
             return;
@@ -123,22 +122,8 @@
         }
     }
 
-    /// Returns whether a task, or its gang, has failed before.
-    fn has_failed(&self, task: TaskId) -> bool {
-        let job = self.jobs.get(&task.step.job);
-        let stage = job.and_then(|job| job.stage(task.step));
-        let is_gang = job
-            .and_then(|job| job.step(task.step))
-            .is_some_and(|s| s.gang);
-        let counted = if is_gang { 0 } else { task.index };
-        let counted = stage.and_then(|stage| stage.task(counted));
-        counted.is_some_and(|counted| !counted.failures.is_empty())
-    }
-
     fn take_failure(&mut self, slot: Slot, task: TaskId, run: Run, now: Timestamp) {
-        let has_failed = self.has_failed(task);
         if let Some(worker) = self.workers.get_mut(&slot) {
-            worker.doubt.failed(has_failed, now);
             worker.failures += 1;
             if worker.failures >= SUSPICIOUS {
                 worker.rests = now + SUSPECT_REST;
--- a/crates/cell/src/engine/place.rs
+++ b/crates/cell/src/engine/place.rs
@@ -16,7 +16,6 @@
 };
 use crate::{
     config::Queue,
-    doubt::Level,
     effect::Note,
     id::{
         Run,
@@ -48,7 +47,6 @@
         let label = self.step.requires.as_deref();
         worker.registration.pool == self.queue.pool
             && worker.is_open(now)
-            && !(self.step.gang && worker.doubt.level(now) == Level::Much)
             && label.is_none_or(|label| worker.has_label(label))
     }
 }
@@ -169,7 +167,6 @@
                 let is_avoided = avoid == Some(**slot);
                 (
                     is_avoided,
-                    worker.doubt.level(now),
                     is_remote(&demand, worker),
                     left(&demand, worker),
                 )
@@ -275,10 +272,7 @@
         {
             return Some(places);
         }
-        rooms.sort_by_key(|(_, _, worker)| {
-            let level = worker.doubt.level(now);
-            (level, is_remote(&demand, worker), left(&demand, worker))
-        });
+        rooms.sort_by_key(|(_, _, worker)| (is_remote(&demand, worker), left(&demand, worker)));
         fill(rooms.iter().map(|(slot, room, _)| (*slot, *room)), count)
     }
 
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -11,7 +11,6 @@
 pub mod advice;
 pub mod bounds;
 pub mod config;
-pub mod doubt;
 pub mod effect;
 pub mod engine;
 pub mod event;
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -15,7 +15,6 @@
 
 use crate::{
     bounds::Bounds,
-    doubt::Doubt,
     event::Registration,
     id::{
         Run,
@@ -114,8 +113,6 @@
     pub rests: Timestamp,
     /// Failures in a row of tasks that it started, without a success between them.
     pub failures: u32,
-    /// What is held against it.
-    pub doubt: Doubt,
     reading: Option<Reading>,
     lapses: Timestamp,
 }
@@ -139,7 +136,6 @@
             over: VecDeque::new(),
             rests: Timestamp::ZERO,
             failures: 0,
-            doubt: Doubt::default(),
             reading: None,
             lapses,
         }
