--- a/crates/cell/src/engine/reserve.rs
+++ b/crates/cell/src/engine/reserve.rs
@@ -31,7 +31,7 @@
 const LEAST_GANGS: usize = 4;
 /// For so many workers there may be one more: with 4 gangs at a time, a fleet of 350 left those of 20
 /// members without room for a minute, while smaller tasks took each piece.
-const WORKERS_A_GANG: usize = 12;
+const WORKERS_A_GANG: usize = 35;
 
 /// How long it takes, about, until what runs on a kept worker has ended by itself; most tasks that
 /// are neither a gang's nor urgent run 2.2 s.
