Revert the trial: keep workers for more gangs on larger fleets

Conclusion: the fleet is full there (about 5,000 of 5,600 cores are offered), and room that is kept idles.

--- a/crates/cell/src/engine/reserve.rs
+++ b/crates/cell/src/engine/reserve.rs
@@ -27,11 +27,8 @@
     },
 };
 
-/// For how many gangs workers are kept at a time at least; each makes others wait.
-const LEAST_GANGS: usize = 4;
-/// For so many workers there may be one more: with 4 gangs at a time, a fleet of 350 left those of 20
-/// members without room for a minute, while smaller tasks took each piece.
-const WORKERS_A_GANG: usize = 35;
+/// For how many gangs workers are kept at a time; each makes others wait.
+const MOST_GANGS: usize = 4;
 
 /// How long it takes, about, until what runs on a kept worker has ended by itself; most tasks that
 /// are neither a gang's nor urgent run 2.2 s.
@@ -85,8 +82,7 @@
             return;
         };
         let is_gang = demand.step.gang;
-        let most_gangs = LEAST_GANGS.max(self.workers.len() / WORKERS_A_GANG);
-        if is_gang && reserved.gangs >= most_gangs {
+        if is_gang && reserved.gangs >= MOST_GANGS {
             return;
         }
         if !is_gang && demand.queue.priority > 0 {
