--- a/crates/cell/src/engine/keep.rs
+++ b/crates/cell/src/engine/keep.rs
@@ -1,8 +1,11 @@
 //! What has to be on record before it is acted on.
 
-use std::collections::{
-    BTreeMap,
-    BTreeSet, //
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    time::Duration,
 };
 
 use fulmarpier_state::clock::Timestamp;
@@ -34,6 +37,11 @@
     },
 };
 
+/// The least time between the beginnings of two records. The first thing that comes up after a pause is
+/// recorded at once; in a busy second records would follow each other each 8 to 12 ms otherwise, which was
+/// 4,100 of 6,950 priced calls of the store on a quiet day of 48 workers.
+const RECORD_GAP: Duration = Duration::from_millis(24);
+
 /// What waits for its record, and the record that is on its way; one at a time.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Ledger {
@@ -44,6 +52,8 @@
     /// The last end of each worker that was taken in.
     ends: BTreeMap<Slot, u64>,
     flight: Option<Flight>,
+    /// Before this no further record leaves.
+    next: Timestamp,
 }
 
 /// What one record covers.
@@ -76,6 +86,17 @@
         self.ends.insert(slot, last);
     }
 
+    /// Returns whether anything waits for its record, and none is on its way.
+    fn is_waiting(&self) -> bool {
+        let is_empty = self.jobs.is_empty() && self.workers.is_empty() && self.gone.is_empty();
+        self.flight.is_none() && !is_empty
+    }
+
+    /// Returns when the next record may leave, where something waits for it.
+    pub(super) fn due(&self) -> Option<Timestamp> {
+        self.is_waiting().then_some(self.next)
+    }
+
     pub(super) fn remove_worker(&mut self, worker: WorkerId) {
         self.gone.insert(worker);
     }
@@ -85,8 +106,8 @@
     /// Writes what has changed, unless a record is on its way.
     ///
     /// What comes up meanwhile goes into the next one, so records are grouped by the store's pace.
-    pub(super) fn keep(&mut self) {
-        if self.ledger.flight.is_some() {
+    pub(super) fn keep(&mut self, now: Timestamp) {
+        if self.ledger.flight.is_some() || (self.ledger.is_waiting() && now < self.ledger.next) {
             return;
         }
         let jobs = std::mem::take(&mut self.ledger.jobs);
@@ -127,6 +148,7 @@
             return;
         }
         self.ledger.flight = Some(flight);
+        self.ledger.next = now + RECORD_GAP;
         self.outbox.push(Effect::Record(entries));
     }
 
--- a/crates/cell/src/engine/mod.rs
+++ b/crates/cell/src/engine/mod.rs
@@ -232,14 +232,15 @@
             self.next_pass = now + PASS_GAP + PASS_GAP_EACH * workers;
             self.schedule(now);
         }
-        self.keep();
+        self.keep(now);
         self.call_workers(now);
         std::mem::take(&mut self.outbox)
     }
 
-    /// Returns when [`Self::advance`] has something to decide, if it has.
+    /// Returns when [`Self::advance`] has something to decide or to record, if it has.
     pub fn next_pass(&self) -> Option<Timestamp> {
-        self.is_stirred.then_some(self.next_pass)
+        let pass = self.is_stirred.then_some(self.next_pass);
+        [pass, self.ledger.due()].into_iter().flatten().min()
     }
 
     fn destination(&self, worker: &Registration) -> Destination {
