Read partitions of jobs as often as something may stand in them that nobody told of

Now 5 s where the node greets the owner, 0.5 s where it has gone. The tail of the jobs had no test; it has one.

--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -55,7 +55,7 @@
 /// How long a question about a job waits for an owner; callers ask again by themselves.
 const OWNER_WAIT: Duration = Duration::from_millis(1_500);
 /// How often the owner is told of an acceptance; after that it reads of it in the store.
-const TELL_TIMES: u32 = 4;
+const TELL_TIMES: u32 = 6;
 /// When to come back while the store or the owner is away: its usual outage is over in seconds.
 pub const RETRY: Duration = Duration::from_secs(1);
 
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -110,7 +110,7 @@
 /// Returns the partition that a node writes to.
 ///
 /// A job that is handed in twice may stand in two of them; it is one job by its id all the same.
-fn partition(node: &NodeName) -> u16 {
+pub(crate) fn partition(node: &NodeName) -> u16 {
     let mut hasher = FxHasher::default();
     node.hash(&mut hasher);
     u16::try_from(hasher.finish() % u64::from(PARTITIONS)).unwrap_or(0)
--- a/crates/node/src/owner/tail.rs
+++ b/crates/node/src/owner/tail.rs
@@ -1,12 +1,19 @@
 //! What the owner reads on from the store: workers, and jobs that it was not told of.
 
 use std::{
-    collections::BTreeSet,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     sync::Arc,
-    time::Duration, //
+    time::Duration,
 };
 
-use fulmarpier_cell::id::WorkerId;
+use fulmarpier_cell::id::{
+    NodeName,
+    WorkerId, //
+};
+use futures::future::join_all;
 use kameo::actor::WeakActorRef;
 use tokio::time::{
     Instant,
@@ -19,6 +26,7 @@
 };
 use crate::{
     front::JobRecord,
+    intake,
     port::{
         Page,
         Platform,
@@ -36,9 +44,16 @@
 /// How often the list of workers is read: 48 of them write 32 records a second, so waiting for each
 /// would cost a call a record; a leaving worker has to be known within 2 s.
 const WORKERS_EVERY: Duration = Duration::from_millis(300);
-/// How often jobs are read that no node has told of: a node that took a job and died within
-/// milliseconds. Each partition costs a call.
-const JOBS_EVERY: Duration = Duration::from_millis(1_500);
+/// How often partitions of jobs are read whose node is gone: it may be cut off from the owner alone and go
+/// on taking jobs, or have died as it took one.
+const JOBS_LOOK: Duration = Duration::from_millis(500);
+/// How often those are read whose nodes are there and tell the owner of each job themselves. Each of the 16
+/// partitions costs a call.
+const JOBS_PRESENT: Duration = Duration::from_secs(5);
+/// How often those are read that no node is known to write to.
+const JOBS_UNKNOWN: Duration = Duration::from_millis(1_500);
+/// For this long a node that is gone may go on writing: cuts last some seconds.
+const WRITES_ON: Duration = Duration::from_secs(20);
 /// For this long after an outage of the store a worker that isn't listed may come back.
 const LIST_SETTLES: Duration = Duration::from_millis(2_300);
 /// An outage shorter than this lets no entry lapse: entries outlive three intervals of heartbeats.
@@ -104,34 +119,76 @@
     }
 }
 
-/// Follows one partition of the jobs.
+/// Follows the partitions of the jobs, each as often as something may stand in it that nobody has told of.
 pub(super) async fn jobs<P: Platform>(
     shared: Arc<Shared<P>>,
-    partition: u16,
-    next: u64,
+    ends: Vec<u64>,
     control: WeakActorRef<Control<P>>,
 ) {
-    let mut reader = Reader::from(Topic::Jobs(partition), "jobs", next);
+    let partitions = (0u16..).zip(ends);
+    let mut readers: Vec<(u16, Reader, Instant)> = partitions
+        .map(|(partition, end)| {
+            let reader = Reader::from(Topic::Jobs(partition), "jobs", end);
+            (partition, reader, Instant::now())
+        })
+        .collect();
+    let mut writers = Writers::default();
     loop {
-        sleep(JOBS_EVERY).await;
-        let batch = reader.read(&shared, Duration::ZERO).await;
+        sleep(JOBS_LOOK).await;
+        let peers = shared.peers.lock().await.clone();
+        let present = peers.into_iter().map(|peer| peer.node);
+        writers.note(present.chain([shared.name.clone()]));
+        let due = readers
+            .iter_mut()
+            .filter(|(partition, _, read)| read.elapsed() >= writers.period(*partition));
+        let reads = due.map(|(_, reader, read)| {
+            *read = Instant::now();
+            reader.read(&shared, Duration::ZERO)
+        });
+        let batches = join_all(reads).await;
         let Some(control) = control.upgrade() else {
             return;
         };
-        match batch {
-            Ok(Batch::Whole(Page { records, .. }) | Batch::More(Page { records, .. })) => {
-                for record in &records {
-                    let _ = control.tell(event(record)).await;
-                }
-            }
-            Err(_) => {
-                drop(control);
-                pause().await;
+        for batch in batches {
+            // One that failed is read again when it is due.
+            let Ok(Batch::Whole(Page { records, .. }) | Batch::More(Page { records, .. })) = batch
+            else {
+                continue;
+            };
+            for record in &records {
+                // The actor may be ending.
+                let _ = control.tell(event(record)).await;
             }
         }
     }
 }
 
+/// The nodes that write jobs, by when they were last there.
+#[derive(Default)]
+struct Writers(BTreeMap<NodeName, Instant>);
+
+impl Writers {
+    /// Notes which nodes are there.
+    fn note(&mut self, present: impl Iterator<Item = NodeName>) {
+        let now = Instant::now();
+        self.0.extend(present.map(|node| (node, now)));
+        self.0.retain(|_, seen| seen.elapsed() < WRITES_ON);
+    }
+
+    /// Returns how often a partition is read.
+    fn period(&self, partition: u16) -> Duration {
+        let of = |node: &NodeName| intake::partition(node) == partition;
+        let mut writers = self.0.iter().filter(|(node, _)| of(node)).peekable();
+        if writers.peek().is_none() {
+            return JOBS_UNKNOWN;
+        }
+        match writers.all(|(_, seen)| seen.elapsed() < JOBS_LOOK) {
+            true => JOBS_PRESENT,
+            false => JOBS_LOOK,
+        }
+    }
+}
+
 fn event(record: &Record) -> Event {
     match JobRecord::read(record) {
         Some(JobRecord::Accepted(accepted)) => Event::Accepted(accepted),
--- a/crates/node/src/owner/takeover.rs
+++ b/crates/node/src/owner/takeover.rs
@@ -112,7 +112,7 @@
         "took_ms" => u64::try_from(began.elapsed().as_millis()).unwrap_or(u64::MAX));
     let now = shared.clock.now();
     let engine = Engine::new(claim.epoch, shared.bounds, inheritance, now);
-    Ok(start(shared, claim, engine, &ends))
+    Ok(start(shared, claim, engine, ends))
 }
 
 /// Reads the newest records of a topic, until the store gives them.
@@ -130,7 +130,7 @@
     shared: &Arc<Shared<P>>,
     claim: &Claim,
     engine: Engine,
-    ends: &[u64],
+    ends: Vec<u64>,
 ) -> ActorRef<Control<P>> {
     let (records, queue) = mpsc::unbounded_channel();
     let control = Control::new(engine, shared.clone(), records);
@@ -143,9 +143,7 @@
         weak.clone(),
     ));
     tokio::spawn(tail::workers(shared.clone(), weak.clone()));
-    for (partition, end) in (0u16..).zip(ends) {
-        tokio::spawn(tail::jobs(shared.clone(), partition, *end, weak.clone()));
-    }
+    tokio::spawn(tail::jobs(shared.clone(), ends, weak.clone()));
     tokio::spawn(tick(weak.clone()));
     tokio::spawn(follow_config(shared.clone(), weak));
     shared.acting.send_replace(Some(Acting {
--- a/crates/node/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -14,12 +14,14 @@
         Spec,
         Step, //
     },
+    record::Accepted,
 };
 use fulmarpier_node::{
     Node,
     front::Refusal, //
 };
 use fulmarpier_state::{
+    clock::Timestamp,
     resource::Resources,
     unit::{
         Bytes,
@@ -31,6 +33,7 @@
     Mode,
     node,
     node_with,
+    queue,
     until, //
 };
 use tokio::time::Instant;
@@ -152,6 +155,27 @@
     until(|| async { platform.owner().as_deref() == Some("equal") }).await;
 }
 
+#[tokio::test]
+async fn jobs_run_that_nobody_has_told_the_owner_of_whatever_partition_they_stand_in() {
+    let platform = Fake::new();
+    let (one, two) = (node("one", &platform), node("two", &platform));
+    ready(&one).await;
+    ready(&two).await;
+    for partition in 0..16 {
+        let accepted = Accepted {
+            job: JobId(100 + u64::from(partition)),
+            queue: queue().into(),
+            spec: spec().into(),
+            received: Timestamp::ZERO,
+        };
+        platform.accept(partition, &accepted);
+    }
+    for partition in 0..16 {
+        completed(&two, 100 + partition).await;
+        assert_eq!(platform.starts(100 + partition), 4);
+    }
+}
+
 /// More workers than the owner gives all orders to.
 const FLEET: usize = 120;
 
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -46,6 +46,7 @@
     },
     record::{
         self,
+        Accepted,
         Claim, //
     },
 };
@@ -185,6 +186,17 @@
         self.run_out.load(Ordering::Relaxed)
     }
 
+    /// Keeps a job that a node took which tells nobody of it.
+    pub(crate) fn accept(&self, partition: u16, accepted: &Accepted) {
+        let record = Record {
+            key: accepted.job.to_string(),
+            value: Some(record::encode(accepted).unwrap().into()),
+        };
+        let place = name(Topic::Jobs(partition));
+        let mut state = self.state();
+        state.topics.entry(place).or_default().push(record);
+    }
+
     /// Returns how many orders to start this machine has given.
     pub(crate) fn ordered(&self) -> usize {
         self.ordered.load(Ordering::Relaxed)
@@ -407,15 +419,7 @@
             version: 1,
             ..Config::default()
         };
-        let queue = Queue {
-            name: QueueName::from("q"),
-            pool: PoolName::from("p"),
-            priority: 0,
-            tries: 2,
-            stretch: 2.0,
-            objective: Duration::from_secs(1),
-            advice: None,
-        };
+        let queue = queue();
         config.queues.insert(queue.name.clone(), Arc::new(queue));
         Ok((record.key == "config").then_some(config))
     }
@@ -432,6 +436,19 @@
     }
 }
 
+/// Makes the one queue.
+pub(crate) fn queue() -> Queue {
+    Queue {
+        name: QueueName::from("q"),
+        pool: PoolName::from("p"),
+        priority: 0,
+        tries: 2,
+        stretch: 2.0,
+        objective: Duration::from_secs(1),
+        advice: None,
+    }
+}
+
 /// Starts a node on any port.
 pub(crate) fn node(name: &str, platform: &Fake) -> Node<Fake> {
     node_with(name, platform, Millicores(250))
