Pace filling tasks down beside serving ones that are close to their target

Filling tasks of a step took the processor time that others leave without regard to serving tasks beside them. Placed apart where there is room.

--- a/crates/cell/examples/fleet.rs
+++ b/crates/cell/examples/fleet.rs
@@ -185,6 +185,7 @@
             task: *task,
             run: *run,
             checkpoint: None,
+            load: 0,
         });
         HoldAnswer::Listed(Inventory {
             clock: u64::try_from(now.since(Timestamp::ZERO).as_millis()).unwrap_or(0),
@@ -303,7 +304,8 @@
                 );
             }
             Effect::Record(_) => self.schedule(RECORD, Later::Recorded),
-            Effect::Note(_) | Effect::Deposed => {}
+            // Nothing fills here.
+            Effect::Pace(_) | Effect::Note(_) | Effect::Deposed => {}
         }
     }
 
@@ -418,6 +420,8 @@
     let mut cell = Cell::new(workers);
     let end = cell.now + SPAN;
     let tick = TICK.as_secs_f64();
+    // How many jobs of each kind are to come, with a fraction of the next.
+    let mut owed = [0.0; KINDS.len()];
     while cell.now < end {
         let next = cell.now + TICK;
         while let Some(entry) = cell.later.first_entry()
@@ -429,11 +433,10 @@
             cell.take(what);
         }
         cell.now = next;
-        for (kind, rate) in KINDS.iter().map(|kind| kind.rate).enumerate() {
-            let expected = rate * f64::from(workers) / 100.0 * tick;
-            let whole = expected.floor();
-            let more = cell.rng.random_bool(expected - whole);
-            for _ in 0..whole as u32 + u32::from(more) {
+        for (kind, owed) in owed.iter_mut().enumerate() {
+            *owed += KINDS[kind].rate * f64::from(workers) / 100.0 * tick;
+            while *owed >= 1.0 {
+                *owed -= 1.0;
                 cell.submit(kind);
             }
         }
--- a/crates/cell/src/effect.rs
+++ b/crates/cell/src/effect.rs
@@ -66,6 +66,19 @@
     pub run: Run,
 }
 
+/// An order to let a filling task work at a share.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pace {
+    /// Where.
+    pub to: Destination,
+    /// The task.
+    pub task: TaskId,
+    /// Which start of it.
+    pub run: Run,
+    /// The share, in hundredths.
+    pub percent: u8,
+}
+
 /// A call that extends a worker's lease and asks for its inventory.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Hold {
@@ -179,6 +192,8 @@
     Start(Box<Start>),
     /// Give an order to stop.
     Stop(Stop),
+    /// Give an order to pace.
+    Pace(Pace),
     /// Extend a lease and ask for an inventory.
     Hold(Hold),
     /// Have a node ask which workers may run a step.
--- a/crates/cell/src/engine/contact.rs
+++ b/crates/cell/src/engine/contact.rs
@@ -41,6 +41,9 @@
 /// How long a worker waits for an end before it answers; the platform takes at most 2 s, and a lost
 /// call is noticed only after this time.
 const HOLD_WAIT: Duration = Duration::from_millis(1_000);
+/// How long it waits while filling tasks run beside serving ones: harm shows after half a second, and has to
+/// be ended within some.
+const MIXED_WAIT: Duration = Duration::from_millis(400);
 /// The wait before a worker that gave no answer is asked again.
 const SILENT_AGAIN: Duration = Duration::from_millis(200);
 /// The longest time between two renewals while an end waits for its record.
@@ -111,6 +114,7 @@
                 task,
                 run,
                 checkpoint: None,
+                load: 0,
             };
             // What a former owner was stopping is not listed, and ends within its grace.
             self.adopt(slot, &running, now + self.bounds.stopped(), now);
@@ -151,6 +155,7 @@
                 Some(_) => None,
             };
             let wait = match worker.heard {
+                Some(_) if worker.silent.is_none() && worker.pacing.is_mixed => MIXED_WAIT,
                 Some(_) if worker.silent.is_none() => HOLD_WAIT,
                 _ => Duration::ZERO,
             };
@@ -237,6 +242,7 @@
             }
         }
         self.release_absent(slot, &listed, asked, now);
+        self.pace(slot, &inventory.running, now);
         let Some(worker) = self.workers.get_mut(&slot) else {
             return;
         };
--- a/crates/cell/src/engine/mod.rs
+++ b/crates/cell/src/engine/mod.rs
@@ -8,6 +8,7 @@
 //! | `reserve` | makes room for a gang or an urgent task by preemption |
 //! | `ask` | asks which workers may run a step |
 //! | `order` | answers to orders, and stops until they are settled |
+//! | `pace` | slows filling tasks that disturb serving ones |
 //! | `contact` | inventories, leases, and workers that come and go |
 //! | `end` | ends of runs, tries, and ends of jobs |
 //! | `keep` | what is put on record, and what that allows |
@@ -19,6 +20,7 @@
 mod job;
 mod keep;
 mod order;
+mod pace;
 mod place;
 mod reserve;
 mod schedule;
@@ -39,14 +41,17 @@
     clock::Timestamp, //
 };
 
-pub use self::view::{
-    Counts,
-    State, //
-};
 use self::{
     job::Job,
     keep::Ledger, //
 };
+pub use self::{
+    pace::Pacing,
+    view::{
+        Counts,
+        State, //
+    },
+};
 use crate::{
     advice::{
         Desk,
--- a/crates/cell/src/engine/place.rs
+++ b/crates/cell/src/engine/place.rs
@@ -168,6 +168,7 @@
                 (
                     is_avoided,
                     is_remote(&demand, worker),
+                    self.clashes(&demand, worker),
                     left(&demand, worker),
                 )
             })
@@ -272,7 +273,10 @@
         {
             return Some(places);
         }
-        rooms.sort_by_key(|(_, _, worker)| (is_remote(&demand, worker), left(&demand, worker)));
+        rooms.sort_by_key(|(_, _, worker)| {
+            let clashes = self.clashes(&demand, worker);
+            (is_remote(&demand, worker), clashes, left(&demand, worker))
+        });
         fill(rooms.iter().map(|(slot, room, _)| (*slot, *room)), count)
     }
 
@@ -344,9 +348,14 @@
     rack.is_some_and(|rack| !worker.has_label(rack))
 }
 
-/// Returns the processor time that a worker has left after the task; little is good packing.
+/// Returns the processor time that a worker has left after the task; little is good packing, but for a task
+/// that lives on what is left.
 fn left(demand: &Demand<'_>, worker: &Worker) -> u32 {
-    worker.free.cpu.get().saturating_sub(demand.size.cpu.get())
+    let left = worker.free.cpu.get().saturating_sub(demand.size.cpu.get());
+    match demand.step.fills {
+        true => u32::MAX - left,
+        false => left,
+    }
 }
 
 /// Returns how many tasks of a size fit into some room.
--- a/crates/cell/src/event.rs
+++ b/crates/cell/src/event.rs
@@ -76,6 +76,9 @@
     pub run: Run,
     /// The newest checkpoint, where there is one.
     pub checkpoint: Option<Arc<str>>,
+    /// A rough figure of the last half second: for a task with a target for its response times, their tail
+    /// in milliseconds; for any other, the processor time in use in thousandths of a core.
+    pub load: u32,
 }
 
 /// A run that has ended and that the worker still tells of.
@@ -190,10 +193,10 @@
     }
 }
 
-/// What came of an order to stop a task.
+/// What came of an order to stop or to pace a task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StopAnswer {
-    /// The run ends, or will be refused where it isn't there yet.
+    /// It was taken; a run that is to be stopped ends, or will be refused where it isn't there yet.
     Confirmed,
     /// The worker has seen a higher epoch.
     Fenced,
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     bounds::Bounds,
+    engine::Pacing,
     event::Registration,
     id::{
         Run,
@@ -113,6 +114,8 @@
     pub rests: Timestamp,
     /// Failures in a row of tasks that it started, without a success between them.
     pub failures: u32,
+    /// The share at which its filling tasks work.
+    pub pacing: Pacing,
     reading: Option<Reading>,
     lapses: Timestamp,
 }
@@ -136,6 +139,7 @@
             over: VecDeque::new(),
             rests: Timestamp::ZERO,
             failures: 0,
+            pacing: Pacing::default(),
             reading: None,
             lapses,
         }
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -5,6 +5,7 @@
 mod history;
 mod order;
 mod overtaking;
+mod pace;
 mod pending;
 mod takeover;
 mod world;
--- a/crates/cell/tests/cell/overtaking.rs
+++ b/crates/cell/tests/cell/overtaking.rs
@@ -142,6 +142,7 @@
         task,
         run: Run(1),
         checkpoint: None,
+        load: 0,
     };
     let older = Inventory {
         clock: 9,
--- a/crates/cell/tests/cell/takeover.rs
+++ b/crates/cell/tests/cell/takeover.rs
@@ -164,6 +164,7 @@
         task,
         run: Run(1),
         checkpoint: None,
+        load: 0,
     };
     let inventory = Inventory {
         clock: 5,
--- a/crates/cell/tests/cell/world/mod.rs
+++ b/crates/cell/tests/cell/world/mod.rs
@@ -462,7 +462,8 @@
                 let wait = self.now.until(self.store_back) + APPEND;
                 self.later(wait, Event::Recorded(entries));
             }
-            Effect::Note(_) => {}
+            // Nothing fills in the histories.
+            Effect::Pace(_) | Effect::Note(_) => {}
             Effect::Deposed => self.violations.push("the owner was deposed".to_owned()),
         }
     }
--- a/crates/cell/tests/cell/world/worker.rs
+++ b/crates/cell/tests/cell/world/worker.rs
@@ -235,6 +235,7 @@
             task: *id,
             run: task.run,
             checkpoint: None,
+            load: 0,
         });
         Inventory {
             clock: self.clock(now),
--- a/crates/node/src/order.rs
+++ b/crates/node/src/order.rs
@@ -6,6 +6,7 @@
     effect::{
         Destination,
         Hold,
+        Pace,
         Start,
         Stop, //
     },
@@ -44,6 +45,8 @@
     Start(Box<Start>),
     /// Stop a task.
     Stop(Stop),
+    /// Let a filling task work at a share.
+    Pace(Pace),
     /// Extend the lease and tell what is there.
     Hold(Hold),
 }
@@ -55,6 +58,8 @@
     Started(WorkerId, TaskId, Run, StartAnswer),
     /// Of an order to stop.
     Stopped(WorkerId, TaskId, Run, StopAnswer),
+    /// Of an order to pace, with the share.
+    Paced(WorkerId, TaskId, Run, u8, StopAnswer),
     /// Of a call for an inventory that was made at this time.
     Held(WorkerId, Timestamp, HoldAnswer),
 }
@@ -65,6 +70,7 @@
         match self {
             Self::Start(order) => &order.to,
             Self::Stop(order) => &order.to,
+            Self::Pace(order) => &order.to,
             Self::Hold(order) => &order.to,
         }
     }
@@ -72,7 +78,7 @@
     /// Returns how long it takes at most until it is answered or given up.
     pub(crate) fn patience(&self) -> Duration {
         match self {
-            Self::Start(_) | Self::Stop(_) => ORDER,
+            Self::Start(_) | Self::Stop(_) | Self::Pace(_) => ORDER,
             Self::Hold(order) => order.wait + INVENTORY,
         }
     }
@@ -85,6 +91,10 @@
                 Report::Started(worker, order.task, order.run, StartAnswer::Silent)
             }
             Self::Stop(order) => Report::Stopped(worker, order.task, order.run, StopAnswer::Silent),
+            Self::Pace(order) => {
+                let (task, run, percent) = (order.task, order.run, order.percent);
+                Report::Paced(worker, task, run, percent, StopAnswer::Silent)
+            }
             Self::Hold(order) => Report::Held(worker, order.asked, HoldAnswer::Silent),
         }
     }
@@ -96,7 +106,7 @@
                 let worker = order.to.worker.clone();
                 Report::Started(worker, order.task, order.run, StartAnswer::Unsent)
             }
-            Self::Stop(_) | Self::Hold(_) => self.unanswered(),
+            Self::Stop(_) | Self::Pace(_) | Self::Hold(_) => self.unanswered(),
         }
     }
 
@@ -116,6 +126,13 @@
                 let report = Report::Stopped(worker, task, run, answer);
                 ("stop", report, answer.word())
             }
+            Self::Pace(order) => {
+                let worker = order.to.worker.clone();
+                let (task, run, percent) = (order.task, order.run, order.percent);
+                let answer = platform.pace(order).await;
+                let report = Report::Paced(worker, task, run, percent, answer);
+                ("pace", report, answer.word())
+            }
             Self::Hold(order) => {
                 let (worker, asked) = (order.to.worker.clone(), order.asked);
                 let answer = platform.hold(order).await;
--- a/crates/node/src/owner/control.rs
+++ b/crates/node/src/owner/control.rs
@@ -284,6 +284,7 @@
             match effect {
                 Effect::Start(order) => orders.push(Order::Start(order)),
                 Effect::Stop(order) => orders.push(Order::Stop(order)),
+                Effect::Pace(order) => orders.push(Order::Pace(order)),
                 Effect::Hold(order) => orders.push(Order::Hold(order)),
                 Effect::Advise {
                     node,
@@ -421,6 +422,9 @@
             Report::Stopped(worker, task, run, answer) => {
                 engine.stopped(&worker, task, run, answer, now);
             }
+            Report::Paced(worker, task, run, percent, answer) => {
+                engine.paced(&worker, task, run, percent, answer, now);
+            }
             Report::Held(worker, asked, answer) => engine.held(&worker, asked, answer, now),
         }
     }
--- a/crates/node/src/port.rs
+++ b/crates/node/src/port.rs
@@ -10,6 +10,7 @@
     config::Config,
     effect::{
         Hold,
+        Pace,
         Start,
         Stop, //
     },
@@ -164,6 +165,9 @@
     /// Orders a stop.
     fn stop(&self, order: Stop) -> impl Future<Output = StopAnswer> + Send;
 
+    /// Orders a pace.
+    fn pace(&self, order: Pace) -> impl Future<Output = StopAnswer> + Send;
+
     /// Extends a worker's lease and asks for its inventory.
     fn hold(&self, order: Hold) -> impl Future<Output = HoldAnswer> + Send;
 
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -21,6 +21,7 @@
     },
     effect::{
         Hold,
+        Pace,
         Start,
         Stop, //
     },
@@ -373,6 +374,10 @@
         StopAnswer::Confirmed
     }
 
+    async fn pace(&self, _: Pace) -> StopAnswer {
+        StopAnswer::Confirmed
+    }
+
     async fn hold(&self, order: Hold) -> HoldAnswer {
         let until = Instant::now() + order.wait;
         loop {
@@ -400,6 +405,7 @@
                     task: *task,
                     run: *run,
                     checkpoint: None,
+                    load: 0,
                 });
                 return HoldAnswer::Listed(Inventory {
                     clock: 1,
