--- /dev/null
+++ b/crates/node/src/member/follow.rs
@@ -0,0 +1,251 @@
+//! What a node does that doesn't own the cell: it believes the owner well, or claims the cell.
+
+use std::time::Duration;
+
+use fulmarpier_cell::{
+    id::Epoch,
+    record::Claim, //
+};
+use fulmarpier_state::unit::Millicores;
+use fulmarpier_transport::rpc;
+use rand::random_range;
+use tokio::time::{
+    Instant,
+    sleep,
+    timeout, //
+};
+
+use super::{
+    HELLO_PATIENCE,
+    STORE_TIMES,
+    Seen,
+    append,
+    hear_of_owner,
+    hearsay,
+    read,
+    try_read, //
+};
+use crate::{
+    message::{
+        self,
+        Question,
+        Reply, //
+    },
+    port::{
+        Error,
+        Platform, //
+    },
+    shared::Shared,
+    watch::pause,
+};
+
+/// How often a node asks the owner whether it still owns the cell.
+const HELLO: Duration = Duration::from_millis(250);
+/// How often a node that the owner outranks does; 30 of them greeting four times a second took the owner
+/// a hundredth of a core.
+const WEAK_HELLO: Duration = Duration::from_millis(700);
+/// A claim that was not renewed for this long, beside the store's usual time, has lapsed: two renewals.
+/// Only an owner that doesn't answer is judged by it. It may be short, since a claim that turns out to be
+/// wrong costs a takeover of some 0.1 s, and each 0.1 s without an owner some 5 urgent jobs.
+const LEASE: Duration = Duration::from_millis(700);
+/// An owner that is silent for this long has its renewals watched.
+const SILENCE: Duration = Duration::from_millis(200);
+/// A node outranks another whose processor is less than two thirds of its own.
+const OUTRANKS: (u64, u64) = (3, 2);
+/// For this long a weak node leaves the cell to stronger ones: their jitter and a slow append.
+const WEAK_WAIT: Duration = Duration::from_millis(250);
+/// Claimants wait up to this long, so that they don't all append at once.
+const JITTER: Duration = Duration::from_millis(60);
+
+/// Returns how long a claim that is not renewed stands.
+fn lease<P: Platform>(shared: &Shared<P>) -> Duration {
+    LEASE + STORE_TIMES * shared.store.usual()
+}
+
+/// Reads the newest claim again; a renewal that was seen before keeps its age.
+async fn reread<P: Platform>(shared: &Shared<P>, seen: Seen) -> Seen {
+    match try_read(shared).await {
+        Some(newer) if newer.end == seen.end => seen,
+        Some(newer) => newer,
+        None => {
+            pause().await;
+            // The lease counts only while the store is known to answer.
+            Seen {
+                since: Instant::now(),
+                ..seen
+            }
+        }
+    }
+}
+
+/// What is believed of the owner.
+enum Belief {
+    /// It answers as the owner, under a claim that was renewed so often.
+    Well(u32),
+    /// It is gone, or says that it doesn't own the cell.
+    Vacant(&'static str),
+    /// It gave no answer.
+    Silent,
+    /// There is a later claim.
+    Replaced(Claim),
+}
+
+fn epoch(seen: &Seen) -> Option<Epoch> {
+    seen.claim.as_ref().map(|claim| claim.epoch)
+}
+
+/// Follows the owner until there is another claim.
+pub(super) async fn follow<P: Platform>(shared: &Shared<P>, mut seen: Seen) -> Seen {
+    let mut answered = Instant::now();
+    // How often the claim had been renewed by then, where the owner has said so.
+    let mut renewed = 0;
+    loop {
+        let belief = believe(shared, seen.claim.as_ref()).await;
+        let why = match belief {
+            Belief::Well(renewal) => {
+                answered = Instant::now();
+                renewed = renewal;
+                // A released claim or a peer's word may come before the next exchange.
+                let pause = hello_pause(shared, seen.claim.as_ref());
+                let _ = timeout(pause, shared.vacant.notified()).await;
+                continue;
+            }
+            Belief::Replaced(claim) => return hearsay(shared, claim),
+            Belief::Vacant(why) => why,
+            Belief::Silent => {
+                if answered.elapsed() >= SILENCE {
+                    let before = epoch(&seen);
+                    seen = reread(shared, seen).await;
+                    if epoch(&seen) != before {
+                        return seen;
+                    }
+                    let renewal = seen.claim.as_ref().map(|claim| claim.renewal);
+                    if renewal.is_some_and(|renewal| renewal <= renewed) {
+                        // It was not renewed since the owner last answered.
+                        seen.since = seen.since.min(answered);
+                    }
+                }
+                if answered.elapsed() < SILENCE || seen.since.elapsed() < lease(shared) {
+                    sleep(HELLO / 4).await;
+                    continue;
+                }
+                "lapsed"
+            }
+        };
+        if shared.is_leaving() {
+            sleep(HELLO).await;
+            return reread(shared, seen).await;
+        }
+        sleep(wait_before_claim(shared, seen.claim.as_ref())).await;
+        // Renewals have moved the end since the claim was read, and another may have come first.
+        let Some(fresh) = try_read(shared).await else {
+            if let Some(claim) = hear_of_owner(shared).await {
+                return hearsay(shared, claim);
+            }
+            pause().await;
+            return seen;
+        };
+        if epoch(&fresh) != epoch(&seen) {
+            return fresh;
+        }
+        return claim(shared, fresh, why).await;
+    }
+}
+
+async fn believe<P: Platform>(shared: &Shared<P>, claim: Option<&Claim>) -> Belief {
+    let Some(claim) = claim else {
+        return Belief::Vacant("first");
+    };
+    if claim.released {
+        return Belief::Vacant("released");
+    }
+    if claim.node == shared.name {
+        // It is this node's, and this process doesn't hold it.
+        return Belief::Vacant("former-life");
+    }
+    let hello = Question::Hello {
+        node: shared.name.clone(),
+        address: shared.address,
+        processor: shared.processor,
+        may_own: may_own(shared),
+    };
+    match message::ask(&shared.rpc, claim.address, &hello, HELLO_PATIENCE).await {
+        Ok(Reply::Owner(newer)) if newer.epoch == claim.epoch => Belief::Well(newer.renewal),
+        Ok(Reply::Owner(newer)) if newer.epoch > claim.epoch => Belief::Replaced(newer),
+        Ok(Reply::NotOwner {
+            claim: known,
+            incarnation,
+        }) => disowned(claim, known, incarnation),
+        Err(rpc::Error::Refused { .. }) => Belief::Vacant("refused"),
+        Ok(_) | Err(_) => Belief::Silent,
+    }
+}
+
+/// Says what it means that a claim's node doesn't own the cell.
+fn disowned(claim: &Claim, known: Option<Claim>, incarnation: u64) -> Belief {
+    let epoch = known.as_ref().map(|known| known.epoch).unwrap_or_default();
+    match known {
+        Some(newer) if newer.epoch > claim.epoch => Belief::Replaced(newer),
+        // It has not heard yet that its own claim was kept.
+        _ if incarnation == claim.incarnation && epoch < claim.epoch => Belief::Silent,
+        _ => Belief::Vacant("disowned"),
+    }
+}
+
+/// Returns whether this node could claim the cell now.
+pub(super) fn may_own<P: Platform>(shared: &Shared<P>) -> bool {
+    !shared.store.is_failing() && !shared.is_leaving()
+}
+
+/// Returns whether a node is so much stronger than another that it should own the cell in its place.
+pub(crate) fn outranks(processor: Millicores, other: Millicores) -> bool {
+    let (processor, other) = (u64::from(processor.get()), u64::from(other.get()));
+    processor * OUTRANKS.1 >= other * OUTRANKS.0
+}
+
+/// Returns how long to wait between two greetings: weak nodes leave it to others to find the owner gone.
+fn hello_pause<P: Platform>(shared: &Shared<P>, owner: Option<&Claim>) -> Duration {
+    let is_weak = owner.is_some_and(|owner| outranks(owner.processor, shared.processor));
+    if is_weak { WEAK_HELLO } else { HELLO }
+}
+
+/// Returns how long to wait before a claim: those who decided before, or were to, had a stronger
+/// processor than the weak nodes, which leave the cell to others like them.
+fn wait_before_claim<P: Platform>(shared: &Shared<P>, former: Option<&Claim>) -> Duration {
+    let is_weak = former.is_some_and(|former| outranks(former.processor, shared.processor));
+    let least = if is_weak { WEAK_WAIT } else { Duration::ZERO };
+    least + JITTER.mul_f64(random_range(0.0..=1.0))
+}
+
+/// Claims the cell, if the claim that was seen is still the newest.
+async fn claim<P: Platform>(shared: &Shared<P>, seen: Seen, why: &'static str) -> Seen {
+    let former = seen.claim.as_ref().map(|claim| claim.epoch);
+    let claim = Claim {
+        epoch: former.unwrap_or_default().next(),
+        node: shared.name.clone(),
+        address: shared.address,
+        incarnation: shared.incarnation,
+        renewal: 0,
+        released: false,
+        processor: shared.processor,
+    };
+    let result = append(shared, &claim, seen.end).await;
+    let outcome = result.as_ref().err().map_or("won", Error::word);
+    slog::info!(shared.log, "claim"; "epoch" => %claim.epoch, "why" => why,
+        "outcome" => outcome);
+    match result {
+        Ok(end) => {
+            shared.claim.send_replace(Some(claim.clone()));
+            Seen {
+                claim: Some(claim),
+                end,
+                since: Instant::now(),
+            }
+        }
+        Err(Error::Moved { .. }) => read(shared).await,
+        Err(_) => {
+            pause().await;
+            read(shared).await
+        }
+    }
+}
--- a/crates/node/src/owner/control.rs
+++ b/crates/node/src/owner/control.rs
@@ -51,23 +51,20 @@
     sync::mpsc,
     time::{
         Instant,
-        sleep,
         sleep_until, //
     },
 };
 
 use super::{
     given::Given,
+    orders::Failure,
     share::{
         Peer,
         Share, //
     },
 };
 use crate::{
-    hand::{
-        Orders,
-        Reports, //
-    },
+    hand::Reports,
     message::{
         self,
         Question,
@@ -87,20 +84,15 @@
 /// ten times that. At 1.5 s the most urgent jobs were late whenever connections to nodes fell silent.
 const ADVICE_SLACK: Duration = Duration::from_millis(300);
 
-/// How long orders for other nodes are gathered. Each call between nodes costs the owner some 0.1 ms, and
-/// a fleet of 350 workers has 1,750 orders a second; the most urgent jobs have 650 ms to spare.
-const GATHER: Duration = Duration::from_millis(6);
 /// The actor is told each 25 ms that time has passed; without any event for this long its process stood
 /// still. A claim lapses after 0.7 s, so another owner may be at work.
 const STALLED: Duration = Duration::from_millis(900);
-/// How long a node may take to take orders in.
-const ORDERS_PATIENCE: Duration = Duration::from_millis(300);
 
 /// The actor that holds the engine; the only one that gives orders.
 #[derive(Actor)]
 pub(crate) struct Control<P: Platform> {
-    engine: Engine,
-    shared: Arc<Shared<P>>,
+    pub(super) engine: Engine,
+    pub(super) shared: Arc<Shared<P>>,
     records: mpsc::UnboundedSender<Vec<Entry>>,
     /// Whether the actor will be told that time has passed when a pass is due.
     is_timed: bool,
@@ -108,30 +100,12 @@
     is_deposed: bool,
     /// When the last event was taken.
     last: Instant,
-    share: Share,
-    given: Given,
+    pub(super) share: Share,
+    pub(super) given: Given,
     /// Orders that other nodes give, until they are sent together.
-    gathered: HashMap<SocketAddr, Vec<(u64, Order)>>,
+    pub(super) gathered: HashMap<SocketAddr, Vec<(u64, Order)>>,
     /// Whether the actor will be told to send them.
-    is_gathering: bool,
-}
-
-/// Why a node did not take orders.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Failure {
-    /// They certainly didn't reach it, or it refused them.
-    Unsent,
-    /// It gave no answer.
-    Unanswered,
-}
-
-impl Failure {
-    const fn word(self) -> &'static str {
-        match self {
-            Self::Unsent => "unsent",
-            Self::Unanswered => "unanswered",
-        }
-    }
+    pub(super) is_gathering: bool,
 }
 
 /// What happened.
@@ -326,109 +300,6 @@
         self.shared.meter.note(&self.shared.log, note);
     }
 
-    /// Has orders given, each by the node that it falls to.
-    fn order(&mut self, orders: Vec<Order>, own: &ActorRef<Self>) {
-        let workers = self.engine.worker_count();
-        for order in orders {
-            match self.share.node_of(&order.to().worker, workers) {
-                Some(node) => {
-                    let number = self.given.add(order.clone());
-                    let gathered = self.gathered.entry(node).or_default();
-                    gathered.push((number, order));
-                }
-                None => self.order_here(order, own.downgrade()),
-            }
-        }
-        if self.gathered.is_empty() || std::mem::replace(&mut self.is_gathering, true) {
-            return;
-        }
-        let own = own.downgrade();
-        tokio::spawn(async move {
-            sleep(GATHER).await;
-            tell(&own, Event::Gathered).await;
-        });
-    }
-
-    /// Sends the orders that were gathered for other nodes.
-    fn send_gathered(&mut self, own: &ActorRef<Self>) {
-        self.is_gathering = false;
-        for (node, orders) in std::mem::take(&mut self.gathered) {
-            self.order_there(node, orders, own.downgrade());
-        }
-    }
-
-    fn order_here(&self, order: Order, own: WeakActorRef<Self>) {
-        let shared = self.shared.clone();
-        tokio::spawn(async move {
-            let report = order.carry_out(&shared.platform, &shared.meter).await;
-            tell(&own, Event::Reported(report)).await;
-        });
-    }
-
-    fn order_there(&self, node: SocketAddr, orders: Vec<(u64, Order)>, own: WeakActorRef<Self>) {
-        let shared = self.shared.clone();
-        let epoch = self.engine.epoch();
-        let numbers: Vec<u64> = orders.iter().map(|(number, _)| *number).collect();
-        let orders = Question::Orders(Orders {
-            epoch,
-            owner: shared.address,
-            orders,
-        });
-        tokio::spawn(async move {
-            let answer = message::ask(&shared.rpc, node, &orders, ORDERS_PATIENCE).await;
-            let failure = match answer {
-                Ok(Reply::Noted) => return,
-                Ok(_) => Failure::Unsent,
-                Err(error) if error.not_run() => Failure::Unsent,
-                Err(_) => Failure::Unanswered,
-            };
-            tell(&own, Event::NotGiven(node, failure, numbers)).await;
-        });
-    }
-
-    /// Takes in what came of orders that other nodes gave.
-    fn take_reports(&mut self, reports: Reports) {
-        if reports.epoch != self.engine.epoch() {
-            return;
-        }
-        for (number, report) in reports.reports {
-            if self.given.settle(number) {
-                self.take_report(report);
-            }
-        }
-    }
-
-    fn take_not_given(&mut self, node: SocketAddr, failure: Failure, numbers: &[u64]) {
-        if self.share.avoid(node) {
-            slog::warn!(self.shared.log, "orders-not-given"; "node" => %node,
-                "orders" => numbers.len(), "why" => failure.word());
-        }
-        let reports = match failure {
-            Failure::Unsent => self.given.unsent(numbers),
-            Failure::Unanswered => self.given.unanswered(numbers),
-        };
-        for report in reports {
-            self.take_report(report);
-        }
-    }
-
-    fn take_report(&mut self, report: Report) {
-        let now = self.shared.clock.now();
-        let engine = &mut self.engine;
-        match report {
-            Report::Started(worker, task, run, answer) => {
-                engine.started(&worker, task, run, answer, now);
-            }
-            Report::Stopped(worker, task, run, answer) => {
-                engine.stopped(&worker, task, run, answer, now);
-            }
-            Report::Paced(worker, task, run, percent, answer) => {
-                engine.paced(&worker, task, run, percent, answer, now);
-            }
-            Report::Held(worker, asked, answer) => engine.held(&worker, asked, answer, now),
-        }
-    }
-
     /// Asks for advice here, or has another node ask.
     fn advise(
         &self,
@@ -477,7 +348,7 @@
 }
 
 /// Tells the actor, unless it has ended.
-async fn tell<P: Platform>(control: &WeakActorRef<Control<P>>, event: Event) {
+pub(super) async fn tell<P: Platform>(control: &WeakActorRef<Control<P>>, event: Event) {
     if let Some(control) = control.upgrade() {
         // It may be ending.
         let _ = control.tell(event).await;
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -2,6 +2,7 @@
 
 mod control;
 mod given;
+mod orders;
 mod recorder;
 mod share;
 mod tail;
