One copy of the patience for orders, and of how many workers are enough

The node's and the adapter's figures had to agree and stood twice; asking and renewing added rooms up in two like loops. Behaviour as it was.

--- a/crates/cell/src/engine/ask.rs
+++ b/crates/cell/src/engine/ask.rs
@@ -51,6 +51,21 @@
     demand.step.gang || demand.queue.priority == 0
 }
 
+/// Returns how many workers with these rooms, in this order, hold as many tasks as wanted; `None` where all
+/// of them don't, or all are to be asked about.
+fn enough(
+    demand: &Demand<'_>,
+    mut rooms: impl Iterator<Item = usize>,
+    wanted: f64,
+) -> Option<usize> {
+    let mut sum = 0.0;
+    let last = rooms.position(|room| {
+        sum += room as f64;
+        sum >= wanted
+    });
+    last.filter(|_| is_choosy(demand)).map(|last| last + 1)
+}
+
 impl Engine {
     /// Returns whether it is known which workers may run a step.
     pub(super) fn has_advice(&self, id: StepId) -> bool {
@@ -89,17 +104,12 @@
         named.sort_by_key(|(_, _, free)| std::cmp::Reverse(*free));
         let share = self.experience.share(&demand.queue.name);
         let wanted = stage.waiting.len() as f64 * ROOM_TIMES / share;
-        let mut room = 0.0;
-        let enough = named.iter().position(|(_, fits, _)| {
-            room += *fits as f64;
-            room >= wanted
-        });
+        let enough = enough(&demand, named.iter().map(|(_, fits, _)| *fits), wanted);
         let most = match demand.step.gang {
             true => usize::MAX,
             false => MOST_NAMED,
         };
-        let count = enough.filter(|_| is_choosy(&demand));
-        let count = count.map_or(most, |last| (last + 1).max(LEAST_NAMED));
+        let count = enough.map_or(most, |count| count.max(LEAST_NAMED));
         named.truncate(count.min(most));
         let named = named.into_iter().map(|(slot, ..)| slot).collect();
         self.call(id, named, now);
@@ -144,12 +154,8 @@
         // The roomiest first, and no more of them than are needed.
         rooms.sort_by_key(|(slot, room)| (std::cmp::Reverse(*room), *slot));
         let wanted = stage.waiting.len() as f64 * REFRESH_TIMES;
-        let mut sum = 0.0;
-        let enough = rooms.iter().position(|(_, room)| {
-            sum += *room as f64;
-            sum >= wanted && is_choosy(&demand)
-        });
-        rooms.truncate(enough.map_or(rooms.len(), |last| last + 1));
+        let enough = enough(&demand, rooms.iter().map(|(_, room)| *room), wanted);
+        rooms.truncate(enough.unwrap_or(rooms.len()));
         let slots: Vec<Slot> = rooms.into_iter().map(|(slot, _)| slot).collect();
         let stale: Vec<Slot> = slots.iter().copied().filter(is_stale).collect();
         if is_gang {
--- a/crates/node/src/order.rs
+++ b/crates/node/src/order.rs
@@ -29,15 +29,14 @@
 use tokio::time::Instant;
 
 use crate::{
-    port::Platform,
+    port::{
+        INVENTORY,
+        ORDER,
+        Platform, //
+    },
     report::Meter, //
 };
 
-/// How long an order takes at most until it is answered or given up: the platform's client gives up
-/// after 0.25 s, and after 0.8 s an inventory that the worker doesn't hold back.
-const ORDER: Duration = Duration::from_millis(250);
-const INVENTORY: Duration = Duration::from_millis(800);
-
 /// An order to a worker.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) enum Order {
--- a/crates/node/src/port.rs
+++ b/crates/node/src/port.rs
@@ -28,6 +28,12 @@
     },
 };
 
+/// How long a worker may take to answer an order: it answers within milliseconds or not at all, and the most
+/// urgent jobs have 650 ms to spare.
+pub const ORDER: Duration = Duration::from_millis(250);
+/// How much longer than it was told to wait a worker may take for its inventory.
+pub const INVENTORY: Duration = Duration::from_millis(800);
+
 /// What the store keeps, each with the newest record of every key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Topic {
