--- a/crates/node/src/owner/tail.rs
+++ b/crates/node/src/owner/tail.rs
@@ -47,9 +47,9 @@
 /// How often partitions of jobs are read whose node is gone: it may be cut off from the owner alone and go
 /// on taking jobs, or have died as it took one.
 const JOBS_LOOK: Duration = Duration::from_millis(500);
-/// How often those are read whose nodes are there and tell the owner of each job themselves. Each of the 16
-/// partitions costs a call.
-const JOBS_PRESENT: Duration = Duration::from_secs(5);
+/// How often those are read whose nodes are there and tell the owner of each job themselves. A word may reach
+/// an owner that is just being replaced, and a cancellation has to be in force within 3 s.
+const JOBS_PRESENT: Duration = Duration::from_millis(1_500);
 /// How often those are read that no node is known to write to.
 const JOBS_UNKNOWN: Duration = Duration::from_millis(1_500);
 /// For this long a node that is gone may go on writing: cuts last some seconds.
