Hand the cell to the node that the owner steps aside for

Change: the owner appends the next claim in the successor's name while it goes on deciding, then tells the successor and the others. Equals never outrank each other, the link counts in a node's strength, a leaving owner prefers the node that was restarted last.

--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -152,8 +152,8 @@
     pub renewal: u32,
     /// The owner has given the cell up; anyone may claim it at once.
     pub released: bool,
-    /// The processor of the owner, or of the node that it gave the cell up for.
-    pub processor: Millicores,
+    /// How strong the owner is among the nodes.
+    pub strength: Millicores,
 }
 
 /// Encodes a record.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,7 +16,9 @@
 //! | `owner` | the owner's actor, its takeover, and what it reads and writes |
 //! | `watch` | follows the configuration and the list of workers |
 //! | `message` | what nodes ask each other |
+//! | `pulse` | how late this process gets its processor |
 //! | `report` | logs and metrics |
+//! | [`succession`] | who should own the cell next, and when an owner should let go |
 
 pub mod front;
 mod hand;
@@ -29,8 +31,10 @@
 mod order;
 mod owner;
 pub mod port;
+mod pulse;
 mod report;
 mod shared;
+pub mod succession;
 mod watch;
 
 pub use self::{
--- a/crates/node/src/member/follow.rs
+++ b/crates/node/src/member/follow.rs
@@ -6,7 +6,6 @@
     id::Epoch,
     record::Claim, //
 };
-use fulmarpier_state::unit::Millicores;
 use fulmarpier_transport::rpc;
 use rand::random_range;
 use tokio::time::{
@@ -36,6 +35,10 @@
         Platform, //
     },
     shared::Shared,
+    succession::{
+        self,
+        outranks, //
+    },
     watch::pause,
 };
 
@@ -50,9 +53,7 @@
 const LEASE: Duration = Duration::from_millis(700);
 /// An owner that is silent for this long has its renewals watched.
 const SILENCE: Duration = Duration::from_millis(200);
-/// A node outranks another whose processor is less than two thirds of its own.
-const OUTRANKS: (u64, u64) = (3, 2);
-/// For this long a weak node leaves the cell to stronger ones: their jitter and a slow append.
+/// For this long a weak or slow node leaves the cell to others: their jitter and a slow append.
 const WEAK_WAIT: Duration = Duration::from_millis(250);
 /// Claimants wait up to this long, so that they don't all append at once.
 const JITTER: Duration = Duration::from_millis(60);
@@ -100,6 +101,9 @@
     // How often the claim had been renewed by then, where the owner has said so.
     let mut renewed = 0;
     loop {
+        if let Some(newer) = told(shared, &seen) {
+            return newer;
+        }
         let belief = believe(shared, seen.claim.as_ref()).await;
         let why = match belief {
             Belief::Well(renewal) => {
@@ -138,6 +142,9 @@
         }
         sleep(wait_before_claim(shared, seen.claim.as_ref())).await;
         // Renewals have moved the end since the claim was read, and another may have come first.
+        if let Some(newer) = told(shared, &seen) {
+            return newer;
+        }
         let Some(fresh) = try_read(shared).await else {
             if let Some(claim) = hear_of_owner(shared).await {
                 return hearsay(shared, claim);
@@ -152,6 +159,13 @@
     }
 }
 
+/// Returns the claim that another node has told of, where it is a later one.
+fn told<P: Platform>(shared: &Shared<P>, seen: &Seen) -> Option<Seen> {
+    let known = shared.claim.borrow().clone()?;
+    let is_news = epoch(seen).is_none_or(|epoch| epoch < known.epoch);
+    is_news.then(|| hearsay(shared, known))
+}
+
 async fn believe<P: Platform>(shared: &Shared<P>, claim: Option<&Claim>) -> Belief {
     let Some(claim) = claim else {
         return Belief::Vacant("first");
@@ -163,12 +177,7 @@
         // It is this node's, and this process doesn't hold it.
         return Belief::Vacant("former-life");
     }
-    let hello = Question::Hello {
-        node: shared.name.clone(),
-        address: shared.address,
-        processor: shared.processor,
-        may_own: may_own(shared),
-    };
+    let hello = Question::Hello(shared.greeting());
     match message::ask(&shared.rpc, claim.address, &hello, HELLO_PATIENCE).await {
         Ok(Reply::Owner(newer)) if newer.epoch == claim.epoch => Belief::Well(newer.renewal),
         Ok(Reply::Owner(newer)) if newer.epoch > claim.epoch => Belief::Replaced(newer),
@@ -192,28 +201,21 @@
     }
 }
 
-/// Returns whether this node could claim the cell now.
-pub(super) fn may_own<P: Platform>(shared: &Shared<P>) -> bool {
-    !shared.store.is_failing() && !shared.is_leaving()
-}
-
-/// Returns whether a node is so much stronger than another that it should own the cell in its place.
-pub(crate) fn outranks(processor: Millicores, other: Millicores) -> bool {
-    let (processor, other) = (u64::from(processor.get()), u64::from(other.get()));
-    processor * OUTRANKS.1 >= other * OUTRANKS.0
-}
-
 /// Returns how long to wait between two greetings: weak nodes leave it to others to find the owner gone.
 fn hello_pause<P: Platform>(shared: &Shared<P>, owner: Option<&Claim>) -> Duration {
-    let is_weak = owner.is_some_and(|owner| outranks(owner.processor, shared.processor));
+    let is_weak = owner.is_some_and(|owner| outranks(owner.strength, shared.strength));
     if is_weak { WEAK_HELLO } else { HELLO }
 }
 
-/// Returns how long to wait before a claim: those who decided before, or were to, had a stronger
-/// processor than the weak nodes, which leave the cell to others like them.
+/// Returns how long to wait before a claim: nodes that are weaker than the former owner leave the cell to
+/// others like it, and slow ones to quick ones.
 fn wait_before_claim<P: Platform>(shared: &Shared<P>, former: Option<&Claim>) -> Duration {
-    let is_weak = former.is_some_and(|former| outranks(former.processor, shared.processor));
-    let least = if is_weak { WEAK_WAIT } else { Duration::ZERO };
+    let is_weak = former.is_some_and(|former| outranks(former.strength, shared.strength));
+    let is_late = !succession::is_quick(shared.pulse.timers());
+    let least = match is_weak || is_late {
+        true => WEAK_WAIT,
+        false => Duration::ZERO,
+    };
     least + JITTER.mul_f64(random_range(0.0..=1.0))
 }
 
@@ -227,7 +229,7 @@
         incarnation: shared.incarnation,
         renewal: 0,
         released: false,
-        processor: shared.processor,
+        strength: shared.strength,
     };
     let result = append(shared, &claim, seen.end).await;
     let outcome = result.as_ref().err().map_or("won", Error::word);
--- a/crates/node/src/member/mod.rs
+++ b/crates/node/src/member/mod.rs
@@ -26,14 +26,7 @@
     timeout, //
 };
 
-pub(crate) use self::follow::outranks;
-use self::{
-    follow::{
-        follow,
-        may_own, //
-    },
-    own::own_cell,
-};
+use self::{follow::follow, own::own_cell};
 use crate::{
     message::{
         self,
@@ -112,12 +105,7 @@
 /// Asks the nodes that this one knows for a newer claim than its own.
 async fn hear_of_owner<P: Platform>(shared: &Shared<P>) -> Option<Claim> {
     let peers = shared.peers.lock().await.clone();
-    let hello = Question::Hello {
-        node: shared.name.clone(),
-        address: shared.address,
-        processor: shared.processor,
-        may_own: may_own(shared),
-    };
+    let hello = Question::Hello(shared.greeting());
     let asked = peers
         .iter()
         .map(|peer| message::ask(&shared.rpc, peer.address, &hello, HELLO_PATIENCE));
--- a/crates/node/src/member/own.rs
+++ b/crates/node/src/member/own.rs
@@ -6,13 +6,13 @@
 };
 
 use fulmarpier_cell::record::Claim;
-use fulmarpier_state::unit::Millicores;
 use futures::{
     StreamExt,
     future::join_all,
     stream::FuturesUnordered, //
 };
 use tokio::time::{
+    Instant,
     sleep,
     timeout, //
 };
@@ -33,19 +33,30 @@
     },
     owner::{
         Event,
+        Peer,
         take_over, //
     },
     port::Platform,
+    report::millis,
     shared::{
         Acting,
         Shared, //
     },
+    succession::{
+        self,
+        Greeting,
+        Reason, //
+    },
 };
 
 /// How often the owner renews its claim.
 const RENEW: Duration = Duration::from_millis(300);
 /// An owner gives the cell up for a stronger node after this time: each change of owners costs 0.1 s.
 const TENURE: Duration = Duration::from_secs(3);
+/// How often the owner weighs whether another should own the cell.
+const WEIGH: Duration = Duration::from_millis(100);
+/// A node that greeted the owner longer ago takes nothing over: weak ones greet each 0.7 s.
+const FRESH: Duration = Duration::from_millis(1_000);
 /// After this long without the store the owner asks the others whether it is away for them too.
 const ASK_PEERS: Duration = Duration::from_millis(600);
 /// How often the owner looks whether the store owes it an answer for so long.
@@ -65,28 +76,38 @@
         let claim = claim.clone();
         async move { take_over(&shared, &claim).await.is_ok() }
     });
-    let why = tokio::select! {
-        why = dismissed(shared) => why,
-        why = outranked(shared) => why,
-        why = renew(shared, &mut claim, &mut end) => why,
-        why = doubt(shared) => why,
-        () = shared.stalled.notified() => "stalled",
+    shared.pulse.forget_events();
+    let ending = tokio::select! {
+        ending = dismissed(shared) => ending,
+        reason = relieved(shared) => Ending::Wanted(reason),
+        why = renew(shared, &mut claim, &mut end) => Ending::Forced(why),
+        why = doubt(shared) => Ending::Forced(why),
+        () = shared.stalled.notified() => Ending::Released("stalled"),
+    };
+    slog::info!(shared.log, "ownership-ends"; "epoch" => %claim.epoch, "why" => ending.word(),
+        "lag_ms" => millis(shared.pulse.owner()));
+    let peers = shared.peers.lock().await.clone();
+    // While the successor's claim is on its way this node goes on deciding.
+    let successor = match ending {
+        Ending::Wanted(reason) => hand_over(shared, &claim, &mut end, reason).await,
+        Ending::Released(_) | Ending::Forced(_) => None,
     };
-    slog::info!(shared.log, "ownership-ends"; "epoch" => %claim.epoch, "why" => why);
     taking.abort();
     if let Some(control) = shared.control() {
         // It may have ended already.
         let _ = control.tell(Event::Deposed).await;
     }
     shared.acting.send_replace(None);
-    let peers = shared.peers.lock().await.clone();
-    if matches!(why, "leaving" | "outranked" | "stalled") {
+    if let Some(successor) = successor {
+        tell_of(shared, successor, &peers).await;
+        return;
+    }
+    if matches!(ending, Ending::Wanted(_) | Ending::Released(_)) {
         claim.released = true;
-        claim.processor = claim.processor.max(*shared.outranked.borrow());
         // Without it the others see that this process is gone, or have seen it.
         let _ = timeout(RENEWAL_PATIENCE, append(shared, &claim, end)).await;
     }
-    if why != "replaced" {
+    if ending.word() != "replaced" {
         let vacant = Question::Vacant(claim.epoch);
         let told = peers
             .iter()
@@ -95,29 +116,126 @@
     }
 }
 
+/// How an ownership ends.
+#[derive(Clone, Copy)]
+enum Ending {
+    /// This node wants another to own the cell.
+    Wanted(Reason),
+    /// It gives the cell up, to whoever claims it first.
+    Released(&'static str),
+    /// It has lost the cell, or must not trust that it owns it.
+    Forced(&'static str),
+}
+
+impl Ending {
+    const fn word(self) -> &'static str {
+        match self {
+            Self::Wanted(reason) => reason.word(),
+            Self::Released(why) | Self::Forced(why) => why,
+        }
+    }
+}
+
+/// Claims the cell on behalf of the node that is to own it next.
+///
+/// A claim in that node's name saves the store's time for a release and another claim, and the time in which
+/// many nodes would race for it: 1.3 s without an owner while the store took 0.35 s a call. Returns the claim
+/// once it is on record; `None` where nobody fits or the store didn't keep it.
+async fn hand_over<P: Platform>(
+    shared: &Shared<P>,
+    claim: &Claim,
+    end: &mut u64,
+    reason: Reason,
+) -> Option<Claim> {
+    let greetings = greeted(shared).await;
+    let lag = shared.pulse.owner();
+    let next = succession::choose(shared.strength, lag, reason, &greetings)?;
+    let successor = Claim {
+        epoch: claim.epoch.next(),
+        node: next.node.clone(),
+        address: next.address,
+        incarnation: next.incarnation,
+        renewal: 0,
+        released: false,
+        strength: next.strength,
+    };
+    let patience = RENEWAL_PATIENCE + STORE_TIMES * shared.store.usual();
+    let kept = timeout(patience, keep_successor(shared, &successor, end)).await;
+    let is_kept = matches!(kept, Ok(true));
+    slog::info!(shared.log, "hand-over"; "epoch" => %successor.epoch, "why" => reason.word(),
+        "node" => successor.node.as_str(), "lag_ms" => millis(next.lag),
+        "age_ms" => millis(next.age), "outcome" => if is_kept { "kept" } else { "not-kept" });
+    is_kept.then_some(successor)
+}
+
+/// Appends a successor's claim; a renewal that was still on its way may have moved the end once.
+async fn keep_successor<P: Platform>(shared: &Shared<P>, successor: &Claim, end: &mut u64) -> bool {
+    if append(shared, successor, *end).await.is_ok() {
+        return true;
+    }
+    let Some(seen) = try_read(shared).await else {
+        return false;
+    };
+    *end = seen.end;
+    match seen.claim {
+        Some(claim) if claim == *successor => true,
+        Some(claim) if is_own(shared, &claim) => append(shared, successor, *end).await.is_ok(),
+        _ => false,
+    }
+}
+
+/// Tells the successor first, then the others, so that none of them claims the cell or asks this node.
+async fn tell_of<P: Platform>(shared: &Shared<P>, successor: Claim, peers: &[Peer]) {
+    shared.claim.send_replace(Some(successor.clone()));
+    let handed = Question::Handed(successor.clone());
+    // Whoever is not reached hears of it at its next greeting.
+    let _ = message::ask(&shared.rpc, successor.address, &handed, HELLO_PATIENCE).await;
+    let others = peers
+        .iter()
+        .filter(|peer| peer.address != successor.address);
+    let told = others.map(|peer| message::ask(&shared.rpc, peer.address, &handed, HELLO_PATIENCE));
+    join_all(told).await;
+}
+
+/// Returns what the nodes told of themselves that have greeted this one of late.
+async fn greeted<P: Platform>(shared: &Shared<P>) -> Vec<Greeting> {
+    let greetings = shared.greetings.lock().await;
+    let fresh = greetings.values().filter(|(_, at)| at.elapsed() < FRESH);
+    fresh.map(|(greeting, _)| greeting.clone()).collect()
+}
+
 /// Waits until a worker or the store tells of a later owner, or the process is to end.
-async fn dismissed<P: Platform>(shared: &Shared<P>) -> &'static str {
+async fn dismissed<P: Platform>(shared: &Shared<P>) -> Ending {
     let mut acting = shared.acting.subscribe();
     loop {
         if acting.borrow_and_update().is_none() {
-            return "fenced";
+            return Ending::Forced("fenced");
         }
         if shared.is_leaving() {
-            return "leaving";
+            return Ending::Wanted(Reason::Leaving);
         }
         // The sender lives as long as this task.
         let _ = acting.changed().await;
     }
 }
 
-/// Waits until the cell should be given up for a stronger node.
-async fn outranked<P: Platform>(shared: &Shared<P>) -> &'static str {
-    shared.outranked.send_replace(Millicores(0));
-    sleep(TENURE).await;
-    let mut stronger = shared.outranked.subscribe();
-    // The sender lives as long as this task.
-    let _ = stronger.wait_for(|processor| processor.get() > 0).await;
-    "outranked"
+/// Waits until the cell should be handed to a node that is stronger or quicker, and there is one.
+async fn relieved<P: Platform>(shared: &Shared<P>) -> Reason {
+    let began = Instant::now();
+    loop {
+        sleep(WEIGH).await;
+        let owned = began.elapsed();
+        let lag = shared.pulse.owner();
+        let reason = match () {
+            () if succession::is_slow(lag, owned) => Reason::Slow,
+            () if owned >= TENURE => Reason::Outranked,
+            () => continue,
+        };
+        let greetings = greeted(shared).await;
+        if succession::choose(shared.strength, lag, reason, &greetings).is_some() {
+            return reason;
+        }
+    }
 }
 
 /// Renews the claim until it turns out to be replaced.
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -11,7 +11,6 @@
     id::{
         Epoch,
         JobId,
-        NodeName,
         QueueName,
         StepId,
         WorkerId, //
@@ -26,32 +25,25 @@
     Call,
     peer, //
 };
-use fulmarpier_state::unit::Millicores;
 use fulmarpier_transport::rpc;
 use serde::{
     Deserialize,
     Serialize, //
 };
 
-use crate::hand::{
-    Orders,
-    Reports, //
+use crate::{
+    hand::{
+        Orders,
+        Reports, //
+    },
+    succession::Greeting, //
 };
 
 /// A question of one node to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) enum Question {
     /// A node is there and asks the owner whether it still owns the cell.
-    Hello {
-        /// The node.
-        node: NodeName,
-        /// Where it answers.
-        address: SocketAddr,
-        /// How much of a processor it may use.
-        processor: Millicores,
-        /// Whether it could claim the cell.
-        may_own: bool,
-    },
+    Hello(Greeting),
     /// A job was accepted; its record is kept.
     Accepted(Box<Accepted>),
     /// A job was cancelled; that is on record.
@@ -77,13 +69,15 @@
     Reports(Reports),
     /// The owner has given the cell up.
     Vacant(Epoch),
+    /// The owner has handed the cell over under this claim, which is on record.
+    Handed(Claim),
 }
 
 impl Question {
     /// Returns the bare word, for counters.
     pub(crate) const fn word(&self) -> &'static str {
         match self {
-            Self::Hello { .. } => "hello",
+            Self::Hello(_) => "hello",
             Self::Accepted(_) => "accepted",
             Self::Cancelled(_) => "cancelled",
             Self::Look(_) => "look",
@@ -93,6 +87,7 @@
             Self::Orders(_) => "orders",
             Self::Reports(_) => "reports",
             Self::Vacant(_) => "vacant",
+            Self::Handed(_) => "handed",
         }
     }
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -17,10 +17,9 @@
     bounds::Bounds,
     id::NodeName, //
 };
-use fulmarpier_state::{
-    alias::HashMap,
-    clock::Timestamp,
-    unit::Millicores, //
+use fulmarpier_state::unit::{
+    Bandwidth,
+    Millicores, //
 };
 use fulmarpier_transport::{
     clock::Clock,
@@ -35,6 +34,7 @@
         watch, //
     },
     time::{
+        Instant,
         MissedTickBehavior,
         interval, //
     },
@@ -57,8 +57,16 @@
         Peer, //
     },
     port::Platform,
+    pulse::{
+        self,
+        Pulse, //
+    },
     report::Meter,
     shared::Shared,
+    succession::{
+        self,
+        Greeting, //
+    },
     watch as follow,
 };
 
@@ -96,6 +104,8 @@
     pub incarnation: u64,
     /// How much of a processor it may use.
     pub processor: Millicores,
+    /// How much its link carries.
+    pub link: Bandwidth,
 }
 
 /// What a node is made of.
@@ -132,6 +142,7 @@
             address,
             incarnation,
             processor,
+            link,
         } = parts.identity;
         let listen = |source| Error::Listen { address, source };
         let (server, calls) =
@@ -141,7 +152,8 @@
             name,
             address: server.address(),
             incarnation,
-            processor,
+            strength: succession::strength(processor, link),
+            began: Instant::now(),
             bounds: parts.bounds,
             platform: parts.platform,
             rpc: client,
@@ -155,13 +167,15 @@
             is_leaving: AtomicBool::new(false),
             vacant: Notify::new(),
             stalled: Notify::new(),
-            outranked: watch::Sender::new(Millicores(0)),
+            greetings: Mutex::default(),
+            pulse: Pulse::default(),
             store: StoreHealth::new(parts.log),
         });
         let intake = Intake::start(&shared);
         tokio::spawn(follow::follow_config(shared.clone()));
         tokio::spawn(member::run(shared.clone()));
         tokio::spawn(count_left_out(shared.clone()));
+        tokio::spawn(pulse::run(shared.clone()));
         let answering = Answering::new(shared.clone());
         tokio::spawn(answering.clone().sweep());
         tokio::spawn(answering.run(calls));
@@ -193,6 +207,11 @@
         let _ = tokio::time::timeout(patience, gone).await;
     }
 
+    /// Returns how many nodes have greeted this one as the owner of late.
+    pub async fn greeted_by(&self) -> usize {
+        self.shared.greetings.lock().await.len()
+    }
+
     /// Stops answering other nodes.
     pub async fn stop(self, drain: Duration) {
         drop(self.server.close(drain).await);
@@ -213,8 +232,6 @@
 /// Answers other nodes.
 struct Answering<P: Platform> {
     shared: Arc<Shared<P>>,
-    /// When each node was last heard.
-    heard: Arc<Mutex<HashMap<NodeName, (Peer, Timestamp)>>>,
     hand: Hand<P>,
     /// Rung when a node is heard that was not there.
     news: Arc<Notify>,
@@ -224,7 +241,6 @@
     fn clone(&self) -> Self {
         Self {
             shared: self.shared.clone(),
-            heard: self.heard.clone(),
             hand: self.hand.clone(),
             news: self.news.clone(),
         }
@@ -236,7 +252,6 @@
         Self {
             hand: Hand::start(shared.clone()),
             shared,
-            heard: Arc::default(),
             news: Arc::default(),
         }
     }
@@ -261,19 +276,7 @@
         let shared = &self.shared;
         shared.meter.peer_call(question.word());
         match question {
-            Question::Hello {
-                node,
-                address,
-                processor,
-                may_own,
-            } => {
-                let peer = Peer {
-                    node,
-                    address,
-                    processor,
-                };
-                self.hello(peer, may_own).await
-            }
+            Question::Hello(greeting) => self.hello(greeting).await,
             Question::Advise {
                 step,
                 workers,
@@ -290,6 +293,13 @@
                 }
                 Reply::Noted
             }
+            Question::Handed(claim) => {
+                if claim.epoch > shared.epoch() {
+                    shared.claim.send_replace(Some(claim));
+                    shared.vacant.notify_one();
+                }
+                Reply::Noted
+            }
             other => {
                 let reply = match shared.control() {
                     Some(control) => owner::accept(&control, other).await,
@@ -300,19 +310,17 @@
         }
     }
 
-    async fn hello(&self, peer: Peer, may_own: bool) -> Reply {
+    async fn hello(&self, greeting: Greeting) -> Reply {
         let shared = &self.shared;
         let acting = shared.acting.borrow().clone();
         let Some(acting) = acting else {
             return self.not_owner();
         };
-        if may_own && member::outranks(peer.processor, shared.processor) {
-            shared.outranked.send_replace(peer.processor);
-        }
-        let now = shared.clock.now();
-        let mut heard = self.heard.lock().await;
-        let before = heard.insert(peer.node.clone(), (peer.clone(), now));
-        if before.is_none_or(|(before, _)| before != peer) {
+        let peer = Peer::from(&greeting);
+        let now = Instant::now();
+        let mut greetings = shared.greetings.lock().await;
+        let before = greetings.insert(greeting.node.clone(), (greeting, now));
+        if before.is_none_or(|(before, _)| Peer::from(&before) != peer) {
             self.news.notify_one();
         }
         Reply::Owner(acting.claim)
@@ -345,11 +353,11 @@
                 told = None;
                 continue;
             };
-            let now = self.shared.clock.now();
-            let mut heard = self.heard.lock().await;
-            heard.retain(|_, (_, at)| now.since(*at) < PEER_GONE);
-            let mut peers: Vec<Peer> = heard.values().map(|(peer, _)| peer.clone()).collect();
-            drop(heard);
+            let mut greetings = self.shared.greetings.lock().await;
+            greetings.retain(|_, (_, at)| at.elapsed() < PEER_GONE);
+            let greeted = greetings.values();
+            let mut peers: Vec<Peer> = greeted.map(|(greeting, _)| greeting.into()).collect();
+            drop(greetings);
             peers.sort_unstable();
             *self.shared.peers.lock().await = peers.clone();
             let news = (acting.epoch.0, peers.clone());
--- a/crates/node/src/owner/control.rs
+++ b/crates/node/src/owner/control.rs
@@ -135,8 +135,8 @@
     Peers(Vec<Peer>),
     /// Orders were gathered for long enough.
     Gathered,
-    /// Time has passed.
-    Tick,
+    /// Time has passed; this was due then.
+    Tick(Instant),
     /// A pass over the open steps is due.
     Pass,
     /// Another node owns the cell, or may.
@@ -237,7 +237,8 @@
                 engine.set_hands(&names, now);
                 self.share = Share::new(own, peers);
             }
-            Event::Tick => {
+            Event::Tick(due) => {
+                self.shared.pulse.note_event(due.elapsed());
                 for report in self.given.overdue() {
                     self.take_report(report);
                 }
@@ -405,6 +406,7 @@
         if self.shared.meter.may_log("believed") {
             slog::info!(self.shared.log, "believed"; "epoch" => epoch, "jobs" => counts.jobs,
                 "open_steps" => counts.open_steps, "claims" => counts.claims,
+                "lag_ms" => millis(self.shared.pulse.take_worst()),
                 "workers_heard" => counts.workers_heard,
                 "workers_silent" => counts.workers_silent,
                 "workers_unheard" => counts.workers_unheard);
--- a/crates/node/src/owner/share.rs
+++ b/crates/node/src/owner/share.rs
@@ -23,7 +23,10 @@
 
 use tokio::time::Instant;
 
-use crate::member::outranks;
+use crate::succession::{
+    Greeting,
+    outranks, //
+};
 
 /// Up to so many workers the owner gives all orders itself: 48 workers take 6% of a core there, and an
 /// order through another node takes some milliseconds and a second message.
@@ -49,6 +52,16 @@
     pub(crate) processor: Millicores,
 }
 
+impl From<&Greeting> for Peer {
+    fn from(greeting: &Greeting) -> Self {
+        Self {
+            node: greeting.node.clone(),
+            address: greeting.address,
+            processor: greeting.strength,
+        }
+    }
+}
+
 /// The nodes that give orders, each with its part of the workers.
 #[derive(Debug, Default)]
 pub(crate) struct Share {
--- a/crates/node/src/owner/tail.rs
+++ b/crates/node/src/owner/tail.rs
@@ -155,9 +155,9 @@
             else {
                 continue;
             };
-            for record in &records {
+            for event in records.iter().filter_map(event) {
                 // The actor may be ending.
-                let _ = control.tell(event(record)).await;
+                let _ = control.tell(event).await;
             }
         }
     }
@@ -189,10 +189,9 @@
     }
 }
 
-fn event(record: &Record) -> Event {
-    match JobRecord::read(record) {
-        Some(JobRecord::Accepted(accepted)) => Event::Accepted(accepted),
-        Some(JobRecord::Cancelled(job)) => Event::Cancelled(job),
-        None => Event::Tick,
-    }
+fn event(record: &Record) -> Option<Event> {
+    Some(match JobRecord::read(record)? {
+        JobRecord::Accepted(accepted) => Event::Accepted(accepted),
+        JobRecord::Cancelled(job) => Event::Cancelled(job),
+    })
 }
--- a/crates/node/src/owner/takeover.rs
+++ b/crates/node/src/owner/takeover.rs
@@ -158,11 +158,11 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut measured = tokio::time::Instant::now();
     loop {
-        ticks.tick().await;
+        let due = ticks.tick().await;
         let Some(control) = control.upgrade() else {
             return;
         };
-        if control.tell(Event::Tick).await.is_err() {
+        if control.tell(Event::Tick(due)).await.is_err() {
             return;
         }
         if measured.elapsed() >= MEASURE {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -18,17 +18,23 @@
     id::NodeName,
     record::Claim, //
 };
-use fulmarpier_state::unit::Millicores;
+use fulmarpier_state::{
+    alias::HashMap,
+    unit::Millicores, //
+};
 use fulmarpier_transport::{
     clock::Clock,
     rpc, //
 };
 use kameo::actor::ActorRef;
 use slog::Logger;
-use tokio::sync::{
-    Mutex,
-    Notify,
-    watch, //
+use tokio::{
+    sync::{
+        Mutex,
+        Notify,
+        watch, //
+    },
+    time::Instant,
 };
 
 use crate::{
@@ -49,7 +55,9 @@
         Platform,
         Topic, //
     },
+    pulse::Pulse,
     report::Meter,
+    succession::Greeting, //
 };
 
 /// The engine's actor, once this node owns the cell and has taken it over.
@@ -68,12 +76,18 @@
     }
 }
 
+/// The nodes that have greeted this one as the owner, each with when it last did.
+pub(crate) type Greetings = Mutex<HashMap<NodeName, (Greeting, Instant)>>;
+
 /// What the parts of one node share; cheap to clone.
 pub(crate) struct Shared<P: Platform> {
     pub(crate) name: NodeName,
     pub(crate) address: SocketAddr,
     pub(crate) incarnation: u64,
-    pub(crate) processor: Millicores,
+    /// How strong the node is among others.
+    pub(crate) strength: Millicores,
+    /// When this life of it began.
+    pub(crate) began: Instant,
     pub(crate) bounds: Bounds,
     pub(crate) platform: P,
     pub(crate) rpc: rpc::Client,
@@ -93,8 +107,9 @@
     pub(crate) vacant: Notify,
     /// Rung when the owner's actor finds that it stood still.
     pub(crate) stalled: Notify,
-    /// The processor of a much stronger node that has greeted this one as the owner; zero while none has.
-    pub(crate) outranked: watch::Sender<Millicores>,
+    /// What the other nodes told of themselves when they last greeted this one as the owner.
+    pub(crate) greetings: Greetings,
+    pub(crate) pulse: Pulse,
     pub(crate) store: StoreHealth,
 }
 
@@ -157,7 +172,20 @@
         Peer {
             node: self.name.clone(),
             address: self.address,
-            processor: self.processor,
+            processor: self.strength,
+        }
+    }
+
+    /// Returns what this node tells of itself.
+    pub(crate) fn greeting(&self) -> Greeting {
+        Greeting {
+            node: self.name.clone(),
+            address: self.address,
+            incarnation: self.incarnation,
+            strength: self.strength,
+            may_own: !self.store.is_failing() && !self.is_leaving(),
+            age: self.began.elapsed(),
+            lag: self.pulse.timers(),
         }
     }
 
--- /dev/null
+++ b/crates/node/src/succession.rs
@@ -0,0 +1,159 @@
+//! Who should own the cell next, and when an owner should let go of it. Pure decisions.
+//!
+//! They answer three loads: a fleet whose small nodes would own what only large ones can carry, a machine
+//! that turns slow beneath the owner, and machines that are restarted one after the other.
+
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use fulmarpier_cell::id::NodeName;
+use fulmarpier_state::unit::{
+    Bandwidth,
+    Millicores, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+/// The link that goes with a whole core, in bits a second. An owner moves some 9 Mbit/s for each core that it
+/// uses and reads some megabytes when it takes over: at 10 Mbit/s a takeover of 3,776 jobs took 2,164 ms, at
+/// 200 Mbit/s it takes a tenth of a second.
+const LINK_OF_CORE: Bandwidth = Bandwidth::from_megabits(200);
+const PER_CORE: u64 = 1_000;
+/// A node outranks another of less than two thirds of its own strength; equals never do.
+const OUTRANKS: (u64, u64) = (3, 2);
+/// An owner whose events wait this long lets go of the cell. The most urgent jobs have some 600 ms to spare
+/// for all that is done with them, a dozen events a job; on machines as they should be events wait 5 ms, and
+/// 60 ms in the half second after a takeover.
+const SLOW: Duration = Duration::from_millis(150);
+/// A node whose own timers are later than this takes no cell from a slow one.
+const QUICK: Duration = Duration::from_millis(40);
+/// So many times as quick as the slow owner the next one has to be.
+const QUICKER: u32 = 3;
+/// An owner doesn't let go for slowness so soon after it took over: it reads, adopts and starts a backlog.
+const SETTLED: Duration = Duration::from_secs(2);
+/// How much the newest reading counts in a lag, as one part of so many.
+const NEWEST_PART: u32 = 4;
+
+/// What a node tells of itself when it greets the owner.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Greeting {
+    /// The node.
+    pub node: NodeName,
+    /// Where it answers other nodes.
+    pub address: SocketAddr,
+    /// Tells two lives of it apart.
+    pub incarnation: u64,
+    /// How strong it is, see [`strength`].
+    pub strength: Millicores,
+    /// Whether it could claim the cell.
+    pub may_own: bool,
+    /// For how long this life of it has run.
+    pub age: Duration,
+    /// How late its timers are.
+    pub lag: Duration,
+}
+
+/// Why an owner lets go of the cell.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// A much stronger node is there.
+    Outranked,
+    /// Its own events wait too long.
+    Slow,
+    /// Its process is to end.
+    Leaving,
+}
+
+impl Reason {
+    /// Returns the bare word, for logs.
+    pub const fn word(self) -> &'static str {
+        match self {
+            Self::Outranked => "outranked",
+            Self::Slow => "slow",
+            Self::Leaving => "leaving",
+        }
+    }
+}
+
+/// Returns how much a node can carry: its processor, or what its link lets it use of one.
+pub fn strength(processor: Millicores, link: Bandwidth) -> Millicores {
+    let of_link = link.bits().saturating_mul(PER_CORE) / LINK_OF_CORE.bits();
+    let of_link = u32::try_from(of_link).unwrap_or(u32::MAX);
+    Millicores(processor.get().min(of_link))
+}
+
+/// Returns whether a node is so much stronger than another that it should own the cell in its place.
+pub fn outranks(strength: Millicores, other: Millicores) -> bool {
+    let (strength, other) = (u64::from(strength.get()), u64::from(other.get()));
+    strength > other && strength * OUTRANKS.1 >= other * OUTRANKS.0
+}
+
+/// Returns whether an owner should look for a quicker one, by how late its events are and how long it has
+/// owned the cell.
+pub fn is_slow(lag: Duration, owned: Duration) -> bool {
+    lag >= SLOW && owned >= SETTLED
+}
+
+/// Returns whether a node gets its processor in time, by how late its timers are.
+pub fn is_quick(lag: Duration) -> bool {
+    lag < QUICK
+}
+
+/// Chooses who owns the cell next among the nodes that have greeted the owner of late; `None` where none of
+/// them would be better.
+///
+/// The strongest come first, among those the quickest, among those the youngest: where machines are restarted
+/// in turn, those that were come last again.
+pub fn choose(
+    own: Millicores,
+    lag: Duration,
+    reason: Reason,
+    greetings: &[Greeting],
+) -> Option<&Greeting> {
+    let fits = |greeting: &&Greeting| {
+        greeting.may_own
+            && match reason {
+                Reason::Outranked => outranks(greeting.strength, own),
+                Reason::Slow => {
+                    let is_quicker = is_quick(greeting.lag) && greeting.lag * QUICKER <= lag;
+                    is_quicker && !outranks(own, greeting.strength)
+                }
+                Reason::Leaving => true,
+            }
+    };
+    let fitting: Vec<&Greeting> = greetings.iter().filter(fits).collect();
+    let strongest = fitting.iter().map(|greeting| greeting.strength).max()?;
+    let strong = fitting
+        .into_iter()
+        .filter(|greeting| !outranks(strongest, greeting.strength));
+    strong.min_by_key(|greeting| (!is_quick(greeting.lag), greeting.age))
+}
+
+/// How late events are, smoothed.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Lag {
+    smoothed: Duration,
+    worst: Duration,
+}
+
+impl Lag {
+    /// Takes in how late one event was.
+    pub fn note(&mut self, late: Duration) {
+        self.smoothed = (self.smoothed * (NEWEST_PART - 1) + late) / NEWEST_PART;
+        self.worst = self.worst.max(late);
+    }
+
+    /// Returns how late events are of late.
+    pub const fn get(&self) -> Duration {
+        self.smoothed
+    }
+
+    /// Returns how late the latest one was since this was last asked.
+    pub fn take_worst(&mut self) -> Duration {
+        std::mem::take(&mut self.worst)
+    }
+}
--- a/crates/node/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -103,6 +103,29 @@
     assert_eq!(platform.starts(1), 4);
 }
 
+#[tokio::test]
+async fn a_leaving_owner_claims_the_cell_for_its_successor() {
+    let platform = Fake::new();
+    let one = node("one", &platform);
+    ready(&one).await;
+    let (two, three) = (node("two", &platform), node("three", &platform));
+    ready(&two).await;
+    ready(&three).await;
+    until(|| async { one.greeted_by().await == 2 }).await;
+    let before = platform.claims();
+    one.leave();
+    one.disowned(SECOND).await;
+    until(|| async { platform.owner().is_some_and(|owner| owner != "one") }).await;
+    let later = &platform.claims()[before.len()..];
+    // The first record of the next ownership is the former owner's: nothing is released and raced for.
+    let handed = later.iter().find(|claim| claim.epoch.0 == 2).unwrap();
+    assert!(!handed.released && handed.renewal == 0);
+    assert!(later.iter().all(|claim| !claim.released));
+    submit(&three, 1).await.unwrap();
+    completed(&three, 1).await;
+    assert!(platform.claims().iter().all(|claim| claim.epoch.0 <= 2));
+}
+
 #[tokio::test]
 async fn another_node_takes_over_and_knows_what_was_done() {
     let platform = Fake::new();
--- /dev/null
+++ b/crates/node/tests/succession.rs
@@ -0,0 +1,139 @@
+//! Who owns the cell next, and when an owner lets go.
+
+use std::time::Duration;
+
+use fulmarpier_cell::id::NodeName;
+use fulmarpier_node::succession::{
+    Greeting,
+    Lag,
+    Reason,
+    choose,
+    is_slow,
+    outranks,
+    strength, //
+};
+use fulmarpier_state::unit::{
+    Bandwidth,
+    Millicores, //
+};
+use rstest::rstest;
+
+const MILLISECOND: Duration = Duration::from_millis(1);
+const SECOND: Duration = Duration::from_secs(1);
+
+fn greeting(name: &str, strength: u32, age: u64, lag: u64) -> Greeting {
+    Greeting {
+        node: NodeName::from(name),
+        address: ([127, 0, 0, 1], 1).into(),
+        incarnation: 1,
+        strength: Millicores(strength),
+        may_own: true,
+        age: Duration::from_secs(age),
+        lag: Duration::from_millis(lag),
+    }
+}
+
+fn chosen(own: u32, lag: u64, reason: Reason, greetings: &[Greeting]) -> Option<&str> {
+    let lag = Duration::from_millis(lag);
+    choose(Millicores(own), lag, reason, greetings).map(|greeting| greeting.node.as_str())
+}
+
+#[rstest]
+#[case::equal(250, 250, false)]
+#[case::both_unknown(0, 0, false)]
+#[case::a_little_stronger(300, 250, false)]
+#[case::half_as_much_again(375, 250, true)]
+#[case::against_nothing(1, 0, true)]
+#[case::weaker(120, 500, false)]
+fn only_a_much_stronger_node_outranks(
+    #[case] one: u32,
+    #[case] other: u32,
+    #[case] expected: bool,
+) {
+    assert_eq!(outranks(Millicores(one), Millicores(other)), expected);
+}
+
+#[rstest]
+#[case::a_wide_link(500, 200, 500)]
+#[case::a_narrow_one(500, 10, 50)]
+#[case::a_small_processor(120, 1_000, 120)]
+fn a_node_is_as_strong_as_its_weaker_part(
+    #[case] processor: u32,
+    #[case] link: u64,
+    #[case] expected: u32,
+) {
+    let link = Bandwidth::from_megabits(link);
+    assert_eq!(strength(Millicores(processor), link), Millicores(expected));
+}
+
+#[test]
+fn a_weak_owner_steps_aside_for_the_strong_alone() {
+    let weak = [greeting("weak", 50, 9, 0), greeting("equal", 50, 1, 0)];
+    assert_eq!(chosen(50, 0, Reason::Outranked, &weak), None);
+    let mixed = [
+        greeting("weak", 50, 1, 0),
+        greeting("middling", 120, 1, 0),
+        greeting("strong", 500, 9, 0),
+    ];
+    assert_eq!(chosen(50, 0, Reason::Outranked, &mixed), Some("strong"));
+}
+
+#[test]
+fn a_slow_owner_hands_over_only_to_a_quick_node_that_is_as_strong() {
+    let slow = greeting("slow", 250, 9, 90);
+    let weak = greeting("weak", 60, 9, 1);
+    let quick = greeting("quick", 250, 9, 1);
+    assert_eq!(
+        chosen(250, 200, Reason::Slow, &[slow.clone(), weak.clone()]),
+        None
+    );
+    assert_eq!(
+        chosen(250, 200, Reason::Slow, &[slow, weak, quick]),
+        Some("quick")
+    );
+}
+
+#[test]
+fn a_leaving_owner_prefers_the_node_that_was_restarted_last() {
+    let restarted = greeting("restarted", 250, 3, 1);
+    let old = greeting("old", 250, 40, 1);
+    let weak = greeting("weak", 60, 1, 1);
+    let leaving = Greeting {
+        may_own: false,
+        ..greeting("leaving", 250, 1, 1)
+    };
+    let all = [old, leaving.clone(), weak, restarted];
+    assert_eq!(chosen(250, 1, Reason::Leaving, &all), Some("restarted"));
+    assert_eq!(chosen(250, 1, Reason::Leaving, &[leaving]), None);
+}
+
+/// Events wait longer and longer behind a machine that turned slow: how long until the owner knows.
+#[test]
+fn a_machine_that_turns_slow_is_noticed_within_half_a_second() {
+    let mut lag = Lag::default();
+    for _ in 0..200 {
+        lag.note(5 * MILLISECOND);
+    }
+    let tick = 25 * MILLISECOND;
+    let mut waited = 5 * MILLISECOND;
+    let mut after = Duration::ZERO;
+    while !is_slow(lag.get(), 10 * SECOND) {
+        // Four times the work that it can do: each tick leaves three quarters of one undone.
+        waited += tick * 3 / 4;
+        after += tick;
+        lag.note(waited);
+    }
+    assert!(after <= 500 * MILLISECOND, "noticed after {after:?}");
+}
+
+#[test]
+fn a_single_late_event_is_not_slowness_nor_is_the_rush_of_a_takeover() {
+    let mut lag = Lag::default();
+    lag.note(400 * MILLISECOND);
+    assert!(!is_slow(lag.get(), 10 * SECOND));
+    for _ in 0..40 {
+        lag.note(400 * MILLISECOND);
+    }
+    assert!(!is_slow(lag.get(), SECOND));
+    assert!(is_slow(lag.get(), 10 * SECOND));
+}
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -66,6 +66,7 @@
 use fulmarpier_state::{
     resource::Resources,
     unit::{
+        Bandwidth,
         Bytes,
         Millicores, //
     },
@@ -227,6 +228,14 @@
         (!claim.released).then(|| claim.node.to_string())
     }
 
+    /// Returns all claims on record, in order.
+    pub(crate) fn claims(&self) -> Vec<Claim> {
+        let state = self.state();
+        let records = state.topics.get(&name(Topic::Claims)).into_iter().flatten();
+        let values = records.filter_map(|record| record.value.as_ref());
+        values.map(|value| record::decode(value).unwrap()).collect()
+    }
+
     /// Returns whether the store keeps a record under a key in any topic.
     pub(crate) fn keeps(&self, key: &str) -> bool {
         let state = self.state();
@@ -468,6 +477,7 @@
             address: SocketAddr::from(([127, 0, 0, 1], 0)),
             incarnation: rand::random(),
             processor,
+            link: Bandwidth::from_megabits(1_000),
         },
         bounds: Bounds::default(),
         platform: platform.clone(),
--- a/crates/protocol/src/settings/node.rs
+++ b/crates/protocol/src/settings/node.rs
@@ -5,7 +5,10 @@
     time::Duration, //
 };
 
-use fulmarpier_state::unit::Millicores;
+use fulmarpier_state::unit::{
+    Bandwidth,
+    Millicores, //
+};
 
 use super::{
     Document,
@@ -25,6 +28,9 @@
 /// The least and the most of a processor that a node can be given, in cores.
 const LEAST_CORES: f64 = 0.01;
 const MOST_CORES: f64 = 1_024.0;
+/// The least and the most that a node's link can have, in megabits a second.
+const LEAST_MEGABITS: f64 = 0.1;
+const MOST_MEGABITS: f64 = 1_000_000.0;
 
 /// The settings of one node.
 #[derive(Clone, Debug, PartialEq)]
@@ -49,6 +55,8 @@
     pub grace: Duration,
     /// How much of a processor the node may use.
     pub processor: Millicores,
+    /// How much its link carries.
+    pub link: Bandwidth,
     /// How much is logged.
     pub log_level: Level,
 }
@@ -82,6 +90,7 @@
         let workers = section.form("workers");
         let grace = seconds(section, "grace_s", 6.0, 0.5);
         let processor = cores(section, "processor_cores", 1.0);
+        let link = megabits(section, "link_mbps", 1_000.0);
         let log_level = section.or("log_level", Level::Info);
         Some(Self {
             name: name?,
@@ -94,6 +103,7 @@
             workers: workers?,
             grace: grace?,
             processor: processor?,
+            link: link?,
             log_level: log_level?,
         })
     }
@@ -125,6 +135,14 @@
     u32::try_from(millicores).ok().map(Millicores)
 }
 
+/// Reads a number of megabits a second, which may be a fraction.
+fn megabits(section: &mut Section<'_>, key: &'static str, default: f64) -> Option<Bandwidth> {
+    let value = section.within(key, default, LEAST_MEGABITS..=MOST_MEGABITS)?;
+    // A millionth of a second for each bit: the conversion checks the range.
+    let bits = Duration::try_from_secs_f64(value).ok()?.as_micros();
+    u64::try_from(bits).ok().map(Bandwidth)
+}
+
 /// Reads a number of seconds, which may be a fraction.
 fn seconds(
     section: &mut Section<'_>,
--- a/crates/state/src/unit/mod.rs
+++ b/crates/state/src/unit/mod.rs
@@ -1,10 +1,12 @@
 //! Sizes, shares and spans with units, as people write them.
 
+mod bandwidth;
 mod processor;
 mod size;
 mod span;
 
 pub use self::{
+    bandwidth::Bandwidth,
     processor::Millicores,
     size::Bytes,
     span::Span, //
--- a/crates/state/tests/unit.rs
+++ b/crates/state/tests/unit.rs
@@ -1,6 +1,7 @@
 //! Quantities as text and in both kinds of formats.
 
 use fulmarpier_state::unit::{
+    Bandwidth,
     Bytes,
     Millicores,
     ParseError,
@@ -21,6 +22,8 @@
         let cpu = Millicores(u32::try_from(number % (1 << 32)).expect("below 2^32"));
         prop_assert_eq!(cpu.to_string().parse(), Ok(cpu));
         prop_assert_eq!(Bytes(number).to_string().parse(), Ok(Bytes(number)));
+        let link = Bandwidth(number);
+        prop_assert_eq!(link.to_string().parse(), Ok(link));
         let span = Span::from_micros(number);
         prop_assert_eq!(span.to_string().parse(), Ok(span));
     }
