Let an owner whose events wait 40 ms hand the cell over

Every event passes some ten turns of one thread, so a lag of 40 ms a turn is half a second for a job.

--- a/crates/node/src/member/own.rs
+++ b/crates/node/src/member/own.rs
@@ -11,10 +11,13 @@
     future::join_all,
     stream::FuturesUnordered, //
 };
-use tokio::time::{
-    Instant,
-    sleep,
-    timeout, //
+use tokio::{
+    task::JoinHandle,
+    time::{
+        Instant,
+        sleep,
+        timeout, //
+    },
 };
 
 use super::{
@@ -87,16 +90,16 @@
     slog::info!(shared.log, "ownership-ends"; "epoch" => %claim.epoch, "why" => ending.word(),
         "lag_ms" => millis(shared.pulse.owner()));
     let peers = shared.peers.lock().await.clone();
-    // While the successor's claim is on its way this node goes on deciding.
+    // While the successor's claim is on its way this node goes on deciding, unless its decisions are what
+    // keeps the claim from leaving.
+    if matches!(ending, Ending::Wanted(Reason::Slow)) {
+        depose(shared, &taking).await;
+    }
     let successor = match ending {
         Ending::Wanted(reason) => hand_over(shared, &claim, &mut end, reason).await,
         Ending::Released(_) | Ending::Forced(_) => None,
     };
-    taking.abort();
-    if let Some(control) = shared.control() {
-        // It may have ended already.
-        let _ = control.tell(Event::Deposed).await;
-    }
+    depose(shared, &taking).await;
     shared.acting.send_replace(None);
     if let Some(successor) = successor {
         tell_of(shared, successor, &peers).await;
@@ -116,6 +119,15 @@
     }
 }
 
+/// Stops the owner's actor, or the takeover that would start it.
+async fn depose<P: Platform>(shared: &Shared<P>, taking: &JoinHandle<bool>) {
+    taking.abort();
+    if let Some(control) = shared.control() {
+        // It may have ended already.
+        let _ = control.tell(Event::Deposed).await;
+    }
+}
+
 /// How an ownership ends.
 #[derive(Clone, Copy)]
 enum Ending {
--- a/crates/node/src/succession.rs
+++ b/crates/node/src/succession.rs
@@ -25,12 +25,12 @@
 const PER_CORE: u64 = 1_000;
 /// A node outranks another of less than two thirds of its own strength; equals never do.
 const OUTRANKS: (u64, u64) = (3, 2);
-/// An owner whose events wait this long lets go of the cell. The most urgent jobs have some 600 ms to spare
-/// for all that is done with them, a dozen events a job; on machines as they should be events wait 5 ms, and
-/// 60 ms in the half second after a takeover.
-const SLOW: Duration = Duration::from_millis(150);
+/// An owner whose events wait this long lets go of the cell. A job passes some ten events from its arrival to
+/// its order, each behind the others of one thread, and the most urgent jobs have some 600 ms to spare for all
+/// of them. On machines as they should be events wait 1 to 5 ms, and up to 30 ms right after a takeover.
+const SLOW: Duration = Duration::from_millis(40);
 /// A node whose own timers are later than this takes no cell from a slow one.
-const QUICK: Duration = Duration::from_millis(40);
+const QUICK: Duration = Duration::from_millis(15);
 /// So many times as quick as the slow owner the next one has to be.
 const QUICKER: u32 = 3;
 /// An owner doesn't let go for slowness so soon after it took over: it reads, adopts and starts a backlog.
