--- a/crates/node/src/member/own.rs
+++ b/crates/node/src/member/own.rs
@@ -1,6 +1,7 @@
 //! What the owner does: it renews its claim, and gives the cell up when it must.
 
 use std::{
+    pin::pin,
     sync::Arc,
     time::Duration, //
 };
@@ -26,6 +27,7 @@
     STORE_TIMES,
     append,
     is_own,
+    probe,
     try_read, //
 };
 use crate::{
@@ -61,7 +63,10 @@
 /// A node that greeted the owner longer ago takes nothing over: weak ones greet each 0.7 s.
 const FRESH: Duration = Duration::from_millis(1_000);
 /// After this long without the store the owner asks the others whether it is away for them too.
-const ASK_PEERS: Duration = Duration::from_millis(600);
+const ASK_PEERS: Duration = Duration::from_millis(250);
+/// How much longer than another node's the owner's own probe may take: nodes notice the store's return within
+/// some 60 ms of each other.
+const BACK: Duration = Duration::from_millis(100);
 /// How often the owner looks whether the store owes it an answer for so long.
 const DOUBT: Duration = Duration::from_millis(100);
 /// Without the store and without any other node the owner stops giving orders after this long. With the
@@ -311,11 +316,17 @@
                 )
             })
             .collect();
+        // The store may just be back: then it answers this node as well, a moment later.
+        let mut own = pin!(probe(shared));
         let mut heard = 0;
         while let Some(answer) = asked.next().await {
             match answer {
                 // A store that is slow for the others is slow for the owner too.
                 Ok(Reply::Store(Some(took))) if failing >= ASK_PEERS + STORE_TIMES * took => {
+                    if matches!(timeout(took + BACK, &mut own).await, Ok(Some(_))) {
+                        heard += 1;
+                        break;
+                    }
                     return "store-answers-others";
                 }
                 Ok(_) => heard += 1,
