Count a store as away after half a second of silence

Change: a store counts as away after eight times its usual answer, 0.5 s at least and 1.6 s at most; callers whose record has left are told at once that nobody can tell (504), which lets them come again elsewhere under the same id. Test: callers of a cut-off node are told before any call runs out.

--- a/crates/node/src/health.rs
+++ b/crates/node/src/health.rs
@@ -19,9 +19,15 @@
     report::millis, //
 };
 
-/// A store that has not answered for this long counts as away. Slow days take up to 0.7 s for an
-/// append, and a lost answer alone says nothing.
-const AWAY: Duration = Duration::from_millis(1_200);
+/// A store that has not answered for so many times of what its calls usually take counts as away, within the
+/// two bounds below.
+const AWAY_TIMES: u32 = 8;
+/// The least such time. Each node has several calls a second and a lost answer is asked for again after 0.1 s,
+/// so half a second of silence is no chance; callers of a node that is cut off come back elsewhere 1.1 s
+/// sooner than with the longest.
+const AWAY_LEAST: Duration = Duration::from_millis(500);
+/// The longest. A store that is slow takes up to 1.4 s, and what it takes late is worth more than a refusal.
+const AWAY_MOST: Duration = Duration::from_millis(1_600);
 
 /// An answer is overdue after so many times of what calls usually take.
 const OVERDUE: u32 = 4;
@@ -182,6 +188,7 @@
 
     /// Returns whether the store counts as away for this node.
     pub(crate) fn is_away(&self) -> bool {
-        self.failing_for() >= AWAY
+        let away = (self.usual() * AWAY_TIMES).clamp(AWAY_LEAST, AWAY_MOST);
+        self.failing_for() >= away
     }
 }
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -56,9 +56,6 @@
 const AGAIN: Duration = Duration::from_millis(50);
 /// How long an append without an answer is tried: the platform carries it out up to 6 s late.
 const MOST_TRIED: Duration = Duration::from_secs(6);
-/// A store that has owed an answer for this long takes no new records from this node.
-/// A store that is slow takes up to 1.4 s, and what it takes late is worth more than a refusal.
-const REFUSE: Duration = Duration::from_millis(1_600);
 /// How often a record that waits is looked at.
 const LOOK: Duration = Duration::from_millis(100);
 
@@ -126,15 +123,15 @@
 
     /// Keeps a record and tells what became of it, at the latest when `deadline` comes.
     ///
-    /// While the store gives no answer, what has not left yet is refused at once: elsewhere or a
-    /// little later it may be taken.
+    /// While the store gives no answer, what has not left yet is refused at once, and of what has left the
+    /// caller is told that nobody can tell: elsewhere or a little later it may be taken, under the same id.
     pub(crate) async fn keep<P: Platform>(
         &self,
         shared: &Shared<P>,
         record: Record,
         deadline: Instant,
     ) -> Kept {
-        if shared.store.failing_for() >= REFUSE {
+        if shared.store.is_away() {
             return Kept::No;
         }
         let (done, mut answer) = oneshot::channel();
@@ -154,12 +151,11 @@
                 Ok(Err(_)) => return Kept::Unknown,
                 Err(_) => {}
             }
-            let is_over = Instant::now() >= deadline;
-            if (is_over || shared.store.failing_for() >= REFUSE) && withdraw(&place) {
-                return Kept::No;
-            }
-            if is_over {
-                return Kept::Unknown;
+            if Instant::now() >= deadline || shared.store.is_away() {
+                return match withdraw(&place) {
+                    true => Kept::No,
+                    false => Kept::Unknown,
+                };
             }
         }
     }
--- a/crates/node/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -103,6 +103,25 @@
     assert_eq!(platform.starts(1), 4);
 }
 
+/// A machine is cut off from the store with callers on it, who may be served elsewhere.
+#[tokio::test]
+async fn callers_of_a_node_that_the_store_leaves_alone_are_told_long_before_their_deadline() {
+    let platform = Fake::new();
+    let one = node("one", &platform);
+    ready(&one).await;
+    platform.set_here(Mode::Silent);
+    let queue = QueueName::from("q");
+    let minutes = Instant::now() + 300 * SECOND;
+    let front = one.front();
+    let (sent, waiting) = tokio::join!(front.submit(&queue, JobId(1), spec(), minutes), async {
+        tokio::time::sleep(SECOND / 10).await;
+        front.submit(&queue, JobId(2), spec(), minutes).await
+    });
+    assert_eq!(sent, Err(Refusal::Unknown), "its record may be kept yet");
+    assert_eq!(waiting, Err(Refusal::NotKept), "its record never left");
+    assert_eq!(platform.run_out(), 0, "nobody waited for a call to run out");
+}
+
 /// Restarts while the store is silent: a call from before its return is never answered.
 #[tokio::test]
 async fn a_node_that_starts_in_a_silent_store_doesn_t_wait_for_its_first_calls() {
