--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -1,7 +1,12 @@
 //! Takes, shows and cancels jobs at any node.
 
 use std::{
-    sync::Arc,
+    sync::{
+        Arc,
+        Mutex,
+        PoisonError,
+        atomic::Ordering, //
+    },
     time::Duration, //
 };
 
@@ -27,6 +32,7 @@
 };
 
 use crate::{
+    comeback::Refusals,
     intake::{
         Intake,
         Kept, //
@@ -56,8 +62,6 @@
 const OWNER_WAIT: Duration = Duration::from_millis(1_500);
 /// How often the owner is told of an acceptance; after that it reads of it in the store.
 const TELL_TIMES: u32 = 6;
-/// When to come back while the store or the owner is away: its usual outage is over in seconds.
-pub const RETRY: Duration = Duration::from_secs(1);
 
 /// Why a call did not get what it asked for.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -104,6 +108,7 @@
 pub struct Front<P: Platform> {
     shared: Arc<Shared<P>>,
     intake: Intake,
+    refusals: Arc<Mutex<Refusals>>,
 }
 
 impl<P: Platform> Clone for Front<P> {
@@ -111,13 +116,18 @@
         Self {
             shared: self.shared.clone(),
             intake: self.intake.clone(),
+            refusals: self.refusals.clone(),
         }
     }
 }
 
 impl<P: Platform> Front<P> {
     pub(crate) fn new(shared: Arc<Shared<P>>, intake: Intake) -> Self {
-        Self { shared, intake }
+        Self {
+            shared,
+            intake,
+            refusals: Arc::default(),
+        }
     }
 
     /// Returns the configuration in force here, once there is one.
@@ -185,6 +195,13 @@
         Ok(())
     }
 
+    /// Returns how long the caller of a job that was refused should wait before it comes back.
+    pub fn come_back(&self, job: JobId) -> Duration {
+        let is_alone = self.shared.is_alone.load(Ordering::Relaxed);
+        let mut refusals = self.refusals.lock().unwrap_or_else(PoisonError::into_inner);
+        refusals.refuse(job, is_alone)
+    }
+
     /// Returns the state of a job.
     ///
     /// # Errors
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! | module | what it does |
 //! |---|---|
+//! | [`comeback`] | when a caller that was refused should come back |
 //! | [`front`] | takes, shows and cancels jobs at any node |
 //! | `health` | whether the store answers this node |
 //! | `hand` | gives orders to workers on behalf of the owner |
@@ -20,6 +21,7 @@
 //! | `report` | logs and metrics |
 //! | [`succession`] | who should own the cell next, and when an owner should let go |
 
+pub mod comeback;
 pub mod front;
 mod hand;
 mod health;
--- a/crates/node/src/member/mod.rs
+++ b/crates/node/src/member/mod.rs
@@ -6,9 +6,11 @@
 //! process that doesn't own the cell; its claim was not renewed for a lease while the store answered.
 
 //!
-//! `follow` is what a node does that doesn't own the cell, `own` what the owner does.
+//! `follow` is what a node does that doesn't own the cell, `own` what the owner does, `isolation` finds out
+//! whether a node is alone without the store.
 
 mod follow;
+mod isolation;
 mod own;
 
 use std::{
@@ -68,6 +70,7 @@
 
 /// Follows the owner, or is it, for as long as the process runs.
 pub(crate) async fn run<P: Platform>(shared: Arc<Shared<P>>) {
+    tokio::spawn(isolation::run(shared.clone()));
     let mut seen = read(&shared).await;
     loop {
         let own = seen
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -170,6 +170,7 @@
             greetings: Mutex::default(),
             pulse: Pulse::default(),
             store: StoreHealth::new(parts.log),
+            is_alone: AtomicBool::new(false),
         });
         let intake = Intake::start(&shared);
         tokio::spawn(follow::follow_config(shared.clone()));
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -118,6 +118,8 @@
     pub(crate) greetings: Greetings,
     pub(crate) pulse: Pulse,
     pub(crate) store: StoreHealth,
+    /// Whether the store is away for this node alone, as far as that can be told.
+    pub(crate) is_alone: AtomicBool,
 }
 
 impl<P: Platform> Shared<P> {
