--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -14,6 +14,7 @@
     config::Config,
     engine::State,
     id::{
+        Epoch,
         JobId,
         QueueName, //
     },
@@ -28,12 +29,14 @@
 };
 use tokio::time::{
     Instant,
-    sleep, //
+    sleep,
+    timeout, //
 };
 
 use crate::{
     comeback::Refusals,
     intake::{
+        self,
         Intake,
         Kept, //
     },
@@ -62,6 +65,9 @@
 const OWNER_WAIT: Duration = Duration::from_millis(1_500);
 /// How often the owner is told of an acceptance; after that it reads of it in the store.
 const TELL_TIMES: u32 = 6;
+/// For so long an owner may be replaced without this node knowing: it greets the owner each 0.7 s at most, and
+/// a frozen or cut-off one may stay silent for as long again.
+const REPLACED: Duration = Duration::from_millis(1_500);
 
 /// Why a call did not get what it asked for.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -176,6 +182,7 @@
             queue: queue.clone(),
             spec: Arc::new(spec),
             received: self.shared.clock.now(),
+            partition: intake::partition(&self.shared.name),
         };
         let Ok(value) = record::encode(&accepted) else {
             return Err(Refusal::NotKept);
@@ -302,19 +309,35 @@
             .filter(|reply| !matches!(reply, Reply::NotOwner { .. }))
     }
 
-    /// Tells the owner of a record, without holding the caller up.
+    /// Tells the owner of a record, without holding the caller up; the next owner as well, where the cell
+    /// changes hands a moment later.
+    ///
+    /// A word may reach an owner that was replaced without knowing it yet, after its successor has read what
+    /// is on record. The successor would hear of it only when it reads the partition again, up to 2 s later,
+    /// and a cancellation has to be in force within 3 s.
     fn tell(&self, question: Question) {
         let front = self.clone();
         tokio::spawn(async move {
-            for _ in 0..TELL_TIMES {
-                if front.ask_once(&question).await.is_some() {
+            let mut failures = 0;
+            while failures < TELL_TIMES {
+                let epoch = front.shared.epoch();
+                if front.ask_once(&question).await.is_none() {
+                    failures += 1;
+                    sleep(OWNER_AGAIN * 4).await;
+                } else if !front.is_replaced(epoch).await {
                     return;
                 }
-                sleep(OWNER_AGAIN * 4).await;
             }
         });
     }
 
+    /// Waits for a moment whether another owner comes after the one of an epoch.
+    async fn is_replaced(&self, epoch: Epoch) -> bool {
+        let mut claims = self.shared.claim.subscribe();
+        let newer = claims.wait_for(|claim| claim.as_ref().is_some_and(|c| c.epoch > epoch));
+        timeout(REPLACED, newer).await.is_ok()
+    }
+
     fn report(
         &self,
         what: &'static str,
--- a/crates/node/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -223,6 +223,7 @@
             queue: queue().into(),
             spec: spec().into(),
             received: Timestamp::ZERO,
+            partition,
         };
         platform.accept(partition, &accepted);
     }
@@ -232,6 +233,31 @@
     }
 }
 
+/// A cancellation that was told to an owner which was being replaced: it is on record, and nobody tells again.
+#[tokio::test(start_paused = true)]
+async fn a_cancellation_that_nobody_has_told_the_owner_of_is_in_force_within_three_seconds() {
+    let platform = Fake::new();
+    let one = node("one", &platform);
+    ready(&one).await;
+    let queue = QueueName::from("q");
+    let mut unplaceable = spec();
+    unplaceable.steps[0].size = Resources::new(Millicores::from_cores(64), Bytes::from_gib(1), 0);
+    for job in 0..16 {
+        let deadline = Instant::now() + 3 * SECOND;
+        let front = one.front();
+        let taken = front.submit(&queue, JobId(100 + job), unplaceable.clone(), deadline);
+        taken.await.unwrap();
+    }
+    tokio::time::sleep(SECOND).await;
+    for partition in 0..16 {
+        platform.cancel(partition, 100 + u64::from(partition));
+    }
+    tokio::time::sleep(3 * SECOND).await;
+    for job in 100..116 {
+        assert_eq!(one.front().look(JobId(job)).await, Ok(State::Cancelled));
+    }
+}
+
 /// More workers than the owner gives all orders to.
 const FLEET: usize = 120;
 
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -37,6 +37,7 @@
         StopAnswer, //
     },
     id::{
+        JobId,
         NodeName,
         PoolName,
         QueueName,
@@ -199,6 +200,17 @@
         state.topics.entry(place).or_default().push(record);
     }
 
+    /// Keeps a job's cancellation of which nobody tells the owner.
+    pub(crate) fn cancel(&self, partition: u16, job: u64) {
+        let record = Record {
+            key: format!("{}/x", JobId(job)),
+            value: Some(vec![1].into()),
+        };
+        let place = name(Topic::Jobs(partition));
+        let mut state = self.state();
+        state.topics.entry(place).or_default().push(record);
+    }
+
     /// Returns how many orders to start this machine has given.
     pub(crate) fn ordered(&self) -> usize {
         self.ordered.load(Ordering::Relaxed)
