Take jobs that are over off the record

Change: the owner removes the acceptances of jobs whose end is on record and that no worker may run, each 3 s, one append a partition; of their progress only the outcome stays.

--- a/crates/cell/examples/fleet.rs
+++ b/crates/cell/examples/fleet.rs
@@ -305,7 +305,7 @@
             }
             Effect::Record(_) => self.schedule(RECORD, Later::Recorded),
             // Nothing fills here.
-            Effect::Pace(_) | Effect::Note(_) | Effect::Deposed => {}
+            Effect::Pace(_) | Effect::Forget(_) | Effect::Note(_) | Effect::Deposed => {}
         }
     }
 
@@ -369,6 +369,7 @@
                 schedule: None,
             }),
             received: self.now,
+            partition: 0,
         };
         self.spend(|engine, now| {
             engine.submit(accepted, now);
--- a/crates/cell/src/effect.rs
+++ b/crates/cell/src/effect.rs
@@ -207,6 +207,8 @@
     },
     /// Keep records, all or none, and tell [`crate::engine::Engine::recorded`].
     Record(Vec<Entry>),
+    /// Take acceptances off the record, each out of its partition; it may be left undone.
+    Forget(Vec<(u16, crate::id::JobId)>),
     /// Write to the log.
     Note(Note),
     /// A worker has seen a higher epoch: another node owns the cell.
--- a/crates/cell/src/engine/job.rs
+++ b/crates/cell/src/engine/job.rs
@@ -231,7 +231,9 @@
     }
 
     pub(super) fn progress(&self) -> Progress {
+        // What is done of a job that has ended needs no telling.
         let occurrences = self.occurrences.iter();
+        let occurrences = occurrences.filter(|_| self.outcome.is_none());
         Progress {
             occurrences: occurrences
                 .map(|(index, stages)| (*index, stages.iter().map(Stage::progress).collect()))
--- a/crates/cell/src/engine/keep.rs
+++ b/crates/cell/src/engine/keep.rs
@@ -205,6 +205,7 @@
                 },
                 after,
             });
+            self.note_over(snapshot.job, now);
         }
         self.open_steps(snapshot.job, now);
     }
--- a/crates/cell/src/engine/mod.rs
+++ b/crates/cell/src/engine/mod.rs
@@ -11,12 +11,14 @@
 //! | `pace` | slows filling tasks that disturb serving ones |
 //! | `contact` | inventories, leases, and workers that come and go |
 //! | `end` | ends of runs, tries, and ends of jobs |
+//! | `forget` | shrinks what is on record of jobs that are over |
 //! | `keep` | what is put on record, and what that allows |
 //! | `view` | what callers and operators see |
 
 mod ask;
 mod contact;
 mod end;
+mod forget;
 mod job;
 mod keep;
 mod order;
@@ -81,6 +83,7 @@
     },
     record::{
         Accepted,
+        Outcome,
         Progress,
         Usage, //
     },
@@ -126,8 +129,16 @@
     bounds: Bounds,
     config: Config,
     jobs: HashMap<JobId, Job>,
-    /// Cancellations that came before their jobs.
+    /// All cancellations.
     cancelled: BTreeSet<JobId>,
+    /// How jobs ended of which nothing else is remembered.
+    ended: HashMap<JobId, Outcome>,
+    /// Jobs that are over, by when that was learnt.
+    over: Vec<(Timestamp, JobId)>,
+    /// Acceptances that are to be taken off the record, with their partitions.
+    forgotten: Vec<(u16, JobId)>,
+    /// When jobs that are over are looked at next.
+    next_sweep: Timestamp,
     workers: BTreeMap<Slot, Worker>,
     slots: HashMap<WorkerId, Slot>,
     next_slot: u32,
@@ -167,6 +178,10 @@
             config: Config::default(),
             jobs: HashMap::default(),
             cancelled: inheritance.cancelled.into_iter().collect(),
+            ended: HashMap::default(),
+            over: Vec::new(),
+            forgotten: Vec::new(),
+            next_sweep: now,
             workers: BTreeMap::new(),
             slots: HashMap::default(),
             next_slot: 0,
@@ -189,6 +204,11 @@
             let progress = progress.remove(&accepted.job).unwrap_or_default();
             engine.inherit(accepted, progress, now);
         }
+        let over = progress.into_iter();
+        let over = over.filter_map(|(job, progress)| Some((job, progress.outcome?)));
+        engine.ended = over
+            .filter(|(job, _)| !engine.jobs.contains_key(job))
+            .collect();
         let lapses = now + engine.bounds.lapse() + FORMER_OWNER;
         for (worker, usage) in inheritance.workers {
             engine.expect_worker(worker, usage, lapses, now);
@@ -238,6 +258,7 @@
             self.schedule(now);
         }
         self.keep(now);
+        self.forget_ended(now);
         self.call_workers(now);
         std::mem::take(&mut self.outbox)
     }
--- a/crates/cell/src/engine/submit.rs
+++ b/crates/cell/src/engine/submit.rs
@@ -23,6 +23,11 @@
         if self.jobs.contains_key(&accepted.job) {
             return false;
         }
+        if self.ended.contains_key(&accepted.job) {
+            // It was handed in again after its end, and stands on record again.
+            self.forgotten.push((accepted.partition, accepted.job));
+            return false;
+        }
         self.insert(Job::new(accepted, &Progress::default()), now);
         true
     }
@@ -48,6 +53,7 @@
         let schedule = job.spec().schedule;
         self.jobs.insert(id, job);
         if is_over {
+            self.note_over(id, now);
             return;
         }
         match schedule {
@@ -121,6 +127,7 @@
             return true;
         }
         job.is_cancelled = true;
+        self.note_over(id, now);
         self.close(id, "cancelled", now);
         true
     }
--- a/crates/cell/src/engine/view.rs
+++ b/crates/cell/src/engine/view.rs
@@ -26,6 +26,15 @@
     Cancelled,
 }
 
+impl From<Outcome> for State {
+    fn from(outcome: Outcome) -> Self {
+        match outcome {
+            Outcome::Completed => Self::Completed,
+            Outcome::Failed => Self::Failed,
+        }
+    }
+}
+
 /// What an engine holds, for metrics.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
@@ -46,10 +55,13 @@
 impl Engine {
     /// Returns the state of a job, or `None` where it is not known.
     pub fn state(&self, id: JobId) -> Option<State> {
-        let job = self.jobs.get(&id)?;
+        let Some(job) = self.jobs.get(&id) else {
+            let ended = self.ended.get(&id).copied().map(State::from);
+            let is_cancelled = self.cancelled.contains(&id);
+            return ended.or(is_cancelled.then_some(State::Cancelled));
+        };
         Some(match job.kept_outcome {
-            Some(Outcome::Completed) => State::Completed,
-            Some(Outcome::Failed) => State::Failed,
+            Some(outcome) => outcome.into(),
             None if job.is_cancelled => State::Cancelled,
             None if job.has_begun => State::Running,
             None => State::Queued,
@@ -77,7 +89,7 @@
         let unheard = self.workers.values();
         let unheard = unheard.filter(|worker| worker.heard.is_none() && !worker.claims.is_empty());
         Counts {
-            jobs: self.jobs.len(),
+            jobs: self.jobs.len() + self.ended.len(),
             open_steps: self.open.len(),
             claims: self
                 .workers
--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -43,6 +43,8 @@
     pub spec: Arc<Spec>,
     /// When the node that took it received it; orders jobs, and nothing more.
     pub received: Timestamp,
+    /// Which partition of the jobs' records this one stands in.
+    pub partition: u16,
 }
 
 /// How a job came to its end.
--- /dev/null
+++ b/crates/cell/tests/cell/forget.rs
@@ -0,0 +1,132 @@
+//! What is kept of jobs that are over.
+
+use std::time::Duration;
+
+use fulmarpier_cell::{
+    bounds::Bounds,
+    effect::Effect,
+    engine::{
+        Engine,
+        Inheritance,
+        State, //
+    },
+    id::{
+        Epoch,
+        JobId, //
+    },
+    job::{
+        Spec,
+        Step, //
+    },
+    record::{
+        self,
+        Accepted,
+        Entry,
+        Outcome,
+        Progress, //
+    },
+};
+use fulmarpier_state::clock::Timestamp;
+
+use crate::world::{
+    Faults,
+    World,
+    queue,
+    size, //
+};
+
+fn step() -> Step {
+    Step {
+        count: 2,
+        size: size(1_000, 1_024),
+        estimate: Duration::from_millis(640),
+        ..Step::default()
+    }
+}
+
+#[test]
+fn how_a_job_ended_outlives_its_acceptance_and_a_takeover() {
+    let mut world = World::new(1, Faults::default());
+    world.run(Duration::from_secs(1));
+    let done: Vec<JobId> = (0..10)
+        .map(|_| world.submit("urgent", vec![step()]))
+        .collect();
+    let cancelled = world.submit("batch", vec![step()]);
+    world.cancel(cancelled);
+    world.run(Duration::from_secs(12));
+    let open = world.submit("batch", vec![step()]);
+    world.run(Duration::from_millis(100));
+    let starts = world.starts;
+    assert_eq!(world.on_record().count(), 1, "the open one");
+    world.take_over();
+    for job in &done {
+        world.hand_in_again(*job);
+    }
+    world.run(Duration::from_secs(12));
+    let state = |job| world.engine.state(job);
+    assert!(done.iter().all(|job| state(*job) == Some(State::Completed)));
+    assert_eq!(state(cancelled), Some(State::Cancelled));
+    assert_eq!(state(open), Some(State::Completed));
+    assert_eq!(world.starts, starts, "nothing ran again");
+    assert_eq!(world.on_record().count(), 0);
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
+/// How many jobs a day of the size to design for has.
+const JOBS: u64 = 12_000;
+
+fn accepted(job: u64) -> Accepted {
+    Accepted {
+        job: JobId(job << 32),
+        queue: queue("urgent", 0, true).into(),
+        spec: Spec {
+            text: "x".repeat(250).into(),
+            steps: vec![step()],
+            schedule: None,
+        }
+        .into(),
+        received: Timestamp::from_millis(1_000),
+        partition: 0,
+    }
+}
+
+fn bytes(entry: &Entry) -> usize {
+    entry.key().len() + record::encode(entry).unwrap().len()
+}
+
+#[test]
+fn a_takeover_reads_little_of_the_jobs_that_are_over() {
+    let over = Progress {
+        outcome: Some(Outcome::Completed),
+        ..Progress::default()
+    };
+    let all: Vec<Accepted> = (0..JOBS).map(accepted).collect();
+    let ended = all.iter().map(|accepted| (accepted.job, over.clone()));
+    let inheritance = Inheritance {
+        accepted: all.clone(),
+        progress: ended.clone().collect(),
+        ..Inheritance::default()
+    };
+    let now = Timestamp::from_millis(2_000);
+    let mut engine = Engine::new(Epoch(2), Bounds::default(), inheritance, now);
+    engine.advance(now);
+    let effects = engine.advance(now + Duration::from_secs(4));
+    let forgotten = effects.iter().filter_map(|effect| match effect {
+        Effect::Forget(jobs) => Some(jobs.len()),
+        _ => None,
+    });
+    assert_eq!(forgotten.sum::<usize>(), all.len());
+    let acceptances = all
+        .iter()
+        .map(|accepted| record::encode(accepted).unwrap().len());
+    let before: usize = acceptances.sum();
+    let after: usize = ended
+        .map(|(job, progress)| bytes(&Entry::Job(job, progress)))
+        .sum();
+    println!(
+        "{after} bytes of {JOBS} jobs that are over, {} before",
+        after + before
+    );
+    assert!(after <= 400_000, "{after} bytes");
+    assert_eq!(engine.state(JobId(7 << 32)), Some(State::Completed));
+}
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -2,6 +2,7 @@
 
 #[path = "../../../coordination/tests/support/cases.rs"]
 mod cases;
+mod forget;
 mod history;
 mod order;
 mod overtaking;
--- a/crates/cell/tests/cell/overtaking.rs
+++ b/crates/cell/tests/cell/overtaking.rs
@@ -82,6 +82,7 @@
         }
         .into(),
         received: Timestamp::from_millis(1_000),
+        partition: 0,
     }
 }
 
--- a/crates/cell/tests/cell/pace.rs
+++ b/crates/cell/tests/cell/pace.rs
@@ -96,6 +96,7 @@
             }
             .into(),
             received: self.now,
+            partition: 0,
         };
         self.engine.submit(accepted, self.now);
         self.run(Duration::from_millis(500));
--- a/crates/cell/tests/cell/takeover.rs
+++ b/crates/cell/tests/cell/takeover.rs
@@ -67,6 +67,7 @@
         }
         .into(),
         received: now,
+        partition: 0,
     }
 }
 
--- a/crates/cell/tests/cell/world/mod.rs
+++ b/crates/cell/tests/cell/world/mod.rs
@@ -119,6 +119,8 @@
     epoch: Epoch,
     config: Config,
     accepted: Vec<Accepted>,
+    /// Jobs whose acceptance was taken off the record.
+    forgotten: BTreeSet<JobId>,
     /// When each job was cancelled.
     cancelled: BTreeMap<JobId, Timestamp>,
     records: BTreeMap<String, Entry>,
@@ -213,6 +215,7 @@
             epoch,
             config,
             accepted: Vec::new(),
+            forgotten: BTreeSet::new(),
             cancelled: BTreeMap::new(),
             records: BTreeMap::new(),
             events: BTreeMap::new(),
@@ -290,12 +293,22 @@
                 schedule,
             }),
             received,
+            partition: 0,
         };
         self.accepted.push(accepted.clone());
         self.engine.submit(accepted, self.now);
         job
     }
 
+    /// Hands a job in once more, which puts its acceptance on record again.
+    pub(crate) fn hand_in_again(&mut self, job: JobId) {
+        let mut accepted = self.accepted.iter();
+        if let Some(accepted) = accepted.find(|accepted| accepted.job == job).cloned() {
+            self.forgotten.remove(&job);
+            self.engine.submit(accepted, self.now);
+        }
+    }
+
     /// Cancels a job; that is on record.
     pub(crate) fn cancel(&mut self, job: JobId) {
         self.cancelled.entry(job).or_insert(self.now);
@@ -385,12 +398,12 @@
     pub(crate) fn take_over(&mut self) {
         self.epoch = self.epoch.next();
         let mut inheritance = Inheritance {
-            accepted: self.accepted.clone(),
+            accepted: self.on_record().cloned().collect(),
             cancelled: self.cancelled.keys().copied().collect(),
             ..Inheritance::default()
         };
         // A job that was handed in at two nodes stands in two partitions.
-        let again = self.accepted.iter().step_by(3).cloned();
+        let again = self.on_record().step_by(3).cloned();
         inheritance.accepted.extend(again);
         for entry in self.records.values() {
             match entry {
@@ -404,6 +417,12 @@
         self.introduce();
     }
 
+    /// Returns the acceptances that the store keeps.
+    pub(crate) fn on_record(&self) -> impl Iterator<Item = &Accepted> {
+        let accepted = self.accepted.iter();
+        accepted.filter(|accepted| !self.forgotten.contains(&accepted.job))
+    }
+
     fn later(&mut self, span: Duration, event: Event) {
         self.serial += 1;
         let at = (self.now + span, self.serial);
@@ -477,6 +496,7 @@
                 let wait = self.now.until(self.store_back) + APPEND;
                 self.later(wait, Event::Recorded(entries));
             }
+            Effect::Forget(jobs) => self.forgotten.extend(jobs.into_iter().map(|(_, job)| job)),
             // Nothing fills in the histories.
             Effect::Pace(_) | Effect::Note(_) => {}
             Effect::Deposed => self.violations.push("the owner was deposed".to_owned()),
--- a/crates/node/src/owner/control.rs
+++ b/crates/node/src/owner/control.rs
@@ -56,6 +56,7 @@
 };
 
 use super::{
+    forget,
     given::Given,
     orders::Failure,
     share::{
@@ -270,6 +271,7 @@
                     // The recorder ends only with the actor.
                     let _ = self.records.send(entries);
                 }
+                Effect::Forget(jobs) => forget::forget(&self.shared, jobs),
                 Effect::Note(note) => self.note(&note),
                 Effect::Deposed => {
                     slog::warn!(self.shared.log, "fenced"; "epoch" => %self.engine.epoch());
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -1,6 +1,7 @@
 //! The owner of the cell: its actor, its takeover, and what it reads and writes.
 
 mod control;
+mod forget;
 mod given;
 mod orders;
 mod recorder;
