Announce jobs to the owner while a slow store takes their record

Change: while calls usually take 40 ms or more, a node tells the owner of a job as it sends the record. The owner asks for advice, places it and records the start meanwhile; the order leaves when both records are kept, and never if the acceptance is refused. Histories announce a third of their jobs, a third of these in vain.

--- a/crates/cell/src/engine/mod.rs
+++ b/crates/cell/src/engine/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! | module | what it does |
 //! |---|---|
+//! | `announce` | prepares jobs whose acceptance is on its way |
 //! | `submit` | takes jobs and cancellations, opens steps whose turn has come |
 //! | `schedule` | goes through the open steps in order of urgency |
 //! | `place` | finds workers for single tasks and gangs |
@@ -15,6 +16,7 @@
 //! | `keep` | what is put on record, and what that allows |
 //! | `view` | what callers and operators see |
 
+mod announce;
 mod ask;
 mod contact;
 mod end;
@@ -153,6 +155,10 @@
     desk: Desk,
     experience: Experience,
     ledger: Ledger,
+    /// Jobs whose acceptance is not on record yet, and until when that is waited for.
+    announced: BTreeMap<JobId, Timestamp>,
+    /// Starts that are on record and wait for the acceptance of their job.
+    held: Vec<(Slot, TaskId, Run)>,
     /// Orders that wait for their record.
     orders: HashMap<(Slot, TaskId, Run), Order>,
     /// Whether something has changed that may let a task start.
@@ -192,6 +198,8 @@
             desk: Desk::default(),
             experience: Experience::default(),
             ledger: Ledger::default(),
+            announced: BTreeMap::new(),
+            held: Vec::new(),
             orders: HashMap::default(),
             is_stirred: true,
             turn: 0,
@@ -246,6 +254,7 @@
     pub fn advance(&mut self, now: Timestamp) -> Vec<Effect> {
         self.open_due(now);
         self.expire_workers(now);
+        self.expire_announced(now);
         self.send_stops(now);
         if self.look_again.is_some_and(|at| at <= now) {
             self.look_again = None;
--- a/crates/cell/src/engine/order.rs
+++ b/crates/cell/src/engine/order.rs
@@ -168,6 +168,7 @@
     /// A ticket may have run out while the record waited for the store; its worker would turn the order
     /// away, and the members of a gang that did start would wait for the others in vain.
     pub(super) fn send_starts(&mut self, starts: Vec<(Slot, TaskId, Run)>, now: Timestamp) {
+        let starts = self.hold_announced(starts);
         let aged = starts.iter().filter(|start| {
             let ticket = self
                 .orders
@@ -203,6 +204,24 @@
         }
     }
 
+    /// Keeps back the starts of jobs whose acceptance is not on record; returns the others that still wait.
+    fn hold_announced(&mut self, starts: Vec<(Slot, TaskId, Run)>) -> Vec<(Slot, TaskId, Run)> {
+        let waiting = starts.into_iter().filter(|(slot, task, run)| {
+            let worker = self.workers.get(slot);
+            let claim = worker.and_then(|worker| worker.claims.get(&(*task, *run)));
+            claim.is_some_and(|claim| claim.phase == Phase::Recording)
+        });
+        let (held, ready): (Vec<_>, Vec<_>) =
+            waiting.partition(|(_, task, _)| self.announced.contains_key(&task.step.job));
+        for start in held {
+            // The record of another change of the worker covers it again.
+            if !self.held.contains(&start) {
+                self.held.push(start);
+            }
+        }
+        ready
+    }
+
     fn confirm(&mut self, slot: Slot, task: TaskId, run: Run, now: Timestamp) {
         self.mark_begun(task.step.job);
         let worker = self.workers.get_mut(&slot);
--- a/crates/cell/src/engine/submit.rs
+++ b/crates/cell/src/engine/submit.rs
@@ -21,7 +21,7 @@
     /// Takes a job whose acceptance is on record; false where it is known already.
     pub fn submit(&mut self, accepted: Accepted, now: Timestamp) -> bool {
         if self.jobs.contains_key(&accepted.job) {
-            return false;
+            return self.confirm_announced(accepted.job, now);
         }
         if self.ended.contains_key(&accepted.job) {
             // It was handed in again after its end, and stands on record again.
@@ -42,16 +42,15 @@
         self.insert(Job::new(accepted, &progress), now);
     }
 
-    fn insert(&mut self, mut job: Job, now: Timestamp) {
+    pub(super) fn insert(&mut self, mut job: Job, now: Timestamp) {
         let id = job.accepted.job;
         job.is_cancelled = self.cancelled.contains(&id);
         let is_over = job.is_over();
-        if !job.has_begun && !is_over {
-            let queue = job.accepted.queue.name.clone();
-            *self.pending.entry(queue).or_default() += 1;
-        }
         let schedule = job.spec().schedule;
         self.jobs.insert(id, job);
+        if !self.announced.contains_key(&id) {
+            self.count_pending(id);
+        }
         if is_over {
             self.note_over(id, now);
             return;
@@ -71,6 +70,17 @@
         }
     }
 
+    /// Counts a job among those of its queue that have begun nothing.
+    pub(super) fn count_pending(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        if !job.has_begun && !job.is_over() {
+            let queue = job.accepted.queue.name.clone();
+            *self.pending.entry(queue).or_default() += 1;
+        }
+    }
+
     /// Begins the occurrences whose time has come.
     pub(super) fn open_due(&mut self, now: Timestamp) {
         while let Some((at, job, occurrence)) = self.due.first().copied() {
@@ -176,7 +186,7 @@
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
-        if std::mem::replace(&mut job.has_begun, true) {
+        if std::mem::replace(&mut job.has_begun, true) || self.announced.contains_key(&id) {
             return;
         }
         let queue = &job.accepted.queue.name;
--- a/crates/cell/src/engine/view.rs
+++ b/crates/cell/src/engine/view.rs
@@ -55,6 +55,9 @@
 impl Engine {
     /// Returns the state of a job, or `None` where it is not known.
     pub fn state(&self, id: JobId) -> Option<State> {
+        if self.announced.contains_key(&id) {
+            return None;
+        }
         let Some(job) = self.jobs.get(&id) else {
             let ended = self.ended.get(&id).copied().map(State::from);
             let is_cancelled = self.cancelled.contains(&id);
--- a/crates/cell/tests/cell/history.rs
+++ b/crates/cell/tests/cell/history.rs
@@ -56,19 +56,19 @@
 
     #[test]
     fn promises_hold_when_orders_are_lost_or_late(seed in any::<u64>()) {
-        let faults = Faults { lost_orders: 80, lost_holds: 30, failures: 50, ..Faults::default() };
+        let faults = Faults { lost_orders: 80, lost_holds: 30, failures: 50, announced: 300, ..Faults::default() };
         prop_assert_eq!(play(seed, faults), Vec::<String>::new());
     }
 
     #[test]
     fn promises_hold_when_owners_die(seed in any::<u64>()) {
-        let faults = Faults { takeovers: 200, failures: 50, outages: 50, ..Faults::default() };
+        let faults = Faults { takeovers: 200, failures: 50, outages: 50, announced: 300, ..Faults::default() };
         prop_assert_eq!(play(seed, faults), Vec::<String>::new());
     }
 
     #[test]
     fn promises_hold_when_workers_crash_or_are_cut_off(seed in any::<u64>()) {
-        let faults = Faults { crashes: 15, cuts: 40, failures: 50, ..Faults::default() };
+        let faults = Faults { crashes: 15, cuts: 40, failures: 50, announced: 300, ..Faults::default() };
         prop_assert_eq!(play(seed, faults), Vec::<String>::new());
     }
 
@@ -83,6 +83,7 @@
             failures: 80,
             outages: 60,
             cancels: 100,
+            announced: 300,
         };
         prop_assert_eq!(play(seed, faults), Vec::<String>::new());
     }
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -1,5 +1,6 @@
 //! The engine of a cell: what it promises, in virtual time.
 
+mod announce;
 #[path = "../../../coordination/tests/support/cases.rs"]
 mod cases;
 mod forget;
--- a/crates/cell/tests/cell/world/mod.rs
+++ b/crates/cell/tests/cell/world/mod.rs
@@ -91,6 +91,8 @@
     pub outages: u32,
     /// A second in which a job is cancelled.
     pub cancels: u32,
+    /// Jobs that the owner hears of before their acceptance is kept, a third of them in vain.
+    pub announced: u32,
 }
 
 /// What comes back to the engine, or happens, at a time.
@@ -105,6 +107,8 @@
     Stop(fulmarpier_cell::effect::Stop),
     Held(WorkerId, Timestamp, HoldAnswer),
     Recorded(Vec<Entry>),
+    Kept(Box<Accepted>),
+    Withdrawn(JobId),
     Advised(NodeName, StepId, Vec<WorkerId>),
 }
 
@@ -134,6 +138,8 @@
     done: BTreeSet<TaskId>,
     /// Failed ends that were acknowledged.
     failed: BTreeMap<TaskId, BTreeSet<Run>>,
+    /// How long an append takes.
+    pub append: Duration,
     /// How many starts there were.
     pub starts: u32,
     /// How many orders to start came with a ticket that had run out.
@@ -225,6 +231,7 @@
             next_second: now,
             done: BTreeSet::new(),
             failed: BTreeMap::new(),
+            append: APPEND,
             starts: 0,
             turned_away: 0,
             asked: Vec::new(),
@@ -282,10 +289,37 @@
         schedule: Option<Schedule>,
         received: Timestamp,
     ) -> JobId {
+        let accepted = self.make(queue, steps, schedule, received);
+        let job = accepted.job;
+        if self.chance(self.faults.announced) {
+            self.announce(accepted);
+        } else {
+            self.keep(accepted);
+        }
+        job
+    }
+
+    /// Makes a job that is handed in now and not on record yet.
+    pub(crate) fn hand_in(&mut self, queue: &str, steps: Vec<Step>) -> Accepted {
+        self.make(queue, steps, None, self.now)
+    }
+
+    /// Keeps a job's acceptance and tells the owner.
+    pub(crate) fn keep(&mut self, accepted: Accepted) {
+        self.accepted.push(accepted.clone());
+        self.engine.submit(accepted, self.now);
+    }
+
+    fn make(
+        &mut self,
+        queue: &str,
+        steps: Vec<Step>,
+        schedule: Option<Schedule>,
+        received: Timestamp,
+    ) -> Accepted {
         self.serial += 1;
-        let job = JobId(self.serial);
-        let accepted = Accepted {
-            job,
+        Accepted {
+            job: JobId(self.serial),
             queue: self.config.queues[&QueueName::from(queue)].clone(),
             spec: Arc::new(Spec {
                 text: "text".into(),
@@ -294,10 +328,19 @@
             }),
             received,
             partition: 0,
-        };
-        self.accepted.push(accepted.clone());
-        self.engine.submit(accepted, self.now);
-        job
+        }
+    }
+
+    /// Tells the owner of a job whose acceptance is kept or refused later, or of which it hears nothing more.
+    fn announce(&mut self, accepted: Accepted) {
+        let job = accepted.job;
+        self.engine.announce(accepted.clone(), self.now);
+        let takes = Duration::from_millis(self.rng.random_range(10..4_000));
+        match self.rng.random_range(0..6) {
+            0 => self.later(takes, Event::Withdrawn(job)),
+            1 => {}
+            _ => self.later(takes, Event::Kept(Box::new(accepted))),
+        }
     }
 
     /// Hands a job in once more, which puts its acceptance on record again.
@@ -493,7 +536,7 @@
                 self.later(took, Event::Advised(node, step, workers));
             }
             Effect::Record(entries) => {
-                let wait = self.now.until(self.store_back) + APPEND;
+                let wait = self.now.until(self.store_back) + self.append;
                 self.later(wait, Event::Recorded(entries));
             }
             Effect::Forget(jobs) => self.forgotten.extend(jobs.into_iter().map(|(_, job)| job)),
@@ -511,6 +554,10 @@
             Event::LateStart(order) => self.deliver_start(&order, is_alive, false),
             Event::Stop(order) => self.deliver_stop(&order, is_alive),
             Event::Hold(order) => self.deliver_hold(*order, is_alive),
+            Event::Kept(accepted) => {
+                // Whoever owns the cell by then is told.
+                self.keep(*accepted);
+            }
             _ if !is_alive => {}
             Event::Started(worker, task, run, answer) => {
                 self.engine.started(&worker, task, run, answer, self.now);
@@ -520,6 +567,7 @@
             }
             Event::Held(worker, asked, answer) => self.end_call(&worker, asked, answer),
             Event::HoldTimeout(worker, asked) => self.end_call(&worker, asked, HoldAnswer::Silent),
+            Event::Withdrawn(job) => self.engine.withdraw(job, self.now),
             Event::Recorded(entries) => {
                 for entry in entries {
                     self.records.insert(entry.key(), entry);
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -65,6 +65,9 @@
 const OWNER_WAIT: Duration = Duration::from_millis(1_500);
 /// How often the owner is told of an acceptance; after that it reads of it in the store.
 const TELL_TIMES: u32 = 6;
+/// A job is announced to the owner while calls of the store usually take longer; they take 9 ms, and 0.35 s on
+/// slow days.
+const SLOW_STORE: Duration = Duration::from_millis(40);
 /// For so long an owner may be replaced without this node knowing: it greets the owner each 0.7 s at most, and
 /// a frozen or cut-off one may stay silent for as long again.
 const REPLACED: Duration = Duration::from_millis(1_500);
@@ -192,7 +195,12 @@
             value: Some(value.into()),
         };
         let began = Instant::now();
-        match self.intake.keep(&self.shared, record, deadline).await {
+        let is_announced = self.announce(&accepted);
+        let kept = self.intake.keep(&self.shared, record, deadline).await;
+        if kept != Kept::Yes && is_announced {
+            self.tell_once(Question::Withdrawn(job));
+        }
+        match kept {
             Kept::Yes => {}
             Kept::No => return Err(Refusal::NotKept),
             Kept::Unknown => return Err(Refusal::Unknown),
@@ -309,6 +317,25 @@
             .filter(|reply| !matches!(reply, Reply::NotOwner { .. }))
     }
 
+    /// Tells the owner of a job whose record is on its way, where the store takes its time; returns whether it
+    /// does.
+    fn announce(&self, accepted: &Accepted) -> bool {
+        let store = &self.shared.store;
+        if store.usual() < SLOW_STORE || store.is_failing() {
+            return false;
+        }
+        self.tell_once(Question::Announced(Box::new(accepted.clone())));
+        true
+    }
+
+    /// Tells the owner something that it can do without.
+    fn tell_once(&self, question: Question) {
+        let front = self.clone();
+        tokio::spawn(async move {
+            let _ = front.ask_once(&question).await;
+        });
+    }
+
     /// Tells the owner of a record, without holding the caller up; the next owner as well, where the cell
     /// changes hands a moment later.
     ///
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -44,6 +44,10 @@
 pub(crate) enum Question {
     /// A node is there and asks the owner whether it still owns the cell.
     Hello(Greeting),
+    /// A job was handed in; its record is on its way.
+    Announced(Box<Accepted>),
+    /// A job that was announced is not on record.
+    Withdrawn(JobId),
     /// A job was accepted; its record is kept.
     Accepted(Box<Accepted>),
     /// A job was cancelled; that is on record.
@@ -78,6 +82,8 @@
     pub(crate) const fn word(&self) -> &'static str {
         match self {
             Self::Hello(_) => "hello",
+            Self::Announced(_) => "announced",
+            Self::Withdrawn(_) => "withdrawn",
             Self::Accepted(_) => "accepted",
             Self::Cancelled(_) => "cancelled",
             Self::Look(_) => "look",
--- a/crates/node/src/owner/control.rs
+++ b/crates/node/src/owner/control.rs
@@ -112,6 +112,10 @@
 /// What happened.
 #[derive(Debug)]
 pub(crate) enum Event {
+    /// A job's acceptance is on its way to the record.
+    Announced(Box<Accepted>),
+    /// An announced job is not on record, as far as anybody can tell.
+    Withdrawn(JobId),
     /// A job's acceptance is on record.
     Accepted(Box<Accepted>),
     /// A job's cancellation is on record.
@@ -164,6 +168,14 @@
             control.tell(Event::Accepted(accepted)).await.ok()?;
             Some(Reply::Noted)
         }
+        Question::Announced(accepted) => {
+            control.tell(Event::Announced(accepted)).await.ok()?;
+            Some(Reply::Noted)
+        }
+        Question::Withdrawn(job) => {
+            control.tell(Event::Withdrawn(job)).await.ok()?;
+            Some(Reply::Noted)
+        }
         Question::Cancelled(job) => {
             control.tell(Event::Cancelled(job)).await.ok()?;
             Some(Reply::Noted)
@@ -215,6 +227,10 @@
         let now = self.shared.clock.now();
         let engine = &mut self.engine;
         match event {
+            Event::Announced(accepted) => {
+                engine.announce(*accepted, now);
+            }
+            Event::Withdrawn(job) => engine.withdraw(job, now),
             Event::Accepted(accepted) => {
                 engine.submit(*accepted, now);
             }
