--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -65,9 +65,6 @@
 const OWNER_WAIT: Duration = Duration::from_millis(1_500);
 /// How often the owner is told of an acceptance; after that it reads of it in the store.
 const TELL_TIMES: u32 = 6;
-/// A job is announced to the owner while calls of the store usually take longer; they take 9 ms, and 0.35 s on
-/// slow days.
-const SLOW_STORE: Duration = Duration::from_millis(40);
 /// For so long an owner may be replaced without this node knowing: it greets the owner each 0.7 s at most, and
 /// a frozen or cut-off one may stay silent for as long again.
 const REPLACED: Duration = Duration::from_millis(1_500);
@@ -320,8 +317,7 @@
     /// Tells the owner of a job whose record is on its way, where the store takes its time; returns whether it
     /// does.
     fn announce(&self, accepted: &Accepted) -> bool {
-        let store = &self.shared.store;
-        if store.usual() < SLOW_STORE || store.is_failing() {
+        if !self.shared.store.is_slow() {
             return false;
         }
         self.tell_once(Question::Announced(Box::new(accepted.clone())));
--- a/crates/node/src/health.rs
+++ b/crates/node/src/health.rs
@@ -29,6 +29,9 @@
 /// The longest. A store that is slow takes up to 1.4 s, and what it takes late is worth more than a refusal.
 const AWAY_MOST: Duration = Duration::from_millis(1_600);
 
+/// A store whose calls usually take longer is slow; they take 9 ms, and 0.35 s on slow days.
+const SLOW: Duration = Duration::from_millis(40);
+
 /// An answer is overdue after so many times of what calls usually take.
 const OVERDUE: u32 = 4;
 /// No answer is overdue before this: the usual one takes 8 ms, a busy processor some tens more.
@@ -181,6 +184,11 @@
         self.state().typical
     }
 
+    /// Returns whether the store answers this node, but takes its time.
+    pub(crate) fn is_slow(&self) -> bool {
+        self.usual() >= SLOW && !self.is_failing()
+    }
+
     /// Returns how long an answer may take before it is overdue.
     pub(crate) fn patience(&self) -> Duration {
         self.state().patience()
--- a/crates/node/src/member/own.rs
+++ b/crates/node/src/member/own.rs
@@ -58,6 +58,9 @@
 const RENEW: Duration = Duration::from_millis(300);
 /// An owner gives the cell up for a stronger node after this time: each change of owners costs 0.1 s.
 const TENURE: Duration = Duration::from_secs(3);
+/// For so long a leaving owner waits while the store is slow; the process serves its callers on for 3 s at the
+/// usual grace of 6 s.
+const LEAVES_WITHIN: Duration = Duration::from_secs(2);
 /// How often the owner weighs whether another should own the cell.
 const WEIGH: Duration = Duration::from_millis(100);
 /// A node that greeted the owner longer ago takes nothing over: weak ones greet each 0.7 s.
@@ -229,6 +232,7 @@
             return Ending::Forced("fenced");
         }
         if shared.is_leaving() {
+            wait_for_quick_store(shared).await;
             return Ending::Wanted(Reason::Leaving);
         }
         // The sender lives as long as this task.
@@ -236,6 +240,15 @@
     }
 }
 
+/// Waits for a moment while the store is slow: a change of owners takes four of its calls, and there is time
+/// for that before the process ends.
+async fn wait_for_quick_store<P: Platform>(shared: &Shared<P>) {
+    let until = Instant::now() + LEAVES_WITHIN;
+    while shared.store.is_slow() && Instant::now() < until {
+        sleep(WEIGH).await;
+    }
+}
+
 /// Waits until the cell should be handed to a node that is stronger or quicker, and there is one.
 async fn relieved<P: Platform>(shared: &Shared<P>) -> Reason {
     let began = Instant::now();
--- a/crates/node/src/owner/forget.rs
+++ b/crates/node/src/owner/forget.rs
@@ -2,8 +2,7 @@
 
 use std::{
     collections::BTreeMap,
-    sync::Arc,
-    time::Duration, //
+    sync::Arc, //
 };
 
 use fulmarpier_cell::id::JobId;
@@ -19,14 +18,12 @@
     shared::Shared,
 };
 
-/// A store whose calls take longer has better to do: the next owner takes off what is left.
-const SLOW: Duration = Duration::from_millis(40);
-
-/// Removes acceptances, one append a partition; what fails is left to the next owner.
+/// Removes acceptances, one append a partition; what fails is left to the next owner, and all is while the store
+/// has better to do.
 ///
 /// How each of these jobs ended is on record, so it does no harm whenever it is carried out.
 pub(super) fn forget<P: Platform>(shared: &Arc<Shared<P>>, jobs: Vec<(u16, JobId)>) {
-    if shared.store.usual() > SLOW || shared.store.is_failing() {
+    if shared.store.is_slow() || shared.store.is_failing() {
         return;
     }
     let mut partitions: BTreeMap<u16, Vec<Record>> = BTreeMap::new();
--- a/crates/node/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -103,6 +103,31 @@
     assert_eq!(platform.starts(1), 4);
 }
 
+/// Machines are restarted in turn while the store is slow: a change of owners takes four of its calls.
+#[tokio::test]
+async fn a_leaving_owner_waits_a_moment_for_a_slow_store() {
+    let platform = Fake::new();
+    let one = node("one", &platform);
+    ready(&one).await;
+    let two = node("two", &platform);
+    ready(&two).await;
+    until(|| async { one.greeted_by().await == 1 }).await;
+    platform.set(Mode::Slow);
+    let renewals = |count: usize| {
+        let before = platform.claims().len();
+        let platform = platform.clone();
+        async move { until(|| async { platform.claims().len() >= before + count }).await }
+    };
+    // So many calls make the node take it for slow.
+    renewals(3).await;
+    one.leave();
+    renewals(2).await;
+    assert_eq!(platform.owner().as_deref(), Some("one"), "it goes on");
+    platform.set(Mode::Well);
+    until(|| async { platform.owner().as_deref() == Some("two") }).await;
+    assert!(platform.claims().iter().all(|claim| !claim.released));
+}
+
 /// A machine is cut off from the store with callers on it, who may be served elsewhere.
 #[tokio::test]
 async fn callers_of_a_node_that_the_store_leaves_alone_are_told_long_before_their_deadline() {
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -83,6 +83,8 @@
     /// It answers.
     #[default]
     Well,
+    /// It answers late.
+    Slow,
     /// It refuses every call.
     Refusing,
     /// It carries appends out and gives no answer.
@@ -132,6 +134,8 @@
 const RUNS: Duration = Duration::from_millis(40);
 /// How long a call takes.
 const CALL: Duration = Duration::from_millis(2);
+/// How long a call of a slow store takes.
+const SLOW: Duration = Duration::from_millis(90);
 /// Longer than any caller of the tests waits.
 const NEVER: Duration = Duration::from_secs(4);
 /// How long a call without an answer takes to fail.
@@ -262,6 +266,10 @@
                 sleep(CALL).await;
                 Ok(())
             }
+            Mode::Slow => {
+                sleep(SLOW).await;
+                Ok(())
+            }
             Mode::Refusing => Err(Error::Refused("unavailable")),
             Mode::Mute => {
                 sleep(LOST).await;
@@ -317,7 +325,7 @@
                 let _ = self.carry_out(append);
                 self.answer().await.map(|()| 0)
             }
-            Mode::Well => {
+            Mode::Well | Mode::Slow => {
                 self.answer().await?;
                 self.carry_out(append)
             }
