--- a/crates/cell/tests/cell/announce.rs
+++ b/crates/cell/tests/cell/announce.rs
@@ -4,34 +4,24 @@
 
 use fulmarpier_cell::{
     engine::State,
-    id::QueueName,
-    job::Step, //
+    id::QueueName, //
 };
 
 use crate::world::{
     Faults,
     World,
-    size, //
+    quick_step, //
 };
 
 const STORE: Duration = Duration::from_millis(350);
 
-fn step() -> Step {
-    Step {
-        count: 2,
-        size: size(1_000, 1_024),
-        estimate: Duration::from_millis(640),
-        ..Step::default()
-    }
-}
-
 /// A store takes 0.35 s a call: how long after it was handed in a job's first order leaves.
 fn first_start(is_announced: bool) -> Duration {
     let mut world = World::new(1, Faults::default());
     world.append = STORE;
     world.run(Duration::from_secs(1));
     let handed_in = world.now;
-    let accepted = world.hand_in("urgent", vec![step()]);
+    let accepted = world.hand_in("urgent", vec![quick_step()]);
     if is_announced {
         world.engine.announce(accepted.clone(), world.now);
     }
@@ -55,7 +45,7 @@
 fn a_job_whose_acceptance_is_refused_never_starts_and_holds_no_room() {
     let mut world = World::new(1, Faults::default());
     world.run(Duration::from_secs(1));
-    let accepted = world.hand_in("urgent", vec![step()]);
+    let accepted = world.hand_in("urgent", vec![quick_step()]);
     let (job, queue) = (accepted.job, QueueName::from("urgent"));
     world.engine.announce(accepted, world.now);
     world.run(Duration::from_millis(300));
@@ -72,7 +62,7 @@
 fn a_job_that_is_kept_after_it_was_given_up_runs_once() {
     let mut world = World::new(1, Faults::default());
     world.run(Duration::from_secs(1));
-    let accepted = world.hand_in("urgent", vec![step()]);
+    let accepted = world.hand_in("urgent", vec![quick_step()]);
     let job = accepted.job;
     world.engine.announce(accepted.clone(), world.now);
     world.run(Duration::from_secs(4));
--- a/crates/cell/tests/cell/forget.rs
+++ b/crates/cell/tests/cell/forget.rs
@@ -14,10 +14,7 @@
         Epoch,
         JobId, //
     },
-    job::{
-        Spec,
-        Step, //
-    },
+    job::Spec,
     record::{
         self,
         Accepted,
@@ -32,29 +29,20 @@
     Faults,
     World,
     queue,
-    size, //
+    quick_step, //
 };
 
-fn step() -> Step {
-    Step {
-        count: 2,
-        size: size(1_000, 1_024),
-        estimate: Duration::from_millis(640),
-        ..Step::default()
-    }
-}
-
 #[test]
 fn how_a_job_ended_outlives_its_acceptance_and_a_takeover() {
     let mut world = World::new(1, Faults::default());
     world.run(Duration::from_secs(1));
     let done: Vec<JobId> = (0..10)
-        .map(|_| world.submit("urgent", vec![step()]))
+        .map(|_| world.submit("urgent", vec![quick_step()]))
         .collect();
-    let cancelled = world.submit("batch", vec![step()]);
+    let cancelled = world.submit("batch", vec![quick_step()]);
     world.cancel(cancelled);
     world.run(Duration::from_secs(12));
-    let open = world.submit("batch", vec![step()]);
+    let open = world.submit("batch", vec![quick_step()]);
     world.run(Duration::from_millis(100));
     let starts = world.starts;
     assert_eq!(world.on_record().count(), 1, "the open one");
@@ -81,7 +69,7 @@
         queue: queue("urgent", 0, true).into(),
         spec: Spec {
             text: "x".repeat(250).into(),
-            steps: vec![step()],
+            steps: vec![quick_step()],
             schedule: None,
         }
         .into(),
--- a/crates/cell/tests/cell/world/mod.rs
+++ b/crates/cell/tests/cell/world/mod.rs
@@ -189,6 +189,16 @@
     Resources::new(Millicores(cpu), Bytes::from_mib(memory), 0)
 }
 
+/// Makes a step of two quick tasks.
+pub(crate) fn quick_step() -> Step {
+    Step {
+        count: 2,
+        size: size(1_000, 1_024),
+        estimate: Duration::from_millis(640),
+        ..Step::default()
+    }
+}
+
 impl World {
     /// Makes a world with eight workers, all of them known to the first owner.
     pub(crate) fn new(seed: u64, faults: Faults) -> Self {
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front/mod.rs
@@ -1,4 +1,14 @@
 //! Takes, shows and cancels jobs at any node.
+//!
+//! `owner` is how a node asks and tells the owner, `kept` how jobs stand on record.
+
+mod kept;
+mod owner;
+
+pub(crate) use self::kept::{
+    JobRecord,
+    cancellation_key, //
+};
 
 use std::{
     sync::{
@@ -14,7 +24,6 @@
     config::Config,
     engine::State,
     id::{
-        Epoch,
         JobId,
         QueueName, //
     },
@@ -27,11 +36,7 @@
         Accepted, //
     },
 };
-use tokio::time::{
-    Instant,
-    sleep,
-    timeout, //
-};
+use tokio::time::Instant;
 
 use crate::{
     comeback::Refusals,
@@ -41,14 +46,9 @@
         Kept, //
     },
     message::{
-        self,
         Question,
         Reply, //
     },
-    owner::{
-        Look,
-        Pending, //
-    },
     port::{
         Platform,
         Record, //
@@ -57,18 +57,6 @@
     shared::Shared,
 };
 
-/// How long a call to the owner may take before it is tried anew.
-const OWNER_CALL: Duration = Duration::from_millis(600);
-/// The pause before the owner is asked again.
-const OWNER_AGAIN: Duration = Duration::from_millis(50);
-/// How long a question about a job waits for an owner; callers ask again by themselves.
-const OWNER_WAIT: Duration = Duration::from_millis(1_500);
-/// How often the owner is told of an acceptance; after that it reads of it in the store.
-const TELL_TIMES: u32 = 6;
-/// For so long an owner may be replaced without this node knowing: it greets the owner each 0.7 s at most, and
-/// a frozen or cut-off one may stay silent for as long again.
-const REPLACED: Duration = Duration::from_millis(1_500);
-
 /// Why a call did not get what it asked for.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Refusal {
@@ -276,44 +264,6 @@
         Ok(())
     }
 
-    /// Asks the owner, again where it can't be reached, for as long as callers should wait.
-    async fn ask_owner(&self, question: &Question) -> Result<Reply, Refusal> {
-        let until = Instant::now() + OWNER_WAIT;
-        loop {
-            if let Some(reply) = self.ask_once(question).await {
-                return Ok(reply);
-            }
-            if Instant::now() + OWNER_AGAIN >= until {
-                return Err(Refusal::NoOwner);
-            }
-            sleep(OWNER_AGAIN).await;
-        }
-    }
-
-    async fn ask_once(&self, question: &Question) -> Option<Reply> {
-        if let Some(control) = self.shared.control() {
-            return match question {
-                Question::Look(job) => {
-                    let found = control.ask(Look(*job)).await.ok()?;
-                    Some(Reply::State(found.0))
-                }
-                Question::Pending(queue) => {
-                    let count = control.ask(Pending(queue.clone())).await.ok()?;
-                    Some(Reply::Pending(count))
-                }
-                other => crate::owner::accept(&control, other.clone()).await,
-            };
-        }
-        let address = self.shared.claim.borrow().as_ref()?.address;
-        if address == self.shared.address {
-            return None;
-        }
-        let reply = message::ask(&self.shared.rpc, address, question, OWNER_CALL).await;
-        reply
-            .ok()
-            .filter(|reply| !matches!(reply, Reply::NotOwner { .. }))
-    }
-
     /// Tells the owner of a job whose record is on its way, where the store takes its time; returns whether it
     /// does.
     fn announce(&self, accepted: &Accepted) -> bool {
@@ -324,43 +274,6 @@
         true
     }
 
-    /// Tells the owner something that it can do without.
-    fn tell_once(&self, question: Question) {
-        let front = self.clone();
-        tokio::spawn(async move {
-            let _ = front.ask_once(&question).await;
-        });
-    }
-
-    /// Tells the owner of a record, without holding the caller up; the next owner as well, where the cell
-    /// changes hands a moment later.
-    ///
-    /// A word may reach an owner that was replaced without knowing it yet, after its successor has read what
-    /// is on record. The successor would hear of it only when it reads the partition again, up to 2 s later,
-    /// and a cancellation has to be in force within 3 s.
-    fn tell(&self, question: Question) {
-        let front = self.clone();
-        tokio::spawn(async move {
-            let mut failures = 0;
-            while failures < TELL_TIMES {
-                let epoch = front.shared.epoch();
-                if front.ask_once(&question).await.is_none() {
-                    failures += 1;
-                    sleep(OWNER_AGAIN * 4).await;
-                } else if !front.is_replaced(epoch).await {
-                    return;
-                }
-            }
-        });
-    }
-
-    /// Waits for a moment whether another owner comes after the one of an epoch.
-    async fn is_replaced(&self, epoch: Epoch) -> bool {
-        let mut claims = self.shared.claim.subscribe();
-        let newer = claims.wait_for(|claim| claim.as_ref().is_some_and(|c| c.epoch > epoch));
-        timeout(REPLACED, newer).await.is_ok()
-    }
-
     fn report(
         &self,
         what: &'static str,
@@ -385,28 +298,3 @@
             "took_ms" => millis(took), "outcome" => outcome);
     }
 }
-
-/// Returns the key that a cancellation is kept under.
-pub(crate) fn cancellation_key(job: JobId) -> String {
-    format!("{job}/x")
-}
-
-/// Reads a record of the jobs' topic.
-pub(crate) enum JobRecord {
-    /// A job was accepted.
-    Accepted(Box<Accepted>),
-    /// A job was cancelled.
-    Cancelled(JobId),
-}
-
-impl JobRecord {
-    /// Reads a record; `None` where it is none of this program's.
-    pub(crate) fn read(record: &Record) -> Option<Self> {
-        if let Some(job) = record.key.strip_suffix("/x") {
-            return job.parse().ok().map(Self::Cancelled);
-        }
-        let value = record.value.as_ref()?;
-        let accepted = record::decode(value).ok()?;
-        Some(Self::Accepted(Box::new(accepted)))
-    }
-}
