Write jobs to the next partition where the store refuses a node's own

Change: a refused group goes to the next partition, while the store answers otherwise. A refusal did nothing, so the record may stand elsewhere. Test: nodes whose partition refuses everything take jobs. Also: a lag is the median of the last eight events.

--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -56,6 +56,9 @@
 const AGAIN: Duration = Duration::from_millis(50);
 /// How long an append without an answer is tried: the platform carries it out up to 6 s late.
 const MOST_TRIED: Duration = Duration::from_secs(6);
+/// Where a store that refuses a partition has not answered otherwise for this long, it is away as a whole and
+/// another partition is not tried.
+const ELSEWHERE: Duration = Duration::from_millis(500);
 /// How often a record that waits is looked at.
 const LOOK: Duration = Duration::from_millis(100);
 
@@ -181,7 +184,19 @@
     }
 }
 
+/// Appends records to a node's own partition, or to the next one where the store refuses that.
+///
+/// A refusal did nothing, so the records may stand elsewhere. The store may refuse single partitions: with a part
+/// of them away for 3.5 s, two of five jobs were refused that another partition would have taken.
 async fn append<P: Platform>(shared: &Shared<P>, partition: u16, records: Vec<Record>) -> Kept {
+    let kept = append_to(shared, partition, records.clone()).await;
+    if kept != Kept::No || shared.store.failing_for() >= ELSEWHERE {
+        return kept;
+    }
+    append_to(shared, (partition + 1) % PARTITIONS, records).await
+}
+
+async fn append_to<P: Platform>(shared: &Shared<P>, partition: u16, records: Vec<Record>) -> Kept {
     let append = Append {
         topic: Topic::Jobs(partition),
         records,
--- a/crates/node/src/owner/takeover.rs
+++ b/crates/node/src/owner/takeover.rs
@@ -12,6 +12,7 @@
     },
     record::{
         self,
+        Accepted,
         Claim,
         Entry, //
     },
@@ -100,9 +101,15 @@
         }
     }
     let ends: Vec<u64> = jobs.iter().map(|page| page.next).collect();
-    for record in jobs.into_iter().flat_map(|page| page.records) {
+    let records = (0..PARTITIONS).zip(jobs);
+    let records = records.flat_map(|(p, page)| page.records.into_iter().map(move |r| (p, r)));
+    for (partition, record) in records {
         match JobRecord::read(&record) {
-            Some(JobRecord::Accepted(accepted)) => inheritance.accepted.push(*accepted),
+            Some(JobRecord::Accepted(accepted)) => inheritance.accepted.push(Accepted {
+                // Its own partition may have refused it.
+                partition,
+                ..*accepted
+            }),
             Some(JobRecord::Cancelled(job)) => inheritance.cancelled.push(job),
             None => slog::error!(shared.log, "record-unreadable"; "key" => record.key),
         }
--- a/crates/node/src/succession.rs
+++ b/crates/node/src/succession.rs
@@ -35,8 +35,8 @@
 const QUICKER: u32 = 3;
 /// An owner doesn't let go for slowness so soon after it took over: it reads, adopts and starts a backlog.
 const SETTLED: Duration = Duration::from_secs(2);
-/// How much the newest reading counts in a lag, as one part of so many.
-const NEWEST_PART: u32 = 4;
+/// How many events a lag is the median of: 0.2 s of the owner's ticks.
+const LATEST: usize = 8;
 
 /// What a node tells of itself when it greets the owner.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -133,26 +133,30 @@
     strong.min_by_key(|greeting| (!is_quick(greeting.lag), greeting.age))
 }
 
-/// How late events are, smoothed.
+/// How late events are: the median of the latest, so that one hiccup is no slowness.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Lag {
-    smoothed: Duration,
+    latest: [Duration; LATEST],
+    next: usize,
     worst: Duration,
 }
 
 impl Lag {
     /// Takes in how late one event was.
     pub fn note(&mut self, late: Duration) {
-        self.smoothed = (self.smoothed * (NEWEST_PART - 1) + late) / NEWEST_PART;
+        self.latest[self.next] = late;
+        self.next = (self.next + 1) % LATEST;
         self.worst = self.worst.max(late);
     }
 
     /// Returns how late events are of late.
-    pub const fn get(&self) -> Duration {
-        self.smoothed
+    pub fn get(&self) -> Duration {
+        let mut sorted = self.latest;
+        sorted.sort_unstable();
+        sorted[LATEST / 2]
     }
 
-    /// Returns how late the latest one was since this was last asked.
+    /// Returns how late the worst one was since this was last asked.
     pub fn take_worst(&mut self) -> Duration {
         std::mem::take(&mut self.worst)
     }
--- a/crates/node/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -147,6 +147,25 @@
     assert_eq!(platform.run_out(), 0, "nobody waited for a call to run out");
 }
 
+/// The store may refuse single partitions; a node writes to one that goes by its name.
+#[tokio::test]
+async fn jobs_are_taken_while_the_store_refuses_the_partition_of_their_node() {
+    let platform = Fake::new();
+    let one = node("one", &platform);
+    ready(&one).await;
+    for partition in (0..16).step_by(2) {
+        platform.refuse(partition);
+    }
+    // Whichever partition is whose, one of two neighbours takes the record.
+    let two = node("two", &platform);
+    ready(&two).await;
+    for (job, node) in [(1, &one), (2, &two)] {
+        submit(node, job).await.unwrap();
+        completed(node, job).await;
+    }
+    assert_eq!((platform.starts(1), platform.starts(2)), (4, 4));
+}
+
 /// Restarts while the store is silent: a call from before its return is never answered.
 #[tokio::test]
 async fn a_node_that_starts_in_a_silent_store_doesn_t_wait_for_its_first_calls() {
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -98,6 +98,8 @@
 #[derive(Default)]
 struct State {
     mode: Mode,
+    /// Topics whose appends are refused.
+    refused: Vec<String>,
     topics: BTreeMap<String, Vec<Record>>,
     fence: u32,
     /// The writer's last append, to answer a repeat of it.
@@ -215,6 +217,11 @@
         state.topics.entry(place).or_default().push(record);
     }
 
+    /// Has the store refuse appends to one partition of the jobs.
+    pub(crate) fn refuse(&self, partition: u16) {
+        self.state().refused.push(name(Topic::Jobs(partition)));
+    }
+
     /// Returns how many orders to start this machine has given.
     pub(crate) fn ordered(&self) -> usize {
         self.ordered.load(Ordering::Relaxed)
@@ -317,6 +324,9 @@
 
 impl Platform for Fake {
     async fn append(&self, append: Append) -> Result<u64, Error> {
+        if self.state().refused.contains(&name(append.topic)) {
+            return Err(Error::Refused("unavailable"));
+        }
         let mode = self.mode();
         match mode {
             Mode::Refusing | Mode::Silent => self.answer().await.map(|()| 0),
