Bound how long an owner goes on while its successor's claim is on its way

Reading the diff: at a store of 0.7 s a call it went on for 2.6 s, and its successor reckons with leases that a former owner extends for 1.8 s. It is 1.2 s at most now, as for an owner without the store.

--- a/crates/node/src/member/own.rs
+++ b/crates/node/src/member/own.rs
@@ -179,7 +179,8 @@
         released: false,
         strength: next.strength,
     };
-    let patience = RENEWAL_PATIENCE + STORE_TIMES * shared.store.usual();
+    // The claim may be on record without an answer: this node must not go on for longer than without the store.
+    let patience = ALONE.min(RENEWAL_PATIENCE + STORE_TIMES * shared.store.usual());
     let kept = timeout(patience, keep_successor(shared, &successor, end)).await;
     let is_kept = matches!(kept, Ok(true));
     slog::info!(shared.log, "hand-over"; "epoch" => %successor.epoch, "why" => reason.word(),
