Log whose word it is that there is no such job, and how old its view is

An incident's logs could not tell an owner with an old view of the record from an owner that had been replaced: the request's line names neither, and the owner's takeover had been cut off. No change of logic; tests of the node pass.

--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -46,6 +46,7 @@
         Kept, //
     },
     message::{
+        Absent,
         Question,
         Reply, //
     },
@@ -210,8 +211,11 @@
     pub async fn look(&self, job: JobId) -> Result<State, Refusal> {
         let reply = self.ask_owner(&Question::Look(job)).await?;
         match reply {
-            Reply::State(Some(state)) => Ok(state),
-            Reply::State(None) => Err(Refusal::NoJob),
+            Reply::State(state) => Ok(state),
+            Reply::Absent(absent) => {
+                self.report_absent(job, absent);
+                Err(Refusal::NoJob)
+            }
             _ => Err(Refusal::NoOwner),
         }
     }
@@ -274,6 +278,13 @@
         true
     }
 
+    fn report_absent(&self, job: JobId, absent: Absent) {
+        if self.shared.meter.may_log("no-job") {
+            slog::info!(self.shared.log, "no-job"; "job" => %job, "epoch" => %absent.epoch,
+                "view_ms" => millis(absent.view));
+        }
+    }
+
     fn report(
         &self,
         what: &'static str,
--- a/crates/node/src/front/owner.rs
+++ b/crates/node/src/front/owner.rs
@@ -19,10 +19,7 @@
         Question,
         Reply, //
     },
-    owner::{
-        Look,
-        Pending, //
-    },
+    owner,
     port::Platform,
 };
 
@@ -54,18 +51,8 @@
     }
 
     async fn ask_once(&self, question: &Question) -> Option<Reply> {
-        if let Some(control) = self.shared.control() {
-            return match question {
-                Question::Look(job) => {
-                    let found = control.ask(Look(*job)).await.ok()?;
-                    Some(Reply::State(found.0))
-                }
-                Question::Pending(queue) => {
-                    let count = control.ask(Pending(queue.clone())).await.ok()?;
-                    Some(Reply::Pending(count))
-                }
-                other => crate::owner::accept(&control, other.clone()).await,
-            };
+        if let Some(seat) = self.shared.seat() {
+            return owner::accept(&seat, question.clone()).await;
         }
         let address = self.shared.claim.borrow().as_ref()?.address;
         if address == self.shared.address {
--- a/crates/node/src/member/own.rs
+++ b/crates/node/src/member/own.rs
@@ -80,7 +80,7 @@
 pub(super) async fn own_cell<P: Platform>(shared: &Arc<Shared<P>>, mut claim: Claim, mut end: u64) {
     shared.acting.send_replace(Some(Acting {
         claim: claim.clone(),
-        control: None,
+        seat: None,
     }));
     let taking = tokio::spawn({
         let shared = shared.clone();
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -112,8 +112,10 @@
     },
     /// It is taken in.
     Noted,
-    /// The state of a job, or `None` where it is not known.
-    State(Option<State>),
+    /// The state of a job.
+    State(State),
+    /// The owner knows no such job.
+    Absent(Absent),
     /// A count of jobs.
     Pending(u32),
     /// The workers that may run a step; `None` where the service gave no answer.
@@ -122,6 +124,15 @@
     Store(Option<Duration>),
 }
 
+/// What an owner's word that it knows no such job rests on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Absent {
+    /// Under which claim it answers.
+    pub(crate) epoch: Epoch,
+    /// For how long a job may have been on record that it has not read.
+    pub(crate) view: Duration,
+}
+
 /// Asks a node and waits for its answer.
 pub(crate) async fn ask(
     client: &rpc::Client,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -302,8 +302,8 @@
                 Reply::Noted
             }
             other => {
-                let reply = match shared.control() {
-                    Some(control) => owner::accept(&control, other).await,
+                let reply = match shared.seat() {
+                    Some(seat) => owner::accept(&seat, other).await,
                     None => None,
                 };
                 reply.unwrap_or_else(|| self.not_owner())
@@ -349,7 +349,7 @@
             }
             let acting = self.shared.acting.borrow().clone();
             let Some((acting, control)) =
-                acting.and_then(|acting| Some((acting.claim, acting.control?)))
+                acting.and_then(|acting| Some((acting.claim, acting.seat?.control)))
             else {
                 told = None;
                 continue;
--- a/crates/node/src/owner/control.rs
+++ b/crates/node/src/owner/control.rs
@@ -24,6 +24,7 @@
         Registration, //
     },
     id::{
+        Epoch,
         JobId,
         NodeName,
         QueueName,
@@ -63,11 +64,13 @@
         Peer,
         Share, //
     },
+    view::View,
 };
 use crate::{
     hand::Reports,
     message::{
         self,
+        Absent,
         Question,
         Reply, //
     },
@@ -77,7 +80,10 @@
     },
     port::Platform,
     report::millis,
-    shared::Shared,
+    shared::{
+        Seat,
+        Shared, //
+    },
 };
 
 /// How much longer than twice its time a call for advice may take. Twice, since the service may still be
@@ -95,6 +101,9 @@
     pub(super) engine: Engine,
     pub(super) shared: Arc<Shared<P>>,
     records: mpsc::UnboundedSender<Vec<Entry>>,
+    view: View,
+    /// When the actor began.
+    since: Instant,
     /// Whether the actor will be told that time has passed when a pass is due.
     is_timed: bool,
     /// Set once another node may own the cell: no order leaves any more.
@@ -149,20 +158,22 @@
 }
 
 /// Asks for the state of a job.
-pub(crate) struct Look(pub(crate) JobId);
+struct Look(JobId);
 
-/// The state of a job, or `None` where it is not known.
+/// The state of a job.
 #[derive(kameo::Reply)]
-pub(crate) struct Found(pub(crate) Option<State>);
+pub(crate) struct Found {
+    /// `None` where the owner doesn't know the job.
+    state: Option<State>,
+    epoch: Epoch,
+}
 
 /// Asks how many jobs of a queue have begun nothing.
-pub(crate) struct Pending(pub(crate) QueueName);
+struct Pending(QueueName);
 
 /// Hands a question of another node to the engine.
-pub(crate) async fn accept<P: Platform>(
-    control: &ActorRef<Control<P>>,
-    question: Question,
-) -> Option<Reply> {
+pub(crate) async fn accept<P: Platform>(seat: &Seat<P>, question: Question) -> Option<Reply> {
+    let control = &seat.control;
     match question {
         Question::Accepted(accepted) => {
             control.tell(Event::Accepted(accepted)).await.ok()?;
@@ -184,7 +195,18 @@
             control.tell(Event::Reports(reports)).await.ok()?;
             Some(Reply::Noted)
         }
-        Question::Look(job) => Some(Reply::State(control.ask(Look(job)).await.ok()?.0)),
+        Question::Look(job) => {
+            let found = control.ask(Look(job)).await.ok()?;
+            Some(found.state.map_or_else(
+                || {
+                    Reply::Absent(Absent {
+                        epoch: found.epoch,
+                        view: seat.view.age(),
+                    })
+                },
+                Reply::State,
+            ))
+        }
         Question::Pending(queue) => Some(Reply::Pending(control.ask(Pending(queue)).await.ok()?)),
         _ => None,
     }
@@ -195,11 +217,14 @@
         engine: Engine,
         shared: Arc<Shared<P>>,
         records: mpsc::UnboundedSender<Vec<Entry>>,
+        view: View,
     ) -> Self {
         Self {
             engine,
             shared,
             records,
+            view,
+            since: Instant::now(),
             is_timed: false,
             is_deposed: false,
             last: Instant::now(),
@@ -399,7 +424,10 @@
     type Reply = Found;
 
     async fn handle(&mut self, look: Look, _: &mut Context<Self, Found>) -> Found {
-        Found(self.engine.state(look.0))
+        Found {
+            state: self.engine.state(look.0),
+            epoch: self.engine.epoch(),
+        }
     }
 }
 
@@ -420,11 +448,14 @@
     async fn handle(&mut self, _: Measure, _: &mut Context<Self, ()>) {
         let counts = self.engine.counts();
         let epoch = u64::from(self.engine.epoch().0);
-        self.shared.meter.believed(&counts, epoch);
+        let view = self.view.age();
+        self.shared.meter.believed(&counts, epoch, view);
         if self.shared.meter.may_log("believed") {
             slog::info!(self.shared.log, "believed"; "epoch" => epoch, "jobs" => counts.jobs,
                 "open_steps" => counts.open_steps, "claims" => counts.claims,
                 "lag_ms" => millis(self.shared.pulse.take_worst()),
+                "owned_ms" => millis(self.since.elapsed()),
+                "view_ms" => millis(view),
                 "workers_heard" => counts.workers_heard,
                 "workers_silent" => counts.workers_silent,
                 "workers_unheard" => counts.workers_unheard);
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -8,15 +8,15 @@
 mod share;
 mod tail;
 mod takeover;
+mod view;
 
 pub(crate) use self::{
     control::{
         Control,
         Event,
-        Look,
-        Pending,
         accept, //
     },
     share::Peer,
     takeover::take_over,
+    view::View, //
 };
--- a/crates/node/src/owner/tail.rs
+++ b/crates/node/src/owner/tail.rs
@@ -22,13 +22,14 @@
 
 use super::{
     Control,
-    Event, //
+    Event,
+    View, //
 };
 use crate::{
     front::JobRecord,
     intake,
     port::{
-        Page,
+        Error,
         Platform,
         Record,
         Topic, //
@@ -119,18 +120,61 @@
     }
 }
 
+/// From where a partition of the jobs is read on.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Start {
+    /// The first offset that was not read.
+    pub(super) offset: u64,
+    /// All that was on record then was read.
+    pub(super) read: Instant,
+}
+
+/// Returns the view of an owner that has read the partitions of the jobs so far.
+pub(super) fn view(starts: &[Start]) -> View {
+    let oldest = starts.iter().map(|start| start.read).min();
+    View::new(oldest.unwrap_or_else(Instant::now))
+}
+
+/// A partition of the jobs that is read on.
+struct Partition {
+    number: u16,
+    reader: Reader,
+    /// When it was last asked for.
+    asked: Instant,
+    /// All that was on record then was read.
+    read: Instant,
+}
+
+impl Partition {
+    fn new(number: u16, start: Start) -> Self {
+        Self {
+            number,
+            reader: Reader::from(Topic::Jobs(number), "jobs", start.offset),
+            asked: Instant::now(),
+            read: start.read,
+        }
+    }
+
+    /// Returns the records that were put there since it was read.
+    async fn read_on<P: Platform>(&mut self, shared: &Shared<P>) -> Result<Vec<Record>, Error> {
+        self.asked = Instant::now();
+        let batch = self.reader.read(shared, Duration::ZERO).await?;
+        self.read = self.asked;
+        let (Batch::Whole(page) | Batch::More(page)) = batch;
+        Ok(page.records)
+    }
+}
+
 /// Follows the partitions of the jobs, each as often as something may stand in it that nobody has told of.
 pub(super) async fn jobs<P: Platform>(
     shared: Arc<Shared<P>>,
-    ends: Vec<u64>,
+    starts: Vec<Start>,
+    view: View,
     control: WeakActorRef<Control<P>>,
 ) {
-    let partitions = (0u16..).zip(ends);
-    let mut readers: Vec<(u16, Reader, Instant)> = partitions
-        .map(|(partition, end)| {
-            let reader = Reader::from(Topic::Jobs(partition), "jobs", end);
-            (partition, reader, Instant::now())
-        })
+    let partitions = (0u16..).zip(starts);
+    let mut partitions: Vec<Partition> = partitions
+        .map(|(number, start)| Partition::new(number, start))
         .collect();
     let mut writers = Writers::default();
     loop {
@@ -138,21 +182,17 @@
         let peers = shared.peers.lock().await.clone();
         let present = peers.into_iter().map(|peer| peer.node);
         writers.note(present.chain([shared.name.clone()]));
-        let due = readers
+        let due = partitions
             .iter_mut()
-            .filter(|(partition, _, read)| read.elapsed() >= writers.period(*partition));
-        let reads = due.map(|(_, reader, read)| {
-            *read = Instant::now();
-            reader.read(&shared, Duration::ZERO)
-        });
+            .filter(|partition| partition.asked.elapsed() >= writers.period(partition.number));
+        let reads = due.map(|partition| partition.read_on(&shared));
         let batches = join_all(reads).await;
         let Some(control) = control.upgrade() else {
             return;
         };
         for batch in batches {
             // One that failed is read again when it is due.
-            let Ok(Batch::Whole(Page { records, .. }) | Batch::More(Page { records, .. })) = batch
-            else {
+            let Ok(records) = batch else {
                 continue;
             };
             for event in records.iter().filter_map(event) {
@@ -160,6 +200,9 @@
                 let _ = control.tell(event).await;
             }
         }
+        if let Some(oldest) = partitions.iter().map(|partition| partition.read).min() {
+            view.note(oldest);
+        }
     }
 }
 
--- a/crates/node/src/owner/takeover.rs
+++ b/crates/node/src/owner/takeover.rs
@@ -29,6 +29,7 @@
 use tokio::{
     sync::mpsc,
     time::{
+        Instant,
         MissedTickBehavior,
         interval, //
     },
@@ -50,8 +51,10 @@
         Platform,
         Topic, //
     },
+    report::millis,
     shared::{
         Acting,
+        Seat,
         Shared, //
     },
     watch::{
@@ -77,7 +80,7 @@
     shared: &Arc<Shared<P>>,
     claim: &Claim,
 ) -> Result<ActorRef<Control<P>>, Error> {
-    let began = tokio::time::Instant::now();
+    let began = Instant::now();
     loop {
         match recorder::fence(shared, claim.epoch).await {
             Ok(()) => break,
@@ -89,7 +92,7 @@
     let jobs = join_all((0..PARTITIONS).map(|p| newest(shared, Topic::Jobs(p), "jobs")));
     let (progress, jobs) = futures::join!(progress, jobs);
     let mut inheritance = Inheritance::default();
-    for record in progress.records {
+    for record in progress.page.records {
         let entry = record.value.as_ref().map(|value| record::decode(value));
         match entry {
             Some(Ok(Entry::Job(job, progress))) => inheritance.progress.push((job, progress)),
@@ -100,9 +103,9 @@
             }
         }
     }
-    let ends: Vec<u64> = jobs.iter().map(|page| page.next).collect();
+    let starts: Vec<tail::Start> = jobs.iter().map(tail::Start::from).collect();
     let records = (0..PARTITIONS).zip(jobs);
-    let records = records.flat_map(|(p, page)| page.records.into_iter().map(move |r| (p, r)));
+    let records = records.flat_map(|(p, read)| read.page.records.into_iter().map(move |r| (p, r)));
     for (partition, record) in records {
         match JobRecord::read(&record) {
             Some(JobRecord::Accepted(accepted)) => inheritance.accepted.push(Accepted {
@@ -116,18 +119,36 @@
     }
     slog::info!(shared.log, "takeover"; "epoch" => %claim.epoch,
         "jobs" => inheritance.accepted.len(), "workers" => inheritance.workers.len(),
-        "took_ms" => u64::try_from(began.elapsed().as_millis()).unwrap_or(u64::MAX));
+        "view_ms" => millis(tail::view(&starts).age()),
+        "took_ms" => millis(began.elapsed()));
     let now = shared.clock.now();
     let engine = Engine::new(claim.epoch, shared.bounds, inheritance, now);
-    Ok(start(shared, claim, engine, ends))
+    Ok(start(shared, claim, engine, starts))
+}
+
+/// The newest records of a topic.
+struct Newest {
+    page: Page,
+    /// All that was on record then is among them.
+    read: Instant,
+}
+
+impl From<&Newest> for tail::Start {
+    fn from(newest: &Newest) -> Self {
+        Self {
+            offset: newest.page.next,
+            read: newest.read,
+        }
+    }
 }
 
 /// Reads the newest records of a topic, until the store gives them.
-async fn newest<P: Platform>(shared: &Shared<P>, topic: Topic, purpose: &'static str) -> Page {
+async fn newest<P: Platform>(shared: &Shared<P>, topic: Topic, purpose: &'static str) -> Newest {
     let mut reader = Reader::new(topic, purpose);
     loop {
+        let read = Instant::now();
         match reader.read(shared, Duration::ZERO).await {
-            Ok(Batch::Whole(page) | Batch::More(page)) => return page,
+            Ok(Batch::Whole(page) | Batch::More(page)) => return Newest { page, read },
             Err(_) => pause().await,
         }
     }
@@ -137,10 +158,11 @@
     shared: &Arc<Shared<P>>,
     claim: &Claim,
     engine: Engine,
-    ends: Vec<u64>,
+    starts: Vec<tail::Start>,
 ) -> ActorRef<Control<P>> {
     let (records, queue) = mpsc::unbounded_channel();
-    let control = Control::new(engine, shared.clone(), records);
+    let view = tail::view(&starts);
+    let control = Control::new(engine, shared.clone(), records, view.clone());
     let control = Control::spawn_with_mailbox(control, mailbox::bounded(MAILBOX));
     let weak = control.downgrade();
     tokio::spawn(recorder::run(
@@ -150,12 +172,20 @@
         weak.clone(),
     ));
     tokio::spawn(tail::workers(shared.clone(), weak.clone()));
-    tokio::spawn(tail::jobs(shared.clone(), ends, weak.clone()));
+    tokio::spawn(tail::jobs(
+        shared.clone(),
+        starts,
+        view.clone(),
+        weak.clone(),
+    ));
     tokio::spawn(tick(weak.clone()));
     tokio::spawn(follow_config(shared.clone(), weak));
     shared.acting.send_replace(Some(Acting {
         claim: claim.clone(),
-        control: Some(control.clone()),
+        seat: Some(Seat {
+            control: control.clone(),
+            view,
+        }),
     }));
     control
 }
@@ -163,7 +193,7 @@
 async fn tick<P: Platform>(control: WeakActorRef<Control<P>>) {
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut measured = tokio::time::Instant::now();
+    let mut measured = Instant::now();
     loop {
         let due = ticks.tick().await;
         let Some(control) = control.upgrade() else {
@@ -173,7 +203,7 @@
             return;
         }
         if measured.elapsed() >= MEASURE {
-            measured = tokio::time::Instant::now();
+            measured = Instant::now();
             let _ = control.tell(Measure).await;
         }
     }
--- a/crates/node/src/report.rs
+++ b/crates/node/src/report.rs
@@ -209,7 +209,7 @@
     }
 
     /// Sets the gauges of what the owner believes.
-    pub(crate) fn believed(&self, counts: &Counts, epoch: u64) {
+    pub(crate) fn believed(&self, counts: &Counts, epoch: u64, view: Duration) {
         let gauges: [(&'static str, usize); 6] = [
             ("jobs", counts.jobs),
             ("open_steps", counts.open_steps),
@@ -224,9 +224,10 @@
                 .believed
                 .record(value, &[KeyValue::new("kind", kind)]);
         }
-        self.0
-            .believed
-            .record(epoch, &[KeyValue::new("kind", "epoch")]);
+        for (kind, value) in [("epoch", epoch), ("view_ms", millis(view))] {
+            let labels = [KeyValue::new("kind", kind)];
+            self.0.believed.record(value, &labels);
+        }
     }
 
     /// Counts a decision and writes its line.
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -45,7 +45,8 @@
     hedge,
     owner::{
         Control,
-        Peer, //
+        Peer,
+        View, //
     },
     port::{
         Append,
@@ -64,14 +65,29 @@
 pub(crate) struct Acting<P: Platform> {
     pub(crate) claim: Claim,
     /// Absent while the takeover reads the store.
-    pub(crate) control: Option<ActorRef<Control<P>>>,
+    pub(crate) seat: Option<Seat<P>>,
+}
+
+/// The engine's actor, and how much it has read.
+pub(crate) struct Seat<P: Platform> {
+    pub(crate) control: ActorRef<Control<P>>,
+    pub(crate) view: View,
+}
+
+impl<P: Platform> Clone for Seat<P> {
+    fn clone(&self) -> Self {
+        Self {
+            control: self.control.clone(),
+            view: self.view.clone(),
+        }
+    }
 }
 
 impl<P: Platform> Clone for Acting<P> {
     fn clone(&self) -> Self {
         Self {
             claim: self.claim.clone(),
-            control: self.control.clone(),
+            seat: self.seat.clone(),
         }
     }
 }
@@ -181,7 +197,12 @@
 
     /// Returns the engine's actor where this node owns the cell and is at work.
     pub(crate) fn control(&self) -> Option<ActorRef<Control<P>>> {
-        self.acting.borrow().as_ref()?.control.clone()
+        Some(self.seat()?.control)
+    }
+
+    /// Returns the engine's actor with its view of the record, where this node owns the cell and is at work.
+    pub(crate) fn seat(&self) -> Option<Seat<P>> {
+        self.acting.borrow().as_ref()?.seat.clone()
     }
 
     /// Returns this node as others know it.
