A test that fails: a job starts after its cancellation was answered with no such job

The new owner waits for one partition of the jobs; meanwhile another node puts jobs into the 15 that it has read. The tests of whole nodes become one program of three parts.

--- a/crates/node/tests/node.rs
+++ b/crates/node/tests/node/service.rs
@@ -1,6 +1,4 @@
-//! Whole nodes on loopback over a platform in memory.
-
-mod support;
+//! Jobs that nodes take, show, cancel and run, through takeovers and a store in trouble.
 
 use std::time::Duration;
 
@@ -28,7 +26,9 @@
         Millicores, //
     },
 };
-use support::{
+use tokio::time::Instant;
+
+use crate::support::{
     Fake,
     Mode,
     node,
@@ -36,7 +36,6 @@
     queue,
     until, //
 };
-use tokio::time::Instant;
 
 const SECOND: Duration = Duration::from_secs(1);
 
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/node/support.rs
@@ -100,6 +100,8 @@
     mode: Mode,
     /// Topics whose appends are refused.
     refused: Vec<String>,
+    /// Topics whose newest records nobody gets until then.
+    held_back: BTreeMap<String, Instant>,
     topics: BTreeMap<String, Vec<Record>>,
     fence: u32,
     /// The writer's last append, to answer a repeat of it.
@@ -222,6 +224,12 @@
         self.state().refused.push(name(Topic::Jobs(partition)));
     }
 
+    /// Has the store give no answer to who asks for the newest records of a topic, for some time.
+    pub(crate) fn hold_back(&self, topic: Topic, time: Duration) {
+        let until = Instant::now() + time;
+        self.state().held_back.insert(name(topic), until);
+    }
+
     /// Returns how many orders to start this machine has given.
     pub(crate) fn ordered(&self) -> usize {
         self.ordered.load(Ordering::Relaxed)
@@ -377,6 +385,11 @@
     }
 
     async fn newest(&self, topic: Topic) -> Result<Page, Error> {
+        let held_back = self.state().held_back.get(&name(topic)).copied();
+        if held_back.is_some_and(|until| Instant::now() < until) {
+            sleep(RUNS_OUT).await;
+            return Err(Error::Unanswered);
+        }
         self.answer().await?;
         let state = self.state();
         let records = state.topics.get(&name(topic)).cloned().unwrap_or_default();
