Say that there is no such job only of a record that was read

Cause: an owner took what it had not read of the record for what is not there. Class: absence in an old view taken as proof of absence.

Now a cancellation is on record before it is answered, whoever knows the job, and holds for an acceptance that turns up later; with no owner it is taken at once instead of refused after 1.5 s. The owner denies a job only once it has read all that was on record when the caller asked, and counts waiting jobs only from a view of 2.5 s at most; else the caller is told that nobody knows. A new owner reads on until its view is 1 s old at most before it acts. An acceptance in its node's second partition is forgotten there. Readings that callers' questions cause are bounded: 16 calls each 0.1 s.

Ruled out: an owner that had been replaced (one claim in that time); words lost between nodes alone (they may always be; the record has to do).

--- a/crates/cell/src/effect.rs
+++ b/crates/cell/src/effect.rs
@@ -16,15 +16,30 @@
     event::How,
     id::{
         Epoch,
+        JobId,
         NodeName,
         Run,
         StepId,
         TaskId,
         WorkerId, //
     },
-    record::Entry,
+    record::{
+        Cancellation,
+        Entry, //
+    },
 };
 
+/// A job whose acceptance is not needed on record any more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Forgotten {
+    /// The job.
+    pub job: JobId,
+    /// Which partition of the jobs' records its acceptance stands in.
+    pub partition: u16,
+    /// Its cancellation, where that has to be put on record in the same step.
+    pub cancellation: Option<Cancellation>,
+}
+
 /// Which worker an order is for.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Destination {
@@ -207,8 +222,8 @@
     },
     /// Keep records, all or none, and tell [`crate::engine::Engine::recorded`].
     Record(Vec<Entry>),
-    /// Take acceptances off the record, each out of its partition; it may be left undone.
-    Forget(Vec<(u16, crate::id::JobId)>),
+    /// Take acceptances off the record; it may be left undone.
+    Forget(Vec<Forgotten>),
     /// Write to the log.
     Note(Note),
     /// A worker has seen a higher epoch: another node owns the cell.
--- a/crates/cell/src/engine/forget.rs
+++ b/crates/cell/src/engine/forget.rs
@@ -9,8 +9,12 @@
 
 use super::Engine;
 use crate::{
-    effect::Effect,
-    id::JobId, //
+    effect::{
+        Effect,
+        Forgotten, //
+    },
+    id::JobId,
+    record::Cancellation, //
 };
 
 /// How often jobs are forgotten: each time costs an append a partition.
@@ -69,6 +73,16 @@
         if let Some(outcome) = job.kept_outcome {
             self.ended.insert(id, outcome);
         }
-        self.forgotten.push((job.accepted.partition, id));
+        let unseen = self.cancelled.get_mut(&id);
+        let unseen = unseen.filter(|noted| **noted == Cancellation::Unseen);
+        self.forgotten.push(Forgotten {
+            job: id,
+            partition: job.accepted.partition,
+            // Without its acceptance, only this says that the job was handed in.
+            cancellation: unseen.map(|noted| {
+                *noted = Cancellation::Seen;
+                *noted
+            }),
+        });
     }
 }
--- a/crates/cell/src/engine/mod.rs
+++ b/crates/cell/src/engine/mod.rs
@@ -70,6 +70,7 @@
     effect::{
         Destination,
         Effect,
+        Forgotten,
         Note, //
     },
     event::Registration,
@@ -85,6 +86,7 @@
     },
     record::{
         Accepted,
+        Cancellation,
         Outcome,
         Progress,
         Usage, //
@@ -117,7 +119,7 @@
     /// The jobs that were accepted.
     pub accepted: Vec<Accepted>,
     /// The jobs that were cancelled.
-    pub cancelled: Vec<JobId>,
+    pub cancelled: Vec<(JobId, Cancellation)>,
     /// How far jobs have come.
     pub progress: Vec<(JobId, Progress)>,
     /// What workers may run by order of former owners.
@@ -131,14 +133,14 @@
     bounds: Bounds,
     config: Config,
     jobs: HashMap<JobId, Job>,
-    /// All cancellations.
-    cancelled: BTreeSet<JobId>,
+    /// All cancellations, also of jobs that may turn up later.
+    cancelled: BTreeMap<JobId, Cancellation>,
     /// How jobs ended of which nothing else is remembered.
     ended: HashMap<JobId, Outcome>,
     /// Jobs that are over, by when that was learnt.
     over: Vec<(Timestamp, JobId)>,
     /// Acceptances that are to be taken off the record, with their partitions.
-    forgotten: Vec<(u16, JobId)>,
+    forgotten: Vec<Forgotten>,
     /// When jobs that are over are looked at next.
     next_sweep: Timestamp,
     workers: BTreeMap<Slot, Worker>,
@@ -185,7 +187,7 @@
             bounds,
             config: Config::default(),
             jobs: HashMap::default(),
-            cancelled: inheritance.cancelled.into_iter().collect(),
+            cancelled: BTreeMap::new(),
             ended: HashMap::default(),
             over: Vec::new(),
             forgotten: Vec::new(),
@@ -210,6 +212,9 @@
             next_pass: now,
             outbox: Vec::new(),
         };
+        for (job, cancellation) in inheritance.cancelled {
+            engine.note_cancelled(job, cancellation);
+        }
         let mut progress: HashMap<JobId, Progress> = inheritance.progress.into_iter().collect();
         for accepted in inheritance.accepted {
             let progress = progress.remove(&accepted.job).unwrap_or_default();
--- a/crates/cell/src/engine/submit.rs
+++ b/crates/cell/src/engine/submit.rs
@@ -7,12 +7,14 @@
     job::Job, //
 };
 use crate::{
+    effect::Forgotten,
     id::{
         JobId,
         StepId, //
     },
     record::{
         Accepted,
+        Cancellation,
         Progress, //
     },
 };
@@ -25,7 +27,11 @@
         }
         if self.ended.contains_key(&accepted.job) {
             // It was handed in again after its end, and stands on record again.
-            self.forgotten.push((accepted.partition, accepted.job));
+            self.forgotten.push(Forgotten {
+                job: accepted.job,
+                partition: accepted.partition,
+                cancellation: None,
+            });
             return false;
         }
         self.insert(Job::new(accepted, &Progress::default()), now);
@@ -44,7 +50,7 @@
 
     pub(super) fn insert(&mut self, mut job: Job, now: Timestamp) {
         let id = job.accepted.job;
-        job.is_cancelled = self.cancelled.contains(&id);
+        job.is_cancelled = self.cancelled.contains_key(&id);
         let is_over = job.is_over();
         let schedule = job.spec().schedule;
         self.jobs.insert(id, job);
@@ -129,8 +135,10 @@
     }
 
     /// Cancels a job, whose cancellation is on record; returns whether the job is known.
-    pub fn cancel(&mut self, id: JobId, now: Timestamp) -> bool {
-        self.cancelled.insert(id);
+    ///
+    /// One that is not known yet is cancelled once it is: its acceptance may be on record already, or on its way.
+    pub fn cancel(&mut self, id: JobId, cancellation: Cancellation, now: Timestamp) -> bool {
+        self.note_cancelled(id, cancellation);
         let Some(job) = self.jobs.get_mut(&id) else {
             return false;
         };
@@ -143,6 +151,12 @@
         true
     }
 
+    /// Notes a cancellation; that a job was on record stays known.
+    pub(super) fn note_cancelled(&mut self, id: JobId, cancellation: Cancellation) {
+        let noted = self.cancelled.entry(id).or_insert(cancellation);
+        *noted = cancellation.max(*noted);
+    }
+
     /// Takes a job that is over out of all queues and stops what runs of it.
     pub(super) fn close(&mut self, id: JobId, why: &'static str, now: Timestamp) {
         let range = StepId {
--- a/crates/cell/src/engine/view.rs
+++ b/crates/cell/src/engine/view.rs
@@ -8,7 +8,10 @@
         QueueName,
         StepId, //
     },
-    record::Outcome,
+    record::{
+        Cancellation,
+        Outcome, //
+    },
 };
 
 /// The state of a job as its caller sees it.
@@ -26,6 +29,13 @@
     Cancelled,
 }
 
+impl State {
+    /// Returns whether the job has come to its end.
+    pub const fn is_final(self) -> bool {
+        matches!(self, Self::Completed | Self::Failed | Self::Cancelled)
+    }
+}
+
 impl From<Outcome> for State {
     fn from(outcome: Outcome) -> Self {
         match outcome {
@@ -60,7 +70,7 @@
         }
         let Some(job) = self.jobs.get(&id) else {
             let ended = self.ended.get(&id).copied().map(State::from);
-            let is_cancelled = self.cancelled.contains(&id);
+            let is_cancelled = self.cancelled.get(&id) == Some(&Cancellation::Seen);
             return ended.or(is_cancelled.then_some(State::Cancelled));
         };
         Some(match job.kept_outcome {
--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -47,6 +47,15 @@
     pub partition: u16,
 }
 
+/// A job's cancellation; it holds for an acceptance under its id whenever that turns up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Cancellation {
+    /// Nobody knew the job, so it may never have been handed in, and is not shown by this alone.
+    Unseen,
+    /// The job is or was on record.
+    Seen,
+}
+
 /// How a job came to its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
--- a/crates/cell/tests/cell/forget.rs
+++ b/crates/cell/tests/cell/forget.rs
@@ -4,7 +4,10 @@
 
 use fulmarpier_cell::{
     bounds::Bounds,
-    effect::Effect,
+    effect::{
+        Effect,
+        Forgotten, //
+    },
     engine::{
         Engine,
         Inheritance,
@@ -12,18 +15,21 @@
     },
     id::{
         Epoch,
-        JobId, //
+        JobId,
+        QueueName, //
     },
     job::Spec,
     record::{
         self,
         Accepted,
+        Cancellation,
         Entry,
         Outcome,
         Progress, //
     },
 };
 use fulmarpier_state::clock::Timestamp;
+use rstest::rstest;
 
 use crate::world::{
     Faults,
@@ -60,6 +66,53 @@
     assert_eq!(world.violations, Vec::<String>::new());
 }
 
+/// Callers may cancel a job while no owner is there who knows it.
+#[test]
+fn a_job_that_was_cancelled_before_it_was_known_never_starts_and_is_shown_as_cancelled() {
+    let now = Timestamp::from_millis(2_000);
+    let id = accepted(7).job;
+    let mut engine = Engine::new(Epoch(1), Bounds::default(), Inheritance::default(), now);
+    engine.cancel(id, Cancellation::Unseen, now);
+    assert_eq!(engine.state(id), None, "it may never have been handed in");
+    engine.submit(accepted(7), now);
+    assert_eq!(engine.state(id), Some(State::Cancelled));
+    assert_eq!(engine.counts().open_steps, 0);
+    assert_eq!(engine.pending(&QueueName::from("urgent")), 0);
+    engine.advance(now);
+    let effects = engine.advance(now + Duration::from_secs(4));
+    let forgotten = effects.into_iter().find_map(|effect| match effect {
+        Effect::Forget(jobs) => Some(jobs),
+        _ => None,
+    });
+    let expected = Forgotten {
+        job: id,
+        partition: 0,
+        cancellation: Some(Cancellation::Seen),
+    };
+    assert_eq!(forgotten, Some(vec![expected]));
+    assert_eq!(engine.state(id), Some(State::Cancelled));
+}
+
+/// The next owner knows from the cancellation alone whether the job was ever handed in.
+#[rstest]
+#[case::unseen(Cancellation::Unseen, None)]
+#[case::seen(Cancellation::Seen, Some(State::Cancelled))]
+fn a_cancelled_job_that_is_off_the_record_is_shown_if_it_was_handed_in(
+    #[case] cancellation: Cancellation,
+    #[case] shown: Option<State>,
+) {
+    let now = Timestamp::from_millis(2_000);
+    let id = accepted(7).job;
+    let inheritance = Inheritance {
+        cancelled: vec![(id, cancellation), (id, Cancellation::Unseen)],
+        ..Inheritance::default()
+    };
+    let mut engine = Engine::new(Epoch(2), Bounds::default(), inheritance, now);
+    assert_eq!(engine.state(id), shown);
+    engine.submit(accepted(7), now);
+    assert_eq!(engine.state(id), Some(State::Cancelled));
+}
+
 /// How many jobs a day of the size to design for has.
 const JOBS: u64 = 12_000;
 
--- a/crates/cell/tests/cell/world/mod.rs
+++ b/crates/cell/tests/cell/world/mod.rs
@@ -23,7 +23,10 @@
         Pool,
         Queue, //
     },
-    effect::Effect,
+    effect::{
+        Effect,
+        Forgotten, //
+    },
     engine::{
         Engine,
         Inheritance,
@@ -53,6 +56,7 @@
     },
     record::{
         Accepted,
+        Cancellation,
         Entry, //
     },
 };
@@ -125,8 +129,8 @@
     accepted: Vec<Accepted>,
     /// Jobs whose acceptance was taken off the record.
     forgotten: BTreeSet<JobId>,
-    /// When each job was cancelled.
-    cancelled: BTreeMap<JobId, Timestamp>,
+    /// When each job was cancelled, and how that stands on record.
+    cancelled: BTreeMap<JobId, (Timestamp, Cancellation)>,
     records: BTreeMap<String, Entry>,
     events: BTreeMap<(Timestamp, u64), (Epoch, Event)>,
     serial: u64,
@@ -364,8 +368,14 @@
 
     /// Cancels a job; that is on record.
     pub(crate) fn cancel(&mut self, job: JobId) {
-        self.cancelled.entry(job).or_insert(self.now);
-        self.engine.cancel(job, self.now);
+        // Half of them are by callers whose node could not ask the owner.
+        let cancellation = match job.0.is_multiple_of(2) {
+            true => Cancellation::Unseen,
+            false => Cancellation::Seen,
+        };
+        let cancelled = self.cancelled.entry(job);
+        cancelled.or_insert((self.now, cancellation));
+        self.engine.cancel(job, cancellation, self.now);
     }
 
     /// Lets time pass.
@@ -447,12 +457,26 @@
         }
     }
 
+    /// Takes an acceptance off the record.
+    fn forget(&mut self, forgotten: Forgotten) {
+        self.forgotten.insert(forgotten.job);
+        if let Some(kept) = forgotten.cancellation
+            && let Some((_, cancellation)) = self.cancelled.get_mut(&forgotten.job)
+        {
+            *cancellation = kept;
+        }
+    }
+
     /// The owner dies; another takes over with what is on record.
     pub(crate) fn take_over(&mut self) {
         self.epoch = self.epoch.next();
         let mut inheritance = Inheritance {
             accepted: self.on_record().cloned().collect(),
-            cancelled: self.cancelled.keys().copied().collect(),
+            cancelled: self
+                .cancelled
+                .iter()
+                .map(|(job, (_, cancellation))| (*job, *cancellation))
+                .collect(),
             ..Inheritance::default()
         };
         // A job that was handed in at two nodes stands in two partitions.
@@ -549,7 +573,7 @@
                 let wait = self.now.until(self.store_back) + self.append;
                 self.later(wait, Event::Recorded(entries));
             }
-            Effect::Forget(jobs) => self.forgotten.extend(jobs.into_iter().map(|(_, job)| job)),
+            Effect::Forget(jobs) => jobs.into_iter().for_each(|job| self.forget(job)),
             // Nothing fills in the histories.
             Effect::Pace(_) | Effect::Note(_) => {}
             Effect::Deposed => self.violations.push("the owner was deposed".to_owned()),
@@ -738,7 +762,7 @@
         }
         // An order that was on its way may still arrive.
         let cancelled = self.cancelled.get(&task.step.job);
-        if is_in_time && cancelled.is_some_and(|since| *since + WAY < self.now) {
+        if is_in_time && cancelled.is_some_and(|(since, _)| *since + WAY < self.now) {
             self.violations.push(format!("{at}: was cancelled"));
         }
         let job = self
--- a/crates/node/src/front/kept.rs
+++ b/crates/node/src/front/kept.rs
@@ -4,15 +4,29 @@
     id::JobId,
     record::{
         self,
-        Accepted, //
+        Accepted,
+        Cancellation, //
     },
 };
 
 use crate::port::Record;
 
-/// Returns the key that a cancellation is kept under.
-pub(crate) fn cancellation_key(job: JobId) -> String {
-    format!("{job}/x")
+/// What the key of a cancellation has behind the job.
+const CANCELLATION: &str = "/x";
+
+/// Returns the record that keeps a cancellation.
+///
+/// # Errors
+///
+/// Fails where it can't be encoded.
+pub(crate) fn cancellation(
+    job: JobId,
+    cancellation: Cancellation,
+) -> Result<Record, record::Error> {
+    Ok(Record {
+        key: format!("{job}{CANCELLATION}"),
+        value: Some(record::encode(&cancellation)?.into()),
+    })
 }
 
 /// Reads a record of the jobs' topic.
@@ -20,17 +34,23 @@
     /// A job was accepted.
     Accepted(Box<Accepted>),
     /// A job was cancelled.
-    Cancelled(JobId),
+    Cancelled(JobId, Cancellation),
 }
 
 impl JobRecord {
-    /// Reads a record; `None` where it is none of this program's.
-    pub(crate) fn read(record: &Record) -> Option<Self> {
-        if let Some(job) = record.key.strip_suffix("/x") {
-            return job.parse().ok().map(Self::Cancelled);
-        }
+    /// Reads a record out of a partition; `None` where it is a removal, or none of this program's.
+    pub(crate) fn read(record: &Record, partition: u16) -> Option<Self> {
         let value = record.value.as_ref()?;
-        let accepted = record::decode(value).ok()?;
-        Some(Self::Accepted(Box::new(accepted)))
+        if let Some(job) = record.key.strip_suffix(CANCELLATION) {
+            // Whatever its value says, the job must not start.
+            let cancellation = record::decode(value).unwrap_or(Cancellation::Unseen);
+            return Some(Self::Cancelled(job.parse().ok()?, cancellation));
+        }
+        let accepted: Accepted = record::decode(value).ok()?;
+        Some(Self::Accepted(Box::new(Accepted {
+            // Its node's own partition may have refused it.
+            partition,
+            ..accepted
+        })))
     }
 }
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -7,7 +7,7 @@
 
 pub(crate) use self::kept::{
     JobRecord,
-    cancellation_key, //
+    cancellation, //
 };
 
 use std::{
@@ -33,7 +33,8 @@
     },
     record::{
         self,
-        Accepted, //
+        Accepted,
+        Cancellation, //
     },
 };
 use tokio::time::Instant;
@@ -209,8 +210,8 @@
     ///
     /// Fails where nobody knows the job, or nobody who could know it can be reached.
     pub async fn look(&self, job: JobId) -> Result<State, Refusal> {
-        let reply = self.ask_owner(&Question::Look(job)).await?;
-        match reply {
+        let reply = self.ask_owner(|asked| Question::Look { job, asked });
+        match reply.await? {
             Reply::State(state) => Ok(state),
             Reply::Absent(absent) => {
                 self.report_absent(job, absent);
@@ -230,17 +231,21 @@
         if !config.queues.contains_key(queue) {
             return Err(Refusal::NoQueue);
         }
-        match self.ask_owner(&Question::Pending(queue.clone())).await? {
+        let reply = self.ask_owner(|_| Question::Pending(queue.clone()));
+        match reply.await? {
             Reply::Pending(count) => Ok(count),
             _ => Err(Refusal::NoOwner),
         }
     }
 
-    /// Cancels a job; on success that is on record.
+    /// Cancels a job.
+    ///
+    /// That is on record when this returns, whether anybody knows the job or not: it may turn up later, and must not
+    /// start then.
     ///
     /// # Errors
     ///
-    /// Fails where the job is not known, or where the cancellation could not be kept.
+    /// Fails where there is no such job, or where the cancellation could not be kept.
     pub async fn cancel(
         &self,
         queue: &QueueName,
@@ -254,18 +259,29 @@
     }
 
     async fn try_cancel(&self, job: JobId, deadline: Instant) -> Result<(), Refusal> {
-        self.look(job).await?;
-        let record = Record {
-            key: cancellation_key(job),
-            value: Some(vec![1].into()),
+        let asked = Duration::ZERO;
+        let found = self.ask_once(&Question::Look { job, asked }).await;
+        let cancellation = match &found {
+            Some(Reply::State(state)) if state.is_final() => return Ok(()),
+            Some(Reply::State(_)) => Cancellation::Seen,
+            _ => Cancellation::Unseen,
+        };
+        let Ok(record) = kept::cancellation(job, cancellation) else {
+            return Err(Refusal::NotKept);
         };
         match self.intake.keep(&self.shared, record, deadline).await {
             Kept::Yes => {}
             Kept::No => return Err(Refusal::NotKept),
             Kept::Unknown => return Err(Refusal::Unknown),
         }
-        self.tell(Question::Cancelled(job));
-        Ok(())
+        self.tell(Question::Cancelled(job, cancellation));
+        match found {
+            Some(Reply::Absent(absent)) => {
+                self.report_absent(job, absent);
+                Err(Refusal::NoJob)
+            }
+            _ => Ok(()),
+        }
     }
 
     /// Tells the owner of a job whose record is on its way, where the store takes its time; returns whether it
--- a/crates/node/src/front/owner.rs
+++ b/crates/node/src/front/owner.rs
@@ -37,10 +37,16 @@
 
 impl<P: Platform> Front<P> {
     /// Asks the owner, again where it can't be reached, for as long as callers should wait.
-    pub(super) async fn ask_owner(&self, question: &Question) -> Result<Reply, Refusal> {
-        let until = Instant::now() + OWNER_WAIT;
+    ///
+    /// The question is made anew for each try, with how long ago the first was.
+    pub(super) async fn ask_owner(
+        &self,
+        question: impl Fn(Duration) -> Question,
+    ) -> Result<Reply, Refusal> {
+        let began = Instant::now();
+        let until = began + OWNER_WAIT;
         loop {
-            if let Some(reply) = self.ask_once(question).await {
+            if let Some(reply) = self.ask_once(&question(began.elapsed())).await {
                 return Ok(reply);
             }
             if Instant::now() + OWNER_AGAIN >= until {
@@ -50,7 +56,7 @@
         }
     }
 
-    async fn ask_once(&self, question: &Question) -> Option<Reply> {
+    pub(super) async fn ask_once(&self, question: &Question) -> Option<Reply> {
         if let Some(seat) = self.shared.seat() {
             return owner::accept(&seat, question.clone()).await;
         }
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -17,6 +17,7 @@
     },
     record::{
         Accepted,
+        Cancellation,
         Claim, //
     },
 };
@@ -51,9 +52,14 @@
     /// A job was accepted; its record is kept.
     Accepted(Box<Accepted>),
     /// A job was cancelled; that is on record.
-    Cancelled(JobId),
+    Cancelled(JobId, Cancellation),
     /// What is the state of a job?
-    Look(JobId),
+    Look {
+        /// The job.
+        job: JobId,
+        /// How long ago the caller asked.
+        asked: Duration,
+    },
     /// How many jobs of a queue have begun nothing?
     Pending(QueueName),
     /// Which workers may run a step?
@@ -85,8 +91,8 @@
             Self::Announced(_) => "announced",
             Self::Withdrawn(_) => "withdrawn",
             Self::Accepted(_) => "accepted",
-            Self::Cancelled(_) => "cancelled",
-            Self::Look(_) => "look",
+            Self::Cancelled(..) => "cancelled",
+            Self::Look { .. } => "look",
             Self::Pending(_) => "pending",
             Self::Advise { .. } => "advise",
             Self::Store => "store",
--- a/crates/node/src/owner/control.rs
+++ b/crates/node/src/owner/control.rs
@@ -33,6 +33,7 @@
     },
     record::{
         Accepted,
+        Cancellation,
         Entry, //
     },
 };
@@ -95,6 +96,12 @@
 /// still. A claim lapses after 0.7 s, so another owner may be at work.
 const STALLED: Duration = Duration::from_millis(900);
 
+/// How long a question waits until the owner has read what it hangs on; nodes give the owner 0.6 s to answer.
+const CATCH_UP: Duration = Duration::from_millis(450);
+/// How old a count may be. Callers of the platform are told that counts may be 2 s old, and each partition is read
+/// at least each 2 s where the store answers.
+const COUNT_AGE: Duration = Duration::from_millis(2_500);
+
 /// The actor that holds the engine; the only one that gives orders.
 #[derive(Actor)]
 pub(crate) struct Control<P: Platform> {
@@ -128,7 +135,7 @@
     /// A job's acceptance is on record.
     Accepted(Box<Accepted>),
     /// A job's cancellation is on record.
-    Cancelled(JobId),
+    Cancelled(JobId, Cancellation),
     /// An order that this node gave was answered, or given up.
     Reported(Report),
     /// Other nodes tell what came of orders that they gave.
@@ -187,31 +194,49 @@
             control.tell(Event::Withdrawn(job)).await.ok()?;
             Some(Reply::Noted)
         }
-        Question::Cancelled(job) => {
-            control.tell(Event::Cancelled(job)).await.ok()?;
+        Question::Cancelled(job, cancellation) => {
+            let cancelled = Event::Cancelled(job, cancellation);
+            control.tell(cancelled).await.ok()?;
             Some(Reply::Noted)
         }
         Question::Reports(reports) => {
             control.tell(Event::Reports(reports)).await.ok()?;
             Some(Reply::Noted)
         }
-        Question::Look(job) => {
-            let found = control.ask(Look(job)).await.ok()?;
-            Some(found.state.map_or_else(
-                || {
-                    Reply::Absent(Absent {
-                        epoch: found.epoch,
-                        view: seat.view.age(),
-                    })
-                },
-                Reply::State,
-            ))
+        Question::Look { job, asked } => look(seat, job, asked).await,
+        Question::Pending(queue) => {
+            let counted = Instant::now().checked_sub(COUNT_AGE)?;
+            if !seat.view.reach(counted, CATCH_UP).await {
+                return None;
+            }
+            Some(Reply::Pending(control.ask(Pending(queue)).await.ok()?))
         }
-        Question::Pending(queue) => Some(Reply::Pending(control.ask(Pending(queue)).await.ok()?)),
         _ => None,
     }
 }
 
+/// Looks for a job, and says that there is none only once all that was on record when the caller asked is read.
+async fn look<P: Platform>(seat: &Seat<P>, job: JobId, asked: Duration) -> Option<Reply> {
+    let at = Instant::now().checked_sub(asked)?;
+    let found = seat.control.ask(Look(job)).await.ok()?;
+    if let Some(state) = found.state {
+        return Some(Reply::State(state));
+    }
+    if !seat.view.reach(at, CATCH_UP).await {
+        return None;
+    }
+    let found = seat.control.ask(Look(job)).await.ok()?;
+    Some(found.state.map_or_else(
+        || {
+            Reply::Absent(Absent {
+                epoch: found.epoch,
+                view: seat.view.age(),
+            })
+        },
+        Reply::State,
+    ))
+}
+
 impl<P: Platform> Control<P> {
     pub(super) fn new(
         engine: Engine,
@@ -259,8 +284,8 @@
             Event::Accepted(accepted) => {
                 engine.submit(*accepted, now);
             }
-            Event::Cancelled(job) => {
-                engine.cancel(job, now);
+            Event::Cancelled(job, cancellation) => {
+                engine.cancel(job, cancellation, now);
             }
             Event::Reported(report) => self.take_report(report),
             Event::Reports(reports) => self.take_reports(reports),
--- a/crates/node/src/owner/forget.rs
+++ b/crates/node/src/owner/forget.rs
@@ -5,9 +5,10 @@
     sync::Arc, //
 };
 
-use fulmarpier_cell::id::JobId;
+use fulmarpier_cell::effect::Forgotten;
 
 use crate::{
+    front::cancellation,
     port::{
         Append,
         Condition,
@@ -21,15 +22,23 @@
 /// Removes acceptances, one append a partition; what fails is left to the next owner, and all is while the store
 /// has better to do.
 ///
-/// How each of these jobs ended is on record, so it does no harm whenever it is carried out.
-pub(super) fn forget<P: Platform>(shared: &Arc<Shared<P>>, jobs: Vec<(u16, JobId)>) {
+/// How each of these jobs ended is on record or put there in the same step, so it does no harm whenever it is
+/// carried out.
+pub(super) fn forget<P: Platform>(shared: &Arc<Shared<P>>, jobs: Vec<Forgotten>) {
     if shared.store.is_slow() || shared.store.is_failing() {
         return;
     }
     let mut partitions: BTreeMap<u16, Vec<Record>> = BTreeMap::new();
-    for (partition, job) in jobs {
-        partitions.entry(partition).or_default().push(Record {
-            key: job.to_string(),
+    for forgotten in jobs {
+        let records = partitions.entry(forgotten.partition).or_default();
+        if let Some(kept) = forgotten.cancellation {
+            let Ok(record) = cancellation(forgotten.job, kept) else {
+                continue;
+            };
+            records.push(record);
+        }
+        records.push(Record {
+            key: forgotten.job.to_string(),
             value: None,
         });
     }
--- /dev/null
+++ b/crates/node/src/owner/jobs.rs
@@ -0,0 +1,223 @@
+//! What the owner reads of the jobs' partitions: all of it at a takeover, then what comes after.
+
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::Duration, //
+};
+
+use fulmarpier_cell::id::NodeName;
+use futures::future::join_all;
+use kameo::actor::WeakActorRef;
+use tokio::time::{
+    Instant,
+    sleep,
+    timeout, //
+};
+
+use super::{
+    Control,
+    Event,
+    View, //
+};
+use crate::{
+    front::JobRecord,
+    intake::{
+        self,
+        PARTITIONS, //
+    },
+    port::{
+        Error,
+        Platform,
+        Topic, //
+    },
+    shared::Shared,
+    watch::{
+        Batch,
+        Reader,
+        pause, //
+    },
+};
+
+/// How often partitions of jobs are read whose node is gone: it may be cut off from the owner alone and go
+/// on taking jobs, or have died as it took one.
+const JOBS_LOOK: Duration = Duration::from_millis(500);
+/// How often those are read whose nodes are there and tell the owner of each job themselves. A word may reach
+/// an owner that is just being replaced, and a cancellation has to be in force within 3 s.
+const JOBS_PRESENT: Duration = Duration::from_millis(1_500);
+/// How often those are read that no node is known to write to.
+const JOBS_UNKNOWN: Duration = Duration::from_millis(1_500);
+/// For this long a node that is gone may go on writing: cuts last some seconds.
+const WRITES_ON: Duration = Duration::from_secs(20);
+/// The least time between two readings of what somebody asks about: with it, callers who ask for jobs that
+/// don't exist cost 160 calls of the store a second at most.
+const WANTED_GAP: Duration = Duration::from_millis(100);
+/// A new owner begins to act only on what was on record so short a time ago. It waits for the slowest of 16
+/// partitions, 3.5 s where answers are lost, and what other nodes wrote meanwhile is missing from the other 15:
+/// a cancellation among it has to be in force within 3 s, and jobs wait until they are read on, up to 2 s later.
+const FRESH: Duration = Duration::from_secs(1);
+/// Where the store's calls take long, so many times of that instead: no view of it is younger than one call.
+const FRESH_CALLS: u32 = 2;
+
+/// A partition of the jobs as the owner reads it.
+pub(super) struct Partition {
+    number: u16,
+    reader: Reader,
+    /// When the store was last asked.
+    asked: Instant,
+    /// All that was on record then has been read.
+    read: Instant,
+}
+
+impl Partition {
+    /// Reads the newest record of each key, until the store gives them.
+    async fn open<P: Platform>(shared: &Shared<P>, number: u16) -> (Self, Vec<JobRecord>) {
+        let mut partition = Self {
+            number,
+            reader: Reader::new(Topic::Jobs(number), "jobs"),
+            asked: Instant::now(),
+            // Replaced by the first reading, before anybody sees it.
+            read: shared.began,
+        };
+        let found = partition.read_surely(shared).await;
+        (partition, found)
+    }
+
+    /// Returns what was put on record since it was last read.
+    async fn read_on<P: Platform>(&mut self, shared: &Shared<P>) -> Result<Vec<JobRecord>, Error> {
+        let asked = Instant::now();
+        self.asked = asked;
+        let mut found = Vec::new();
+        loop {
+            let page = match self.reader.read(shared, Duration::ZERO).await {
+                Ok(Batch::Whole(page) | Batch::More(page)) => page,
+                Err(error) if found.is_empty() => return Err(error),
+                // The reader is past what was found; the rest is read another time.
+                Err(_) => return Ok(found),
+            };
+            let is_last = page.is_last();
+            let records = page.records.iter();
+            found.extend(records.filter_map(|record| JobRecord::read(record, self.number)));
+            if is_last {
+                self.read = asked;
+                return Ok(found);
+            }
+        }
+    }
+
+    /// Reads on until the store answers.
+    async fn read_surely<P: Platform>(&mut self, shared: &Shared<P>) -> Vec<JobRecord> {
+        loop {
+            match self.read_on(shared).await {
+                Ok(found) => return found,
+                Err(_) => pause().await,
+            }
+        }
+    }
+}
+
+/// Returns the moment at which all that was on record has been read, from every partition.
+pub(super) fn read_up_to(partitions: &[Partition]) -> Option<Instant> {
+    partitions.iter().map(|partition| partition.read).min()
+}
+
+/// Reads all partitions, and again those that were read longest ago, until what was on record a moment ago is known.
+pub(super) async fn read_all<P: Platform>(shared: &Shared<P>) -> (Vec<Partition>, Vec<JobRecord>) {
+    let opened = join_all((0..PARTITIONS).map(|number| Partition::open(shared, number))).await;
+    let (mut partitions, found): (Vec<Partition>, Vec<Vec<JobRecord>>) = opened.into_iter().unzip();
+    let mut found: Vec<JobRecord> = found.into_iter().flatten().collect();
+    loop {
+        let fresh = FRESH.max(FRESH_CALLS * shared.store.usual());
+        let due = partitions.iter_mut();
+        let due = due.filter(|partition| partition.read.elapsed() > fresh);
+        let batches = join_all(due.map(|partition| partition.read_surely(shared))).await;
+        if batches.is_empty() {
+            return (partitions, found);
+        }
+        found.extend(batches.into_iter().flatten());
+    }
+}
+
+/// Follows the partitions, each as often as something may stand in it that nobody has told of, and all at once
+/// where somebody asks for something that the owner doesn't know.
+pub(super) async fn follow<P: Platform>(
+    shared: Arc<Shared<P>>,
+    mut partitions: Vec<Partition>,
+    view: View,
+    control: WeakActorRef<Control<P>>,
+) {
+    let mut writers = Writers::default();
+    loop {
+        sleep(WANTED_GAP).await;
+        // Nobody may ask for long.
+        let _ = timeout(JOBS_LOOK - WANTED_GAP, view.wants_more()).await;
+        let peers = shared.peers.lock().await.clone();
+        let present = peers.into_iter().map(|peer| peer.node);
+        writers.note(present.chain([shared.name.clone()]));
+        let wanted = view.wanted();
+        let due = partitions.iter_mut().filter(|partition| {
+            let is_due = partition.asked.elapsed() >= writers.period(partition.number);
+            is_due || partition.read < wanted
+        });
+        let batches = join_all(due.map(|partition| partition.read_on(&shared))).await;
+        let Some(control) = control.upgrade() else {
+            return;
+        };
+        let mut is_failing = false;
+        for batch in batches {
+            match batch {
+                Ok(records) => {
+                    for event in records.into_iter().map(Event::from) {
+                        // The actor may be ending.
+                        let _ = control.tell(event).await;
+                    }
+                }
+                // It is read again when it is due.
+                Err(_) => is_failing = true,
+            }
+        }
+        // The actor hears of the records before whoever waits for this asks it.
+        if let Some(read) = read_up_to(&partitions) {
+            view.note(read);
+        }
+        drop(control);
+        if is_failing {
+            pause().await;
+        }
+    }
+}
+
+impl From<JobRecord> for Event {
+    fn from(record: JobRecord) -> Self {
+        match record {
+            JobRecord::Accepted(accepted) => Self::Accepted(accepted),
+            JobRecord::Cancelled(job, cancellation) => Self::Cancelled(job, cancellation),
+        }
+    }
+}
+
+/// The nodes that write jobs, by when they were last there.
+#[derive(Default)]
+struct Writers(BTreeMap<NodeName, Instant>);
+
+impl Writers {
+    /// Notes which nodes are there.
+    fn note(&mut self, present: impl Iterator<Item = NodeName>) {
+        let now = Instant::now();
+        self.0.extend(present.map(|node| (node, now)));
+        self.0.retain(|_, seen| seen.elapsed() < WRITES_ON);
+    }
+
+    /// Returns how often a partition is read.
+    fn period(&self, partition: u16) -> Duration {
+        let of = |node: &NodeName| intake::partition(node) == partition;
+        let mut writers = self.0.iter().filter(|(node, _)| of(node)).peekable();
+        if writers.peek().is_none() {
+            return JOBS_UNKNOWN;
+        }
+        match writers.all(|(_, seen)| seen.elapsed() < JOBS_LOOK) {
+            true => JOBS_PRESENT,
+            false => JOBS_LOOK,
+        }
+    }
+}
--- a/crates/node/src/owner/takeover.rs
+++ b/crates/node/src/owner/takeover.rs
@@ -12,12 +12,10 @@
     },
     record::{
         self,
-        Accepted,
         Claim,
         Entry, //
     },
 };
-use futures::future::join_all;
 use kameo::{
     actor::{
         ActorRef,
@@ -38,13 +36,17 @@
 use super::{
     Control,
     Event,
+    View,
     control::Measure,
+    jobs::{
+        self,
+        Partition, //
+    },
     recorder,
     tail, //
 };
 use crate::{
     front::JobRecord,
-    intake::PARTITIONS,
     port::{
         Error,
         Page,
@@ -89,10 +91,9 @@
         }
     }
     let progress = newest(shared, Topic::Progress, "progress");
-    let jobs = join_all((0..PARTITIONS).map(|p| newest(shared, Topic::Jobs(p), "jobs")));
-    let (progress, jobs) = futures::join!(progress, jobs);
+    let (progress, (partitions, jobs)) = futures::join!(progress, jobs::read_all(shared));
     let mut inheritance = Inheritance::default();
-    for record in progress.page.records {
+    for record in progress.records {
         let entry = record.value.as_ref().map(|value| record::decode(value));
         match entry {
             Some(Ok(Entry::Job(job, progress))) => inheritance.progress.push((job, progress)),
@@ -103,52 +104,30 @@
             }
         }
     }
-    let starts: Vec<tail::Start> = jobs.iter().map(tail::Start::from).collect();
-    let records = (0..PARTITIONS).zip(jobs);
-    let records = records.flat_map(|(p, read)| read.page.records.into_iter().map(move |r| (p, r)));
-    for (partition, record) in records {
-        match JobRecord::read(&record) {
-            Some(JobRecord::Accepted(accepted)) => inheritance.accepted.push(Accepted {
-                // Its own partition may have refused it.
-                partition,
-                ..*accepted
-            }),
-            Some(JobRecord::Cancelled(job)) => inheritance.cancelled.push(job),
-            None => slog::error!(shared.log, "record-unreadable"; "key" => record.key),
+    for record in jobs {
+        match record {
+            JobRecord::Accepted(accepted) => inheritance.accepted.push(*accepted),
+            JobRecord::Cancelled(job, cancellation) => {
+                inheritance.cancelled.push((job, cancellation));
+            }
         }
     }
+    let view = View::new(jobs::read_up_to(&partitions).unwrap_or(began));
     slog::info!(shared.log, "takeover"; "epoch" => %claim.epoch,
         "jobs" => inheritance.accepted.len(), "workers" => inheritance.workers.len(),
-        "view_ms" => millis(tail::view(&starts).age()),
+        "view_ms" => millis(view.age()),
         "took_ms" => millis(began.elapsed()));
     let now = shared.clock.now();
     let engine = Engine::new(claim.epoch, shared.bounds, inheritance, now);
-    Ok(start(shared, claim, engine, starts))
-}
-
-/// The newest records of a topic.
-struct Newest {
-    page: Page,
-    /// All that was on record then is among them.
-    read: Instant,
-}
-
-impl From<&Newest> for tail::Start {
-    fn from(newest: &Newest) -> Self {
-        Self {
-            offset: newest.page.next,
-            read: newest.read,
-        }
-    }
+    Ok(start(shared, claim, engine, partitions, view))
 }
 
 /// Reads the newest records of a topic, until the store gives them.
-async fn newest<P: Platform>(shared: &Shared<P>, topic: Topic, purpose: &'static str) -> Newest {
+async fn newest<P: Platform>(shared: &Shared<P>, topic: Topic, purpose: &'static str) -> Page {
     let mut reader = Reader::new(topic, purpose);
     loop {
-        let read = Instant::now();
         match reader.read(shared, Duration::ZERO).await {
-            Ok(Batch::Whole(page) | Batch::More(page)) => return Newest { page, read },
+            Ok(Batch::Whole(page) | Batch::More(page)) => return page,
             Err(_) => pause().await,
         }
     }
@@ -158,10 +137,10 @@
     shared: &Arc<Shared<P>>,
     claim: &Claim,
     engine: Engine,
-    starts: Vec<tail::Start>,
+    partitions: Vec<Partition>,
+    view: View,
 ) -> ActorRef<Control<P>> {
     let (records, queue) = mpsc::unbounded_channel();
-    let view = tail::view(&starts);
     let control = Control::new(engine, shared.clone(), records, view.clone());
     let control = Control::spawn_with_mailbox(control, mailbox::bounded(MAILBOX));
     let weak = control.downgrade();
@@ -172,9 +151,9 @@
         weak.clone(),
     ));
     tokio::spawn(tail::workers(shared.clone(), weak.clone()));
-    tokio::spawn(tail::jobs(
+    tokio::spawn(jobs::follow(
         shared.clone(),
-        starts,
+        partitions,
         view.clone(),
         weak.clone(),
     ));
--- a/crates/node/src/port.rs
+++ b/crates/node/src/port.rs
@@ -136,13 +136,22 @@
     }
 }
 
-/// Records and where the topic ends behind them.
+/// Records, from where to read on, and where the topic ended.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Page {
     /// The records, in order.
     pub records: Vec<Record>,
     /// The offset to read on from.
     pub next: u64,
+    /// Where the topic ended; a call gives a part of what there is where that is much.
+    pub end: u64,
+}
+
+impl Page {
+    /// Returns whether nothing was left to read when the page was made.
+    pub const fn is_last(&self) -> bool {
+        self.next >= self.end
+    }
 }
 
 /// The platform as a node uses it. No method retries; each gives up after a time of its own.
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -49,15 +49,6 @@
         }
     }
 
-    /// Makes a reader that begins at an offset.
-    pub(crate) const fn from(topic: Topic, purpose: &'static str, next: u64) -> Self {
-        Self {
-            topic,
-            purpose,
-            next: Some(next),
-        }
-    }
-
     /// Reads once. After a gap in the history it begins with the newest records again.
     pub(crate) async fn read<P: Platform>(
         &mut self,
--- a/crates/node/tests/node/service.rs
+++ b/crates/node/tests/node/service.rs
@@ -34,6 +34,7 @@
     node,
     node_with,
     queue,
+    ready,
     until, //
 };
 
@@ -65,13 +66,6 @@
         .await
 }
 
-async fn ready(node: &Node<Fake>) {
-    until(|| async {
-        node.front().is_ready() && node.front().look(JobId(0)).await == Err(Refusal::NoJob)
-    })
-    .await;
-}
-
 async fn completed(node: &Node<Fake>, job: u64) {
     until(|| async { node.front().look(JobId(job)).await == Ok(State::Completed) }).await;
 }
--- a/crates/node/tests/node/support.rs
+++ b/crates/node/tests/node/support.rs
@@ -54,6 +54,7 @@
 };
 use fulmarpier_node::{
     Identity, Meter, Node, Parts,
+    front::Refusal,
     port::{
         Append,
         Condition,
@@ -109,6 +110,8 @@
     workers: BTreeMap<WorkerId, Host>,
     starts: Vec<(TaskId, Run)>,
     appends: usize,
+    /// How often the jobs' partitions were read on.
+    job_reads: usize,
     /// How many appends of each topic there were while answers were lost.
     lost: BTreeMap<String, u32>,
 }
@@ -251,6 +254,11 @@
         self.state().appends
     }
 
+    /// Returns how often the jobs' partitions were read on.
+    pub(crate) fn job_reads(&self) -> usize {
+        self.state().job_reads
+    }
+
     /// Returns the node that owns the cell by the newest claim.
     pub(crate) fn owner(&self) -> Option<String> {
         let state = self.state();
@@ -368,6 +376,9 @@
 
     async fn read(&self, topic: Topic, from: u64, wait: Duration) -> Result<Page, Error> {
         let until = Instant::now() + wait;
+        if matches!(topic, Topic::Jobs(_)) {
+            self.state().job_reads += 1;
+        }
         loop {
             self.answer().await?;
             let records: Vec<Record> = {
@@ -378,7 +389,11 @@
             };
             if !records.is_empty() || Instant::now() >= until {
                 let next = from + records.len() as u64;
-                return Ok(Page { records, next });
+                return Ok(Page {
+                    records,
+                    next,
+                    end: next,
+                });
             }
             sleep(Duration::from_millis(10)).await;
         }
@@ -402,6 +417,7 @@
         Ok(Page {
             records: records.filter(|record| record.value.is_some()).collect(),
             next,
+            end: next,
         })
     }
 
@@ -530,6 +546,14 @@
     .unwrap()
 }
 
+/// Waits until a node takes jobs and knows which there are.
+pub(crate) async fn ready(node: &Node<Fake>) {
+    until(|| async {
+        node.front().is_ready() && node.front().look(JobId(0)).await == Err(Refusal::NoJob)
+    })
+    .await;
+}
+
 /// Waits until something holds; the limit only ends a test that hangs.
 pub(crate) async fn until<F: Future<Output = bool>>(mut holds: impl FnMut() -> F) {
     let limit = Instant::now() + Duration::from_secs(60);
--- a/crates/node/tests/node/view.rs
+++ b/crates/node/tests/node/view.rs
@@ -17,6 +17,7 @@
 use std::time::Duration;
 
 use fulmarpier_cell::{
+    engine::State,
     id::{
         JobId,
         QueueName, //
@@ -48,8 +49,10 @@
 
 use crate::support::{
     Fake,
+    Mode,
     node,
-    queue, //
+    queue,
+    ready, //
 };
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -79,6 +82,15 @@
     }
 }
 
+/// Makes the acceptance of a job that no worker has room for.
+fn unplaceable(job: u64, partition: u16) -> Accepted {
+    let mut accepted = accepted(job, partition);
+    let mut spec = accepted.spec.as_ref().clone();
+    spec.steps[0].size = Resources::new(Millicores::from_cores(64), Bytes::from_gib(1), 0);
+    accepted.spec = spec.into();
+    accepted
+}
+
 async fn cancel(node: &Node<Fake>, job: u64) -> Result<(), Refusal> {
     let queue = QueueName::from("q");
     let deadline = Instant::now() + 3 * SECOND;
@@ -114,3 +126,128 @@
     let after: Vec<usize> = jobs.map(starts).collect();
     assert_eq!(before, after);
 }
+
+/// The owner hears of both from the record alone: no node has told it of the job, nor of its cancellation.
+#[tokio::test(start_paused = true)]
+async fn a_new_owner_starts_nothing_that_was_cancelled_while_it_read_the_record() {
+    let platform = Fake::new();
+    platform.hold_back(Topic::Jobs(HELD_BACK), 2 * SECOND);
+    let _one = node("one", &platform);
+    sleep(SECOND / 2).await;
+    for partition in 1..16 {
+        platform.accept(partition, &accepted(partition.into(), partition));
+    }
+    sleep(SECOND).await;
+    for partition in 1..16 {
+        platform.cancel(partition, partition.into());
+    }
+    sleep(10 * SECOND).await;
+    let starts: usize = (1..16).map(|job| platform.starts(job)).sum();
+    assert_eq!(starts, 0);
+}
+
+/// With no owner there is nobody who knows the job, and its caller need not wait for one.
+#[tokio::test(start_paused = true)]
+async fn a_cancellation_is_taken_while_there_is_no_owner() {
+    let platform = Fake::new();
+    platform.hold_back(Topic::Jobs(HELD_BACK), 2 * SECOND);
+    let one = node("one", &platform);
+    sleep(SECOND).await;
+    let asked = Instant::now();
+    assert_eq!(cancel(&one, 1).await, Ok(()));
+    assert!(asked.elapsed() < SECOND / 10, "{:?}", asked.elapsed());
+    assert!(platform.keeps(&format!("{}/x", JobId(1))));
+}
+
+/// Other nodes have put it on record, and their word has not reached the owner.
+#[tokio::test(start_paused = true)]
+async fn a_job_that_is_on_record_is_never_said_not_to_be_there() {
+    let platform = Fake::new();
+    let one = node("one", &platform);
+    ready(&one).await;
+    for partition in 0..16 {
+        let job = 100 + u64::from(partition);
+        platform.accept(partition, &accepted(job, partition));
+        let found = one.front().look(JobId(job)).await;
+        assert!(found.is_ok(), "{found:?}");
+        // At all moments between two readings of the partition.
+        sleep(Duration::from_millis(130)).await;
+    }
+}
+
+/// A caller whose try to hand it in got no answer gives up; the store carries the record out later.
+#[tokio::test(start_paused = true)]
+async fn a_cancelled_job_that_turns_up_on_record_later_doesn_t_start() {
+    let platform = Fake::new();
+    let one = node("one", &platform);
+    ready(&one).await;
+    assert_eq!(cancel(&one, 1).await, Err(Refusal::NoJob));
+    assert_eq!(cancel(&one, 2).await, Err(Refusal::NoJob));
+    let never_handed_in = one.front().look(JobId(2)).await;
+    assert_eq!(never_handed_in, Err(Refusal::NoJob));
+    platform.accept(5, &accepted(1, 5));
+    sleep(10 * SECOND).await;
+    assert_eq!(one.front().look(JobId(1)).await, Ok(State::Cancelled));
+    assert_eq!(platform.starts(1), 0);
+}
+
+/// A node that was cut off from the owner, and is back, has taken jobs that nothing has begun.
+#[tokio::test(start_paused = true)]
+async fn the_first_count_of_a_new_owner_has_all_jobs_that_waited_for_it() {
+    let platform = Fake::new();
+    platform.hold_back(Topic::Jobs(HELD_BACK), 2 * SECOND);
+    let one = node("one", &platform);
+    sleep(SECOND).await;
+    for partition in 1..16 {
+        platform.accept(partition, &unplaceable(partition.into(), partition));
+    }
+    let queue = QueueName::from("q");
+    let count = loop {
+        match one.front().pending(&queue).await {
+            Ok(count) => break count,
+            Err(_) => sleep(Duration::from_millis(10)).await,
+        }
+    };
+    assert_eq!(count, 15);
+}
+
+/// Without the store nobody can tell how many jobs wait; a number would be taken for the truth.
+#[tokio::test(start_paused = true)]
+async fn a_count_is_refused_once_it_is_too_old() {
+    let platform = Fake::new();
+    let one = node("one", &platform);
+    ready(&one).await;
+    platform.accept(3, &unplaceable(1, 3));
+    sleep(3 * SECOND).await;
+    let queue = QueueName::from("q");
+    assert_eq!(one.front().pending(&queue).await, Ok(1));
+    platform.set(Mode::Refusing);
+    sleep(3 * SECOND).await;
+    assert_eq!(one.front().pending(&queue).await, Err(Refusal::NoOwner));
+    platform.set(Mode::Well);
+    sleep(SECOND).await;
+    assert_eq!(one.front().pending(&queue).await, Ok(1));
+}
+
+/// Callers who ask for jobs that don't exist must not use up the store's calls: it takes 2,000 readings a second.
+#[tokio::test(start_paused = true)]
+async fn questions_about_jobs_that_don_t_exist_cost_a_bounded_number_of_calls() {
+    let platform = Fake::new();
+    let one = node("one", &platform);
+    ready(&one).await;
+    let before = platform.job_reads();
+    let began = Instant::now();
+    for job in 1_000..1_100 {
+        assert_eq!(one.front().look(JobId(job)).await, Err(Refusal::NoJob));
+    }
+    let many = (0..1_000).map(|job| {
+        let front = one.front();
+        async move { front.look(JobId(2_000 + job)).await }
+    });
+    for answer in futures::future::join_all(many).await {
+        assert_eq!(answer, Err(Refusal::NoJob));
+    }
+    let readings = began.elapsed().as_millis() / 100 + 2;
+    let reads = platform.job_reads() - before;
+    assert!(reads as u128 <= 16 * readings, "{reads} calls");
+}
