Show that each guard of the owner's view is needed

Without reading on before it acts, a new owner started 15 cancelled jobs; without a bound on a count's age, a count was given that lacked a job of 3 s ago. Both tests passed before for other reasons: the job is on record before the node starts now, and one partition gives no answer while the owner keeps the cell. Seen to fail one by one: no proof of absence, no record of an unseen cancellation, no gap between readings.

--- a/crates/node/tests/node/support.rs
+++ b/crates/node/tests/node/support.rs
@@ -101,7 +101,7 @@
     mode: Mode,
     /// Topics whose appends are refused.
     refused: Vec<String>,
-    /// Topics whose newest records nobody gets until then.
+    /// Topics that nobody can read until then.
     held_back: BTreeMap<String, Instant>,
     topics: BTreeMap<String, Vec<Record>>,
     fence: u32,
@@ -227,7 +227,7 @@
         self.state().refused.push(name(Topic::Jobs(partition)));
     }
 
-    /// Has the store give no answer to who asks for the newest records of a topic, for some time.
+    /// Has the store give no answer to who reads a topic, for some time.
     pub(crate) fn hold_back(&self, topic: Topic, time: Duration) {
         let until = Instant::now() + time;
         self.state().held_back.insert(name(topic), until);
@@ -282,6 +282,16 @@
         records.any(|record| record.key == key)
     }
 
+    /// Gives no answer about a topic that is held back.
+    async fn check_held_back(&self, topic: Topic) -> Result<(), Error> {
+        let until = self.state().held_back.get(&name(topic)).copied();
+        if until.is_none_or(|until| Instant::now() >= until) {
+            return Ok(());
+        }
+        sleep(RUNS_OUT).await;
+        Err(Error::Unanswered)
+    }
+
     async fn answer(&self) -> Result<(), Error> {
         let mode = self.mode();
         match mode {
@@ -376,6 +386,7 @@
 
     async fn read(&self, topic: Topic, from: u64, wait: Duration) -> Result<Page, Error> {
         let until = Instant::now() + wait;
+        self.check_held_back(topic).await?;
         if matches!(topic, Topic::Jobs(_)) {
             self.state().job_reads += 1;
         }
@@ -400,11 +411,7 @@
     }
 
     async fn newest(&self, topic: Topic) -> Result<Page, Error> {
-        let held_back = self.state().held_back.get(&name(topic)).copied();
-        if held_back.is_some_and(|until| Instant::now() < until) {
-            sleep(RUNS_OUT).await;
-            return Err(Error::Unanswered);
-        }
+        self.check_held_back(topic).await?;
         self.answer().await?;
         let state = self.state();
         let records = state.topics.get(&name(topic)).cloned().unwrap_or_default();
--- a/crates/node/tests/node/view.rs
+++ b/crates/node/tests/node/view.rs
@@ -49,7 +49,6 @@
 
 use crate::support::{
     Fake,
-    Mode,
     node,
     queue,
     ready, //
@@ -132,11 +131,10 @@
 async fn a_new_owner_starts_nothing_that_was_cancelled_while_it_read_the_record() {
     let platform = Fake::new();
     platform.hold_back(Topic::Jobs(HELD_BACK), 2 * SECOND);
-    let _one = node("one", &platform);
-    sleep(SECOND / 2).await;
     for partition in 1..16 {
         platform.accept(partition, &accepted(partition.into(), partition));
     }
+    let _one = node("one", &platform);
     sleep(SECOND).await;
     for partition in 1..16 {
         platform.cancel(partition, partition.into());
@@ -211,21 +209,21 @@
     assert_eq!(count, 15);
 }
 
-/// Without the store nobody can tell how many jobs wait; a number would be taken for the truth.
+/// While the store gives no answer about one partition, nobody can tell how many jobs wait; a number would be taken
+/// for the truth.
 #[tokio::test(start_paused = true)]
 async fn a_count_is_refused_once_it_is_too_old() {
     let platform = Fake::new();
     let one = node("one", &platform);
     ready(&one).await;
-    platform.accept(3, &unplaceable(1, 3));
-    sleep(3 * SECOND).await;
     let queue = QueueName::from("q");
-    assert_eq!(one.front().pending(&queue).await, Ok(1));
-    platform.set(Mode::Refusing);
+    assert_eq!(one.front().pending(&queue).await, Ok(0));
+    platform.hold_back(Topic::Jobs(HELD_BACK), 6 * SECOND);
+    platform.accept(HELD_BACK, &unplaceable(1, HELD_BACK));
     sleep(3 * SECOND).await;
+    assert_eq!(platform.owner().as_deref(), Some("one"));
     assert_eq!(one.front().pending(&queue).await, Err(Refusal::NoOwner));
-    platform.set(Mode::Well);
-    sleep(SECOND).await;
+    sleep(4 * SECOND).await;
     assert_eq!(one.front().pending(&queue).await, Ok(1));
 }
 
