Deny a queue only out of a configuration that the store told of late

For 2.5 s after the store last told of the configuration it is taken for the newest; after that the caller is told to come back. The test fails without it (NoQueue in the place of NotReady 4 s into a silent store).

--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -59,11 +59,15 @@
     shared::Shared,
 };
 
+/// For so long after the store last told of it a configuration is taken for the newest. A new one has to be in
+/// force within 2 s; a quiet store tells each 1 s that there is none, and a slow one 1.4 s later.
+const CONFIG_FRESH: Duration = Duration::from_millis(2_500);
+
 /// Why a call did not get what it asked for.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Refusal {
-    /// The node doesn't know the configuration yet. Nothing was done.
-    #[error("the node has no configuration yet")]
+    /// The node doesn't know the configuration, or not of late. Nothing was done.
+    #[error("the node does not know the present configuration")]
     NotReady,
     /// There is no such queue. Nothing was done.
     #[error("there is no such queue")]
@@ -139,6 +143,16 @@
             && self.shared.claim.borrow().is_some()
     }
 
+    /// Returns what to tell a caller whose queue the configuration in force here doesn't have.
+    ///
+    /// Out of an old configuration it says nothing of the queue, which may have come since.
+    pub fn missing_queue(&self) -> Refusal {
+        match self.shared.config_read.borrow().elapsed() < CONFIG_FRESH {
+            true => Refusal::NoQueue,
+            false => Refusal::NotReady,
+        }
+    }
+
     /// Takes a job; on success its record is kept.
     ///
     /// # Errors
@@ -165,7 +179,8 @@
         deadline: Instant,
     ) -> Result<(), Refusal> {
         let config = self.config().ok_or(Refusal::NotReady)?;
-        let queue = config.queues.get(queue).ok_or(Refusal::NoQueue)?;
+        let queue = config.queues.get(queue);
+        let queue = queue.ok_or_else(|| self.missing_queue())?;
         spec.check()?;
         let accepted = Accepted {
             job,
@@ -229,7 +244,7 @@
     pub async fn pending(&self, queue: &QueueName) -> Result<u32, Refusal> {
         let config = self.config().ok_or(Refusal::NotReady)?;
         if !config.queues.contains_key(queue) {
-            return Err(Refusal::NoQueue);
+            return Err(self.missing_queue());
         }
         let reply = self.ask_owner(|_| Question::Pending(queue.clone()));
         match reply.await? {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -161,6 +161,7 @@
             log: parts.log.clone(),
             meter: parts.meter,
             config: watch::Sender::new(None),
+            config_read: watch::Sender::new(Instant::now()),
             claim: watch::Sender::new(None),
             acting: watch::Sender::new(None),
             peers: Mutex::default(),
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -119,6 +119,8 @@
     pub(crate) meter: Meter,
     /// The configuration in force here, once one is known.
     pub(crate) config: watch::Sender<Option<Arc<Config>>>,
+    /// When the store last told this node which configuration is the newest.
+    pub(crate) config_read: watch::Sender<Instant>,
     /// The newest claim that is known here.
     pub(crate) claim: watch::Sender<Option<Claim>>,
     /// This node's own ownership.
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -6,7 +6,10 @@
 };
 
 use rand::random_range;
-use tokio::time::sleep;
+use tokio::time::{
+    Instant,
+    sleep, //
+};
 
 use crate::{
     port::{
@@ -93,6 +96,8 @@
         };
         match reader.read(&shared, wait).await {
             Ok(Batch::Whole(page) | Batch::More(page)) => {
+                // A call that waits for a change tells at its end that there was none.
+                shared.config_read.send_replace(Instant::now());
                 for record in &page.records {
                     take_config(&shared, record);
                 }
--- a/crates/node/tests/node/service.rs
+++ b/crates/node/tests/node/service.rs
@@ -417,3 +417,24 @@
     let refused = front.submit(&missing, JobId(3), spec(), deadline).await;
     assert_eq!(refused, Err(Refusal::NoQueue));
 }
+
+/// A node that is cut off from the store doesn't hear of new queues.
+#[tokio::test(start_paused = true)]
+async fn a_queue_is_missing_only_in_a_configuration_that_the_store_told_of_late() {
+    let platform = Fake::new();
+    let one = node("one", &platform);
+    ready(&one).await;
+    let missing = QueueName::from("missing");
+    let deadline = Instant::now() + 300 * SECOND;
+    let front = one.front();
+    let submit = || front.submit(&missing, JobId(1), spec(), deadline);
+    assert_eq!(submit().await, Err(Refusal::NoQueue));
+    assert_eq!(front.pending(&missing).await, Err(Refusal::NoQueue));
+    platform.set(Mode::Silent);
+    tokio::time::sleep(4 * SECOND).await;
+    assert_eq!(submit().await, Err(Refusal::NotReady));
+    assert_eq!(front.pending(&missing).await, Err(Refusal::NotReady));
+    platform.set(Mode::Well);
+    tokio::time::sleep(SECOND).await;
+    assert_eq!(submit().await, Err(Refusal::NoQueue));
+}
