Read each partition of the jobs by itself; random histories of an owner's view

While a part of the store gave no answer for 3 s, what stood in the other partitions came into force as much later: all were waited for together.

--- a/crates/node/src/owner/jobs.rs
+++ b/crates/node/src/owner/jobs.rs
@@ -49,7 +49,7 @@
 const JOBS_UNKNOWN: Duration = Duration::from_millis(1_500);
 /// For this long a node that is gone may go on writing: cuts last some seconds.
 const WRITES_ON: Duration = Duration::from_secs(20);
-/// The least time between two readings of what somebody asks about: with it, callers who ask for jobs that
+/// The least time between two readings of a partition that somebody asks about: with it, callers who ask for jobs that
 /// don't exist cost 160 calls of the store a second at most.
 const WANTED_GAP: Duration = Duration::from_millis(100);
 /// A new owner begins to act only on what was on record so short a time ago. It waits for the slowest of 16
@@ -116,11 +116,6 @@
     }
 }
 
-/// Returns the moment at which all that was on record has been read, from every partition.
-pub(super) fn read_up_to(partitions: &[Partition]) -> Option<Instant> {
-    partitions.iter().map(|partition| partition.read).min()
-}
-
 /// Reads all partitions, and again those that were read longest ago, until what was on record a moment ago is known.
 pub(super) async fn read_all<P: Platform>(shared: &Shared<P>) -> (Vec<Partition>, Vec<JobRecord>) {
     let opened = join_all((0..PARTITIONS).map(|number| Partition::open(shared, number))).await;
@@ -138,52 +133,51 @@
     }
 }
 
-/// Follows the partitions, each as often as something may stand in it that nobody has told of, and all at once
-/// where somebody asks for something that the owner doesn't know.
+/// Makes the view of an owner that has read partitions so far.
+pub(super) fn view(partitions: &[Partition]) -> View {
+    View::new(partitions.iter().map(|partition| partition.read).collect())
+}
+
+/// Follows a partition, as often as something may stand in it that nobody has told of, and at once where somebody
+/// asks for something that the owner doesn't know.
+///
+/// Each has a task of its own: while a part of the store gave no answer for 3 s, cancellations in the rest came into force as
+/// much later.
 pub(super) async fn follow<P: Platform>(
     shared: Arc<Shared<P>>,
-    mut partitions: Vec<Partition>,
+    mut partition: Partition,
     view: View,
     control: WeakActorRef<Control<P>>,
 ) {
     let mut writers = Writers::default();
     loop {
         sleep(WANTED_GAP).await;
-        // Nobody may ask for long.
-        let _ = timeout(JOBS_LOOK - WANTED_GAP, view.wants_more()).await;
+        let wanted = view.wants_more(partition.number);
+        let is_wanted = timeout(JOBS_LOOK - WANTED_GAP, wanted).await.is_ok();
         let peers = shared.peers.lock().await.clone();
         let present = peers.into_iter().map(|peer| peer.node);
         writers.note(present.chain([shared.name.clone()]));
-        let wanted = view.wanted();
-        let due = partitions.iter_mut().filter(|partition| {
-            let is_due = partition.asked.elapsed() >= writers.period(partition.number);
-            is_due || partition.read < wanted
-        });
-        let batches = join_all(due.map(|partition| partition.read_on(&shared))).await;
+        let is_due = partition.asked.elapsed() >= writers.period(partition.number);
+        if !is_wanted && !is_due {
+            if control.upgrade().is_none() {
+                return;
+            }
+            continue;
+        }
+        let found = partition.read_on(&shared).await;
         let Some(control) = control.upgrade() else {
             return;
         };
-        let mut is_failing = false;
-        for batch in batches {
-            match batch {
-                Ok(records) => {
-                    for event in records.into_iter().map(Event::from) {
-                        // The actor may be ending.
-                        let _ = control.tell(event).await;
-                    }
-                }
-                // It is read again when it is due.
-                Err(_) => is_failing = true,
-            }
-        }
-        // The actor hears of the records before whoever waits for this asks it.
-        if let Some(read) = read_up_to(&partitions) {
-            view.note(read);
-        }
-        drop(control);
-        if is_failing {
+        let Ok(found) = found else {
             pause().await;
+            continue;
+        };
+        for event in found.into_iter().map(Event::from) {
+            // The actor may be ending.
+            let _ = control.tell(event).await;
         }
+        // The actor hears of the records before whoever waits for this asks it.
+        view.note(partition.number, partition.read);
     }
 }
 
--- a/crates/node/src/owner/takeover.rs
+++ b/crates/node/src/owner/takeover.rs
@@ -112,7 +112,7 @@
             }
         }
     }
-    let view = View::new(jobs::read_up_to(&partitions).unwrap_or(began));
+    let view = jobs::view(&partitions);
     slog::info!(shared.log, "takeover"; "epoch" => %claim.epoch,
         "jobs" => inheritance.accepted.len(), "workers" => inheritance.workers.len(),
         "view_ms" => millis(view.age()),
@@ -151,12 +151,10 @@
         weak.clone(),
     ));
     tokio::spawn(tail::workers(shared.clone(), weak.clone()));
-    tokio::spawn(jobs::follow(
-        shared.clone(),
-        partitions,
-        view.clone(),
-        weak.clone(),
-    ));
+    for partition in partitions {
+        let view = view.clone();
+        tokio::spawn(jobs::follow(shared.clone(), partition, view, weak.clone()));
+    }
     tokio::spawn(tick(weak.clone()));
     tokio::spawn(follow_config(shared.clone(), weak));
     shared.acting.send_replace(Some(Acting {
--- a/crates/node/src/owner/view.rs
+++ b/crates/node/src/owner/view.rs
@@ -21,54 +21,64 @@
 /// view of 3.5 s ago saw the job start 3.3 s later.
 #[derive(Clone, Debug)]
 pub(crate) struct View {
-    /// All that was on record at this moment has been read.
-    read: Arc<watch::Sender<Instant>>,
+    /// By partition: all that was on record in it at this moment has been read.
+    read: Arc<watch::Sender<Vec<Instant>>>,
     /// Somebody waits until all that was on record at this moment has been read.
-    wanted: Arc<watch::Sender<Instant>>,
+    wanted: Arc<watch::Sender<Option<Instant>>>,
 }
 
 impl View {
-    /// Makes the view of an owner that knows all that was on record at a moment.
-    pub(crate) fn new(read: Instant) -> Self {
+    /// Makes the view of an owner that has read each partition so far.
+    pub(crate) fn new(read: Vec<Instant>) -> Self {
         Self {
             read: Arc::new(watch::Sender::new(read)),
-            wanted: Arc::new(watch::Sender::new(read)),
+            wanted: Arc::new(watch::Sender::new(None)),
         }
     }
 
-    /// Notes that the owner was told all that was on record at a moment.
-    pub(crate) fn note(&self, read: Instant) {
-        self.read.send_replace(read);
+    /// Notes that the owner was told all that was on record in a partition at a moment.
+    pub(crate) fn note(&self, partition: u16, read: Instant) {
+        self.read.send_if_modified(|reads| {
+            let before = oldest(reads);
+            if let Some(known) = reads.get_mut(usize::from(partition)) {
+                *known = read;
+            }
+            // Whoever waits, waits for the oldest.
+            oldest(reads) > before
+        });
     }
 
     /// Returns for how long something may have been on record that the owner has not read.
     pub(crate) fn age(&self) -> Duration {
-        self.read.borrow().elapsed()
+        let oldest = oldest(&self.read.borrow());
+        oldest.map_or(Duration::ZERO, |read| read.elapsed())
     }
 
     /// Waits until the owner was told all that was on record at a moment; false where that takes longer than
     /// `patience`.
     pub(crate) async fn reach(&self, at: Instant, patience: Duration) -> bool {
         self.wanted.send_if_modified(|wanted| {
-            let is_later = at > *wanted;
-            *wanted = at.max(*wanted);
+            let is_later = wanted.is_none_or(|wanted| at > wanted);
+            if is_later {
+                *wanted = Some(at);
+            }
             is_later
         });
         let mut reads = self.read.subscribe();
-        let reached = reads.wait_for(|read| *read >= at);
+        let reached = reads.wait_for(|reads| oldest(reads).is_none_or(|read| read >= at));
         matches!(timeout(patience, reached).await, Ok(Ok(_)))
     }
 
-    /// Returns the moment up to which somebody wants all to be read.
-    pub(crate) fn wanted(&self) -> Instant {
-        *self.wanted.borrow()
-    }
-
-    /// Waits until somebody wants more to be read than was.
-    pub(crate) async fn wants_more(&self) {
+    /// Waits until somebody wants more of a partition to be read than was.
+    pub(crate) async fn wants_more(&self, partition: u16) {
+        let read = self.read.borrow().get(usize::from(partition)).copied();
         let mut wanted = self.wanted.subscribe();
-        let read = *self.read.borrow();
         // The sender lives as long as this view.
         let _ = wanted.wait_for(|wanted| *wanted > read).await;
     }
 }
+
+/// Returns the moment up to which all is read.
+fn oldest(reads: &[Instant]) -> Option<Instant> {
+    reads.iter().min().copied()
+}
--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -1,5 +1,6 @@
 //! Whole nodes on loopback over a platform in memory.
 
+mod history;
 mod service;
 mod support;
 mod view;
--- a/crates/node/tests/node/support.rs
+++ b/crates/node/tests/node/support.rs
@@ -108,7 +108,9 @@
     /// The writer's last append, to answer a repeat of it.
     written: Option<(u32, u64, u64)>,
     workers: BTreeMap<WorkerId, Host>,
-    starts: Vec<(TaskId, Run)>,
+    starts: Vec<(TaskId, Instant)>,
+    /// How many records it gives at a call, where that is bounded.
+    most_given: Option<usize>,
     appends: usize,
     /// How often the jobs' partitions were read on.
     job_reads: usize,
@@ -250,6 +252,19 @@
         starts.filter(|(task, _)| task.step.job.0 == job).count()
     }
 
+    /// Returns when a task of a job was last started.
+    pub(crate) fn last_start(&self, job: u64) -> Option<Instant> {
+        let state = self.state();
+        let starts = state.starts.iter();
+        let own = starts.filter(|(task, _)| task.step.job.0 == job);
+        own.map(|(_, at)| *at).max()
+    }
+
+    /// Has the store give so many records at a call that reads on.
+    pub(crate) fn give_at_most(&self, count: usize) {
+        self.state().most_given = Some(count);
+    }
+
     pub(crate) fn appends(&self) -> usize {
         self.state().appends
     }
@@ -392,19 +407,18 @@
         }
         loop {
             self.answer().await?;
-            let records: Vec<Record> = {
+            let (records, end): (Vec<Record>, u64) = {
                 let state = self.state();
-                let records = state.topics.get(&name(topic)).into_iter().flatten();
+                let records = state.topics.get(&name(topic));
+                let end = records.map_or(0, |records| records.len() as u64);
                 let skipped = usize::try_from(from).unwrap();
-                records.skip(skipped).cloned().collect()
+                let rest = records.into_iter().flatten().skip(skipped);
+                let most = state.most_given.unwrap_or(usize::MAX);
+                (rest.take(most).cloned().collect(), end)
             };
             if !records.is_empty() || Instant::now() >= until {
                 let next = from + records.len() as u64;
-                return Ok(Page {
-                    records,
-                    next,
-                    end: next,
-                });
+                return Ok(Page { records, next, end });
             }
             sleep(Duration::from_millis(10)).await;
         }
@@ -434,7 +448,7 @@
         sleep(CALL).await;
         self.ordered.fetch_add(1, Ordering::Relaxed);
         let mut state = self.state();
-        state.starts.push((order.task, order.run));
+        state.starts.push((order.task, Instant::now()));
         let host = state.workers.entry(order.to.worker).or_default();
         let ends = Instant::now() + RUNS;
         host.running.insert(order.task, (order.run, ends));
--- a/crates/node/tests/node/view.rs
+++ b/crates/node/tests/node/view.rs
@@ -60,7 +60,7 @@
 const HELD_BACK: u16 = 0;
 
 /// Makes the acceptance of a job of two tasks.
-fn accepted(job: u64, partition: u16) -> Accepted {
+pub(crate) fn accepted(job: u64, partition: u16) -> Accepted {
     let step = Step {
         count: 2,
         size: Resources::new(Millicores(500), Bytes::from_mib(100), 0),
