--- a/crates/node/tests/node/review.rs
+++ b/crates/node/tests/node/review.rs
@@ -84,7 +84,9 @@
 async fn cancel(node: &Node<Fake>, job: u64) -> Result<(), Refusal> {
     let deadline = Instant::now() + 3 * SECOND;
     let front = node.front();
-    front.cancel(&QueueName::from("q"), JobId(job), deadline).await
+    front
+        .cancel(&QueueName::from("q"), JobId(job), deadline)
+        .await
 }
 
 /// One partition takes longer than a second a call, the others milliseconds. Whenever it has answered, the view of
@@ -154,7 +156,10 @@
         platform.delay(Topic::Jobs(0), Duration::ZERO);
         sleep(3 * SECOND + Duration::from_millis(job * 37)).await;
     }
-    assert!(late.is_empty(), "started after their cancellation: {late:?}");
+    assert!(
+        late.is_empty(),
+        "started after their cancellation: {late:?}"
+    );
 }
 
 /// The job is off the record, and its cancellation says that it was there. The same cancellation comes once more while
@@ -199,7 +204,10 @@
     assert!(platform.newest_job(next, &key).is_some());
     sleep(15 * SECOND).await;
     assert_eq!(one.front().look(JobId(2)).await, Ok(State::Completed));
-    assert!(platform.newest_job(next, &key).is_none(), "it is still on record");
+    assert!(
+        platform.newest_job(next, &key).is_none(),
+        "it is still on record"
+    );
 }
 
 /// A record that can't be read is not one that isn't there.
--- a/crates/node/tests/node/support.rs
+++ b/crates/node/tests/node/support.rs
@@ -263,7 +263,10 @@
         let state = self.state();
         let records = state.topics.get(&name(Topic::Jobs(partition)));
         let mut own = records.into_iter().flatten().rev();
-        own.find(|record| record.key == key)?.value.as_ref().map(|value| value.to_vec())
+        own.find(|record| record.key == key)?
+            .value
+            .as_ref()
+            .map(|value| value.to_vec())
     }
 
     /// Returns how many orders to start this machine has given.
