--- a/crates/cell/src/engine/forget.rs
+++ b/crates/cell/src/engine/forget.rs
@@ -44,7 +44,10 @@
         let claimed: HashSet<JobId> = claims.map(|((task, _), _)| task.step.job).collect();
         let over = std::mem::take(&mut self.over);
         for (since, id) in over {
-            let is_due = now.since(since) >= SETTLED && !claimed.contains(&id);
+            // Of a job that is only announced nothing is on record that could be taken off.
+            let is_due = now.since(since) >= SETTLED
+                && !claimed.contains(&id)
+                && !self.announced.contains_key(&id);
             if is_due && self.is_end_kept(id) {
                 self.forget(id);
             } else {
--- a/crates/node/src/front/kept.rs
+++ b/crates/node/src/front/kept.rs
@@ -11,22 +11,35 @@
 
 use crate::port::Record;
 
-/// What the key of a cancellation has behind the job.
-const CANCELLATION: &str = "/x";
+/// What the key of a cancellation has behind the job. Each kind has a key of its own: one that comes again while
+/// nobody knows the job must not take the place of one that says that it was there.
+const SEEN: &str = "/x";
+const UNSEEN: &str = "/u";
+/// What stands under the key of a cancellation.
+const CANCELLED: [u8; 1] = [1];
 
 /// Returns the record that keeps a cancellation.
-///
-/// # Errors
-///
-/// Fails where it can't be encoded.
-pub(crate) fn cancellation(
-    job: JobId,
-    cancellation: Cancellation,
-) -> Result<Record, record::Error> {
-    Ok(Record {
-        key: format!("{job}{CANCELLATION}"),
-        value: Some(record::encode(&cancellation)?.into()),
-    })
+pub(crate) fn cancellation(job: JobId, cancellation: Cancellation) -> Record {
+    let suffix = match cancellation {
+        Cancellation::Seen => SEEN,
+        Cancellation::Unseen => UNSEEN,
+    };
+    Record {
+        key: format!("{job}{suffix}"),
+        value: Some(CANCELLED.to_vec().into()),
+    }
+}
+
+/// Reads the key of a cancellation; `None` where it is none.
+fn read_cancellation(key: &str) -> Option<(JobId, Cancellation)> {
+    let seen = key.strip_suffix(SEEN);
+    let unseen = key.strip_suffix(UNSEEN);
+    let (job, cancellation) = match (seen, unseen) {
+        (Some(job), _) => (job, Cancellation::Seen),
+        (None, Some(job)) => (job, Cancellation::Unseen),
+        (None, None) => return None,
+    };
+    Some((job.parse().ok()?, cancellation))
 }
 
 /// Reads a record of the jobs' topic.
@@ -35,18 +48,21 @@
     Accepted(Box<Accepted>),
     /// A job was cancelled.
     Cancelled(JobId, Cancellation),
+    /// A job stands there that can't be read: nobody can tell what it is, nor that there is none.
+    Unreadable(JobId),
 }
 
 impl JobRecord {
     /// Reads a record out of a partition; `None` where it is a removal, or none of this program's.
     pub(crate) fn read(record: &Record, partition: u16) -> Option<Self> {
         let value = record.value.as_ref()?;
-        if let Some(job) = record.key.strip_suffix(CANCELLATION) {
-            // Whatever its value says, the job must not start.
-            let cancellation = record::decode(value).unwrap_or(Cancellation::Unseen);
-            return Some(Self::Cancelled(job.parse().ok()?, cancellation));
+        if let Some((job, cancellation)) = read_cancellation(&record.key) {
+            return Some(Self::Cancelled(job, cancellation));
         }
-        let accepted: Accepted = record::decode(value).ok()?;
+        let job: JobId = record.key.parse().ok()?;
+        let Ok(accepted) = record::decode::<Accepted>(value) else {
+            return Some(Self::Unreadable(job));
+        };
         Some(Self::Accepted(Box::new(Accepted {
             // Its node's own partition may have refused it.
             partition,
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -182,7 +182,7 @@
         let queue = config.queues.get(queue);
         let queue = queue.ok_or_else(|| self.missing_queue())?;
         spec.check()?;
-        let accepted = Accepted {
+        let mut accepted = Accepted {
             job,
             queue: queue.clone(),
             spec: Arc::new(spec),
@@ -199,11 +199,12 @@
         let began = Instant::now();
         let is_announced = self.announce(&accepted);
         let kept = self.intake.keep(&self.shared, record, deadline).await;
-        if kept != Kept::Yes && is_announced {
+        if !matches!(kept, Kept::In(_)) && is_announced {
             self.tell_once(Question::Withdrawn(job));
         }
         match kept {
-            Kept::Yes => {}
+            // Its own partition may have refused it.
+            Kept::In(partition) => accepted.partition = partition,
             Kept::No => return Err(Refusal::NotKept),
             Kept::Unknown => return Err(Refusal::Unknown),
         }
@@ -281,11 +282,9 @@
             Some(Reply::State(_)) => Cancellation::Seen,
             _ => Cancellation::Unseen,
         };
-        let Ok(record) = kept::cancellation(job, cancellation) else {
-            return Err(Refusal::NotKept);
-        };
+        let record = kept::cancellation(job, cancellation);
         match self.intake.keep(&self.shared, record, deadline).await {
-            Kept::Yes => {}
+            Kept::In(_) => {}
             Kept::No => return Err(Refusal::NotKept),
             Kept::Unknown => return Err(Refusal::Unknown),
         }
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -65,8 +65,8 @@
 /// What became of a record.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Kept {
-    /// The store keeps it.
-    Yes,
+    /// The store keeps it, in this partition.
+    In(u16),
     /// It was never sent, or the store said that it did nothing.
     No,
     /// Nobody can tell.
@@ -206,7 +206,7 @@
     let mut refused = Kept::No;
     loop {
         match shared.append("accept", append.clone()).await {
-            Ok(_) => return Kept::Yes,
+            Ok(_) => return Kept::In(partition),
             Err(Error::Refused(_)) if refused == Kept::No => return Kept::No,
             // An earlier copy may still be carried out.
             Err(_) => refused = Kept::Unknown,
--- a/crates/node/src/owner/control.rs
+++ b/crates/node/src/owner/control.rs
@@ -226,6 +226,9 @@
         return None;
     }
     let found = seat.control.ask(Look(job)).await.ok()?;
+    if found.state.is_none() && seat.view.is_unreadable(job) {
+        return None;
+    }
     Some(found.state.map_or_else(
         || {
             Reply::Absent(Absent {
--- a/crates/node/src/owner/forget.rs
+++ b/crates/node/src/owner/forget.rs
@@ -32,10 +32,7 @@
     for forgotten in jobs {
         let records = partitions.entry(forgotten.partition).or_default();
         if let Some(kept) = forgotten.cancellation {
-            let Ok(record) = cancellation(forgotten.job, kept) else {
-                continue;
-            };
-            records.push(record);
+            records.push(cancellation(forgotten.job, kept));
         }
         records.push(Record {
             key: forgotten.job.to_string(),
--- a/crates/node/src/owner/jobs.rs
+++ b/crates/node/src/owner/jobs.rs
@@ -6,7 +6,10 @@
     time::Duration, //
 };
 
-use fulmarpier_cell::id::NodeName;
+use fulmarpier_cell::id::{
+    JobId,
+    NodeName, //
+};
 use futures::future::join_all;
 use kameo::actor::WeakActorRef;
 use tokio::time::{
@@ -56,8 +59,12 @@
 /// partitions, 3.5 s where answers are lost, and what other nodes wrote meanwhile is missing from the other 15:
 /// a cancellation among it has to be in force within 3 s, and jobs wait until they are read on, up to 2 s later.
 const FRESH: Duration = Duration::from_secs(1);
-/// Where the store's calls take long, so many times of that instead: no view of it is younger than one call.
-const FRESH_CALLS: u32 = 2;
+/// Where a partition takes long to read, so many times of that instead: no view of it is younger than one reading.
+const FRESH_READINGS: u32 = 2;
+/// How often partitions are read again at most. Where a third of all answers is lost the slowest of 16 takes more
+/// than a second each time, and a cell without an owner serves nobody: a cancellation whose word is lost as well comes
+/// into force some seconds later then.
+const MOST_ROUNDS: u32 = 2;
 
 /// A partition of the jobs as the owner reads it.
 pub(super) struct Partition {
@@ -67,6 +74,8 @@
     asked: Instant,
     /// All that was on record then has been read.
     read: Instant,
+    /// How long the last reading took.
+    took: Duration,
 }
 
 impl Partition {
@@ -78,6 +87,7 @@
             asked: Instant::now(),
             // Replaced by the first reading, before anybody sees it.
             read: shared.began,
+            took: Duration::ZERO,
         };
         let found = partition.read_surely(shared).await;
         (partition, found)
@@ -100,11 +110,17 @@
             found.extend(records.filter_map(|record| JobRecord::read(record, self.number)));
             if is_last {
                 self.read = asked;
+                self.took = asked.elapsed();
                 return Ok(found);
             }
         }
     }
 
+    /// Returns whether a new owner may act on what has been read.
+    fn is_fresh(&self) -> bool {
+        self.read.elapsed() <= FRESH.max(FRESH_READINGS * self.took)
+    }
+
     /// Reads on until the store answers.
     async fn read_surely<P: Platform>(&mut self, shared: &Shared<P>) -> Vec<JobRecord> {
         loop {
@@ -116,21 +132,18 @@
     }
 }
 
-/// Reads all partitions, and again those that were read longest ago, until what was on record a moment ago is known.
+/// Reads all partitions, and again those that were read long ago: what was on record a moment ago is known then.
 pub(super) async fn read_all<P: Platform>(shared: &Shared<P>) -> (Vec<Partition>, Vec<JobRecord>) {
     let opened = join_all((0..PARTITIONS).map(|number| Partition::open(shared, number))).await;
     let (mut partitions, found): (Vec<Partition>, Vec<Vec<JobRecord>>) = opened.into_iter().unzip();
     let mut found: Vec<JobRecord> = found.into_iter().flatten().collect();
-    loop {
-        let fresh = FRESH.max(FRESH_CALLS * shared.store.usual());
+    for _ in 0..MOST_ROUNDS {
         let due = partitions.iter_mut();
-        let due = due.filter(|partition| partition.read.elapsed() > fresh);
+        let due = due.filter(|partition| !partition.is_fresh());
         let batches = join_all(due.map(|partition| partition.read_surely(shared))).await;
-        if batches.is_empty() {
-            return (partitions, found);
-        }
         found.extend(batches.into_iter().flatten());
     }
+    (partitions, found)
 }
 
 /// Makes the view of an owner that has read partitions so far.
@@ -172,7 +185,15 @@
             pause().await;
             continue;
         };
-        for event in found.into_iter().map(Event::from) {
+        for record in found {
+            let event = match record {
+                JobRecord::Accepted(accepted) => Event::Accepted(accepted),
+                JobRecord::Cancelled(job, cancellation) => Event::Cancelled(job, cancellation),
+                JobRecord::Unreadable(job) => {
+                    note_unreadable(&shared, &view, job);
+                    continue;
+                }
+            };
             // The actor may be ending.
             let _ = control.tell(event).await;
         }
@@ -181,12 +202,11 @@
     }
 }
 
-impl From<JobRecord> for Event {
-    fn from(record: JobRecord) -> Self {
-        match record {
-            JobRecord::Accepted(accepted) => Self::Accepted(accepted),
-            JobRecord::Cancelled(job, cancellation) => Self::Cancelled(job, cancellation),
-        }
+/// Notes a job whose record can't be read.
+pub(super) fn note_unreadable<P: Platform>(shared: &Shared<P>, view: &View, job: JobId) {
+    view.note_unreadable(job);
+    if shared.meter.may_log("record-unreadable") {
+        slog::error!(shared.log, "record-unreadable"; "job" => %job);
     }
 }
 
--- a/crates/node/src/owner/takeover.rs
+++ b/crates/node/src/owner/takeover.rs
@@ -91,7 +91,7 @@
         }
     }
     let progress = newest(shared, Topic::Progress, "progress");
-    let (progress, (partitions, jobs)) = futures::join!(progress, jobs::read_all(shared));
+    let (progress, (partitions, found)) = futures::join!(progress, jobs::read_all(shared));
     let mut inheritance = Inheritance::default();
     for record in progress.records {
         let entry = record.value.as_ref().map(|value| record::decode(value));
@@ -104,15 +104,16 @@
             }
         }
     }
-    for record in jobs {
+    let view = jobs::view(&partitions);
+    for record in found {
         match record {
             JobRecord::Accepted(accepted) => inheritance.accepted.push(*accepted),
             JobRecord::Cancelled(job, cancellation) => {
                 inheritance.cancelled.push((job, cancellation));
             }
+            JobRecord::Unreadable(job) => jobs::note_unreadable(shared, &view, job),
         }
     }
-    let view = jobs::view(&partitions);
     slog::info!(shared.log, "takeover"; "epoch" => %claim.epoch,
         "jobs" => inheritance.accepted.len(), "workers" => inheritance.workers.len(),
         "view_ms" => millis(view.age()),
--- a/crates/node/src/owner/view.rs
+++ b/crates/node/src/owner/view.rs
@@ -1,10 +1,17 @@
 //! How much of the record of jobs an owner has read.
 
 use std::{
-    sync::Arc,
-    time::Duration, //
+    collections::BTreeSet,
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    time::Duration,
 };
 
+use fulmarpier_cell::id::JobId;
 use tokio::{
     sync::watch,
     time::{
@@ -13,6 +20,9 @@
     },
 };
 
+/// How many jobs with records that can't be read are remembered; there are none where all nodes are of one version.
+const MOST_UNREADABLE: usize = 10_000;
+
 /// How much of the record of jobs an owner has read; cheap to clone.
 ///
 /// What an owner knows of is on record. What it does not know of may be on record all the same: other nodes put jobs
@@ -25,6 +35,8 @@
     read: Arc<watch::Sender<Vec<Instant>>>,
     /// Somebody waits until all that was on record at this moment has been read.
     wanted: Arc<watch::Sender<Option<Instant>>>,
+    /// Jobs that stand on record in words that can't be read: nobody can say what they are, nor that there are none.
+    unreadable: Arc<Mutex<BTreeSet<JobId>>>,
 }
 
 impl View {
@@ -33,6 +45,7 @@
         Self {
             read: Arc::new(watch::Sender::new(read)),
             wanted: Arc::new(watch::Sender::new(None)),
+            unreadable: Arc::default(),
         }
     }
 
@@ -48,6 +61,24 @@
         });
     }
 
+    fn unreadable(&self) -> MutexGuard<'_, BTreeSet<JobId>> {
+        let unreadable = self.unreadable.lock();
+        unreadable.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes a job whose record can't be read.
+    pub(crate) fn note_unreadable(&self, job: JobId) {
+        let mut unreadable = self.unreadable();
+        if unreadable.len() < MOST_UNREADABLE {
+            unreadable.insert(job);
+        }
+    }
+
+    /// Returns whether a job stands on record in words that can't be read.
+    pub(crate) fn is_unreadable(&self, job: JobId) -> bool {
+        self.unreadable().contains(&job)
+    }
+
     /// Returns for how long something may have been on record that the owner has not read.
     pub(crate) fn age(&self) -> Duration {
         let oldest = oldest(&self.read.borrow());
--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -1,7 +1,7 @@
 //! Whole nodes on loopback over a platform in memory.
 
 mod history;
-mod review;
+mod record;
 mod service;
 mod support;
 mod view;
--- a/crates/node/tests/node/view.rs
+++ b/crates/node/tests/node/view.rs
@@ -154,7 +154,7 @@
     let asked = Instant::now();
     assert_eq!(cancel(&one, 1).await, Ok(()));
     assert!(asked.elapsed() < SECOND / 10, "{:?}", asked.elapsed());
-    assert!(platform.keeps(&format!("{}/x", JobId(1))));
+    assert!(platform.keeps(&format!("{}/u", JobId(1))));
 }
 
 /// Other nodes have put it on record, and their word has not reached the owner.
