--- a/crates/cell/src/engine/view.rs
+++ b/crates/cell/src/engine/view.rs
@@ -1,6 +1,9 @@
 //! What callers and operators see.
 
-use super::Engine;
+use super::{
+    Engine,
+    job::Job, //
+};
 use crate::{
     config::AdviceTerms,
     id::{
@@ -40,6 +43,10 @@
 pub struct Counts {
     /// Jobs, ended ones included.
     pub jobs: usize,
+    /// Jobs that have begun nothing.
+    pub waiting: usize,
+    /// Jobs that are said to have begun nothing.
+    pub said_to_wait: u32,
     /// Steps with tasks that wait for a start.
     pub open_steps: usize,
     /// Runs that may use room.
@@ -76,6 +83,14 @@
         self.pending.get(queue).copied().unwrap_or(0)
     }
 
+    /// Returns the jobs that wait: they are on record, are not over, and nothing of them was seen on a worker.
+    fn waiting(&self) -> impl Iterator<Item = &Job> {
+        let jobs = self.jobs.iter();
+        let jobs = jobs.filter(|(id, _)| !self.announced.contains_key(id));
+        jobs.map(|(_, job)| job)
+            .filter(|job| !job.has_begun && !job.is_over())
+    }
+
     /// Returns what asking about a step takes, where its queue asks.
     pub fn advice_terms(&self, step: StepId) -> Option<AdviceTerms> {
         let job = self.jobs.get(&step.job)?;
@@ -93,6 +108,8 @@
         let unheard = unheard.filter(|worker| worker.heard.is_none() && !worker.claims.is_empty());
         Counts {
             jobs: self.jobs.len() + self.ended.len(),
+            waiting: self.waiting().count(),
+            said_to_wait: self.pending.values().sum(),
             open_steps: self.open.len(),
             claims: self
                 .workers
