--- a/crates/cell/src/engine/view.rs
+++ b/crates/cell/src/engine/view.rs
@@ -1,6 +1,9 @@
 //! What callers and operators see.
 
-use super::Engine;
+use super::{
+    Engine,
+    job::Job, //
+};
 use crate::{
     config::AdviceTerms,
     id::{
@@ -50,6 +53,8 @@
 pub struct Counts {
     /// Jobs, ended ones included.
     pub jobs: usize,
+    /// Jobs that have begun nothing.
+    pub waiting: usize,
     /// Steps with tasks that wait for a start.
     pub open_steps: usize,
     /// Runs that may use room.
@@ -81,9 +86,22 @@
         })
     }
 
-    /// Returns how many jobs of a queue have begun nothing.
+    /// Returns how many jobs of a queue wait.
     pub fn pending(&self, queue: &QueueName) -> u32 {
-        self.pending.get(queue).copied().unwrap_or(0)
+        let waiting = self.waiting();
+        let waiting = waiting.filter(|job| job.accepted.queue.name == *queue);
+        u32::try_from(waiting.count()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the jobs that wait: they are on record, are not over, and nothing of them was seen on a worker.
+    ///
+    /// They are counted when somebody asks. A count that was kept beside the jobs would have to be taken down for
+    /// just those that it was put up for, on each of the ways in which a job comes in, begins or is over.
+    fn waiting(&self) -> impl Iterator<Item = &Job> {
+        let jobs = self.jobs.iter();
+        let jobs = jobs.filter(|(id, _)| !self.announced.contains_key(id));
+        jobs.map(|(_, job)| job)
+            .filter(|job| !job.has_begun && !job.is_over())
     }
 
     /// Returns what asking about a step takes, where its queue asks.
@@ -103,6 +121,7 @@
         let unheard = unheard.filter(|worker| worker.heard.is_none() && !worker.claims.is_empty());
         Counts {
             jobs: self.jobs.len() + self.ended.len(),
+            waiting: self.waiting().count(),
             open_steps: self.open.len(),
             claims: self
                 .workers
--- a/crates/node/tests/node/record.rs
+++ b/crates/node/tests/node/record.rs
@@ -1,4 +1,4 @@
-//! Faults that a review found; all but the last fail on the code as it is, in a case of theirs at least.
+//! How jobs and cancellations stand on record, and how an owner reads them while parts of the store are in trouble.
 
 use std::time::{
     Duration,
@@ -89,9 +89,9 @@
         .await
 }
 
-/// One partition takes longer than a second a call, the others milliseconds. Whenever it has answered, the view of
-/// all 16 is older than what a new owner begins with, so all are read again, it among them, and so on. The claim is
-/// renewed all the while, so that no other node takes the cell either.
+/// One partition takes longer than a second a call, the others milliseconds. Whenever it had answered, the view of
+/// all 16 was older than what a new owner begins with, so all were read again, it among them, and so on. The claim was
+/// renewed all the while, so that no other node took the cell either.
 #[rstest]
 #[case::quick_enough(900)]
 #[case::slow(1_100)]
@@ -109,8 +109,8 @@
     assert!(taken.await.is_ok(), "no owner for a minute");
 }
 
-/// The cancellation is on record in a partition that answers in milliseconds. What was read there is told to the actor
-/// only once the slowest of all partitions that were read beside it has answered or was given up.
+/// The cancellation is on record in a partition that answers in milliseconds. What was read there was told to the
+/// actor only once the slowest of all partitions that were read beside it had answered or was given up.
 #[rstest]
 #[case::all_answer(0)]
 #[case::one_is_slow(1_400)]
@@ -163,7 +163,7 @@
 }
 
 /// The job is off the record, and its cancellation says that it was there. The same cancellation comes once more while
-/// there is no owner, and is put on record under the same key as that of a job that nobody knew.
+/// there is no owner, and was put on record under the same key as that of a job that nobody knew.
 #[tokio::test(start_paused = true)]
 async fn a_job_whose_cancellation_comes_twice_is_still_shown_as_cancelled() {
     let platform = Fake::new();
@@ -187,7 +187,7 @@
 }
 
 /// The store refuses the partition of the job's node, so its record stands in the next one; the owner hears of it from
-/// the node before it reads it, and takes it off the record where it never was.
+/// the node before it reads it, and took it off the record where it never was.
 #[tokio::test(start_paused = true)]
 async fn a_job_in_the_second_partition_of_its_node_is_forgotten_there() {
     let platform = Fake::new();
