--- a/crates/node/src/port.rs
+++ b/crates/node/src/port.rs
@@ -136,11 +136,49 @@
     }
 }
 
+/// What is wrong with a record of another writer: nothing that it says is used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, thiserror::Error)]
+pub enum Fault {
+    /// Its key can't be read.
+    #[error("its key can't be read")]
+    Key,
+    /// Its value can't be read.
+    #[error("its value can't be read")]
+    Value,
+    /// Its value is not of the expected form.
+    #[error("its value is not of the expected form")]
+    Form,
+}
+
+impl Fault {
+    /// Returns the bare word, for logs and counters.
+    pub const fn word(self) -> &'static str {
+        match self {
+            Self::Key => "key",
+            Self::Value => "value",
+            Self::Form => "form",
+        }
+    }
+}
+
+/// A record that is turned away; its neighbours hold.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Rejected {
+    /// Its key, where one can be read.
+    pub key: Option<String>,
+    /// Where it stands, where that is known.
+    pub offset: Option<u64>,
+    /// What is wrong with it.
+    pub fault: Fault,
+}
+
 /// Records and where the topic ends behind them.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Page {
     /// The records, in order.
     pub records: Vec<Record>,
+    /// The records between them that can't be read.
+    pub rejected: Vec<Rejected>,
     /// The offset to read on from.
     pub next: u64,
 }
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -370,7 +370,11 @@
             };
             if !records.is_empty() || Instant::now() >= until {
                 let next = from + records.len() as u64;
-                return Ok(Page { records, next });
+                return Ok(Page {
+                    records,
+                    next,
+                    ..Page::default()
+                });
             }
             sleep(Duration::from_millis(10)).await;
         }
@@ -389,6 +393,7 @@
         Ok(Page {
             records: records.filter(|record| record.value.is_some()).collect(),
             next,
+            ..Page::default()
         })
     }
 
