A worker whose entry turns foreign gets nothing new, and keeps what it runs

Cause: the engine knew only entries that are good or gone. One that had been good and could not be read any more either left the old registration in force for good, so tasks went on to be placed by a capacity and a pool that nobody confirmed, or, where the whole list was read anew, counted as missing.

`Engine::distrust` says what such an entry is worth: it is no proof that the worker is gone, so what runs there goes on under renewed leases and is started nowhere else; nor does it confirm what was listed before, so nothing new is started there, as on a worker that drains. Both last until a good entry comes, or until the worker is silent and its leases have lapsed.

Ruled out: taking it as an unlisted worker.

Histories: some entries turn into those of another writer for 1 to 15 s and come back; a task that is placed on such a worker breaks a promise.

--- a/crates/cell/src/engine/contact.rs
+++ b/crates/cell/src/engine/contact.rs
@@ -65,10 +65,15 @@
             let was = worker.registration.leaving.is_some();
             let leaves = registration.leaving.is_some();
             worker.unlisted = None;
+            let was_distrusted = worker.distrusted.take().is_some();
             worker.registration = registration;
             worker.adopt_capacity();
+            let slot = *slot;
+            if was_distrusted {
+                self.note_worker(slot, "trusted", now);
+            }
             if leaves && !was {
-                self.note_worker(*slot, "leaving", now);
+                self.note_worker(slot, "leaving", now);
             }
             return;
         }
@@ -90,6 +95,25 @@
         }
     }
 
+    /// Notes that what the store lists of a worker names none to use any more; of one that isn't known it
+    /// says nothing.
+    ///
+    /// Anybody may have written that. It doesn't prove that the worker is gone: what runs there goes on under
+    /// its lease, is asked for at the address that was good, and is started nowhere else. Nor does it confirm
+    /// what was listed before, a capacity or a pool: nothing new is started there. Both last until a good
+    /// entry comes, or until the worker is silent and its leases have lapsed.
+    pub fn distrust(&mut self, id: &WorkerId, now: Timestamp) {
+        let Some(slot) = self.slots.get(id).copied() else {
+            return;
+        };
+        if let Some(worker) = self.workers.get_mut(&slot)
+            && worker.distrusted.is_none()
+        {
+            worker.distrusted = Some(now);
+            self.note_worker(slot, "distrusted", now);
+        }
+    }
+
     /// Looks for a worker that former owners may have given tasks.
     pub(super) fn expect_worker(
         &mut self,
@@ -423,15 +447,12 @@
             .iter()
             .filter(|(_, worker)| {
                 let is_quiet = worker.silent.is_some() && worker.lapses() <= now;
-                is_quiet && (!worker.claims.is_empty() || worker.unlisted.is_some())
+                is_quiet && (!worker.claims.is_empty() || !worker.is_listed())
             })
             .map(|(slot, _)| *slot)
             .collect();
         for slot in lapsed {
-            let is_listed = self
-                .workers
-                .get(&slot)
-                .is_some_and(|worker| worker.unlisted.is_none());
+            let is_listed = self.workers.get(&slot).is_some_and(Worker::is_listed);
             match is_listed {
                 true => {
                     self.note_worker(slot, "lapsed", now);
--- a/crates/cell/src/engine/view.rs
+++ b/crates/cell/src/engine/view.rs
@@ -87,7 +87,7 @@
         let workers = self.workers.values();
         let silent = workers.filter(|worker| worker.silent.is_some()).count();
         let heard = self.workers.values().filter(|worker| {
-            worker.heard.is_some() && worker.silent.is_none() && worker.unlisted.is_none()
+            worker.heard.is_some() && worker.silent.is_none() && worker.is_listed()
         });
         let unheard = self.workers.values();
         let unheard = unheard.filter(|worker| worker.heard.is_none() && !worker.claims.is_empty());
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -104,6 +104,8 @@
     pub silent: Option<Timestamp>,
     /// Since when the store doesn't list it.
     pub unlisted: Option<Timestamp>,
+    /// Since when what the store lists of it names no worker to use.
+    pub distrusted: Option<Timestamp>,
     /// The last end that was taken in.
     pub seen: u64,
     /// The last end that is on record and may be forgotten by the worker.
@@ -134,6 +136,7 @@
             heard: None,
             silent: None,
             unlisted: None,
+            distrusted: None,
             seen: 0,
             kept: 0,
             over: VecDeque::new(),
@@ -163,11 +166,16 @@
         self.lapses
     }
 
+    /// Returns whether the store lists it by an entry that can be used.
+    pub const fn is_listed(&self) -> bool {
+        self.unlisted.is_none() && self.distrusted.is_none()
+    }
+
     /// Returns whether new tasks may be placed on it.
     pub fn is_open(&self, now: Timestamp) -> bool {
         self.heard.is_some()
             && self.silent.is_none()
-            && self.unlisted.is_none()
+            && self.is_listed()
             && self.registration.leaving.is_none()
             && self.rests <= now
     }
--- a/crates/cell/tests/cell/history.rs
+++ b/crates/cell/tests/cell/history.rs
@@ -63,8 +63,12 @@
     outages: 60,
     cancels: 100,
     announced: 300,
+    foreign: 0,
 };
 
+/// The same while entries of workers turn into those of another writer and back, one every two seconds.
+const FOREIGN: Faults = Faults { foreign: 60, ..ALL };
+
 /// Histories that broke a promise once.
 #[rstest]
 #[case::a_task_ran_twice(3_015_137_547_143_691_097)]
@@ -97,4 +101,14 @@
     fn promises_hold_when_all_of_that_comes_together(seed in any::<u64>()) {
         prop_assert_eq!(play(seed, ALL), Vec::<String>::new());
     }
+    #[test]
+    fn promises_hold_when_entries_turn_foreign(seed in any::<u64>()) {
+        let faults = Faults { foreign: 150, failures: 50, announced: 300, ..Faults::default() };
+        prop_assert_eq!(play(seed, faults), Vec::<String>::new());
+    }
+
+    #[test]
+    fn promises_hold_when_entries_turn_foreign_amid_all_of_that(seed in any::<u64>()) {
+        prop_assert_eq!(play(seed, FOREIGN), Vec::<String>::new());
+    }
 }
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -3,6 +3,7 @@
 mod announce;
 #[path = "../../../coordination/tests/support/cases.rs"]
 mod cases;
+mod foreign;
 mod forget;
 mod history;
 mod order;
--- a/crates/cell/tests/cell/world/mod.rs
+++ b/crates/cell/tests/cell/world/mod.rs
@@ -23,7 +23,10 @@
         Pool,
         Queue, //
     },
-    effect::Effect,
+    effect::{
+        Effect,
+        Note, //
+    },
     engine::{
         Engine,
         Inheritance,
@@ -93,6 +96,8 @@
     pub cancels: u32,
     /// Jobs that the owner hears of before their acceptance is kept, a third of them in vain.
     pub announced: u32,
+    /// A second in which a worker's entry turns into one of another writer, for 1 to 15 s.
+    pub foreign: u32,
 }
 
 /// What comes back to the engine, or happens, at a time.
@@ -268,7 +273,28 @@
         let nodes = ["a", "b", "c"].map(NodeName::from);
         self.engine.set_hands(&nodes, self.now);
         for worker in self.workers.values() {
-            self.engine.register(worker.registration(), self.now);
+            match worker.foreign_until {
+                None => self.engine.register(worker.registration(), self.now),
+                Some(_) => self.engine.distrust(&worker.id, self.now),
+            }
+        }
+    }
+
+    /// Has a worker's entry turn into one of another writer.
+    pub(crate) fn turn_foreign(&mut self, id: &WorkerId, span: Duration) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.foreign_until = Some(self.now + span);
+            self.engine.distrust(id, self.now);
+        }
+    }
+
+    /// Has the workers write their entries again that another writer has written for long enough.
+    fn write_entries(&mut self) {
+        for worker in self.workers.values_mut() {
+            if worker.foreign_until.is_some_and(|until| until <= self.now) {
+                worker.foreign_until = None;
+                self.engine.register(worker.registration(), self.now);
+            }
         }
     }
 
@@ -399,7 +425,9 @@
         };
         for worker in self.workers.values_mut() {
             worker.cut_until = self.now;
+            worker.foreign_until = worker.foreign_until.map(|_| self.now);
         }
+        self.write_entries();
         self.store_back = self.now;
     }
 
@@ -417,6 +445,7 @@
             return;
         }
         self.next_second = self.now + Duration::from_secs(1);
+        self.write_entries();
         for id in self.workers.keys().cloned().collect::<Vec<_>>() {
             if self.chance(self.faults.crashes)
                 && let Some(worker) = self.workers.remove(&id)
@@ -433,6 +462,11 @@
                     worker.cut_until = self.now + span;
                 }
             }
+            // Without this fault nothing is drawn: the histories of the seeds that are kept stay as they are.
+            if self.faults.foreign > 0 && self.chance(self.faults.foreign) {
+                let span = Duration::from_millis(self.rng.random_range(1_000..15_000));
+                self.turn_foreign(&id, span);
+            }
         }
         if self.chance(self.faults.outages) {
             let span = Duration::from_millis(self.rng.random_range(1_000..5_000));
@@ -550,6 +584,7 @@
                 self.later(wait, Event::Recorded(entries));
             }
             Effect::Forget(jobs) => self.forgotten.extend(jobs.into_iter().map(|(_, job)| job)),
+            Effect::Note(Note::Placed { task, worker, .. }) => self.check_place(task, &worker),
             // Nothing fills in the histories.
             Effect::Pace(_) | Effect::Note(_) => {}
             Effect::Deposed => self.violations.push("the owner was deposed".to_owned()),
@@ -715,6 +750,15 @@
         self.later(WAY, Event::Held(id.clone(), asked, answer));
     }
 
+    /// Checks that a task is placed on a worker whose entry names one to use.
+    fn check_place(&mut self, task: TaskId, worker: &WorkerId) {
+        let entry = self.workers.get(worker);
+        if entry.is_some_and(|worker| worker.foreign_until.is_some()) {
+            let line = format!("{task} is placed on {worker}, whose entry is another writer's");
+            self.violations.push(line);
+        }
+    }
+
     /// Checks every promise about starts.
     fn check_start(&mut self, order: &fulmarpier_cell::effect::Start, is_in_time: bool) {
         let task = order.task;
--- a/crates/cell/tests/cell/world/worker.rs
+++ b/crates/cell/tests/cell/world/worker.rs
@@ -55,6 +55,8 @@
     pub(crate) place: u32,
     /// Until when nothing reaches it.
     pub(crate) cut_until: Timestamp,
+    /// Until when its entry is another writer's, where it is.
+    pub(crate) foreign_until: Option<Timestamp>,
     /// Until when a call waits for an end, and when it was made.
     pub(crate) waiting: Option<(Timestamp, Timestamp)>,
     born: Timestamp,
@@ -78,6 +80,7 @@
             id,
             place,
             cut_until: now,
+            foreign_until: None,
             waiting: None,
             born: now,
             rate,
