An entry of another writer names no worker to use

Cause: `read_report` took any state but `draining` for a worker to use, also a missing one; a service that no configuration names, a missing, zero or absurd capacity, addresses of no machine, and ids that no order could carry. The owner logged what it couldn't read and went on with the registration before, or, after a gap in the history, took the worker as missing.

`port::Fault` has one word for each kind of fault. The owner tells the engine of a foreign entry of a known worker; one whose pool no configuration names is taken again when one does.

`Shared::turn_away` is the one place where a record is turned away: a line `record-rejected` (topic, key of 64 letters at most and escaped, offset where known, fault; 120 lines a second) and the counter fulmarpier_records_rejected_total{topic,fault}.

--- a/crates/node/src/owner/control.rs
+++ b/crates/node/src/owner/control.rs
@@ -134,6 +134,8 @@
     Registered(Registration),
     /// The store doesn't list a worker any more.
     Unregistered(WorkerId),
+    /// What the store lists of a worker names none to use.
+    Distrusted(WorkerId),
     /// Another configuration is in force.
     Configured(Arc<Config>),
     /// These nodes are there beside the owner.
@@ -246,6 +248,7 @@
             Event::Recorded => engine.recorded(now),
             Event::Registered(registration) => engine.register(registration, now),
             Event::Unregistered(worker) => engine.unregister(&worker, now),
+            Event::Distrusted(worker) => engine.distrust(&worker, now),
             Event::Configured(config) => engine.configure(config.as_ref().clone()),
             Event::Peers(peers) => {
                 let own = self.shared.peer();
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -3,6 +3,7 @@
 mod control;
 mod forget;
 mod given;
+mod listing;
 mod orders;
 mod recorder;
 mod share;
--- a/crates/node/src/owner/tail.rs
+++ b/crates/node/src/owner/tail.rs
@@ -1,13 +1,6 @@
 //! What the owner reads on from the store: workers, and jobs that it was not told of.
 
-use std::{
-    collections::{
-        BTreeMap,
-        BTreeSet, //
-    },
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use fulmarpier_cell::id::{
     NodeName,
@@ -21,8 +14,11 @@
 };
 
 use super::{
-    Control,
-    Event, //
+    Control, Event,
+    listing::{
+        Entry,
+        Listing, //
+    },
 };
 use crate::{
     front::JobRecord,
@@ -31,6 +27,7 @@
         Page,
         Platform,
         Record,
+        Rejected,
         Topic, //
     },
     shared::Shared,
@@ -44,6 +41,8 @@
 /// How often the list of workers is read: 48 of them write 32 records a second, so waiting for each
 /// would cost a call a record; a leaving worker has to be known within 2 s.
 const WORKERS_EVERY: Duration = Duration::from_millis(300);
+/// How often an owner looks for the first configuration; a node reads it within milliseconds of its start.
+const WORKERS_UNCONFIGURED: Duration = Duration::from_millis(25);
 /// How often partitions of jobs are read whose node is gone: it may be cut off from the owner alone and go
 /// on taking jobs, or have died as it took one.
 const JOBS_LOOK: Duration = Duration::from_millis(500);
@@ -65,18 +64,29 @@
     control: WeakActorRef<Control<P>>,
 ) {
     let mut reader = Reader::new(Topic::Workers, "workers");
-    let mut listed: BTreeSet<WorkerId> = BTreeSet::new();
-    let mut missing: BTreeSet<WorkerId> = BTreeSet::new();
+    let mut listing = Listing::default();
     let mut settles = Instant::now();
     loop {
+        let config = shared.config.borrow().clone();
+        let Some(config) = config else {
+            // No entry can be matched yet, and no job be taken.
+            sleep(WORKERS_UNCONFIGURED).await;
+            match control.upgrade() {
+                Some(_) => continue,
+                None => return,
+            }
+        };
         let was_failing = shared.store.failing_for();
         let batch = reader.read(&shared, Duration::ZERO).await;
         let Some(control) = control.upgrade() else {
             return;
         };
-        let (page, is_whole) = match batch {
-            Ok(Batch::Whole(page)) => (page, true),
-            Ok(Batch::More(page)) => (page, false),
+        let page = match batch {
+            Ok(Batch::Whole(page)) => {
+                listing.begin();
+                page
+            }
+            Ok(Batch::More(page)) => page,
             Err(_) => {
                 drop(control);
                 pause().await;
@@ -86,39 +96,46 @@
         if was_failing > SHORT_OUTAGE {
             settles = Instant::now() + LIST_SETTLES;
         }
-        if is_whole {
-            missing.append(&mut listed);
-        }
-        for record in &page.records {
-            let id = WorkerId::from(record.key.as_str());
-            if record.value.is_none() {
-                listed.remove(&id);
-                missing.insert(id);
-                continue;
-            }
-            match shared.platform.registration(record) {
-                Ok(registration) => {
-                    missing.remove(&id);
-                    listed.insert(id);
-                    // The actor may be ending.
-                    let _ = control.tell(Event::Registered(registration)).await;
-                }
-                Err(error) => {
-                    slog::error!(shared.log, "worker-unreadable"; "worker" => id.as_str(),
-                        "why" => %error);
-                }
-            }
-        }
+        let mut records = listing.configure(&config);
+        records.extend(page.records);
+        let entries = records
+            .iter()
+            .filter_map(|record| take(&shared, &mut listing, record));
+        let unread = page
+            .rejected
+            .into_iter()
+            .filter_map(|rejected| rejected.key);
+        let mut events: Vec<Event> = entries.collect();
+        events.extend(unread.map(|key| {
+            let worker = WorkerId::from(key);
+            listing.note(worker.clone());
+            Event::Distrusted(worker)
+        }));
         if Instant::now() >= settles {
-            for worker in std::mem::take(&mut missing) {
-                let _ = control.tell(Event::Unregistered(worker)).await;
-            }
+            let missing = listing.take_missing().into_iter();
+            events.extend(missing.map(Event::Unregistered));
+        }
+        for event in events {
+            // The actor may be ending.
+            let _ = control.tell(event).await;
         }
         drop(control);
         sleep(WORKERS_EVERY).await;
     }
 }
 
+/// Takes an entry in; returns what the engine has to know of it.
+fn take<P: Platform>(shared: &Shared<P>, listing: &mut Listing, record: &Record) -> Option<Event> {
+    match listing.take(&shared.platform, record) {
+        Entry::Good(registration) => Some(Event::Registered(registration)),
+        Entry::Foreign(worker, fault) => {
+            shared.turn_away("workers", &Rejected::record(record, fault));
+            Some(Event::Distrusted(worker))
+        }
+        Entry::Removed => None,
+    }
+}
+
 /// Follows the partitions of the jobs, each as often as something may stand in it that nobody has told of.
 pub(super) async fn jobs<P: Platform>(
     shared: Arc<Shared<P>>,
--- a/crates/node/src/port.rs
+++ b/crates/node/src/port.rs
@@ -1,6 +1,7 @@
 //! What a node needs of its platform: a store, workers and an advice service.
 
 use std::{
+    collections::BTreeSet,
     future::Future,
     time::Duration, //
 };
@@ -23,6 +24,7 @@
     },
     id::{
         Epoch,
+        PoolName,
         StepId,
         WorkerId, //
     },
@@ -148,6 +150,24 @@
     /// Its value is not of the expected form.
     #[error("its value is not of the expected form")]
     Form,
+    /// Its id is not that of its key, or none that an order could carry.
+    #[error("its id is not that of its key, or can't be used")]
+    Id,
+    /// It has no address that can be used.
+    #[error("it has no address that can be used")]
+    Address,
+    /// It has no state that is known.
+    #[error("it has no state that is known")]
+    State,
+    /// It has no pool that is configured.
+    #[error("it has no pool that is configured")]
+    Pool,
+    /// It has no capacity that a worker may have.
+    #[error("it has no capacity that a worker may have")]
+    Capacity,
+    /// It has no labels.
+    #[error("it has no labels")]
+    Labels,
 }
 
 impl Fault {
@@ -157,6 +177,12 @@
             Self::Key => "key",
             Self::Value => "value",
             Self::Form => "form",
+            Self::Id => "id",
+            Self::Address => "address",
+            Self::State => "state",
+            Self::Pool => "pool",
+            Self::Capacity => "capacity",
+            Self::Labels => "labels",
         }
     }
 }
@@ -172,6 +198,17 @@
     pub fault: Fault,
 }
 
+impl Rejected {
+    /// Turns a record away that was read from a page.
+    pub fn record(record: &Record, fault: Fault) -> Self {
+        Self {
+            key: Some(record.key.clone()),
+            offset: None,
+            fault,
+        }
+    }
+}
+
 /// Records and where the topic ends behind them.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Page {
@@ -228,12 +265,16 @@
     /// # Errors
     ///
     /// Fails where it can't be read.
-    fn configuration(&self, record: &Record) -> Result<Option<Config>, Error>;
+    fn configuration(&self, record: &Record) -> Result<Option<Config>, Fault>;
 
-    /// Reads what a worker reports of itself.
+    /// Reads what a worker reports of itself, given the pools that are configured.
     ///
     /// # Errors
     ///
-    /// Fails where it can't be read.
-    fn registration(&self, record: &Record) -> Result<Registration, Error>;
+    /// Fails where it names no worker to use.
+    fn registration(
+        &self,
+        record: &Record,
+        pools: &BTreeSet<PoolName>,
+    ) -> Result<Registration, Fault>;
 }
--- a/crates/node/src/report.rs
+++ b/crates/node/src/report.rs
@@ -29,12 +29,17 @@
 use slog::Logger;
 use tokio::time::Instant;
 
-use crate::port::Error;
+use crate::port::{
+    Error,
+    Rejected, //
+};
 
 /// How many lines of one kind are written a second; a busy second has some 400 decisions, and the
 /// rest is counted. A line is about 150 bytes.
 const LINES_A_SECOND: u32 = 120;
 const SECOND: Duration = Duration::from_secs(1);
+/// How many letters of a key of another writer a line holds; keys have up to 255 bytes.
+const KEY_LETTERS: usize = 64;
 
 /// How many lines of one kind were written in the present second.
 #[derive(Debug)]
@@ -57,6 +62,7 @@
     believed: Gauge<u64>,
     left_out: Counter<u64>,
     lost_reports: Counter<u64>,
+    rejected: Counter<u64>,
     peer_calls: Counter<u64>,
     budgets: Mutex<HashMap<&'static str, Budget>>,
 }
@@ -116,6 +122,10 @@
                 "fulmarpier_reports_lost",
                 "Reports on orders that the owner did not take.",
             ),
+            rejected: registry.counter(
+                "fulmarpier_records_rejected",
+                "Records of other writers that were turned away, by topic and kind of fault.",
+            ),
             budgets: Mutex::default(),
             registry,
         };
@@ -208,6 +218,24 @@
         self.0.lost_reports.add(1, &[KeyValue::new("reason", why)]);
     }
 
+    /// Counts a record that is turned away and writes its line.
+    pub(crate) fn reject(&self, log: &Logger, topic: &'static str, rejected: &Rejected) {
+        const KIND: &str = "record-rejected";
+        let labels = [
+            KeyValue::new("topic", topic),
+            KeyValue::new("fault", rejected.fault.word()),
+        ];
+        self.0.rejected.add(1, &labels);
+        if !self.may_log(KIND) {
+            return;
+        }
+        let offset = rejected.offset.map(|offset| offset.to_string());
+        slog::warn!(log, "record-rejected"; "topic" => topic,
+            "key" => rejected.key.as_deref().map_or_else(String::new, shorten),
+            "offset" => offset.as_deref().unwrap_or("unknown"),
+            "fault" => rejected.fault.word(), "why" => %rejected.fault);
+    }
+
     /// Sets the gauges of what the owner believes.
     pub(crate) fn believed(&self, counts: &Counts, epoch: u64) {
         let gauges: [(&'static str, usize); 6] = [
@@ -259,6 +287,12 @@
     }
 }
 
+/// Returns the beginning of a key, without letters that could end a line or forge a field.
+fn shorten(key: &str) -> String {
+    let letters = key.chars().take(KEY_LETTERS);
+    letters.flat_map(char::escape_default).collect()
+}
+
 /// Returns the whole milliseconds of a span, as the log writes them.
 pub(crate) fn millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -53,6 +53,7 @@
         Error,
         Page,
         Platform,
+        Rejected,
         Topic, //
     },
     pulse::Pulse,
@@ -152,7 +153,7 @@
         let read = |wait| self.platform.read(topic, from, wait);
         let patience = READ.max(self.store.patience());
         let result = hedge::read(&self.platform, wait, patience, READ_LIMIT, read).await;
-        self.end(&call, purpose, &result);
+        self.end_read(&call, purpose, &result);
         result
     }
 
@@ -166,10 +167,22 @@
         let patience = least.max(self.store.patience());
         let read = |_| self.platform.newest(topic);
         let result = hedge::read(&self.platform, Duration::ZERO, patience, READ_LIMIT, read).await;
-        self.end(&call, purpose, &result);
+        self.end_read(&call, purpose, &result);
         result
     }
 
+    fn end_read(&self, call: &Call, purpose: &'static str, result: &Result<Page, Error>) {
+        self.end(call, purpose, result);
+        for rejected in result.iter().flat_map(|page| &page.rejected) {
+            self.turn_away(purpose, rejected);
+        }
+    }
+
+    /// Turns a record away: the one place where that is counted and told.
+    pub(crate) fn turn_away(&self, topic: &'static str, rejected: &Rejected) {
+        self.meter.reject(&self.log, topic, rejected);
+    }
+
     fn end<T>(&self, call: &Call, purpose: &'static str, result: &Result<T, Error>) {
         self.meter.store_call(purpose, call.took(), result);
         self.store.end(call, result);
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -13,6 +13,8 @@
         Error,
         Page,
         Platform,
+        Record,
+        Rejected,
         Topic, //
     },
     shared::Shared,
@@ -112,12 +114,13 @@
 }
 
 /// Puts a configuration in force here; an older one than the present changes nothing.
-fn take_config<P: Platform>(shared: &Shared<P>, record: &crate::port::Record) {
+fn take_config<P: Platform>(shared: &Shared<P>, record: &Record) {
     let config = match shared.platform.configuration(record) {
         Ok(Some(config)) => config,
         Ok(None) => return,
-        Err(error) => {
-            slog::error!(shared.log, "configuration-unreadable"; "why" => %error);
+        Err(fault) => {
+            // The last one that could be read stays in force.
+            shared.turn_away("configuration", &Rejected::record(record, fault));
             return;
         }
     };
--- a/crates/node/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -1,5 +1,7 @@
 //! Whole nodes on loopback over a platform in memory.
 
+#[path = "node/foreign.rs"]
+mod foreign;
 mod support;
 
 use std::time::Duration;
--- /dev/null
+++ b/crates/node/tests/node/foreign.rs
@@ -0,0 +1,94 @@
+//! Records of other writers in the topics of a cell.
+
+use fulmarpier_cell::{
+    engine::State,
+    id::JobId, //
+};
+use fulmarpier_node::{
+    Meter,
+    port::Topic, //
+};
+use fulmarpier_state::unit::Millicores;
+use rstest::rstest;
+use tokio::time::sleep;
+
+use super::{
+    SECOND, completed, ready, submit,
+    support::{
+        Fake,
+        LOST_VALUE,
+        node,
+        node_metered, //
+    },
+};
+
+#[rstest]
+#[case::form(b"foreign")]
+#[case::pool(b"elsewhere")]
+#[case::bytes(LOST_VALUE)]
+#[tokio::test(start_paused = true)]
+async fn an_entry_that_turns_foreign_takes_its_worker_out_until_a_good_one_comes(
+    #[case] foreign: &[u8],
+) {
+    let platform = Fake::new();
+    let one = node("one", &platform);
+    ready(&one).await;
+    submit(&one, 1).await.unwrap();
+    completed(&one, 1).await;
+    platform.write(Topic::Workers, "w0", foreign);
+    sleep(SECOND).await;
+    submit(&one, 2).await.unwrap();
+    sleep(30 * SECOND).await;
+    assert_eq!(one.front().look(JobId(2)).await, Ok(State::Queued));
+    platform.write(Topic::Workers, "w0", b"here");
+    completed(&one, 2).await;
+    assert_eq!(platform.starts(2), 4);
+}
+
+#[rstest]
+#[case::form(b"foreign")]
+#[case::pool(b"elsewhere")]
+#[case::bytes(LOST_VALUE)]
+#[tokio::test(start_paused = true)]
+async fn the_entry_of_a_worker_that_is_not_known_takes_nobody_out(#[case] foreign: &[u8]) {
+    let platform = Fake::new();
+    platform.write(Topic::Workers, "another", foreign);
+    let one = node("one", &platform);
+    ready(&one).await;
+    submit(&one, 1).await.unwrap();
+    completed(&one, 1).await;
+    assert_eq!(platform.starts(1), 4);
+}
+
+#[tokio::test(start_paused = true)]
+async fn each_record_that_is_turned_away_is_counted() {
+    let platform = Fake::new();
+    let meter = Meter::new().unwrap();
+    let one = node_metered("one", &platform, Millicores(250), meter.clone());
+    ready(&one).await;
+    let before = meter.render().unwrap();
+    assert!(!before.contains("fulmarpier_records_rejected_total{"));
+    platform.write(Topic::Workers, "w1", b"foreign");
+    platform.write(Topic::Workers, "w2", b"foreign");
+    platform.write(Topic::Workers, "w3", b"elsewhere");
+    platform.write(Topic::Workers, "w4", LOST_VALUE);
+    sleep(SECOND).await;
+    let after = meter.render().unwrap();
+    let mut lines: Vec<&str> = after
+        .lines()
+        .filter(|line| line.starts_with("fulmarpier_records_rejected_total{"))
+        .collect();
+    lines.sort_unstable();
+    let counts = ["form", "pool", "value"].map(|fault| {
+        let line = lines
+            .iter()
+            .find(|line| line.contains(&format!("fault=\"{fault}\"")));
+        line.and_then(|line| line.rsplit(' ').next())
+            .map(str::to_owned)
+    });
+    assert_eq!(
+        counts,
+        ["2", "1", "1"].map(|count| Some(count.to_owned())),
+        "{lines:?}"
+    );
+}
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -1,7 +1,10 @@
 //! A platform in memory, with faults, for whole nodes on loopback.
 
 use std::{
-    collections::BTreeMap,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard,
@@ -58,9 +61,11 @@
         Append,
         Condition,
         Error,
+        Fault,
         Page,
         Platform,
         Record,
+        Rejected,
         Topic, //
     },
 };
@@ -132,6 +137,8 @@
     ordered: Arc<AtomicUsize>,
 }
 
+/// A value that is rejected before it is decoded.
+pub(crate) const LOST_VALUE: &[u8] = b"lost";
 /// How long its tasks run.
 const RUNS: Duration = Duration::from_millis(40);
 /// How long a call takes.
@@ -217,6 +224,30 @@
         state.topics.entry(place).or_default().push(record);
     }
 
+    /// Writes a record as another writer does.
+    pub(crate) fn write(&self, topic: Topic, key: &str, value: &[u8]) {
+        let record = Record {
+            key: key.to_owned(),
+            value: Some(value.to_vec().into()),
+        };
+        let mut state = self.state();
+        state.topics.entry(name(topic)).or_default().push(record);
+    }
+
+    /// Returns a page without the records that no store's answer could carry.
+    fn page(records: Vec<Record>, next: u64) -> Page {
+        let is_lost = |record: &Record| record.value.as_deref() == Some(LOST_VALUE);
+        let (lost, records): (Vec<Record>, Vec<Record>) = records.into_iter().partition(is_lost);
+        let rejected = lost
+            .iter()
+            .map(|record| Rejected::record(record, Fault::Value));
+        Page {
+            records,
+            rejected: rejected.collect(),
+            next,
+        }
+    }
+
     /// Has the store refuse appends to one partition of the jobs.
     pub(crate) fn refuse(&self, partition: u16) {
         self.state().refused.push(name(Topic::Jobs(partition)));
@@ -370,11 +401,7 @@
             };
             if !records.is_empty() || Instant::now() >= until {
                 let next = from + records.len() as u64;
-                return Ok(Page {
-                    records,
-                    next,
-                    ..Page::default()
-                });
+                return Ok(Self::page(records, next));
             }
             sleep(Duration::from_millis(10)).await;
         }
@@ -390,11 +417,8 @@
             .map(|record| (record.key.clone(), record))
             .collect();
         let records = newest.into_values();
-        Ok(Page {
-            records: records.filter(|record| record.value.is_some()).collect(),
-            next,
-            ..Page::default()
-        })
+        let records = records.filter(|record| record.value.is_some());
+        Ok(Self::page(records.collect(), next))
     }
 
     fn reconnect(&self) {}
@@ -464,7 +488,7 @@
         None
     }
 
-    fn configuration(&self, record: &Record) -> Result<Option<Config>, Error> {
+    fn configuration(&self, record: &Record) -> Result<Option<Config>, Fault> {
         let mut config = Config {
             version: 1,
             ..Config::default()
@@ -474,11 +498,23 @@
         Ok((record.key == "config").then_some(config))
     }
 
-    fn registration(&self, record: &Record) -> Result<Registration, Error> {
+    fn registration(
+        &self,
+        record: &Record,
+        pools: &BTreeSet<PoolName>,
+    ) -> Result<Registration, Fault> {
+        let pool = match record.value.as_deref() {
+            Some(b"here") => PoolName::from("p"),
+            Some(b"elsewhere") => PoolName::from("elsewhere"),
+            _ => return Err(Fault::Form),
+        };
+        if !pools.contains(&pool) {
+            return Err(Fault::Pool);
+        }
         Ok(Registration {
             id: WorkerId::from(record.key.as_str()),
             address: SocketAddr::from(([127, 0, 0, 1], 1)),
-            pool: PoolName::from("p"),
+            pool,
             capacity: Resources::new(Millicores::from_cores(4), Bytes::from_gib(4), 0),
             labels: Vec::new(),
             leaving: None,
@@ -506,6 +542,16 @@
 
 /// Starts a node with a processor.
 pub(crate) fn node_with(name: &str, platform: &Fake, processor: Millicores) -> Node<Fake> {
+    node_metered(name, platform, processor, Meter::new().unwrap())
+}
+
+/// Starts a node whose metrics can be read.
+pub(crate) fn node_metered(
+    name: &str,
+    platform: &Fake,
+    processor: Millicores,
+    meter: Meter,
+) -> Node<Fake> {
     Node::start(Parts {
         identity: Identity {
             name: NodeName::from(name),
@@ -517,7 +563,7 @@
         bounds: Bounds::default(),
         platform: platform.clone(),
         log: slog::Logger::root(slog::Discard, slog::o!()),
-        meter: Meter::new().unwrap(),
+        meter,
     })
     .unwrap()
 }
