Records of other writers stop neither a node nor a takeover

Cause: each topic had its own way with a record that can't be read. A claim that couldn't be read kept every node from reading or renewing any, so an owner that was unsure of its claim, and every node that started, waited for good; a new owner took a job's progress that couldn't be read for none at all, which runs its tasks a second time; a node that started beside an unreadable configuration had none until the next version; and any value under a key that ends in `/x` cancelled a job. Keys were not compared with what their values say, and bytes behind a record were passed over.

`recall::settle` turns such newest records away and takes the last good ones under the same keys out of the history that the store still keeps; under keys that this program never writes to nothing is looked for, as a long history takes seconds to read. Claims, configuration, and at a takeover jobs and progress go through it. Records are checked against their keys, and a cancellation has to hold what this program writes. Orders are safe where the other writer was an owner after all: the store and the workers refuse by the epoch.

--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -29,8 +29,14 @@
 
 /// A record can't be read.
 #[derive(Debug, thiserror::Error)]
-#[error("a record can't be decoded")]
-pub struct Error(#[from] postcard::Error);
+pub enum Error {
+    /// Its bytes are none of such a record.
+    #[error("a record can't be decoded")]
+    Bytes(#[from] postcard::Error),
+    /// There is more than such a record.
+    #[error("a record is longer than it should be")]
+    Longer,
+}
 
 /// A job that was accepted; kept before its caller is told so.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -171,7 +177,8 @@
 ///
 /// # Errors
 ///
-/// Fails where the bytes are not such a record.
+/// Fails where the bytes are not such a record, or more than one.
 pub fn decode<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Result<T, Error> {
-    Ok(postcard::from_bytes(bytes)?)
+    let (record, rest) = postcard::take_from_bytes(bytes)?;
+    rest.is_empty().then_some(record).ok_or(Error::Longer)
 }
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -158,7 +158,8 @@
         let reading = self.reading?;
         let elapsed = now.since(reading.at) + bounds.lease;
         self.lapses = self.lapses.max(now + bounds.lapse());
-        Some(reading.millis + u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX))
+        let elapsed = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
+        Some(reading.millis.saturating_add(elapsed))
     }
 
     /// Returns when every lease that was granted has certainly lapsed.
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -6,6 +6,7 @@
 mod owner;
 
 pub(crate) use self::kept::{
+    CANCELLED,
     JobRecord,
     cancellation_key, //
 };
@@ -253,7 +254,7 @@
         self.look(job).await?;
         let record = Record {
             key: cancellation_key(job),
-            value: Some(vec![1].into()),
+            value: Some(CANCELLED.to_vec().into()),
         };
         match self.intake.keep(&self.shared, record, deadline).await {
             Kept::Yes => {}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -34,6 +34,7 @@
 mod owner;
 pub mod port;
 mod pulse;
+mod recall;
 mod report;
 mod shared;
 pub mod succession;
--- a/crates/node/src/member/mod.rs
+++ b/crates/node/src/member/mod.rs
@@ -39,16 +39,29 @@
         Append,
         Condition,
         Error,
+        Fault,
+        Page,
         Platform,
         Record,
+        Rejected,
         Topic, //
     },
+    recall,
     shared::Shared,
     watch::pause,
 };
 
 /// The key of the claim.
 const KEY: &str = "owner";
+/// Which records are claims.
+const OWN: recall::Own<'static> = recall::Own {
+    key: |key| key == KEY,
+    record: &|record| {
+        let claim = record.value.as_ref();
+        let claim = claim.map(|value| record::decode::<Claim>(value));
+        claim.transpose().map(drop).map_err(|_| Fault::Form)
+    },
+};
 /// How long the owner may take to answer that: a way there and back takes 3 ms, and an owner whose share
 /// of its processor is used up some 80 ms.
 const HELLO_PATIENCE: Duration = Duration::from_millis(250);
@@ -142,17 +155,21 @@
     matches!(answer, Ok(Ok(_))).then(|| began.elapsed())
 }
 
+/// Reads the newest claim that is one of this program's.
+///
+/// Another writer's word in its place ends no ownership: the last claim holds that the store still keeps, or
+/// else that is known here. Had the other writer been an owner after all, the store and the workers would
+/// refuse this one's orders by its epoch.
 async fn try_read<P: Platform>(shared: &Shared<P>) -> Option<Seen> {
     let page = shared.newest("claims", Topic::Claims).await.ok()?;
-    let record = page.records.iter().find(|record| record.key == KEY);
-    let value = record.and_then(|record| record.value.as_ref());
-    let claim = match value.map(|value| record::decode::<Claim>(value)) {
-        None => None,
-        Some(Ok(claim)) => Some(claim),
-        Some(Err(error)) => {
-            slog::error!(shared.log, "claim-unreadable"; "why" => %error);
-            return None;
-        }
+    let end = page.next;
+    let page = recall::settle(shared, Topic::Claims, "claims", page, OWN)
+        .await
+        .ok()?;
+    let claim = match newest_claim(&page) {
+        Some(claim) => Some(claim),
+        None if !page.rejected.iter().any(is_claim) => None,
+        None => shared.claim.borrow().clone(),
     };
     let known = shared.claim.borrow().clone();
     if known.as_ref().map(|claim| claim.epoch) != claim.as_ref().map(|claim| claim.epoch)
@@ -166,11 +183,22 @@
     }
     Some(Seen {
         claim,
-        end: page.next,
+        end,
         since: Instant::now(),
     })
 }
 
+/// Returns whether it was the claim that was turned away.
+fn is_claim(rejected: &Rejected) -> bool {
+    rejected.key.as_deref() == Some(KEY)
+}
+
+/// Finds the claim among the newest records; `None` where nobody has claimed the cell.
+fn newest_claim(page: &Page) -> Option<Claim> {
+    let record = page.records.iter().find(|record| record.key == KEY)?;
+    record::decode(record.value.as_ref()?).ok()
+}
+
 async fn append<P: Platform>(shared: &Shared<P>, claim: &Claim, end: u64) -> Result<u64, Error> {
     let value = record::encode(claim).map_err(|error| Error::Malformed(error.to_string()))?;
     let append = Append {
--- a/crates/node/src/owner/tail.rs
+++ b/crates/node/src/owner/tail.rs
@@ -172,7 +172,7 @@
             else {
                 continue;
             };
-            for event in records.iter().filter_map(event) {
+            for event in records.iter().filter_map(|record| event(&shared, record)) {
                 // The actor may be ending.
                 let _ = control.tell(event).await;
             }
@@ -206,9 +206,14 @@
     }
 }
 
-fn event(record: &Record) -> Option<Event> {
-    Some(match JobRecord::read(record)? {
-        JobRecord::Accepted(accepted) => Event::Accepted(accepted),
-        JobRecord::Cancelled(job) => Event::Cancelled(job),
-    })
+fn event<P: Platform>(shared: &Shared<P>, record: &Record) -> Option<Event> {
+    match JobRecord::read(record) {
+        Ok(Some(JobRecord::Accepted(accepted))) => Some(Event::Accepted(accepted)),
+        Ok(Some(JobRecord::Cancelled(job))) => Some(Event::Cancelled(job)),
+        Ok(None) => None,
+        Err(fault) => {
+            shared.turn_away("jobs", &Rejected::record(record, fault));
+            None
+        }
+    }
 }
--- a/crates/node/src/owner/takeover.rs
+++ b/crates/node/src/owner/takeover.rs
@@ -10,6 +10,7 @@
         Engine,
         Inheritance, //
     },
+    id::JobId,
     record::{
         self,
         Accepted,
@@ -46,10 +47,15 @@
     intake::PARTITIONS,
     port::{
         Error,
+        Fault,
         Page,
         Platform,
         Topic, //
     },
+    recall::{
+        self,
+        Own, //
+    },
     shared::{
         Acting,
         Shared, //
@@ -68,6 +74,19 @@
 /// How many events may wait for the actor; a busy second has some thousands.
 const MAILBOX: usize = 16_384;
 
+/// Which records are the owner's.
+const ENTRIES: Own<'static> = Own {
+    key: |key| key.starts_with("w/") || key.parse::<JobId>().is_ok(),
+    record: &|record| {
+        let Some(value) = &record.value else {
+            return Ok(());
+        };
+        let entry: Entry = record::decode(value).map_err(|_| Fault::Form)?;
+        let is_own = entry.key() == record.key;
+        is_own.then_some(()).ok_or(Fault::Id)
+    },
+};
+
 /// Takes the cell over under a claim that was won; the actor ends when the ownership does.
 ///
 /// # Errors
@@ -85,8 +104,9 @@
             Err(_) => pause().await,
         }
     }
-    let progress = newest(shared, Topic::Progress, "progress");
-    let jobs = join_all((0..PARTITIONS).map(|p| newest(shared, Topic::Jobs(p), "jobs")));
+    let progress = newest(shared, Topic::Progress, "progress", ENTRIES);
+    let jobs = (0..PARTITIONS).map(|p| newest(shared, Topic::Jobs(p), "jobs", JobRecord::OWN));
+    let jobs = join_all(jobs);
     let (progress, jobs) = futures::join!(progress, jobs);
     let mut inheritance = Inheritance::default();
     for record in progress.records {
@@ -95,23 +115,23 @@
             Some(Ok(Entry::Job(job, progress))) => inheritance.progress.push((job, progress)),
             Some(Ok(Entry::Worker(id, usage))) => inheritance.workers.push((id, usage)),
             Some(Ok(Entry::Gone(_))) | None => {}
-            Some(Err(error)) => {
-                slog::error!(shared.log, "record-unreadable"; "key" => record.key, "why" => %error);
-            }
+            // It has been turned away.
+            Some(Err(_)) => {}
         }
     }
     let ends: Vec<u64> = jobs.iter().map(|page| page.next).collect();
     let records = (0..PARTITIONS).zip(jobs);
     let records = records.flat_map(|(p, page)| page.records.into_iter().map(move |r| (p, r)));
     for (partition, record) in records {
-        match JobRecord::read(&record) {
+        match JobRecord::read(&record).ok().flatten() {
             Some(JobRecord::Accepted(accepted)) => inheritance.accepted.push(Accepted {
                 // Its own partition may have refused it.
                 partition,
                 ..*accepted
             }),
             Some(JobRecord::Cancelled(job)) => inheritance.cancelled.push(job),
-            None => slog::error!(shared.log, "record-unreadable"; "key" => record.key),
+            // It has been turned away.
+            None => {}
         }
     }
     slog::info!(shared.log, "takeover"; "epoch" => %claim.epoch,
@@ -122,13 +142,27 @@
     Ok(start(shared, claim, engine, ends))
 }
 
-/// Reads the newest records of a topic, until the store gives them.
-async fn newest<P: Platform>(shared: &Shared<P>, topic: Topic, purpose: &'static str) -> Page {
+/// Reads the newest records of a topic that are this program's, until the store gives them.
+async fn newest<P: Platform>(
+    shared: &Shared<P>,
+    topic: Topic,
+    purpose: &'static str,
+    own: Own<'_>,
+) -> Page {
     let mut reader = Reader::new(topic, purpose);
     loop {
-        match reader.read(shared, Duration::ZERO).await {
-            Ok(Batch::Whole(page) | Batch::More(page)) => return page,
-            Err(_) => pause().await,
+        let page = match reader.read(shared, Duration::ZERO).await {
+            Ok(Batch::Whole(page) | Batch::More(page)) => {
+                recall::settle(shared, topic, purpose, page, own).await
+            }
+            Err(error) => Err(error),
+        };
+        match page {
+            Ok(page) => return page,
+            Err(_) => {
+                reader = Reader::new(topic, purpose);
+                pause().await;
+            }
         }
     }
 }
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -17,6 +17,10 @@
         Rejected,
         Topic, //
     },
+    recall::{
+        self,
+        Own, //
+    },
     shared::Shared,
 };
 
@@ -102,8 +106,19 @@
             true => Duration::ZERO,
             false => CONFIG_WAIT,
         };
-        match reader.read(&shared, wait).await {
-            Ok(Batch::Whole(page) | Batch::More(page)) => {
+        let page = match reader.read(&shared, wait).await {
+            Ok(Batch::Whole(page)) => {
+                let settled = settle_config(&shared, page).await;
+                if settled.is_err() {
+                    reader = Reader::new(Topic::Configuration, "configuration");
+                }
+                settled
+            }
+            Ok(Batch::More(page)) => Ok(page),
+            Err(error) => Err(error),
+        };
+        match page {
+            Ok(page) => {
                 for record in &page.records {
                     take_config(&shared, record);
                 }
@@ -113,6 +128,17 @@
     }
 }
 
+/// Puts the last configuration that can be read in the place of one that can't: a node that starts must not
+/// wait for the next one.
+async fn settle_config<P: Platform>(shared: &Shared<P>, page: Page) -> Result<Page, Error> {
+    let own = Own {
+        key: |_| true,
+        record: &|record| shared.platform.configuration(record).map(drop),
+    };
+    let topic = Topic::Configuration;
+    recall::settle(shared, topic, "configuration", page, own).await
+}
+
 /// Puts a configuration in force here; an older one than the present changes nothing.
 fn take_config<P: Platform>(shared: &Shared<P>, record: &Record) {
     let config = match shared.platform.configuration(record) {
--- a/crates/node/tests/node/foreign.rs
+++ b/crates/node/tests/node/foreign.rs
@@ -1,5 +1,7 @@
 //! Records of other writers in the topics of a cell.
 
+use std::time::Duration;
+
 use fulmarpier_cell::{
     engine::State,
     id::JobId, //
@@ -92,3 +94,88 @@
         "{lines:?}"
     );
 }
+
+/// What other writers may leave anywhere.
+const GARBAGE: [&[u8]; 3] = [b"", b"\xff\xff\xff\xff", LOST_VALUE];
+
+/// Writes records of another writer into every topic, under keys of its own and of this program.
+fn litter(platform: &Fake, job: u64) {
+    let job = JobId(job).to_string();
+    let cancelled = format!("{job}/x");
+    for value in GARBAGE {
+        for key in ["owner", "another"] {
+            platform.write(Topic::Claims, key, value);
+        }
+        for key in ["config", "another"] {
+            platform.write(Topic::Configuration, key, value);
+        }
+        for key in [job.as_str(), "w/w0", "another"] {
+            platform.write(Topic::Progress, key, value);
+        }
+        for partition in 0..16 {
+            for key in [job.as_str(), cancelled.as_str(), "another", "another/x"] {
+                platform.write(Topic::Jobs(partition), key, value);
+            }
+        }
+    }
+}
+
+#[tokio::test]
+async fn an_owner_goes_on_amid_records_that_can_not_be_read() {
+    let platform = Fake::new();
+    let one = node("one", &platform);
+    ready(&one).await;
+    submit(&one, 1).await.unwrap();
+    completed(&one, 1).await;
+    litter(&platform, 1);
+    // Longer than a claim stands that isn't renewed.
+    sleep(2 * SECOND).await;
+    submit(&one, 2).await.unwrap();
+    completed(&one, 2).await;
+    assert_eq!(one.front().look(JobId(1)).await, Ok(State::Completed));
+    assert_eq!((platform.starts(1), platform.starts(2)), (4, 4));
+    assert_eq!(platform.owner().as_deref(), Some("one"));
+    assert!(platform.owned().iter().all(|claim| claim.epoch.0 == 1));
+}
+
+#[tokio::test]
+async fn a_new_owner_takes_over_what_was_good_last() {
+    let platform = Fake::new();
+    let one = node("one", &platform);
+    ready(&one).await;
+    submit(&one, 1).await.unwrap();
+    completed(&one, 1).await;
+    one.stop(Duration::ZERO).await;
+    litter(&platform, 1);
+    // It has read nothing yet, neither the claim nor the configuration.
+    let two = node("two", &platform);
+    ready(&two).await;
+    assert_eq!(two.front().look(JobId(1)).await, Ok(State::Completed));
+    submit(&two, 2).await.unwrap();
+    completed(&two, 2).await;
+    assert_eq!((platform.starts(1), platform.starts(2)), (4, 4));
+    let last = platform.owned().pop().unwrap();
+    assert!(
+        last.epoch.0 >= 2,
+        "the former owner's orders must be refused"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn another_writers_word_cancels_no_job() {
+    let platform = Fake::new();
+    let one = node("one", &platform);
+    ready(&one).await;
+    // The job has to wait meanwhile.
+    platform.write(Topic::Workers, "w0", b"foreign");
+    sleep(SECOND).await;
+    submit(&one, 1).await.unwrap();
+    let key = format!("{}/x", JobId(1));
+    for partition in 0..16 {
+        platform.write(Topic::Jobs(partition), &key, b"cancel");
+    }
+    sleep(3 * SECOND).await;
+    assert_eq!(one.front().look(JobId(1)).await, Ok(State::Queued));
+    platform.write(Topic::Workers, "w0", b"here");
+    completed(&one, 1).await;
+}
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -277,8 +277,10 @@
     /// Returns the node that owns the cell by the newest claim.
     pub(crate) fn owner(&self) -> Option<String> {
         let state = self.state();
-        let newest = state.topics.get(&name(Topic::Claims))?.last()?;
-        let claim: Claim = record::decode(newest.value.as_ref()?).unwrap();
+        let claims = state.topics.get(&name(Topic::Claims))?.iter().rev();
+        let mut claims = claims.filter_map(|record| record.value.as_ref());
+        // Other writers' records are among them in some tests.
+        let claim: Claim = claims.find_map(|value| record::decode(value).ok())?;
         (!claim.released).then(|| claim.node.to_string())
     }
 
@@ -290,6 +292,16 @@
         values.map(|value| record::decode(value).unwrap()).collect()
     }
 
+    /// Returns the claims among the records of their topic, in order.
+    pub(crate) fn owned(&self) -> Vec<Claim> {
+        let state = self.state();
+        let records = state.topics.get(&name(Topic::Claims)).into_iter().flatten();
+        let values = records.filter_map(|record| record.value.as_ref());
+        values
+            .filter_map(|value| record::decode(value).ok())
+            .collect()
+    }
+
     /// Returns whether the store keeps a record under a key in any topic.
     pub(crate) fn keeps(&self, key: &str) -> bool {
         let state = self.state();
@@ -495,7 +507,11 @@
         };
         let queue = queue();
         config.queues.insert(queue.name.clone(), Arc::new(queue));
-        Ok((record.key == "config").then_some(config))
+        match (record.key.as_str(), record.value.as_deref()) {
+            ("config", Some(b"1")) => Ok(Some(config)),
+            ("config", _) => Err(Fault::Form),
+            _ => Ok(None),
+        }
     }
 
     fn registration(
