The loss of a worker is recorded before what runs on it when it is back

Cause: one record held what runs on workers first and which workers are gone last. A worker that was given up while an append was on its way (the store was away) and came back under the same id had both in the next record, and its removal stood last: what it was then told to start was on record nowhere. A new owner that couldn't read its entry either started those tasks elsewhere while they ran.

Nothing in it needs a foreign entry but that the new owner doesn't ask the worker: an entry that lapses during an outage and is back after a change of owners should do the same (not played).

--- a/crates/cell/src/engine/keep.rs
+++ b/crates/cell/src/engine/keep.rs
@@ -113,7 +113,10 @@
         let jobs = std::mem::take(&mut self.ledger.jobs);
         let workers = std::mem::take(&mut self.ledger.workers);
         let ends = std::mem::take(&mut self.ledger.ends);
-        let mut entries = Vec::new();
+        // Before what runs on a worker that has come back under its id: the last entry of a key is the one that
+        // stands, and a new owner would start elsewhere what it doesn't find there.
+        let gone = std::mem::take(&mut self.ledger.gone);
+        let mut entries: Vec<Entry> = gone.into_iter().map(Entry::Gone).collect();
         let mut snapshots = Vec::new();
         for id in jobs {
             let Some(job) = self.jobs.get(&id) else {
@@ -136,8 +139,6 @@
             let decided = decided.filter(|(_, claim)| claim.phase == Phase::Recording);
             starts.extend(decided.map(|((task, run), _)| (slot, *task, *run)));
         }
-        let gone = std::mem::take(&mut self.ledger.gone);
-        entries.extend(gone.into_iter().map(Entry::Gone));
         let flight = Flight {
             jobs: snapshots,
             starts,
--- a/crates/cell/tests/cell/history.rs
+++ b/crates/cell/tests/cell/history.rs
@@ -76,6 +76,12 @@
     assert_eq!(play(seed, ALL), Vec::<String>::new());
 }
 
+#[rstest]
+#[case::a_worker_came_back_before_its_loss_was_on_record(14_023_517_649_959_117_087)]
+fn promises_hold_in_histories_with_foreign_entries_that_broke_one(#[case] seed: u64) {
+    assert_eq!(play(seed, FOREIGN), Vec::<String>::new());
+}
+
 proptest! {
     #![proptest_config(config())]
 
