--- a/crates/node/src/owner/tail.rs
+++ b/crates/node/src/owner/tail.rs
@@ -42,7 +42,7 @@
 /// would cost a call a record; a leaving worker has to be known within 2 s.
 const WORKERS_EVERY: Duration = Duration::from_millis(300);
 /// How often an owner looks for the first configuration; a node reads it within milliseconds of its start.
-const WORKERS_UNCONFIGURED: Duration = Duration::from_millis(25);
+const UNCONFIGURED: Duration = Duration::from_millis(25);
 /// How often partitions of jobs are read whose node is gone: it may be cut off from the owner alone and go
 /// on taking jobs, or have died as it took one.
 const JOBS_LOOK: Duration = Duration::from_millis(500);
@@ -66,51 +66,27 @@
     let mut reader = Reader::new(Topic::Workers, "workers");
     let mut listing = Listing::default();
     let mut settles = Instant::now();
+    while !is_configured(&shared) {
+        if control.upgrade().is_none() {
+            return;
+        }
+        sleep(UNCONFIGURED).await;
+    }
     loop {
-        let config = shared.config.borrow().clone();
-        let Some(config) = config else {
-            // No entry can be matched yet, and no job be taken.
-            sleep(WORKERS_UNCONFIGURED).await;
-            match control.upgrade() {
-                Some(_) => continue,
-                None => return,
-            }
-        };
         let was_failing = shared.store.failing_for();
         let batch = reader.read(&shared, Duration::ZERO).await;
         let Some(control) = control.upgrade() else {
             return;
         };
-        let page = match batch {
-            Ok(Batch::Whole(page)) => {
-                listing.begin();
-                page
-            }
-            Ok(Batch::More(page)) => page,
-            Err(_) => {
-                drop(control);
-                pause().await;
-                continue;
-            }
+        let Ok(batch) = batch else {
+            drop(control);
+            pause().await;
+            continue;
         };
         if was_failing > SHORT_OUTAGE {
             settles = Instant::now() + LIST_SETTLES;
         }
-        let mut records = listing.configure(&config);
-        records.extend(page.records);
-        let entries = records
-            .iter()
-            .filter_map(|record| take(&shared, &mut listing, record));
-        let unread = page
-            .rejected
-            .into_iter()
-            .filter_map(|rejected| rejected.key);
-        let mut events: Vec<Event> = entries.collect();
-        events.extend(unread.map(|key| {
-            let worker = WorkerId::from(key);
-            listing.note(worker.clone());
-            Event::Distrusted(worker)
-        }));
+        let mut events = take(&shared, &mut listing, batch);
         if Instant::now() >= settles {
             let missing = listing.take_missing().into_iter();
             events.extend(missing.map(Event::Unregistered));
@@ -124,16 +100,43 @@
     }
 }
 
-/// Takes an entry in; returns what the engine has to know of it.
-fn take<P: Platform>(shared: &Shared<P>, listing: &mut Listing, record: &Record) -> Option<Event> {
-    match listing.take(&shared.platform, record) {
-        Entry::Good(registration) => Some(Event::Registered(registration)),
-        Entry::Foreign(worker, fault) => {
-            shared.turn_away("workers", &Rejected::record(record, fault));
-            Some(Event::Distrusted(worker))
+/// Returns whether there is a configuration: without one no entry can be matched, and no job be taken.
+fn is_configured<P: Platform>(shared: &Shared<P>) -> bool {
+    shared.config.borrow().is_some()
+}
+
+/// Takes in what a read of the list brought; returns what the engine has to know of it.
+fn take<P: Platform>(shared: &Shared<P>, listing: &mut Listing, batch: Batch) -> Vec<Event> {
+    let page = match batch {
+        Batch::Whole(page) => {
+            listing.begin();
+            page
         }
-        Entry::Removed => None,
+        Batch::More(page) => page,
+    };
+    let config = shared.config.borrow().clone();
+    let again = config.map(|config| listing.configure(&config));
+    let mut events = Vec::new();
+    for record in again.into_iter().flatten().chain(page.records) {
+        match listing.take(&shared.platform, &record) {
+            Entry::Good(registration) => events.push(Event::Registered(registration)),
+            Entry::Foreign(worker, fault) => {
+                shared.turn_away("workers", &Rejected::record(&record, fault));
+                events.push(Event::Distrusted(worker));
+            }
+            Entry::Removed => {}
+        }
+    }
+    for key in page
+        .rejected
+        .into_iter()
+        .filter_map(|rejected| rejected.key)
+    {
+        let worker = WorkerId::from(key);
+        listing.note(worker.clone());
+        events.push(Event::Distrusted(worker));
     }
+    events
 }
 
 /// Follows the partitions of the jobs, each as often as something may stand in it that nobody has told of.
--- a/crates/node/tests/node/foreign.rs
+++ b/crates/node/tests/node/foreign.rs
@@ -47,6 +47,19 @@
     assert_eq!(platform.starts(2), 4);
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_worker_whose_pool_is_configured_later_is_used_then() {
+    let platform = Fake::new();
+    platform.write(Topic::Workers, "w0", b"elsewhere");
+    let one = node("one", &platform);
+    ready(&one).await;
+    submit(&one, 1).await.unwrap();
+    sleep(3 * SECOND).await;
+    assert_eq!(one.front().look(JobId(1)).await, Ok(State::Queued));
+    platform.write(Topic::Configuration, "config", b"2");
+    completed(&one, 1).await;
+}
+
 #[rstest]
 #[case::form(b"foreign")]
 #[case::pool(b"elsewhere")]
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -501,17 +501,22 @@
     }
 
     fn configuration(&self, record: &Record) -> Result<Option<Config>, Fault> {
+        let (version, pool) = match (record.key.as_str(), record.value.as_deref()) {
+            ("config", Some(b"1")) => (1, "p"),
+            ("config", Some(b"2")) => (2, "elsewhere"),
+            ("config", _) => return Err(Fault::Form),
+            _ => return Ok(None),
+        };
         let mut config = Config {
-            version: 1,
+            version,
             ..Config::default()
         };
-        let queue = queue();
+        let queue = Queue {
+            pool: PoolName::from(pool),
+            ..queue()
+        };
         config.queues.insert(queue.name.clone(), Arc::new(queue));
-        match (record.key.as_str(), record.value.as_deref()) {
-            ("config", Some(b"1")) => Ok(Some(config)),
-            ("config", _) => Err(Fault::Form),
-            _ => Ok(None),
-        }
+        Ok(Some(config))
     }
 
     fn registration(
