--- a/crates/cell/tests/cell/foreign.rs
+++ b/crates/cell/tests/cell/foreign.rs
@@ -125,3 +125,27 @@
     assert!(completed(&world, job));
     assert_eq!(world.starts, 32, "nothing was started twice");
 }
+
+/// The loss of a worker and what it runs after its return may stand in one record.
+#[test]
+fn a_new_owner_finds_what_runs_on_a_worker_that_was_lost_and_came_back() {
+    let mut world = World::new(3, Faults::default());
+    world.run(SECOND);
+    let lost = workers(&world)[0].clone();
+    world.workers.get_mut(&lost).unwrap().cut_until = world.now + 10 * SECOND;
+    world.turn_foreign(&lost, 11 * SECOND);
+    // One record is on its way all the while.
+    world.lose_store(15 * SECOND);
+    world.submit("batch", vec![step(1)]);
+    world.run(10 * SECOND);
+    assert_eq!(world.engine.worker_count(), 7, "it is given up");
+    world.run(3 * SECOND);
+    assert_eq!(world.engine.worker_count(), 8, "it is back");
+    world.submit("batch", vec![step(64)]);
+    world.run(2 * SECOND + SECOND / 10);
+    assert!(world.starts > 16, "tasks run everywhere");
+    world.turn_foreign(&lost, FOR_GOOD);
+    world.take_over();
+    world.run(30 * SECOND);
+    assert_eq!(world.violations, Vec::<String>::new());
+}
