--- a/crates/node/src/owner/tail.rs
+++ b/crates/node/src/owner/tail.rs
@@ -1,6 +1,10 @@
 //! What the owner reads on from the store: workers, and jobs that it was not told of.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::Duration, //
+};
 
 use fulmarpier_cell::id::{
     NodeName,
@@ -127,11 +131,8 @@
             Entry::Removed => {}
         }
     }
-    for key in page
-        .rejected
-        .into_iter()
-        .filter_map(|rejected| rejected.key)
-    {
+    let unread = page.rejected.into_iter();
+    for key in unread.filter_map(|rejected| rejected.key) {
         let worker = WorkerId::from(key);
         listing.note(worker.clone());
         events.push(Event::Distrusted(worker));
