--- a/crates/node/src/owner/tail.rs
+++ b/crates/node/src/owner/tail.rs
@@ -18,11 +18,12 @@
 };
 
 use super::{
-    Control, Event,
+    Control,
+    Event,
     listing::{
         Entry,
         Listing, //
-    },
+    }, //
 };
 use crate::{
     front::JobRecord,
