--- a/crates/node/tests/node/foreign.rs
+++ b/crates/node/tests/node/foreign.rs
@@ -15,13 +15,16 @@
 use tokio::time::sleep;
 
 use super::{
-    SECOND, completed, ready, submit,
+    SECOND,
+    completed,
+    ready,
+    submit,
     support::{
         Fake,
         LOST_VALUE,
         node,
         node_metered, //
-    },
+    }, //
 };
 
 #[rstest]
