--- a/crates/node/tests/node/foreign.rs
+++ b/crates/node/tests/node/foreign.rs
@@ -154,15 +154,28 @@
     assert!(platform.owned().iter().all(|claim| claim.epoch.0 == 1));
 }
 
+/// How many records of each topic's end the store keeps that has forgotten some.
+const KEPT: usize = 80;
+
+#[rstest]
+#[case::whole_history(None)]
+#[case::forgotten_in_part(Some(KEPT))]
 #[tokio::test]
-async fn a_new_owner_takes_over_what_was_good_last() {
+async fn a_new_owner_takes_over_what_was_good_last(#[case] kept: Option<usize>) {
     let platform = Fake::new();
+    // Older than what the store keeps.
+    for _ in 0..KEPT {
+        platform.write(Topic::Claims, "another", b"old");
+    }
     let one = node("one", &platform);
     ready(&one).await;
     submit(&one, 1).await.unwrap();
     completed(&one, 1).await;
     one.stop(Duration::ZERO).await;
     litter(&platform, 1);
+    if let Some(kept) = kept {
+        platform.forget(kept);
+    }
     // It has read nothing yet, neither the claim nor the configuration.
     let two = node("two", &platform);
     ready(&two).await;
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -106,6 +106,8 @@
     /// Topics whose appends are refused.
     refused: Vec<String>,
     topics: BTreeMap<String, Vec<Record>>,
+    /// The first offset of each topic that is still kept, where that is not zero.
+    first: BTreeMap<String, u64>,
     fence: u32,
     /// The writer's last append, to answer a repeat of it.
     written: Option<(u32, u64, u64)>,
@@ -234,6 +236,17 @@
         state.topics.entry(name(topic)).or_default().push(record);
     }
 
+    /// Forgets the history of every topic, but for some records at its end; the newest of each key stays.
+    pub(crate) fn forget(&self, but: usize) {
+        let mut state = self.state();
+        let topics = state.topics.iter();
+        let first = topics.map(|(topic, records)| {
+            let first = records.len().saturating_sub(but);
+            (topic.clone(), first as u64)
+        });
+        state.first = first.collect();
+    }
+
     /// Returns a page without the records that no store's answer could carry.
     fn page(records: Vec<Record>, next: u64) -> Page {
         let is_lost = |record: &Record| record.value.as_deref() == Some(LOST_VALUE);
@@ -407,6 +420,10 @@
             self.answer().await?;
             let records: Vec<Record> = {
                 let state = self.state();
+                let first = state.first.get(&name(topic)).copied().unwrap_or(0);
+                if from < first {
+                    return Err(Error::Forgotten { first });
+                }
                 let records = state.topics.get(&name(topic)).into_iter().flatten();
                 let skipped = usize::try_from(from).unwrap();
                 records.skip(skipped).cloned().collect()
