--- a/crates/node/src/front/kept.rs
+++ b/crates/node/src/front/kept.rs
@@ -9,7 +9,13 @@
     },
 };
 
-use crate::port::Record;
+use crate::{
+    port::{
+        Fault,
+        Record, //
+    },
+    recall::Own,
+};
 
 /// What the key of a cancellation has behind the job. Each kind has a key of its own: one that comes again while
 /// nobody knows the job must not take the place of one that says that it was there.
@@ -53,20 +59,34 @@
 }
 
 impl JobRecord {
-    /// Reads a record out of a partition; `None` where it is a removal, or none of this program's.
-    pub(crate) fn read(record: &Record, partition: u16) -> Option<Self> {
-        let value = record.value.as_ref()?;
+    /// Which records of the jobs' topic are this program's.
+    pub(crate) const OWN: Own<'static> = Own {
+        key: |key| read_cancellation(key).is_some() || key.parse::<JobId>().is_ok(),
+        record: &|record| Self::read(record, 0).map(drop),
+    };
+
+    /// Reads a record out of a partition; `None` where its key is removed.
+    ///
+    /// # Errors
+    ///
+    /// Fails where it is none of this program's: another writer's word cancels no job.
+    pub(crate) fn read(record: &Record, partition: u16) -> Result<Option<Self>, Fault> {
+        let Some(value) = &record.value else {
+            return Ok(None);
+        };
         if let Some((job, cancellation)) = read_cancellation(&record.key) {
-            return Some(Self::Cancelled(job, cancellation));
+            let is_own = **value == CANCELLED;
+            let cancelled = is_own.then_some(Self::Cancelled(job, cancellation));
+            return cancelled.ok_or(Fault::Form).map(Some);
         }
-        let job: JobId = record.key.parse().ok()?;
-        let Ok(accepted) = record::decode::<Accepted>(value) else {
-            return Some(Self::Unreadable(job));
-        };
-        Some(Self::Accepted(Box::new(Accepted {
+        let accepted: Accepted = record::decode(value).map_err(|_| Fault::Form)?;
+        if accepted.job.to_string() != record.key {
+            return Err(Fault::Id);
+        }
+        Ok(Some(Self::Accepted(Box::new(Accepted {
             // Its node's own partition may have refused it.
             partition,
             ..accepted
-        })))
+        }))))
     }
 }
--- a/crates/node/src/owner/tail.rs
+++ b/crates/node/src/owner/tail.rs
@@ -1,7 +1,6 @@
 //! The list of workers as the owner reads it on from the store.
 
 use std::{
-    collections::BTreeSet,
     sync::Arc,
     time::Duration, //
 };
@@ -15,11 +14,16 @@
 
 use super::{
     Control,
-    Event, //
+    Event,
+    listing::{
+        Entry,
+        Listing, //
+    }, //
 };
 use crate::{
     port::{
         Platform,
+        Rejected,
         Topic, //
     },
     shared::Shared,
@@ -33,6 +37,8 @@
 /// How often the list of workers is read: 48 of them write 32 records a second, so waiting for each
 /// would cost a call a record; a leaving worker has to be known within 2 s.
 const WORKERS_EVERY: Duration = Duration::from_millis(300);
+/// How often an owner looks for the first configuration; a node reads it within milliseconds of its start.
+const UNCONFIGURED: Duration = Duration::from_millis(25);
 /// For this long after an outage of the store a worker that isn't listed may come back.
 const LIST_SETTLES: Duration = Duration::from_millis(2_300);
 /// An outage shorter than this lets no entry lapse: entries outlive three intervals of heartbeats.
@@ -44,56 +50,74 @@
     control: WeakActorRef<Control<P>>,
 ) {
     let mut reader = Reader::new(Topic::Workers, "workers");
-    let mut listed: BTreeSet<WorkerId> = BTreeSet::new();
-    let mut missing: BTreeSet<WorkerId> = BTreeSet::new();
+    let mut listing = Listing::default();
     let mut settles = Instant::now();
+    while !is_configured(&shared) {
+        if control.upgrade().is_none() {
+            return;
+        }
+        sleep(UNCONFIGURED).await;
+    }
     loop {
         let was_failing = shared.store.failing_for();
         let batch = reader.read(&shared, Duration::ZERO).await;
         let Some(control) = control.upgrade() else {
             return;
         };
-        let (page, is_whole) = match batch {
-            Ok(Batch::Whole(page)) => (page, true),
-            Ok(Batch::More(page)) => (page, false),
-            Err(_) => {
-                drop(control);
-                pause().await;
-                continue;
-            }
+        let Ok(batch) = batch else {
+            drop(control);
+            pause().await;
+            continue;
         };
         if was_failing > SHORT_OUTAGE {
             settles = Instant::now() + LIST_SETTLES;
         }
-        if is_whole {
-            missing.append(&mut listed);
-        }
-        for record in &page.records {
-            let id = WorkerId::from(record.key.as_str());
-            if record.value.is_none() {
-                listed.remove(&id);
-                missing.insert(id);
-                continue;
-            }
-            match shared.platform.registration(record) {
-                Ok(registration) => {
-                    missing.remove(&id);
-                    listed.insert(id);
-                    // The actor may be ending.
-                    let _ = control.tell(Event::Registered(registration)).await;
-                }
-                Err(error) => {
-                    slog::error!(shared.log, "worker-unreadable"; "worker" => id.as_str(),
-                        "why" => %error);
-                }
-            }
-        }
+        let mut events = take(&shared, &mut listing, batch);
         if Instant::now() >= settles {
-            for worker in std::mem::take(&mut missing) {
-                let _ = control.tell(Event::Unregistered(worker)).await;
-            }
+            let missing = listing.take_missing().into_iter();
+            events.extend(missing.map(Event::Unregistered));
+        }
+        for event in events {
+            // The actor may be ending.
+            let _ = control.tell(event).await;
         }
         drop(control);
         sleep(WORKERS_EVERY).await;
     }
 }
+
+/// Returns whether there is a configuration: without one no entry can be matched, and no job be taken.
+fn is_configured<P: Platform>(shared: &Shared<P>) -> bool {
+    shared.config.borrow().is_some()
+}
+
+/// Takes in what a read of the list brought; returns what the engine has to know of it.
+fn take<P: Platform>(shared: &Shared<P>, listing: &mut Listing, batch: Batch) -> Vec<Event> {
+    let page = match batch {
+        Batch::Whole(page) => {
+            listing.begin();
+            page
+        }
+        Batch::More(page) => page,
+    };
+    let config = shared.config.borrow().clone();
+    let again = config.map(|config| listing.configure(&config));
+    let mut events = Vec::new();
+    for record in again.into_iter().flatten().chain(page.records) {
+        match listing.take(&shared.platform, &record) {
+            Entry::Good(registration) => events.push(Event::Registered(registration)),
+            Entry::Foreign(worker, fault) => {
+                shared.turn_away("workers", &Rejected::record(&record, fault));
+                events.push(Event::Distrusted(worker));
+            }
+            Entry::Removed => {}
+        }
+    }
+    let unread = page.rejected.into_iter();
+    for key in unread.filter_map(|rejected| rejected.key) {
+        let worker = WorkerId::from(key);
+        listing.note(worker.clone());
+        events.push(Event::Distrusted(worker));
+    }
+    events
+}
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -16,8 +16,14 @@
         Error,
         Page,
         Platform,
+        Record,
+        Rejected,
         Topic, //
     },
+    recall::{
+        self,
+        Own, //
+    },
     shared::Shared,
 };
 
@@ -94,8 +100,19 @@
             true => Duration::ZERO,
             false => CONFIG_WAIT,
         };
-        match reader.read(&shared, wait).await {
-            Ok(Batch::Whole(page) | Batch::More(page)) => {
+        let page = match reader.read(&shared, wait).await {
+            Ok(Batch::Whole(page)) => {
+                let settled = settle_config(&shared, page).await;
+                if settled.is_err() {
+                    reader = Reader::new(Topic::Configuration, "configuration");
+                }
+                settled
+            }
+            Ok(Batch::More(page)) => Ok(page),
+            Err(error) => Err(error),
+        };
+        match page {
+            Ok(page) => {
                 // A call that waits for a change tells at its end that there was none.
                 shared.config_read.send_replace(Instant::now());
                 for record in &page.records {
@@ -107,13 +124,25 @@
     }
 }
 
+/// Puts the last configuration that can be read in the place of one that can't: a node that starts must not
+/// wait for the next one.
+async fn settle_config<P: Platform>(shared: &Shared<P>, page: Page) -> Result<Page, Error> {
+    let own = Own {
+        key: |_| true,
+        record: &|record| shared.platform.configuration(record).map(drop),
+    };
+    let topic = Topic::Configuration;
+    recall::settle(shared, topic, "configuration", page, own).await
+}
+
 /// Puts a configuration in force here; an older one than the present changes nothing.
-fn take_config<P: Platform>(shared: &Shared<P>, record: &crate::port::Record) {
+fn take_config<P: Platform>(shared: &Shared<P>, record: &Record) {
     let config = match shared.platform.configuration(record) {
         Ok(Some(config)) => config,
         Ok(None) => return,
-        Err(error) => {
-            slog::error!(shared.log, "configuration-unreadable"; "why" => %error);
+        Err(fault) => {
+            // The last one that could be read stays in force.
+            shared.turn_away("configuration", &Rejected::record(record, fault));
             return;
         }
     };
--- /dev/null
+++ b/crates/node/tests/node/foreign.rs
@@ -0,0 +1,212 @@
+//! Records of other writers in the topics of a cell.
+
+use std::time::Duration;
+
+use fulmarpier_cell::{
+    engine::State,
+    id::JobId, //
+};
+use fulmarpier_node::{
+    Meter,
+    port::Topic, //
+};
+use fulmarpier_state::unit::Millicores;
+use rstest::rstest;
+use tokio::time::sleep;
+
+use crate::{
+    service::{
+        SECOND,
+        completed,
+        submit, //
+    },
+    support::{
+        Fake,
+        LOST_VALUE,
+        node,
+        node_metered,
+        ready, //
+    },
+};
+
+#[rstest]
+#[case::form(b"foreign")]
+#[case::pool(b"elsewhere")]
+#[case::bytes(LOST_VALUE)]
+#[tokio::test(start_paused = true)]
+async fn an_entry_that_turns_foreign_takes_its_worker_out_until_a_good_one_comes(
+    #[case] foreign: &[u8],
+) {
+    let platform = Fake::new();
+    let one = node("one", &platform);
+    ready(&one).await;
+    submit(&one, 1).await.unwrap();
+    completed(&one, 1).await;
+    platform.write(Topic::Workers, "w0", foreign);
+    sleep(SECOND).await;
+    submit(&one, 2).await.unwrap();
+    sleep(30 * SECOND).await;
+    assert_eq!(one.front().look(JobId(2)).await, Ok(State::Queued));
+    platform.write(Topic::Workers, "w0", b"here");
+    completed(&one, 2).await;
+    assert_eq!(platform.starts(2), 4);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_worker_whose_pool_is_configured_later_is_used_then() {
+    let platform = Fake::new();
+    platform.write(Topic::Workers, "w0", b"elsewhere");
+    let one = node("one", &platform);
+    ready(&one).await;
+    submit(&one, 1).await.unwrap();
+    sleep(3 * SECOND).await;
+    assert_eq!(one.front().look(JobId(1)).await, Ok(State::Queued));
+    platform.write(Topic::Configuration, "config", b"2");
+    completed(&one, 1).await;
+}
+
+#[rstest]
+#[case::form(b"foreign")]
+#[case::pool(b"elsewhere")]
+#[case::bytes(LOST_VALUE)]
+#[tokio::test(start_paused = true)]
+async fn the_entry_of_a_worker_that_is_not_known_takes_nobody_out(#[case] foreign: &[u8]) {
+    let platform = Fake::new();
+    platform.write(Topic::Workers, "another", foreign);
+    let one = node("one", &platform);
+    ready(&one).await;
+    submit(&one, 1).await.unwrap();
+    completed(&one, 1).await;
+    assert_eq!(platform.starts(1), 4);
+}
+
+#[tokio::test(start_paused = true)]
+async fn each_record_that_is_turned_away_is_counted() {
+    let platform = Fake::new();
+    let meter = Meter::new().unwrap();
+    let one = node_metered("one", &platform, Millicores(250), meter.clone());
+    ready(&one).await;
+    let before = meter.render().unwrap();
+    assert!(!before.contains("fulmarpier_records_rejected_total{"));
+    platform.write(Topic::Workers, "w1", b"foreign");
+    platform.write(Topic::Workers, "w2", b"foreign");
+    platform.write(Topic::Workers, "w3", b"elsewhere");
+    platform.write(Topic::Workers, "w4", LOST_VALUE);
+    sleep(SECOND).await;
+    let after = meter.render().unwrap();
+    let mut lines: Vec<&str> = after
+        .lines()
+        .filter(|line| line.starts_with("fulmarpier_records_rejected_total{"))
+        .collect();
+    lines.sort_unstable();
+    let counts = ["form", "pool", "value"].map(|fault| {
+        let line = lines
+            .iter()
+            .find(|line| line.contains(&format!("fault=\"{fault}\"")));
+        line.and_then(|line| line.rsplit(' ').next())
+            .map(str::to_owned)
+    });
+    assert_eq!(
+        counts,
+        ["2", "1", "1"].map(|count| Some(count.to_owned())),
+        "{lines:?}"
+    );
+}
+
+/// What other writers may leave anywhere.
+const GARBAGE: [&[u8]; 3] = [b"", b"\xff\xff\xff\xff", LOST_VALUE];
+
+/// Writes records of another writer into every topic, under keys of its own and of this program.
+fn litter(platform: &Fake, job: u64) {
+    let job = JobId(job).to_string();
+    let cancelled = format!("{job}/x");
+    for value in GARBAGE {
+        for key in ["owner", "another"] {
+            platform.write(Topic::Claims, key, value);
+        }
+        for key in ["config", "another"] {
+            platform.write(Topic::Configuration, key, value);
+        }
+        for key in [job.as_str(), "w/w0", "another"] {
+            platform.write(Topic::Progress, key, value);
+        }
+        for partition in 0..16 {
+            for key in [job.as_str(), cancelled.as_str(), "another", "another/x"] {
+                platform.write(Topic::Jobs(partition), key, value);
+            }
+        }
+    }
+}
+
+#[tokio::test]
+async fn an_owner_goes_on_amid_records_that_can_not_be_read() {
+    let platform = Fake::new();
+    let one = node("one", &platform);
+    ready(&one).await;
+    submit(&one, 1).await.unwrap();
+    completed(&one, 1).await;
+    litter(&platform, 1);
+    // Longer than a claim stands that isn't renewed.
+    sleep(2 * SECOND).await;
+    submit(&one, 2).await.unwrap();
+    completed(&one, 2).await;
+    assert_eq!(one.front().look(JobId(1)).await, Ok(State::Completed));
+    assert_eq!((platform.starts(1), platform.starts(2)), (4, 4));
+    assert_eq!(platform.owner().as_deref(), Some("one"));
+    assert!(platform.owned().iter().all(|claim| claim.epoch.0 == 1));
+}
+
+/// How many records of each topic's end the store keeps that has forgotten some.
+const KEPT: usize = 80;
+
+#[rstest]
+#[case::whole_history(None)]
+#[case::forgotten_in_part(Some(KEPT))]
+#[tokio::test]
+async fn a_new_owner_takes_over_what_was_good_last(#[case] kept: Option<usize>) {
+    let platform = Fake::new();
+    // Older than what the store keeps.
+    for _ in 0..KEPT {
+        platform.write(Topic::Claims, "another", b"old");
+    }
+    let one = node("one", &platform);
+    ready(&one).await;
+    submit(&one, 1).await.unwrap();
+    completed(&one, 1).await;
+    one.stop(Duration::ZERO).await;
+    litter(&platform, 1);
+    if let Some(kept) = kept {
+        platform.forget(kept);
+    }
+    // It has read nothing yet, neither the claim nor the configuration.
+    let two = node("two", &platform);
+    ready(&two).await;
+    assert_eq!(two.front().look(JobId(1)).await, Ok(State::Completed));
+    submit(&two, 2).await.unwrap();
+    completed(&two, 2).await;
+    assert_eq!((platform.starts(1), platform.starts(2)), (4, 4));
+    let last = platform.owned().pop().unwrap();
+    assert!(
+        last.epoch.0 >= 2,
+        "the former owner's orders must be refused"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn another_writers_word_cancels_no_job() {
+    let platform = Fake::new();
+    let one = node("one", &platform);
+    ready(&one).await;
+    // The job has to wait meanwhile.
+    platform.write(Topic::Workers, "w0", b"foreign");
+    sleep(SECOND).await;
+    submit(&one, 1).await.unwrap();
+    let key = format!("{}/x", JobId(1));
+    for partition in 0..16 {
+        platform.write(Topic::Jobs(partition), &key, b"cancel");
+    }
+    sleep(3 * SECOND).await;
+    assert_eq!(one.front().look(JobId(1)).await, Ok(State::Queued));
+    platform.write(Topic::Workers, "w0", b"here");
+    completed(&one, 1).await;
+}
