--- a/crates/node/src/owner/control.rs
+++ b/crates/node/src/owner/control.rs
@@ -226,6 +226,9 @@
         return None;
     }
     let found = seat.control.ask(Look(job)).await.ok()?;
+    if found.state.is_none() && seat.view.is_unreadable(job) {
+        return None;
+    }
     Some(found.state.map_or_else(
         || {
             Reply::Absent(Absent {
@@ -477,6 +480,7 @@
         self.shared.meter.believed(&counts, epoch, view);
         if self.shared.meter.may_log("believed") {
             slog::info!(self.shared.log, "believed"; "epoch" => epoch, "jobs" => counts.jobs,
+                "waiting" => counts.waiting,
                 "open_steps" => counts.open_steps, "claims" => counts.claims,
                 "lag_ms" => millis(self.shared.pulse.take_worst()),
                 "owned_ms" => millis(self.since.elapsed()),
--- a/crates/node/src/owner/jobs.rs
+++ b/crates/node/src/owner/jobs.rs
@@ -6,7 +6,10 @@
     time::Duration, //
 };
 
-use fulmarpier_cell::id::NodeName;
+use fulmarpier_cell::id::{
+    JobId,
+    NodeName, //
+};
 use futures::future::join_all;
 use kameo::actor::WeakActorRef;
 use tokio::time::{
@@ -49,15 +52,19 @@
 const JOBS_UNKNOWN: Duration = Duration::from_millis(1_500);
 /// For this long a node that is gone may go on writing: cuts last some seconds.
 const WRITES_ON: Duration = Duration::from_secs(20);
-/// The least time between two readings of what somebody asks about: with it, callers who ask for jobs that
+/// The least time between two readings of a partition that somebody asks about: with it, callers who ask for jobs that
 /// don't exist cost 160 calls of the store a second at most.
 const WANTED_GAP: Duration = Duration::from_millis(100);
 /// A new owner begins to act only on what was on record so short a time ago. It waits for the slowest of 16
 /// partitions, 3.5 s where answers are lost, and what other nodes wrote meanwhile is missing from the other 15:
 /// a cancellation among it has to be in force within 3 s, and jobs wait until they are read on, up to 2 s later.
 const FRESH: Duration = Duration::from_secs(1);
-/// Where the store's calls take long, so many times of that instead: no view of it is younger than one call.
-const FRESH_CALLS: u32 = 2;
+/// Where a partition takes long to read, so many times of that instead: no view of it is younger than one reading.
+const FRESH_READINGS: u32 = 2;
+/// How often partitions are read again at most. Where a third of all answers is lost the slowest of 16 takes more
+/// than a second each time, and a cell without an owner serves nobody: a cancellation whose word is lost as well comes
+/// into force some seconds later then.
+const MOST_ROUNDS: u32 = 2;
 
 /// A partition of the jobs as the owner reads it.
 pub(super) struct Partition {
@@ -67,6 +74,8 @@
     asked: Instant,
     /// All that was on record then has been read.
     read: Instant,
+    /// How long the last reading took.
+    took: Duration,
 }
 
 impl Partition {
@@ -78,6 +87,7 @@
             asked: Instant::now(),
             // Replaced by the first reading, before anybody sees it.
             read: shared.began,
+            took: Duration::ZERO,
         };
         let found = partition.read_surely(shared).await;
         (partition, found)
@@ -100,11 +110,17 @@
             found.extend(records.filter_map(|record| JobRecord::read(record, self.number)));
             if is_last {
                 self.read = asked;
+                self.took = asked.elapsed();
                 return Ok(found);
             }
         }
     }
 
+    /// Returns whether a new owner may act on what has been read.
+    fn is_fresh(&self) -> bool {
+        self.read.elapsed() <= FRESH.max(FRESH_READINGS * self.took)
+    }
+
     /// Reads on until the store answers.
     async fn read_surely<P: Platform>(&mut self, shared: &Shared<P>) -> Vec<JobRecord> {
         loop {
@@ -116,83 +132,81 @@
     }
 }
 
-/// Returns the moment at which all that was on record has been read, from every partition.
-pub(super) fn read_up_to(partitions: &[Partition]) -> Option<Instant> {
-    partitions.iter().map(|partition| partition.read).min()
-}
-
-/// Reads all partitions, and again those that were read longest ago, until what was on record a moment ago is known.
+/// Reads all partitions, and again those that were read long ago: what was on record a moment ago is known then.
 pub(super) async fn read_all<P: Platform>(shared: &Shared<P>) -> (Vec<Partition>, Vec<JobRecord>) {
     let opened = join_all((0..PARTITIONS).map(|number| Partition::open(shared, number))).await;
     let (mut partitions, found): (Vec<Partition>, Vec<Vec<JobRecord>>) = opened.into_iter().unzip();
     let mut found: Vec<JobRecord> = found.into_iter().flatten().collect();
-    loop {
-        let fresh = FRESH.max(FRESH_CALLS * shared.store.usual());
+    for _ in 0..MOST_ROUNDS {
         let due = partitions.iter_mut();
-        let due = due.filter(|partition| partition.read.elapsed() > fresh);
+        let due = due.filter(|partition| !partition.is_fresh());
         let batches = join_all(due.map(|partition| partition.read_surely(shared))).await;
-        if batches.is_empty() {
-            return (partitions, found);
-        }
         found.extend(batches.into_iter().flatten());
     }
+    (partitions, found)
 }
 
-/// Follows the partitions, each as often as something may stand in it that nobody has told of, and all at once
-/// where somebody asks for something that the owner doesn't know.
+/// Makes the view of an owner that has read partitions so far.
+pub(super) fn view(partitions: &[Partition]) -> View {
+    View::new(partitions.iter().map(|partition| partition.read).collect())
+}
+
+/// Follows a partition, as often as something may stand in it that nobody has told of, and at once where somebody
+/// asks for something that the owner doesn't know.
+///
+/// Each has a task of its own: while a part of the store gave no answer for 3 s, cancellations in the rest came into force as
+/// much later.
 pub(super) async fn follow<P: Platform>(
     shared: Arc<Shared<P>>,
-    mut partitions: Vec<Partition>,
+    mut partition: Partition,
     view: View,
     control: WeakActorRef<Control<P>>,
 ) {
     let mut writers = Writers::default();
     loop {
         sleep(WANTED_GAP).await;
-        // Nobody may ask for long.
-        let _ = timeout(JOBS_LOOK - WANTED_GAP, view.wants_more()).await;
+        let wanted = view.wants_more(partition.number);
+        let is_wanted = timeout(JOBS_LOOK - WANTED_GAP, wanted).await.is_ok();
         let peers = shared.peers.lock().await.clone();
         let present = peers.into_iter().map(|peer| peer.node);
         writers.note(present.chain([shared.name.clone()]));
-        let wanted = view.wanted();
-        let due = partitions.iter_mut().filter(|partition| {
-            let is_due = partition.asked.elapsed() >= writers.period(partition.number);
-            is_due || partition.read < wanted
-        });
-        let batches = join_all(due.map(|partition| partition.read_on(&shared))).await;
+        let is_due = partition.asked.elapsed() >= writers.period(partition.number);
+        if !is_wanted && !is_due {
+            if control.upgrade().is_none() {
+                return;
+            }
+            continue;
+        }
+        let found = partition.read_on(&shared).await;
         let Some(control) = control.upgrade() else {
             return;
         };
-        let mut is_failing = false;
-        for batch in batches {
-            match batch {
-                Ok(records) => {
-                    for event in records.into_iter().map(Event::from) {
-                        // The actor may be ending.
-                        let _ = control.tell(event).await;
-                    }
+        let Ok(found) = found else {
+            pause().await;
+            continue;
+        };
+        for record in found {
+            let event = match record {
+                JobRecord::Accepted(accepted) => Event::Accepted(accepted),
+                JobRecord::Cancelled(job, cancellation) => Event::Cancelled(job, cancellation),
+                JobRecord::Unreadable(job) => {
+                    note_unreadable(&shared, &view, job);
+                    continue;
                 }
-                // It is read again when it is due.
-                Err(_) => is_failing = true,
-            }
+            };
+            // The actor may be ending.
+            let _ = control.tell(event).await;
         }
         // The actor hears of the records before whoever waits for this asks it.
-        if let Some(read) = read_up_to(&partitions) {
-            view.note(read);
-        }
-        drop(control);
-        if is_failing {
-            pause().await;
-        }
+        view.note(partition.number, partition.read);
     }
 }
 
-impl From<JobRecord> for Event {
-    fn from(record: JobRecord) -> Self {
-        match record {
-            JobRecord::Accepted(accepted) => Self::Accepted(accepted),
-            JobRecord::Cancelled(job, cancellation) => Self::Cancelled(job, cancellation),
-        }
+/// Notes a job whose record can't be read.
+pub(super) fn note_unreadable<P: Platform>(shared: &Shared<P>, view: &View, job: JobId) {
+    view.note_unreadable(job);
+    if shared.meter.may_log("record-unreadable") {
+        slog::error!(shared.log, "record-unreadable"; "job" => %job);
     }
 }
 
--- a/crates/node/src/owner/takeover.rs
+++ b/crates/node/src/owner/takeover.rs
@@ -91,7 +91,7 @@
         }
     }
     let progress = newest(shared, Topic::Progress, "progress");
-    let (progress, (partitions, jobs)) = futures::join!(progress, jobs::read_all(shared));
+    let (progress, (partitions, found)) = futures::join!(progress, jobs::read_all(shared));
     let mut inheritance = Inheritance::default();
     for record in progress.records {
         let entry = record.value.as_ref().map(|value| record::decode(value));
@@ -104,15 +104,16 @@
             }
         }
     }
-    for record in jobs {
+    let view = jobs::view(&partitions);
+    for record in found {
         match record {
             JobRecord::Accepted(accepted) => inheritance.accepted.push(*accepted),
             JobRecord::Cancelled(job, cancellation) => {
                 inheritance.cancelled.push((job, cancellation));
             }
+            JobRecord::Unreadable(job) => jobs::note_unreadable(shared, &view, job),
         }
     }
-    let view = View::new(jobs::read_up_to(&partitions).unwrap_or(began));
     slog::info!(shared.log, "takeover"; "epoch" => %claim.epoch,
         "jobs" => inheritance.accepted.len(), "workers" => inheritance.workers.len(),
         "view_ms" => millis(view.age()),
@@ -151,12 +152,10 @@
         weak.clone(),
     ));
     tokio::spawn(tail::workers(shared.clone(), weak.clone()));
-    tokio::spawn(jobs::follow(
-        shared.clone(),
-        partitions,
-        view.clone(),
-        weak.clone(),
-    ));
+    for partition in partitions {
+        let view = view.clone();
+        tokio::spawn(jobs::follow(shared.clone(), partition, view, weak.clone()));
+    }
     tokio::spawn(tick(weak.clone()));
     tokio::spawn(follow_config(shared.clone(), weak));
     shared.acting.send_replace(Some(Acting {
--- a/crates/node/tests/node/support.rs
+++ b/crates/node/tests/node/support.rs
@@ -103,12 +103,16 @@
     refused: Vec<String>,
     /// Topics that nobody can read until then.
     held_back: BTreeMap<String, Instant>,
+    /// Topics whose records nobody gets sooner than after this time.
+    delayed: BTreeMap<String, Duration>,
     topics: BTreeMap<String, Vec<Record>>,
     fence: u32,
     /// The writer's last append, to answer a repeat of it.
     written: Option<(u32, u64, u64)>,
     workers: BTreeMap<WorkerId, Host>,
-    starts: Vec<(TaskId, Run)>,
+    starts: Vec<(TaskId, Instant)>,
+    /// How many records it gives at a call, where that is bounded.
+    most_given: Option<usize>,
     appends: usize,
     /// How often the jobs' partitions were read on.
     job_reads: usize,
@@ -211,6 +215,17 @@
         state.topics.entry(place).or_default().push(record);
     }
 
+    /// Keeps a record in a partition of the jobs.
+    pub(crate) fn put(&self, partition: u16, key: &str, value: Vec<u8>) {
+        let record = Record {
+            key: key.to_owned(),
+            value: Some(value.into()),
+        };
+        let place = name(Topic::Jobs(partition));
+        let mut state = self.state();
+        state.topics.entry(place).or_default().push(record);
+    }
+
     /// Keeps a job's cancellation of which nobody tells the owner.
     pub(crate) fn cancel(&self, partition: u16, job: u64) {
         let record = Record {
@@ -233,6 +248,27 @@
         self.state().held_back.insert(name(topic), until);
     }
 
+    /// Has the store take a time for each reading of a topic.
+    pub(crate) fn delay(&self, topic: Topic, time: Duration) {
+        self.state().delayed.insert(name(topic), time);
+    }
+
+    async fn wait_for(&self, topic: Topic) {
+        let time = self.state().delayed.get(&name(topic)).copied();
+        sleep(time.unwrap_or_default()).await;
+    }
+
+    /// Returns the newest record under a key of a partition of the jobs.
+    pub(crate) fn newest_job(&self, partition: u16, key: &str) -> Option<Vec<u8>> {
+        let state = self.state();
+        let records = state.topics.get(&name(Topic::Jobs(partition)));
+        let mut own = records.into_iter().flatten().rev();
+        own.find(|record| record.key == key)?
+            .value
+            .as_ref()
+            .map(|value| value.to_vec())
+    }
+
     /// Returns how many orders to start this machine has given.
     pub(crate) fn ordered(&self) -> usize {
         self.ordered.load(Ordering::Relaxed)
@@ -250,6 +286,19 @@
         starts.filter(|(task, _)| task.step.job.0 == job).count()
     }
 
+    /// Returns when a task of a job was last started.
+    pub(crate) fn last_start(&self, job: u64) -> Option<Instant> {
+        let state = self.state();
+        let starts = state.starts.iter();
+        let own = starts.filter(|(task, _)| task.step.job.0 == job);
+        own.map(|(_, at)| *at).max()
+    }
+
+    /// Has the store give so many records at a call that reads on.
+    pub(crate) fn give_at_most(&self, count: usize) {
+        self.state().most_given = Some(count);
+    }
+
     pub(crate) fn appends(&self) -> usize {
         self.state().appends
     }
@@ -391,20 +440,20 @@
             self.state().job_reads += 1;
         }
         loop {
+            self.wait_for(topic).await;
             self.answer().await?;
-            let records: Vec<Record> = {
+            let (records, end): (Vec<Record>, u64) = {
                 let state = self.state();
-                let records = state.topics.get(&name(topic)).into_iter().flatten();
+                let records = state.topics.get(&name(topic));
+                let end = records.map_or(0, |records| records.len() as u64);
                 let skipped = usize::try_from(from).unwrap();
-                records.skip(skipped).cloned().collect()
+                let rest = records.into_iter().flatten().skip(skipped);
+                let most = state.most_given.unwrap_or(usize::MAX);
+                (rest.take(most).cloned().collect(), end)
             };
             if !records.is_empty() || Instant::now() >= until {
                 let next = from + records.len() as u64;
-                return Ok(Page {
-                    records,
-                    next,
-                    end: next,
-                });
+                return Ok(Page { records, next, end });
             }
             sleep(Duration::from_millis(10)).await;
         }
@@ -412,6 +461,7 @@
 
     async fn newest(&self, topic: Topic) -> Result<Page, Error> {
         self.check_held_back(topic).await?;
+        self.wait_for(topic).await;
         self.answer().await?;
         let state = self.state();
         let records = state.topics.get(&name(topic)).cloned().unwrap_or_default();
@@ -434,7 +484,7 @@
         sleep(CALL).await;
         self.ordered.fetch_add(1, Ordering::Relaxed);
         let mut state = self.state();
-        state.starts.push((order.task, order.run));
+        state.starts.push((order.task, Instant::now()));
         let host = state.workers.entry(order.to.worker).or_default();
         let ends = Instant::now() + RUNS;
         host.running.insert(order.task, (order.run, ends));
--- a/crates/node/tests/node/view.rs
+++ b/crates/node/tests/node/view.rs
@@ -60,7 +60,7 @@
 const HELD_BACK: u16 = 0;
 
 /// Makes the acceptance of a job of two tasks.
-fn accepted(job: u64, partition: u16) -> Accepted {
+pub(crate) fn accepted(job: u64, partition: u16) -> Accepted {
     let step = Step {
         count: 2,
         size: Resources::new(Millicores(500), Bytes::from_mib(100), 0),
@@ -154,7 +154,7 @@
     let asked = Instant::now();
     assert_eq!(cancel(&one, 1).await, Ok(()));
     assert!(asked.elapsed() < SECOND / 10, "{:?}", asked.elapsed());
-    assert!(platform.keeps(&format!("{}/x", JobId(1))));
+    assert!(platform.keeps(&format!("{}/u", JobId(1))));
 }
 
 /// Other nodes have put it on record, and their word has not reached the owner.
