--- a/crates/node/src/owner/jobs.rs
+++ b/crates/node/src/owner/jobs.rs
@@ -31,9 +31,12 @@
     },
     port::{
         Error,
+        Page,
         Platform,
+        Rejected,
         Topic, //
     },
+    recall,
     shared::Shared,
     watch::{
         Batch,
@@ -99,15 +102,14 @@
         self.asked = asked;
         let mut found = Vec::new();
         loop {
-            let page = match self.reader.read(shared, Duration::ZERO).await {
-                Ok(Batch::Whole(page) | Batch::More(page)) => page,
+            let page = match self.read_page(shared).await {
+                Ok(page) => page,
                 Err(error) if found.is_empty() => return Err(error),
                 // The reader is past what was found; the rest is read another time.
                 Err(_) => return Ok(found),
             };
             let is_last = page.is_last();
-            let records = page.records.iter();
-            found.extend(records.filter_map(|record| JobRecord::read(record, self.number)));
+            found.extend(self.take(shared, page));
             if is_last {
                 self.read = asked;
                 self.took = asked.elapsed();
@@ -116,6 +118,40 @@
         }
     }
 
+    async fn read_page<P: Platform>(&mut self, shared: &Shared<P>) -> Result<Page, Error> {
+        let page = match self.reader.read(shared, Duration::ZERO).await? {
+            Batch::More(page) => return Ok(page),
+            Batch::Whole(page) => page,
+        };
+        let topic = Topic::Jobs(self.number);
+        let page = recall::settle(shared, topic, "jobs", page, JobRecord::OWN).await;
+        if page.is_err() {
+            // What the reader is past was not taken.
+            self.reader = Reader::new(topic, "jobs");
+        }
+        page
+    }
+
+    /// Reads the records of a page; one of another writer under the key of a job leaves it unknown.
+    fn take<P: Platform>(&self, shared: &Shared<P>, page: Page) -> Vec<JobRecord> {
+        let mut found = Vec::new();
+        let mut rejected = page.rejected;
+        for record in &page.records {
+            match JobRecord::read(record, self.number) {
+                Ok(read) => found.extend(read),
+                Err(fault) => {
+                    let turned_away = Rejected::record(record, fault);
+                    shared.turn_away("jobs", &turned_away);
+                    rejected.push(turned_away);
+                }
+            }
+        }
+        let jobs = rejected.iter().filter_map(|record| record.key.as_ref());
+        let jobs = jobs.filter_map(|key| key.parse::<JobId>().ok());
+        found.extend(jobs.map(JobRecord::Unreadable));
+        found
+    }
+
     /// Returns whether a new owner may act on what has been read.
     fn is_fresh(&self) -> bool {
         self.read.elapsed() <= FRESH.max(FRESH_READINGS * self.took)
@@ -190,7 +226,7 @@
                 JobRecord::Accepted(accepted) => Event::Accepted(accepted),
                 JobRecord::Cancelled(job, cancellation) => Event::Cancelled(job, cancellation),
                 JobRecord::Unreadable(job) => {
-                    note_unreadable(&shared, &view, job);
+                    view.note_unreadable(job);
                     continue;
                 }
             };
@@ -202,14 +238,6 @@
     }
 }
 
-/// Notes a job whose record can't be read.
-pub(super) fn note_unreadable<P: Platform>(shared: &Shared<P>, view: &View, job: JobId) {
-    view.note_unreadable(job);
-    if shared.meter.may_log("record-unreadable") {
-        slog::error!(shared.log, "record-unreadable"; "job" => %job);
-    }
-}
-
 /// The nodes that write jobs, by when they were last there.
 #[derive(Default)]
 struct Writers(BTreeMap<NodeName, Instant>);
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -4,6 +4,7 @@
 mod forget;
 mod given;
 mod jobs;
+mod listing;
 mod orders;
 mod recorder;
 mod share;
--- a/crates/node/src/owner/takeover.rs
+++ b/crates/node/src/owner/takeover.rs
@@ -10,6 +10,7 @@
         Engine,
         Inheritance, //
     },
+    id::JobId,
     record::{
         self,
         Claim,
@@ -49,10 +50,15 @@
     front::JobRecord,
     port::{
         Error,
+        Fault,
         Page,
         Platform,
         Topic, //
     },
+    recall::{
+        self,
+        Own, //
+    },
     report::millis,
     shared::{
         Acting,
@@ -73,6 +79,19 @@
 /// How many events may wait for the actor; a busy second has some thousands.
 const MAILBOX: usize = 16_384;
 
+/// Which records are the owner's.
+const ENTRIES: Own<'static> = Own {
+    key: |key| key.starts_with("w/") || key.parse::<JobId>().is_ok(),
+    record: &|record| {
+        let Some(value) = &record.value else {
+            return Ok(());
+        };
+        let entry: Entry = record::decode(value).map_err(|_| Fault::Form)?;
+        let is_own = entry.key() == record.key;
+        is_own.then_some(()).ok_or(Fault::Id)
+    },
+};
+
 /// Takes the cell over under a claim that was won; the actor ends when the ownership does.
 ///
 /// # Errors
@@ -90,7 +109,7 @@
             Err(_) => pause().await,
         }
     }
-    let progress = newest(shared, Topic::Progress, "progress");
+    let progress = newest(shared, Topic::Progress, "progress", ENTRIES);
     let (progress, (partitions, found)) = futures::join!(progress, jobs::read_all(shared));
     let mut inheritance = Inheritance::default();
     for record in progress.records {
@@ -99,9 +118,8 @@
             Some(Ok(Entry::Job(job, progress))) => inheritance.progress.push((job, progress)),
             Some(Ok(Entry::Worker(id, usage))) => inheritance.workers.push((id, usage)),
             Some(Ok(Entry::Gone(_))) | None => {}
-            Some(Err(error)) => {
-                slog::error!(shared.log, "record-unreadable"; "key" => record.key, "why" => %error);
-            }
+            // It has been turned away.
+            Some(Err(_)) => {}
         }
     }
     let view = jobs::view(&partitions);
@@ -111,7 +129,7 @@
             JobRecord::Cancelled(job, cancellation) => {
                 inheritance.cancelled.push((job, cancellation));
             }
-            JobRecord::Unreadable(job) => jobs::note_unreadable(shared, &view, job),
+            JobRecord::Unreadable(job) => view.note_unreadable(job),
         }
     }
     slog::info!(shared.log, "takeover"; "epoch" => %claim.epoch,
@@ -123,13 +141,27 @@
     Ok(start(shared, claim, engine, partitions, view))
 }
 
-/// Reads the newest records of a topic, until the store gives them.
-async fn newest<P: Platform>(shared: &Shared<P>, topic: Topic, purpose: &'static str) -> Page {
+/// Reads the newest records of a topic that are this program's, until the store gives them.
+async fn newest<P: Platform>(
+    shared: &Shared<P>,
+    topic: Topic,
+    purpose: &'static str,
+    own: Own<'_>,
+) -> Page {
     let mut reader = Reader::new(topic, purpose);
     loop {
-        match reader.read(shared, Duration::ZERO).await {
-            Ok(Batch::Whole(page) | Batch::More(page)) => return page,
-            Err(_) => pause().await,
+        let page = match reader.read(shared, Duration::ZERO).await {
+            Ok(Batch::Whole(page) | Batch::More(page)) => {
+                recall::settle(shared, topic, purpose, page, own).await
+            }
+            Err(error) => Err(error),
+        };
+        match page {
+            Ok(page) => return page,
+            Err(_) => {
+                reader = Reader::new(topic, purpose);
+                pause().await;
+            }
         }
     }
 }
