Don't release an older ownership behind a newer claim

An owner that was replaced while it stood still failed to hand the cell over, learned by that where the claims end, and put its release there. The newest claim was of an older epoch then, and the next owner took an epoch that another had: workers and store could not tell their orders apart.

--- a/crates/node/src/member/own.rs
+++ b/crates/node/src/member/own.rs
@@ -197,10 +197,14 @@
     let Some(seen) = try_read(shared).await else {
         return false;
     };
-    *end = seen.end;
     match seen.claim {
         Some(claim) if claim == *successor => true,
-        Some(claim) if is_own(shared, &claim) => append(shared, successor, *end).await.is_ok(),
+        Some(claim) if is_own(shared, &claim) => {
+            *end = seen.end;
+            append(shared, successor, *end).await.is_ok()
+        }
+        // Another node's claim is the newest. What this one appends next, its release, must be refused: behind the
+        // newer claim it would bring the older epoch back, and the next owner would share an epoch with another.
         _ => false,
     }
 }
--- a/crates/node/tests/node/platform.rs
+++ b/crates/node/tests/node/platform.rs
@@ -361,6 +361,12 @@
         (!claim.released).then(|| claim.node.to_string())
     }
 
+    /// Puts a claim on record that no node of the test has made.
+    pub(crate) fn claim(&self, claim: &Claim) {
+        let value = record::encode(claim).unwrap();
+        self.write(Topic::Claims, "owner", &value);
+    }
+
     /// Returns all claims on record, in order.
     pub(crate) fn claims(&self) -> Vec<Claim> {
         let state = self.state();
--- a/crates/node/tests/node/record.rs
+++ b/crates/node/tests/node/record.rs
@@ -10,9 +10,11 @@
     engine::State,
     id::{
         JobId,
+        NodeName,
         QueueName, //
     },
     job::Schedule,
+    record::Claim,
 };
 use fulmarpier_node::{
     front::Refusal,
@@ -191,3 +193,28 @@
     let took = claimed.elapsed().as_millis();
     assert!(took <= most_ms, "{took} ms");
 }
+
+/// The owner stood still, another node claimed the cell, and the owner wants to hand it over as it wakes. It learned where the
+/// claims end by the failure of that, and gave its own, older ownership up there: the newest claim was of an older epoch
+/// than the one before it, and the next owner would have had the epoch of another.
+#[tokio::test]
+async fn a_replaced_owner_that_hands_the_cell_over_puts_no_older_claim_behind_the_newer_one() {
+    let platform = Fake::new();
+    let one = node("one", &platform);
+    ready(&one).await;
+    let two = node("two", &platform);
+    ready(&two).await;
+    until(|| async { one.greeted_by().await == 1 }).await;
+    let newest = platform.claims().pop().unwrap();
+    platform.claim(&Claim {
+        epoch: newest.epoch.next(),
+        node: NodeName::from("another"),
+        renewal: 0,
+        ..newest
+    });
+    one.leave();
+    one.disowned(SECOND).await;
+    sleep(2 * SECOND).await;
+    let epochs: Vec<_> = platform.claims().iter().map(|claim| claim.epoch).collect();
+    assert!(epochs.is_sorted(), "{epochs:?}");
+}
