Set steps aside that no worker can run, and tell why steps wait

Cause: a step whose label no worker of the pool has, or for which none is large enough, stays among the open steps for good. Twelve such steps use up the looks that a pass spends on a queue, and the others of the queue are looked at four at a time. No line said why a step doesn't start.

Engine::lack says of a job before it is taken what no worker offers.

--- a/crates/cell/src/effect.rs
+++ b/crates/cell/src/effect.rs
@@ -13,6 +13,10 @@
 };
 
 use crate::{
+    engine::{
+        Survey,
+        Wait, //
+    },
     event::How,
     id::{
         Epoch,
@@ -170,6 +174,21 @@
         /// How long after its arrival.
         after: Duration,
     },
+    /// Tasks of a step wait, for another reason than was told before.
+    Waits {
+        /// The step.
+        step: StepId,
+        /// Why.
+        why: Wait,
+        /// The label that it requires.
+        label: Option<Arc<str>>,
+        /// How many of its tasks wait.
+        tasks: usize,
+        /// What was found of the workers.
+        survey: Survey,
+        /// How long it has waited since its turn came.
+        waited: Duration,
+    },
     /// Advice came in: how many workers were asked about and how many may run the step.
     Advised {
         /// The step.
--- a/crates/cell/src/engine/announce.rs
+++ b/crates/cell/src/engine/announce.rs
@@ -55,6 +55,7 @@
         }
         self.jobs.remove(&id);
         self.open.retain(|step| step.job != id);
+        self.aside.retain(|step| step.job != id);
     }
 
     /// Gives up the announced jobs of which nothing was heard.
--- a/crates/cell/src/engine/contact.rs
+++ b/crates/cell/src/engine/contact.rs
@@ -58,23 +58,28 @@
     /// Takes what a worker reports of itself, a new one or a change.
     pub fn register(&mut self, registration: Registration, now: Timestamp) {
         self.is_stirred = true;
-        if let Some(slot) = self.slots.get(&registration.id) {
-            let Some(worker) = self.workers.get_mut(slot) else {
+        if let Some(slot) = self.slots.get(&registration.id).copied() {
+            let Some(worker) = self.workers.get_mut(&slot) else {
                 return;
             };
             let was = worker.registration.leaving.is_some();
             let leaves = registration.leaving.is_some();
+            let is_changed = worker.offers_other(&registration);
             worker.unlisted = None;
             worker.registration = registration;
             worker.adopt_capacity();
+            if is_changed {
+                self.take_up();
+            }
             if leaves && !was {
-                self.note_worker(*slot, "leaving", now);
+                self.note_worker(slot, "leaving", now);
             }
             return;
         }
         let worker = Worker::new(registration, now, now);
         let slot = self.insert_worker(worker);
         self.note_worker(slot, "listed", now);
+        self.take_up();
     }
 
     /// Notes that the store doesn't list a worker any more.
--- a/crates/cell/src/engine/job.rs
+++ b/crates/cell/src/engine/job.rs
@@ -11,7 +11,10 @@
 
 use fulmarpier_state::clock::Timestamp;
 
-use super::Slot;
+use super::{
+    Slot,
+    Wait, //
+};
 use crate::{
     advice::Advice,
     id::{
@@ -63,6 +66,10 @@
     /// When its turn came.
     pub(super) opened: Option<Timestamp>,
     pub(super) advice: Advice,
+    /// Why it waits, as far as that was told.
+    pub(super) wait: Option<Wait>,
+    /// When the reason was looked for.
+    pub(super) explained: Timestamp,
     /// When the present run of a gang was decided.
     pub(super) gang_since: Timestamp,
 }
@@ -105,6 +112,8 @@
             kept: 0,
             opened: None,
             advice: Advice::default(),
+            wait: None,
+            explained: Timestamp::ZERO,
             gang_since: Timestamp::ZERO,
         };
         for failures in &kept.failures {
--- a/crates/cell/src/engine/mod.rs
+++ b/crates/cell/src/engine/mod.rs
@@ -9,6 +9,7 @@
 //! | `reserve` | makes room for a gang or an urgent task by preemption |
 //! | `ask` | asks which workers may run a step |
 //! | `order` | answers to orders, and stops until they are settled |
+//! | `wait` | tells why steps wait, and sets aside those that no worker can run |
 //! | `pace` | slows filling tasks that disturb serving ones |
 //! | `contact` | inventories, leases, and workers that come and go |
 //! | `end` | ends of runs, tries, and ends of jobs |
@@ -30,6 +31,7 @@
 mod schedule;
 mod submit;
 mod view;
+mod wait;
 
 use std::{
     collections::{
@@ -55,6 +57,11 @@
         Counts,
         State, //
     },
+    wait::{
+        Lack,
+        Survey,
+        Wait, //
+    },
 };
 use crate::{
     advice::{
@@ -146,6 +153,8 @@
     next_slot: u32,
     /// Steps whose turn has come and that have tasks to start.
     open: BTreeSet<StepId>,
+    /// Steps whose turn has come and that no known worker could run.
+    aside: BTreeSet<StepId>,
     /// Runs that have to end: they are told so until they are gone.
     stopping: BTreeSet<(Slot, TaskId, Run)>,
     /// When occurrences of jobs are due.
@@ -194,6 +203,7 @@
             slots: HashMap::default(),
             next_slot: 0,
             open: BTreeSet::new(),
+            aside: BTreeSet::new(),
             stopping: BTreeSet::new(),
             due: BTreeSet::new(),
             pending: HashMap::default(),
@@ -242,6 +252,7 @@
         if config.version >= self.config.version {
             self.config = config;
             self.is_stirred = true;
+            self.take_up();
         }
     }
 
--- a/crates/cell/src/engine/place.rs
+++ b/crates/cell/src/engine/place.rs
@@ -310,6 +310,8 @@
         let waited = stage.opened.map(|opened| now.since(opened));
         let ticket = stage.advice.ticket(slot, now).cloned();
         stage.waiting.remove(&index);
+        stage.wait = None;
+        stage.explained = now;
         let mut checkpoint = None;
         if let Some(task) = stage.task_mut(index) {
             task.active = Some((slot, run));
--- a/crates/cell/src/engine/schedule.rs
+++ b/crates/cell/src/engine/schedule.rs
@@ -96,7 +96,8 @@
                 passed_over.push(rank.step);
                 continue;
             }
-            if !self.serve(rank.step, &mut reserved, now) {
+            if !self.serve(rank.step, &mut reserved, now) && !self.set_aside(rank.step, now) {
+                self.explain_wait(rank.step, now);
                 self.make_room(rank.step, &mut reserved, now);
                 *blocked += 1;
             }
@@ -113,7 +114,9 @@
         let begin = self.turn % steps.len();
         let turn = steps.iter().cycle().skip(begin);
         for step in turn.take(IN_TURN.min(steps.len())) {
-            self.serve(*step, reserved, now);
+            if !self.serve(*step, reserved, now) && !self.set_aside(*step, now) {
+                self.explain_wait(*step, now);
+            }
         }
         self.turn = begin + IN_TURN;
         self.look_again = Some(now + TURN_GAP);
--- a/crates/cell/src/engine/submit.rs
+++ b/crates/cell/src/engine/submit.rs
@@ -158,6 +158,7 @@
         for step in closed {
             self.open.remove(&step);
         }
+        self.aside.retain(|step| step.job != id);
         self.mark_begun(id);
         let mut active = Vec::new();
         if let Some(job) = self.jobs.get(&id) {
--- a/crates/cell/src/engine/view.rs
+++ b/crates/cell/src/engine/view.rs
@@ -42,6 +42,8 @@
     pub jobs: usize,
     /// Steps with tasks that wait for a start.
     pub open_steps: usize,
+    /// Those of them that no known worker could run.
+    pub steps_aside: usize,
     /// Runs that may use room.
     pub claims: usize,
     /// Workers that take tasks, or would if they had room.
@@ -93,7 +95,8 @@
         let unheard = unheard.filter(|worker| worker.heard.is_none() && !worker.claims.is_empty());
         Counts {
             jobs: self.jobs.len() + self.ended.len(),
-            open_steps: self.open.len(),
+            open_steps: self.open.len() + self.aside.len(),
+            steps_aside: self.aside.len(),
             claims: self
                 .workers
                 .values()
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -231,6 +231,12 @@
         self.registration.labels.iter().any(|own| &**own == label)
     }
 
+    /// Returns whether a newer report changes which steps could run on it.
+    pub fn offers_other(&self, newer: &Registration) -> bool {
+        let own = &self.registration;
+        (&own.pool, own.capacity, &own.labels) != (&newer.pool, newer.capacity, &newer.labels)
+    }
+
     /// Returns for how long nothing was heard of it.
     pub fn age(&self, now: Timestamp) -> Duration {
         self.heard.map_or(Duration::MAX, |heard| now.since(heard))
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -10,4 +10,5 @@
 mod pace;
 mod pending;
 mod takeover;
+mod wait;
 mod world;
--- a/crates/cell/tests/cell/world/mod.rs
+++ b/crates/cell/tests/cell/world/mod.rs
@@ -23,11 +23,15 @@
         Pool,
         Queue, //
     },
-    effect::Effect,
+    effect::{
+        Effect,
+        Note, //
+    },
     engine::{
         Engine,
         Inheritance,
-        State, //
+        State,
+        Wait, //
     },
     event::{
         Advised,
@@ -146,6 +150,8 @@
     pub turned_away: u32,
     /// How many calls for advice there were, with how many workers each.
     pub asked: Vec<usize>,
+    /// The reasons to wait that were told, in their order.
+    pub waits: Vec<(JobId, Wait)>,
 }
 
 /// How long a ticket, which tells when it was given, is valid.
@@ -245,6 +251,7 @@
             starts: 0,
             turned_away: 0,
             asked: Vec::new(),
+            waits: Vec::new(),
         };
         for place in 0..WORKERS {
             world.add_worker(place);
@@ -550,6 +557,7 @@
                 self.later(wait, Event::Recorded(entries));
             }
             Effect::Forget(jobs) => self.forgotten.extend(jobs.into_iter().map(|(_, job)| job)),
+            Effect::Note(Note::Waits { step, why, .. }) => self.waits.push((step.job, why)),
             // Nothing fills in the histories.
             Effect::Pace(_) | Effect::Note(_) => {}
             Effect::Deposed => self.violations.push("the owner was deposed".to_owned()),
--- a/crates/node/src/report.rs
+++ b/crates/node/src/report.rs
@@ -210,9 +210,10 @@
 
     /// Sets the gauges of what the owner believes.
     pub(crate) fn believed(&self, counts: &Counts, epoch: u64) {
-        let gauges: [(&'static str, usize); 6] = [
+        let gauges: [(&'static str, usize); 7] = [
             ("jobs", counts.jobs),
             ("open_steps", counts.open_steps),
+            ("steps_aside", counts.steps_aside),
             ("claims", counts.claims),
             ("workers_heard", counts.workers_heard),
             ("workers_silent", counts.workers_silent),
@@ -255,6 +256,7 @@
         Note::Worker { belief, .. } => ("worker", belief),
         Note::Adopted { .. } => ("adopted", ""),
         Note::Finished { outcome, .. } => ("finished", outcome),
+        Note::Waits { why, .. } => ("waits", why.word()),
         Note::Advised { .. } => ("advised", ""),
     }
 }
@@ -309,6 +311,19 @@
             after,
         } => slog::info!(log, "finished"; "job" => %job, "outcome" => outcome,
             "after_ms" => millis(*after)),
+        Note::Waits {
+            step,
+            why,
+            label,
+            tasks,
+            survey,
+            waited,
+        } => slog::info!(log, "waits"; "step" => %step, "why" => why.word(),
+            "label" => label.as_deref().unwrap_or_default(), "tasks" => tasks,
+            "suited" => survey.suited, "open" => survey.open, "allowed" => survey.allowed,
+            "room" => survey.room, "ticketed" => survey.ticketed,
+            "heard_ms" => survey.heard.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(-1)),
+            "waited_ms" => millis(*waited)),
         Note::Advised {
             step,
             node,
