--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -11,4 +11,5 @@
 mod pace;
 mod pending;
 mod takeover;
+mod wait;
 mod world;
