--- a/crates/cell/src/engine/view.rs
+++ b/crates/cell/src/engine/view.rs
@@ -57,6 +57,8 @@
     pub waiting: usize,
     /// Steps with tasks that wait for a start.
     pub open_steps: usize,
+    /// Those of them that no known worker could run.
+    pub steps_aside: usize,
     /// Runs that may use room.
     pub claims: usize,
     /// Workers that take tasks, or would if they had room.
@@ -122,7 +124,8 @@
         Counts {
             jobs: self.jobs.len() + self.ended.len(),
             waiting: self.waiting().count(),
-            open_steps: self.open.len(),
+            open_steps: self.open.len() + self.aside.len(),
+            steps_aside: self.aside.len(),
             claims: self
                 .workers
                 .values()
