Tests hold the ports that they expect to be closed

Cause: `a_closed_port_ran_nothing` let a port go and counted on nobody taking it; beside load another test's server did, and its 404 was taken for the answer. The same in `a_closed_port_refuses_and_nothing_is_sent`, and in the stand-in for workers: a dead worker's port was free, so that another server could answer in its place or keep it from coming back. Ruled out: an address where nothing can listen (port 1 needs no root here). Now a socket stays bound and never listens: the kernel refuses connections to it and gives its port to nobody else.

--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -48,6 +48,7 @@
     vm::Vms,
     worker::{
         Machine,
+        Port,
         Profile,
         Saved,
         Worker, //
@@ -109,8 +110,8 @@
                 paused: pausing,
             };
             let machine = Machine::new(spec.capacity, profile(&settings), saved.clone(), host);
-            let listener = TcpListener::bind(worker_address(&settings, index)?).await?;
-            let worker = Worker::start(spec.id, listener, machine, paused, clock)?;
+            let port = Port::reserve(worker_address(&settings, index)?)?;
+            let worker = Worker::start(spec.id, port, machine, paused, clock)?;
             entries.push(entry(spec, worker.address()));
             workers.insert(spec.id, worker);
         }
--- a/crates/standin/src/worker/mod.rs
+++ b/crates/standin/src/worker/mod.rs
@@ -10,5 +10,8 @@
     machine::Machine,
     profile::Profile,
     saved::Saved,
-    server::Worker, //
+    server::{
+        Port,
+        Worker, //
+    },
 };
--- a/crates/standin/src/worker/server.rs
+++ b/crates/standin/src/worker/server.rs
@@ -33,7 +33,10 @@
 };
 use serde_json::json;
 use tokio::{
-    net::TcpListener,
+    net::{
+        TcpListener,
+        TcpSocket, //
+    },
     sync::watch,
     time::sleep, //
 };
@@ -49,11 +52,54 @@
 const CONNECTIONS: usize = 64;
 /// How often and with what pause the old port is tried when a dead worker comes back.
 const REBIND: (u32, Duration) = (50, Duration::from_millis(20));
+/// How many connections wait until they are accepted.
+const BACKLOG: u32 = 1_024;
+
+/// A port that stays its worker's own while that doesn't listen.
+///
+/// Its socket is bound and never listens, so connections are refused, and nobody else is given the port: without it
+/// another server could answer in the place of a dead worker.
+#[derive(Debug)]
+pub struct Port {
+    socket: TcpSocket,
+}
+
+impl Port {
+    /// Reserves a port; number zero lets the system choose.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the port is taken.
+    pub fn reserve(address: SocketAddr) -> io::Result<Self> {
+        let socket = Self::bind(address)?;
+        Ok(Self { socket })
+    }
+
+    fn address(&self) -> io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
+
+    fn listen(&self) -> io::Result<TcpListener> {
+        Self::bind(self.address()?)?.listen(BACKLOG)
+    }
+
+    fn bind(address: SocketAddr) -> io::Result<TcpSocket> {
+        let socket = match address {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        // The reservation and the listener share the port.
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        Ok(socket)
+    }
+}
 
 /// One worker with its socket.
 #[derive(Debug)]
 pub struct Worker {
     id: WorkerId,
+    port: Port,
     address: SocketAddr,
     clock: Clock,
     machine: Mutex<Machine>,
@@ -63,21 +109,23 @@
 }
 
 impl Worker {
-    /// Starts serving a worker on a bound listener.
+    /// Starts serving a worker on its port.
     ///
     /// # Errors
     ///
-    /// Fails where the listener has no address.
+    /// Fails where it can't listen there.
     pub fn start(
         id: WorkerId,
-        listener: TcpListener,
+        port: Port,
         machine: Machine,
         paused: watch::Sender<bool>,
         clock: Clock,
     ) -> io::Result<Arc<Self>> {
+        let listener = port.listen()?;
         let worker = Arc::new(Self {
             id,
             address: listener.local_addr()?,
+            port,
             clock,
             machine: Mutex::new(machine),
             paused,
@@ -142,13 +190,13 @@
         }
         let (tries, pause) = REBIND;
         for _ in 1..tries {
-            if let Ok(listener) = TcpListener::bind(self.address).await {
+            if let Ok(listener) = self.port.listen() {
                 self.serve(listener);
                 return Ok(());
             }
             sleep(pause).await;
         }
-        self.serve(TcpListener::bind(self.address).await?);
+        self.serve(self.port.listen()?);
         Ok(())
     }
 
--- a/crates/transport/tests/platform_target.rs
+++ b/crates/transport/tests/platform_target.rs
@@ -60,7 +60,10 @@
         AsyncReadExt,
         AsyncWriteExt, //
     },
-    net::TcpListener,
+    net::{
+        TcpListener,
+        TcpSocket, //
+    },
 };
 use uuid::Uuid;
 
@@ -211,9 +214,11 @@
 
 #[tokio::test]
 async fn a_closed_port_ran_nothing() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let address = listener.local_addr().expect("an address");
-    drop(listener);
+    // Bound and never listening: it refuses, and no other test gets the port meanwhile.
+    let socket = TcpSocket::new_v4().expect("a socket");
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    socket.bind(any_port).expect("a port");
+    let address = socket.local_addr().expect("an address");
     let answer = client().send(address, request(&[], "x")).await;
     assert_eq!(answer.expect_err("refused"), Error::Refused);
 }
--- a/crates/transport/tests/rpc.rs
+++ b/crates/transport/tests/rpc.rs
@@ -31,6 +31,7 @@
     },
     net::{
         TcpListener,
+        TcpSocket,
         TcpStream, //
     },
     sync::mpsc,
@@ -107,9 +108,10 @@
 
 #[tokio::test]
 async fn a_closed_port_refuses_and_nothing_is_sent() {
-    let listener = TcpListener::bind(any_port()).await.expect("a port");
-    let address = listener.local_addr().expect("an address");
-    drop(listener);
+    // Bound and never listening: it refuses, and no other test gets the port meanwhile.
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind(any_port()).expect("a port");
+    let address = socket.local_addr().expect("an address");
     let error = client().call(address, call("x"), LONG).await;
     assert_eq!(error, Err(Error::Refused { address }));
 }
