What is due in a cell is found without a look at all workers

Cause: each event of the owner went through all workers three times (calls, leases, forgotten ones) and through all stops, so its cost grew with the square of the fleet. Now: timers by worker and by stop; only what is due is touched.

--- a/crates/cell/src/engine/contact.rs
+++ b/crates/cell/src/engine/contact.rs
@@ -51,8 +51,6 @@
 /// For this long a worker whose leases have lapsed may come back with ends to tell; cuts of workers
 /// last some seconds beyond their leases.
 const COMES_BACK: Duration = Duration::from_secs(12);
-/// How long a worker that nobody lists and that runs nothing is remembered.
-const FORGET: Duration = Duration::from_secs(10);
 
 impl Engine {
     /// Takes what a worker reports of itself, a new one or a change.
@@ -72,6 +70,7 @@
             if was_distrusted {
                 self.note_worker(slot, "trusted", now);
             }
+            self.plan(slot);
             if is_changed {
                 self.take_up();
             }
@@ -95,6 +94,7 @@
             && worker.unlisted.is_none()
         {
             worker.unlisted = Some(now);
+            self.plan(slot);
             self.note_worker(slot, "unlisted", now);
         }
     }
@@ -114,6 +114,7 @@
             && worker.distrusted.is_none()
         {
             worker.distrusted = Some(now);
+            self.plan(slot);
             self.note_worker(slot, "distrusted", now);
         }
     }
@@ -154,52 +155,71 @@
         self.next_slot += 1;
         self.slots.insert(worker.registration.id.clone(), slot);
         self.workers.insert(slot, worker);
+        self.plan(slot);
         slot
     }
 
+    /// Sets when a worker is called and when it may have to be given up, by what is known of it now.
+    ///
+    /// Both may turn out to be too early, and are then set anew.
+    pub(super) fn plan(&mut self, slot: Slot) {
+        let worker = self.workers.get(&slot);
+        self.calls.set(slot, worker.and_then(Worker::next_call));
+        self.expiries
+            .set(slot, worker.and_then(Worker::next_expiry));
+    }
+
     /// Calls every worker whose turn it is.
     pub(super) fn call_workers(&mut self, now: Timestamp) {
-        for worker in self.workers.values_mut() {
-            if worker.peek.is_some_and(|peek| peek.is_due(now)) {
-                worker.peek = Some(Contact::Out(now));
-                self.outbox.push(Effect::Hold(Hold {
-                    to: crate::effect::Destination {
-                        worker: worker.registration.id.clone(),
-                        address: worker.registration.address,
-                        epoch: self.epoch,
-                    },
-                    deadline: None,
-                    acknowledged: worker.kept,
-                    wait: Duration::ZERO,
-                    asked: now,
-                }));
-            }
-            if !worker.contact.is_due(now) || worker.peek == Some(Contact::Out(now)) {
-                continue;
-            }
-            // A worker that doesn't answer may still get its calls: its lease must be able to lapse.
-            let deadline = match worker.silent {
-                None => worker.extend(&self.bounds, now),
-                Some(_) => None,
-            };
-            let wait = match worker.heard {
-                Some(_) if worker.silent.is_none() && worker.pacing.is_mixed => MIXED_WAIT,
-                Some(_) if worker.silent.is_none() => HOLD_WAIT,
-                _ => Duration::ZERO,
-            };
-            worker.contact = Contact::Out(now);
+        for slot in self.calls.take_due(now) {
+            self.call_worker(slot, now);
+            self.plan(slot);
+        }
+    }
+
+    fn call_worker(&mut self, slot: Slot, now: Timestamp) {
+        let Some(worker) = self.workers.get_mut(&slot) else {
+            return;
+        };
+        if worker.peek.is_some_and(|peek| peek.is_due(now)) {
+            worker.peek = Some(Contact::Out(now));
             self.outbox.push(Effect::Hold(Hold {
                 to: crate::effect::Destination {
                     worker: worker.registration.id.clone(),
                     address: worker.registration.address,
                     epoch: self.epoch,
                 },
-                deadline,
+                deadline: None,
                 acknowledged: worker.kept,
-                wait,
+                wait: Duration::ZERO,
                 asked: now,
             }));
         }
+        if !worker.contact.is_due(now) || worker.peek == Some(Contact::Out(now)) {
+            return;
+        }
+        // A worker that doesn't answer may still get its calls: its lease must be able to lapse.
+        let deadline = match worker.silent {
+            None => worker.extend(&self.bounds, now),
+            Some(_) => None,
+        };
+        let wait = match worker.heard {
+            Some(_) if worker.silent.is_none() && worker.pacing.is_mixed => MIXED_WAIT,
+            Some(_) if worker.silent.is_none() => HOLD_WAIT,
+            _ => Duration::ZERO,
+        };
+        worker.contact = Contact::Out(now);
+        self.outbox.push(Effect::Hold(Hold {
+            to: crate::effect::Destination {
+                worker: worker.registration.id.clone(),
+                address: worker.registration.address,
+                epoch: self.epoch,
+            },
+            deadline,
+            acknowledged: worker.kept,
+            wait,
+            asked: now,
+        }));
     }
 
     /// Takes the answer to a call for an inventory.
@@ -224,11 +244,14 @@
             HoldAnswer::Gone => self.lose_worker(slot, "replaced", now),
             HoldAnswer::Silent | HoldAnswer::Refused if is_peek => {
                 worker.peek = Some(Contact::Due(now + SILENT_AGAIN));
+                self.plan(slot);
             }
             HoldAnswer::Silent | HoldAnswer::Refused => {
                 worker.contact = Contact::Due(now + SILENT_AGAIN);
-                if worker.silent.is_none() {
-                    worker.silent = Some(now);
+                let is_news = worker.silent.is_none();
+                worker.silent.get_or_insert(now);
+                self.plan(slot);
+                if is_news {
                     self.note_worker(slot, "silent", now);
                 }
             }
@@ -281,7 +304,9 @@
                 false => Contact::Due(now),
             };
         }
-        self.ledger.add_ends(slot, worker.seen);
+        let seen = worker.seen;
+        self.plan(slot);
+        self.ledger.add_ends(slot, seen);
     }
 
     /// Takes in a run that a worker lists.
@@ -341,6 +366,7 @@
         };
         worker.adopt(task, run, claim);
         let worker = worker.registration.id.clone();
+        self.plan(slot);
         self.note(Note::Adopted { task, run, worker });
         match is_wanted {
             true => self.save(task, running.checkpoint.as_ref()),
@@ -369,7 +395,7 @@
                     Phase::Recording | Phase::Starting => false,
                     Phase::Running { since } => since <= asked,
                     // While it is being stopped a run may be listed neither as running nor as ended.
-                    Phase::Stopping { confirmed, .. } => {
+                    Phase::Stopping { confirmed } => {
                         confirmed.is_some_and(|at| at + self.bounds.stopped() <= asked)
                     }
                 };
@@ -392,7 +418,8 @@
             self.ledger.add_worker(slot);
         }
         self.orders.remove(&(slot, task, run));
-        self.stopping.remove(&(slot, task, run));
+        self.stops.set((slot, task, run), None);
+        self.plan(slot);
         let Some(job) = self.jobs.get_mut(&task.step.job) else {
             self.forget_stranger(slot, task, run);
             return;
@@ -420,6 +447,7 @@
             self.slots.remove(&worker.registration.id);
             self.ledger.remove_worker(worker.registration.id);
         }
+        self.plan(slot);
     }
 
     fn claims_of(&self, slot: Slot) -> Vec<(TaskId, Run)> {
@@ -444,46 +472,31 @@
         }
     }
 
-    /// Gives up what ran on workers whose leases have certainly lapsed.
+    /// Gives up what ran on workers whose leases have certainly lapsed, and forgets workers that answer, but that
+    /// nobody lists and that run nothing.
     pub(super) fn expire_workers(&mut self, now: Timestamp) {
-        let lapsed: Vec<Slot> = self
-            .workers
-            .iter()
-            .filter(|(_, worker)| {
-                let is_quiet = worker.silent.is_some() && worker.lapses() <= now;
-                is_quiet && (!worker.claims.is_empty() || !worker.is_listed())
-            })
-            .map(|(slot, _)| *slot)
-            .collect();
-        for slot in lapsed {
-            let is_listed = self.workers.get(&slot).is_some_and(Worker::is_listed);
-            match is_listed {
-                true => {
-                    self.note_worker(slot, "lapsed", now);
-                    self.doubt_runs(slot, now);
-                    self.release_all(slot, now);
-                }
-                false => {
-                    self.doubt_runs(slot, now);
-                    self.lose_worker(slot, "gone", now);
-                }
-            }
+        for slot in self.expiries.take_due(now) {
+            self.expire_worker(slot, now);
+            self.plan(slot);
         }
-        self.forget_idle(now);
     }
 
-    /// Forgets workers that answer, but that nobody lists and that run nothing.
-    fn forget_idle(&mut self, now: Timestamp) {
-        let idle: Vec<Slot> = self
-            .workers
-            .iter()
-            .filter(|(_, worker)| {
-                let unlisted = worker.unlisted.is_some_and(|at| now.since(at) > FORGET);
-                unlisted && worker.claims.is_empty() && worker.lapses() <= now
-            })
-            .map(|(slot, _)| *slot)
-            .collect();
-        for slot in idle {
+    fn expire_worker(&mut self, slot: Slot, now: Timestamp) {
+        let Some(worker) = self.workers.get(&slot) else {
+            return;
+        };
+        let is_listed = worker.is_listed();
+        if !worker.is_lapsed(now) {
+            if worker.is_idle(now) {
+                self.lose_worker(slot, "gone", now);
+            }
+            return;
+        }
+        self.doubt_runs(slot, now);
+        if is_listed {
+            self.note_worker(slot, "lapsed", now);
+            self.release_all(slot, now);
+        } else {
             self.lose_worker(slot, "gone", now);
         }
     }
--- a/crates/cell/src/engine/mod.rs
+++ b/crates/cell/src/engine/mod.rs
@@ -30,6 +30,7 @@
 mod reserve;
 mod schedule;
 mod submit;
+mod timer;
 mod view;
 mod wait;
 
@@ -49,7 +50,8 @@
 
 use self::{
     job::Job,
-    keep::Ledger, //
+    keep::Ledger,
+    timer::Timers, //
 };
 pub use self::{
     pace::Pacing,
@@ -156,8 +158,12 @@
     open: BTreeSet<StepId>,
     /// Steps whose turn has come and that no known worker could run.
     aside: BTreeSet<StepId>,
-    /// Runs that have to end: they are told so until they are gone.
-    stopping: BTreeSet<(Slot, TaskId, Run)>,
+    /// When workers are called next.
+    calls: Timers<Slot>,
+    /// When workers that are silent or not listed may have to be given up or forgotten.
+    expiries: Timers<Slot>,
+    /// When runs that have to end are told so next.
+    stops: Timers<(Slot, TaskId, Run)>,
     /// When occurrences of jobs are due.
     due: BTreeSet<(Timestamp, JobId, u32)>,
     desk: Desk,
@@ -203,7 +209,9 @@
             next_slot: 0,
             open: BTreeSet::new(),
             aside: BTreeSet::new(),
-            stopping: BTreeSet::new(),
+            calls: Timers::default(),
+            expiries: Timers::default(),
+            stops: Timers::default(),
             due: BTreeSet::new(),
             desk: Desk::default(),
             experience: Experience::default(),
--- a/crates/cell/src/engine/order.rs
+++ b/crates/cell/src/engine/order.rs
@@ -259,12 +259,9 @@
             self.release(slot, task, run, now);
             return;
         }
-        claim.phase = Phase::Stopping {
-            confirmed: None,
-            next: Some(now),
-        };
+        claim.phase = Phase::Stopping { confirmed: None };
         let worker = worker.registration.id.clone();
-        self.stopping.insert((slot, task, run));
+        self.stops.set((slot, task, run), Some(now));
         self.note(Note::Stopping {
             task,
             run,
@@ -275,23 +272,10 @@
 
     /// Sends the stops that are due.
     pub(super) fn send_stops(&mut self, now: Timestamp) {
-        let stopping: Vec<_> = self.stopping.iter().copied().collect();
-        for (slot, task, run) in stopping {
-            let Some(worker) = self.workers.get_mut(&slot) else {
-                self.stopping.remove(&(slot, task, run));
-                continue;
-            };
-            let Some(claim) = worker.claims.get_mut(&(task, run)) else {
-                self.stopping.remove(&(slot, task, run));
+        for (slot, task, run) in self.stops.take_due(now) {
+            let Some(worker) = self.workers.get(&slot) else {
                 continue;
             };
-            let Phase::Stopping { next, .. } = &mut claim.phase else {
-                continue;
-            };
-            if next.is_none_or(|at| at > now) {
-                continue;
-            }
-            *next = None;
             let registration = worker.registration.clone();
             let to = self.destination(&registration);
             self.outbox.push(Effect::Stop(Stop { to, task, run }));
@@ -315,21 +299,22 @@
         let Some(claim) = claim else {
             return;
         };
-        let Phase::Stopping { confirmed, next } = &mut claim.phase else {
+        let Phase::Stopping { confirmed } = &mut claim.phase else {
             return;
         };
         match answer {
             StopAnswer::Confirmed => {
                 *confirmed = Some(now);
-                self.stopping.remove(&(slot, task, run));
+                self.stops.set((slot, task, run), None);
                 if let Some(worker) = self.workers.get_mut(&slot)
                     && worker.peek.is_none()
                 {
                     // Due a moment later, so that the call is certainly made after this answer.
                     worker.peek = Some(Contact::Due(now + PEEK_AFTER));
+                    self.plan(slot);
                 }
             }
-            StopAnswer::Silent => *next = Some(now + STOP_AGAIN),
+            StopAnswer::Silent => self.stops.set((slot, task, run), Some(now + STOP_AGAIN)),
             StopAnswer::Fenced => self.outbox.push(Effect::Deposed),
             StopAnswer::Gone => self.lose_worker(slot, "replaced", now),
         }
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -27,6 +27,9 @@
 /// given up 0.8 s later.
 const OVERTAKEN: Duration = Duration::from_secs(2);
 
+/// How long a worker that nobody lists and that runs nothing is remembered.
+const FORGET: Duration = Duration::from_secs(10);
+
 /// How far a run has come on its worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -43,8 +46,6 @@
     Stopping {
         /// When the worker confirmed the stop.
         confirmed: Option<Timestamp>,
-        /// When the stop is sent next; absent while one is on its way.
-        next: Option<Timestamp>,
     },
 }
 
@@ -246,6 +247,40 @@
         (&own.pool, own.capacity, &own.labels) != (&newer.pool, newer.capacity, &newer.labels)
     }
 
+    /// Returns when it is called next, unless calls are on their way.
+    pub fn next_call(&self) -> Option<Timestamp> {
+        let calls = [self.peek, Some(self.contact)].into_iter().flatten();
+        let due = calls.filter_map(|call| match call {
+            Contact::Due(at) => Some(at),
+            Contact::Out(_) => None,
+        });
+        due.min()
+    }
+
+    /// Returns whether all leases of one that is silent have lapsed, so that what it held is given up.
+    pub fn is_lapsed(&self, now: Timestamp) -> bool {
+        self.is_missed() && self.lapses <= now
+    }
+
+    /// Returns whether it is silent and holds something, or isn't listed either.
+    fn is_missed(&self) -> bool {
+        self.silent.is_some() && (!self.claims.is_empty() || !self.is_listed())
+    }
+
+    /// Returns whether it can be forgotten: it runs nothing, and nobody has listed it for a while.
+    pub fn is_idle(&self, now: Timestamp) -> bool {
+        let is_unlisted = self.unlisted.is_some_and(|at| now.since(at) >= FORGET);
+        is_unlisted && self.claims.is_empty() && self.lapses <= now
+    }
+
+    /// Returns when it may be lapsed or idle, if nothing is heard of it before.
+    pub fn next_expiry(&self) -> Option<Timestamp> {
+        let lapse = self.is_missed().then_some(self.lapses);
+        let idle = self.unlisted.filter(|_| self.claims.is_empty());
+        let idle = idle.map(|at| self.lapses.max(at + FORGET));
+        [lapse, idle].into_iter().flatten().min()
+    }
+
     /// Returns for how long nothing was heard of it.
     pub fn age(&self, now: Timestamp) -> Duration {
         self.heard.map_or(Duration::MAX, |heard| now.since(heard))
