A step's look goes through its candidates, not the fleet

Cause: to place a task, to make room, to renew a ticket, to ask and to tell why a step waits the engine went through all workers, and for each of them through a list of up to 100 that were asked about. Now: a queue with advice looks at the workers that advice allows, one without at those with enough processor time left, out of an index by pool and free processor time that each claim and end keeps up to date. Decisions are the same but for ties and for the order in which workers with like room are asked about.

--- a/crates/cell/src/advice.rs
+++ b/crates/cell/src/advice.rs
@@ -45,8 +45,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Advice {
     /// The workers that may run the step, with their newest tickets.
-    pub allowed: HashMap<Slot, Ticket>,
-    /// The workers that were asked about.
+    pub allowed: BTreeMap<Slot, Ticket>,
+    /// The workers that were asked about, in their order.
     pub named: Vec<Slot>,
     /// How many calls are out.
     pub asking: usize,
@@ -55,6 +55,11 @@
 }
 
 impl Advice {
+    /// Returns whether a worker was asked about.
+    pub fn has_named(&self, slot: Slot) -> bool {
+        self.named.binary_search(&slot).is_ok()
+    }
+
     /// Returns the ticket for a worker, where there is one that can be used.
     pub fn ticket(&self, slot: Slot, now: Timestamp) -> Option<&Ticket> {
         self.allowed
--- a/crates/cell/src/engine/ask.rs
+++ b/crates/cell/src/engine/ask.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use fulmarpier_state::clock::Timestamp;
+use fulmarpier_state::{
+    clock::Timestamp,
+    unit::Millicores, //
+};
 
 use super::{
     Engine,
@@ -24,7 +27,6 @@
         NodeName,
         StepId, //
     },
-    worker::Worker,
 };
 
 /// The most workers that the advice service takes in one call.
@@ -90,28 +92,28 @@
         let (Some(demand), Some(stage)) = (self.demand(job, id), job.stage(id)) else {
             return;
         };
-        let mut named: Vec<(Slot, usize, u32)> = self
-            .workers
-            .iter()
-            .filter(|(_, worker)| {
-                demand.admits(worker, now) && demand.size.fits(&worker.registration.capacity)
-            })
-            .map(|(slot, worker)| {
-                let room = room_for(&worker.free, &demand.size);
-                (*slot, room, worker.free.cpu.get())
-            })
-            .collect();
-        named.sort_by_key(|(_, _, free)| std::cmp::Reverse(*free));
-        let share = self.experience.share(&demand.queue.name);
-        let wanted = stage.waiting.len() as f64 * ROOM_TIMES / share;
-        let enough = enough(&demand, named.iter().map(|(_, fits, _)| *fits), wanted);
+        let workers = self.rooms.from(&demand.queue.pool, Millicores(0)).rev();
+        let workers = workers.filter_map(|slot| Some((slot, self.workers.get(&slot)?)));
+        let eligible = workers.filter(|(_, worker)| {
+            demand.admits(worker, now) && demand.size.fits(&worker.registration.capacity)
+        });
         let most = match demand.step.gang {
             true => usize::MAX,
             false => MOST_NAMED,
         };
-        let count = enough.map_or(most, |count| count.max(LEAST_NAMED));
-        named.truncate(count.min(most));
-        let named = named.into_iter().map(|(slot, ..)| slot).collect();
+        let share = self.experience.share(&demand.queue.name);
+        let wanted = stage.waiting.len() as f64 * ROOM_TIMES / share;
+        let is_choosy = is_choosy(&demand);
+        let mut named = Vec::new();
+        let mut room = 0.0;
+        for (slot, worker) in eligible {
+            let is_enough = is_choosy && room >= wanted && named.len() >= LEAST_NAMED;
+            if is_enough || named.len() >= most {
+                break;
+            }
+            room += room_for(&worker.free, &demand.size) as f64;
+            named.push(slot);
+        }
         self.call(id, named, now);
     }
 
@@ -127,13 +129,10 @@
             return;
         };
         let mut rooms: Vec<(Slot, usize)> = Vec::new();
-        for slot in stage.advice.allowed.keys() {
-            let Some(worker) = self.workers.get(slot) else {
-                continue;
-            };
+        for (slot, worker) in self.candidates(&demand, stage, demand.size.cpu) {
             let room = room_for(&worker.free, &demand.size);
-            if room > 0 && !reserved.holds(*slot, id) && self.is_eligible(id, *slot, worker, now) {
-                rooms.push((*slot, room));
+            if room > 0 && !reserved.holds(slot, id) && demand.admits(worker, now) {
+                rooms.push((slot, room));
             }
         }
         let room: usize = rooms.iter().map(|(_, room)| *room).sum();
@@ -143,6 +142,9 @@
             false => 1,
         };
         if room < needed {
+            if stage.advice.asking > 0 || stage.advice.pause > now {
+                return;
+            }
             let unnamed = self.unnamed(id, reserved, now);
             self.call(id, unnamed, now);
             return;
@@ -173,22 +175,19 @@
         let (Some(demand), Some(stage)) = (self.demand(job, id), job.stage(id)) else {
             return Vec::new();
         };
-        let unnamed: Vec<(Slot, &Worker)> = self
-            .workers
-            .iter()
-            .filter(|(slot, worker)| {
-                !stage.advice.named.contains(slot)
-                    && demand.admits(worker, now)
+        let unnamed = |least| {
+            let slots = self.rooms.from(&demand.queue.pool, least).rev();
+            let slots = slots.filter(|slot| !stage.advice.has_named(*slot));
+            let workers = slots.filter_map(|slot| Some((slot, self.workers.get(&slot)?)));
+            workers.filter(|(slot, worker)| {
+                demand.admits(worker, now)
                     && demand.size.fits(&worker.registration.capacity)
-                    && !reserved.holds(**slot, id)
+                    && !reserved.holds(*slot, id)
             })
-            .map(|(slot, worker)| (*slot, worker))
-            .collect();
-        let with_room: Vec<Slot> = unnamed
-            .iter()
-            .filter(|(_, worker)| demand.size.fits(&worker.free))
-            .map(|(slot, _)| *slot)
-            .collect();
+        };
+        let with_room = unnamed(demand.size.cpu);
+        let with_room = with_room.filter(|(_, worker)| demand.size.fits(&worker.free));
+        let with_room: Vec<Slot> = with_room.map(|(slot, _)| slot).collect();
         if !with_room.is_empty() {
             return with_room;
         }
@@ -197,7 +196,7 @@
         let capacity = allowed.map(|worker| room_for(&worker.registration.capacity, &demand.size));
         let wanted = stage.waiting.len() as f64 * ROOM_TIMES;
         match (capacity.sum::<usize>() as f64) < wanted {
-            true => unnamed.into_iter().map(|(slot, _)| slot).collect(),
+            true => unnamed(Millicores(0)).map(|(slot, _)| slot).collect(),
             false => Vec::new(),
         }
     }
--- a/crates/cell/src/engine/contact.rs
+++ b/crates/cell/src/engine/contact.rs
@@ -70,7 +70,7 @@
             if was_distrusted {
                 self.note_worker(slot, "trusted", now);
             }
-            self.plan(slot);
+            self.index(slot);
             if is_changed {
                 self.take_up();
             }
@@ -94,7 +94,7 @@
             && worker.unlisted.is_none()
         {
             worker.unlisted = Some(now);
-            self.plan(slot);
+            self.index(slot);
             self.note_worker(slot, "unlisted", now);
         }
     }
@@ -114,7 +114,7 @@
             && worker.distrusted.is_none()
         {
             worker.distrusted = Some(now);
-            self.plan(slot);
+            self.index(slot);
             self.note_worker(slot, "distrusted", now);
         }
     }
@@ -155,15 +155,17 @@
         self.next_slot += 1;
         self.slots.insert(worker.registration.id.clone(), slot);
         self.workers.insert(slot, worker);
-        self.plan(slot);
+        self.index(slot);
         slot
     }
 
-    /// Sets when a worker is called and when it may have to be given up, by what is known of it now.
+    /// Sets by what is known of a worker now when it is called, when it may have to be given up, and its place among
+    /// the others by what it has left.
     ///
-    /// Both may turn out to be too early, and are then set anew.
-    pub(super) fn plan(&mut self, slot: Slot) {
+    /// Both times may turn out to be too early, and are then set anew.
+    pub(super) fn index(&mut self, slot: Slot) {
         let worker = self.workers.get(&slot);
+        self.rooms.set(slot, worker);
         self.calls.set(slot, worker.and_then(Worker::next_call));
         self.expiries
             .set(slot, worker.and_then(Worker::next_expiry));
@@ -173,7 +175,7 @@
     pub(super) fn call_workers(&mut self, now: Timestamp) {
         for slot in self.calls.take_due(now) {
             self.call_worker(slot, now);
-            self.plan(slot);
+            self.index(slot);
         }
     }
 
@@ -244,13 +246,13 @@
             HoldAnswer::Gone => self.lose_worker(slot, "replaced", now),
             HoldAnswer::Silent | HoldAnswer::Refused if is_peek => {
                 worker.peek = Some(Contact::Due(now + SILENT_AGAIN));
-                self.plan(slot);
+                self.index(slot);
             }
             HoldAnswer::Silent | HoldAnswer::Refused => {
                 worker.contact = Contact::Due(now + SILENT_AGAIN);
                 let is_news = worker.silent.is_none();
                 worker.silent.get_or_insert(now);
-                self.plan(slot);
+                self.index(slot);
                 if is_news {
                     self.note_worker(slot, "silent", now);
                 }
@@ -305,7 +307,7 @@
             };
         }
         let seen = worker.seen;
-        self.plan(slot);
+        self.index(slot);
         self.ledger.add_ends(slot, seen);
     }
 
@@ -366,7 +368,7 @@
         };
         worker.adopt(task, run, claim);
         let worker = worker.registration.id.clone();
-        self.plan(slot);
+        self.index(slot);
         self.note(Note::Adopted { task, run, worker });
         match is_wanted {
             true => self.save(task, running.checkpoint.as_ref()),
@@ -419,7 +421,7 @@
         }
         self.orders.remove(&(slot, task, run));
         self.stops.set((slot, task, run), None);
-        self.plan(slot);
+        self.index(slot);
         let Some(job) = self.jobs.get_mut(&task.step.job) else {
             self.forget_stranger(slot, task, run);
             return;
@@ -447,7 +449,7 @@
             self.slots.remove(&worker.registration.id);
             self.ledger.remove_worker(worker.registration.id);
         }
-        self.plan(slot);
+        self.index(slot);
     }
 
     fn claims_of(&self, slot: Slot) -> Vec<(TaskId, Run)> {
@@ -477,7 +479,7 @@
     pub(super) fn expire_workers(&mut self, now: Timestamp) {
         for slot in self.expiries.take_due(now) {
             self.expire_worker(slot, now);
-            self.plan(slot);
+            self.index(slot);
         }
     }
 
--- a/crates/cell/src/engine/keep.rs
+++ b/crates/cell/src/engine/keep.rs
@@ -221,7 +221,7 @@
             worker.kept = worker.kept.max(*last);
             if is_news && let Contact::Due(due) = worker.contact {
                 worker.contact = Contact::Due(now.unwrap_or(Timestamp::ZERO).min(due));
-                self.plan(*slot);
+                self.index(*slot);
             }
         }
     }
--- a/crates/cell/src/engine/mod.rs
+++ b/crates/cell/src/engine/mod.rs
@@ -28,6 +28,7 @@
 mod pace;
 mod place;
 mod reserve;
+mod room;
 mod schedule;
 mod submit;
 mod timer;
@@ -51,6 +52,7 @@
 use self::{
     job::Job,
     keep::Ledger,
+    room::Rooms,
     timer::Timers, //
 };
 pub use self::{
@@ -113,6 +115,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Slot(u32);
 
+impl Slot {
+    const FIRST: Self = Self(0);
+}
+
 /// What an order to start carries, apart from what is decided when it leaves.
 #[derive(Clone, Debug)]
 struct Order {
@@ -158,6 +164,8 @@
     open: BTreeSet<StepId>,
     /// Steps whose turn has come and that no known worker could run.
     aside: BTreeSet<StepId>,
+    /// The workers by what they have left.
+    rooms: Rooms,
     /// When workers are called next.
     calls: Timers<Slot>,
     /// When workers that are silent or not listed may have to be given up or forgotten.
@@ -209,6 +217,7 @@
             next_slot: 0,
             open: BTreeSet::new(),
             aside: BTreeSet::new(),
+            rooms: Rooms::default(),
             calls: Timers::default(),
             expiries: Timers::default(),
             stops: Timers::default(),
--- a/crates/cell/src/engine/order.rs
+++ b/crates/cell/src/engine/order.rs
@@ -311,7 +311,7 @@
                 {
                     // Due a moment later, so that the call is certainly made after this answer.
                     worker.peek = Some(Contact::Due(now + PEEK_AFTER));
-                    self.plan(slot);
+                    self.index(slot);
                 }
             }
             StopAnswer::Silent => self.stops.set((slot, task, run), Some(now + STOP_AGAIN)),
--- a/crates/cell/src/engine/place.rs
+++ b/crates/cell/src/engine/place.rs
@@ -4,14 +4,18 @@
 
 use fulmarpier_state::{
     clock::Timestamp,
-    resource::Resources, //
+    resource::Resources,
+    unit::Millicores, //
 };
 
 use super::{
     Engine,
     Order,
     Slot,
-    job::Job,
+    job::{
+        Job,
+        Stage, //
+    },
     reserve::Reserved, //
 };
 use crate::{
@@ -155,24 +159,43 @@
     fn find(&self, id: StepId, index: u16, reserved: &Reserved, now: Timestamp) -> Option<Slot> {
         let job = self.jobs.get(&id.job)?;
         let demand = self.demand(job, id)?;
-        let avoid = job.stage(id)?.task(index)?.avoid;
-        let fitting = self.workers.iter().filter(|(slot, worker)| {
+        let stage = job.stage(id)?;
+        let avoid = stage.task(index)?.avoid;
+        let fitting = self.candidates(&demand, stage, demand.size.cpu);
+        let fitting = fitting.filter(|(slot, worker)| {
             demand.size.fits(&worker.free)
-                && !reserved.holds(**slot, id)
-                && self.suits(job, &demand, **slot, worker, now)
+                && !reserved.holds(*slot, id)
+                && self.suits(job, &demand, *slot, worker, now)
                 && self.spread_left(&demand, worker) > 0
         });
-        fitting
-            .min_by_key(|(slot, worker)| {
-                let is_avoided = avoid == Some(**slot);
-                (
-                    is_avoided,
-                    is_remote(&demand, worker),
-                    self.clashes(&demand, worker),
-                    left(&demand, worker),
-                )
-            })
-            .map(|(slot, _)| *slot)
+        let best = fitting.min_by_key(|(slot, worker)| {
+            let is_avoided = avoid == Some(*slot);
+            (
+                is_avoided,
+                is_remote(&demand, worker),
+                self.clashes(&demand, worker),
+                left(&demand, worker),
+                *slot,
+            )
+        });
+        best.map(|(slot, _)| slot)
+    }
+
+    /// Returns the workers that may run tasks of a step, whatever the age of their tickets; where nobody has to be
+    /// asked, those that have at least so much processor time left.
+    pub(super) fn candidates<'a>(
+        &'a self,
+        demand: &Demand<'_>,
+        stage: &'a Stage,
+        least: Millicores,
+    ) -> impl Iterator<Item = (Slot, &'a Worker)> {
+        let (advised, others) = match demand.queue.advice {
+            Some(_) => (Some(&stage.advice.allowed), None),
+            None => (None, Some(self.rooms.from(&demand.queue.pool, least))),
+        };
+        let advised = advised.into_iter().flat_map(|allowed| allowed.keys());
+        let slots = advised.copied().chain(others.into_iter().flatten());
+        slots.filter_map(|slot| Some((slot, self.workers.get(&slot)?)))
     }
 
     /// Starts a whole gang, or completes one whose members did not all start; true where none is
@@ -254,18 +277,18 @@
         now: Timestamp,
     ) -> Option<Vec<Slot>> {
         let job = self.jobs.get(&id.job)?;
-        let demand = self.demand(job, id)?;
+        let (demand, stage) = (self.demand(job, id)?, job.stage(id)?);
         let mut rooms: Vec<(Slot, usize, &Worker)> = Vec::new();
-        for (slot, worker) in &self.workers {
-            if !demand.size.fits(&worker.free) || reserved.holds(*slot, id) {
+        for (slot, worker) in self.candidates(&demand, stage, demand.size.cpu) {
+            if !demand.size.fits(&worker.free) || reserved.holds(slot, id) {
                 continue;
             }
-            if !self.suits(job, &demand, *slot, worker, now) {
+            if !self.suits(job, &demand, slot, worker, now) {
                 continue;
             }
             let room = room_for(&worker.free, &demand.size).min(self.spread_left(&demand, worker));
             if room > 0 {
-                rooms.push((*slot, room, worker));
+                rooms.push((slot, room, worker));
             }
         }
         if demand.step.same_rack
@@ -273,9 +296,10 @@
         {
             return Some(places);
         }
-        rooms.sort_by_key(|(_, _, worker)| {
+        rooms.sort_by_key(|(slot, _, worker)| {
             let clashes = self.clashes(&demand, worker);
-            (is_remote(&demand, worker), clashes, left(&demand, worker))
+            let left = left(&demand, worker);
+            (is_remote(&demand, worker), clashes, left, *slot)
         });
         fill(rooms.iter().map(|(slot, room, _)| (*slot, *room)), count)
     }
@@ -331,6 +355,7 @@
             ticket,
         };
         self.orders.insert((slot, task, run), order);
+        self.index(slot);
         self.ledger.add_worker(slot);
         true
     }
@@ -340,7 +365,7 @@
 pub(super) fn charge(step: &Step) -> Resources {
     let mut size = step.size;
     if step.fills {
-        size.cpu = fulmarpier_state::unit::Millicores(0);
+        size.cpu = Millicores(0);
     }
     size
 }
@@ -362,19 +387,11 @@
 
 /// Returns how many tasks of a size fit into some room.
 pub(super) fn room_for(free: &Resources, size: &Resources) -> usize {
-    let mut room = *free;
-    let mut count = 0;
-    while size.fits(&room) && count < usize::from(u16::MAX) {
-        let Some(rest) = room.checked_sub(*size) else {
-            break;
-        };
-        if rest == room {
-            return usize::from(u16::MAX);
-        }
-        room = rest;
-        count += 1;
-    }
-    count
+    let of = |free: u64, size: u64| free.checked_div(size).unwrap_or(u64::MAX);
+    let count = of(free.cpu.get().into(), size.cpu.get().into())
+        .min(of(free.memory.get(), size.memory.get()))
+        .min(of(free.accelerators.into(), size.accelerators.into()));
+    u16::try_from(count).unwrap_or(u16::MAX).into()
 }
 
 fn fill(rooms: impl Iterator<Item = (Slot, usize)>, count: usize) -> Option<Vec<Slot>> {
--- a/crates/cell/src/engine/reserve.rs
+++ b/crates/cell/src/engine/reserve.rs
@@ -5,7 +5,8 @@
 use fulmarpier_state::{
     alias::HashMap,
     clock::Timestamp,
-    resource::Resources, //
+    resource::Resources,
+    unit::Millicores, //
 };
 
 use super::{
@@ -95,12 +96,9 @@
         let size = demand.size;
         let count = stage.waiting.len();
         let mut offers: Vec<Offer> = self
-            .workers
-            .iter()
-            .filter(|(slot, worker)| {
-                !reserved.holds(**slot, id) && self.is_eligible(id, **slot, worker, now)
-            })
-            .map(|(slot, worker)| self.offer(&demand, *slot, worker))
+            .candidates(&demand, stage, Millicores(0))
+            .filter(|(slot, worker)| !reserved.holds(*slot, id) && demand.admits(worker, now))
+            .map(|(slot, worker)| self.offer(&demand, slot, worker))
             .collect();
         offers.sort_by_key(|offer| {
             let missing = offer.most - offer.soon;
@@ -108,6 +106,7 @@
                 std::cmp::Reverse(offer.soon),
                 missing,
                 std::cmp::Reverse(offer.idle),
+                offer.slot,
             )
         });
         let Some(chosen) = choose(offers, count, is_gang) else {
@@ -132,28 +131,6 @@
         idle as f64 * ENDS_BY_ITSELF.as_secs_f64() >= making_way as f64 * loss
     }
 
-    /// Returns whether a worker may run a step, whatever its room and the age of its ticket.
-    pub(super) fn is_eligible(
-        &self,
-        id: StepId,
-        slot: Slot,
-        worker: &Worker,
-        now: Timestamp,
-    ) -> bool {
-        let Some(job) = self.jobs.get(&id.job) else {
-            return false;
-        };
-        let Some(demand) = self.demand(job, id) else {
-            return false;
-        };
-        if !demand.admits(worker, now) {
-            return false;
-        }
-        let stage = job.stage(id);
-        demand.queue.advice.is_none()
-            || stage.is_some_and(|stage| stage.advice.allowed.contains_key(&slot))
-    }
-
     fn offer(&self, demand: &Demand<'_>, slot: Slot, worker: &Worker) -> Offer {
         let mut soon = worker.free;
         let mut later = Resources::ZERO;
--- a/crates/cell/src/engine/wait.rs
+++ b/crates/cell/src/engine/wait.rs
@@ -5,10 +5,13 @@
     time::Duration, //
 };
 
-use fulmarpier_state::clock::Timestamp;
+use fulmarpier_state::{
+    clock::Timestamp,
+    unit::Millicores, //
+};
 
 use super::{
-    Engine, Slot,
+    Engine,
     place::{
         Demand,
         room_for, //
@@ -83,12 +86,12 @@
 /// What was found of the workers when the reason was looked for, for the log.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Survey {
-    /// Workers of the pool that have the label and are large enough.
-    pub suited: usize,
+    /// Workers that were asked about.
+    pub named: usize,
+    /// Workers that have the label, are large enough and may run the step, as far as that is known.
+    pub allowed: usize,
     /// Those of them that take tasks.
     pub open: usize,
-    /// Those of them that may run the step.
-    pub allowed: usize,
     /// How many of its tasks fit on these.
     pub room: usize,
     /// How many fit where the ticket can be used as well.
@@ -185,10 +188,10 @@
         let survey = self.survey(&demand, now);
         let is_asked = demand.queue.advice.is_none() || !stage.advice.named.is_empty();
         let why = match survey {
+            _ if !is_asked && stage.advice.asking > 0 => Wait::Advice,
+            _ if !is_asked && self.has_open(&demand, now) => Wait::Desk,
+            Survey { allowed: 0, .. } if is_asked => Wait::Barred,
             Survey { open: 0, .. } => Wait::Closed,
-            _ if !is_asked && stage.advice.asking == 0 => Wait::Desk,
-            _ if !is_asked => Wait::Advice,
-            Survey { allowed: 0, .. } => Wait::Barred,
             Survey { room: 0, .. } => Wait::Room,
             Survey { ticketed: 0, .. } => Wait::Ticket,
             _ => Wait::Kept,
@@ -196,30 +199,32 @@
         self.tell_wait(id, why, survey, now);
     }
 
+    /// Returns whether any worker takes tasks of a step, room and advice aside.
+    fn has_open(&self, demand: &Demand<'_>, now: Timestamp) -> bool {
+        let mut workers = self.workers.values();
+        workers.any(|worker| demand.admits(worker, now))
+    }
+
     fn survey(&self, demand: &Demand<'_>, now: Timestamp) -> Survey {
         let mut survey = Survey::default();
         let stage = self.jobs.get(&demand.id.job);
         let Some(stage) = stage.and_then(|job| job.stage(demand.id)) else {
             return survey;
         };
+        survey.named = stage.advice.named.len();
         let is_free = demand.queue.advice.is_none();
-        let may_run = |slot: &Slot| is_free || stage.advice.allowed.contains_key(slot);
-        let has_ticket = |slot: &Slot| is_free || stage.advice.ticket(*slot, now).is_some();
-        for (slot, worker) in &self.workers {
+        let has_ticket = |slot| is_free || stage.advice.ticket(slot, now).is_some();
+        for (slot, worker) in self.candidates(demand, stage, Millicores(0)) {
             if !is_suited(demand.step, demand.queue, worker) {
                 continue;
             }
-            survey.suited += 1;
+            survey.allowed += 1;
             survey.heard = survey.heard.max(worker.heard.map(|heard| now.since(heard)));
             if !worker.is_open(now) {
                 continue;
             }
             survey.open += 1;
-            if !may_run(slot) {
-                continue;
-            }
             let room = room_for(&worker.free, &demand.size);
-            survey.allowed += 1;
             survey.room += room;
             survey.ticketed += if has_ticket(slot) { room } else { 0 };
         }
--- a/crates/node/src/report.rs
+++ b/crates/node/src/report.rs
@@ -356,7 +356,7 @@
             waited,
         } => slog::info!(log, "waits"; "step" => %step, "why" => why.word(),
             "label" => label.as_deref().unwrap_or_default(), "tasks" => tasks,
-            "suited" => survey.suited, "open" => survey.open, "allowed" => survey.allowed,
+            "named" => survey.named, "allowed" => survey.allowed, "open" => survey.open,
             "room" => survey.room, "ticketed" => survey.ticketed,
             "heard_ms" => survey.heard.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(-1)),
             "waited_ms" => millis(*waited)),
