A pass goes through open steps by rank until a budget of looks, not 12 blocked ones a queue

Cause: a pass stopped after 12 steps of a queue that found no room; a step whose advice was on its way counted as one. The pass came each 4 ms and 20 us a worker, since it went through all workers for each step. Now: open steps stand in an agenda by rank, which changes only when a job is late or worth nothing or the configuration changes. A pass goes through them from the most urgent on until it has taken its budget of looks at workers, and at some of the others in turn; the next one comes after a gap that follows from the looks taken. A step whose first advice is on its way takes no look. MOST_BLOCKED, IN_TURN and PASS_GAP_EACH are gone. Only workers that take tasks stand in the index of room: a new owner that has heard of none yet finds that out at once.

--- a/crates/cell/src/advice.rs
+++ b/crates/cell/src/advice.rs
@@ -1,6 +1,9 @@
 //! What is known of the workers that may run a step, and the nodes that ask for it.
 
-use std::collections::BTreeMap;
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
 
 use fulmarpier_state::{
     alias::HashMap,
@@ -115,23 +118,21 @@
 /// The nodes that ask; the service answers each one call at a time.
 #[derive(Clone, Debug, Default)]
 pub struct Desk {
-    hands: BTreeMap<NodeName, Option<Call>>,
+    idle: BTreeSet<NodeName>,
+    busy: BTreeMap<NodeName, Call>,
+    /// How many of the calls are long.
+    long: usize,
 }
 
 impl Desk {
     /// Says which nodes there are; a call of a node that is gone is given back.
     pub fn set_hands(&mut self, nodes: &[NodeName]) -> Vec<Call> {
-        let mut lost = Vec::new();
-        self.hands.retain(|node, call| {
-            let stays = nodes.contains(node);
-            if !stays {
-                lost.extend(call.take());
-            }
-            stays
-        });
-        for node in nodes {
-            self.hands.entry(node.clone()).or_default();
-        }
+        let nodes: BTreeSet<NodeName> = nodes.iter().cloned().collect();
+        let gone = self.busy.keys().filter(|node| !nodes.contains(*node));
+        let gone: Vec<NodeName> = gone.cloned().collect();
+        let lost = gone.iter().filter_map(|node| self.end(node)).collect();
+        let idle = nodes.into_iter();
+        self.idle = idle.filter(|node| !self.busy.contains_key(node)).collect();
         lost
     }
 
@@ -140,25 +141,32 @@
     /// Long calls get at most half of the nodes (rounded up), so that a short one never waits behind
     /// them everywhere.
     pub fn idle(&self, is_long: bool) -> Option<&NodeName> {
-        let long = self.hands.values().flatten().filter(|call| call.is_long);
-        if is_long && long.count() >= self.hands.len().div_ceil(2) {
+        let hands = self.idle.len() + self.busy.len();
+        if is_long && self.long >= hands.div_ceil(2) {
             return None;
         }
-        let mut idle = self.hands.iter().filter(|(_, call)| call.is_none());
-        idle.next().map(|(node, _)| node)
+        self.idle.first()
     }
 
     /// Notes that a node asks.
-    pub fn begin(&mut self, node: &NodeName, call: Call) {
-        self.hands.insert(node.clone(), Some(call));
+    pub fn begin(&mut self, node: NodeName, call: Call) {
+        self.idle.remove(&node);
+        self.long += usize::from(call.is_long);
+        self.busy.insert(node, call);
     }
 
     /// Notes that a node has finished asking about a step; `None` where it was not.
     pub fn finish(&mut self, node: &NodeName, step: StepId) -> Option<Call> {
-        let busy = self.hands.get_mut(node)?;
-        if busy.as_ref().is_some_and(|call| call.step == step) {
-            return busy.take();
+        if self.busy.get(node)?.step != step {
+            return None;
         }
-        None
+        self.idle.insert(node.clone());
+        self.end(node)
+    }
+
+    fn end(&mut self, node: &NodeName) -> Option<Call> {
+        let call = self.busy.remove(node)?;
+        self.long -= usize::from(call.is_long);
+        Some(call)
     }
 }
--- a/crates/cell/src/engine/announce.rs
+++ b/crates/cell/src/engine/announce.rs
@@ -54,7 +54,7 @@
             self.release(slot, task, run, now);
         }
         self.jobs.remove(&id);
-        self.open.retain(|step| step.job != id);
+        self.agenda.remove_job(id);
         self.aside.retain(|step| step.job != id);
     }
 
--- a/crates/cell/src/engine/ask.rs
+++ b/crates/cell/src/engine/ask.rs
@@ -10,6 +10,7 @@
 use super::{
     Engine,
     Slot,
+    job::Stage,
     place::{
         Demand,
         room_for, //
@@ -92,6 +93,9 @@
         let (Some(demand), Some(stage)) = (self.demand(job, id), job.stage(id)) else {
             return;
         };
+        if !self.may_call(&demand, stage, now) {
+            return;
+        }
         let workers = self.rooms.from(&demand.queue.pool, Millicores(0)).rev();
         let workers = workers.filter_map(|slot| Some((slot, self.workers.get(&slot)?)));
         let eligible = workers.filter(|(_, worker)| {
@@ -142,7 +146,7 @@
             false => 1,
         };
         if room < needed {
-            if stage.advice.asking > 0 || stage.advice.pause > now {
+            if !self.may_call(&demand, stage, now) {
                 return;
             }
             let unnamed = self.unnamed(id, reserved, now);
@@ -201,6 +205,14 @@
         }
     }
 
+    /// Returns whether a call for a step could leave now: none is out, and a node is free for a short one at least.
+    fn may_call(&self, demand: &Demand<'_>, stage: &Stage, now: Timestamp) -> bool {
+        let terms = demand.queue.advice;
+        let is_long = terms.is_some_and(|terms| terms.duration(1) > LONG_CALL);
+        let is_free = stage.advice.asking == 0 && stage.advice.pause <= now;
+        is_free && self.desk.idle(is_long).is_some()
+    }
+
     /// Asks about workers, by several nodes at once where they are too many for one call.
     fn call(&mut self, id: StepId, named: Vec<Slot>, now: Timestamp) {
         let Some(job) = self.jobs.get(&id.job) else {
@@ -233,7 +245,7 @@
                 since: now,
                 is_long,
             };
-            self.desk.begin(&node, call);
+            self.desk.begin(node.clone(), call);
             if let Some(stage) = self.jobs.get_mut(&id.job).and_then(|job| job.stage_mut(id)) {
                 stage.advice.asking += 1;
             }
--- a/crates/cell/src/engine/contact.rs
+++ b/crates/cell/src/engine/contact.rs
@@ -438,7 +438,7 @@
         }
         stage.waiting.insert(task.index);
         stage.opened.get_or_insert(now);
-        self.open.insert(task.step);
+        self.agenda.insert(task.step);
     }
 
     /// Notes that an incarnation is gone with all that it ran.
--- a/crates/cell/src/engine/end.rs
+++ b/crates/cell/src/engine/end.rs
@@ -111,7 +111,7 @@
             }
         }
         if stage.waiting.is_empty() {
-            self.open.remove(&task.step);
+            self.agenda.remove(task.step);
         }
         if job.is_done() {
             job.outcome = Some(Outcome::Completed);
--- a/crates/cell/src/engine/mod.rs
+++ b/crates/cell/src/engine/mod.rs
@@ -17,6 +17,7 @@
 //! | `keep` | what is put on record, and what that allows |
 //! | `view` | what callers and operators see |
 
+mod agenda;
 mod announce;
 mod ask;
 mod contact;
@@ -40,8 +41,7 @@
         BTreeMap,
         BTreeSet, //
     },
-    sync::Arc,
-    time::Duration, //
+    sync::Arc, //
 };
 
 use fulmarpier_state::{
@@ -50,9 +50,11 @@
 };
 
 use self::{
+    agenda::Agenda,
     job::Job,
     keep::Ledger,
     room::Rooms,
+    schedule::Rank,
     timer::Timers, //
 };
 pub use self::{
@@ -104,13 +106,6 @@
     worker::Worker,
 };
 
-/// The least time between two passes over the open steps: a busy second has some 1,000 events, and
-/// a pass over a long queue takes most of a millisecond.
-const PASS_GAP: Duration = Duration::from_millis(4);
-/// What each worker adds to it: a pass looks at all of them for each step that finds no room. At 350
-/// workers and one and a half times the work that fits, the engine took 184 ms of a second without it.
-const PASS_GAP_EACH: Duration = Duration::from_micros(20);
-
 /// A worker's place in the engine's tables; never used for another worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Slot(u32);
@@ -161,7 +156,7 @@
     slots: HashMap<WorkerId, Slot>,
     next_slot: u32,
     /// Steps whose turn has come and that have tasks to start.
-    open: BTreeSet<StepId>,
+    agenda: Agenda,
     /// Steps whose turn has come and that no known worker could run.
     aside: BTreeSet<StepId>,
     /// The workers by what they have left.
@@ -187,8 +182,8 @@
     orders: HashMap<(Slot, TaskId, Run), Order>,
     /// Whether something has changed that may let a task start.
     is_stirred: bool,
-    /// Where among the steps that were passed over the next pass begins.
-    turn: usize,
+    /// Where among the steps that were passed over the last pass has left off.
+    turn: Option<Rank>,
     /// When the steps that were passed over are looked at again, if nothing happens before.
     look_again: Option<Timestamp>,
     /// Before this the open steps are not gone through again.
@@ -215,7 +210,7 @@
             workers: BTreeMap::new(),
             slots: HashMap::default(),
             next_slot: 0,
-            open: BTreeSet::new(),
+            agenda: Agenda::default(),
             aside: BTreeSet::new(),
             rooms: Rooms::default(),
             calls: Timers::default(),
@@ -230,7 +225,7 @@
             held: Vec::new(),
             orders: HashMap::default(),
             is_stirred: true,
-            turn: 0,
+            turn: None,
             look_again: None,
             next_pass: now,
             outbox: Vec::new(),
@@ -269,6 +264,7 @@
     pub fn configure(&mut self, config: Config) {
         if config.version >= self.config.version {
             self.config = config;
+            self.agenda.unrank();
             self.is_stirred = true;
             self.take_up();
         }
@@ -294,8 +290,6 @@
         }
         if self.is_stirred && now >= self.next_pass {
             self.is_stirred = false;
-            let workers = u32::try_from(self.workers.len()).unwrap_or(u32::MAX);
-            self.next_pass = now + PASS_GAP + PASS_GAP_EACH * workers;
             self.schedule(now);
         }
         self.keep(now);
--- a/crates/cell/src/engine/place.rs
+++ b/crates/cell/src/engine/place.rs
@@ -109,7 +109,7 @@
         loop {
             let Some(index) = self.first_startable(id, now) else {
                 if self.first_waiting(id).is_none() {
-                    self.open.remove(&id);
+                    self.agenda.remove(id);
                 }
                 return true;
             };
@@ -205,7 +205,7 @@
             return true;
         };
         if stage.waiting.is_empty() {
-            self.open.remove(&id);
+            self.agenda.remove(id);
             return true;
         }
         if stage.active() > 0 {
@@ -227,7 +227,7 @@
             // Room was counted for all of them a moment ago.
             self.start(id, index, slot, run, now);
         }
-        self.open.remove(&id);
+        self.agenda.remove(id);
         true
     }
 
@@ -258,7 +258,7 @@
                 }
             }
             if self.first_waiting(id).is_none() {
-                self.open.remove(&id);
+                self.agenda.remove(id);
             }
             return true;
         }
--- a/crates/cell/src/engine/room.rs
+++ b/crates/cell/src/engine/room.rs
@@ -13,43 +13,74 @@
     worker::Worker, //
 };
 
-/// The workers of each pool, ordered by their free processor time; a change costs the logarithm of their count.
+/// The workers of each pool, and those of them that take tasks, ordered by their free processor time.
+///
+/// A change of a worker costs the logarithm of their count. While none takes tasks, as when a new owner has heard of
+/// none yet, a step finds that out at once; going through 540 of them for each of 1,800 steps that waited kept a new
+/// owner from everything else for up to 15 s.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Rooms {
-    pools: HashMap<PoolName, BTreeSet<(Millicores, Slot)>>,
-    places: HashMap<Slot, (PoolName, Millicores)>,
+    pools: HashMap<PoolName, Pool>,
+    places: HashMap<Slot, Place>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Pool {
+    members: usize,
+    takers: BTreeSet<(Millicores, Slot)>,
+}
+
+/// Where a worker stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Place {
+    pool: PoolName,
+    /// What it has left, where it takes tasks.
+    free: Option<Millicores>,
 }
 
 impl Rooms {
-    /// Notes what a worker has left now; `None` where it is gone.
+    /// Notes what is known of a worker now; `None` where it is gone.
     pub(super) fn set(&mut self, slot: Slot, worker: Option<&Worker>) {
-        if let (Some(worker), Some((pool, cpu))) = (worker, self.places.get(&slot))
-            && (pool, *cpu) == (&worker.registration.pool, worker.free.cpu)
-        {
+        let place = worker.map(|worker| Place {
+            pool: worker.registration.pool.clone(),
+            free: worker.is_taking().then_some(worker.free.cpu),
+        });
+        if self.places.get(&slot) == place.as_ref() {
             return;
         }
-        if let Some((pool, cpu)) = self.places.remove(&slot)
-            && let Some(pool) = self.pools.get_mut(&pool)
+        if let Some(before) = self.places.remove(&slot)
+            && let Some(pool) = self.pools.get_mut(&before.pool)
         {
-            pool.remove(&(cpu, slot));
+            pool.members -= 1;
+            if let Some(free) = before.free {
+                pool.takers.remove(&(free, slot));
+            }
         }
-        let Some(worker) = worker else {
+        let Some(place) = place else {
             return;
         };
-        let place = (worker.registration.pool.clone(), worker.free.cpu);
-        let pool = self.pools.entry(place.0.clone()).or_default();
-        pool.insert((place.1, slot));
+        let pool = self.pools.entry(place.pool.clone()).or_default();
+        pool.members += 1;
+        if let Some(free) = place.free {
+            pool.takers.insert((free, slot));
+        }
         self.places.insert(slot, place);
     }
 
-    /// Returns the workers of a pool that have so much processor time left, those with the least first.
+    /// Returns how many workers of a pool are known, whether they take tasks or not.
+    pub(super) fn members(&self, pool: &PoolName) -> usize {
+        self.pools.get(pool).map_or(0, |pool| pool.members)
+    }
+
+    /// Returns the workers of a pool that take tasks, unless they rest, and have so much processor time left; those with
+    /// the least come first.
     pub(super) fn from(
         &self,
         pool: &PoolName,
         least: Millicores,
     ) -> impl DoubleEndedIterator<Item = Slot> {
         let pool = self.pools.get(pool).into_iter();
-        pool.flat_map(move |pool| pool.range((least, Slot::FIRST)..))
+        pool.flat_map(move |pool| pool.takers.range((least, Slot::FIRST)..))
             .map(|(_, slot)| *slot)
     }
 }
--- a/crates/cell/src/engine/schedule.rs
+++ b/crates/cell/src/engine/schedule.rs
@@ -4,26 +4,30 @@
 
 use fulmarpier_state::clock::Timestamp;
 
-use fulmarpier_state::alias::HashMap;
-
 use super::{
     Engine,
     reserve::Reserved, //
 };
-use crate::id::{
-    QueueName,
-    StepId, //
-};
+use crate::id::StepId;
 
-/// So many steps of one queue may find no room in a pass; the others of the queue, which are less
-/// urgent and of much the same size, are passed over then. Without it a pass over 500 waiting steps
-/// kept the owner from everything else.
-const MOST_BLOCKED: u32 = 12;
-/// How many of those that were passed over are looked at in a pass all the same.
-const IN_TURN: usize = 4;
+/// How many looks a pass takes before it leaves the less urgent steps to later passes. A look at a worker takes some
+/// 50 ns, so a pass takes a millisecond of a whole core at most and events wait no longer behind it.
+const PASS_LOOKS: usize = 20_000;
+/// How many looks it takes beyond that, at steps that come after and at others in each pass, so that steps which find
+/// no room for a long time don't hide one that would.
+const TURN_LOOKS: usize = 4_000;
+/// What a step takes by itself, in looks at a worker.
+const STEP_LOOKS: usize = 4;
+/// The least time between two passes over the open steps: a busy second has some 1,000 events.
+const PASS_GAP: Duration = Duration::from_millis(4);
+/// What each look adds to it. Passes take a sixteenth of a core so, whatever waits, and an eighth of one of half the
+/// speed.
+const LOOK_GAP: Duration = Duration::from_nanos(800);
 /// The time to the next pass while steps were passed over, if nothing happens before.
 const TURN_GAP: Duration = Duration::from_millis(50);
 
+/// The least span of time: a step is in time up to a moment, and late from the next one on.
+const INSTANT: Duration = Duration::from_micros(1);
 /// The priority of urgent queues, which may preempt the others.
 const URGENT: u8 = 0;
 
@@ -34,12 +38,12 @@
 /// take little of the room, and their callers get an answer instead of none. On 48 workers 2.3% of the jobs
 /// came to nothing so instead of 2.9%, worth 0.699 instead of 0.684 (25 plays of days with trouble).
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Rank {
+pub(super) struct Rank {
     standing: Standing,
     priority: u8,
     lateness: Lateness,
     latest_start: Timestamp,
-    step: StepId,
+    pub(super) step: StepId,
 }
 
 /// Which steps go before which, whatever their priority.
@@ -77,69 +81,94 @@
 impl Engine {
     /// Goes through the open steps in order of urgency and starts what fits.
     pub(super) fn schedule(&mut self, now: Timestamp) {
-        let mut ranks: Vec<Rank> = self
-            .open
-            .iter()
-            .filter_map(|step| self.rank(*step, now))
-            .collect();
-        ranks.sort_unstable();
-        let mut reserved = Reserved::default();
-        let mut passed_over = Vec::new();
-        let mut blocked: HashMap<QueueName, u32> = HashMap::default();
-        for rank in ranks {
-            let Some(job) = self.jobs.get(&rank.step.job) else {
-                continue;
-            };
-            let queue = job.accepted.queue.name.clone();
-            let blocked = blocked.entry(queue).or_default();
-            if *blocked >= MOST_BLOCKED {
-                passed_over.push(rank.step);
-                continue;
-            }
-            if !self.serve(rank.step, &mut reserved, now) && !self.set_aside(rank.step, now) {
-                self.explain_wait(rank.step, now);
-                self.make_room(rank.step, &mut reserved, now);
-                *blocked += 1;
+        for id in self.agenda.take_unranked(now) {
+            if let Some((rank, change)) = self.rank(id, now) {
+                self.agenda.rank(rank, change);
             }
         }
-        self.serve_in_turn(&passed_over, &mut reserved, now);
+        let mut reserved = Reserved::default();
+        let (last, looks) = self.serve_from(None, PASS_LOOKS, &mut reserved, now);
+        let more = self.serve_in_turn(last, &mut reserved, now);
+        let looks = u32::try_from(looks + more).unwrap_or(u32::MAX);
+        self.next_pass = now + PASS_GAP.max(LOOK_GAP * looks);
     }
 
-    /// Looks at some of the steps that were passed over, others in each pass, so that steps which find
-    /// no room for a long time don't hide one that would. No room is made for them.
-    fn serve_in_turn(&mut self, steps: &[StepId], reserved: &mut Reserved, now: Timestamp) {
-        if steps.is_empty() {
-            return;
-        }
-        let begin = self.turn % steps.len();
-        let turn = steps.iter().cycle().skip(begin);
-        for step in turn.take(IN_TURN.min(steps.len())) {
-            if !self.serve(*step, reserved, now) && !self.set_aside(*step, now) {
-                self.explain_wait(*step, now);
+    /// Goes through the steps that come after one, until that has taken so many looks; returns the last one, if any
+    /// comes after it, and how many looks it took.
+    fn serve_from(
+        &mut self,
+        from: Option<Rank>,
+        budget: usize,
+        reserved: &mut Reserved,
+        now: Timestamp,
+    ) -> (Option<Rank>, usize) {
+        let mut last = from;
+        let mut looks = 0;
+        while let Some(rank) = self.agenda.after(last) {
+            if looks >= budget {
+                return (last, looks);
             }
+            last = Some(rank);
+            looks += self.look(rank.step, reserved, now);
         }
-        self.turn = begin + IN_TURN;
+        (None, looks)
+    }
+
+    /// Goes on with the steps that were passed over, where the pass before this one has left off.
+    fn serve_in_turn(
+        &mut self,
+        last: Option<Rank>,
+        reserved: &mut Reserved,
+        now: Timestamp,
+    ) -> usize {
+        let Some(last) = last else {
+            self.turn = None;
+            return 0;
+        };
+        let from = self.turn.map_or(last, |turn| turn.max(last));
+        let (turn, looks) = self.serve_from(Some(from), TURN_LOOKS, reserved, now);
+        self.turn = turn;
         self.look_again = Some(now + TURN_GAP);
+        looks
     }
 
-    fn rank(&self, id: StepId, now: Timestamp) -> Option<Rank> {
+    /// Starts what fits of a step, or makes room for it; returns how many looks that took.
+    fn look(&mut self, id: StepId, reserved: &mut Reserved, now: Timestamp) -> usize {
+        let advice = self.jobs.get(&id.job).and_then(|job| job.stage(id));
+        let advice = advice.map(|stage| &stage.advice);
+        // Nothing can be known of it before the answer.
+        if advice.is_some_and(|advice| advice.asking > 0 && advice.named.is_empty()) {
+            return STEP_LOOKS;
+        }
+        let allowed = advice.map_or(0, |advice| advice.allowed.len());
+        if !self.serve(id, reserved, now) && !self.set_aside(id, now) {
+            self.explain_wait(id, now);
+            self.make_room(id, reserved, now);
+        }
+        STEP_LOOKS + allowed
+    }
+
+    /// Returns the rank of a step, and when it changes.
+    fn rank(&self, id: StepId, now: Timestamp) -> Option<(Rank, Option<Timestamp>)> {
         let job = self.jobs.get(&id.job)?;
         let latest_start = job.latest_start(id);
-        let lateness = match () {
+        let worthless = job.worthless(id.occurrence);
+        let (lateness, until) = match () {
             // It earns for as long as it runs, from whenever on.
-            () if job.step(id).is_some_and(|step| step.lasting) => Lateness::InTime,
-            () if now <= latest_start => Lateness::InTime,
-            () if now <= job.worthless(id.occurrence) => Lateness::Late,
-            () => Lateness::Worthless,
+            () if job.step(id).is_some_and(|step| step.lasting) => (Lateness::InTime, None),
+            () if now <= latest_start => (Lateness::InTime, Some(latest_start)),
+            () if now <= worthless => (Lateness::Late, Some(worthless)),
+            () => (Lateness::Worthless, None),
         };
         let priority = self.queue_of(job).priority;
-        Some(Rank {
+        let rank = Rank {
             standing: Standing::new(priority, lateness),
             priority,
             lateness,
             latest_start,
             step: id,
-        })
+        };
+        Some((rank, until.map(|until| until + INSTANT)))
     }
 
     /// Starts what fits of one step; false where something of it has to wait.
--- a/crates/cell/src/engine/submit.rs
+++ b/crates/cell/src/engine/submit.rs
@@ -110,7 +110,7 @@
                     continue;
                 }
                 stage.opened.get_or_insert(now);
-                self.open.insert(StepId {
+                self.agenda.insert(StepId {
                     job: id,
                     occurrence: *occurrence,
                     step: u16::try_from(index).unwrap_or(u16::MAX),
@@ -145,19 +145,7 @@
 
     /// Takes a job that is over out of all queues and stops what runs of it.
     pub(super) fn close(&mut self, id: JobId, why: &'static str, now: Timestamp) {
-        let range = StepId {
-            job: id,
-            occurrence: 0,
-            step: 0,
-        }..=StepId {
-            job: id,
-            occurrence: u32::MAX,
-            step: u16::MAX,
-        };
-        let closed: Vec<StepId> = self.open.range(range).copied().collect();
-        for step in closed {
-            self.open.remove(&step);
-        }
+        self.agenda.remove_job(id);
         self.aside.retain(|step| step.job != id);
         let mut active = Vec::new();
         if let Some(job) = self.jobs.get(&id) {
--- a/crates/cell/src/engine/view.rs
+++ b/crates/cell/src/engine/view.rs
@@ -124,7 +124,7 @@
         Counts {
             jobs: self.jobs.len() + self.ended.len(),
             waiting: self.waiting().count(),
-            open_steps: self.open.len() + self.aside.len(),
+            open_steps: self.agenda.len() + self.aside.len(),
             steps_aside: self.aside.len(),
             claims: self
                 .workers
--- a/crates/cell/src/engine/wait.rs
+++ b/crates/cell/src/engine/wait.rs
@@ -125,8 +125,7 @@
     }
 
     fn lack_of(&self, step: &Step, queue: &Queue) -> Option<Wait> {
-        let mut pool = self.workers.values();
-        if !pool.any(|worker| worker.registration.pool == queue.pool) {
+        if self.rooms.members(&queue.pool) == 0 {
             return None;
         }
         let mut workers = self.workers.values();
@@ -155,7 +154,7 @@
         let Some(lack) = self.lack_of(demand.step, demand.queue) else {
             return false;
         };
-        self.open.remove(&id);
+        self.agenda.remove(id);
         self.aside.insert(id);
         self.tell_wait(id, lack, Survey::default(), now);
         true
@@ -167,7 +166,7 @@
             let job = self.jobs.get(&id.job).filter(|job| !job.is_over());
             let stage = job.and_then(|job| job.stage(id));
             if stage.is_some_and(|stage| !stage.waiting.is_empty()) {
-                self.open.insert(id);
+                self.agenda.insert(id);
                 self.is_stirred = true;
             }
         }
@@ -201,7 +200,8 @@
 
     /// Returns whether any worker takes tasks of a step, room and advice aside.
     fn has_open(&self, demand: &Demand<'_>, now: Timestamp) -> bool {
-        let mut workers = self.workers.values();
+        let slots = self.rooms.from(&demand.queue.pool, Millicores(0));
+        let mut workers = slots.filter_map(|slot| self.workers.get(&slot));
         workers.any(|worker| demand.admits(worker, now))
     }
 
--- a/crates/cell/src/id.rs
+++ b/crates/cell/src/id.rs
@@ -2,6 +2,7 @@
 
 use std::{
     fmt,
+    ops::RangeInclusive,
     str::FromStr,
     sync::Arc, //
 };
@@ -70,6 +71,21 @@
 }
 
 impl StepId {
+    /// Spans all steps that a job may have.
+    pub const fn all_of(job: JobId) -> RangeInclusive<Self> {
+        let first = Self {
+            job,
+            occurrence: 0,
+            step: 0,
+        };
+        let last = Self {
+            job,
+            occurrence: u32::MAX,
+            step: u16::MAX,
+        };
+        RangeInclusive::new(first, last)
+    }
+
     /// Names a task of the step.
     pub const fn task(self, index: u16) -> TaskId {
         TaskId { step: self, index }
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -173,13 +173,17 @@
         self.unlisted.is_none() && self.distrusted.is_none()
     }
 
-    /// Returns whether new tasks may be placed on it.
-    pub fn is_open(&self, now: Timestamp) -> bool {
+    /// Returns whether new tasks may be placed on it, unless it rests.
+    pub fn is_taking(&self) -> bool {
         self.heard.is_some()
             && self.silent.is_none()
             && self.is_listed()
             && self.registration.leaving.is_none()
-            && self.rests <= now
+    }
+
+    /// Returns whether new tasks may be placed on it now.
+    pub fn is_open(&self, now: Timestamp) -> bool {
+        self.is_taking() && self.rests <= now
     }
 
     /// Takes room for a run; false where there is not enough.
