--- a/crates/cell/src/engine/mod.rs
+++ b/crates/cell/src/engine/mod.rs
@@ -17,6 +17,7 @@
 //! | `keep` | what is put on record, and what that allows |
 //! | `view` | what callers and operators see |
 
+mod agenda;
 mod announce;
 mod ask;
 mod contact;
@@ -28,8 +29,10 @@
 mod pace;
 mod place;
 mod reserve;
+mod room;
 mod schedule;
 mod submit;
+mod timer;
 mod view;
 mod wait;
 
@@ -38,8 +41,7 @@
         BTreeMap,
         BTreeSet, //
     },
-    sync::Arc,
-    time::Duration, //
+    sync::Arc, //
 };
 
 use fulmarpier_state::{
@@ -48,8 +50,12 @@
 };
 
 use self::{
+    agenda::Agenda,
     job::Job,
-    keep::Ledger, //
+    keep::Ledger,
+    room::Rooms,
+    schedule::Rank,
+    timer::Timers, //
 };
 pub use self::{
     pace::Pacing,
@@ -100,17 +106,19 @@
     worker::Worker,
 };
 
-/// The least time between two passes over the open steps: a busy second has some 1,000 events, and
-/// a pass over a long queue takes most of a millisecond.
-const PASS_GAP: Duration = Duration::from_millis(4);
-/// What each worker adds to it: a pass looks at all of them for each step that finds no room. At 350
-/// workers and one and a half times the work that fits, the engine took 184 ms of a second without it.
-const PASS_GAP_EACH: Duration = Duration::from_micros(20);
-
 /// A worker's place in the engine's tables; never used for another worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Slot(u32);
 
+impl Slot {
+    const FIRST: Self = Self(0);
+
+    /// Returns its place in a list by slot.
+    const fn index(self) -> usize {
+        self.0 as usize
+    }
+}
+
 /// What an order to start carries, apart from what is decided when it leaves.
 #[derive(Clone, Debug)]
 struct Order {
@@ -145,6 +153,8 @@
     ended: HashMap<JobId, Outcome>,
     /// Jobs that are over, by when that was learnt.
     over: Vec<(Timestamp, JobId)>,
+    /// Jobs that are forgotten and whose memory is given back bit by bit.
+    dropped: Vec<Job>,
     /// Acceptances that are to be taken off the record, with their partitions.
     forgotten: Vec<Forgotten>,
     /// When jobs that are over are looked at next.
@@ -153,11 +163,17 @@
     slots: HashMap<WorkerId, Slot>,
     next_slot: u32,
     /// Steps whose turn has come and that have tasks to start.
-    open: BTreeSet<StepId>,
+    agenda: Agenda,
     /// Steps whose turn has come and that no known worker could run.
     aside: BTreeSet<StepId>,
-    /// Runs that have to end: they are told so until they are gone.
-    stopping: BTreeSet<(Slot, TaskId, Run)>,
+    /// The workers by what they have left.
+    rooms: Rooms,
+    /// When workers are called next.
+    calls: Timers<Slot>,
+    /// When workers that are silent or not listed may have to be given up or forgotten.
+    expiries: Timers<Slot>,
+    /// When runs that have to end are told so next.
+    stops: Timers<(Slot, TaskId, Run)>,
     /// When occurrences of jobs are due.
     due: BTreeSet<(Timestamp, JobId, u32)>,
     desk: Desk,
@@ -173,8 +189,8 @@
     orders: HashMap<(Slot, TaskId, Run), Order>,
     /// Whether something has changed that may let a task start.
     is_stirred: bool,
-    /// Where among the steps that were passed over the next pass begins.
-    turn: usize,
+    /// Where among the steps that were passed over the last pass has left off.
+    turn: Option<Rank>,
     /// When the steps that were passed over are looked at again, if nothing happens before.
     look_again: Option<Timestamp>,
     /// Before this the open steps are not gone through again.
@@ -196,14 +212,18 @@
             cancelled: BTreeMap::new(),
             ended: HashMap::default(),
             over: Vec::new(),
+            dropped: Vec::new(),
             forgotten: Vec::new(),
             next_sweep: now,
             workers: BTreeMap::new(),
             slots: HashMap::default(),
             next_slot: 0,
-            open: BTreeSet::new(),
+            agenda: Agenda::default(),
             aside: BTreeSet::new(),
-            stopping: BTreeSet::new(),
+            rooms: Rooms::default(),
+            calls: Timers::default(),
+            expiries: Timers::default(),
+            stops: Timers::default(),
             due: BTreeSet::new(),
             desk: Desk::default(),
             experience: Experience::default(),
@@ -213,7 +233,7 @@
             held: Vec::new(),
             orders: HashMap::default(),
             is_stirred: true,
-            turn: 0,
+            turn: None,
             look_again: None,
             next_pass: now,
             outbox: Vec::new(),
@@ -252,6 +272,7 @@
     pub fn configure(&mut self, config: Config) {
         if config.version >= self.config.version {
             self.config = config;
+            self.agenda.unrank();
             self.is_stirred = true;
             self.take_up();
         }
@@ -260,7 +281,7 @@
     /// Says which nodes can ask for advice.
     pub fn set_hands(&mut self, nodes: &[NodeName], now: Timestamp) {
         for call in self.desk.set_hands(nodes) {
-            self.unask(call.step, now);
+            self.unask(&call, now);
         }
         self.is_stirred = true;
     }
@@ -277,8 +298,6 @@
         }
         if self.is_stirred && now >= self.next_pass {
             self.is_stirred = false;
-            let workers = u32::try_from(self.workers.len()).unwrap_or(u32::MAX);
-            self.next_pass = now + PASS_GAP + PASS_GAP_EACH * workers;
             self.schedule(now);
         }
         self.keep(now);
