A wide gang that is late isn't passed by for ever

Cause: of the gangs of a queue those that can be in time go first, and workers are kept only where what runs there ends soon, which leaves out other gangs; so while narrow gangs come all the time, a wide one that is late never runs. Now: a late gang is ranked with those in time, one of a queue at a time, once 64 gangs of its queue have started while it waited, and then also waits for gangs to end.

--- a/crates/cell/src/engine/agenda.rs
+++ b/crates/cell/src/engine/agenda.rs
@@ -66,6 +66,16 @@
         self.unranked = self.steps.keys().copied().collect();
     }
 
+    /// Has a step ranked anew.
+    pub(super) fn unrank_one(&mut self, id: StepId) {
+        self.unranked.push(id);
+    }
+
+    /// Returns the rank of an open step, once it has one.
+    pub(super) fn rank_of(&self, id: StepId) -> Option<Rank> {
+        self.steps.get(&id).copied().flatten()
+    }
+
     /// Takes the steps that are to be ranked now.
     pub(super) fn take_unranked(&mut self, now: Timestamp) -> Vec<StepId> {
         let mut unranked = std::mem::take(&mut self.unranked);
--- a/crates/cell/src/engine/job.rs
+++ b/crates/cell/src/engine/job.rs
@@ -72,6 +72,8 @@
     pub(super) explained: Timestamp,
     /// When the present run of a gang was decided.
     pub(super) gang_since: Timestamp,
+    /// How many gangs of its queue had started when its turn came.
+    pub(super) started_before: u64,
 }
 
 impl Task {
@@ -115,6 +117,7 @@
             wait: None,
             explained: Timestamp::ZERO,
             gang_since: Timestamp::ZERO,
+            started_before: 0,
         };
         for failures in &kept.failures {
             if let Some(task) = stage.tasks.get_mut(usize::from(failures.index)) {
--- a/crates/cell/src/engine/mod.rs
+++ b/crates/cell/src/engine/mod.rs
@@ -91,6 +91,7 @@
         Epoch,
         JobId,
         NodeName,
+        QueueName,
         Run,
         StepId,
         TaskId,
@@ -187,6 +188,10 @@
     held: Vec<(Slot, TaskId, Run)>,
     /// Orders that wait for their record.
     orders: HashMap<(Slot, TaskId, Run), Order>,
+    /// How many gangs of each queue have started.
+    gangs_started: HashMap<QueueName, u64>,
+    /// The late gang of each queue that is ranked with those in time.
+    promoted: HashMap<QueueName, StepId>,
     /// Whether something has changed that may let a task start.
     is_stirred: bool,
     /// Where among the steps that were passed over the last pass has left off.
@@ -232,6 +237,8 @@
             strangers: HashMap::default(),
             held: Vec::new(),
             orders: HashMap::default(),
+            gangs_started: HashMap::default(),
+            promoted: HashMap::default(),
             is_stirred: true,
             turn: None,
             look_again: None,
--- a/crates/cell/src/engine/place.rs
+++ b/crates/cell/src/engine/place.rs
@@ -238,6 +238,7 @@
         let Some(places) = self.find_gang(id, waiting.len(), reserved, now) else {
             return false;
         };
+        self.count_gang(id);
         let run = waiting.iter().map(|index| self.next_run(id, *index)).max();
         let run = run.unwrap_or_default();
         if let Some(stage) = self.jobs.get_mut(&id.job).and_then(|job| job.stage_mut(id)) {
@@ -251,6 +252,13 @@
         true
     }
 
+    fn count_gang(&mut self, id: StepId) {
+        if let Some(job) = self.jobs.get(&id.job) {
+            let queue = self.queue_of(job).name.clone();
+            *self.gangs_started.entry(queue).or_default() += 1;
+        }
+    }
+
     /// Starts missing members of a gang elsewhere, or stops those that wait in vain.
     fn repair_gang(&mut self, id: StepId, reserved: &Reserved, now: Timestamp) -> bool {
         let Some(stage) = self.jobs.get(&id.job).and_then(|job| job.stage(id)) else {
--- a/crates/cell/src/engine/reserve.rs
+++ b/crates/cell/src/engine/reserve.rs
@@ -117,12 +117,13 @@
             return false;
         };
         let is_pressing = !is_gang || now >= job.latest_start(id);
+        let has_waited = self.promoted.get(&demand.queue.name) == Some(&id);
         let size = demand.size;
         let count = stage.waiting.len();
         let mut offers: Vec<Offer> = self
             .candidates(&demand, stage)
             .filter(|(slot, worker)| !reserved.holds(*slot, id) && demand.admits(worker, now))
-            .map(|(slot, worker)| self.offer(&demand, slot, worker))
+            .map(|(slot, worker)| self.offer(&demand, slot, worker, has_waited))
             .collect();
         offers.sort_by_key(|offer| {
             let missing = offer.most - offer.soon;
@@ -159,7 +160,8 @@
         idle as f64 * ENDS_BY_ITSELF.as_secs_f64() >= making_way as f64 * loss
     }
 
-    fn offer(&self, demand: &Demand<'_>, slot: Slot, worker: &Worker) -> Offer {
+    /// Returns what a worker could offer a step; one that has waited for long also waits for gangs to end there.
+    fn offer(&self, demand: &Demand<'_>, slot: Slot, worker: &Worker, has_waited: bool) -> Offer {
         let mut soon = worker.free;
         let mut later = Resources::ZERO;
         let mut victims = Vec::new();
@@ -168,7 +170,7 @@
                 soon = soon.checked_add(claim.size).unwrap_or(soon);
             } else if matches!(claim.phase, Phase::Running { .. }) && self.yields(*task, demand) {
                 victims.push((*task, *run, claim.size, claim.since));
-            } else if self.is_short(*task) {
+            } else if self.ends(*task, has_waited) {
                 later = later.checked_add(claim.size).unwrap_or(later);
             }
         }
@@ -190,11 +192,12 @@
         }
     }
 
-    /// Returns whether a running task will soon end by itself: neither a gang's nor one that lasts.
-    fn is_short(&self, task: TaskId) -> bool {
+    /// Returns whether a running task will soon end by itself: neither a gang's, unless that is waited for as well, nor
+    /// one that lasts.
+    fn ends(&self, task: TaskId, with_gangs: bool) -> bool {
         let job = self.jobs.get(&task.step.job);
         let step = job.and_then(|job| job.step(task.step));
-        step.is_some_and(|step| !step.gang && !step.lasting)
+        step.is_some_and(|step| (with_gangs || !step.gang) && !step.lasting)
     }
 
     /// Returns whether a running task makes way for a step.
--- a/crates/cell/src/engine/schedule.rs
+++ b/crates/cell/src/engine/schedule.rs
@@ -30,6 +30,11 @@
 
 /// The least span of time: a step is in time up to a moment, and late from the next one on.
 const INSTANT: Duration = Duration::from_micros(1);
+/// A gang that is late is ranked with those in time, one of a queue at a time, once so many others of its queue have
+/// started while it waited: some 7 s of the arrivals of a busy fleet of 540. Else each gang that comes later, and fits
+/// where a wide one doesn't, goes before it for as long as any come.
+const MOST_OVERTAKEN: u64 = 64;
+
 /// The priority of urgent queues, which may preempt the others.
 const URGENT: u8 = 0;
 
@@ -111,6 +116,9 @@
                 return (last, looks);
             }
             last = Some(rank);
+            if rank.standing == Standing::Late {
+                self.promote(rank.step);
+            }
             looks += self.look(rank.step, reserved, now);
         }
         (None, looks)
@@ -134,6 +142,26 @@
         looks
     }
 
+    /// Ranks a late gang with those in time where too many others were started before it, and none is ranked so already.
+    fn promote(&mut self, id: StepId) {
+        let Some(job) = self.jobs.get(&id.job) else {
+            return;
+        };
+        let is_gang = job.step(id).is_some_and(|step| step.gang);
+        let Some(stage) = job.stage(id).filter(|_| is_gang) else {
+            return;
+        };
+        let queue = &self.queue_of(job).name;
+        let started = self.gangs_started.get(queue).copied().unwrap_or_default();
+        let promoted = self.promoted.get(queue);
+        let promoted = promoted.and_then(|promoted| self.agenda.rank_of(*promoted));
+        let is_free = promoted.is_none_or(|rank| rank.lateness == Lateness::Worthless);
+        if is_free && started - stage.started_before >= MOST_OVERTAKEN {
+            self.promoted.insert(queue.clone(), id);
+            self.agenda.unrank_one(id);
+        }
+    }
+
     /// Starts what fits of a step, or makes room for it; returns how many looks that took.
     fn look(&mut self, id: StepId, reserved: &mut Reserved, now: Timestamp) -> usize {
         let advice = self.jobs.get(&id.job).and_then(|job| job.stage(id));
@@ -163,7 +191,13 @@
             () if now <= worthless => (Lateness::Late, Some(worthless)),
             () => (Lateness::Worthless, None),
         };
-        let priority = self.queue_of(job).priority;
+        let queue = self.queue_of(job);
+        let priority = queue.priority;
+        let is_promoted = self.promoted.get(&queue.name) == Some(&id);
+        let lateness = match lateness {
+            Lateness::Late if is_promoted => Lateness::InTime,
+            lateness => lateness,
+        };
         let rank = Rank {
             standing: Standing::new(priority, lateness),
             priority,
--- a/crates/cell/src/engine/submit.rs
+++ b/crates/cell/src/engine/submit.rs
@@ -99,6 +99,8 @@
             return;
         };
         let spec = job.spec().clone();
+        let started = self.gangs_started.get(&job.accepted.queue.name);
+        let started = started.copied().unwrap_or_default();
         for (occurrence, stages) in &mut job.occurrences {
             for (index, step) in spec.steps.iter().enumerate() {
                 let is_ready = step.after.iter().all(|after| {
@@ -109,7 +111,10 @@
                 if !is_ready || stage.waiting.is_empty() {
                     continue;
                 }
-                stage.opened.get_or_insert(now);
+                if stage.opened.is_none() {
+                    stage.opened = Some(now);
+                    stage.started_before = started;
+                }
                 self.agenda.insert(StepId {
                     job: id,
                     occurrence: *occurrence,
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -12,4 +12,5 @@
 mod pending;
 mod takeover;
 mod wait;
+mod wide;
 mod world;
--- a/crates/cell/tests/cell/world/mod.rs
+++ b/crates/cell/tests/cell/world/mod.rs
@@ -130,6 +130,8 @@
     faults: Faults,
     epoch: Epoch,
     config: Config,
+    /// The nodes that ask for advice.
+    nodes: Vec<NodeName>,
     accepted: Vec<Accepted>,
     /// Jobs whose acceptance was taken off the record.
     forgotten: BTreeSet<JobId>,
@@ -214,6 +216,11 @@
 impl World {
     /// Makes a world with eight workers, all of them known to the first owner.
     pub(crate) fn new(seed: u64, faults: Faults) -> Self {
+        Self::sized(seed, faults, WORKERS, &["a", "b", "c"])
+    }
+
+    /// Makes a world with so many workers, all of them known to the first owner, and these nodes.
+    pub(crate) fn sized(seed: u64, faults: Faults, workers: u32, nodes: &[&'static str]) -> Self {
         let now = Timestamp::from_millis(1_000_000);
         let mut config = Config {
             version: 1,
@@ -242,6 +249,7 @@
             faults,
             epoch,
             config,
+            nodes: nodes.iter().copied().map(NodeName::from).collect(),
             accepted: Vec::new(),
             forgotten: BTreeSet::new(),
             cancelled: BTreeMap::new(),
@@ -260,7 +268,7 @@
             asked: Vec::new(),
             waits: Vec::new(),
         };
-        for place in 0..WORKERS {
+        for place in 0..workers {
             world.add_worker(place);
         }
         world.introduce();
@@ -293,8 +301,7 @@
     /// Tells a new owner of the configuration, the nodes and the workers.
     fn introduce(&mut self) {
         self.engine.configure(self.config.clone());
-        let nodes = ["a", "b", "c"].map(NodeName::from);
-        self.engine.set_hands(&nodes, self.now);
+        self.engine.set_hands(&self.nodes, self.now);
         for worker in self.workers.values() {
             match worker.foreign_until {
                 None => self.engine.register(worker.registration(), self.now),
