--- a/crates/cell/src/engine/wait.rs
+++ b/crates/cell/src/engine/wait.rs
@@ -110,21 +110,25 @@
     worker.registration.pool == queue.pool && label.is_none_or(|label| worker.has_label(label))
 }
 
+impl From<&Lack> for Wait {
+    fn from(lack: &Lack) -> Self {
+        match lack {
+            Lack::Label(_) => Self::Label,
+            Lack::Size(_) => Self::Size,
+        }
+    }
+}
+
 impl Engine {
     /// Returns what a job would ask for that no known worker of its queue's pool offers, whatever runs there.
     ///
     /// `None` where none of the pool is known: nothing can be said then.
     pub fn lack(&self, queue: &Queue, spec: &Spec) -> Option<Lack> {
         let mut steps = spec.steps.iter().enumerate();
-        steps.find_map(|(index, step)| {
-            Some(match self.lack_of(step, queue)? {
-                Wait::Label => Lack::Label(step.requires.clone()?),
-                _ => Lack::Size(index),
-            })
-        })
+        steps.find_map(|(index, step)| self.lack_of(step, index, queue))
     }
 
-    fn lack_of(&self, step: &Step, queue: &Queue) -> Option<Wait> {
+    fn lack_of(&self, step: &Step, index: usize, queue: &Queue) -> Option<Lack> {
         if self.rooms.members(&queue.pool) == 0 {
             return None;
         }
@@ -133,9 +137,11 @@
             return None;
         }
         let mut workers = self.workers.values();
-        Some(match workers.any(|worker| has_label(step, queue, worker)) {
-            true => Wait::Size,
-            false => Wait::Label,
+        let label = step.requires.as_ref();
+        let is_missing = !workers.any(|worker| has_label(step, queue, worker));
+        Some(match label.filter(|_| is_missing) {
+            Some(label) => Lack::Label(label.clone()),
+            None => Lack::Size(index),
         })
     }
 
@@ -151,12 +157,13 @@
         let Some(demand) = self.demand(job, id) else {
             return false;
         };
-        let Some(lack) = self.lack_of(demand.step, demand.queue) else {
+        let index = usize::from(id.step);
+        let Some(lack) = self.lack_of(demand.step, index, demand.queue) else {
             return false;
         };
         self.agenda.remove(id);
         self.aside.insert(id);
-        self.tell_wait(id, lack, Survey::default(), now);
+        self.tell_wait(id, Wait::from(&lack), Survey::default(), now);
         true
     }
 
--- a/crates/node/src/front/kept.rs
+++ b/crates/node/src/front/kept.rs
@@ -9,12 +9,9 @@
     },
 };
 
-use crate::{
-    port::{
-        Fault,
-        Record, //
-    },
-    recall::Own,
+use crate::port::{
+    Fault,
+    Record, //
 };
 
 /// What the key of a cancellation has behind the job. Each kind has a key of its own: one that comes again while
@@ -59,11 +56,10 @@
 }
 
 impl JobRecord {
-    /// Which records of the jobs' topic are this program's.
-    pub(crate) const OWN: Own<'static> = Own {
-        key: |key| read_cancellation(key).is_some() || key.parse::<JobId>().is_ok(),
-        record: &|record| Self::read(record, 0).map(drop),
-    };
+    /// Returns whether records of this program stand under a key.
+    pub(crate) fn is_key(key: &str) -> bool {
+        read_cancellation(key).is_some() || key.parse::<JobId>().is_ok()
+    }
 
     /// Reads a record out of a partition; `None` where its key is removed.
     ///
--- a/crates/node/src/member/mod.rs
+++ b/crates/node/src/member/mod.rs
@@ -40,7 +40,6 @@
         Condition,
         Error,
         Fault,
-        Page,
         Platform,
         Record,
         Rejected,
@@ -54,12 +53,12 @@
 /// The key of the claim.
 const KEY: &str = "owner";
 /// Which records are claims.
-const OWN: recall::Own<'static> = recall::Own {
+const OWN: recall::Own<'static, Claim> = recall::Own {
     key: |key| key == KEY,
-    record: &|record| {
+    read: &|record| {
         let claim = record.value.as_ref();
-        let claim = claim.map(|value| record::decode::<Claim>(value));
-        claim.transpose().map(drop).map_err(|_| Fault::Form)
+        let claim = claim.map(|value| record::decode(value));
+        claim.transpose().map_err(|_| Fault::Form)
     },
 };
 /// How long the owner may take to answer that: a way there and back takes 3 ms, and an owner whose share
@@ -163,12 +162,11 @@
 async fn try_read<P: Platform>(shared: &Shared<P>) -> Option<Seen> {
     let page = shared.newest("claims", Topic::Claims).await.ok()?;
     let end = page.next;
-    let page = recall::settle(shared, Topic::Claims, "claims", page, OWN)
-        .await
-        .ok()?;
-    let claim = match newest_claim(&page) {
+    let settled = recall::settle(shared, Topic::Claims, "claims", page, OWN).await;
+    let settled = settled.ok()?;
+    let claim = match settled.found.into_iter().next() {
         Some(claim) => Some(claim),
-        None if !page.rejected.iter().any(is_claim) => None,
+        None if !settled.rejected.iter().any(is_claim) => None,
         None => shared.claim.borrow().clone(),
     };
     let known = shared.claim.borrow().clone();
@@ -193,12 +191,6 @@
     rejected.key.as_deref() == Some(KEY)
 }
 
-/// Finds the claim among the newest records; `None` where nobody has claimed the cell.
-fn newest_claim(page: &Page) -> Option<Claim> {
-    let record = page.records.iter().find(|record| record.key == KEY)?;
-    record::decode(record.value.as_ref()?).ok()
-}
-
 async fn append<P: Platform>(shared: &Shared<P>, claim: &Claim, end: u64) -> Result<u64, Error> {
     let value = record::encode(claim).map_err(|error| Error::Malformed(error.to_string()))?;
     let append = Append {
--- a/crates/node/src/owner/answer.rs
+++ b/crates/node/src/owner/answer.rs
@@ -31,35 +31,26 @@
 
 /// Takes in what a node tells the owner, or answers what it asks; `None` where the owner can't.
 pub(crate) async fn accept<P: Platform>(seat: &Seat<P>, question: Question) -> Option<Reply> {
-    let control = &seat.control;
     match question {
-        Question::Accepted(accepted) => {
-            control.tell(Event::Accepted(accepted)).await.ok()?;
-            Some(Reply::Noted)
-        }
-        Question::Announced(accepted) => {
-            control.tell(Event::Announced(accepted)).await.ok()?;
-            Some(Reply::Noted)
-        }
-        Question::Withdrawn(job) => {
-            control.tell(Event::Withdrawn(job)).await.ok()?;
-            Some(Reply::Noted)
-        }
+        Question::Accepted(accepted) => note(seat, Event::Accepted(accepted)).await,
+        Question::Announced(accepted) => note(seat, Event::Announced(accepted)).await,
+        Question::Withdrawn(job) => note(seat, Event::Withdrawn(job)).await,
         Question::Cancelled(job, cancellation) => {
-            let cancelled = Event::Cancelled(job, cancellation);
-            control.tell(cancelled).await.ok()?;
-            Some(Reply::Noted)
-        }
-        Question::Reports(reports) => {
-            control.tell(Event::Reports(reports)).await.ok()?;
-            Some(Reply::Noted)
+            note(seat, Event::Cancelled(job, cancellation)).await
         }
+        Question::Reports(reports) => note(seat, Event::Reports(reports)).await,
         Question::Look { job, asked } => look(seat, job, asked).await,
         Question::Pending(queue) => count(seat, queue).await,
         _ => None,
     }
 }
 
+/// Has the actor take an event in, after all that were told before.
+async fn note<P: Platform>(seat: &Seat<P>, event: Event) -> Option<Reply> {
+    seat.control.tell(event).await.ok()?;
+    Some(Reply::Noted)
+}
+
 /// Looks for a job, and says that there is none only once all that was on record when the caller asked is read.
 async fn look<P: Platform>(seat: &Seat<P>, job: JobId, asked: Duration) -> Option<Reply> {
     let at = Instant::now().checked_sub(asked)?;
--- a/crates/node/src/owner/jobs.rs
+++ b/crates/node/src/owner/jobs.rs
@@ -2,7 +2,12 @@
 
 use std::{
     collections::BTreeMap,
-    sync::Arc,
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
     time::Duration, //
 };
 
@@ -15,6 +20,7 @@
 use tokio::time::{
     Instant,
     sleep,
+    sleep_until,
     timeout, //
 };
 
@@ -36,7 +42,11 @@
         Rejected,
         Topic, //
     },
-    recall,
+    recall::{
+        self,
+        Own,
+        Settled, //
+    },
     shared::Shared,
     watch::{
         Batch,
@@ -102,15 +112,19 @@
         self.asked = asked;
         let mut found = Vec::new();
         loop {
-            let page = match self.read_page(shared).await {
-                Ok(page) => page,
+            let settled = match self.read_page(shared).await {
+                Ok(settled) => settled,
                 Err(error) if found.is_empty() => return Err(error),
                 // The reader is past what was found; the rest is read another time.
                 Err(_) => return Ok(found),
             };
-            let is_last = page.is_last();
-            found.extend(self.take(shared, page));
-            if is_last {
+            found.extend(settled.found);
+            let keys = settled.rejected.into_iter();
+            let keys = keys.filter_map(|record| record.key);
+            // One of another writer under the key of a job leaves it unknown.
+            let jobs = keys.filter_map(|key| key.parse::<JobId>().ok());
+            found.extend(jobs.map(JobRecord::Unreadable));
+            if settled.is_last {
                 self.read = asked;
                 self.took = asked.elapsed();
                 return Ok(found);
@@ -118,22 +132,31 @@
         }
     }
 
-    async fn read_page<P: Platform>(&mut self, shared: &Shared<P>) -> Result<Page, Error> {
+    async fn read_page<P: Platform>(
+        &mut self,
+        shared: &Shared<P>,
+    ) -> Result<Settled<JobRecord>, Error> {
         let page = match self.reader.read(shared, Duration::ZERO).await? {
-            Batch::More(page) => return Ok(page),
+            Batch::More(page) => return Ok(self.take(shared, page)),
             Batch::Whole(page) => page,
         };
         let topic = Topic::Jobs(self.number);
-        let page = recall::settle(shared, topic, "jobs", page, JobRecord::OWN).await;
-        if page.is_err() {
+        let number = self.number;
+        let own = Own {
+            key: JobRecord::is_key,
+            read: &|record| JobRecord::read(record, number),
+        };
+        let settled = recall::settle(shared, topic, "jobs", page, own).await;
+        if settled.is_err() {
             // What the reader is past was not taken.
             self.reader = Reader::new(topic, "jobs");
         }
-        page
+        settled
     }
 
-    /// Reads the records of a page; one of another writer under the key of a job leaves it unknown.
-    fn take<P: Platform>(&self, shared: &Shared<P>, page: Page) -> Vec<JobRecord> {
+    /// Reads the records of a page that continues what was read before.
+    fn take<P: Platform>(&self, shared: &Shared<P>, page: Page) -> Settled<JobRecord> {
+        let is_last = page.is_last();
         let mut found = Vec::new();
         let mut rejected = page.rejected;
         for record in &page.records {
@@ -146,10 +169,11 @@
                 }
             }
         }
-        let jobs = rejected.iter().filter_map(|record| record.key.as_ref());
-        let jobs = jobs.filter_map(|key| key.parse::<JobId>().ok());
-        found.extend(jobs.map(JobRecord::Unreadable));
-        found
+        Settled {
+            found,
+            rejected,
+            is_last,
+        }
     }
 
     /// Returns whether a new owner may act on what has been read.
@@ -196,16 +220,13 @@
     shared: Arc<Shared<P>>,
     mut partition: Partition,
     view: View,
+    writers: Writers,
     control: WeakActorRef<Control<P>>,
 ) {
-    let mut writers = Writers::default();
     loop {
-        sleep(WANTED_GAP).await;
+        sleep_until(partition.asked + WANTED_GAP).await;
         let wanted = view.wants_more(partition.number);
-        let is_wanted = timeout(JOBS_LOOK - WANTED_GAP, wanted).await.is_ok();
-        let peers = shared.peers.lock().await.clone();
-        let present = peers.into_iter().map(|peer| peer.node);
-        writers.note(present.chain([shared.name.clone()]));
+        let is_wanted = timeout(JOBS_LOOK, wanted).await.is_ok();
         let is_due = partition.asked.elapsed() >= writers.period(partition.number);
         if !is_wanted && !is_due {
             if control.upgrade().is_none() {
@@ -238,22 +259,42 @@
     }
 }
 
-/// The nodes that write jobs, by when they were last there.
-#[derive(Default)]
-struct Writers(BTreeMap<NodeName, Instant>);
+/// The nodes that write jobs, by when they were last there; cheap to clone.
+#[derive(Clone, Default)]
+pub(super) struct Writers(Arc<Mutex<BTreeMap<NodeName, Instant>>>);
 
 impl Writers {
+    /// Keeps up which nodes are there, for as long as the actor is.
+    pub(super) async fn follow<P: Platform>(
+        self,
+        shared: Arc<Shared<P>>,
+        control: WeakActorRef<Control<P>>,
+    ) {
+        while control.upgrade().is_some() {
+            let peers = shared.peers.lock().await.clone();
+            let present = peers.into_iter().map(|peer| peer.node);
+            self.note(present.chain([shared.name.clone()]));
+            sleep(JOBS_LOOK / 2).await;
+        }
+    }
+
+    fn seen(&self) -> MutexGuard<'_, BTreeMap<NodeName, Instant>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Notes which nodes are there.
-    fn note(&mut self, present: impl Iterator<Item = NodeName>) {
+    fn note(&self, present: impl Iterator<Item = NodeName>) {
         let now = Instant::now();
-        self.0.extend(present.map(|node| (node, now)));
-        self.0.retain(|_, seen| seen.elapsed() < WRITES_ON);
+        let mut nodes = self.seen();
+        nodes.extend(present.map(|node| (node, now)));
+        nodes.retain(|_, seen| seen.elapsed() < WRITES_ON);
     }
 
     /// Returns how often a partition is read.
     fn period(&self, partition: u16) -> Duration {
+        let nodes = self.seen();
         let of = |node: &NodeName| intake::partition(node) == partition;
-        let mut writers = self.0.iter().filter(|(node, _)| of(node)).peekable();
+        let mut writers = nodes.iter().filter(|(node, _)| of(node)).peekable();
         if writers.peek().is_none() {
             return JOBS_UNKNOWN;
         }
--- a/crates/node/src/owner/takeover.rs
+++ b/crates/node/src/owner/takeover.rs
@@ -51,7 +51,6 @@
     port::{
         Error,
         Fault,
-        Page,
         Platform,
         Topic, //
     },
@@ -80,15 +79,15 @@
 const MAILBOX: usize = 16_384;
 
 /// Which records are the owner's.
-const ENTRIES: Own<'static> = Own {
+const ENTRIES: Own<'static, Entry> = Own {
     key: |key| key.starts_with("w/") || key.parse::<JobId>().is_ok(),
-    record: &|record| {
+    read: &|record| {
         let Some(value) = &record.value else {
-            return Ok(());
+            return Ok(None);
         };
         let entry: Entry = record::decode(value).map_err(|_| Fault::Form)?;
         let is_own = entry.key() == record.key;
-        is_own.then_some(()).ok_or(Fault::Id)
+        is_own.then_some(Some(entry)).ok_or(Fault::Id)
     },
 };
 
@@ -109,17 +108,14 @@
             Err(_) => pause().await,
         }
     }
-    let progress = newest(shared, Topic::Progress, "progress", ENTRIES);
+    let progress = newest_progress(shared);
     let (progress, (partitions, found)) = futures::join!(progress, jobs::read_all(shared));
     let mut inheritance = Inheritance::default();
-    for record in progress.records {
-        let entry = record.value.as_ref().map(|value| record::decode(value));
+    for entry in progress {
         match entry {
-            Some(Ok(Entry::Job(job, progress))) => inheritance.progress.push((job, progress)),
-            Some(Ok(Entry::Worker(id, usage))) => inheritance.workers.push((id, usage)),
-            Some(Ok(Entry::Gone(_))) | None => {}
-            // It has been turned away.
-            Some(Err(_)) => {}
+            Entry::Job(job, progress) => inheritance.progress.push((job, progress)),
+            Entry::Worker(id, usage) => inheritance.workers.push((id, usage)),
+            Entry::Gone(_) => {}
         }
     }
     let view = jobs::view(&partitions);
@@ -141,25 +137,22 @@
     Ok(start(shared, claim, engine, partitions, view))
 }
 
-/// Reads the newest records of a topic that are this program's, until the store gives them.
-async fn newest<P: Platform>(
-    shared: &Shared<P>,
-    topic: Topic,
-    purpose: &'static str,
-    own: Own<'_>,
-) -> Page {
-    let mut reader = Reader::new(topic, purpose);
+/// Reads the newest records of the owner's, until the store gives them.
+async fn newest_progress<P: Platform>(shared: &Shared<P>) -> Vec<Entry> {
+    const TOPIC: Topic = Topic::Progress;
+    const PURPOSE: &str = "progress";
+    let mut reader = Reader::new(TOPIC, PURPOSE);
     loop {
-        let page = match reader.read(shared, Duration::ZERO).await {
+        let settled = match reader.read(shared, Duration::ZERO).await {
             Ok(Batch::Whole(page) | Batch::More(page)) => {
-                recall::settle(shared, topic, purpose, page, own).await
+                recall::settle(shared, TOPIC, PURPOSE, page, ENTRIES).await
             }
             Err(error) => Err(error),
         };
-        match page {
-            Ok(page) => return page,
+        match settled {
+            Ok(settled) => return settled.found,
             Err(_) => {
-                reader = Reader::new(topic, purpose);
+                reader = Reader::new(TOPIC, PURPOSE);
                 pause().await;
             }
         }
@@ -184,9 +177,16 @@
         weak.clone(),
     ));
     tokio::spawn(workers::follow(shared.clone(), weak.clone()));
+    let writers = jobs::Writers::default();
+    tokio::spawn(writers.clone().follow(shared.clone(), weak.clone()));
     for partition in partitions {
-        let view = view.clone();
-        tokio::spawn(jobs::follow(shared.clone(), partition, view, weak.clone()));
+        tokio::spawn(jobs::follow(
+            shared.clone(),
+            partition,
+            view.clone(),
+            writers.clone(),
+            weak.clone(),
+        ));
     }
     tokio::spawn(tick(weak.clone()));
     tokio::spawn(follow_config(shared.clone(), weak));
--- a/crates/node/src/owner/workers.rs
+++ b/crates/node/src/owner/workers.rs
@@ -37,8 +37,6 @@
 /// How often the list of workers is read: 48 of them write 32 records a second, so waiting for each
 /// would cost a call a record; a leaving worker has to be known within 2 s.
 const WORKERS_EVERY: Duration = Duration::from_millis(300);
-/// How often an owner looks for the first configuration; a node reads it within milliseconds of its start.
-const UNCONFIGURED: Duration = Duration::from_millis(25);
 /// For this long after an outage of the store a worker that isn't listed may come back.
 const LIST_SETTLES: Duration = Duration::from_millis(2_300);
 /// An outage shorter than this lets no entry lapse: entries outlive three intervals of heartbeats.
@@ -49,12 +47,11 @@
     let mut reader = Reader::new(Topic::Workers, "workers");
     let mut listing = Listing::default();
     let mut settles = Instant::now();
-    while !is_configured(&shared) {
-        if control.upgrade().is_none() {
-            return;
-        }
-        sleep(UNCONFIGURED).await;
-    }
+    // Without a configuration no entry can be matched, and no job be taken.
+    let mut configs = shared.config.subscribe();
+    let configured = configs.wait_for(Option::is_some);
+    // The sender lives as long as this task.
+    let _ = configured.await;
     loop {
         let was_failing = shared.store.failing_for();
         let batch = reader.read(&shared, Duration::ZERO).await;
@@ -83,11 +80,6 @@
     }
 }
 
-/// Returns whether there is a configuration: without one no entry can be matched, and no job be taken.
-fn is_configured<P: Platform>(shared: &Shared<P>) -> bool {
-    shared.config.borrow().is_some()
-}
-
 /// Takes in what a read of the list brought; returns what the engine has to know of it.
 fn take<P: Platform>(shared: &Shared<P>, listing: &mut Listing, batch: Batch) -> Vec<Event> {
     let page = match batch {
--- a/crates/node/src/recall.rs
+++ b/crates/node/src/recall.rs
@@ -21,70 +21,80 @@
     shared::Shared,
 };
 
-/// Which records of a topic are of use to this program.
-#[derive(Clone, Copy)]
-pub(crate) struct Own<'a> {
+/// Which records of a topic are of use to this program, and how they are read.
+pub(crate) struct Own<'a, T> {
     /// Whether they stand under a key.
     pub(crate) key: fn(&str) -> bool,
-    /// Whether a record under such a key can be read.
-    pub(crate) record: &'a (dyn Fn(&Record) -> Result<(), Fault> + Sync),
+    /// Reads a record under such a key; `None` where the key is removed.
+    pub(crate) read: &'a (dyn Fn(&Record) -> Result<Option<T>, Fault> + Sync),
 }
 
-/// Turns away the newest records that are of no use, and takes in their place the last ones under the same keys
-/// that the store still keeps and that are.
-///
-/// What has no such record any more is left among the rejected ones.
+/// The records of a page that are of use, each read once: at a takeover a weak node has thousands of them before it.
+pub(crate) struct Settled<T> {
+    /// What they say.
+    pub(crate) found: Vec<T>,
+    /// The others, for which no earlier record could be found either.
+    pub(crate) rejected: Vec<Rejected>,
+    /// Whether nothing was left to read when the page was made.
+    pub(crate) is_last: bool,
+}
+
+/// Reads the newest records of a topic. Those that are of no use are turned away, and the last ones under the same keys
+/// that the store still keeps and that are take their place.
 ///
 /// # Errors
 ///
 /// Fails where the store doesn't give its history.
-pub(crate) async fn settle<P: Platform>(
+pub(crate) async fn settle<P: Platform, T: Send>(
     shared: &Shared<P>,
     topic: Topic,
     purpose: &'static str,
-    mut page: Page,
-    own: Own<'_>,
-) -> Result<Page, Error> {
-    let check = |record: &Record| match (own.key)(&record.key) {
-        true => (own.record)(record),
-        false => Err(Fault::Key),
-    };
-    page.records.retain(|record| {
-        let fault = check(record).err();
-        if let Some(fault) = fault {
-            let rejected = Rejected::record(record, fault);
-            shared.turn_away(purpose, &rejected);
-            page.rejected.push(rejected);
+    page: Page,
+    own: Own<'_, T>,
+) -> Result<Settled<T>, Error> {
+    let is_last = page.is_last();
+    let mut rejected = page.rejected;
+    let mut found = Vec::with_capacity(page.records.len());
+    for record in &page.records {
+        let read = match (own.key)(&record.key) {
+            true => (own.read)(record),
+            false => Err(Fault::Key),
+        };
+        match read {
+            Ok(read) => found.extend(read),
+            Err(fault) => {
+                let turned_away = Rejected::record(record, fault);
+                shared.turn_away(purpose, &turned_away);
+                rejected.push(turned_away);
+            }
         }
-        fault.is_none()
-    });
-    let keys = page
-        .rejected
-        .iter()
-        .filter_map(|rejected| rejected.key.clone());
+    }
+    let keys = rejected.iter().filter_map(|rejected| rejected.key.clone());
     // What stands under other keys has never been of use, and a long history takes seconds to read.
     let wanted: BTreeSet<String> = keys.filter(|key| (own.key)(key)).collect();
-    if wanted.is_empty() {
-        return Ok(page);
+    if !wanted.is_empty() {
+        let last = last_own(shared, topic, purpose, &wanted, own).await?;
+        rejected.retain(|rejected| {
+            let key = rejected.key.as_ref();
+            key.is_none_or(|key| !last.contains_key(key))
+        });
+        found.extend(last.into_values().flatten());
     }
-    let last = last_own(shared, topic, purpose, &wanted, own).await?;
-    page.rejected.retain(|rejected| {
-        let key = rejected.key.as_ref();
-        key.is_none_or(|key| !last.contains_key(key))
-    });
-    let present = last.into_values().filter(|record| record.value.is_some());
-    page.records.extend(present);
-    Ok(page)
+    Ok(Settled {
+        found,
+        rejected,
+        is_last,
+    })
 }
 
 /// Reads all that the store still keeps of a topic, for the last records of use under some keys.
-async fn last_own<P: Platform>(
+async fn last_own<P: Platform, T: Send>(
     shared: &Shared<P>,
     topic: Topic,
     purpose: &'static str,
     wanted: &BTreeSet<String>,
-    own: Own<'_>,
-) -> Result<BTreeMap<String, Record>, Error> {
+    own: Own<'_, T>,
+) -> Result<BTreeMap<String, Option<T>>, Error> {
     let mut last = BTreeMap::new();
     let mut from = 0;
     loop {
@@ -101,7 +111,9 @@
         from = page.next;
         let records = page.records.into_iter();
         let records = records.filter(|record| wanted.contains(&record.key));
-        let records = records.filter(|record| (own.record)(record).is_ok());
-        last.extend(records.map(|record| (record.key.clone(), record)));
+        last.extend(records.filter_map(|record| {
+            let read = (own.read)(&record).ok()?;
+            Some((record.key, read))
+        }));
     }
 }
--- a/crates/node/src/report.rs
+++ b/crates/node/src/report.rs
@@ -229,10 +229,9 @@
         if !self.may_log(KIND) {
             return;
         }
-        let offset = rejected.offset.map(|offset| offset.to_string());
         slog::warn!(log, "record-rejected"; "topic" => topic,
             "key" => rejected.key.as_deref().map_or_else(String::new, shorten),
-            "offset" => offset.as_deref().unwrap_or("unknown"),
+            Offset(rejected.offset),
             "fault" => rejected.fault.word(), "why" => %rejected.fault);
     }
 
@@ -277,6 +276,22 @@
     }
 }
 
+/// The field that says where a record stands, where that is known.
+struct Offset(Option<u64>);
+
+impl slog::KV for Offset {
+    fn serialize(
+        &self,
+        _: &slog::Record<'_>,
+        serializer: &mut dyn slog::Serializer,
+    ) -> slog::Result {
+        match self.0 {
+            Some(offset) => serializer.emit_u64("offset", offset),
+            None => Ok(()),
+        }
+    }
+}
+
 const fn summary(note: &Note) -> (&'static str, &'static str) {
     match note {
         Note::Placed { .. } => ("placed", ""),
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -5,6 +5,7 @@
     time::Duration, //
 };
 
+use fulmarpier_cell::config::Config;
 use rand::random_range;
 use tokio::time::{
     Instant,
@@ -16,7 +17,6 @@
         Error,
         Page,
         Platform,
-        Record,
         Rejected,
         Topic, //
     },
@@ -94,13 +94,15 @@
 /// Follows the configuration for as long as the process runs.
 pub(crate) async fn follow_config<P: Platform>(shared: Arc<Shared<P>>) {
     let mut reader = Reader::new(Topic::Configuration, "configuration");
+    let mut has_failed = false;
     loop {
-        // A store that comes back answers such a call at once, and one that waits only after its wait.
-        let wait = match shared.store.is_failing() {
+        // A store that comes back answers such a call at once, and one that waits only after its wait: whoever asks
+        // for a queue meanwhile is told that this node doesn't know.
+        let wait = match has_failed || shared.store.is_failing() {
             true => Duration::ZERO,
             false => CONFIG_WAIT,
         };
-        let page = match reader.read(&shared, wait).await {
+        let configs = match reader.read(&shared, wait).await {
             Ok(Batch::Whole(page)) => {
                 let settled = settle_config(&shared, page).await;
                 if settled.is_err() {
@@ -108,15 +110,16 @@
                 }
                 settled
             }
-            Ok(Batch::More(page)) => Ok(page),
+            Ok(Batch::More(page)) => Ok(read_configs(&shared, &page)),
             Err(error) => Err(error),
         };
-        match page {
-            Ok(page) => {
+        has_failed = configs.is_err();
+        match configs {
+            Ok(configs) => {
                 // A call that waits for a change tells at its end that there was none.
                 shared.config_read.send_replace(Instant::now());
-                for record in &page.records {
-                    take_config(&shared, record);
+                for config in configs {
+                    take_config(&shared, config);
                 }
             }
             Err(_) => pause().await,
@@ -126,26 +129,30 @@
 
 /// Puts the last configuration that can be read in the place of one that can't: a node that starts must not
 /// wait for the next one.
-async fn settle_config<P: Platform>(shared: &Shared<P>, page: Page) -> Result<Page, Error> {
+async fn settle_config<P: Platform>(shared: &Shared<P>, page: Page) -> Result<Vec<Config>, Error> {
     let own = Own {
         key: |_| true,
-        record: &|record| shared.platform.configuration(record).map(drop),
+        read: &|record| shared.platform.configuration(record),
     };
     let topic = Topic::Configuration;
-    recall::settle(shared, topic, "configuration", page, own).await
+    let settled = recall::settle(shared, topic, "configuration", page, own).await;
+    settled.map(|settled| settled.found)
 }
 
-/// Puts a configuration in force here; an older one than the present changes nothing.
-fn take_config<P: Platform>(shared: &Shared<P>, record: &Record) {
-    let config = match shared.platform.configuration(record) {
-        Ok(Some(config)) => config,
-        Ok(None) => return,
-        Err(fault) => {
-            // The last one that could be read stays in force.
-            shared.turn_away("configuration", &Rejected::record(record, fault));
-            return;
+/// Reads the configurations of a page; the last one that could be read stays in force where another can't.
+fn read_configs<P: Platform>(shared: &Shared<P>, page: &Page) -> Vec<Config> {
+    let mut configs = Vec::new();
+    for record in &page.records {
+        match shared.platform.configuration(record) {
+            Ok(config) => configs.extend(config),
+            Err(fault) => shared.turn_away("configuration", &Rejected::record(record, fault)),
         }
-    };
+    }
+    configs
+}
+
+/// Puts a configuration in force here; an older one than the present changes nothing.
+fn take_config<P: Platform>(shared: &Shared<P>, config: Config) {
     let present = shared.config.borrow().as_ref().map(|config| config.version);
     if present.is_some_and(|present| present >= config.version) {
         return;
