--- a/crates/cell/src/engine/place.rs
+++ b/crates/cell/src/engine/place.rs
@@ -186,15 +186,7 @@
         demand: &Demand<'_>,
         stage: &'a Stage,
     ) -> impl Iterator<Item = (Slot, &'a Worker)> {
-        let (advised, others) = match demand.queue.advice {
-            Some(_) => (Some(stage.advice.allowed.slots()), None),
-            None => (
-                None,
-                Some(self.rooms.from(&demand.queue.pool, Millicores(0))),
-            ),
-        };
-        let slots = advised.into_iter().flatten();
-        let slots = slots.chain(others.into_iter().flatten());
+        let slots = self.slots_for(demand, stage, Millicores(0));
         slots.filter_map(|slot| Some((slot, self.workers.get(&slot)?)))
     }
 
@@ -204,20 +196,27 @@
         demand: &Demand<'_>,
         stage: &'a Stage,
     ) -> impl Iterator<Item = (Slot, &'a Worker)> {
-        let (advised, others) = match demand.queue.advice {
-            Some(_) => (Some(stage.advice.allowed.slots()), None),
-            None => (
-                None,
-                Some(self.rooms.from(&demand.queue.pool, demand.size.cpu)),
-            ),
-        };
-        let slots = advised.into_iter().flatten();
-        let slots = slots.chain(others.into_iter().flatten());
         let size = demand.size;
+        let slots = self.slots_for(demand, stage, size.cpu);
         let slots = slots.filter(move |slot| self.rooms.fits(*slot, &size));
         slots.filter_map(|slot| Some((slot, self.workers.get(&slot)?)))
     }
 
+    /// Returns the slots that advice allows a step, or where there is none all with so much processor time left.
+    fn slots_for<'a>(
+        &'a self,
+        demand: &Demand<'_>,
+        stage: &'a Stage,
+        least: Millicores,
+    ) -> impl Iterator<Item = Slot> + use<'a> {
+        let (advised, others) = match demand.queue.advice {
+            Some(_) => (Some(stage.advice.allowed.slots()), None),
+            None => (None, Some(self.rooms.from(&demand.queue.pool, least))),
+        };
+        let advised = advised.into_iter().flatten();
+        advised.chain(others.into_iter().flatten())
+    }
+
     /// Starts a whole gang, or completes one whose members did not all start; true where none is
     /// left waiting.
     pub(super) fn place_gang(&mut self, id: StepId, reserved: &Reserved, now: Timestamp) -> bool {
--- a/crates/cell/src/engine/room.rs
+++ b/crates/cell/src/engine/room.rs
@@ -92,7 +92,7 @@
         &self,
         pool: &PoolName,
         least: Millicores,
-    ) -> impl DoubleEndedIterator<Item = Slot> {
+    ) -> impl DoubleEndedIterator<Item = Slot> + use<'_> {
         let pool = self.pools.get(pool).into_iter();
         pool.flat_map(move |pool| pool.takers.range((least, Slot::FIRST)..))
             .map(|(_, slot)| *slot)
