--- a/crates/cell/src/engine/schedule.rs
+++ b/crates/cell/src/engine/schedule.rs
@@ -10,8 +10,9 @@
 };
 use crate::id::StepId;
 
-/// How many looks a pass takes before it leaves the less urgent steps to later passes. A look at a worker takes some
-/// 50 ns, so a pass takes a millisecond of a whole core at most and events wait no longer behind it.
+/// How many looks at workers a pass takes before it leaves the less urgent steps to later passes: events wait behind it,
+/// for 2 ms of a whole core at most (`examples/fleet`, 540 workers, 150% of the work that fits). While they waited up to
+/// 9 ms, five times as many urgent jobs were late in a burst on half a core.
 const PASS_LOOKS: usize = 8_000;
 /// How many looks it takes beyond that, at steps that come after and at others in each pass, so that steps which find
 /// no room for a long time don't hide one that would.
@@ -22,8 +23,8 @@
 const OFFER_LOOKS: usize = 10;
 /// The least time between two passes over the open steps: a busy second has some 1,000 events.
 const PASS_GAP: Duration = Duration::from_millis(4);
-/// What each look adds to it. Passes take a sixteenth of a core so, whatever waits, and an eighth of one of half the
-/// speed.
+/// What each look adds to it, so that passes leave most of the processor to events whatever waits: the engine took 84 ms
+/// of a second on that fleet.
 const LOOK_GAP: Duration = Duration::from_nanos(800);
 /// The time to the next pass while steps were passed over, if nothing happens before.
 const TURN_GAP: Duration = Duration::from_millis(50);
@@ -156,7 +157,8 @@
         let promoted = self.promoted.get(queue);
         let promoted = promoted.and_then(|promoted| self.agenda.rank_of(*promoted));
         let is_free = promoted.is_none_or(|rank| rank.lateness == Lateness::Worthless);
-        if is_free && started - stage.started_before >= MOST_OVERTAKEN {
+        let others = started.saturating_sub(stage.started_before);
+        if is_free && others >= MOST_OVERTAKEN {
             self.promoted.insert(queue.clone(), id);
             self.agenda.unrank_one(id);
         }
