Strong nodes claim the cell first when an owner dies as the store comes back

A claim counts as silent since the owner's last answer, and weak nodes greet the owner each 0.7 s, strong ones each 0.25 s; so a node of 0.12 core took the claim to have lapsed 0.1 to 0.4 s before the 14 strong ones did, more than the 0.25 s that weak nodes wait, and claimed it at 22.83 s. Ruled out: that the outage counts into the store's usual time and stretches the strong nodes' lease (store_usual_ms was 8 to 17 on all of them right after it). Now: while the store was away nobody could renew a claim, so that time doesn't count; and weak nodes wait for the strongest owner that they have known.

--- a/crates/node/src/health.rs
+++ b/crates/node/src/health.rs
@@ -77,6 +77,8 @@
     failing: Option<Instant>,
     /// How long an answered call takes, of late.
     typical: Duration,
+    /// When the store answered again after it had been away.
+    regained: Instant,
 }
 
 impl State {
@@ -95,6 +97,7 @@
             answered: Instant::now(),
             failing: None,
             typical: Duration::ZERO,
+            regained: Instant::now(),
         };
         Self {
             state: Arc::new(Mutex::new(state)),
@@ -150,6 +153,9 @@
                 state.typical = (state.typical * 3 + took) / 4;
             }
             if let Some(since) = state.failing.take() {
+                if since.elapsed() >= AWAY_LEAST {
+                    state.regained = state.answered;
+                }
                 slog::info!(self.log, "store-answers"; "after_ms" => millis(since.elapsed()));
             }
             return;
@@ -184,6 +190,11 @@
         self.state().typical
     }
 
+    /// Returns when the store answered this node again after it had last been away.
+    pub(crate) fn regained(&self) -> Instant {
+        self.state().regained
+    }
+
     /// Returns whether the store answers this node, but takes its time.
     pub(crate) fn is_slow(&self) -> bool {
         self.usual() >= SLOW && !self.is_failing()
--- a/crates/node/src/member/follow.rs
+++ b/crates/node/src/member/follow.rs
@@ -126,7 +126,8 @@
                     let renewal = seen.claim.as_ref().map(|claim| claim.renewal);
                     if renewal.is_some_and(|renewal| renewal <= renewed) {
                         // It was not renewed since the owner last answered.
-                        seen.since = seen.since.min(answered);
+                        let regained = shared.store.regained();
+                        seen.since = succession::silent_since(seen.since, answered, regained);
                     }
                 }
                 if answered.elapsed() < SILENCE || seen.since.elapsed() < lease(shared) {
@@ -140,7 +141,7 @@
             sleep(HELLO).await;
             return reread(shared, seen).await;
         }
-        sleep(wait_before_claim(shared, seen.claim.as_ref())).await;
+        sleep(wait_before_claim(shared)).await;
         // Renewals have moved the end since the claim was read, and another may have come first.
         if let Some(newer) = told(shared, &seen) {
             return newer;
@@ -207,10 +208,13 @@
     if is_weak { WEAK_HELLO } else { HELLO }
 }
 
-/// Returns how long to wait before a claim: nodes that are weaker than the former owner leave the cell to
+/// Returns how long to wait before a claim: nodes that are weaker than an owner that they have known leave the cell to
 /// others like it, and slow ones to quick ones.
-fn wait_before_claim<P: Platform>(shared: &Shared<P>, former: Option<&Claim>) -> Duration {
-    let is_weak = former.is_some_and(|former| outranks(former.strength, shared.strength));
+///
+/// The last owner is no measure: once a weak node had the cell, others like it claimed it as soon as the strong ones, and
+/// lost it again, for 10 s in a row.
+fn wait_before_claim<P: Platform>(shared: &Shared<P>) -> Duration {
+    let is_weak = outranks(shared.strongest(), shared.strength);
     let is_late = !succession::is_quick(shared.pulse.timers());
     let least = match is_weak || is_late {
         true => WEAK_WAIT,
@@ -237,7 +241,7 @@
         "outcome" => outcome);
     match result {
         Ok(end) => {
-            shared.claim.send_replace(Some(claim.clone()));
+            shared.note_claim(claim.clone());
             Seen {
                 claim: Some(claim),
                 end,
--- a/crates/node/src/member/mod.rs
+++ b/crates/node/src/member/mod.rs
@@ -138,7 +138,7 @@
 fn hearsay<P: Platform>(shared: &Shared<P>, claim: Claim) -> Seen {
     slog::info!(shared.log, "owner"; "epoch" => %claim.epoch, "node" => claim.node.as_str(),
         "address" => %claim.address, "released" => claim.released, "by" => "peer");
-    shared.claim.send_replace(Some(claim.clone()));
+    shared.note_claim(claim.clone());
     Seen {
         claim: Some(claim),
         end: 0,
@@ -176,8 +176,8 @@
         slog::info!(shared.log, "owner"; "epoch" => %claim.epoch, "node" => claim.node.as_str(),
             "address" => %claim.address, "released" => claim.released);
     }
-    if claim.is_some() {
-        shared.claim.send_replace(claim.clone());
+    if let Some(claim) = &claim {
+        shared.note_claim(claim.clone());
     }
     Some(Seen {
         claim,
--- a/crates/node/src/member/own.rs
+++ b/crates/node/src/member/own.rs
@@ -211,7 +211,7 @@
 
 /// Tells the successor first, then the others, so that none of them claims the cell or asks this node.
 async fn tell_of<P: Platform>(shared: &Shared<P>, successor: Claim, peers: &[Peer]) {
-    shared.claim.send_replace(Some(successor.clone()));
+    shared.note_claim(successor.clone());
     let handed = Question::Handed(successor.clone());
     // Whoever is not reached hears of it at its next greeting.
     let _ = message::ask(&shared.rpc, successor.address, &handed, HELLO_PATIENCE).await;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -7,6 +7,7 @@
         Arc,
         atomic::{
             AtomicBool,
+            AtomicU32,
             Ordering, //
         },
     },
@@ -171,6 +172,7 @@
             greetings: Mutex::default(),
             pulse: Pulse::default(),
             store: StoreHealth::new(parts.log),
+            strongest: AtomicU32::new(0),
             is_alone: AtomicBool::new(false),
         });
         let intake = Intake::start(&shared);
@@ -297,7 +299,7 @@
             }
             Question::Handed(claim) => {
                 if claim.epoch > shared.epoch() {
-                    shared.claim.send_replace(Some(claim));
+                    shared.note_claim(claim);
                     shared.vacant.notify_one();
                 }
                 Reply::Noted
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -6,6 +6,7 @@
         Arc,
         atomic::{
             AtomicBool,
+            AtomicU32,
             Ordering, //
         },
     },
@@ -125,6 +126,8 @@
     pub(crate) config_read: watch::Sender<Instant>,
     /// The newest claim that is known here.
     pub(crate) claim: watch::Sender<Option<Claim>>,
+    /// The strength of the strongest owner that was known here, in thousandths of a core.
+    pub(crate) strongest: AtomicU32,
     /// This node's own ownership.
     pub(crate) acting: watch::Sender<Option<Acting<P>>>,
     /// The nodes that the owner knows, but for itself.
@@ -244,6 +247,18 @@
         }
     }
 
+    /// Notes the newest claim that is known here.
+    pub(crate) fn note_claim(&self, claim: Claim) {
+        self.strongest
+            .fetch_max(claim.strength.get(), Ordering::Relaxed);
+        self.claim.send_replace(Some(claim));
+    }
+
+    /// Returns the strength of the strongest owner that was known here.
+    pub(crate) fn strongest(&self) -> Millicores {
+        Millicores(self.strongest.load(Ordering::Relaxed))
+    }
+
     /// Returns the highest ownership that is known here.
     pub(crate) fn epoch(&self) -> fulmarpier_cell::id::Epoch {
         let claim = self.claim.borrow();
--- a/crates/node/src/succession.rs
+++ b/crates/node/src/succession.rs
@@ -17,6 +17,7 @@
     Deserialize,
     Serialize, //
 };
+use tokio::time::Instant;
 
 /// The link that goes with a whole core, in bits a second. An owner moves some 9 Mbit/s for each core that it
 /// uses and reads some megabytes when it takes over: at 10 Mbit/s a takeover of 3,776 jobs took 2,164 ms, at
@@ -79,6 +80,15 @@
     }
 }
 
+/// Returns since when the owner's claim has not been renewed, as far as that tells something of the owner: it was first
+/// seen at a moment, and the owner last answered with the same renewal.
+///
+/// While the store was away nobody could renew a claim, so that time doesn't count. Weak nodes greet the owner less often,
+/// so theirs had lapsed 0.1 to 0.4 s before the strong ones' did when an owner died as the store came back.
+pub fn silent_since(first_seen: Instant, answered: Instant, regained: Instant) -> Instant {
+    first_seen.min(answered).max(regained)
+}
+
 /// Returns how much a node can carry: its processor, or what its link lets it use of one.
 pub fn strength(processor: Millicores, link: Bandwidth) -> Millicores {
     let of_link = link.bits().saturating_mul(PER_CORE) / LINK_OF_CORE.bits();
--- a/crates/node/tests/succession.rs
+++ b/crates/node/tests/succession.rs
@@ -10,6 +10,7 @@
     choose,
     is_slow,
     outranks,
+    silent_since,
     strength, //
 };
 use fulmarpier_state::unit::{
@@ -17,6 +18,7 @@
     Millicores, //
 };
 use rstest::rstest;
+use tokio::time::Instant;
 
 const MILLISECOND: Duration = Duration::from_millis(1);
 const SECOND: Duration = Duration::from_secs(1);
@@ -53,6 +55,24 @@
     assert_eq!(outranks(Millicores(one), Millicores(other)), expected);
 }
 
+/// Moments in milliseconds: the claim as it stands was first seen, the owner last answered, the store came back.
+#[rstest]
+#[case::renewed_since(500, 300, 0, 300)]
+#[case::seen_before_the_last_answer(100, 300, 0, 100)]
+#[case::the_store_was_away(100, 300, 4_000, 4_000)]
+#[case::the_store_came_back_before_the_last_answer(4_300, 4_100, 4_000, 4_100)]
+fn a_claim_has_not_been_silent_while_nobody_could_renew_it(
+    #[case] first_seen: u64,
+    #[case] answered: u64,
+    #[case] regained: u64,
+    #[case] expected: u64,
+) {
+    let start = Instant::now();
+    let at = |millis| start + Duration::from_millis(millis);
+    let since = silent_since(at(first_seen), at(answered), at(regained));
+    assert_eq!(since, at(expected));
+}
+
 #[rstest]
 #[case::a_wide_link(500, 200, 500)]
 #[case::a_narrow_one(500, 10, 50)]
