One loop reads records or turns them away, one piece makes the call for an inventory

Found in the last read of the change; behaviour stays as it was. - Records of a page were read, and those that can't be were turned away, in three places (`recall::settle`, the partitions of jobs, the configuration); `recall::read` does it for all. - The call for an inventory was written out twice in `call_worker`. - Each open step looked its queue up in each pass for planned calls, mostly for none. - `Agenda::insert` returned what nobody used; two test files had the same count of completed jobs.

--- a/crates/cell/src/engine/agenda.rs
+++ b/crates/cell/src/engine/agenda.rs
@@ -3,7 +3,8 @@
 use std::{
     collections::{
         BTreeMap,
-        BTreeSet, //
+        BTreeSet,
+        btree_map::Entry, //
     },
     ops::Bound, //
 };
@@ -34,14 +35,12 @@
 }
 
 impl Agenda {
-    /// Adds a step; returns whether it is a new one.
-    pub(super) fn insert(&mut self, id: StepId) -> bool {
-        let is_new = !self.steps.contains_key(&id);
-        if is_new {
-            self.steps.insert(id, None);
+    /// Adds a step, unless it is there.
+    pub(super) fn insert(&mut self, id: StepId) {
+        if let Entry::Vacant(place) = self.steps.entry(id) {
+            place.insert(None);
             self.unranked.push(id);
         }
-        is_new
     }
 
     /// Takes a step out.
--- a/crates/cell/src/engine/ask.rs
+++ b/crates/cell/src/engine/ask.rs
@@ -266,6 +266,10 @@
         let Some(job) = self.jobs.get(&id.job) else {
             return;
         };
+        let stage = job.stage(id);
+        if stage.is_none_or(|stage| stage.advice.planned.is_empty()) {
+            return;
+        }
         let Some(terms) = self.queue_of(job).advice else {
             return;
         };
--- a/crates/cell/src/engine/contact.rs
+++ b/crates/cell/src/engine/contact.rs
@@ -13,6 +13,7 @@
 };
 use crate::{
     effect::{
+        Destination,
         Effect,
         Hold,
         Note, //
@@ -24,6 +25,7 @@
         Running, //
     },
     id::{
+        Epoch,
         PoolName,
         Run,
         TaskId,
@@ -185,17 +187,8 @@
         };
         if worker.peek.is_some_and(|peek| peek.is_due(now)) {
             worker.peek = Some(Contact::Out(now));
-            self.outbox.push(Effect::Hold(Hold {
-                to: crate::effect::Destination {
-                    worker: worker.registration.id.clone(),
-                    address: worker.registration.address,
-                    epoch: self.epoch,
-                },
-                deadline: None,
-                acknowledged: worker.kept,
-                wait: Duration::ZERO,
-                asked: now,
-            }));
+            let hold = hold(worker, self.epoch, None, Duration::ZERO, now);
+            self.outbox.push(hold);
         }
         if !worker.contact.is_due(now) || worker.peek == Some(Contact::Out(now)) {
             return;
@@ -211,17 +204,8 @@
             _ => Duration::ZERO,
         };
         worker.contact = Contact::Out(now);
-        self.outbox.push(Effect::Hold(Hold {
-            to: crate::effect::Destination {
-                worker: worker.registration.id.clone(),
-                address: worker.registration.address,
-                epoch: self.epoch,
-            },
-            deadline,
-            acknowledged: worker.kept,
-            wait,
-            asked: now,
-        }));
+        let hold = hold(worker, self.epoch, deadline, wait, now);
+        self.outbox.push(hold);
     }
 
     /// Takes the answer to a call for an inventory.
@@ -515,3 +499,24 @@
         self.note(note);
     }
 }
+
+/// Makes the call that asks a worker for its inventory, and extends its lease up to a deadline.
+fn hold(
+    worker: &Worker,
+    epoch: Epoch,
+    deadline: Option<u64>,
+    wait: Duration,
+    asked: Timestamp,
+) -> Effect {
+    Effect::Hold(Hold {
+        to: Destination {
+            worker: worker.registration.id.clone(),
+            address: worker.registration.address,
+            epoch,
+        },
+        deadline,
+        acknowledged: worker.kept,
+        wait,
+        asked,
+    })
+}
--- a/crates/cell/tests/cell/wait.rs
+++ b/crates/cell/tests/cell/wait.rs
@@ -47,14 +47,6 @@
     world
 }
 
-/// Returns how many of the jobs are completed.
-fn completed(world: &World, jobs: &[JobId]) -> usize {
-    let states = jobs.iter().map(|job| world.engine.state(*job));
-    states
-        .filter(|state| *state == Some(State::Completed))
-        .count()
-}
-
 #[rstest]
 #[case::label(labelled(UNKNOWN))]
 #[case::size(too_large())]
@@ -71,7 +63,7 @@
         .map(|_| world.submit(queue, vec![quick_step()]))
         .collect();
     let mut took = Duration::ZERO;
-    while completed(&world, &jobs) < jobs.len() && took < Duration::from_secs(30) {
+    while world.completed(&jobs) < jobs.len() && took < Duration::from_secs(30) {
         world.run(Duration::from_millis(100));
         took += Duration::from_millis(100);
     }
--- a/crates/cell/tests/cell/wide.rs
+++ b/crates/cell/tests/cell/wide.rs
@@ -4,7 +4,6 @@
 
 use fulmarpier_cell::{
     engine::State,
-    id::JobId,
     job::Step, //
 };
 use rstest::rstest;
@@ -26,13 +25,6 @@
     }
 }
 
-fn completed(world: &World, jobs: &[JobId]) -> usize {
-    let states = jobs.iter().map(|job| world.engine.state(*job));
-    states
-        .filter(|state| *state == Some(State::Completed))
-        .count()
-}
-
 /// Calls name 100 workers at most, and nodes ask one at a time: the rest of what a gang has to know must not be left
 /// out because no node was free for it at that moment, nor wait until there is room where nobody has asked.
 #[rstest]
@@ -78,7 +70,7 @@
     let wide = world.submit_late("gang", vec![gang(5, 10_000)], Duration::from_secs(12));
     while world.engine.state(wide) != Some(State::Completed) && come(&mut world) < 220 {}
     assert_eq!(world.engine.state(wide), Some(State::Completed));
-    let before = completed(&world, &narrow);
+    let before = world.completed(&narrow);
     println!("{before} of {} narrow ones", narrow.len());
     // Up to eight run when its turn comes, and some more end while the wide one does.
     assert!(
--- a/crates/cell/tests/cell/world/mod.rs
+++ b/crates/cell/tests/cell/world/mod.rs
@@ -587,6 +587,14 @@
         self.introduce();
     }
 
+    /// Returns how many of some jobs are completed.
+    pub(crate) fn completed(&self, jobs: &[JobId]) -> usize {
+        let states = jobs.iter().map(|job| self.engine.state(*job));
+        states
+            .filter(|state| *state == Some(State::Completed))
+            .count()
+    }
+
     /// Returns the acceptances that the store keeps.
     pub(crate) fn on_record(&self) -> impl Iterator<Item = &Accepted> {
         let accepted = self.accepted.iter();
--- a/crates/node/src/owner/jobs.rs
+++ b/crates/node/src/owner/jobs.rs
@@ -37,9 +37,8 @@
     },
     port::{
         Error,
-        Page,
         Platform,
-        Rejected,
+        Record,
         Topic, //
     },
     recall::{
@@ -136,15 +135,16 @@
         &mut self,
         shared: &Shared<P>,
     ) -> Result<Settled<JobRecord>, Error> {
+        let number = self.number;
+        let read = |record: &Record| JobRecord::read(record, number);
         let page = match self.reader.read(shared, Duration::ZERO).await? {
-            Batch::More(page) => return Ok(self.take(shared, page)),
+            Batch::More(page) => return Ok(recall::read(shared, "jobs", page, read)),
             Batch::Whole(page) => page,
         };
-        let topic = Topic::Jobs(self.number);
-        let number = self.number;
+        let topic = Topic::Jobs(number);
         let own = Own {
             key: JobRecord::is_key,
-            read: &|record| JobRecord::read(record, number),
+            read: &read,
         };
         let settled = recall::settle(shared, topic, "jobs", page, own).await;
         if settled.is_err() {
@@ -154,28 +154,6 @@
         settled
     }
 
-    /// Reads the records of a page that continues what was read before.
-    fn take<P: Platform>(&self, shared: &Shared<P>, page: Page) -> Settled<JobRecord> {
-        let is_last = page.is_last();
-        let mut found = Vec::new();
-        let mut rejected = page.rejected;
-        for record in &page.records {
-            match JobRecord::read(record, self.number) {
-                Ok(read) => found.extend(read),
-                Err(fault) => {
-                    let turned_away = Rejected::record(record, fault);
-                    shared.turn_away("jobs", &turned_away);
-                    rejected.push(turned_away);
-                }
-            }
-        }
-        Settled {
-            found,
-            rejected,
-            is_last,
-        }
-    }
-
     /// Returns whether a new owner may act on what has been read.
     fn is_fresh(&self) -> bool {
         self.read.elapsed() <= FRESH.max(FRESH_READINGS * self.took)
--- a/crates/node/src/recall.rs
+++ b/crates/node/src/recall.rs
@@ -39,6 +39,33 @@
     pub(crate) is_last: bool,
 }
 
+/// Reads the records of a page, and turns away those that can't be read.
+pub(crate) fn read<P: Platform, T>(
+    shared: &Shared<P>,
+    purpose: &'static str,
+    page: Page,
+    read: impl Fn(&Record) -> Result<Option<T>, Fault>,
+) -> Settled<T> {
+    let is_last = page.is_last();
+    let mut rejected = page.rejected;
+    let mut found = Vec::with_capacity(page.records.len());
+    for record in &page.records {
+        match read(record) {
+            Ok(read) => found.extend(read),
+            Err(fault) => {
+                let turned_away = Rejected::record(record, fault);
+                shared.turn_away(purpose, &turned_away);
+                rejected.push(turned_away);
+            }
+        }
+    }
+    Settled {
+        found,
+        rejected,
+        is_last,
+    }
+}
+
 /// Reads the newest records of a topic. Those that are of no use are turned away, and the last ones under the same keys
 /// that the store still keeps and that are take their place.
 ///
@@ -52,39 +79,26 @@
     page: Page,
     own: Own<'_, T>,
 ) -> Result<Settled<T>, Error> {
-    let is_last = page.is_last();
-    let mut rejected = page.rejected;
-    let mut found = Vec::with_capacity(page.records.len());
-    for record in &page.records {
-        let read = match (own.key)(&record.key) {
+    let mut settled = read(shared, purpose, page, |record| {
+        match (own.key)(&record.key) {
             true => (own.read)(record),
             false => Err(Fault::Key),
-        };
-        match read {
-            Ok(read) => found.extend(read),
-            Err(fault) => {
-                let turned_away = Rejected::record(record, fault);
-                shared.turn_away(purpose, &turned_away);
-                rejected.push(turned_away);
-            }
         }
-    }
-    let keys = rejected.iter().filter_map(|rejected| rejected.key.clone());
+    });
+    let keys = settled.rejected.iter();
+    let keys = keys.filter_map(|rejected| rejected.key.clone());
     // What stands under other keys has never been of use, and a long history takes seconds to read.
     let wanted: BTreeSet<String> = keys.filter(|key| (own.key)(key)).collect();
-    if !wanted.is_empty() {
-        let last = last_own(shared, topic, purpose, &wanted, own).await?;
-        rejected.retain(|rejected| {
-            let key = rejected.key.as_ref();
-            key.is_none_or(|key| !last.contains_key(key))
-        });
-        found.extend(last.into_values().flatten());
+    if wanted.is_empty() {
+        return Ok(settled);
     }
-    Ok(Settled {
-        found,
-        rejected,
-        is_last,
-    })
+    let last = last_own(shared, topic, purpose, &wanted, own).await?;
+    settled.rejected.retain(|rejected| {
+        let key = rejected.key.as_ref();
+        key.is_none_or(|key| !last.contains_key(key))
+    });
+    settled.found.extend(last.into_values().flatten());
+    Ok(settled)
 }
 
 /// Reads all that the store still keeps of a topic, for the last records of use under some keys.
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -17,7 +17,6 @@
         Error,
         Page,
         Platform,
-        Rejected,
         Topic, //
     },
     recall::{
@@ -110,7 +109,11 @@
                 }
                 settled
             }
-            Ok(Batch::More(page)) => Ok(read_configs(&shared, &page)),
+            // The last one that could be read stays in force where another can't.
+            Ok(Batch::More(page)) => Ok(recall::read(&shared, "configuration", page, |record| {
+                shared.platform.configuration(record)
+            })
+            .found),
             Err(error) => Err(error),
         };
         has_failed = configs.is_err();
@@ -139,18 +142,6 @@
     settled.map(|settled| settled.found)
 }
 
-/// Reads the configurations of a page; the last one that could be read stays in force where another can't.
-fn read_configs<P: Platform>(shared: &Shared<P>, page: &Page) -> Vec<Config> {
-    let mut configs = Vec::new();
-    for record in &page.records {
-        match shared.platform.configuration(record) {
-            Ok(config) => configs.extend(config),
-            Err(fault) => shared.turn_away("configuration", &Rejected::record(record, fault)),
-        }
-    }
-    configs
-}
-
 /// Puts a configuration in force here; an older one than the present changes nothing.
 fn take_config<P: Platform>(shared: &Shared<P>, config: Config) {
     let present = shared.config.borrow().as_ref().map(|config| config.version);
