--- /dev/null
+++ b/crates/cell/src/engine/loss.rs
@@ -0,0 +1,113 @@
+//! Workers that are lost, and what becomes of the runs that they held.
+
+use std::time::Duration;
+
+use fulmarpier_state::clock::Timestamp;
+
+use super::{
+    Engine,
+    Slot, //
+};
+use crate::id::{
+    Run,
+    TaskId, //
+};
+
+/// For this long a worker whose leases have lapsed may come back with ends to tell; cuts of workers
+/// last some seconds beyond their leases.
+const COMES_BACK: Duration = Duration::from_secs(12);
+
+impl Engine {
+    /// Gives back the room of a run that is certainly gone, and lets its task be started again.
+    pub(super) fn release(&mut self, slot: Slot, task: TaskId, run: Run, now: Timestamp) {
+        self.is_stirred = true;
+        if let Some(worker) = self.workers.get_mut(&slot) {
+            worker.end(task, run, now);
+            worker.release(task, run);
+            // A record that lists it elsewhere must not be kept before one that doesn't list it here.
+            self.ledger.add_worker(slot);
+        }
+        self.orders.remove(&(slot, task, run));
+        self.stops.set((slot, task, run), None);
+        self.index(slot);
+        let Some(job) = self.jobs.get_mut(&task.step.job) else {
+            self.forget_stranger(slot, task, run);
+            return;
+        };
+        let is_over = job.is_over();
+        let Some(stage) = job.stage_mut(task.step) else {
+            return;
+        };
+        let Some(own) = stage.task_mut(task.index) else {
+            return;
+        };
+        if !own.end_run(slot, run) || own.is_done || is_over {
+            return;
+        }
+        stage.waiting.insert(task.index);
+        stage.opened.get_or_insert(now);
+        self.agenda.insert(task.step);
+    }
+
+    /// Notes that an incarnation is gone with all that it ran.
+    pub(super) fn lose_worker(&mut self, slot: Slot, why: &'static str, now: Timestamp) {
+        self.note_worker(slot, why, now);
+        self.release_all(slot, now);
+        if let Some(worker) = self.workers.remove(&slot) {
+            self.slots.remove(&worker.registration.id);
+            self.ledger.remove_worker(worker.registration.id);
+        }
+        self.index(slot);
+    }
+
+    fn claims_of(&self, slot: Slot) -> Vec<(TaskId, Run)> {
+        let claims = self.workers.get(&slot).map(|worker| &worker.claims);
+        claims.into_iter().flatten().map(|(key, _)| *key).collect()
+    }
+
+    /// Notes that the runs of a worker that is given up on may have failed there.
+    fn doubt_runs(&mut self, slot: Slot, now: Timestamp) {
+        for (task, run) in self.claims_of(slot) {
+            let stage = self.jobs.get_mut(&task.step.job);
+            let stage = stage.and_then(|job| job.stage_mut(task.step));
+            if let Some(own) = stage.and_then(|stage| stage.task_mut(task.index)) {
+                own.lost.push((run, now + COMES_BACK));
+            }
+        }
+    }
+
+    fn release_all(&mut self, slot: Slot, now: Timestamp) {
+        for (task, run) in self.claims_of(slot) {
+            self.release(slot, task, run, now);
+        }
+    }
+
+    /// Gives up what ran on workers whose leases have certainly lapsed, and forgets workers that answer, but that
+    /// nobody lists and that run nothing.
+    pub(super) fn expire_workers(&mut self, now: Timestamp) {
+        for slot in self.expiries.take_due(now) {
+            self.expire_worker(slot, now);
+            self.index(slot);
+        }
+    }
+
+    fn expire_worker(&mut self, slot: Slot, now: Timestamp) {
+        let Some(worker) = self.workers.get(&slot) else {
+            return;
+        };
+        let is_listed = worker.is_listed();
+        if !worker.is_lapsed(now) {
+            if worker.is_idle(now) {
+                self.lose_worker(slot, "gone", now);
+            }
+            return;
+        }
+        self.doubt_runs(slot, now);
+        if is_listed {
+            self.note_worker(slot, "lapsed", now);
+            self.release_all(slot, now);
+        } else {
+            self.lose_worker(slot, "gone", now);
+        }
+    }
+}
--- a/crates/cell/src/engine/mod.rs
+++ b/crates/cell/src/engine/mod.rs
@@ -11,7 +11,8 @@
 //! | `order` | answers to orders, and stops until they are settled |
 //! | `wait` | tells why steps wait, and sets aside those that no worker can run |
 //! | `pace` | slows filling tasks that disturb serving ones |
-//! | `contact` | inventories, leases, and workers that come and go |
+//! | `contact` | workers that come, their leases and their inventories |
+//! | `loss` | workers that are lost, and what becomes of their runs |
 //! | `end` | ends of runs, tries, and ends of jobs |
 //! | `forget` | shrinks what is on record of jobs that are over |
 //! | `keep` | what is put on record, and what that allows |
@@ -25,6 +26,7 @@
 mod forget;
 mod job;
 mod keep;
+mod loss;
 mod order;
 mod pace;
 mod place;
