The log tells which runs are given up with a worker, and how long they had been there

Cause looked for: a task that crashes one worker after the other is started for ever. The line worker says that a worker is gone, not what went down with it. No change of logic.

--- a/crates/cell/src/effect.rs
+++ b/crates/cell/src/effect.rs
@@ -171,6 +171,21 @@
         /// How long ago it was last heard, where it ever was.
         heard: Option<Duration>,
     },
+    /// A worker was given up, and with it a run that it may have held.
+    Lost {
+        /// The task.
+        task: TaskId,
+        /// Which start of it.
+        run: Run,
+        /// Where.
+        worker: WorkerId,
+        /// What is believed of the worker, as one word.
+        why: &'static str,
+        /// How long before the worker fell silent the run was decided or adopted.
+        age: Duration,
+        /// How many other runs the worker may have held.
+        beside: usize,
+    },
     /// A run of a former owner was taken over.
     Adopted {
         /// The task.
--- a/crates/cell/src/engine/loss.rs
+++ b/crates/cell/src/engine/loss.rs
@@ -8,9 +8,13 @@
     Engine,
     Slot, //
 };
-use crate::id::{
-    Run,
-    TaskId, //
+use crate::{
+    effect::Note,
+    id::{
+        Run,
+        TaskId, //
+    },
+    worker::Phase,
 };
 
 /// For this long a worker whose leases have lapsed may come back with ends to tell; cuts of workers
@@ -52,6 +56,7 @@
     /// Notes that an incarnation is gone with all that it ran.
     pub(super) fn lose_worker(&mut self, slot: Slot, why: &'static str, now: Timestamp) {
         self.note_worker(slot, why, now);
+        self.note_losses(slot, why, now);
         self.release_all(slot, now);
         if let Some(worker) = self.workers.remove(&slot) {
             self.slots.remove(&worker.registration.id);
@@ -60,6 +65,28 @@
         self.index(slot);
     }
 
+    /// Tells which runs are given up with a worker.
+    fn note_losses(&mut self, slot: Slot, why: &'static str, now: Timestamp) {
+        let Some(worker) = self.workers.get(&slot) else {
+            return;
+        };
+        let silent = worker.silent.unwrap_or(now);
+        let sent = worker.claims.iter();
+        let sent = sent.filter(|(_, claim)| claim.phase != Phase::Recording);
+        let beside = sent.clone().count().saturating_sub(1);
+        let notes: Vec<Note> = sent
+            .map(|((task, run), claim)| Note::Lost {
+                task: *task,
+                run: *run,
+                worker: worker.registration.id.clone(),
+                why,
+                age: silent.since(claim.since),
+                beside,
+            })
+            .collect();
+        notes.into_iter().for_each(|note| self.note(note));
+    }
+
     fn claims_of(&self, slot: Slot) -> Vec<(TaskId, Run)> {
         let claims = self.workers.get(&slot).map(|worker| &worker.claims);
         claims.into_iter().flatten().map(|(key, _)| *key).collect()
@@ -105,6 +132,7 @@
         self.doubt_runs(slot, now);
         if is_listed {
             self.note_worker(slot, "lapsed", now);
+            self.note_losses(slot, "lapsed", now);
             self.release_all(slot, now);
         } else {
             self.lose_worker(slot, "gone", now);
--- a/crates/node/src/report.rs
+++ b/crates/node/src/report.rs
@@ -299,6 +299,7 @@
         Note::Ended { how, .. } => ("ended", how.word()),
         Note::Stopping { why, .. } => ("stopping", why),
         Note::Worker { belief, .. } => ("worker", belief),
+        Note::Lost { why, .. } => ("lost", why),
         Note::Adopted { .. } => ("adopted", ""),
         Note::Finished { outcome, .. } => ("finished", outcome),
         Note::Waits { why, .. } => ("waits", why.word()),
@@ -354,6 +355,15 @@
             heard,
         } => slog::info!(log, "worker"; "worker" => worker.as_str(), "belief" => belief,
             "heard_ms" => heard.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(-1))),
+        Note::Lost {
+            task,
+            run,
+            worker,
+            why,
+            age,
+            beside,
+        } => slog::info!(log, "lost"; "task" => %task, "run" => run.0,
+            "worker" => worker.as_str(), "why" => why, "age_ms" => millis(*age), "beside" => beside),
         Note::Adopted { task, run, worker } => slog::info!(log, "adopted"; "task" => %task,
             "run" => run.0, "worker" => worker.as_str()),
         Note::Finished {
