--- a/crates/cell/tests/cell/history.rs
+++ b/crates/cell/tests/cell/history.rs
@@ -96,6 +96,7 @@
     announced: 300,
     foreign: 0,
     releases: 0,
+    crashers: 0,
 };
 
 /// The same while entries of workers turn into those of another writer and back, one every two seconds.
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -3,6 +3,7 @@
 mod announce;
 #[path = "../../../coordination/tests/support/cases.rs"]
 mod cases;
+mod crash;
 mod desk;
 mod foreign;
 mod forget;
--- a/crates/cell/tests/cell/world/mod.rs
+++ b/crates/cell/tests/cell/world/mod.rs
@@ -37,6 +37,7 @@
     event::{
         Advised,
         HoldAnswer,
+        How,
         StartAnswer,
         StopAnswer, //
     },
@@ -104,6 +105,8 @@
     /// A second in which a worker is replaced: a fresh one comes, and this one says that it leaves and is gone 2 to 4 s
     /// later.
     pub releases: u32,
+    /// Jobs of which a task crashes each worker that starts it.
+    pub crashers: u32,
 }
 
 /// What comes back to the engine, or happens, at a time.
@@ -121,6 +124,11 @@
     Kept(Box<Accepted>),
     Withdrawn(JobId),
     Advised(NodeName, StepId, Vec<WorkerId>),
+    /// A task has crashed the worker that started it.
+    Crash(WorkerId, TaskId),
+    /// The worker at a place is back as another incarnation.
+    Back(u32),
+    Unlisted(WorkerId),
 }
 
 /// The world.
@@ -153,6 +161,14 @@
     done: BTreeSet<TaskId>,
     /// Failed ends that were acknowledged.
     failed: BTreeMap<TaskId, BTreeSet<Run>>,
+    /// Tasks that crash each worker that starts them.
+    pub crashers: BTreeSet<TaskId>,
+    /// How many workers each of them has crashed.
+    pub crashed: BTreeMap<TaskId, u32>,
+    /// How often each of them was started after [`PROVED`] crashes.
+    started_on: BTreeMap<TaskId, u32>,
+    /// Workers that have crashed, and until when nothing answers where they were.
+    down: BTreeMap<WorkerId, Timestamp>,
     /// How long an append takes.
     pub append: Duration,
     /// How many starts there were.
@@ -181,6 +197,15 @@
 const ORDER: Duration = Duration::from_millis(700);
 /// How many workers there are.
 const WORKERS: u32 = 8;
+/// How long after its start a task that crashes its worker does so.
+const CRASHES_AFTER: Duration = Duration::from_millis(10);
+/// How long a crashed worker is away, and for how long it stays listed.
+const AWAY: Duration = Duration::from_secs(3);
+const LISTED: Duration = Duration::from_millis(4_500);
+/// After so many crashes of workers that started it a task is known for what it is, and so many starts more are the most
+/// that is allowed.
+pub(crate) const PROVED: u32 = 3;
+pub(crate) const STARTS_MORE: u32 = 2;
 /// How many tries a task has.
 pub(crate) const TRIES: u32 = 3;
 
@@ -265,6 +290,10 @@
             next_second: now,
             done: BTreeSet::new(),
             failed: BTreeMap::new(),
+            crashers: BTreeSet::new(),
+            crashed: BTreeMap::new(),
+            started_on: BTreeMap::new(),
+            down: BTreeMap::new(),
             append: APPEND,
             starts: 0,
             turned_away: 0,
@@ -360,6 +389,9 @@
     ) -> JobId {
         let accepted = self.make(queue, steps, schedule, received);
         let job = accepted.job;
+        if self.faults.crashers > 0 && self.chance(self.faults.crashers) {
+            self.make_crasher(job, &accepted.spec);
+        }
         if self.chance(self.faults.announced) {
             self.announce(accepted);
         } else {
@@ -368,6 +400,45 @@
         job
     }
 
+    /// Has one task of a job crash each worker that starts it.
+    fn make_crasher(&mut self, job: JobId, spec: &Spec) {
+        let step = self.rng.random_range(0..spec.steps.len());
+        let index = self.rng.random_range(0..spec.steps[step].count);
+        let step = StepId {
+            job,
+            occurrence: 0,
+            step: u16::try_from(step).unwrap(),
+        };
+        self.crashers.insert(step.task(index));
+    }
+
+    /// Has a task crash the worker that has started it; another incarnation is back after a while.
+    fn crash(&mut self, id: WorkerId, task: TaskId) {
+        let Some(worker) = self.workers.remove(&id) else {
+            return;
+        };
+        *self.crashed.entry(task).or_default() += 1;
+        self.down.insert(id.clone(), self.now + AWAY);
+        self.later(LISTED, Event::Unlisted(id));
+        // The place of one that leaves is taken already.
+        if worker.leaves.is_none() {
+            self.later(AWAY, Event::Back(worker.place));
+        }
+    }
+
+    /// Returns whether the members of a gang can't ever be there together.
+    fn waits_in_vain(&self, id: StepId) -> bool {
+        let mut jobs = self.accepted.iter();
+        let job = jobs.find(|accepted| accepted.job == id.job);
+        let is_gang = job.is_some_and(|job| job.spec.steps[usize::from(id.step)].gang);
+        is_gang && self.crashers.iter().any(|task| task.step == id)
+    }
+
+    /// Returns whether nothing answers where a worker was that is gone.
+    fn is_down(&self, id: &WorkerId) -> bool {
+        self.down.get(id).is_some_and(|until| *until > self.now)
+    }
+
     /// Makes a job that is handed in now and not on record yet.
     pub(crate) fn hand_in(&mut self, queue: &str, steps: Vec<Step>) -> Accepted {
         self.make(queue, steps, None, self.now)
@@ -714,6 +785,12 @@
                 // Whoever owns the cell by then is told.
                 self.keep(*accepted);
             }
+            Event::Crash(worker, task) => self.crash(worker, task),
+            Event::Back(place) => {
+                self.add_worker(place);
+                self.tell_of(place);
+            }
+            Event::Unlisted(worker) => self.engine.unregister(&worker, self.now),
             _ if !is_alive => {}
             Event::Started(worker, task, run, answer) => {
                 self.engine.started(&worker, task, run, answer, self.now);
@@ -762,7 +839,12 @@
         let (now, id) = (self.now, order.to.worker.clone());
         let fails = self.chance(self.faults.failures);
         let works = Duration::from_millis(self.rng.random_range(200..3_000));
-        if !self.workers.contains_key(&id) {
+        let (how, works) = match (self.waits_in_vain(order.task.step), fails) {
+            (true, _) => (How::Alone, Bounds::default().gang_wait),
+            (false, true) => (How::Failed, works),
+            (false, false) => (How::Done, works),
+        };
+        if !self.workers.contains_key(&id) && !self.is_down(&id) {
             if is_alive && is_answered {
                 let gone = Event::Started(id, order.task, order.run, StartAnswer::Gone);
                 self.later(WAY, gone);
@@ -784,10 +866,13 @@
             }
             return;
         }
-        let answer = worker.start(order, works, fails, now);
+        let answer = worker.start(order, works, how, now);
         if answer == StartAnswer::Started {
             self.starts += 1;
             self.begun.insert(order.task.step.job);
+            if self.crashers.contains(&order.task) {
+                self.later(CRASHES_AFTER, Event::Crash(id.clone(), order.task));
+            }
             self.check_start(order, is_answered);
         }
         if is_alive && is_answered {
@@ -798,7 +883,8 @@
 
     fn deliver_stop(&mut self, order: &fulmarpier_cell::effect::Stop, is_alive: bool) {
         let (now, id) = (self.now, order.to.worker.clone());
-        let answer = match (self.workers.contains_key(&id), self.reach(&id)) {
+        let is_there = self.workers.contains_key(&id) || self.is_down(&id);
+        let answer = match (is_there, self.reach(&id)) {
             (false, _) => StopAnswer::Gone,
             (true, None) => StopAnswer::Silent,
             (true, Some(worker)) => worker.stop(order, now),
@@ -816,7 +902,7 @@
         if !is_alive || !self.calls.contains(&(id.clone(), asked)) {
             return;
         }
-        if !self.workers.contains_key(&id) {
+        if !self.workers.contains_key(&id) && !self.is_down(&id) {
             return self.later(WAY, Event::Held(id, asked, HoldAnswer::Gone));
         }
         let Some(worker) = self.reach(&id) else {
@@ -891,6 +977,18 @@
         if failed >= TRIES as usize {
             self.violations.push(format!("{at}: has used its tries"));
         }
+        if self
+            .crashed
+            .get(&task)
+            .is_some_and(|crashed| *crashed >= PROVED)
+        {
+            let more = self.started_on.entry(task).or_default();
+            *more += 1;
+            if *more > STARTS_MORE {
+                self.violations
+                    .push(format!("{at}: {more} starts more after {PROVED} crashes"));
+            }
+        }
         if let Some(worker) = self.workers.get(&order.to.worker)
             && worker.is_overfilled()
         {
@@ -942,14 +1040,19 @@
         listed || kept || self.done.contains(&task)
     }
 
+    /// Returns whether a task of a job crashes its workers.
+    pub(crate) fn crashes(&self, job: JobId) -> bool {
+        self.crashers.iter().any(|task| task.step.job == job)
+    }
+
     /// Checks that every job has come to a true end.
     pub(crate) fn check_ends(&mut self) {
         for accepted in &self.accepted {
             let state = self.engine.state(accepted.job);
             let is_cancelled = self.cancelled.contains_key(&accepted.job);
             let is_true = match state {
-                Some(State::Completed) => true,
-                Some(State::Failed) => self.faults.failures > 0,
+                Some(State::Completed) => !self.crashes(accepted.job),
+                Some(State::Failed) => self.faults.failures > 0 || self.crashes(accepted.job),
                 Some(State::Cancelled) => is_cancelled,
                 Some(State::Queued | State::Running) | None => false,
             };
--- a/crates/cell/tests/cell/world/worker.rs
+++ b/crates/cell/tests/cell/world/worker.rs
@@ -127,7 +127,7 @@
         &mut self,
         order: &Start,
         works: Duration,
-        fails: bool,
+        how: How,
         now: Timestamp,
     ) -> StartAnswer {
         if order.to.epoch < self.fence {
@@ -152,7 +152,6 @@
         if order.deadline <= self.clock(now) {
             return StartAnswer::Late;
         }
-        let how = if fails { How::Failed } else { How::Done };
         let task = Task {
             run: order.run,
             ends: now + works,
