A task that crashes the workers that start it runs alone after two crashes, and is given up after the third

Cause: a worker that goes down tells of no end. Its runs were put back when the owner learnt that it was gone, and nothing was noted of the tasks: each had as many tries as before, for ever. Ruled out: changes of owners (one owner suffices) and tries raised by the configuration (no end was ever counted as a failure).

Now the workers that went down when they had just begun a task are counted, by run and worker, on record before the next start. Two such crashes in a row prove little on a busy worker; after them the task runs on a worker without others. A third worker that goes down so proves it, a fifth does in any case. A worker that answers again, or that works on the task for longer than a crash takes, clears it. An inventory that breaks off is told from one that nobody answers: that gives the moment.

--- a/crates/cell/src/effect.rs
+++ b/crates/cell/src/effect.rs
@@ -186,6 +186,19 @@
         /// How many other runs the worker may have held.
         beside: usize,
     },
+    /// A worker went down when it had just started a task.
+    Crashed {
+        /// The task.
+        task: TaskId,
+        /// Which start of it.
+        run: Run,
+        /// The worker.
+        worker: WorkerId,
+        /// How many workers have gone down under the task.
+        crashes: usize,
+        /// What follows for the task, as one word.
+        verdict: &'static str,
+    },
     /// A run of a former owner was taken over.
     Adopted {
         /// The task.
--- a/crates/cell/src/engine/ask.rs
+++ b/crates/cell/src/engine/ask.rs
@@ -178,7 +178,8 @@
         }
         // The roomiest first, and no more of them than are needed.
         rooms.sort_by_key(|(slot, room)| (std::cmp::Reverse(*room), *slot));
-        let wanted = stage.waiting.len() as f64 * REFRESH_TIMES;
+        // One that has to run alone takes more than its room.
+        let wanted = (stage.waiting.len() + stage.suspects().count()) as f64 * REFRESH_TIMES;
         let enough = enough(&demand, rooms.iter().map(|(_, room)| *room), wanted);
         rooms.truncate(enough.unwrap_or(rooms.len()));
         let slots: Vec<Slot> = rooms.into_iter().map(|(slot, _)| slot).collect();
--- a/crates/cell/src/engine/contact.rs
+++ b/crates/cell/src/engine/contact.rs
@@ -36,6 +36,7 @@
         Claim,
         Contact,
         Phase,
+        Silence,
         Worker, //
     },
 };
@@ -225,14 +226,18 @@
             HoldAnswer::Listed(inventory) => self.take_inventory(slot, inventory, asked, now),
             HoldAnswer::Fenced => self.outbox.push(Effect::Deposed),
             HoldAnswer::Gone => self.lose_worker(slot, "replaced", now),
-            HoldAnswer::Silent | HoldAnswer::Refused if is_peek => {
+            HoldAnswer::Silent | HoldAnswer::Broken | HoldAnswer::Refused if is_peek => {
                 worker.peek = Some(Contact::Due(now + SILENT_AGAIN));
                 self.index(slot);
             }
-            HoldAnswer::Silent | HoldAnswer::Refused => {
+            HoldAnswer::Silent | HoldAnswer::Broken | HoldAnswer::Refused => {
                 worker.contact = Contact::Due(now + SILENT_AGAIN);
                 let is_news = worker.silent.is_none();
                 worker.silent.get_or_insert(now);
+                worker.silence.get_or_insert(match answer {
+                    HoldAnswer::Broken => Silence::Broken(now),
+                    _ => Silence::Missed,
+                });
                 self.index(slot);
                 if is_news {
                     self.note_worker(slot, "silent", now);
@@ -254,17 +259,20 @@
         let was_heard = worker.heard.is_some() && worker.silent.is_none();
         worker.heard = Some(now);
         worker.silent = None;
+        worker.silence = None;
+        worker.doubted.clear();
         worker.read_clock(inventory.clock, now);
         let seen = worker.seen;
         if !was_heard {
             self.note_worker(slot, "heard", now);
+            self.acquit(slot);
         }
         self.is_stirred = true;
         let mut listed: Vec<(TaskId, Run)> = Vec::new();
         for running in &inventory.running {
             self.mark_begun(running.task.step.job);
             listed.push((running.task, running.run));
-            self.take_running(slot, running, now);
+            self.take_running(slot, running, asked, now);
         }
         for ended in inventory.ended {
             listed.push((ended.task, ended.run));
@@ -293,7 +301,7 @@
     }
 
     /// Takes in a run that a worker lists.
-    fn take_running(&mut self, slot: Slot, running: &Running, now: Timestamp) {
+    fn take_running(&mut self, slot: Slot, running: &Running, asked: Timestamp, now: Timestamp) {
         let task = running.task;
         let Some(worker) = self.workers.get_mut(&slot) else {
             return;
@@ -306,8 +314,10 @@
             self.adopt(slot, running, now, now);
             return;
         };
-        if claim.phase == Phase::Starting {
-            claim.phase = Phase::Running { since: now };
+        claim.confirm(now);
+        claim.outlast_start(asked);
+        if claim.alone && claim.outlasted {
+            self.end_solitude(slot, task, running.run);
         }
         self.save(task, running.checkpoint.as_ref());
     }
@@ -323,12 +333,13 @@
             .as_ref()
             .and_then(|job| job.step(task.step))
             .map_or(Resources::ZERO, super::place::charge);
-        let mut is_wanted = false;
+        let (mut is_wanted, mut alone) = (false, false);
         if let Some(job) = job
             && let Some(stage) = job.stage_mut(task.step)
             && let Some(own) = stage.task_mut(task.index)
         {
             own.last = own.last.max(run);
+            alone = own.is_suspect();
             if !is_over && !own.is_done && own.note_run(slot, run) {
                 stage.waiting.remove(&task.index);
                 stage.opened.get_or_insert(now);
@@ -346,6 +357,9 @@
             phase: Phase::Running { since: proves },
             since: now,
             unanswered: 0,
+            alone: alone && is_wanted,
+            begun: Some(proves),
+            outlasted: false,
         };
         worker.adopt(task, run, claim);
         let worker = worker.registration.id.clone();
--- a/crates/cell/src/engine/end.rs
+++ b/crates/cell/src/engine/end.rs
@@ -46,8 +46,12 @@
         self.save(task, ended.checkpoint.as_ref());
         match how {
             How::Done => self.take_done(slot, task, run, now),
-            How::Failed => self.take_failure(slot, task, run, now),
-            How::Stopped | How::Lapsed | How::Broken | How::Alone => {}
+            How::Failed => {
+                self.clear(task);
+                self.take_failure(slot, task, run, now);
+            }
+            How::Lapsed | How::Alone => self.clear(task),
+            How::Stopped | How::Broken => {}
         }
         self.release(slot, task, run, now);
         if how != How::Done {
--- a/crates/cell/src/engine/forget.rs
+++ b/crates/cell/src/engine/forget.rs
@@ -59,6 +59,7 @@
                 self.over.push((since, id));
             }
         }
+        self.forget_crashes();
         let forgotten = std::mem::take(&mut self.forgotten);
         if !forgotten.is_empty() {
             self.outbox.push(Effect::Forget(forgotten));
--- a/crates/cell/src/engine/job.rs
+++ b/crates/cell/src/engine/job.rs
@@ -27,6 +27,8 @@
     },
     record::{
         Accepted,
+        Crash,
+        Crashes,
         Failures,
         Outcome,
         Progress,
@@ -44,6 +46,10 @@
     pub(super) is_done: bool,
     /// The runs that have failed; those of a gang stand under its first member.
     pub(super) failures: Vec<Run>,
+    /// The workers that went down when they had just started it.
+    pub(super) crashes: Vec<Crash>,
+    /// Since when it waits for an empty worker.
+    pub(super) apart_since: Option<Timestamp>,
     /// Runs on workers that were given up on, and until when such a worker may still come back and
     /// tell that the run had failed.
     pub(super) lost: Vec<(Run, Timestamp)>,
@@ -124,6 +130,11 @@
                 task.failures.clone_from(&failures.runs);
             }
         }
+        for crashes in &kept.crashes {
+            if let Some(task) = stage.tasks.get_mut(usize::from(crashes.index)) {
+                task.crashes.clone_from(&crashes.crashes);
+            }
+        }
         for index in 0..step.count {
             if kept.is_done(index) {
                 stage.tasks[usize::from(index)].is_done = true;
@@ -156,6 +167,12 @@
                     runs: task.failures.clone(),
                 });
             }
+            if !task.crashes.is_empty() {
+                progress.crashes.push(Crashes {
+                    index,
+                    crashes: task.crashes.clone(),
+                });
+            }
         }
         progress
     }
@@ -211,7 +228,7 @@
         let objective = chain.mul_f64(queue.stretch.max(0.0)) + queue.objective;
         let mut job = Self {
             is_cancelled: false,
-            has_begun: !progress.occurrences.is_empty(),
+            has_begun: progress.has_begun(),
             occurrences: BTreeMap::new(),
             outcome: progress.outcome,
             kept_outcome: progress.outcome,
--- a/crates/cell/src/engine/loss.rs
+++ b/crates/cell/src/engine/loss.rs
@@ -57,6 +57,7 @@
     pub(super) fn lose_worker(&mut self, slot: Slot, why: &'static str, now: Timestamp) {
         self.note_worker(slot, why, now);
         self.note_losses(slot, why, now);
+        self.count_crashes(slot, now);
         self.release_all(slot, now);
         if let Some(worker) = self.workers.remove(&slot) {
             self.slots.remove(&worker.registration.id);
@@ -133,6 +134,7 @@
         if is_listed {
             self.note_worker(slot, "lapsed", now);
             self.note_losses(slot, "lapsed", now);
+            self.doubt_begun(slot);
             self.release_all(slot, now);
         } else {
             self.lose_worker(slot, "gone", now);
--- a/crates/cell/src/engine/mod.rs
+++ b/crates/cell/src/engine/mod.rs
@@ -12,6 +12,7 @@
 //! | `wait` | tells why steps wait, and sets aside those that no worker can run |
 //! | `pace` | slows filling tasks that disturb serving ones |
 //! | `contact` | workers that come, their leases and their inventories |
+//! | `crash` | tasks under which workers go down: run alone, and given up |
 //! | `loss` | workers that are lost, and what becomes of their runs |
 //! | `end` | ends of runs, tries, and ends of jobs |
 //! | `forget` | shrinks what is on record of jobs that are over |
@@ -22,6 +23,7 @@
 mod announce;
 mod ask;
 mod contact;
+mod crash;
 mod end;
 mod forget;
 mod job;
@@ -179,6 +181,8 @@
     stops: Timers<(Slot, TaskId, Run)>,
     /// When occurrences of jobs are due.
     due: BTreeSet<(Timestamp, JobId, u32)>,
+    /// The tasks that are suspected since a worker seems to have gone down, in case it answers again.
+    crashed: HashMap<WorkerId, Vec<TaskId>>,
     desk: Desk,
     experience: Experience,
     ledger: Ledger,
@@ -232,6 +236,7 @@
             expiries: Timers::default(),
             stops: Timers::default(),
             due: BTreeSet::new(),
+            crashed: HashMap::default(),
             desk: Desk::default(),
             experience: Experience::default(),
             ledger: Ledger::default(),
--- a/crates/cell/src/engine/order.rs
+++ b/crates/cell/src/engine/order.rs
@@ -227,10 +227,8 @@
     fn confirm(&mut self, slot: Slot, task: TaskId, run: Run, now: Timestamp) {
         let worker = self.workers.get_mut(&slot);
         let claim = worker.and_then(|worker| worker.claims.get_mut(&(task, run)));
-        if let Some(claim) = claim
-            && claim.phase == Phase::Starting
-        {
-            claim.phase = Phase::Running { since: now };
+        if let Some(claim) = claim {
+            claim.confirm(now);
         }
     }
 
--- a/crates/cell/src/engine/place.rs
+++ b/crates/cell/src/engine/place.rs
@@ -90,7 +90,7 @@
     }
 
     /// Returns how many more tasks of a step the rule against crowding allows on a worker.
-    fn spread_left(&self, demand: &Demand<'_>, worker: &Worker) -> usize {
+    pub(super) fn spread_left(&self, demand: &Demand<'_>, worker: &Worker) -> usize {
         let Some(most) = demand.step.anti_affinity else {
             return usize::MAX;
         };
@@ -103,15 +103,16 @@
     pub(super) fn place_singles(
         &mut self,
         id: StepId,
-        reserved: &Reserved,
+        reserved: &mut Reserved,
         now: Timestamp,
     ) -> bool {
         loop {
             let Some(index) = self.first_startable(id, now) else {
+                let is_placed = self.place_suspects(id, reserved, now);
                 if self.first_waiting(id).is_none() {
                     self.agenda.remove(id);
                 }
-                return true;
+                return is_placed;
             };
             let Some(slot) = self.find(id, index, reserved, now) else {
                 return false;
@@ -140,15 +141,16 @@
         step.lasting || stage.tries_used(index, step.gang, now) < tries
     }
 
-    /// Returns the first waiting task that has a try left.
+    /// Returns the first waiting task that has a try left and doesn't have to run alone.
     fn first_startable(&self, id: StepId, now: Timestamp) -> Option<u16> {
         let stage = self.jobs.get(&id.job)?.stage(id)?;
-        let mut waiting = stage.waiting.iter().copied();
+        let waiting = stage.waiting.iter().copied();
+        let mut waiting = waiting.filter(|index| !stage.is_suspect(*index));
         waiting.find(|index| self.has_try(id, *index, now))
     }
 
     /// Returns the number that the next start of a task gets.
-    fn next_run(&self, id: StepId, index: u16) -> Run {
+    pub(super) fn next_run(&self, id: StepId, index: u16) -> Run {
         let stage = self.jobs.get(&id.job).and_then(|job| job.stage(id));
         let last = stage.and_then(|stage| stage.task(index));
         let last = last.map_or(Run(0), |task| task.last);
@@ -156,7 +158,13 @@
     }
 
     /// Returns the best worker for one task.
-    fn find(&self, id: StepId, index: u16, reserved: &Reserved, now: Timestamp) -> Option<Slot> {
+    pub(super) fn find(
+        &self,
+        id: StepId,
+        index: u16,
+        reserved: &Reserved,
+        now: Timestamp,
+    ) -> Option<Slot> {
         let job = self.jobs.get(&id.job)?;
         let demand = self.demand(job, id)?;
         let stage = job.stage(id)?;
@@ -219,7 +227,12 @@
 
     /// Starts a whole gang, or completes one whose members did not all start; true where none is
     /// left waiting.
-    pub(super) fn place_gang(&mut self, id: StepId, reserved: &Reserved, now: Timestamp) -> bool {
+    pub(super) fn place_gang(
+        &mut self,
+        id: StepId,
+        reserved: &mut Reserved,
+        now: Timestamp,
+    ) -> bool {
         let Some(stage) = self.jobs.get(&id.job).and_then(|job| job.stage(id)) else {
             return true;
         };
@@ -234,7 +247,8 @@
         if waiting.iter().any(|index| !self.has_try(id, *index, now)) {
             return true;
         }
-        let Some(places) = self.find_gang(id, waiting.len(), reserved, now) else {
+        let Some(places) = self.find_gang(id, &waiting, reserved, now) else {
+            self.keep_to_empty(id, reserved, now);
             return false;
         };
         self.count_gang(id);
@@ -243,7 +257,7 @@
         if let Some(stage) = self.jobs.get_mut(&id.job).and_then(|job| job.stage_mut(id)) {
             stage.gang_since = now;
         }
-        for (index, slot) in waiting.into_iter().zip(places) {
+        for (index, slot) in places {
             // Room was counted for all of them a moment ago.
             self.start(id, index, slot, run, now);
         }
@@ -279,7 +293,10 @@
         let until = stage.gang_since + self.bounds.gang_wait / GANG_REPAIR_PART;
         if !is_ending && now < until {
             while let (Some(run), Some(index)) = (run, self.first_waiting(id)) {
-                let found = self.find(id, index, reserved, now);
+                let found = match self.is_kept_apart(id, index, now) {
+                    true => self.find_empty(id, reserved, now),
+                    false => self.find(id, index, reserved, now),
+                };
                 if !found.is_some_and(|slot| self.start(id, index, slot, run, now)) {
                     break;
                 }
@@ -299,10 +316,10 @@
     fn find_gang(
         &self,
         id: StepId,
-        count: usize,
+        members: &[u16],
         reserved: &Reserved,
         now: Timestamp,
-    ) -> Option<Vec<Slot>> {
+    ) -> Option<Vec<(u16, Slot)>> {
         let job = self.jobs.get(&id.job)?;
         let (demand, stage) = (self.demand(job, id)?, job.stage(id)?);
         let mut rooms: Vec<(Slot, usize, &Worker)> = Vec::new();
@@ -315,21 +332,41 @@
                 rooms.push((slot, room, worker));
             }
         }
-        if demand.step.same_rack
-            && let Some(places) = in_one_rack(&rooms, count)
-        {
-            return Some(places);
+        let (apart, others): (Vec<u16>, Vec<u16>) = members
+            .iter()
+            .partition(|index| self.is_kept_apart(id, **index, now));
+        let mut places = Vec::with_capacity(members.len());
+        if !apart.is_empty() {
+            let empty = rooms
+                .iter()
+                .filter(|(_, _, worker)| worker.claims.is_empty());
+            let slots = fill(empty.map(|(slot, room, _)| (*slot, *room)), apart.len())?;
+            rooms.retain(|(slot, _, _)| !slots.contains(slot));
+            places.extend(apart.into_iter().zip(slots));
         }
-        rooms.sort_by_key(|(slot, _, worker)| {
-            let clashes = self.clashes(&demand, worker);
-            let left = left(&demand, worker);
-            (is_remote(&demand, worker), clashes, left, *slot)
-        });
-        fill(rooms.iter().map(|(slot, room, _)| (*slot, *room)), count)
+        let count = others.len();
+        let in_one_rack = demand.step.same_rack.then(|| in_one_rack(&rooms, count));
+        let slots = in_one_rack.flatten().or_else(|| {
+            rooms.sort_by_key(|(slot, _, worker)| {
+                let clashes = self.clashes(&demand, worker);
+                let left = left(&demand, worker);
+                (is_remote(&demand, worker), clashes, left, *slot)
+            });
+            fill(rooms.iter().map(|(slot, room, _)| (*slot, *room)), count)
+        })?;
+        places.extend(others.into_iter().zip(slots));
+        Some(places)
     }
 
     /// Takes the room for a run; its order leaves once that is on record.
-    fn start(&mut self, id: StepId, index: u16, slot: Slot, run: Run, now: Timestamp) -> bool {
+    pub(super) fn start(
+        &mut self,
+        id: StepId,
+        index: u16,
+        slot: Slot,
+        run: Run,
+        now: Timestamp,
+    ) -> bool {
         let task = id.task(index);
         let Some(job) = self.jobs.get_mut(&id.job) else {
             return false;
@@ -341,20 +378,23 @@
         let Some(worker) = self.workers.get_mut(&slot) else {
             return false;
         };
+        let Some(stage) = job.stage_mut(id) else {
+            return false;
+        };
         let claim = Claim {
             size: charge(step),
             phase: Phase::Recording,
             since: now,
             unanswered: 0,
+            alone: stage.is_suspect(index) && worker.room_alone(id) != Resources::ZERO,
+            begun: None,
+            outlasted: false,
         };
         if !worker.claim(task, run, claim) {
             return false;
         }
         let heard = worker.age(now);
         let worker = worker.registration.id.clone();
-        let Some(stage) = job.stage_mut(id) else {
-            return false;
-        };
         let waited = stage.opened.map(|opened| now.since(opened));
         let ticket = stage.advice.ticket(slot, now).cloned();
         stage.waiting.remove(&index);
@@ -364,6 +404,7 @@
         if let Some(task) = stage.task_mut(index) {
             task.active = Some((slot, run));
             task.last = run;
+            task.apart_since = None;
             checkpoint = task.checkpoint.clone();
         }
         self.note(Note::Placed {
--- a/crates/cell/src/engine/reserve.rs
+++ b/crates/cell/src/engine/reserve.rs
@@ -43,6 +43,8 @@
 pub(super) struct Reserved {
     holders: HashMap<Slot, StepId>,
     gangs: BTreeSet<StepId>,
+    /// How many workers are kept until they are empty.
+    emptied: usize,
 }
 
 impl Reserved {
@@ -67,6 +69,17 @@
         self.keep(slots, id);
     }
 
+    /// Keeps a worker until it is empty.
+    pub(super) fn keep_to_empty(&mut self, slot: Slot, id: StepId) {
+        self.emptied += 1;
+        self.keep([slot].into_iter(), id);
+    }
+
+    /// Returns how many workers are kept until they are empty.
+    pub(super) const fn emptied(&self) -> usize {
+        self.emptied
+    }
+
     fn keep(&mut self, slots: impl Iterator<Item = Slot>, id: StepId) {
         for slot in slots {
             self.holders.entry(slot).or_insert(id);
@@ -119,7 +132,13 @@
         let is_pressing = !is_gang || now >= job.latest_start(id);
         let has_waited = self.promoted.get(&demand.queue.name) == Some(&id);
         let size = demand.size;
-        let count = stage.waiting.len();
+        let count = match is_gang {
+            true => stage.waiting.len(),
+            false => stage.waiting.len() - stage.suspects().count(),
+        };
+        if count == 0 {
+            return false;
+        }
         let mut offers: Vec<Offer> = self
             .candidates(&demand, stage)
             .filter(|(slot, worker)| !reserved.holds(*slot, id) && demand.admits(worker, now))
@@ -166,6 +185,9 @@
         let mut later = Resources::ZERO;
         let mut victims = Vec::new();
         for ((task, run), claim) in &worker.claims {
+            if claim.alone {
+                continue;
+            }
             if matches!(claim.phase, Phase::Stopping { .. }) {
                 soon = soon.checked_add(claim.size).unwrap_or(soon);
             } else if matches!(claim.phase, Phase::Running { .. }) && self.yields(*task, demand) {
@@ -194,7 +216,7 @@
 
     /// Returns whether a running task will soon end by itself: neither a gang's, unless that is waited for as well, nor
     /// one that lasts.
-    fn ends(&self, task: TaskId, with_gangs: bool) -> bool {
+    pub(super) fn ends(&self, task: TaskId, with_gangs: bool) -> bool {
         let job = self.jobs.get(&task.step.job);
         let step = job.and_then(|job| job.step(task.step));
         step.is_some_and(|step| (with_gangs || !step.gang) && !step.lasting)
--- a/crates/cell/src/engine/wait.rs
+++ b/crates/cell/src/engine/wait.rs
@@ -51,6 +51,8 @@
     Room,
     /// There is room, but the tickets for it have run out.
     Ticket,
+    /// Workers have gone down under it, and none is empty for it alone.
+    Alone,
     /// There is room, but too little for a whole gang, or it is kept for another step.
     Kept,
 }
@@ -67,6 +69,7 @@
             Self::Barred => "barred",
             Self::Room => "room",
             Self::Ticket => "ticket",
+            Self::Alone => "alone",
             Self::Kept => "kept",
         }
     }
@@ -198,6 +201,7 @@
             _ if !is_asked && self.has_open(&demand, now) => Wait::Desk,
             Survey { allowed: 0, .. } if is_asked => Wait::Barred,
             Survey { open: 0, .. } => Wait::Closed,
+            _ if stage.are_suspects() => Wait::Alone,
             Survey { room: 0, .. } => Wait::Room,
             Survey { ticketed: 0, .. } => Wait::Ticket,
             _ => Wait::Kept,
--- a/crates/cell/src/event.rs
+++ b/crates/cell/src/event.rs
@@ -116,8 +116,10 @@
     Fenced,
     /// Another incarnation answers at the address: this one is gone with all that it ran.
     Gone,
-    /// No answer came; the lease may have been extended.
+    /// No answer came in time; the lease may have been extended.
     Silent,
+    /// The connection broke or was refused before that time was over; the lease may have been extended.
+    Broken,
     /// It refused; nothing was done.
     Refused,
 }
@@ -157,6 +159,7 @@
             Self::Fenced => "fenced",
             Self::Gone => "gone",
             Self::Silent => "silent",
+            Self::Broken => "broken",
             Self::Refused => "refused",
         }
     }
--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -81,6 +81,27 @@
     pub runs: Vec<Run>,
 }
 
+/// A worker that went down when it had just started a task.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crash {
+    /// Which start of the task. A member of a gang may be started again under one number, so that alone doesn't
+    /// tell two crashes apart.
+    pub run: Run,
+    /// The worker.
+    pub worker: WorkerId,
+    /// Whether it is certain that the task was there: the worker had confirmed it, and broke its connections at once.
+    pub is_certain: bool,
+}
+
+/// The workers that went down under a task.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crashes {
+    /// The task.
+    pub index: u16,
+    /// The workers, in the order in which that was learnt.
+    pub crashes: Vec<Crash>,
+}
+
 /// What is done of one step.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StepProgress {
@@ -88,6 +109,8 @@
     pub done: Vec<u8>,
     /// Which tasks have failed; for a gang under index zero.
     pub failures: Vec<Failures>,
+    /// Under which tasks workers went down.
+    pub crashes: Vec<Crashes>,
 }
 
 impl StepProgress {
@@ -116,6 +139,14 @@
     pub outcome: Option<Outcome>,
 }
 
+impl Progress {
+    /// Returns whether it tells of a task that has begun; a worker may go down before an order reaches it.
+    pub fn has_begun(&self) -> bool {
+        let mut steps = self.occurrences.iter().flat_map(|(_, steps)| steps);
+        steps.any(|step| !step.done.is_empty() || !step.failures.is_empty())
+    }
+}
+
 /// What the owner keeps: each variant under its own key.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Entry {
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -19,8 +19,10 @@
     event::Registration,
     id::{
         Run,
+        StepId,
         TaskId, //
     },
+    record::Crash,
 };
 
 /// For this long an inventory may have been overtaken by another: calls wait 1 s for an end and are
@@ -60,6 +62,22 @@
     pub since: Timestamp,
     /// How many orders to start it got no answer; each may still be carried out.
     pub unanswered: u8,
+    /// Whether only tasks of its own step are started beside it.
+    pub alone: bool,
+    /// When the worker was known to have it first; it may have begun it earlier.
+    pub begun: Option<Timestamp>,
+    /// Whether the worker is known to have worked on it for longer than a crash at its start takes.
+    pub outlasted: bool,
+}
+
+impl Claim {
+    /// Notes that the worker has it.
+    pub fn confirm(&mut self, now: Timestamp) {
+        if self.phase == Phase::Starting {
+            self.phase = Phase::Running { since: now };
+            self.begun = Some(now);
+        }
+    }
 }
 
 /// A reading of a worker's clock.
@@ -85,6 +103,15 @@
     }
 }
 
+/// How a worker fell silent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Silence {
+    /// Its connections broke at this time, as when its process goes down.
+    Broken(Timestamp),
+    /// No answer came in time: it may have gone down at any moment since it was last heard, or is cut off.
+    Missed,
+}
+
 /// One incarnation of a worker.
 #[derive(Clone, Debug)]
 pub struct Worker {
@@ -103,6 +130,11 @@
     pub heard: Option<Timestamp>,
     /// Since when its calls stay unanswered.
     pub silent: Option<Timestamp>,
+    /// How it fell silent, where it is.
+    pub silence: Option<Silence>,
+    /// Runs that it had just begun when it fell silent, of those that were given up when its leases had lapsed: it
+    /// has gone down under them if it doesn't answer again.
+    pub doubted: Vec<(TaskId, Crash)>,
     /// Since when the store doesn't list it.
     pub unlisted: Option<Timestamp>,
     /// Since when what the store lists of it names no worker to use.
@@ -136,6 +168,8 @@
             peek: None,
             heard: None,
             silent: None,
+            silence: None,
+            doubted: Vec::new(),
             unlisted: None,
             distrusted: None,
             seen: 0,
@@ -188,14 +222,35 @@
 
     /// Takes room for a run; false where there is not enough.
     pub fn claim(&mut self, task: TaskId, run: Run, claim: Claim) -> bool {
-        let Some(free) = self.free.checked_sub(claim.size) else {
+        let room = match claim.alone {
+            true => self.room_alone(task.step),
+            false => self.free,
+        };
+        let Some(free) = room.checked_sub(claim.size) else {
             return false;
         };
-        self.free = free;
+        self.free = if claim.alone { Resources::ZERO } else { free };
         self.claims.insert((task, run), claim);
         true
     }
 
+    /// Returns the room for tasks of a step that are to be alone: what these leave of a worker without others.
+    pub fn room_alone(&self, step: StepId) -> Resources {
+        let mut claims = self.claims.iter();
+        match claims.all(|((task, _), claim)| task.step == step && claim.alone) {
+            true => self.unclaimed(),
+            false => Resources::ZERO,
+        }
+    }
+
+    /// Lets others be started beside a run.
+    pub fn end_solitude(&mut self, task: TaskId, run: Run) {
+        if let Some(claim) = self.claims.get_mut(&(task, run)) {
+            claim.alone = false;
+            self.recount();
+        }
+    }
+
     /// Takes in a run that is there already, whatever room there is.
     pub fn adopt(&mut self, task: TaskId, run: Run, claim: Claim) {
         self.claims.insert((task, run), claim);
@@ -214,14 +269,21 @@
         self.recount();
     }
 
-    /// Counts the free room anew; where more is held than fits, nothing is free.
+    /// Counts the free room anew; where more is held than fits, or a run is to be alone, nothing is free.
     fn recount(&mut self) {
+        self.free = match self.claims.values().any(|claim| claim.alone) {
+            true => Resources::ZERO,
+            false => self.unclaimed(),
+        };
+    }
+
+    fn unclaimed(&self) -> Resources {
         let sizes = self.claims.values().map(|claim| claim.size);
         let used = sizes.fold(Resources::ZERO, |sum, size| {
             sum.checked_add(size).unwrap_or(sum)
         });
         let capacity = self.registration.capacity;
-        self.free = capacity.checked_sub(used).unwrap_or(Resources::ZERO);
+        capacity.checked_sub(used).unwrap_or(Resources::ZERO)
     }
 
     /// Notes that a run is over.
--- a/crates/cell/tests/cell/crash.rs
+++ b/crates/cell/tests/cell/crash.rs
@@ -12,7 +12,8 @@
     engine::State,
     id::{
         JobId,
-        StepId, //
+        StepId,
+        TaskId, //
     },
     job::Step,
 };
@@ -55,6 +56,17 @@
     }
 }
 
+/// Returns the last task of the last step of a job.
+fn last_task(job: JobId, steps: &[Step]) -> TaskId {
+    let last = steps.last().expect("a job has steps");
+    let step = StepId {
+        job,
+        occurrence: 0,
+        step: u16::try_from(steps.len() - 1).expect("a few steps"),
+    };
+    step.task(last.count - 1)
+}
+
 /// Plays a minute with a job whose last task crashes its workers, beside others; returns the world and all jobs.
 fn play(queue: &str, steps: Vec<Step>, beside: Beside) -> (World, JobId, Vec<JobId>) {
     let faults = Faults {
@@ -67,14 +79,8 @@
     };
     let mut world = World::new(1, faults);
     world.run(Duration::from_secs(1));
-    let (step, last) = (steps.len() - 1, steps[steps.len() - 1].count - 1);
-    let job = world.submit(queue, steps);
-    let step = StepId {
-        job,
-        occurrence: 0,
-        step: u16::try_from(step).unwrap(),
-    };
-    world.crashers.insert(step.task(last));
+    let job = world.submit(queue, steps.clone());
+    world.crashers.insert(last_task(job, &steps));
     let mut others = Vec::new();
     for second in 0..60 {
         if second < 40 {
@@ -116,3 +122,87 @@
     assert_eq!(world.engine.state(job), Some(State::Failed));
     assert_eq!(world.completed(&others), others.len());
 }
+
+#[test]
+fn from_the_third_crash_on_nothing_is_taken_along() {
+    let (world, _, _) = play("urgent", vec![single()], Beside::Nothing);
+    assert_eq!(world.taken_along.len(), 3);
+    assert_eq!(world.taken_along.last(), Some(&0));
+}
+
+/// Two workers go down by themselves when they had just begun a task, which works well on the third one.
+#[test]
+fn a_task_that_works_on_after_two_crashes_is_cleared() {
+    let mut world = World::new(1, Faults::default());
+    world.run(Duration::from_secs(1));
+    let job = world.submit("batch", vec![lasting()]);
+    let task = last_task(job, &[lasting()]);
+    world.crashers.insert(task);
+    while world.taken_along.len() < 2 {
+        world.run(Duration::from_millis(25));
+    }
+    world.crashers.clear();
+    world.run(Duration::from_secs(10));
+    // What is started now finds room on each worker, that of the lasting task included.
+    let others = world.submit(
+        "batch",
+        vec![Step {
+            count: 31,
+            ..quick_step()
+        }],
+    );
+    world.run(Duration::from_millis(200));
+    assert_eq!(world.engine.counts().claims, 32);
+    world.run(Duration::from_secs(10));
+    assert_eq!(world.engine.state(others), Some(State::Completed));
+    assert_eq!(world.engine.state(job), Some(State::Running));
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
+/// No worker is ever empty: each holds a task that lasts.
+#[test]
+fn a_task_doesn_t_wait_for_an_empty_worker_for_ever() {
+    let mut world = World::new(1, Faults::default());
+    world.run(Duration::from_secs(1));
+    let service = Step {
+        count: 8,
+        anti_affinity: Some(1),
+        ..lasting()
+    };
+    world.submit("batch", vec![service]);
+    world.run(Duration::from_secs(1));
+    let job = world.submit("urgent", vec![single()]);
+    world.crashers.insert(last_task(job, &[single()]));
+    world.run(Duration::from_secs(60));
+    assert_eq!(world.violations, Vec::<String>::new());
+    assert_eq!(world.engine.state(job), Some(State::Failed));
+}
+
+/// Half of the workers, as of one rack, go down twice, just after they have begun tasks that harm nobody.
+#[test]
+fn a_rack_that_goes_down_twice_fails_no_job() {
+    let mut world = World::new(1, Faults::default());
+    world.run(Duration::from_secs(1));
+    let mut jobs = Vec::new();
+    for _ in 0..2 {
+        jobs.extend((0..8).map(|_| {
+            world.submit(
+                "batch",
+                vec![Step {
+                    count: 4,
+                    ..quick_step()
+                }],
+            )
+        }));
+        world.run(Duration::from_millis(50));
+        let rack = world.workers.keys().filter(|id| id.as_str() < "w4");
+        for id in rack.cloned().collect::<Vec<_>>() {
+            world.go_down(id);
+        }
+        world.run(Duration::from_secs(4));
+    }
+    world.run(Duration::from_secs(30));
+    assert_eq!(world.violations, Vec::<String>::new());
+    assert_eq!(world.wronged, 0);
+    assert_eq!(world.completed(&jobs), jobs.len());
+}
--- a/crates/cell/tests/cell/history.rs
+++ b/crates/cell/tests/cell/history.rs
@@ -158,6 +158,24 @@
         prop_assert_eq!(play(seed, Faults { releases: 60, ..ALL }), Vec::<String>::new());
     }
 
+    #[test]
+    fn promises_hold_when_tasks_crash_their_workers(seed in any::<u64>()) {
+        let faults = Faults { crashers: 150, takeovers: 60, outages: 30, lost_orders: 40, announced: 300, ..Faults::default() };
+        prop_assert_eq!(play(seed, faults), Vec::<String>::new());
+    }
+
+    #[test]
+    fn promises_hold_when_tasks_crash_their_workers_amid_all_of_that(seed in any::<u64>()) {
+        prop_assert_eq!(play(seed, Faults { crashers: 100, releases: 30, ..ALL }), Vec::<String>::new());
+    }
+
+    #[test]
+    fn no_task_is_given_up_for_crashes_that_are_not_its_own(seed in any::<u64>()) {
+        // Each worker goes down once in 100 s.
+        let faults = Faults { crashes: 10, cuts: 40, takeovers: 50, lost_orders: 60, releases: 30, ..Faults::default() };
+        prop_assert_eq!(play(seed, faults), Vec::<String>::new());
+    }
+
     #[test]
     fn promises_hold_when_entries_turn_foreign(seed in any::<u64>()) {
         let faults = Faults { foreign: 150, failures: 50, announced: 300, ..Faults::default() };
--- a/crates/cell/tests/cell/world/mod.rs
+++ b/crates/cell/tests/cell/world/mod.rs
@@ -165,6 +165,12 @@
     pub crashers: BTreeSet<TaskId>,
     /// How many workers each of them has crashed.
     pub crashed: BTreeMap<TaskId, u32>,
+    /// How many others ran on each worker that a task has crashed.
+    pub taken_along: Vec<usize>,
+    /// Under how many workers that went down each task was.
+    under: BTreeMap<TaskId, u32>,
+    /// How many tasks were given up that crash nothing.
+    pub wronged: u32,
     /// How often each of them was started after [`PROVED`] crashes.
     started_on: BTreeMap<TaskId, u32>,
     /// Workers that have crashed, and until when nothing answers where they were.
@@ -199,9 +205,13 @@
 const WORKERS: u32 = 8;
 /// How long after its start a task that crashes its worker does so.
 const CRASHES_AFTER: Duration = Duration::from_millis(10);
+/// How long a task that lasts works on.
+const LASTS: Duration = Duration::from_secs(3_600);
 /// How long a crashed worker is away, and for how long it stays listed.
 const AWAY: Duration = Duration::from_secs(3);
 const LISTED: Duration = Duration::from_millis(4_500);
+/// A task may be given up from so many crashes under it on, whoever's fault they are.
+const GIVEN_UP_FROM: u32 = 2;
 /// After so many crashes of workers that started it a task is known for what it is, and so many starts more are the most
 /// that is allowed.
 pub(crate) const PROVED: u32 = 3;
@@ -292,6 +302,9 @@
             failed: BTreeMap::new(),
             crashers: BTreeSet::new(),
             crashed: BTreeMap::new(),
+            taken_along: Vec::new(),
+            under: BTreeMap::new(),
+            wronged: 0,
             started_on: BTreeMap::new(),
             down: BTreeMap::new(),
             append: APPEND,
@@ -321,6 +334,7 @@
         let Some(worker) = self.workers.remove(id) else {
             return;
         };
+        self.note_under(&worker);
         self.engine.unregister(id, self.now);
         self.add_worker(worker.place);
         let mut workers = self.workers.values_mut();
@@ -400,6 +414,13 @@
         job
     }
 
+    /// Has a worker go down by itself; another incarnation is back after a while.
+    pub(crate) fn go_down(&mut self, id: WorkerId) {
+        if let Some(worker) = self.workers.remove(&id) {
+            self.leave_place(id, &worker);
+        }
+    }
+
     /// Has one task of a job crash each worker that starts it.
     fn make_crasher(&mut self, job: JobId, spec: &Spec) {
         let step = self.rng.random_range(0..spec.steps.len());
@@ -418,6 +439,14 @@
             return;
         };
         *self.crashed.entry(task).or_default() += 1;
+        self.taken_along
+            .push(worker.tasks().filter(|other| *other != task).count());
+        self.leave_place(id, &worker);
+    }
+
+    fn leave_place(&mut self, id: WorkerId, worker: &Worker) {
+        self.note_under(worker);
+        self.break_calls(&id);
         self.down.insert(id.clone(), self.now + AWAY);
         self.later(LISTED, Event::Unlisted(id));
         // The place of one that leaves is taken already.
@@ -426,14 +455,36 @@
         }
     }
 
+    fn step(&self, id: StepId) -> Option<&Step> {
+        let mut jobs = self.accepted.iter();
+        let job = jobs.find(|accepted| accepted.job == id.job)?;
+        job.spec.steps.get(usize::from(id.step))
+    }
+
+    fn lasts(&self, id: StepId) -> bool {
+        self.step(id).is_some_and(|step| step.lasting)
+    }
+
     /// Returns whether the members of a gang can't ever be there together.
     fn waits_in_vain(&self, id: StepId) -> bool {
-        let mut jobs = self.accepted.iter();
-        let job = jobs.find(|accepted| accepted.job == id.job);
-        let is_gang = job.is_some_and(|job| job.spec.steps[usize::from(id.step)].gang);
+        let is_gang = self.step(id).is_some_and(|step| step.gang);
         is_gang && self.crashers.iter().any(|task| task.step == id)
     }
 
+    fn note_under(&mut self, worker: &Worker) {
+        for task in worker.tasks() {
+            *self.under.entry(task).or_default() += 1;
+        }
+    }
+
+    /// Breaks the connections to a worker.
+    fn break_calls(&mut self, id: &WorkerId) {
+        let calls = self.calls.iter().filter(|(worker, _)| worker == id);
+        for (id, asked) in calls.cloned().collect::<Vec<_>>() {
+            self.later(WAY, Event::Held(id, asked, HoldAnswer::Broken));
+        }
+    }
+
     /// Returns whether nothing answers where a worker was that is gone.
     fn is_down(&self, id: &WorkerId) -> bool {
         self.down.get(id).is_some_and(|until| *until > self.now)
@@ -518,11 +569,11 @@
                 if let Some((epoch, event)) = self.events.remove(&(at, serial)) {
                     self.take(epoch, event);
                 }
-                self.step();
+                self.pass();
             }
             self.now = next_tick;
             self.pass_second();
-            self.step();
+            self.pass();
         }
     }
 
@@ -678,7 +729,7 @@
         self.events.insert(at, (self.epoch, event));
     }
 
-    fn step(&mut self) {
+    fn pass(&mut self) {
         let ended: Vec<WorkerId> = self
             .workers
             .values_mut()
@@ -767,6 +818,9 @@
             Effect::Forget(jobs) => jobs.into_iter().for_each(|job| self.forget(job)),
             Effect::Note(Note::Placed { task, worker, .. }) => self.check_place(task, &worker),
             Effect::Note(Note::Waits { step, why, .. }) => self.waits.push((step.job, why)),
+            Effect::Note(Note::Crashed { task, verdict, .. }) => {
+                self.check_given_up(task, verdict == "given-up");
+            }
             // Nothing fills in the histories.
             Effect::Pace(_) | Effect::Note(_) => {}
             Effect::Deposed => self.violations.push("the owner was deposed".to_owned()),
@@ -841,6 +895,7 @@
         let works = Duration::from_millis(self.rng.random_range(200..3_000));
         let (how, works) = match (self.waits_in_vain(order.task.step), fails) {
             (true, _) => (How::Alone, Bounds::default().gang_wait),
+            _ if self.lasts(order.task.step) => (How::Failed, LASTS),
             (false, true) => (How::Failed, works),
             (false, false) => (How::Done, works),
         };
@@ -902,7 +957,10 @@
         if !is_alive || !self.calls.contains(&(id.clone(), asked)) {
             return;
         }
-        if !self.workers.contains_key(&id) && !self.is_down(&id) {
+        if self.is_down(&id) {
+            return self.later(WAY, Event::Held(id, asked, HoldAnswer::Broken));
+        }
+        if !self.workers.contains_key(&id) {
             return self.later(WAY, Event::Held(id, asked, HoldAnswer::Gone));
         }
         let Some(worker) = self.reach(&id) else {
@@ -1040,6 +1098,21 @@
         listed || kept || self.done.contains(&task)
     }
 
+    /// Checks that a task is given up only for workers that went down under it.
+    fn check_given_up(&mut self, task: TaskId, is_given_up: bool) {
+        if !is_given_up {
+            return;
+        }
+        if !self.crashers.contains(&task) {
+            self.wronged += 1;
+        }
+        let under = self.under.get(&task).copied().unwrap_or_default();
+        if under < GIVEN_UP_FROM {
+            let line = format!("{task} is given up after {under} crashes under it");
+            self.violations.push(line);
+        }
+    }
+
     /// Returns whether a task of a job crashes its workers.
     pub(crate) fn crashes(&self, job: JobId) -> bool {
         self.crashers.iter().any(|task| task.step.job == job)
--- a/crates/cell/tests/cell/world/worker.rs
+++ b/crates/cell/tests/cell/world/worker.rs
@@ -254,6 +254,10 @@
         }
     }
 
+    pub(crate) fn tasks(&self) -> impl Iterator<Item = TaskId> {
+        self.tasks.keys().copied()
+    }
+
     pub(crate) fn count(&self, task: TaskId) -> usize {
         usize::from(self.tasks.contains_key(&task))
     }
--- a/crates/node/src/report.rs
+++ b/crates/node/src/report.rs
@@ -300,6 +300,7 @@
         Note::Stopping { why, .. } => ("stopping", why),
         Note::Worker { belief, .. } => ("worker", belief),
         Note::Lost { why, .. } => ("lost", why),
+        Note::Crashed { verdict, .. } => ("crashed", verdict),
         Note::Adopted { .. } => ("adopted", ""),
         Note::Finished { outcome, .. } => ("finished", outcome),
         Note::Waits { why, .. } => ("waits", why.word()),
@@ -364,6 +365,14 @@
             beside,
         } => slog::info!(log, "lost"; "task" => %task, "run" => run.0,
             "worker" => worker.as_str(), "why" => why, "age_ms" => millis(*age), "beside" => beside),
+        Note::Crashed {
+            task,
+            run,
+            worker,
+            crashes,
+            verdict,
+        } => slog::warn!(log, "crashed"; "task" => %task, "run" => run.0,
+            "worker" => worker.as_str(), "crashes" => crashes, "verdict" => verdict),
         Note::Adopted { task, run, worker } => slog::info!(log, "adopted"; "task" => %task,
             "run" => run.0, "worker" => worker.as_str()),
         Note::Finished {
