An owner whose machine was suspended gives the cell up before it gives another order

While a machine is suspended the runtime's clock stands still: an owner that woke took its claim for 0.3 s old, and could extend leases on workers that its successor can't reach. Shorter than 0.1 s is no suspension: the waits of a new owner allow for 1.8 s.

Tests: suspension, both red without it.

--- a/crates/node/src/member/own.rs
+++ b/crates/node/src/member/own.rs
@@ -8,6 +8,7 @@
 
 use fulmarpier_cell::record::Claim;
 use futures::{
+    FutureExt,
     StreamExt,
     future::join_all,
     stream::FuturesUnordered, //
@@ -82,6 +83,8 @@
         claim: claim.clone(),
         seat: None,
     }));
+    // What was noticed of an earlier ownership doesn't end this one.
+    let _ = shared.stalled.notified().now_or_never();
     let taking = tokio::spawn({
         let shared = shared.clone();
         let claim = claim.clone();
--- a/crates/node/src/owner/control.rs
+++ b/crates/node/src/owner/control.rs
@@ -79,6 +79,7 @@
         Report, //
     },
     port::Platform,
+    pulse,
     report::millis,
     shared::Shared,
 };
@@ -105,8 +106,9 @@
     is_timed: bool,
     /// Set once another node may own the cell: no order leaves any more.
     is_deposed: bool,
-    /// When the last event was taken.
+    /// When the last event was taken, and for how long the machine had been suspended by then.
     last: Instant,
+    suspended: Duration,
     pub(super) share: Share,
     pub(super) given: Given,
     /// Orders that other nodes give, until they are sent together.
@@ -177,6 +179,7 @@
         records: mpsc::UnboundedSender<Vec<Entry>>,
         view: View,
     ) -> Self {
+        let suspended = shared.platform.suspended();
         Self {
             engine,
             shared,
@@ -186,6 +189,7 @@
             is_timed: false,
             is_deposed: false,
             last: Instant::now(),
+            suspended,
             share: Share::default(),
             given: Given::default(),
             gathered: HashMap::default(),
@@ -195,13 +199,16 @@
 
     /// Gives no order any more where the process stood still for so long that another node may own the
     /// cell: a lease that it would extend is one that the other doesn't know of.
+    ///
+    /// While the machine is suspended the runtime's clock stands still as well, and the leases that others count run on.
     fn check_stall(&mut self) {
         let stood = std::mem::replace(&mut self.last, Instant::now()).elapsed();
-        if stood < STALLED || self.is_deposed {
+        let slept = pulse::slept(&self.shared.platform, &mut self.suspended);
+        if (stood < STALLED && slept.is_none()) || self.is_deposed {
             return;
         }
         slog::warn!(self.shared.log, "stalled"; "epoch" => %self.engine.epoch(),
-            "stood_ms" => millis(stood));
+            "stood_ms" => millis(stood), "slept_ms" => millis(slept.unwrap_or_default()));
         self.is_deposed = true;
         self.shared.stalled.notify_one();
     }
--- a/crates/node/src/port.rs
+++ b/crates/node/src/port.rs
@@ -269,6 +269,9 @@
         patience: Duration,
     ) -> impl Future<Output = Option<Vec<Advised>>> + Send;
 
+    /// Returns for how long the machine was suspended since the process began.
+    fn suspended(&self) -> Duration;
+
     /// Reads a configuration out of its record; `None` where the record is another one.
     ///
     /// # Errors
--- a/crates/node/src/pulse.rs
+++ b/crates/node/src/pulse.rs
@@ -1,4 +1,5 @@
-//! How late this process gets its processor: timers that fire late, and events that wait in the mailbox.
+//! How late this process gets its processor: timers that fire late, events that wait in the mailbox, and a machine that is
+//! suspended.
 
 use std::{
     sync::{
@@ -16,10 +17,13 @@
 
 use crate::{
     port::Platform,
+    report::millis,
     shared::Shared,
     succession::Lag, //
 };
 
+/// A shorter suspension is not told from clocks that are read apart; what rests on leases allows for more.
+const LEAST_SLEPT: Duration = Duration::from_millis(100);
 /// How often the timers are looked at; each look costs a wake-up.
 const LOOK: Duration = Duration::from_millis(100);
 
@@ -62,12 +66,36 @@
     }
 }
 
+/// Returns how long the machine was suspended since this was last asked with the same total, if it was.
+pub(crate) fn slept<P: Platform>(platform: &P, total: &mut Duration) -> Option<Duration> {
+    let now = platform.suspended();
+    let slept = now.saturating_sub(*total);
+    *total = now.max(*total);
+    (slept >= LEAST_SLEPT).then_some(slept)
+}
+
 /// Looks at the timers for as long as the process runs.
 pub(crate) async fn run<P: Platform>(shared: Arc<Shared<P>>) {
+    let mut suspended = shared.platform.suspended();
     loop {
         let due = Instant::now() + LOOK;
         sleep_until(due).await;
         let late = due.elapsed();
         Pulse::with(&shared.pulse.timers, |lag| lag.note(late));
+        if let Some(slept) = slept(&shared.platform, &mut suspended) {
+            wake(&shared, slept);
+        }
+    }
+}
+
+/// Has nothing be asserted of what was read before the machine was suspended.
+fn wake<P: Platform>(shared: &Shared<P>, slept: Duration) {
+    slog::warn!(shared.log, "woke"; "slept_ms" => millis(slept));
+    if shared.acting.borrow().is_some() {
+        shared.stalled.notify_one();
     }
+    shared.config_read.send_modify(|at| {
+        // Where the clock doesn't reach back so far, the configuration is as old as the clock.
+        *at = at.checked_sub(slept).unwrap_or(*at);
+    });
 }
--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -6,4 +6,5 @@
 mod record;
 mod service;
 mod support;
+mod suspension;
 mod view;
--- a/crates/node/tests/node/platform.rs
+++ b/crates/node/tests/node/platform.rs
@@ -144,6 +144,8 @@
     run_out: Arc<AtomicUsize>,
     /// How many orders to start this machine has given.
     ordered: Arc<AtomicUsize>,
+    /// For how long this machine was suspended.
+    suspended: Arc<Mutex<Duration>>,
 }
 
 /// A value that is rejected before it is decoded.
@@ -201,6 +203,11 @@
         }
     }
 
+    /// Suspends this machine for a while, during which the runtime's clock stands still.
+    pub(crate) fn suspend(&self, span: Duration) {
+        *self.suspended.lock().unwrap() += span;
+    }
+
     /// Has the store behave differently towards this machine alone.
     pub(crate) fn set_here(&self, mode: Mode) {
         *self.own.lock().unwrap() = Some(mode);
@@ -631,6 +638,10 @@
         None
     }
 
+    fn suspended(&self) -> Duration {
+        *self.suspended.lock().unwrap()
+    }
+
     fn configuration(&self, record: &Record) -> Result<Option<Config>, Fault> {
         let (version, pool) = match (record.key.as_str(), record.value.as_deref()) {
             ("config", Some(b"1")) => (1, "p"),
--- /dev/null
+++ b/crates/node/tests/node/suspension.rs
@@ -0,0 +1,54 @@
+//! Machines that are suspended: the runtime's clock stands still, and the leases that others count run on.
+
+use std::time::Duration;
+
+use crate::{
+    platform::Fake,
+    support::{
+        SECOND,
+        completed,
+        node,
+        ready,
+        submit,
+        until, //
+    },
+};
+
+const SLEPT: Duration = Duration::from_secs(5);
+
+#[tokio::test]
+async fn an_owner_whose_machine_was_suspended_gives_the_cell_up() {
+    let platform = Fake::new();
+    let machine = platform.machine();
+    let one = node("one", &machine);
+    ready(&one).await;
+    let two = node("two", &platform);
+    ready(&two).await;
+    assert_eq!(platform.owner().as_deref(), Some("one"));
+    machine.suspend(SLEPT);
+    until(|| async { platform.owner().as_deref() == Some("two") }).await;
+    submit(&one, 1).await.unwrap();
+    completed(&one, 1).await;
+    assert_eq!(platform.starts(1), 4);
+}
+
+/// What a node noticed before it owned the cell doesn't end its ownership.
+#[tokio::test]
+async fn a_node_that_was_suspended_keeps_the_cell_that_it_claims_later() {
+    let platform = Fake::new();
+    let one = node("one", &platform);
+    ready(&one).await;
+    let machine = platform.machine();
+    let two = node("two", &machine);
+    ready(&two).await;
+    machine.suspend(SLEPT);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    one.leave();
+    until(|| async { platform.owner().as_deref() == Some("two") }).await;
+    let claims = platform.claims();
+    let epoch = claims.last().map(|claim| claim.epoch);
+    tokio::time::sleep(SECOND).await;
+    let claims = platform.claims();
+    assert_eq!(claims.last().map(|claim| claim.epoch), epoch);
+    assert!(claims.last().is_some_and(|claim| !claim.released));
+}
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -1,7 +1,7 @@
 //! Sockets and everything else that touches the outside: the outermost layer.
 //!
 //! The platform's adapters, the calls between the system's own processes, the HTTP server, logs,
-//! metrics, signals and the clock live here. Decisions do not: they belong to the layers below.
+//! metrics, signals and the clocks live here. Decisions do not: they belong to the layers below.
 
 pub mod clock;
 pub mod http;
@@ -11,3 +11,4 @@
 pub mod rpc;
 pub mod signal;
 pub mod silence;
+pub mod suspension;
