Nothing is started on a room that may have shrunk

Cause: a worker's room was taken for what its last report says, however old; a start that was decided before the report, or whose record waited for the store, left all the same. While the store is away no worker can tell that it has shrunk.

Now a report holds for 4 s (workers make one each 1.5 s); what has not left when a room shrinks is taken back, and orders without an answer are stopped there. What runs goes on.

--- a/crates/cell/examples/fleet.rs
+++ b/crates/cell/examples/fleet.rs
@@ -78,6 +78,8 @@
 const RATED: f64 = 80.0;
 /// For how long each runs.
 const SPAN: Duration = Duration::from_secs(20);
+/// How often the workers report themselves.
+const REPORTS: Duration = Duration::from_millis(1_500);
 /// How often the engine is told that time has passed.
 const TICK: Duration = Duration::from_millis(5);
 /// How long a record takes to be kept.
@@ -250,6 +252,14 @@
         cell
     }
 
+    /// Has all workers report themselves; the time that takes is not counted.
+    fn report(&mut self, workers: u32) {
+        for nth in 0..workers {
+            let id = WorkerId::from(format!("w{nth}"));
+            self.engine.register(registration(&id, nth), self.now);
+        }
+    }
+
     /// Does something with the engine and counts the time that it takes.
     fn spend(&mut self, work: impl FnOnce(&mut Engine, Timestamp)) {
         let now = self.now;
@@ -442,7 +452,12 @@
     let tick = TICK.as_secs_f64();
     // How many jobs of each kind are to come, with a fraction of the next.
     let mut owed = [0.0; KINDS.len()];
+    let mut reports = cell.now;
     while cell.now < end {
+        if reports <= cell.now {
+            reports = cell.now + REPORTS;
+            cell.report(workers);
+        }
         let next = cell.now + TICK;
         while let Some(entry) = cell.later.first_entry()
             && entry.key().0 <= next
--- a/crates/cell/src/engine/contact.rs
+++ b/crates/cell/src/engine/contact.rs
@@ -63,6 +63,8 @@
             let was = worker.registration.leaving.is_some();
             let leaves = registration.leaving.is_some();
             let is_changed = worker.offers_other(&registration);
+            let shrinks = !worker.registration.capacity.fits(&registration.capacity);
+            worker.told = now;
             worker.unlisted = None;
             let was_distrusted = worker.distrusted.take().is_some();
             worker.registration = registration;
@@ -71,6 +73,9 @@
                 self.note_worker(slot, "trusted", now);
             }
             self.index(slot);
+            if shrinks {
+                self.shrink(slot, now);
+            }
             if is_changed {
                 self.take_up();
             }
--- a/crates/cell/src/engine/mod.rs
+++ b/crates/cell/src/engine/mod.rs
@@ -3,6 +3,7 @@
 //! | module | what it does |
 //! |---|---|
 //! | `announce` | prepares jobs whose acceptance is on its way |
+//! | `shrink` | workers that have less room than they had |
 //! | `submit` | takes jobs and cancellations, opens steps whose turn has come |
 //! | `schedule` | goes through the open steps in order of urgency |
 //! | `place` | finds workers for single tasks and gangs |
@@ -35,6 +36,7 @@
 mod reserve;
 mod room;
 mod schedule;
+mod shrink;
 mod submit;
 mod timer;
 mod view;
--- a/crates/cell/src/engine/order.rs
+++ b/crates/cell/src/engine/order.rs
@@ -1,8 +1,11 @@
 //! What comes of orders, and stops that are repeated until they are settled.
 
 use std::{
-    collections::BTreeSet,
-    time::Duration, //
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    time::Duration,
 };
 
 use fulmarpier_state::clock::Timestamp;
@@ -30,7 +33,8 @@
     },
     worker::{
         Contact,
-        Phase, //
+        Phase,
+        Worker, //
     },
 };
 
@@ -130,7 +134,9 @@
         };
         claim.unanswered += 1;
         let is_spent = claim.unanswered >= MOST_COPIES;
-        if is_spent || !self.is_wanted(task) {
+        let worker = self.workers.get(&slot);
+        let is_overfull = worker.is_some_and(Worker::is_overfull);
+        if is_spent || is_overfull || !self.is_wanted(task) {
             self.stop(slot, task, run, "unanswered", now);
         } else {
             self.send_start(slot, task, run, now);
@@ -168,19 +174,17 @@
     /// Orders the starts whose decisions are on record.
     ///
     /// A ticket may have run out while the record waited for the store; its worker would turn the order
-    /// away, and the members of a gang that did start would wait for the others in vain.
+    /// away, and the members of a gang that did start would wait for the others in vain. Nor is it known by then how much
+    /// room a worker has that shrinks.
     pub(super) fn send_starts(&mut self, starts: Vec<(Slot, TaskId, Run)>, now: Timestamp) {
         let starts = self.hold_announced(starts);
-        let aged = starts.iter().filter(|start| {
-            let ticket = self
-                .orders
-                .get(start)
-                .and_then(|order| order.ticket.as_ref());
-            ticket.is_some_and(|ticket| !ticket.is_usable(now))
+        let late = starts.iter().filter_map(|start| {
+            let (_, task, _) = start;
+            Some((*task, self.late(start, now)?))
         });
-        let aged: BTreeSet<TaskId> = aged.map(|(_, task, _)| *task).collect();
-        let broken: BTreeSet<StepId> = aged
-            .iter()
+        let late: BTreeMap<TaskId, &'static str> = late.collect();
+        let broken: BTreeSet<StepId> = late
+            .keys()
             .map(|task| task.step)
             .filter(|step| {
                 let job = self.jobs.get(&step.job);
@@ -188,24 +192,27 @@
             })
             .collect();
         for (slot, task, run) in starts {
-            if !aged.contains(&task) && !broken.contains(&task.step) {
+            let why = late.get(&task).copied();
+            if why.is_none() && !broken.contains(&task.step) {
                 self.send_start(slot, task, run, now);
                 continue;
             }
-            if let Some(worker) = self.workers.get(&slot) {
-                let worker = worker.registration.id.clone();
-                let why = "ticket-aged";
-                self.note(Note::NotStarted {
-                    task,
-                    run,
-                    worker,
-                    why,
-                });
-            }
+            self.note_not_started(slot, task, run, why.unwrap_or("gang-late"));
             self.release(slot, task, run, now);
         }
     }
 
+    /// Returns why an order should not leave any more, as one word.
+    fn late(&self, start: &(Slot, TaskId, Run), now: Timestamp) -> Option<&'static str> {
+        let order = self.orders.get(start);
+        let ticket = order.and_then(|order| order.ticket.as_ref());
+        if ticket.is_some_and(|ticket| !ticket.is_usable(now)) {
+            return Some("ticket-aged");
+        }
+        let worker = self.workers.get(&start.0)?;
+        (!worker.is_room_known(now)).then_some("room-unknown")
+    }
+
     /// Keeps back the starts of jobs whose acceptance is not on record; returns the others that still wait.
     fn hold_announced(&mut self, starts: Vec<(Slot, TaskId, Run)>) -> Vec<(Slot, TaskId, Run)> {
         let waiting = starts.into_iter().filter(|(slot, task, run)| {
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -29,6 +29,11 @@
 /// given up 0.8 s later.
 const OVERTAKEN: Duration = Duration::from_secs(2);
 
+/// For how long a worker's report says how much room there is. Workers report themselves each 1.5 s, and starts that go beyond
+/// a room that has shrunk are borne for 3 s more; the rest is for an order's way. While the store is away no worker can tell
+/// that it has shrunk.
+const REPORT_HOLDS: Duration = Duration::from_secs(4);
+
 /// How long a worker that nobody lists and that runs nothing is remembered.
 const FORGET: Duration = Duration::from_secs(10);
 
@@ -117,6 +122,8 @@
 pub struct Worker {
     /// What it reports of itself.
     pub registration: Registration,
+    /// When it last reported itself.
+    pub told: Timestamp,
     /// What no claim takes.
     pub free: Resources,
     /// What may use it.
@@ -162,6 +169,7 @@
     pub fn new(registration: Registration, now: Timestamp, lapses: Timestamp) -> Self {
         Self {
             free: registration.capacity,
+            told: now,
             registration,
             claims: BTreeMap::new(),
             contact: Contact::Due(now),
@@ -217,7 +225,18 @@
 
     /// Returns whether new tasks may be placed on it now.
     pub fn is_open(&self, now: Timestamp) -> bool {
-        self.is_taking() && self.rests <= now
+        self.is_taking() && self.rests <= now && self.is_room_known(now)
+    }
+
+    /// Returns whether its report is new enough to say how much room there is.
+    pub fn is_room_known(&self, now: Timestamp) -> bool {
+        now.since(self.told) <= REPORT_HOLDS
+    }
+
+    /// Returns whether its claims take more than it has.
+    pub fn is_overfull(&self) -> bool {
+        self.used()
+            .is_none_or(|used| !used.fits(&self.registration.capacity))
     }
 
     /// Takes room for a run; false where there is not enough.
@@ -278,12 +297,15 @@
     }
 
     fn unclaimed(&self) -> Resources {
-        let sizes = self.claims.values().map(|claim| claim.size);
-        let used = sizes.fold(Resources::ZERO, |sum, size| {
-            sum.checked_add(size).unwrap_or(sum)
-        });
         let capacity = self.registration.capacity;
-        capacity.checked_sub(used).unwrap_or(Resources::ZERO)
+        let left = self.used().and_then(|used| capacity.checked_sub(used));
+        left.unwrap_or(Resources::ZERO)
+    }
+
+    /// Returns what all claims take; `None` where that can't be counted.
+    fn used(&self) -> Option<Resources> {
+        let mut sizes = self.claims.values().map(|claim| claim.size);
+        sizes.try_fold(Resources::ZERO, |sum, size| sum.checked_add(size))
     }
 
     /// Notes that a run is over.
--- a/crates/cell/tests/cell/history.rs
+++ b/crates/cell/tests/cell/history.rs
@@ -97,6 +97,7 @@
     foreign: 0,
     releases: 0,
     crashers: 0,
+    shrinks: 0,
 };
 
 /// The same while entries of workers turn into those of another writer and back, one every two seconds.
@@ -130,6 +131,7 @@
     foreign: 0,
     releases: 0,
     crashers: 150,
+    shrinks: 0,
 };
 
 #[rstest]
@@ -217,6 +219,17 @@
         prop_assert_eq!(play(seed, CRASHING), Vec::<String>::new());
     }
 
+    #[test]
+    fn promises_hold_when_rooms_shrink_and_grow(seed in any::<u64>()) {
+        let faults = Faults { shrinks: 150, lost_orders: 60, failures: 50, outages: 60, announced: 300, ..Faults::default() };
+        prop_assert_eq!(play(seed, faults), Vec::<String>::new());
+    }
+
+    #[test]
+    fn promises_hold_when_rooms_shrink_and_grow_amid_all_of_that(seed in any::<u64>()) {
+        prop_assert_eq!(play(seed, Faults { shrinks: 100, ..CRASHING }), Vec::<String>::new());
+    }
+
     #[test]
     fn no_task_is_given_up_for_crashes_that_are_not_its_own(seed in any::<u64>()) {
         // Each worker goes down once in 100 s.
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -12,6 +12,7 @@
 mod overtaking;
 mod pace;
 mod pending;
+mod shrink;
 mod takeover;
 mod wait;
 mod wide;
--- a/crates/cell/tests/cell/takeover.rs
+++ b/crates/cell/tests/cell/takeover.rs
@@ -109,6 +109,7 @@
     engine.register(registration(&well), began);
     let mut now = began;
     let started = loop {
+        engine.register(registration(&well), now);
         let mut effects = engine.advance(now);
         assert!(now.since(began) < Duration::from_secs(60), "it starts");
         if effects.iter().any(|e| matches!(e, Effect::Start(_))) {
--- a/crates/node/tests/node/platform.rs
+++ b/crates/node/tests/node/platform.rs
@@ -123,6 +123,28 @@
     job_reads: usize,
     /// How many appends of each topic there were while answers were lost.
     lost: BTreeMap<String, u32>,
+    /// When the workers last reported themselves.
+    reported: Option<Instant>,
+}
+
+impl State {
+    /// Has the workers report themselves again, as they do from time to time.
+    fn report_workers(&mut self) {
+        let is_due = self.reported.is_none_or(|at| at.elapsed() >= REPORTS);
+        let entries = self.topics.get_mut(&name(Topic::Workers));
+        let Some(entries) = entries.filter(|_| is_due) else {
+            return;
+        };
+        self.reported = Some(Instant::now());
+        let newest: BTreeMap<String, Record> = entries
+            .iter()
+            .map(|record| (record.key.clone(), record.clone()))
+            .collect();
+        // What another writer has written is no report.
+        let own = newest.into_values();
+        let own = own.filter(|record| record.value.as_deref() == Some(b"here".as_slice()));
+        entries.extend(own);
+    }
 }
 
 /// What a worker holds.
@@ -150,6 +172,8 @@
 
 /// A value that is rejected before it is decoded.
 pub(crate) const LOST_VALUE: &[u8] = b"lost";
+/// How often its workers report themselves.
+const REPORTS: Duration = Duration::from_millis(1_000);
 /// How long its tasks run.
 const RUNS: Duration = Duration::from_millis(40);
 /// How long a call takes.
@@ -530,6 +554,9 @@
         if matches!(topic, Topic::Jobs(_)) {
             self.state().job_reads += 1;
         }
+        if matches!(topic, Topic::Workers) {
+            self.state().report_workers();
+        }
         loop {
             self.wait_for(topic).await;
             self.answer().await?;
