--- a/crates/state/src/engine/begin.rs
+++ b/crates/state/src/engine/begin.rs
@@ -85,6 +85,7 @@
             end,
             loss: None,
             borrowed: None,
+            shown: false,
             halt: None,
             reserved: false,
         };
--- a/crates/state/src/engine/events.rs
+++ b/crates/state/src/engine/events.rs
@@ -116,10 +116,15 @@
         self.drain()
     }
 
-    /// Notes what a task was seen to use.
+    /// Notes what a task was seen to use, and that its worker has not gone down under its start.
     pub fn usage(&mut self, id: TaskId, used: Resources, _now: Timestamp) {
-        if let Some(job) = self.jobs.get(&id.job) {
-            self.estimator.record_usage(&job.key, used);
+        let Some(job) = self.jobs.get_mut(&id.job) else {
+            return;
+        };
+        self.estimator.record_usage(&job.key, used);
+        if let Some(task) = job.active.get_mut(&id.index) {
+            task.shown = true;
+            job.crashes.remove(&id.index);
         }
     }
 
--- a/crates/state/src/engine/image.rs
+++ b/crates/state/src/engine/image.rs
@@ -49,6 +49,7 @@
     active: Vec<TaskImage>,
     counts: Counts,
     failures: u32,
+    crashes: Vec<(u32, u32)>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -117,6 +118,7 @@
         job.again = image.again;
         job.counts = image.counts;
         job.failures = image.failures;
+        job.crashes = image.crashes.into_iter().collect();
         for (index, at, attempt) in image.delayed {
             job.delayed.insert(index, (at, attempt));
             self.set_timer(at, Timer::Retry(TaskId::new(id, index)));
@@ -157,5 +159,6 @@
         active: active.collect(),
         counts: job.counts,
         failures: job.failures,
+        crashes: job.crashes.iter().map(|(i, n)| (*i, *n)).collect(),
     }
 }
--- a/crates/state/src/engine/job.rs
+++ b/crates/state/src/engine/job.rs
@@ -118,6 +118,8 @@
     pub(super) counts: Counts,
     /// Failures so far, against the retry budget.
     pub(super) failures: u32,
+    /// How many workers in a row went down under the start of a task, where any did.
+    pub(super) crashes: BTreeMap<u32, u32>,
     /// Where a task of it last failed; avoided by the next start.
     pub(super) avoid: Vec<WorkerId>,
     pub(super) presence: Presence,
@@ -141,6 +143,7 @@
             claimed: 0,
             counts: Counts::default(),
             failures: 0,
+            crashes: BTreeMap::new(),
             avoid: Vec::new(),
             presence: Presence::new(),
         }
--- a/crates/state/src/engine/recovery.rs
+++ b/crates/state/src/engine/recovery.rs
@@ -157,6 +157,10 @@
         }
         let begun = now.saturating_sub(age);
         self.place(id, attempt, worker, Phase::Running, begun);
+        if let Some(task) = self.task_mut(id) {
+            // Whether its worker had shown it to a former owner isn't known.
+            task.shown = true;
+        }
         let reserved = self.index.reserve(worker, size).is_ok();
         self.resize(id, size, reserved);
         if !reserved && let Some(host) = self.hosts.get_mut(&worker) {
--- a/crates/state/src/engine/settle.rs
+++ b/crates/state/src/engine/settle.rs
@@ -12,6 +12,7 @@
     job::Stage,
     task::{
         Halt,
+        Phase,
         Task, //
     },
     timer::Timer,
@@ -25,6 +26,9 @@
     },
 };
 
+/// A task is given up when so many workers in a row have gone down under its starts.
+const MOST_CRASHES: u32 = 3;
+
 impl Engine {
     /// Decides whether a task that has left its worker is done or waits again.
     pub(super) fn settle(
@@ -37,7 +41,10 @@
     ) {
         match end {
             End::Succeeded => self.succeed(id, task, age, now),
-            End::Failed => self.fail(id, task, now),
+            End::Failed => {
+                self.clear_crashes(id);
+                self.fail(id, task, now);
+            }
             End::Checkpointed | End::Stopped | End::Lapsed => {
                 self.interrupt(id, task, end, age, now);
             }
@@ -111,6 +118,10 @@
             self.finish(id, task, Outcome::Unknown, now);
             return;
         }
+        if end == End::Lapsed && self.crash(id, task) {
+            self.give_up(id, task, now);
+            return;
+        }
         self.counters.retries += 1;
         self.wait_again(id, task, now);
         if end == End::Lapsed {
@@ -118,6 +129,45 @@
         }
     }
 
+    /// Counts a worker that went down before it ever showed a task at work; returns whether the task is to be given up.
+    ///
+    /// A task that crashes each worker that starts it never comes to an end that is told. Started again for ever, it
+    /// took one worker after the other down, with all that ran there.
+    fn crash(&mut self, id: TaskId, task: &Task) -> bool {
+        let Some(job) = self.jobs.get_mut(&id.job) else {
+            return false;
+        };
+        if task.shown || task.phase != Phase::Running {
+            return false;
+        }
+        let crashes = job.crashes.entry(id.index).or_default();
+        *crashes += 1;
+        *crashes >= MOST_CRASHES
+    }
+
+    fn clear_crashes(&mut self, id: TaskId) {
+        if let Some(job) = self.jobs.get_mut(&id.job) {
+            job.crashes.remove(&id.index);
+        }
+    }
+
+    /// Ends a task that crashes its workers, and its job where none of its tasks has succeeded; a service's only waits longer
+    /// each time.
+    fn give_up(&mut self, id: TaskId, task: &Task, now: Timestamp) {
+        let Some(job) = self.jobs.get_mut(&id.job) else {
+            return;
+        };
+        if job.is_service() {
+            job.failures = job.failures.saturating_add(1);
+            self.retry(id, task, now);
+            return;
+        }
+        if job.is_gang() || job.counts.succeeded == 0 {
+            self.doom(id.job, now);
+        }
+        self.finish(id, task, Outcome::Failed, now);
+    }
+
     /// Starts a task again after a wait that grows with the failures of its job.
     fn retry(&mut self, id: TaskId, task: &Task, now: Timestamp) {
         let Some(job) = self.jobs.get_mut(&id.job) else {
--- a/crates/state/src/engine/task.rs
+++ b/crates/state/src/engine/task.rs
@@ -62,6 +62,8 @@
     pub(super) loss: Option<Loss>,
     /// The reservation whose capacity it uses until it ends.
     pub(super) borrowed: Option<u64>,
+    /// Set once its worker has shown it at work; until then the worker may go down under its start.
+    pub(super) shown: bool,
     /// Set once it was told to stop.
     pub(super) halt: Option<Halt>,
     /// Whether its size is reserved in the index.
--- a/crates/state/tests/engine/life.rs
+++ b/crates/state/tests/engine/life.rs
@@ -174,6 +174,46 @@
     assert_eq!(again.first().map(|start| start.1), next);
 }
 
+/// Workers go down under the start of a task and tell of no end; a task that was started again for ever took one after the
+/// other down.
+#[rstest]
+#[case::a_batch_task(batch(1, 8), 3)]
+#[case::a_task_of_a_gang(gang(2, 8), 3)]
+fn a_task_that_crashes_its_workers_is_given_up(#[case] spec: Spec, #[case] expected: u32) {
+    let mut engine = cell(8, 8);
+    engine.submit(job_id(1), spec, at(0));
+    let mut crashes = 0;
+    for second in 1..20 {
+        let now = at(second);
+        let started = starts(&engine.decide(now, 10));
+        for (task, attempt, worker) in started {
+            engine.started(task, attempt, worker, now);
+            if task.index == 0 {
+                crashes += 1;
+                engine.worker_lost(worker, now);
+            } else {
+                engine.ended(task, attempt, worker, End::Stopped, AGE, now);
+            }
+        }
+    }
+    assert_eq!(crashes, expected);
+    assert_eq!(state(&engine, job_id(1)), State::Ended(Outcome::Failed));
+}
+
+/// A worker that has shown a task at work before it went down did not crash under its start.
+#[test]
+fn a_task_that_was_seen_at_work_is_started_again_however_often_its_worker_is_lost() {
+    let mut engine = cell(20, 8);
+    engine.submit(job_id(1), batch(1, 8), at(0));
+    for second in 1..10 {
+        let (task, attempt, worker) = starts(&engine.decide(at(second), 10))[0];
+        engine.started(task, attempt, worker, at(second));
+        engine.usage(task, cores(1), at(second));
+        engine.worker_lost(worker, at(second));
+    }
+    assert_eq!(state(&engine, job_id(1)), State::Waiting);
+}
+
 #[test]
 fn failures_are_retried_with_backoff_up_to_the_budget() {
     let mut engine = cell(8, 8);
