--- a/crates/cell/tests/cell/world/mod.rs
+++ b/crates/cell/tests/cell/world/mod.rs
@@ -4,6 +4,8 @@
 //! than one that ended or was stopped, end everything when the lease lapses, and tell of ends until
 //! those are acknowledged. Orders may go unanswered, be carried out late, or both.
 
+mod check;
+mod fault;
 mod worker;
 
 use std::{
@@ -420,82 +422,6 @@
         job
     }
 
-    /// Has a worker go down by itself; another incarnation is back after a while.
-    pub(crate) fn go_down(&mut self, id: WorkerId) {
-        if let Some(worker) = self.workers.remove(&id) {
-            self.leave_place(id, &worker);
-        }
-    }
-
-    /// Has one task of a job crash each worker that starts it.
-    fn make_crasher(&mut self, job: JobId, spec: &Spec) {
-        let step = self.rng.random_range(0..spec.steps.len());
-        let index = self.rng.random_range(0..spec.steps[step].count);
-        let step = StepId {
-            job,
-            occurrence: 0,
-            step: u16::try_from(step).unwrap(),
-        };
-        self.crashers.insert(step.task(index));
-    }
-
-    /// Has a task crash the worker that has started it; another incarnation is back after a while.
-    fn crash(&mut self, id: WorkerId, task: TaskId) {
-        let Some(worker) = self.workers.remove(&id) else {
-            return;
-        };
-        *self.crashed.entry(task).or_default() += 1;
-        self.taken_along
-            .push(worker.tasks().filter(|other| *other != task).count());
-        self.leave_place(id, &worker);
-    }
-
-    fn leave_place(&mut self, id: WorkerId, worker: &Worker) {
-        self.note_under(worker);
-        self.break_calls(&id);
-        self.down.insert(id.clone(), self.now + AWAY);
-        self.later(LISTED, Event::Unlisted(id));
-        // The place of one that leaves is taken already.
-        if worker.leaves.is_none() {
-            self.later(AWAY, Event::Back(worker.place));
-        }
-    }
-
-    fn step(&self, id: StepId) -> Option<&Step> {
-        let mut jobs = self.accepted.iter();
-        let job = jobs.find(|accepted| accepted.job == id.job)?;
-        job.spec.steps.get(usize::from(id.step))
-    }
-
-    fn lasts(&self, id: StepId) -> bool {
-        self.step(id).is_some_and(|step| step.lasting)
-    }
-
-    /// Returns whether the members of a gang can't ever be there together.
-    fn waits_in_vain(&self, id: StepId) -> bool {
-        let is_gang = self.step(id).is_some_and(|step| step.gang);
-        is_gang && self.crashers.iter().any(|task| task.step == id)
-    }
-
-    fn note_under(&mut self, worker: &Worker) {
-        for task in worker.tasks() {
-            *self.under.entry(task).or_default() += 1;
-        }
-    }
-
-    /// Breaks the connections to a worker.
-    fn break_calls(&mut self, id: &WorkerId) {
-        let calls = self.calls.iter().filter(|(worker, _)| worker == id);
-        for (id, asked) in calls.cloned().collect::<Vec<_>>() {
-            self.later(WAY, Event::Held(id, asked, HoldAnswer::Broken));
-        }
-    }
-
-    /// Returns whether nothing answers where a worker was that is gone.
-    fn is_down(&self, id: &WorkerId) -> bool {
-        self.down.get(id).is_some_and(|until| *until > self.now)
-    }
-
     /// Makes a job that is handed in now and not on record yet.
     pub(crate) fn hand_in(&mut self, queue: &str, steps: Vec<Step>) -> Accepted {
         self.make(queue, steps, None, self.now)
@@ -649,71 +575,6 @@
         }
     }
 
-    /// Leaves all workers room for so many tasks.
-    pub(crate) fn resize(&mut self, tasks: u32) {
-        for worker in self.workers.values_mut() {
-            worker.resize(tasks, self.now);
-        }
-    }
-
-    /// Changes the room of some workers.
-    fn resize_workers(&mut self) {
-        for id in self.workers.keys().cloned().collect::<Vec<_>>() {
-            if self.chance(self.faults.shrinks) {
-                let tasks = self.rng.random_range(1..=4);
-                if let Some(worker) = self.workers.get_mut(&id) {
-                    worker.resize(tasks, self.now);
-                }
-            }
-        }
-    }
-
-    /// Has all workers report themselves, as they do while the store is there.
-    fn report_workers(&mut self) {
-        if self.now < self.store_back {
-            return;
-        }
-        for worker in self.workers.values() {
-            if worker.foreign_until.is_none() {
-                self.engine.register(worker.registration(), self.now);
-            }
-        }
-    }
-
-    /// Has workers that leave be gone, and others begin to leave.
-    fn release_workers(&mut self) {
-        for id in self.workers.keys().cloned().collect::<Vec<_>>() {
-            let worker = &self.workers[&id];
-            let (place, leaves) = (worker.place, worker.leaves);
-            match leaves {
-                Some(leaves) if leaves <= self.now => {
-                    self.workers.remove(&id);
-                    self.engine.unregister(&id, self.now);
-                }
-                Some(_) => {}
-                None if self.chance(self.faults.releases) => {
-                    self.add_worker(place);
-                    let span = Duration::from_millis(self.rng.random_range(2_000..4_000));
-                    let leaves = self.now + span;
-                    if let Some(worker) = self.workers.get_mut(&id) {
-                        worker.leaves = Some(leaves);
-                    }
-                    self.tell_of(place);
-                }
-                None => {}
-            }
-        }
-    }
-
-    /// Has the workers at a place report themselves.
-    fn tell_of(&mut self, place: u32) {
-        for worker in self.workers.values() {
-            if worker.place == place && worker.foreign_until.is_none() {
-                self.engine.register(worker.registration(), self.now);
-            }
-        }
-    }
-
     /// Takes an acceptance off the record.
     fn forget(&mut self, forgotten: Forgotten) {
         self.forgotten.insert(forgotten.job);
@@ -787,24 +648,6 @@
         self.check_waiting();
     }
 
-    /// Checks that no job is left out of those that are said to wait.
-    ///
-    /// An owner may hear late of a start, so it may say that more wait than do, never that fewer do.
-    fn check_waiting(&mut self) {
-        for queue in self.config.queues.keys() {
-            let jobs = self.accepted.iter();
-            let waiting = jobs.filter(|accepted| {
-                let is_over = self.cancelled.contains_key(&accepted.job);
-                accepted.queue.name == *queue && !is_over && !self.begun.contains(&accepted.job)
-            });
-            let (waiting, said) = (waiting.count(), self.engine.pending(queue));
-            if usize::try_from(said).unwrap_or(usize::MAX) < waiting {
-                let line = format!("{said} jobs are said to wait in {queue:?}, {waiting} do");
-                self.violations.push(line);
-            }
-        }
-    }
-
     fn carry_out(&mut self, effect: Effect) {
         match effect {
             Effect::Start(order) => {
@@ -1047,145 +890,4 @@
         let answer = HoldAnswer::Listed(worker.inventory(now));
         self.later(WAY, Event::Held(id.clone(), asked, answer));
     }
-
-    /// Checks that a task is placed on a worker whose entry names one to use.
-    fn check_place(&mut self, task: TaskId, worker: &WorkerId) {
-        let entry = self.workers.get(worker);
-        if entry.is_some_and(|worker| worker.leaves.is_some()) {
-            let line = format!("{task} is placed on {worker}, which leaves");
-            self.violations.push(line);
-        }
-        if entry.is_some_and(|worker| worker.foreign_until.is_some()) {
-            let line = format!("{task} is placed on {worker}, whose entry is another writer's");
-            self.violations.push(line);
-        }
-    }
-
-    /// Checks every promise about starts.
-    fn check_start(&mut self, order: &fulmarpier_cell::effect::Start, is_in_time: bool) {
-        let task = order.task;
-        let at = format!("{task} run {} on {}", order.run, order.to.worker);
-        let running = self.workers.values();
-        let count: usize = running.map(|worker| worker.count(task)).sum();
-        if count > 1 {
-            self.violations.push(format!("{at}: runs twice"));
-        }
-        if self.done.contains(&task) {
-            self.violations.push(format!("{at}: was done"));
-        }
-        let failed = self.failed.get(&task).map_or(0, BTreeSet::len);
-        if failed >= TRIES as usize {
-            self.violations.push(format!("{at}: has used its tries"));
-        }
-        if self
-            .crashed
-            .get(&task)
-            .is_some_and(|crashed| *crashed >= PROVED)
-        {
-            let more = self.started_on.entry(task).or_default();
-            *more += 1;
-            if *more > STARTS_MORE {
-                self.violations
-                    .push(format!("{at}: {more} starts more after {PROVED} crashes"));
-            }
-        }
-        // Nothing can be done about an order that is carried out late.
-        let late = if is_in_time {
-            SHRINK_BORNE
-        } else {
-            SHRINK_BORNE + LATEST
-        };
-        if let Some(worker) = self.workers.get(&order.to.worker)
-            && worker.is_overfilled(late, self.now)
-        {
-            self.violations.push(format!("{at}: overfilled"));
-        }
-        // An order that was on its way may still arrive.
-        let cancelled = self.cancelled.get(&task.step.job);
-        if is_in_time && cancelled.is_some_and(|(since, _)| *since + WAY < self.now) {
-            self.violations.push(format!("{at}: was cancelled"));
-        }
-        let job = self
-            .accepted
-            .iter()
-            .find(|accepted| accepted.job == task.step.job);
-        let Some(job) = job else {
-            return self.violations.push(format!("{at}: nobody submitted it"));
-        };
-        let step = &job.spec.steps[usize::from(task.step.step)];
-        if let (Some(label), Some(worker)) = (&step.requires, self.workers.get(&order.to.worker))
-            && !worker.registration().labels.contains(label)
-        {
-            self.violations
-                .push(format!("{at}: is without label {label}"));
-        }
-        for after in &step.after {
-            for index in 0..job.spec.steps[usize::from(*after)].count {
-                let earlier = StepId {
-                    step: *after,
-                    ..task.step
-                }
-                .task(index);
-                if !self.is_done_anywhere(earlier) {
-                    self.violations.push(format!("{at}: {earlier} is not done"));
-                }
-            }
-        }
-    }
-
-    fn is_done_anywhere(&self, task: TaskId) -> bool {
-        let listed = self.workers.values().any(|worker| worker.has_done(task));
-        let kept = self.records.get(&task.step.job.to_string());
-        let kept = kept.is_some_and(|entry| match entry {
-            Entry::Job(_, progress) => progress
-                .occurrences
-                .iter()
-                .any(|(_, steps)| steps[usize::from(task.step.step)].is_done(task.index)),
-            Entry::Worker(..) | Entry::Gone(_) => false,
-        });
-        listed || kept || self.done.contains(&task)
-    }
-
-    /// Checks that a task is given up only for workers that went down under it.
-    fn check_given_up(&mut self, task: TaskId, is_given_up: bool) {
-        if !is_given_up {
-            return;
-        }
-        if !self.crashers.contains(&task) {
-            self.wronged += 1;
-        }
-        let under = self.under.get(&task).copied().unwrap_or_default();
-        if under < GIVEN_UP_FROM {
-            let line = format!("{task} is given up after {under} crashes under it");
-            self.violations.push(line);
-        }
-    }
-
-    /// Returns whether a task of a job crashes its workers.
-    pub(crate) fn crashes(&self, job: JobId) -> bool {
-        self.crashers.iter().any(|task| task.step.job == job)
-    }
-
-    /// Checks that every job has come to a true end.
-    pub(crate) fn check_ends(&mut self) {
-        for accepted in &self.accepted {
-            let state = self.engine.state(accepted.job);
-            let is_cancelled = self.cancelled.contains_key(&accepted.job);
-            let is_true = match state {
-                Some(State::Completed) => !self.crashes(accepted.job),
-                Some(State::Failed) => self.faults.failures > 0 || self.crashes(accepted.job),
-                Some(State::Cancelled) => is_cancelled,
-                Some(State::Queued | State::Running) | None => false,
-            };
-            if !is_true {
-                let line = format!("job {} ended as {state:?}", accepted.job);
-                self.violations.push(line);
-            }
-        }
-        let counts = self.engine.counts();
-        if counts.claims > 0 {
-            self.violations
-                .push(format!("{} claims are left", counts.claims));
-        }
-    }
 }
