--- a/crates/cell/tests/cell/crash.rs
+++ b/crates/cell/tests/cell/crash.rs
@@ -206,3 +206,68 @@
     assert_eq!(world.wronged, 0);
     assert_eq!(world.completed(&jobs), jobs.len());
 }
+
+/// How a fleet fared of whose jobs some crash their workers.
+struct Fare {
+    /// How many workers each of these took down.
+    crashed: Vec<u32>,
+    /// How many of the others were completed when the load ended, of how many.
+    completed: (usize, usize),
+    violations: Vec<String>,
+    wronged: u32,
+}
+
+/// Plays 40 s of two thirds of the load that 48 workers bear, 20 jobs of four tasks a second.
+fn play_fleet(seed: u64, crashers: u32) -> Fare {
+    let faults = Faults {
+        crashers,
+        ..Faults::default()
+    };
+    let mut world = World::sized(seed, faults, 48, &["a", "b", "c", "d", "e", "f"]);
+    world.run(Duration::from_secs(1));
+    let mut jobs = Vec::new();
+    for nth in 0..800 {
+        let queue = if nth % 4 == 0 { "urgent" } else { "batch" };
+        jobs.push(world.submit(
+            queue,
+            vec![Step {
+                count: 4,
+                ..quick_step()
+            }],
+        ));
+        world.run(Duration::from_millis(50));
+    }
+    let others: Vec<JobId> = jobs
+        .into_iter()
+        .filter(|job| !world.crashes(*job))
+        .collect();
+    let completed = (world.completed(&others), others.len());
+    world.run(Duration::from_secs(30));
+    Fare {
+        crashed: world.crashed.values().copied().collect(),
+        completed,
+        violations: world.violations,
+        wronged: world.wronged,
+    }
+}
+
+/// One task in 500 crashes its workers: at most three go down under it, and the others are served as without.
+#[test]
+fn a_fleet_with_crashing_tasks_serves_the_others() {
+    let without = play_fleet(1, 0);
+    let with = play_fleet(1, 8);
+    assert_eq!(with.violations, Vec::<String>::new());
+    assert_eq!(with.wronged, 0);
+    assert!(with.crashed.len() >= 5, "some crash their workers");
+    assert!(
+        with.crashed.iter().all(|crashed| *crashed <= 3),
+        "{:?}",
+        with.crashed
+    );
+    let share = |fare: &Fare| fare.completed.0 as f64 / fare.completed.1 as f64;
+    let (with, without) = (share(&with), share(&without));
+    assert!(
+        with > without - 0.02,
+        "{with} of them, and {without} without"
+    );
+}
