--- a/crates/cell/tests/cell/crash.rs
+++ b/crates/cell/tests/cell/crash.rs
@@ -123,13 +123,6 @@
     assert_eq!(world.completed(&others), others.len());
 }
 
-#[test]
-fn from_the_third_crash_on_nothing_is_taken_along() {
-    let (world, _, _) = play("urgent", vec![single()], Beside::Nothing);
-    assert_eq!(world.taken_along.len(), 3);
-    assert_eq!(world.taken_along.last(), Some(&0));
-}
-
 /// Two workers go down by themselves when they had just begun a task, which works well on the third one.
 #[test]
 fn a_task_that_works_on_after_two_crashes_is_cleared() {
@@ -209,14 +202,31 @@
 
 /// How a fleet fared of whose jobs some crash their workers.
 struct Fare {
-    /// How many workers each of these took down.
-    crashed: Vec<u32>,
+    /// How many others each of these took along with each worker that it took down.
+    taken_along: Vec<Vec<usize>>,
     /// How many of the others were completed when the load ended, of how many.
     completed: (usize, usize),
     violations: Vec<String>,
     wronged: u32,
 }
 
+/// Tells how a fleet fares once its load has ended, and what comes of the rest of it.
+fn fare(mut world: World, others: &[JobId]) -> Fare {
+    let completed = (world.completed(others), others.len());
+    world.run(Duration::from_secs(30));
+    let taken_along = |task: &TaskId| {
+        let crashes = world.taken_along.iter();
+        let own = crashes.filter(|(crashed, _)| crashed == task);
+        own.map(|(_, others)| *others).collect()
+    };
+    Fare {
+        taken_along: world.crashers.iter().map(taken_along).collect(),
+        completed,
+        violations: world.violations,
+        wronged: world.wronged,
+    }
+}
+
 /// Plays 40 s of two thirds of the load that 48 workers bear, 20 jobs of four tasks a second.
 fn play_fleet(seed: u64, crashers: u32) -> Fare {
     let faults = Faults {
@@ -241,29 +251,21 @@
         .into_iter()
         .filter(|job| !world.crashes(*job))
         .collect();
-    let completed = (world.completed(&others), others.len());
-    world.run(Duration::from_secs(30));
-    Fare {
-        crashed: world.crashed.values().copied().collect(),
-        completed,
-        violations: world.violations,
-        wronged: world.wronged,
-    }
+    fare(world, &others)
 }
 
-/// One task in 500 crashes its workers: at most three go down under it, and the others are served as without.
+/// One task in 500 crashes its workers: three go down under it, nothing is taken along the third time, and the others are served
+/// as without.
 #[test]
 fn a_fleet_with_crashing_tasks_serves_the_others() {
     let without = play_fleet(1, 0);
     let with = play_fleet(1, 8);
     assert_eq!(with.violations, Vec::<String>::new());
     assert_eq!(with.wronged, 0);
-    assert!(with.crashed.len() >= 5, "some crash their workers");
-    assert!(
-        with.crashed.iter().all(|crashed| *crashed <= 3),
-        "{:?}",
-        with.crashed
-    );
+    assert!(with.taken_along.len() >= 5, "some crash their workers");
+    for others in &with.taken_along {
+        assert!(matches!(others[..], [_, _, 0]), "{:?}", with.taken_along);
+    }
     let share = |fare: &Fare| fare.completed.0 as f64 / fare.completed.1 as f64;
     let (with, without) = (share(&with), share(&without));
     assert!(
@@ -271,3 +273,26 @@
         "{with} of them, and {without} without"
     );
 }
+
+/// The same on eight workers of which four fifths are busy, and eight tasks that crash them one after the other.
+#[test]
+fn on_a_busy_fleet_nothing_is_taken_along_from_the_third_crash_on() {
+    let mut world = World::new(1, Faults::default());
+    let step = Step {
+        count: 4,
+        ..quick_step()
+    };
+    for nth in 0..200 {
+        world.submit("batch", vec![step.clone()]);
+        if nth < 160 && nth % 20 == 10 {
+            let job = world.submit("urgent", vec![single()]);
+            world.crashers.insert(last_task(job, &[single()]));
+        }
+        world.run(Duration::from_millis(250));
+    }
+    assert_eq!(world.violations, Vec::<String>::new());
+    let fare = fare(world, &[]);
+    for others in &fare.taken_along {
+        assert!(matches!(others[..], [_, _, 0]), "{:?}", fare.taken_along);
+    }
+}
--- a/crates/cell/tests/cell/world/fault.rs
+++ b/crates/cell/tests/cell/world/fault.rs
@@ -52,8 +52,8 @@
             return;
         };
         *self.crashed.entry(task).or_default() += 1;
-        self.taken_along
-            .push(worker.tasks().filter(|other| *other != task).count());
+        let others = worker.tasks().filter(|other| *other != task).count();
+        self.taken_along.push((task, others));
         self.leave_place(id, &worker);
     }
 
--- a/crates/cell/tests/cell/world/mod.rs
+++ b/crates/cell/tests/cell/world/mod.rs
@@ -171,8 +171,8 @@
     pub crashers: BTreeSet<TaskId>,
     /// How many workers each of them has crashed.
     pub crashed: BTreeMap<TaskId, u32>,
-    /// How many others ran on each worker that a task has crashed.
-    pub taken_along: Vec<usize>,
+    /// How many others ran on each worker that a task has crashed, in order.
+    pub taken_along: Vec<(TaskId, usize)>,
     /// Under how many workers that went down each task was.
     under: BTreeMap<TaskId, u32>,
     /// How many tasks were given up that crash nothing.
