--- a/crates/cell/src/engine/crash.rs
+++ b/crates/cell/src/engine/crash.rs
@@ -275,10 +275,7 @@
             if !self.has_try(id, index, now) {
                 continue;
             }
-            let found = match self.is_kept_apart(id, index, now) {
-                true => self.find_empty(id, reserved, now),
-                false => self.find(id, index, reserved, now),
-            };
+            let found = self.find_place(id, index, reserved, now);
             let run = self.next_run(id, index);
             if !found.is_some_and(|slot| self.start(id, index, slot, run, now)) {
                 self.keep_to_empty(id, reserved, now);
@@ -288,13 +285,22 @@
         true
     }
 
-    /// Returns a worker that may run a task of a step and holds nothing, or only others of the step that run alone.
-    pub(super) fn find_empty(
+    /// Returns a worker for one task, without others where it has to run alone.
+    pub(super) fn find_place(
         &self,
         id: StepId,
+        index: u16,
         reserved: &Reserved,
         now: Timestamp,
     ) -> Option<Slot> {
+        match self.is_kept_apart(id, index, now) {
+            true => self.find_empty(id, reserved, now),
+            false => self.find_beside(id, index, reserved, now),
+        }
+    }
+
+    /// Returns a worker that may run a task of a step and holds nothing, or only others of the step that run alone.
+    fn find_empty(&self, id: StepId, reserved: &Reserved, now: Timestamp) -> Option<Slot> {
         let job = self.jobs.get(&id.job)?;
         let (demand, stage) = (self.demand(job, id)?, job.stage(id)?);
         let mut candidates = self.candidates(&demand, stage);
--- a/crates/cell/src/engine/place.rs
+++ b/crates/cell/src/engine/place.rs
@@ -118,7 +118,7 @@
                 }
                 return is_placed;
             };
-            let Some(slot) = self.find(id, index, reserved, now) else {
+            let Some(slot) = self.find_beside(id, index, reserved, now) else {
                 return false;
             };
             let run = self.next_run(id, index);
@@ -161,8 +161,8 @@
         self.epoch.first_run().max(Run(last.0 + 1))
     }
 
-    /// Returns the best worker for one task.
-    pub(super) fn find(
+    /// Returns the best worker for one task, whatever else runs there.
+    pub(super) fn find_beside(
         &self,
         id: StepId,
         index: u16,
@@ -297,10 +297,7 @@
         let until = stage.gang_since + self.bounds.gang_wait / GANG_REPAIR_PART;
         if !is_ending && now < until {
             while let (Some(run), Some(index)) = (run, self.first_waiting(id)) {
-                let found = match self.is_kept_apart(id, index, now) {
-                    true => self.find_empty(id, reserved, now),
-                    false => self.find(id, index, reserved, now),
-                };
+                let found = self.find_place(id, index, reserved, now);
                 if !found.is_some_and(|slot| self.start(id, index, slot, run, now)) {
                     break;
                 }
