Sight: which incarnation of a worker answers, and how many runs the workers list

A worker may start again under its id; `born` tells. It is read from reports and inventories and logged (`worker belief=reborn incarnation=`); `believed` and its gauge say how many runs the workers list beside the runs that take room. Nothing is decided by either yet.

--- a/crates/cell/examples/fleet.rs
+++ b/crates/cell/examples/fleet.rs
@@ -204,6 +204,7 @@
             load: 0,
         });
         HoldAnswer::Listed(Inventory {
+            incarnation: None,
             clock: u64::try_from(now.since(Timestamp::ZERO).as_millis()).unwrap_or(0),
             running: running.collect(),
             ended: self.ended.clone(),
@@ -437,6 +438,7 @@
 
 fn registration(id: &WorkerId, nth: u32) -> Registration {
     Registration {
+        incarnation: None,
         id: id.clone(),
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         pool: PoolName::from("pool"),
--- a/crates/cell/src/effect.rs
+++ b/crates/cell/src/effect.rs
@@ -20,6 +20,7 @@
     event::How,
     id::{
         Epoch,
+        Incarnation,
         JobId,
         NodeName,
         Run,
@@ -166,6 +167,8 @@
     Worker {
         /// The worker.
         worker: WorkerId,
+        /// Which incarnation answers under its id, where that is known.
+        incarnation: Option<Incarnation>,
         /// What it is believed to be now, as one word.
         belief: &'static str,
         /// How long ago it was last heard, where it ever was.
--- a/crates/cell/src/engine/contact.rs
+++ b/crates/cell/src/engine/contact.rs
@@ -134,6 +134,7 @@
     ) {
         let registration = Registration {
             id,
+            incarnation: None,
             address: usage.address,
             pool: PoolName::from(""),
             capacity: Resources::ZERO,
@@ -267,7 +268,12 @@
         worker.silence = None;
         worker.doubted.clear();
         worker.read_clock(inventory.clock, now);
+        worker.listed = inventory.running.len();
+        let former = std::mem::replace(&mut worker.incarnation, inventory.incarnation);
         let seen = worker.seen;
+        if former.is_some() && former != inventory.incarnation {
+            self.note_worker(slot, "reborn", now);
+        }
         if !was_heard {
             self.note_worker(slot, "heard", now);
             self.acquit(slot);
@@ -417,6 +423,7 @@
         };
         let note = Note::Worker {
             worker: worker.registration.id.clone(),
+            incarnation: worker.incarnation,
             belief,
             heard: worker.heard.map(|heard| now.since(heard)),
         };
--- a/crates/cell/src/engine/view.rs
+++ b/crates/cell/src/engine/view.rs
@@ -61,6 +61,8 @@
     pub steps_aside: usize,
     /// Runs that may use room.
     pub claims: usize,
+    /// Runs that workers listed when they were last heard.
+    pub listed: usize,
     /// Workers that take tasks, or would if they had room.
     pub workers_heard: usize,
     /// Workers that don't answer.
@@ -131,6 +133,7 @@
                 .values()
                 .map(|worker| worker.claims.len())
                 .sum(),
+            listed: self.workers.values().map(|worker| worker.listed).sum(),
             workers_heard: heard.count(),
             workers_silent: silent,
             workers_unheard: unheard.count(),
--- a/crates/cell/src/event.rs
+++ b/crates/cell/src/event.rs
@@ -13,6 +13,7 @@
 };
 
 use crate::id::{
+    Incarnation,
     PoolName,
     Run,
     TaskId,
@@ -22,8 +23,10 @@
 /// A worker as it reports itself to the store.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Registration {
-    /// This incarnation of it.
+    /// Its id.
     pub id: WorkerId,
+    /// Which incarnation tells this, where the platform says so.
+    pub incarnation: Option<Incarnation>,
     /// Where it takes orders.
     pub address: SocketAddr,
     /// The pool that it belongs to.
@@ -99,6 +102,8 @@
 /// What a worker holds and what has ended there.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Inventory {
+    /// Which incarnation tells this, where the platform says so.
+    pub incarnation: Option<Incarnation>,
     /// The worker's clock, in milliseconds.
     pub clock: u64,
     /// What runs.
--- a/crates/cell/src/id.rs
+++ b/crates/cell/src/id.rs
@@ -176,6 +176,16 @@
     }
 }
 
+/// Tells the incarnations of a worker under one id apart: when each began, in milliseconds since 1970 by its own clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Incarnation(pub u64);
+
+impl fmt::Display for Incarnation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
 /// Defines a shared text id.
 macro_rules! text_id {
     ($(#[$doc:meta])* $name:ident) => {
@@ -218,7 +228,7 @@
 }
 
 text_id!(
-    /// One incarnation of a worker; after a crash it has another id.
+    /// A worker. After a crash it comes back under another id, or under the same one as another [`Incarnation`].
     WorkerId
 );
 text_id!(
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -18,6 +18,7 @@
     engine::Pacing,
     event::Registration,
     id::{
+        Incarnation,
         Run,
         StepId,
         TaskId, //
@@ -119,6 +120,10 @@
     pub registration: Registration,
     /// When it last reported itself.
     pub told: Timestamp,
+    /// Which incarnation was last heard, where the platform says so.
+    pub incarnation: Option<Incarnation>,
+    /// How many runs its last inventory listed.
+    pub listed: usize,
     /// What no claim takes.
     pub free: Resources,
     /// What may use it.
@@ -165,6 +170,8 @@
         Self {
             free: registration.capacity,
             told: now,
+            incarnation: None,
+            listed: 0,
             registration,
             claims: BTreeMap::new(),
             contact: Contact::Due(now),
--- a/crates/cell/tests/cell/overtaking.rs
+++ b/crates/cell/tests/cell/overtaking.rs
@@ -93,6 +93,7 @@
     let worker = WorkerId::from("w1");
     engine.register(
         Registration {
+            incarnation: None,
             id: worker.clone(),
             address: "127.0.0.1:1".parse().unwrap(),
             pool: PoolName::from("pool"),
@@ -133,6 +134,7 @@
         checkpoint: None,
     };
     let newer = Inventory {
+        incarnation: None,
         clock: 10,
         running: Vec::new(),
         ended: vec![end],
@@ -146,6 +148,7 @@
         load: 0,
     };
     let older = Inventory {
+        incarnation: None,
         clock: 9,
         running: vec![running],
         ended: Vec::new(),
--- a/crates/cell/tests/cell/pace.rs
+++ b/crates/cell/tests/cell/pace.rs
@@ -64,6 +64,7 @@
         let mut engine = Engine::new(Epoch(1), Bounds::default(), Inheritance::default(), now);
         for id in &ids {
             let registration = Registration {
+                incarnation: None,
                 id: id.clone(),
                 address: "127.0.0.1:1".parse().unwrap(),
                 pool: PoolName::from("pool"),
@@ -127,6 +128,7 @@
                 load: self.tail,
             });
             let inventory = Inventory {
+                incarnation: None,
                 clock: 1,
                 running: running.collect(),
                 ended: Vec::new(),
--- a/crates/cell/tests/cell/pending.rs
+++ b/crates/cell/tests/cell/pending.rs
@@ -114,6 +114,7 @@
     let worker = WorkerId::from("w1");
     engine.register(
         Registration {
+            incarnation: None,
             id: worker.clone(),
             address: "127.0.0.1:1".parse().unwrap(),
             pool: PoolName::from("pool"),
@@ -157,6 +158,7 @@
         }
     });
     let listed = Inventory {
+        incarnation: None,
         clock: 1_000,
         running: Vec::new(),
         ended: ended.collect(),
@@ -184,6 +186,7 @@
         }
     });
     let listed = Inventory {
+        incarnation: None,
         clock: 1_000,
         running: running.collect(),
         ended: Vec::new(),
--- a/crates/cell/tests/cell/takeover.rs
+++ b/crates/cell/tests/cell/takeover.rs
@@ -73,6 +73,7 @@
 
 fn registration(id: &WorkerId) -> Registration {
     Registration {
+        incarnation: None,
         id: id.clone(),
         address: "127.0.0.1:1".parse().unwrap(),
         pool: PoolName::from("pool"),
@@ -169,6 +170,7 @@
         load: 0,
     };
     let inventory = Inventory {
+        incarnation: None,
         clock: 5,
         running: vec![running],
         ended: Vec::new(),
--- a/crates/cell/tests/cell/world/worker.rs
+++ b/crates/cell/tests/cell/world/worker.rs
@@ -110,6 +110,7 @@
     pub(crate) fn registration(&self) -> Registration {
         let port = 7_000 + u16::try_from(self.place).unwrap_or(0);
         Registration {
+            incarnation: None,
             id: self.id.clone(),
             address: SocketAddr::from(([127, 0, 0, 1], port)),
             pool: PoolName::from("pool"),
@@ -272,6 +273,7 @@
             load: 0,
         });
         Inventory {
+            incarnation: None,
             clock: self.clock(now),
             running: running.collect(),
             ended: self.ended.clone(),
--- a/crates/node/src/owner/control.rs
+++ b/crates/node/src/owner/control.rs
@@ -420,6 +420,7 @@
             slog::info!(self.shared.log, "believed"; "epoch" => epoch, "jobs" => counts.jobs,
                 "waiting" => counts.waiting,
                 "open_steps" => counts.open_steps, "claims" => counts.claims,
+                "listed" => counts.listed,
                 "lag_ms" => millis(self.shared.pulse.take_worst()),
                 "owned_ms" => millis(self.since.elapsed()),
                 "view_ms" => millis(view),
--- a/crates/node/src/report.rs
+++ b/crates/node/src/report.rs
@@ -231,18 +231,19 @@
         }
         slog::warn!(log, "record-rejected"; "topic" => topic,
             "key" => rejected.key.as_deref().map_or_else(String::new, shorten),
-            Offset(rejected.offset),
+            Known("offset", rejected.offset),
             "fault" => rejected.fault.word(), "why" => %rejected.fault);
     }
 
     /// Sets the gauges of what the owner believes.
     pub(crate) fn believed(&self, counts: &Counts, epoch: u64, view: Duration) {
-        let gauges: [(&'static str, usize); 8] = [
+        let gauges: [(&'static str, usize); 9] = [
             ("jobs", counts.jobs),
             ("waiting", counts.waiting),
             ("open_steps", counts.open_steps),
             ("steps_aside", counts.steps_aside),
             ("claims", counts.claims),
+            ("listed", counts.listed),
             ("workers_heard", counts.workers_heard),
             ("workers_silent", counts.workers_silent),
             ("workers_unheard", counts.workers_unheard),
@@ -276,17 +277,17 @@
     }
 }
 
-/// The field that says where a record stands, where that is known.
-struct Offset(Option<u64>);
+/// A field that is left out where its figure isn't known.
+struct Known(&'static str, Option<u64>);
 
-impl slog::KV for Offset {
+impl slog::KV for Known {
     fn serialize(
         &self,
         _: &slog::Record<'_>,
         serializer: &mut dyn slog::Serializer,
     ) -> slog::Result {
-        match self.0 {
-            Some(offset) => serializer.emit_u64("offset", offset),
+        match self.1 {
+            Some(figure) => serializer.emit_u64(self.0, figure),
             None => Ok(()),
         }
     }
@@ -352,9 +353,11 @@
             "worker" => worker.as_str(), "why" => why),
         Note::Worker {
             worker,
+            incarnation,
             belief,
             heard,
         } => slog::info!(log, "worker"; "worker" => worker.as_str(), "belief" => belief,
+            Known("incarnation", incarnation.map(|incarnation| incarnation.0)),
             "heard_ms" => heard.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(-1))),
         Note::Lost {
             task,
--- a/crates/node/tests/node/platform.rs
+++ b/crates/node/tests/node/platform.rs
@@ -653,6 +653,7 @@
                     load: 0,
                 });
                 return HoldAnswer::Listed(Inventory {
+                    incarnation: None,
                     clock: 1,
                     running: running.collect(),
                     ended: host.ended.clone(),
@@ -702,6 +703,7 @@
             return Err(Fault::Pool);
         }
         Ok(Registration {
+            incarnation: None,
             id: WorkerId::from(record.key.as_str()),
             address: SocketAddr::from(([127, 0, 0, 1], 1)),
             pool,
