What was learnt of one incarnation of a worker is not applied to the next

Cause: the last end taken in and the last one acknowledged were remembered by the worker's id; an incarnation that restarts under its id counts from one again, so its ends were passed over (room taken, tasks running for ever), or forgotten unheard (tasks started again). Class: what was learnt of one incarnation applied to another.

Mend: an inventory that tells another incarnation begins it (engine/restart): numbers of ends, clock, tickets, rest and stops of the one before are dropped, its tasks are counted as gone with it, and a fence that is higher than any given before is raised, so that no order meant for the one before is carried out once the new one has answered. Nothing is acknowledged to a worker that fell silent until it was heard. A report of another incarnation is used for nothing until that incarnation was heard, and the other way round. An order whose worker fell silent before it left does not leave. The incarnation stands on record with the runs, so a new owner knows too. Why it holds: every number that an incarnation gives is compared only with numbers that it gave itself.

--- a/crates/cell/src/effect.rs
+++ b/crates/cell/src/effect.rs
@@ -19,7 +19,7 @@
     },
     event::How,
     id::{
-        Epoch,
+        Fence,
         Incarnation,
         JobId,
         NodeName,
@@ -48,12 +48,12 @@
 /// Which worker an order is for.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Destination {
-    /// The incarnation that is meant.
+    /// The worker.
     pub worker: WorkerId,
     /// Where it takes orders.
     pub address: SocketAddr,
-    /// The ownership that gives the order.
-    pub epoch: Epoch,
+    /// What tells the order from those of former owners, and from those to former incarnations.
+    pub fence: Fence,
 }
 
 /// An order to start a task.
--- a/crates/cell/src/engine/ask.rs
+++ b/crates/cell/src/engine/ask.rs
@@ -343,6 +343,13 @@
             .into_iter()
             .filter_map(|advised| {
                 let slot = self.slots.get(&advised.worker)?;
+                let raised = self.workers.get(slot)?.raised;
+                let is_for_former = raised.is_some_and(|raised| call.since < raised);
+                let until = if is_for_former {
+                    Timestamp::ZERO
+                } else {
+                    until
+                };
                 let text = advised.ticket;
                 Some((*slot, crate::advice::Ticket { text, until }))
             })
--- a/crates/cell/src/engine/contact.rs
+++ b/crates/cell/src/engine/contact.rs
@@ -13,7 +13,6 @@
 };
 use crate::{
     effect::{
-        Destination,
         Effect,
         Hold,
         Note, //
@@ -25,7 +24,6 @@
         Running, //
     },
     id::{
-        Epoch,
         PoolName,
         Run,
         TaskId,
@@ -37,6 +35,7 @@
         Contact,
         Phase,
         Silence,
+        Teller,
         Worker, //
     },
 };
@@ -63,17 +62,21 @@
             let was = worker.registration.leaving.is_some();
             let leaves = registration.leaving.is_some();
             let is_changed = worker.offers_other(&registration);
+            let is_reborn = worker.is_superseded_by(&registration);
             let shrinks = !worker.registration.capacity.fits(&registration.capacity);
             worker.told = now;
             worker.unlisted = None;
             let was_distrusted = worker.distrusted.take().is_some();
             worker.registration = registration;
             worker.adopt_capacity();
+            if is_reborn {
+                self.expect_incarnation(slot, now);
+            }
             if was_distrusted {
                 self.note_worker(slot, "trusted", now);
             }
             self.index(slot);
-            if shrinks {
+            if shrinks && !is_reborn {
                 self.shrink(slot, now);
             }
             if is_changed {
@@ -84,7 +87,7 @@
             }
             return;
         }
-        let worker = Worker::new(registration, now, now);
+        let worker = Worker::new(registration, self.fence, now, now);
         let slot = self.insert_worker(worker);
         self.note_worker(slot, "listed", now);
         self.take_up();
@@ -141,7 +144,8 @@
             labels: Vec::new(),
             leaving: None,
         };
-        let mut worker = Worker::new(registration, now, lapses);
+        let mut worker = Worker::new(registration, self.fence, now, lapses);
+        worker.incarnation = usage.incarnation;
         worker.unlisted = Some(now);
         let slot = self.insert_worker(worker);
         for (task, run) in usage.runs {
@@ -189,9 +193,11 @@
         let Some(worker) = self.workers.get_mut(&slot) else {
             return;
         };
-        if worker.peek.is_some_and(|peek| peek.is_due(now)) {
+        // An answer is told from another's by when its call was made, so two calls never leave at one moment.
+        let is_calling = worker.contact == Contact::Out(now);
+        if !is_calling && worker.peek.is_some_and(|peek| peek.is_due(now)) {
             worker.peek = Some(Contact::Out(now));
-            let hold = hold(worker, self.epoch, None, Duration::ZERO, now);
+            let hold = hold(worker, None, Duration::ZERO, now);
             self.outbox.push(hold);
         }
         if !worker.contact.is_due(now) || worker.peek == Some(Contact::Out(now)) {
@@ -208,7 +214,7 @@
             _ => Duration::ZERO,
         };
         worker.contact = Contact::Out(now);
-        let hold = hold(worker, self.epoch, deadline, wait, now);
+        let hold = hold(worker, deadline, wait, now);
         self.outbox.push(hold);
     }
 
@@ -229,7 +235,12 @@
             return;
         }
         match answer {
-            HoldAnswer::Listed(inventory) => self.take_inventory(slot, inventory, asked, now),
+            HoldAnswer::Listed(inventory) => self.hear(slot, inventory, asked, now),
+            // The call was made before the fence was raised.
+            HoldAnswer::Fenced if worker.raised.is_some_and(|raised| asked < raised) => {
+                worker.call_again(is_peek, now);
+                self.index(slot);
+            }
             HoldAnswer::Fenced => self.outbox.push(Effect::Deposed),
             HoldAnswer::Gone => self.lose_worker(slot, "replaced", now),
             HoldAnswer::Silent | HoldAnswer::Broken | HoldAnswer::Refused if is_peek => {
@@ -252,6 +263,22 @@
         }
     }
 
+    /// Takes an inventory of whichever incarnation tells it.
+    fn hear(&mut self, slot: Slot, inventory: Inventory, asked: Timestamp, now: Timestamp) {
+        let Some(worker) = self.workers.get_mut(&slot) else {
+            return;
+        };
+        match worker.identify(inventory.incarnation, asked) {
+            Teller::Present => {}
+            Teller::Former => {
+                worker.call_again(false, now);
+                return self.index(slot);
+            }
+            Teller::Later => self.begin_incarnation(slot, &inventory, asked, now),
+        }
+        self.take_inventory(slot, inventory, asked, now);
+    }
+
     fn take_inventory(
         &mut self,
         slot: Slot,
@@ -269,11 +296,9 @@
         worker.doubted.clear();
         worker.read_clock(inventory.clock, now);
         worker.listed = inventory.running.len();
-        let former = std::mem::replace(&mut worker.incarnation, inventory.incarnation);
+        worker.incarnation = inventory.incarnation.or(worker.incarnation);
+        worker.is_superseded = false;
         let seen = worker.seen;
-        if former.is_some() && former != inventory.incarnation {
-            self.note_worker(slot, "reborn", now);
-        }
         if !was_heard {
             self.note_worker(slot, "heard", now);
             self.acquit(slot);
@@ -326,6 +351,7 @@
             return;
         };
         claim.confirm(now);
+        claim.fence = worker.fence;
         claim.outlast_start(asked);
         if claim.alone && claim.outlasted {
             self.end_solitude(slot, task, running.run);
@@ -368,6 +394,7 @@
             size,
             phase: Phase::Running { since: proves },
             since: now,
+            fence: worker.fence,
             unanswered: u8::from(!is_listed),
             alone: alone && is_wanted,
             begun: is_listed.then_some(now),
@@ -400,9 +427,11 @@
             .claims
             .iter()
             .filter(|(key, claim)| {
+                let is_void = worker.is_void(claim, asked);
                 let is_settled = match claim.phase {
-                    Phase::Recording | Phase::Starting => false,
-                    Phase::Running { since } => since <= asked,
+                    Phase::Recording => false,
+                    Phase::Starting => is_void,
+                    Phase::Running { since } => is_void || since <= asked,
                     // While it is being stopped a run may be listed neither as running nor as ended.
                     Phase::Stopping { confirmed } => {
                         confirmed.is_some_and(|at| at + self.bounds.stopped() <= asked)
@@ -432,21 +461,11 @@
 }
 
 /// Makes the call that asks a worker for its inventory, and extends its lease up to a deadline.
-fn hold(
-    worker: &Worker,
-    epoch: Epoch,
-    deadline: Option<u64>,
-    wait: Duration,
-    asked: Timestamp,
-) -> Effect {
+fn hold(worker: &Worker, deadline: Option<u64>, wait: Duration, asked: Timestamp) -> Effect {
     Effect::Hold(Hold {
-        to: Destination {
-            worker: worker.registration.id.clone(),
-            address: worker.registration.address,
-            epoch,
-        },
+        to: worker.destination(),
         deadline,
-        acknowledged: worker.kept,
+        acknowledged: worker.acknowledged(),
         wait,
         asked,
     })
--- a/crates/cell/src/engine/crash.rs
+++ b/crates/cell/src/engine/crash.rs
@@ -90,6 +90,7 @@
             let crash = Crash {
                 run: *run,
                 worker: self.registration.id.clone(),
+                incarnation: self.incarnation,
                 is_certain: is_timed && claim.begun.is_some(),
             };
             (*task, crash)
@@ -207,12 +208,13 @@
         let Some(worker) = self.workers.get(&slot) else {
             return;
         };
-        let id = &worker.registration.id;
+        let (id, incarnation) = (&worker.registration.id, worker.incarnation);
         for task in self.crashed.remove(id).unwrap_or_default() {
             let stage = self.jobs.get_mut(&task.step.job);
             let stage = stage.and_then(|job| job.stage_mut(task.step));
             if let Some(own) = stage.and_then(|stage| stage.task_mut(task.index)) {
-                own.crashes.retain(|crash| crash.worker != *id);
+                own.crashes
+                    .retain(|crash| crash.worker != *id || crash.incarnation != incarnation);
                 self.ledger.add_job(task.step.job);
             }
         }
--- a/crates/cell/src/engine/keep.rs
+++ b/crates/cell/src/engine/keep.rs
@@ -88,6 +88,14 @@
         self.ends.insert(slot, last);
     }
 
+    /// Drops the numbers of ends of a worker that counts from one again.
+    pub(super) fn drop_ends(&mut self, slot: Slot) {
+        self.ends.remove(&slot);
+        if let Some(flight) = &mut self.flight {
+            flight.ends.remove(&slot);
+        }
+    }
+
     /// Returns whether anything waits for its record, and none is on its way.
     fn is_waiting(&self) -> bool {
         let is_empty = self.jobs.is_empty() && self.workers.is_empty() && self.gone.is_empty();
@@ -134,6 +142,7 @@
             };
             let usage = Usage {
                 address: worker.registration.address,
+                incarnation: worker.incarnation,
                 runs: worker.claims.keys().copied().collect(),
             };
             entries.push(Entry::Worker(worker.registration.id.clone(), usage));
--- a/crates/cell/src/engine/loss.rs
+++ b/crates/cell/src/engine/loss.rs
@@ -59,6 +59,8 @@
         self.note_losses(slot, why, now);
         self.count_crashes(slot, now);
         self.release_all(slot, now);
+        // It may come back under its id before all that was ordered has arrived.
+        self.fence = self.fence.raised();
         if let Some(worker) = self.workers.remove(&slot) {
             self.slots.remove(&worker.registration.id);
             self.ledger.remove_worker(worker.registration.id);
@@ -67,7 +69,7 @@
     }
 
     /// Tells which runs are given up with a worker.
-    fn note_losses(&mut self, slot: Slot, why: &'static str, now: Timestamp) {
+    pub(super) fn note_losses(&mut self, slot: Slot, why: &'static str, now: Timestamp) {
         let Some(worker) = self.workers.get(&slot) else {
             return;
         };
--- a/crates/cell/src/engine/mod.rs
+++ b/crates/cell/src/engine/mod.rs
@@ -14,6 +14,7 @@
 //! | `pace` | slows filling tasks that disturb serving ones |
 //! | `contact` | workers that come, their leases and their inventories |
 //! | `crash` | tasks under which workers go down: run alone, and given up |
+//! | `restart` | workers that come back under their ids |
 //! | `loss` | workers that are lost, and what becomes of their runs |
 //! | `end` | ends of runs, tries, and ends of jobs |
 //! | `forget` | shrinks what is on record of jobs that are over |
@@ -34,6 +35,7 @@
 mod pace;
 mod place;
 mod reserve;
+mod restart;
 mod room;
 mod schedule;
 mod shrink;
@@ -88,14 +90,13 @@
     },
     config::Config,
     effect::{
-        Destination,
         Effect,
         Forgotten,
         Note, //
     },
-    event::Registration,
     id::{
         Epoch,
+        Fence,
         JobId,
         NodeName,
         QueueName,
@@ -152,6 +153,8 @@
 #[derive(Debug)]
 pub struct Engine {
     epoch: Epoch,
+    /// The highest fence that any worker's orders carry.
+    fence: Fence,
     bounds: Bounds,
     config: Config,
     jobs: HashMap<JobId, Job>,
@@ -222,6 +225,7 @@
     pub fn new(epoch: Epoch, bounds: Bounds, inheritance: Inheritance, now: Timestamp) -> Self {
         let mut engine = Self {
             epoch,
+            fence: Fence::first(epoch),
             bounds,
             config: Config::default(),
             jobs: HashMap::default(),
@@ -333,14 +337,6 @@
         [pass, self.ledger.due()].into_iter().flatten().min()
     }
 
-    fn destination(&self, worker: &Registration) -> Destination {
-        Destination {
-            worker: worker.id.clone(),
-            address: worker.address,
-            epoch: self.epoch,
-        }
-    }
-
     fn note(&mut self, note: Note) {
         self.outbox.push(Effect::Note(note));
     }
--- a/crates/cell/src/engine/order.rs
+++ b/crates/cell/src/engine/order.rs
@@ -75,7 +75,7 @@
                 self.mark_begun(task.step.job);
                 self.confirm(slot, task, run, now);
             }
-            StartAnswer::Fenced => self.outbox.push(Effect::Deposed),
+            StartAnswer::Fenced if !self.may_be_outdated(slot) => self.outbox.push(Effect::Deposed),
             StartAnswer::Gone => self.lose_worker(slot, "replaced", now),
             StartAnswer::Silent => self.start_again(slot, task, run, now),
             // It has ended there already, or its stop came first: the inventory tells which.
@@ -88,7 +88,8 @@
                 }
                 self.release(slot, task, run, now);
             }
-            StartAnswer::Late
+            StartAnswer::Fenced
+            | StartAnswer::Late
             | StartAnswer::Full
             | StartAnswer::Unhealthy
             | StartAnswer::Malformed
@@ -108,6 +109,13 @@
         }
     }
 
+    /// Returns whether an order that a worker refused for its fence may have been meant for a former incarnation. If it
+    /// was for a later owner's, the next inventory says so.
+    pub(super) fn may_be_outdated(&self, slot: Slot) -> bool {
+        let worker = self.workers.get(&slot);
+        worker.is_some_and(|worker| !worker.fence.is_first())
+    }
+
     /// Returns whether a task still has to run.
     fn is_wanted(&self, task: TaskId) -> bool {
         let job = self.jobs.get(&task.step.job).filter(|job| !job.is_over());
@@ -136,7 +144,9 @@
         let is_spent = claim.unanswered >= MOST_COPIES;
         let worker = self.workers.get(&slot);
         let is_overfull = worker.is_some_and(Worker::is_overfull);
-        if is_spent || is_overfull || !self.is_wanted(task) {
+        // One that is silent may come back with less room, or as another kind.
+        let is_silent = worker.is_some_and(|worker| worker.silent.is_some());
+        if is_spent || is_overfull || is_silent || !self.is_wanted(task) {
             self.stop(slot, task, run, "unanswered", now);
         } else {
             self.send_start(slot, task, run, now);
@@ -155,11 +165,11 @@
             self.release(slot, task, run, now);
             return;
         };
-        let registration = worker.registration.clone();
+        let to = worker.destination();
         if let Some(claim) = worker.claims.get_mut(&(task, run)) {
             claim.phase = Phase::Starting;
+            claim.fence = to.fence;
         }
-        let to = self.destination(&registration);
         self.outbox.push(Effect::Start(Box::new(Start {
             to,
             task,
@@ -210,6 +220,11 @@
             return Some("ticket-aged");
         }
         let worker = self.workers.get(&start.0)?;
+        // Whoever answers there next may be another incarnation, with less room or of another kind.
+        let is_uncertain = worker.silent.is_some() || worker.is_superseded;
+        if is_uncertain || !worker.is_current() {
+            return Some("worker-uncertain");
+        }
         (worker.told < self.reports.from).then_some("room-unknown")
     }
 
@@ -279,8 +294,7 @@
             let Some(worker) = self.workers.get(&slot) else {
                 continue;
             };
-            let registration = worker.registration.clone();
-            let to = self.destination(&registration);
+            let to = worker.destination();
             self.outbox.push(Effect::Stop(Stop { to, task, run }));
         }
     }
@@ -317,8 +331,12 @@
                     self.index(slot);
                 }
             }
-            StopAnswer::Silent => self.stops.set((slot, task, run), Some(now + STOP_AGAIN)),
-            StopAnswer::Fenced => self.outbox.push(Effect::Deposed),
+            StopAnswer::Fenced if !self.may_be_outdated(slot) => {
+                self.outbox.push(Effect::Deposed);
+            }
+            StopAnswer::Silent | StopAnswer::Fenced => {
+                self.stops.set((slot, task, run), Some(now + STOP_AGAIN));
+            }
             StopAnswer::Gone => self.lose_worker(slot, "replaced", now),
         }
     }
--- a/crates/cell/src/engine/pace.rs
+++ b/crates/cell/src/engine/pace.rs
@@ -123,8 +123,7 @@
         if fillers.is_empty() {
             return;
         }
-        let registration = worker.registration.clone();
-        let to = self.destination(&registration);
+        let to = worker.destination();
         self.outbox.extend(fillers.into_iter().map(|(task, run)| {
             Effect::Pace(Pace {
                 to: to.clone(),
@@ -155,6 +154,7 @@
                 }
             }
             StopAnswer::Silent => {}
+            StopAnswer::Fenced if self.may_be_outdated(slot) => {}
             StopAnswer::Fenced => self.outbox.push(Effect::Deposed),
             StopAnswer::Gone => self.lose_worker(slot, "replaced", now),
         }
--- a/crates/cell/src/engine/place.rs
+++ b/crates/cell/src/engine/place.rs
@@ -386,6 +386,7 @@
             size: charge(step),
             phase: Phase::Recording,
             since: now,
+            fence: worker.fence,
             unanswered: 0,
             alone: stage.is_suspect(index) && worker.room_alone(id) != Resources::ZERO,
             begun: None,
--- a/crates/cell/src/engine/shrink.rs
+++ b/crates/cell/src/engine/shrink.rs
@@ -83,6 +83,14 @@
         }
     }
 
+    /// Takes back all runs of a worker whose orders have not left.
+    pub(super) fn take_back_unsent(&mut self, slot: Slot, why: &'static str, now: Timestamp) {
+        for (task, run) in self.unsent(slot) {
+            self.note_not_started(slot, task, run, why);
+            self.release(slot, task, run, now);
+        }
+    }
+
     /// Returns the runs of a worker whose orders have not left, the latest first.
     fn unsent(&self, slot: Slot) -> Vec<(TaskId, Run)> {
         let claims = self.workers.get(&slot).map(|worker| &worker.claims);
--- a/crates/cell/src/id.rs
+++ b/crates/cell/src/id.rs
@@ -176,6 +176,40 @@
     }
 }
 
+/// What orders to a worker are compared by: it refuses those with a lower fence than it has seen.
+///
+/// It rises with the ownership, and within one with each incarnation of a worker that begins or is lost. An incarnation has
+/// seen no fence: without a rise it would carry out what was meant for the one before, which may have been given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Fence(u64);
+
+impl Fence {
+    /// How many fences there are within an ownership; with all of them used, all epochs fit into 53 bits.
+    const STEPS: u64 = 1_000_000;
+
+    /// Returns the lowest fence of an ownership.
+    pub const fn first(epoch: Epoch) -> Self {
+        Self(epoch.0 as u64 * Self::STEPS)
+    }
+
+    /// Returns the next higher one; the last one of an ownership stays.
+    #[must_use]
+    pub const fn raised(self) -> Self {
+        let is_last = self.0 % Self::STEPS == Self::STEPS - 1;
+        Self(self.0 + if is_last { 0 } else { 1 })
+    }
+
+    /// Returns whether it is the lowest one of its ownership.
+    pub const fn is_first(self) -> bool {
+        self.0.is_multiple_of(Self::STEPS)
+    }
+
+    /// Returns the number that orders carry.
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+}
+
 /// Tells the incarnations of a worker under one id apart: when each began, in milliseconds since 1970 by its own clock.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Incarnation(pub u64);
--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -18,6 +18,7 @@
     config::Queue,
     id::{
         Epoch,
+        Incarnation,
         JobId,
         NodeName,
         Run,
@@ -89,6 +90,9 @@
     pub run: Run,
     /// The worker.
     pub worker: WorkerId,
+    /// Which incarnation of it; not on record, since only the owner that counted it may take it back.
+    #[serde(skip)]
+    pub incarnation: Option<Incarnation>,
     /// Whether it is certain that the task was there: the worker had confirmed it, and broke its connections at once.
     pub is_certain: bool,
 }
@@ -166,6 +170,8 @@
 pub struct Usage {
     /// Where the worker takes orders.
     pub address: SocketAddr,
+    /// Which incarnation of it was heard last.
+    pub incarnation: Option<Incarnation>,
     /// The runs.
     pub runs: Vec<(TaskId, Run)>,
 }
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -1,6 +1,7 @@
 //! One incarnation of a worker: its room, its lease and what it is believed to hold.
 
 use std::{
+    cmp::Ordering,
     collections::{
         BTreeMap,
         VecDeque, //
@@ -15,9 +16,11 @@
 
 use crate::{
     bounds::Bounds,
+    effect::Destination,
     engine::Pacing,
     event::Registration,
     id::{
+        Fence,
         Incarnation,
         Run,
         StepId,
@@ -61,6 +64,8 @@
     pub phase: Phase,
     /// When it was decided or adopted.
     pub since: Timestamp,
+    /// The fence of its last order, or under which the worker listed it.
+    pub fence: Fence,
     /// How many orders to start it got no answer that is known here; each may still be carried out.
     pub unanswered: u8,
     /// Whether only tasks of its own step are started beside it.
@@ -98,12 +103,28 @@
 }
 
 impl Contact {
+    /// Returns whether the call is on its way.
+    pub const fn is_out(self) -> bool {
+        matches!(self, Self::Out(_))
+    }
+
     /// Returns whether the call should be made now.
     pub fn is_due(self, now: Timestamp) -> bool {
         matches!(self, Self::Due(at) if at <= now)
     }
 }
 
+/// Which incarnation of a worker an answer is from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Teller {
+    /// The one that was heard last, as far as that can be told.
+    Present,
+    /// One before it.
+    Former,
+    /// One after it.
+    Later,
+}
+
 /// How a worker fell silent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Silence {
@@ -122,6 +143,13 @@
     pub told: Timestamp,
     /// Which incarnation was last heard, where the platform says so.
     pub incarnation: Option<Incarnation>,
+    /// Whether its report was changed by an incarnation that was not heard yet.
+    pub is_superseded: bool,
+    /// What its orders carry.
+    pub fence: Fence,
+    /// When the fence was raised under this ownership: nothing that was ordered before is carried out once the worker has
+    /// answered a call made from then on.
+    pub raised: Option<Timestamp>,
     /// How many runs its last inventory listed.
     pub listed: usize,
     /// What no claim takes.
@@ -166,11 +194,19 @@
     /// Makes a worker of which nothing is known but its registration.
     ///
     /// Until `lapses` it may hold tasks under a lease that a former owner granted.
-    pub fn new(registration: Registration, now: Timestamp, lapses: Timestamp) -> Self {
+    pub fn new(
+        registration: Registration,
+        fence: Fence,
+        now: Timestamp,
+        lapses: Timestamp,
+    ) -> Self {
         Self {
             free: registration.capacity,
             told: now,
             incarnation: None,
+            is_superseded: false,
+            fence,
+            raised: None,
             listed: 0,
             registration,
             claims: BTreeMap::new(),
@@ -193,6 +229,15 @@
         }
     }
 
+    /// Returns where its orders go.
+    pub fn destination(&self) -> Destination {
+        Destination {
+            worker: self.registration.id.clone(),
+            address: self.registration.address,
+            fence: self.fence,
+        }
+    }
+
     /// Notes what the worker's clock showed when it answered.
     pub fn read_clock(&mut self, millis: u64, now: Timestamp) {
         self.reading = Some(Reading { millis, at: now });
@@ -217,10 +262,65 @@
         self.unlisted.is_none() && self.distrusted.is_none()
     }
 
+    /// Returns whether what it reports of itself is of the incarnation that was heard last: another one may have less
+    /// room or be of another kind.
+    pub fn is_current(&self) -> bool {
+        let told = self.registration.incarnation;
+        told.zip(self.incarnation)
+            .is_none_or(|(told, heard)| told == heard)
+    }
+
+    /// Tells which incarnation an answer is from to a call that was made at some moment.
+    ///
+    /// The clocks by which incarnations begin may jump back. A call that was made when one had answered, to this owner or a
+    /// former one, can't have reached one before.
+    pub fn identify(&self, told: Option<Incarnation>, asked: Timestamp) -> Teller {
+        let Some((told, known)) = told.zip(self.incarnation) else {
+            return Teller::Present;
+        };
+        let is_after = self.heard.is_none_or(|heard| heard <= asked);
+        match told.cmp(&known) {
+            Ordering::Equal => Teller::Present,
+            Ordering::Less if !is_after => Teller::Former,
+            Ordering::Less | Ordering::Greater => Teller::Later,
+        }
+    }
+
+    /// Begins another incarnation, which has told of nothing yet; what may be on its way to it stays claimed.
+    pub fn begin(&mut self, incarnation: Option<Incarnation>, fence: Fence, now: Timestamp) {
+        self.incarnation = incarnation;
+        self.is_superseded = false;
+        self.fence = fence;
+        self.raised = Some(now);
+        self.seen = 0;
+        self.kept = 0;
+        self.reading = None;
+        self.over.clear();
+        self.doubted.clear();
+        self.failures = 0;
+        self.pacing = Pacing::default();
+    }
+
+    /// Returns whether an inventory that was asked for at some moment proves that no order to start a run is carried out
+    /// any more: all of them were for a former incarnation.
+    pub fn is_void(&self, claim: &Claim, asked: Timestamp) -> bool {
+        claim.fence < self.fence && self.raised.is_some_and(|raised| raised <= asked)
+    }
+
+    /// Returns the last end that it may forget: none while the next answer may be another incarnation's, which numbers its
+    /// own ends from one.
+    pub fn acknowledged(&self) -> u64 {
+        match self.silent.is_some() || self.is_superseded {
+            true => 0,
+            false => self.kept,
+        }
+    }
+
     /// Returns whether new tasks may be placed on it, unless it rests.
     pub fn is_taking(&self) -> bool {
         self.heard.is_some()
             && self.silent.is_none()
+            && self.is_current()
             && self.is_listed()
             && self.registration.leaving.is_none()
     }
@@ -332,6 +432,16 @@
         (&own.pool, own.capacity, &own.labels) != (&newer.pool, newer.capacity, &newer.labels)
     }
 
+    /// Has a call be made again whose answer was of no use.
+    pub fn call_again(&mut self, is_peek: bool, now: Timestamp) {
+        let call = Contact::Due(now);
+        match is_peek {
+            true => self.peek = Some(call),
+            false if self.contact.is_out() => self.contact = call,
+            false => {}
+        }
+    }
+
     /// Returns when it is called next, unless calls are on their way.
     pub fn next_call(&self) -> Option<Timestamp> {
         let calls = [self.peek, Some(self.contact)].into_iter().flatten();
--- a/crates/cell/tests/cell/crash.rs
+++ b/crates/cell/tests/cell/crash.rs
@@ -32,6 +32,8 @@
     Takeovers,
     Outages,
     LostOrders,
+    /// Half of the workers that go down come back under their ids.
+    Restarts,
 }
 
 fn single() -> Step {
@@ -75,6 +77,8 @@
         } else {
             0
         },
+        // None by itself: a thousandth of a second's chance, drawn below one.
+        restarts: u32::from(matches!(beside, Beside::Restarts)),
         ..Faults::default()
     };
     let mut world = World::new(1, faults);
@@ -112,6 +116,8 @@
 #[case::a_member_of_a_gang_while_owners_change("gang", vec![gang()], Beside::Takeovers)]
 #[case::while_the_store_goes_away("urgent", vec![single()], Beside::Outages)]
 #[case::while_orders_are_lost("urgent", vec![single()], Beside::LostOrders)]
+#[case::whose_workers_come_back_under_their_ids("urgent", vec![single()], Beside::Restarts)]
+#[case::a_gang_whose_workers_come_back_under_their_ids("gang", vec![gang()], Beside::Restarts)]
 fn a_task_that_crashes_its_workers_is_given_up(
     #[case] queue: &str,
     #[case] steps: Vec<Step>,
--- a/crates/cell/tests/cell/history.rs
+++ b/crates/cell/tests/cell/history.rs
@@ -169,6 +169,34 @@
     assert_eq!(play(seed, CRASHING), Vec::<String>::new());
 }
 
+/// Workers that restart under their ids, and orders that are lost or late.
+const RESTARTS: Faults = Faults {
+    lost_orders: 60,
+    lost_holds: 0,
+    crashes: 0,
+    cuts: 0,
+    takeovers: 0,
+    failures: 50,
+    outages: 0,
+    cancels: 0,
+    announced: 300,
+    foreign: 0,
+    releases: 0,
+    crashers: 0,
+    shrinks: 0,
+    restarts: 60,
+};
+
+#[rstest]
+#[case::the_order_had_been_carried_out_before(1_854_814_032_114_709_740, RESTARTS)]
+#[case::a_former_owner_had_heard_the_incarnation_before(3_081_453_588_647_580_746, Faults { restarts: 40, ..CRASHING })]
+fn promises_hold_in_histories_with_restarts_that_broke_one(
+    #[case] seed: u64,
+    #[case] faults: Faults,
+) {
+    assert_eq!(play(seed, faults), Vec::<String>::new());
+}
+
 proptest! {
     #![proptest_config(config())]
 
@@ -232,6 +260,16 @@
         prop_assert_eq!(play(seed, Faults { shrinks: 100, ..CRASHING }), Vec::<String>::new());
     }
 
+    #[test]
+    fn promises_hold_when_workers_restart_under_their_ids(seed in any::<u64>()) {
+        prop_assert_eq!(play(seed, RESTARTS), Vec::<String>::new());
+    }
+
+    #[test]
+    fn promises_hold_when_workers_restart_under_their_ids_amid_all_of_that(seed in any::<u64>()) {
+        prop_assert_eq!(play(seed, Faults { restarts: 40, ..CRASHING }), Vec::<String>::new());
+    }
+
     #[test]
     fn no_task_is_given_up_for_crashes_that_are_not_its_own(seed in any::<u64>()) {
         // Each worker goes down once in 100 s.
--- a/crates/cell/tests/cell/restart.rs
+++ b/crates/cell/tests/cell/restart.rs
@@ -118,3 +118,48 @@
     assert_eq!(world.completed(&jobs), jobs.len());
     assert_eq!(world.engine.counts().claims, 0);
 }
+
+/// A worker comes back as another kind, or with less room, and reports that only 1.4 s later. Whatever is started meanwhile goes to the others.
+#[rstest]
+#[case::of_another_kind(Restart { kind: "rare", untold: Duration::from_millis(1_400), ..Restart::default() })]
+#[case::with_less_room(Restart { room: 1, untold: Duration::from_millis(1_400), ..Restart::default() })]
+fn nothing_is_started_on_what_a_former_incarnation_reported(#[case] restart: Restart) {
+    let mut world = World::new(1, Faults::default());
+    world.run(Duration::from_secs(1));
+    let ids: Vec<_> = world.workers.keys().cloned().collect();
+    let mut jobs = Vec::new();
+    for second in 0..24 {
+        for _ in 0..4 {
+            let step = Step {
+                requires: Some("a".into()),
+                ..quick_step()
+            };
+            jobs.push(world.submit("batch", vec![step]));
+        }
+        // Of the last two workers the kind and the room stay.
+        world.restart(&ids[second % (ids.len() - 2)], restart);
+        world.run(Duration::from_secs(1));
+    }
+    world.calm();
+    world.run(Duration::from_secs(120));
+    assert_eq!(world.violations, Vec::<String>::new());
+    assert_eq!(world.completed(&jobs), jobs.len());
+}
+
+/// Workers tell of ends while the store is away, and restart before these are on record.
+#[test]
+fn ends_of_a_former_incarnation_that_are_recorded_late_are_not_acknowledged_to_the_next() {
+    for restarted in (1..20).map(|tenths| Duration::from_millis(100 * tenths)) {
+        let mut world = experienced(Faults::default());
+        let first = world.submit("batch", tasks(32));
+        world.run(Duration::from_millis(400));
+        world.lose_store(Duration::from_secs(4));
+        world.run(restarted);
+        world.restart_all(Restart::default());
+        world.run(Duration::from_secs(3));
+        let second = world.submit("batch", tasks(32));
+        world.run(Duration::from_secs(60));
+        assert_eq!(world.violations, Vec::<String>::new(), "{restarted:?}");
+        assert_eq!(world.completed(&[first, second]), 2, "{restarted:?}");
+    }
+}
--- a/crates/cell/tests/cell/takeover.rs
+++ b/crates/cell/tests/cell/takeover.rs
@@ -97,6 +97,7 @@
     spec.schedule = None;
     accepted.spec = spec.into();
     let usage = Usage {
+        incarnation: None,
         address: "127.0.0.1:1".parse().unwrap(),
         runs: vec![(step.task(0), Run(1))],
     };
@@ -149,6 +150,7 @@
     }
     .task(0);
     let usage = Usage {
+        incarnation: None,
         address: "127.0.0.1:1".parse().unwrap(),
         runs: vec![(task, Run(1))],
     };
