--- a/crates/cell/tests/cell/incarnation.rs
+++ b/crates/cell/tests/cell/incarnation.rs
@@ -58,6 +58,8 @@
     stops: Vec<Stop>,
     notes: Vec<Note>,
     is_deposed: bool,
+    /// Whether the store answers.
+    has_store: bool,
 }
 
 impl Bench {
@@ -73,6 +75,7 @@
             stops: Vec::new(),
             notes: Vec::new(),
             is_deposed: false,
+            has_store: true,
         };
         bench.register(FIRST);
         bench.answer(FIRST, &[]);
@@ -93,7 +96,7 @@
         self.pass(Duration::ZERO);
     }
 
-    /// Lets time pass and takes in what has to be done; records are kept at once.
+    /// Lets time pass and takes in what has to be done; records are kept at once, where the store answers.
     fn pass(&mut self, span: Duration) {
         self.now = self.now + span;
         loop {
@@ -103,7 +106,7 @@
             }
             for effect in effects {
                 match effect {
-                    Effect::Record(_) => self.engine.recorded(self.now),
+                    Effect::Record(_) if self.has_store => self.engine.recorded(self.now),
                     Effect::Hold(hold) => self.holds.push(hold),
                     Effect::Start(start) => self.starts.push(*start),
                     Effect::Stop(stop) => self.stops.push(stop),
@@ -330,3 +333,21 @@
     bench.register(SECOND);
     assert!(bench.holds.last().unwrap().to.fence > first.to.fence);
 }
+
+#[test]
+fn an_order_whose_worker_fell_silent_before_its_record_was_kept_does_not_leave() {
+    let mut bench = Bench::new();
+    bench.has_store = false;
+    assert_eq!(bench.submit(JobId(1), 1), []);
+    let hold = bench.holds.pop().unwrap();
+    bench.held(&hold, HoldAnswer::Broken);
+    bench.has_store = true;
+    bench.engine.recorded(bench.now);
+    bench.pass(50 * MILLISECOND);
+    assert_eq!(bench.starts, []);
+    // The same incarnation answers again, and the task is placed anew.
+    bench.pass(200 * MILLISECOND);
+    bench.answer(FIRST, &[]);
+    bench.pass(50 * MILLISECOND);
+    assert_eq!(bench.starts.len(), 1);
+}
