A worker that is being emptied for a task that runs alone is kept from pass to pass

On a busy fleet a task that was late and had crashed two workers ran beside others: kept for one pass only, its worker was filled by whatever was ranked before it, and 2.5 s of patience are less than the 3 s that tasks run. A third crash took one to three others along, and two of eight tasks crashed five workers.

--- a/crates/cell/src/engine/crash.rs
+++ b/crates/cell/src/engine/crash.rs
@@ -50,9 +50,11 @@
 const LEAST_CERTAIN: usize = 2;
 /// After so many it is given up in any case: three crashes and two further starts are what the workers' owners bear.
 const MOST_CRASHES: usize = 5;
-/// For so long a task waits for an empty worker: longer than most tasks run that are to end there before. Then it runs
-/// beside others, so that a full fleet, or one of lasting tasks, doesn't keep it waiting for ever.
+/// For so long a task waits for an empty worker. Then it runs beside others, so that a full fleet, or one of lasting tasks,
+/// doesn't keep it waiting for ever.
 const PATIENCE: Duration = Duration::from_millis(2_500);
+/// For so long it waits where a worker is being emptied for it: longer than most tasks run that are to end there before.
+const PATIENCE_EMPTYING: Duration = Duration::from_millis(6_000);
 /// One in so many workers of a pool at most is emptied at a time for tasks that run alone. A rack that crashes twice may
 /// leave dozens of them, and their room is taken from everybody else.
 const EMPTIED_PART: usize = 8;
@@ -259,7 +261,11 @@
         let own = stage.and_then(|stage| stage.task(index));
         own.filter(|own| own.is_suspect()).is_some_and(|own| {
             let since = own.apart_since.unwrap_or(now);
-            now.since(since) < PATIENCE
+            let patience = match self.emptying.contains_key(&id) {
+                true => PATIENCE_EMPTYING,
+                false => PATIENCE,
+            };
+            now.since(since) < patience
         })
     }
 
@@ -315,10 +321,39 @@
         empty.map(|(slot, _)| slot)
     }
 
+    /// Goes on keeping the workers that are being emptied from all other steps.
+    ///
+    /// A step that is late comes behind all others in a pass: without that, these take each piece of room as it comes up.
+    pub(super) fn keep_emptying(&mut self, reserved: &mut Reserved, now: Timestamp) {
+        let mut emptying = self.emptying.clone();
+        emptying.retain(|id, slot| self.is_worth_emptying(*id, *slot, now));
+        for (id, slot) in &emptying {
+            reserved.keep_to_empty(*slot, *id);
+        }
+        self.emptying = emptying;
+    }
+
+    /// Returns whether a step still waits for a worker to be empty that may run it.
+    fn is_worth_emptying(&self, id: StepId, slot: Slot, now: Timestamp) -> bool {
+        let Some(job) = self.jobs.get(&id.job).filter(|job| !job.is_over()) else {
+            return false;
+        };
+        let (Some(demand), Some(stage)) = (self.demand(job, id), job.stage(id)) else {
+            return false;
+        };
+        let worker = self.workers.get(&slot);
+        let is_open = worker.is_some_and(|worker| demand.admits(worker, now));
+        let mut suspects = stage.suspects();
+        is_open && suspects.any(|index| self.is_kept_apart(id, index, now))
+    }
+
     /// Keeps a worker from other steps until it is empty, if a task of a step has to run alone.
     pub(super) fn keep_to_empty(&mut self, id: StepId, reserved: &mut Reserved, now: Timestamp) {
-        if let Some(slot) = self.emptiest(id, reserved, now) {
+        if !self.emptying.contains_key(&id)
+            && let Some(slot) = self.emptiest(id, reserved, now)
+        {
             reserved.keep_to_empty(slot, id);
+            self.emptying.insert(id, slot);
         }
         let stage = self.jobs.get_mut(&id.job).and_then(|job| job.stage_mut(id));
         let Some(stage) = stage else {
--- a/crates/cell/src/engine/mod.rs
+++ b/crates/cell/src/engine/mod.rs
@@ -206,6 +206,8 @@
     gangs_started: HashMap<QueueName, u64>,
     /// The late gang of each queue that is ranked with those in time.
     promoted: HashMap<QueueName, StepId>,
+    /// The worker that is being emptied for each step with tasks that have to run alone.
+    emptying: BTreeMap<StepId, Slot>,
     /// Whether something has changed that may let a task start.
     is_stirred: bool,
     /// Where among the steps that were passed over the last pass has left off.
@@ -256,6 +258,7 @@
             orders: HashMap::default(),
             gangs_started: HashMap::default(),
             promoted: HashMap::default(),
+            emptying: BTreeMap::new(),
             is_stirred: true,
             turn: None,
             look_again: None,
--- a/crates/cell/src/engine/schedule.rs
+++ b/crates/cell/src/engine/schedule.rs
@@ -95,6 +95,7 @@
             }
         }
         let mut reserved = Reserved::default();
+        self.keep_emptying(&mut reserved, now);
         let (last, looks) = self.serve_from(None, PASS_LOOKS, &mut reserved, now);
         let more = self.serve_in_turn(last, &mut reserved, now);
         let looks = u32::try_from(looks + more).unwrap_or(u32::MAX);
