An order without an answer is given again once its silent worker is heard, in the place of a stop

Since the mend of restarts an order without an answer to a worker that is silent was stopped, which takes a second and throws the run away where it had begun; before, it was given again at once. It is held back until the worker is heard now: the same incarnation takes it for the same order, another one refuses what was before its fence.

--- a/crates/cell/src/engine/contact.rs
+++ b/crates/cell/src/engine/contact.rs
@@ -320,6 +320,9 @@
             }
         }
         self.release_absent(slot, &listed, asked, now);
+        if !was_heard {
+            self.send_held_back(slot, now);
+        }
         self.pace(slot, &inventory.running, now);
         let Some(worker) = self.workers.get_mut(&slot) else {
             return;
@@ -396,6 +399,7 @@
             since: now,
             fence: worker.fence,
             unanswered: u8::from(!is_listed),
+            is_held_back: false,
             alone: alone && is_wanted,
             begun: is_listed.then_some(now),
             outlasted: false,
--- a/crates/cell/src/engine/order.rs
+++ b/crates/cell/src/engine/order.rs
@@ -146,13 +146,44 @@
         let is_overfull = worker.is_some_and(Worker::is_overfull);
         // One that is silent may come back with less room, or as another kind.
         let is_silent = worker.is_some_and(|worker| worker.silent.is_some());
-        if is_spent || is_overfull || is_silent || !self.is_wanted(task) {
+        if is_spent || is_overfull || !self.is_wanted(task) {
             self.stop(slot, task, run, "unanswered", now);
+        } else if is_silent {
+            self.hold_back(slot, task, run);
         } else {
             self.send_start(slot, task, run, now);
         }
     }
 
+    fn hold_back(&mut self, slot: Slot, task: TaskId, run: Run) {
+        let worker = self.workers.get_mut(&slot);
+        let claim = worker.and_then(|worker| worker.claims.get_mut(&(task, run)));
+        if let Some(claim) = claim {
+            claim.is_held_back = true;
+        }
+    }
+
+    /// Gives the orders again that were held back while a worker was silent, if the same incarnation was heard: the
+    /// next one settles them by its fence.
+    pub(super) fn send_held_back(&mut self, slot: Slot, now: Timestamp) {
+        let Some(worker) = self.workers.get_mut(&slot) else {
+            return;
+        };
+        let mut held = Vec::new();
+        for (key, claim) in &mut worker.claims {
+            let is_held_back = std::mem::take(&mut claim.is_held_back);
+            if is_held_back && claim.phase == Phase::Starting && claim.fence == worker.fence {
+                held.push(*key);
+            }
+        }
+        for (task, run) in held {
+            match self.is_wanted(task) {
+                true => self.send_start(slot, task, run, now),
+                false => self.stop(slot, task, run, "unanswered", now),
+            }
+        }
+    }
+
     /// Orders a start whose decision is on record.
     pub(super) fn send_start(&mut self, slot: Slot, task: TaskId, run: Run, now: Timestamp) {
         let Some(order) = self.orders.get(&(slot, task, run)).cloned() else {
--- a/crates/cell/src/engine/place.rs
+++ b/crates/cell/src/engine/place.rs
@@ -388,6 +388,7 @@
             since: now,
             fence: worker.fence,
             unanswered: 0,
+            is_held_back: false,
             alone: stage.is_suspect(index) && worker.room_alone(id) != Resources::ZERO,
             begun: None,
             outlasted: false,
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -68,6 +68,8 @@
     pub fence: Fence,
     /// How many orders to start it got no answer that is known here; each may still be carried out.
     pub unanswered: u8,
+    /// Whether its order is given again once the worker, which has fallen silent, is heard.
+    pub is_held_back: bool,
     /// Whether only tasks of its own step are started beside it.
     pub alone: bool,
     /// When the worker was known to have it first; it may have begun it earlier.
@@ -80,6 +82,7 @@
     /// Notes that the worker has it.
     pub fn confirm(&mut self, now: Timestamp) {
         self.begun.get_or_insert(now);
+        self.is_held_back = false;
         if self.phase == Phase::Starting {
             self.phase = Phase::Running { since: now };
         }
--- a/crates/cell/tests/cell/incarnation.rs
+++ b/crates/cell/tests/cell/incarnation.rs
@@ -351,3 +351,18 @@
     bench.pass(50 * MILLISECOND);
     assert_eq!(bench.starts.len(), 1);
 }
+
+/// Connections are reset: the order and the call for the inventory break, and the worker is heard again soon.
+#[test]
+fn an_order_without_an_answer_is_given_again_once_its_silent_worker_is_heard() {
+    let mut bench = Bench::new();
+    let tasks = bench.submit(JobId(1), 1);
+    let hold = bench.holds.pop().unwrap();
+    bench.held(&hold, HoldAnswer::Broken);
+    bench.started(tasks[0], Run(1), StartAnswer::Silent);
+    assert_eq!(bench.starts.len(), 1);
+    bench.pass(200 * MILLISECOND);
+    bench.answer(FIRST, &[]);
+    assert_eq!((bench.starts.len(), bench.stops.len()), (2, 0));
+    assert_eq!(bench.starts[1].run, Run(1));
+}
