A worker that restarted as another kind is not asked about for ever

An answer that leaves such a worker out takes it off those that may run the step; where no worker restarts under its id nothing changes.

--- a/crates/cell/src/advice.rs
+++ b/crates/cell/src/advice.rs
@@ -42,8 +42,12 @@
     /// Returns whether an order to a worker that is sent now arrives in time, and is for the incarnation that was asked
     /// about.
     pub fn is_usable(&self, worker: &Worker, now: Timestamp) -> bool {
-        let is_for_former = worker.raised.is_some_and(|raised| self.asked < raised);
-        now + TICKET_MARGIN < self.until && !is_for_former
+        now + TICKET_MARGIN < self.until && !self.is_for_former(worker)
+    }
+
+    /// Returns whether another incarnation of its worker has begun since it was asked for.
+    pub fn is_for_former(&self, worker: &Worker) -> bool {
+        worker.raised.is_some_and(|raised| self.asked < raised)
     }
 }
 
@@ -80,6 +84,12 @@
         }
     }
 
+    fn remove(&mut self, slot: Slot) {
+        if let Ok(place) = self.place(slot) {
+            self.0.remove(place);
+        }
+    }
+
     fn set(&mut self, slot: Slot, ticket: Ticket) {
         match self.place(slot) {
             Ok(place) => self.0[place].1 = ticket,
@@ -129,6 +139,12 @@
         }
     }
 
+    /// Notes that a worker may not run the step any more: it is another incarnation than the one that might, and of
+    /// another kind.
+    pub fn withdraw(&mut self, slot: Slot) {
+        self.allowed.remove(slot);
+    }
+
     /// Notes that there was no answer: nothing is known of the workers by that, and nothing is asked for a while.
     pub fn fail(&mut self, named: &[Slot], pause: Timestamp) {
         self.asking = self.asking.saturating_sub(1);
--- a/crates/cell/src/engine/ask.rs
+++ b/crates/cell/src/engine/ask.rs
@@ -361,6 +361,17 @@
             return;
         };
         stage.advice.answer(tickets.into_iter());
+        // Without that a step goes on asking about it, and never about others.
+        for slot in call.named {
+            let worker = self.workers.get(&slot);
+            let ticket = stage.advice.allowed.get(slot);
+            let is_denied = worker.zip(ticket).is_some_and(|(worker, ticket)| {
+                ticket.asked < call.since && ticket.is_for_former(worker)
+            });
+            if is_denied {
+                stage.advice.withdraw(slot);
+            }
+        }
     }
 
     /// Lets a step be asked about again after a call that brought nothing.
--- a/crates/cell/tests/cell/history.rs
+++ b/crates/cell/tests/cell/history.rs
@@ -188,6 +188,12 @@
 };
 
 #[rstest]
+#[case::a_step_went_on_asking_about_a_worker_that_was_of_another_kind(
+    6_810_646_426_040_739_123,
+    RESTARTS
+)]
+#[case::the_same_amid_all_of_that(6_818_458_597_670_952_719, Faults { restarts: 40, ..CRASHING })]
+#[case::a_worker_said_that_it_leaves_soon_after_its_restart(1_137_188_293_690_855_454, Faults { restarts: 40, ..CRASHING })]
 #[case::the_order_had_been_carried_out_before(1_854_814_032_114_709_740, RESTARTS)]
 #[case::a_former_owner_had_heard_the_incarnation_before(3_081_453_588_647_580_746, Faults { restarts: 40, ..CRASHING })]
 fn promises_hold_in_histories_with_restarts_that_broke_one(
--- a/crates/cell/tests/cell/world/fault.rs
+++ b/crates/cell/tests/cell/world/fault.rs
@@ -154,7 +154,7 @@
                     let span = Duration::from_millis(self.rng.random_range(2_000..4_000));
                     let leaves = self.now + span;
                     if let Some(worker) = self.workers.get_mut(&id) {
-                        worker.leaves = Some(leaves);
+                        worker.leave(leaves);
                     }
                     self.tell_of(place);
                 }
--- a/crates/cell/tests/cell/world/worker.rs
+++ b/crates/cell/tests/cell/world/worker.rs
@@ -130,6 +130,12 @@
         self.rooms = vec![(now, room)];
     }
 
+    /// Has it say that it leaves, which it writes into its entry itself.
+    pub(super) fn leave(&mut self, leaves: Timestamp) {
+        self.leaves = Some(leaves);
+        self.stale = None;
+    }
+
     /// Returns what the store says of it.
     pub(crate) fn entry(&self, now: Timestamp) -> Registration {
         let stale = self.stale.as_ref().filter(|(_, until)| *until > now);
