The red history is traced: a doubted crash is lost with its owner

Its log: run 2 is lost as `lapsed` at 1,009.4 s (doubted, not counted), owner 1 ends at 1,010.0 s, owner 2 counts run 3 as the second crash.

--- a/crates/cell/tests/cell/history.rs
+++ b/crates/cell/tests/cell/history.rs
@@ -204,8 +204,10 @@
     assert_eq!(play(seed, faults), Vec::<String>::new());
 }
 
-/// Owners change, the store goes away, and workers restart under a task that crashes them: it is started three times more after the
-/// third crash. The cause is not known.
+/// A task that crashes its workers is started three times more after the third crash; two are borne.
+///
+/// Its second worker stays away until its leases have lapsed. What it had just begun is remembered by the owner, to be counted once
+/// the worker is known to be gone; the owner dies before that, and the next one knows nothing of it.
 #[test]
 fn a_crashing_task_is_given_up_in_time_in_a_history_with_restarts() {
     let faults = Faults {
