--- a/crates/cell/tests/cell/incarnation.rs
+++ b/crates/cell/tests/cell/incarnation.rs
@@ -49,7 +49,7 @@
 const SECOND: Incarnation = Incarnation(2_000);
 
 /// An engine with one worker, whose calls are answered by hand.
-struct Bench {
+struct Rig {
     engine: Engine,
     now: Timestamp,
     worker: WorkerId,
@@ -62,11 +62,11 @@
     has_store: bool,
 }
 
-impl Bench {
+impl Rig {
     /// Makes one whose worker was heard as the first incarnation.
     fn new() -> Self {
         let now = Timestamp::from_millis(1_000);
-        let mut bench = Self {
+        let mut rig = Self {
             engine: Engine::new(Epoch(1), Bounds::default(), Inheritance::default(), now),
             now,
             worker: WorkerId::from("w1"),
@@ -77,9 +77,9 @@
             is_deposed: false,
             has_store: true,
         };
-        bench.register(FIRST);
-        bench.answer(FIRST, &[]);
-        bench
+        rig.register(FIRST);
+        rig.answer(FIRST, &[]);
+        rig
     }
 
     fn register(&mut self, incarnation: Incarnation) {
@@ -203,20 +203,20 @@
 
 #[test]
 fn a_new_incarnation_is_called_with_a_higher_fence_before_anything_is_given_up() {
-    let mut bench = Bench::new();
-    let tasks = bench.submit(JobId(1), 1);
-    let hold = bench.holds.pop().unwrap();
-    bench.held(&hold, HoldAnswer::Broken);
-    bench.pass(300 * MILLISECOND);
-    bench.answer(SECOND, &[]);
-    let fence = bench.holds.last().unwrap().to.fence;
+    let mut rig = Rig::new();
+    let tasks = rig.submit(JobId(1), 1);
+    let hold = rig.holds.pop().unwrap();
+    rig.held(&hold, HoldAnswer::Broken);
+    rig.pass(300 * MILLISECOND);
+    rig.answer(SECOND, &[]);
+    let fence = rig.holds.last().unwrap().to.fence;
     assert!(fence > hold.to.fence);
     // Its order is on its way yet, and could arrive before that call.
-    assert_eq!(bench.starts.len(), 1);
-    bench.register(SECOND);
-    bench.answer(SECOND, &[]);
-    bench.pass(50 * MILLISECOND);
-    let again = bench.starts.last().unwrap();
+    assert_eq!(rig.starts.len(), 1);
+    rig.register(SECOND);
+    rig.answer(SECOND, &[]);
+    rig.pass(50 * MILLISECOND);
+    let again = rig.starts.last().unwrap();
     assert_eq!(
         (again.task, again.run, again.to.fence),
         (tasks[0], Run(2), fence)
@@ -225,79 +225,79 @@
 
 #[test]
 fn an_order_that_is_refused_for_the_raised_fence_deposes_nobody() {
-    let mut bench = Bench::new();
-    let tasks = bench.submit(JobId(1), 1);
-    bench.restart(&[]);
-    bench.started(tasks[0], Run(1), StartAnswer::Fenced);
-    assert!(!bench.is_deposed);
+    let mut rig = Rig::new();
+    let tasks = rig.submit(JobId(1), 1);
+    rig.restart(&[]);
+    rig.started(tasks[0], Run(1), StartAnswer::Fenced);
+    assert!(!rig.is_deposed);
     // A later owner's fence shows in the answer to the next call.
-    let hold = bench.holds.pop().unwrap();
-    bench.held(&hold, HoldAnswer::Fenced);
-    assert!(bench.is_deposed);
+    let hold = rig.holds.pop().unwrap();
+    rig.held(&hold, HoldAnswer::Fenced);
+    assert!(rig.is_deposed);
 }
 
 #[test]
 fn a_call_that_is_refused_for_the_raised_fence_is_made_again() {
-    let mut bench = Bench::new();
-    bench.pass(MILLISECOND);
-    let main = bench.holds.pop().unwrap();
+    let mut rig = Rig::new();
+    rig.pass(MILLISECOND);
+    let main = rig.holds.pop().unwrap();
     // The report of the next incarnation brings a second call, which is answered first.
-    bench.pass(5 * MILLISECOND);
-    bench.register(SECOND);
-    bench.answer(SECOND, &[]);
-    let calls = bench.holds.len();
-    bench.held(&main, HoldAnswer::Fenced);
-    assert!(!bench.is_deposed);
-    assert_eq!(bench.holds.len(), calls + 1);
+    rig.pass(5 * MILLISECOND);
+    rig.register(SECOND);
+    rig.answer(SECOND, &[]);
+    let calls = rig.holds.len();
+    rig.held(&main, HoldAnswer::Fenced);
+    assert!(!rig.is_deposed);
+    assert_eq!(rig.holds.len(), calls + 1);
 }
 
 #[test]
 fn an_answer_of_a_former_incarnation_that_was_overtaken_changes_nothing() {
-    let mut bench = Bench::new();
-    bench.pass(MILLISECOND);
-    let main = bench.holds.pop().unwrap();
-    bench.pass(5 * MILLISECOND);
-    bench.register(SECOND);
-    bench.answer(SECOND, &[]);
-    bench.notes.clear();
-    bench.answer_to(&main, FIRST, &[]);
-    assert!(!bench.believes("reborn"));
+    let mut rig = Rig::new();
+    rig.pass(MILLISECOND);
+    let main = rig.holds.pop().unwrap();
+    rig.pass(5 * MILLISECOND);
+    rig.register(SECOND);
+    rig.answer(SECOND, &[]);
+    rig.notes.clear();
+    rig.answer_to(&main, FIRST, &[]);
+    assert!(!rig.believes("reborn"));
     // The second one has no order that it doesn't list.
-    bench.answer(SECOND, &[]);
-    assert!(!bench.believes("reborn"));
+    rig.answer(SECOND, &[]);
+    assert!(!rig.believes("reborn"));
 }
 
 #[test]
 fn what_the_next_incarnation_has_begun_did_not_go_down_with_the_one_before() {
-    let mut bench = Bench::new();
-    let tasks = bench.submit(JobId(1), 2);
-    bench.started(tasks[0], Run(1), StartAnswer::Started);
-    bench.started(tasks[1], Run(1), StartAnswer::Started);
-    bench.restart(&[(tasks[0], Run(1))]);
-    assert_eq!(bench.crashes(), 1);
-    assert_eq!(bench.engine.counts().claims, 1);
+    let mut rig = Rig::new();
+    let tasks = rig.submit(JobId(1), 2);
+    rig.started(tasks[0], Run(1), StartAnswer::Started);
+    rig.started(tasks[1], Run(1), StartAnswer::Started);
+    rig.restart(&[(tasks[0], Run(1))]);
+    assert_eq!(rig.crashes(), 1);
+    assert_eq!(rig.engine.counts().claims, 1);
 }
 
 #[test]
 fn a_crash_is_not_taken_back_since_the_next_incarnation_answers() {
-    let mut bench = Bench::new();
+    let mut rig = Rig::new();
     for restart in 1..=5u64 {
         let tasks = match restart {
-            1 => bench.submit(JobId(1), 1),
-            _ => vec![bench.starts.last().unwrap().task],
+            1 => rig.submit(JobId(1), 1),
+            _ => vec![rig.starts.last().unwrap().task],
         };
-        let run = bench.starts.last().unwrap().run;
-        bench.started(tasks[0], run, StartAnswer::Started);
-        let hold = bench.holds.pop().unwrap();
-        bench.held(&hold, HoldAnswer::Broken);
-        bench.pass(300 * MILLISECOND);
+        let run = rig.starts.last().unwrap().run;
+        rig.started(tasks[0], run, StartAnswer::Started);
+        let hold = rig.holds.pop().unwrap();
+        rig.held(&hold, HoldAnswer::Broken);
+        rig.pass(300 * MILLISECOND);
         let next = Incarnation(1_000 + restart);
-        bench.answer(next, &[]);
-        bench.register(next);
-        bench.answer(next, &[]);
-        bench.pass(3 * Duration::from_secs(1));
+        rig.answer(next, &[]);
+        rig.register(next);
+        rig.answer(next, &[]);
+        rig.pass(3 * Duration::from_secs(1));
     }
-    let counted = bench.notes.iter().filter_map(|note| match note {
+    let counted = rig.notes.iter().filter_map(|note| match note {
         Note::Crashed { crashes, .. } => Some(*crashes),
         _ => None,
     });
@@ -306,63 +306,63 @@
 
 #[test]
 fn a_stop_that_a_former_incarnation_confirmed_is_ordered_of_the_next() {
-    let mut bench = Bench::new();
-    let tasks = bench.submit(JobId(1), 1);
+    let mut rig = Rig::new();
+    let tasks = rig.submit(JobId(1), 1);
     for _ in 0..3 {
-        bench.started(tasks[0], Run(1), StartAnswer::Silent);
+        rig.started(tasks[0], Run(1), StartAnswer::Silent);
     }
-    assert_eq!(bench.stops.len(), 1);
-    bench.engine.stopped(
-        &bench.worker,
+    assert_eq!(rig.stops.len(), 1);
+    rig.engine.stopped(
+        &rig.worker,
         tasks[0],
         Run(1),
         StopAnswer::Confirmed,
-        bench.now,
+        rig.now,
     );
-    bench.restart(&[]);
-    assert_eq!(bench.stops.len(), 2);
+    rig.restart(&[]);
+    assert_eq!(rig.stops.len(), 2);
     // One of the orders that got no answer may have left late and is refused from then on.
-    assert_eq!(bench.engine.counts().claims, 1);
+    assert_eq!(rig.engine.counts().claims, 1);
 }
 
 #[test]
 fn a_worker_that_is_lost_and_comes_back_under_its_id_gets_a_higher_fence() {
-    let mut bench = Bench::new();
-    let first = bench.holds.pop().unwrap();
-    bench.held(&first, HoldAnswer::Gone);
-    bench.register(SECOND);
-    assert!(bench.holds.last().unwrap().to.fence > first.to.fence);
+    let mut rig = Rig::new();
+    let first = rig.holds.pop().unwrap();
+    rig.held(&first, HoldAnswer::Gone);
+    rig.register(SECOND);
+    assert!(rig.holds.last().unwrap().to.fence > first.to.fence);
 }
 
 #[test]
 fn an_order_whose_worker_fell_silent_before_its_record_was_kept_does_not_leave() {
-    let mut bench = Bench::new();
-    bench.has_store = false;
-    assert_eq!(bench.submit(JobId(1), 1), []);
-    let hold = bench.holds.pop().unwrap();
-    bench.held(&hold, HoldAnswer::Broken);
-    bench.has_store = true;
-    bench.engine.recorded(bench.now);
-    bench.pass(50 * MILLISECOND);
-    assert_eq!(bench.starts, []);
+    let mut rig = Rig::new();
+    rig.has_store = false;
+    assert_eq!(rig.submit(JobId(1), 1), []);
+    let hold = rig.holds.pop().unwrap();
+    rig.held(&hold, HoldAnswer::Broken);
+    rig.has_store = true;
+    rig.engine.recorded(rig.now);
+    rig.pass(50 * MILLISECOND);
+    assert_eq!(rig.starts, []);
     // The same incarnation answers again, and the task is placed anew.
-    bench.pass(200 * MILLISECOND);
-    bench.answer(FIRST, &[]);
-    bench.pass(50 * MILLISECOND);
-    assert_eq!(bench.starts.len(), 1);
+    rig.pass(200 * MILLISECOND);
+    rig.answer(FIRST, &[]);
+    rig.pass(50 * MILLISECOND);
+    assert_eq!(rig.starts.len(), 1);
 }
 
 /// Connections are reset: the order and the call for the inventory break, and the worker is heard again soon.
 #[test]
 fn an_order_without_an_answer_is_given_again_once_its_silent_worker_is_heard() {
-    let mut bench = Bench::new();
-    let tasks = bench.submit(JobId(1), 1);
-    let hold = bench.holds.pop().unwrap();
-    bench.held(&hold, HoldAnswer::Broken);
-    bench.started(tasks[0], Run(1), StartAnswer::Silent);
-    assert_eq!(bench.starts.len(), 1);
-    bench.pass(200 * MILLISECOND);
-    bench.answer(FIRST, &[]);
-    assert_eq!((bench.starts.len(), bench.stops.len()), (2, 0));
-    assert_eq!(bench.starts[1].run, Run(1));
+    let mut rig = Rig::new();
+    let tasks = rig.submit(JobId(1), 1);
+    let hold = rig.holds.pop().unwrap();
+    rig.held(&hold, HoldAnswer::Broken);
+    rig.started(tasks[0], Run(1), StartAnswer::Silent);
+    assert_eq!(rig.starts.len(), 1);
+    rig.pass(200 * MILLISECOND);
+    rig.answer(FIRST, &[]);
+    assert_eq!((rig.starts.len(), rig.stops.len()), (2, 0));
+    assert_eq!(rig.starts[1].run, Run(1));
 }
