Doubted crashes are on record: the next owner settles them, and five of them hold a start back

Callers: a task that crashes its workers was started three times more and oftener after the third crash (two are borne), and each start took a worker down with all that ran there.

Cause: a worker that is silent but listed may only be cut off, so once its leases have lapsed the crash under what it had just begun was kept in the owner's memory until the worker is known to be gone. (1) The owner died before that, and the next one found neither the run nor the doubt. (2) With one owner too: where workers stay away for longer than their leases, each start comes before the crash before it is counted, and the limit of five knew counted ones only.

Ruled out: orders carried out late, incarnations mistaken for one another.

Mend: doubts stand on record with the count and name the incarnation; whoever owns the cell takes them back when that incarnation answers, and counts them once another answers or the worker is gone. Only what is counted suspects or convicts; five of both together hold the next start back until the doubts are settled. The same cause elsewhere: a wrong count was taken back only by the owner that had made it; now by any. `crashed verdict=doubted` tells of a doubt. The histories' records go through their encoding now.

--- a/crates/cell/src/engine/contact.rs
+++ b/crates/cell/src/engine/contact.rs
@@ -293,7 +293,6 @@
         worker.heard = Some(now);
         worker.silent = None;
         worker.silence = None;
-        worker.doubted.clear();
         worker.read_clock(inventory.clock, now);
         worker.listed = inventory.running.len();
         worker.incarnation = inventory.incarnation.or(worker.incarnation);
--- a/crates/cell/src/engine/crash.rs
+++ b/crates/cell/src/engine/crash.rs
@@ -6,6 +6,10 @@
 //! just begun. A task that was there twice runs alone, or with others of its step, which would be given up with it: that
 //! takes nobody else along, and tells whose fault it is. It is given up when a third worker goes down so. Once a worker has
 //! worked on it for longer than a crash takes, nothing is held against it any more.
+//!
+//! A worker that is silent but listed may only be cut off. Once its leases have lapsed its tasks are started elsewhere, and
+//! the crash is doubted: it counts once the worker is known to be gone, and only bounds how often a task is started until
+//! then. Doubts are on record like the count, since whoever owns the cell when the worker turns up has to settle them.
 
 use std::time::Duration;
 
@@ -23,13 +27,16 @@
 use crate::{
     effect::Note,
     id::{
+        JobId,
         Run,
         StepId,
-        TaskId, //
+        TaskId,
+        WorkerId, //
     },
     record::{
         Crash,
-        Outcome, //
+        Outcome,
+        Progress, //
     },
     worker::{
         Claim,
@@ -48,7 +55,8 @@
 /// Of so many of these it has to be certain that the task was there: callers bear a task that is given up after two crashes
 /// under it, but not one that was never there.
 const LEAST_CERTAIN: usize = 2;
-/// After so many it is given up in any case: three crashes and two further starts are what the workers' owners bear.
+/// After so many it is given up in any case: three crashes and two further starts are what the workers' owners bear. Those
+/// that are doubted keep it from being started until they are settled.
 const MOST_CRASHES: usize = 5;
 /// For so long a task waits for an empty worker. Then it runs beside others, so that a full fleet, or one of lasting tasks,
 /// doesn't keep it waiting for ever.
@@ -80,8 +88,20 @@
 }
 
 impl Worker {
+    /// Returns whether it has said that it leaves; what the next incarnation says of itself tells nothing of this one.
+    fn is_leaving(&self) -> bool {
+        self.registration.leaving.is_some() && self.is_current()
+    }
+
+    /// Returns whether it holds tasks of one step alone.
+    fn holds_one_step(&self) -> bool {
+        let mut steps = self.claims.keys().map(|(task, _)| task.step);
+        let first = steps.next();
+        first.is_some_and(|first| steps.all(|step| step == first))
+    }
+
     /// Returns the runs that it may have just begun when it went down.
-    fn just_begun(&self) -> Vec<(TaskId, Crash)> {
+    fn just_begun(&self, is_doubted: bool) -> Vec<(TaskId, Crash)> {
         let (fell, is_timed) = match self.silence {
             Some(Silence::Broken(at)) => (at, self.heard.is_some()),
             Some(Silence::Missed) | None => (self.heard.unwrap_or(Timestamp::ZERO), false),
@@ -94,6 +114,7 @@
                 worker: self.registration.id.clone(),
                 incarnation: self.incarnation,
                 is_certain: is_timed && claim.begun.is_some(),
+                is_doubted,
             };
             (*task, crash)
         });
@@ -108,13 +129,54 @@
 }
 
 impl Task {
+    /// Returns the crashes that are held against it.
+    fn counted(&self) -> impl Iterator<Item = &Crash> {
+        self.crashes.iter().filter(|crash| !crash.is_doubted)
+    }
+
     /// Returns whether it has to run alone.
-    pub(super) const fn is_suspect(&self) -> bool {
-        self.crashes.len() >= SUSPECT
+    pub(super) fn is_suspect(&self) -> bool {
+        self.counted().count() >= SUSPECT
+    }
+
+    /// Returns whether it may have crashed as many workers as are borne, so that it is not started before that is known.
+    fn is_in_doubt(&self) -> bool {
+        self.crashes.len() >= MOST_CRASHES
+    }
+
+    /// Returns whether it is given up after a crash.
+    ///
+    /// `is_alone` tells whether nothing but tasks of its step was there.
+    fn is_given_up(&self, is_alone: bool) -> bool {
+        let counted = self.counted().count();
+        let certain = self.counted().filter(|crash| crash.is_certain).count();
+        let is_proved = is_alone && counted >= PROVED && certain >= LEAST_CERTAIN;
+        is_proved || counted >= MOST_CRASHES
+    }
+
+    /// Takes in a crash, or that one is not doubted any more; returns whether it is news.
+    fn note_crash(&mut self, crash: &Crash) -> bool {
+        let known = self.crashes.iter_mut().find(|known| known.is_same(crash));
+        match known {
+            Some(known) => {
+                let is_settled = known.is_doubted && !crash.is_doubted;
+                known.is_doubted &= crash.is_doubted;
+                is_settled
+            }
+            None => {
+                self.crashes.push(crash.clone());
+                true
+            }
+        }
     }
 }
 
 impl Stage {
+    /// Returns whether a task is not started before it is known which workers have gone down under it.
+    pub(super) fn is_in_doubt(&self, index: u16) -> bool {
+        self.task(index).is_some_and(Task::is_in_doubt)
+    }
+
     /// Returns whether a task has to run alone.
     pub(super) fn is_suspect(&self, index: u16) -> bool {
         self.task(index).is_some_and(Task::is_suspect)
@@ -135,65 +197,71 @@
 impl Engine {
     /// Counts a worker that is gone against the tasks that it had just begun, unless it had said that it leaves.
     pub(super) fn count_crashes(&mut self, slot: Slot, now: Timestamp) {
-        let Some(worker) = self.workers.get_mut(&slot) else {
+        let Some(worker) = self.workers.get(&slot) else {
             return;
         };
-        // What the next incarnation says of itself tells nothing of the one that went down.
-        if worker.registration.leaving.is_some() && worker.is_current() {
-            return;
-        }
-        let mut steps = worker.claims.keys().map(|(task, _)| task.step);
-        let first = steps.next();
-        let is_alone = first.is_some_and(|first| steps.all(|step| step == first));
-        let outlasted = worker.outlasted();
-        let mut begun = worker.just_begun();
-        begun.append(&mut worker.doubted);
-        for task in outlasted {
-            self.clear(task);
+        let id = worker.registration.id.clone();
+        if !worker.is_leaving() {
+            let is_alone = worker.holds_one_step();
+            let outlasted = worker.outlasted();
+            let begun = worker.just_begun(false);
+            outlasted.into_iter().for_each(|task| self.clear(task));
+            for (task, crash) in begun {
+                self.count_crash(task, crash, is_alone, now);
+            }
         }
-        for (task, crash) in begun {
-            self.count_crash(task, crash, is_alone, now);
+        for (task, mut crash) in self.doubts(&id) {
+            crash.is_doubted = false;
+            self.count_crash(task, crash, false, now);
         }
     }
 
-    /// Remembers what a worker had just begun when it fell silent, before that is given up.
-    pub(super) fn doubt_begun(&mut self, slot: Slot) {
-        if let Some(worker) = self.workers.get_mut(&slot) {
-            let begun = worker.just_begun();
-            worker.doubted.extend(begun);
+    /// Notes what a silent worker had just begun, before that is given up.
+    pub(super) fn doubt_begun(&mut self, slot: Slot, now: Timestamp) {
+        let worker = self.workers.get(&slot);
+        let worker = worker.filter(|worker| !worker.is_leaving());
+        let begun = worker.map(|worker| worker.just_begun(true));
+        for (task, crash) in begun.unwrap_or_default() {
+            self.count_crash(task, crash, false, now);
         }
     }
 
+    /// Returns the crashes of a worker that are doubted, with their tasks.
+    fn doubts(&self, worker: &WorkerId) -> Vec<(TaskId, Crash)> {
+        let tasks = self.crashed.get(worker).into_iter().flatten();
+        let doubts = tasks.flat_map(|task| {
+            let crashes = self.task(*task).map(|own| own.crashes.iter());
+            let own = crashes.into_iter().flatten();
+            let own = own.filter(|crash| crash.is_doubted && crash.worker == *worker);
+            own.map(|crash| (*task, crash.clone()))
+        });
+        doubts.collect()
+    }
+
     fn count_crash(&mut self, task: TaskId, crash: Crash, is_alone: bool, now: Timestamp) {
         let id = task.step.job;
-        let job = self.jobs.get_mut(&id).filter(|job| !job.is_over());
-        let Some(job) = job else {
-            return;
-        };
-        let stage = job.stage_mut(task.step);
-        let Some(own) = stage.and_then(|stage| stage.task_mut(task.index)) else {
+        let is_open = self.jobs.get(&id).is_some_and(|job| !job.is_over());
+        let own = self.task_mut(task).filter(|own| is_open && !own.is_done);
+        let Some(own) = own else {
             return;
         };
-        if own.is_done || own.crashes.contains(&crash) {
+        if !own.note_crash(&crash) {
             return;
         }
-        own.crashes.push(crash.clone());
-        let crashes = own.crashes.len();
-        let certain = own.crashes.iter().filter(|crash| crash.is_certain).count();
-        let is_proved = is_alone && crashes >= PROVED && certain >= LEAST_CERTAIN;
-        let is_given_up = is_proved || crashes >= MOST_CRASHES;
+        let crashes = own.counted().count();
+        let is_given_up = own.is_given_up(is_alone);
         let verdict = match own.is_suspect() {
+            _ if crash.is_doubted => "doubted",
             _ if is_given_up => "given-up",
             true => "alone",
             false => "counted",
         };
-        if is_given_up {
+        if is_given_up && let Some(job) = self.jobs.get_mut(&id) {
             job.outcome = Some(Outcome::Failed);
         }
         // The count is on record before the next start, which waits for its own record.
         self.ledger.add_job(id);
-        let suspects = self.crashed.entry(crash.worker.clone()).or_default();
-        suspects.push(task);
+        self.remember_suspect(&crash.worker, task);
         self.note(Note::Crashed {
             task,
             run: crash.run,
@@ -206,18 +274,41 @@
         }
     }
 
+    fn remember_suspect(&mut self, worker: &WorkerId, task: TaskId) {
+        let suspects = self.crashed.entry(worker.clone()).or_default();
+        if !suspects.contains(&task) {
+            suspects.push(task);
+        }
+    }
+
+    /// Remembers which workers may have to be acquitted, or may turn out to be gone, by what is on record of a job.
+    pub(super) fn inherit_crashes(&mut self, job: JobId, progress: &Progress) {
+        for (occurrence, steps) in &progress.occurrences {
+            for (step, kept) in (0u16..).zip(steps) {
+                let id = StepId {
+                    job,
+                    occurrence: *occurrence,
+                    step,
+                };
+                for own in &kept.crashes {
+                    for crash in &own.crashes {
+                        self.remember_suspect(&crash.worker, id.task(own.index));
+                    }
+                }
+            }
+        }
+    }
+
     /// Takes back what was counted when a worker seemed to have gone down: it answers again.
     pub(super) fn acquit(&mut self, slot: Slot) {
         let Some(worker) = self.workers.get(&slot) else {
             return;
         };
-        let (id, incarnation) = (&worker.registration.id, worker.incarnation);
-        for task in self.crashed.remove(id).unwrap_or_default() {
-            let stage = self.jobs.get_mut(&task.step.job);
-            let stage = stage.and_then(|job| job.stage_mut(task.step));
-            if let Some(own) = stage.and_then(|stage| stage.task_mut(task.index)) {
+        let (id, incarnation) = (worker.registration.id.clone(), worker.incarnation);
+        for task in self.crashed.remove(&id).unwrap_or_default() {
+            if let Some(own) = self.task_mut(task) {
                 own.crashes
-                    .retain(|crash| crash.worker != *id || crash.incarnation != incarnation);
+                    .retain(|crash| crash.worker != id || crash.incarnation != incarnation);
                 self.ledger.add_job(task.step.job);
             }
         }
@@ -234,9 +325,7 @@
 
     /// Drops what is counted against a task: a worker has worked on it and did not go down.
     pub(super) fn clear(&mut self, task: TaskId) {
-        let stage = self.jobs.get_mut(&task.step.job);
-        let stage = stage.and_then(|job| job.stage_mut(task.step));
-        let own = stage.and_then(|stage| stage.task_mut(task.index));
+        let own = self.task_mut(task);
         if let Some(own) = own.filter(|own| !own.crashes.is_empty()) {
             own.crashes.clear();
             self.ledger.add_job(task.step.job);
@@ -258,8 +347,7 @@
 
     /// Returns whether a task has to run alone and has not waited for that for too long.
     pub(super) fn is_kept_apart(&self, id: StepId, index: u16, now: Timestamp) -> bool {
-        let stage = self.jobs.get(&id.job).and_then(|job| job.stage(id));
-        let own = stage.and_then(|stage| stage.task(index));
+        let own = self.task(id.task(index));
         own.filter(|own| own.is_suspect()).is_some_and(|own| {
             let since = own.apart_since.unwrap_or(now);
             let patience = match self.emptying.contains_key(&id) {
--- a/crates/cell/src/engine/job.rs
+++ b/crates/cell/src/engine/job.rs
@@ -12,6 +12,7 @@
 use fulmarpier_state::clock::Timestamp;
 
 use super::{
+    Engine,
     Slot,
     Wait, //
 };
@@ -19,7 +20,8 @@
     advice::Advice,
     id::{
         Run,
-        StepId, //
+        StepId,
+        TaskId, //
     },
     job::{
         Spec,
@@ -323,3 +325,17 @@
         self.start_of(occurrence) + self.objective * WORTHLESS_AFTER
     }
 }
+
+impl Engine {
+    /// Returns a task of a job that is known.
+    pub(super) fn task(&self, id: TaskId) -> Option<&Task> {
+        let stage = self.jobs.get(&id.step.job)?.stage(id.step);
+        stage?.task(id.index)
+    }
+
+    /// Returns a task of a job that is known, to change it.
+    pub(super) fn task_mut(&mut self, id: TaskId) -> Option<&mut Task> {
+        let stage = self.jobs.get_mut(&id.step.job)?.stage_mut(id.step);
+        stage?.task_mut(id.index)
+    }
+}
--- a/crates/cell/src/engine/loss.rs
+++ b/crates/cell/src/engine/loss.rs
@@ -136,7 +136,7 @@
         if is_listed {
             self.note_worker(slot, "lapsed", now);
             self.note_losses(slot, "lapsed", now);
-            self.doubt_begun(slot);
+            self.doubt_begun(slot, now);
             self.release_all(slot, now);
         } else {
             self.lose_worker(slot, "gone", now);
--- a/crates/cell/src/engine/place.rs
+++ b/crates/cell/src/engine/place.rs
@@ -141,6 +141,9 @@
         let (Some(step), Some(stage)) = (job.step(id), job.stage(id)) else {
             return false;
         };
+        if stage.is_in_doubt(index) {
+            return false;
+        }
         let tries = usize::try_from(self.queue_of(job).tries.max(1)).unwrap_or(usize::MAX);
         step.lasting || stage.tries_used(index, step.gang, now) < tries
     }
--- a/crates/cell/src/engine/submit.rs
+++ b/crates/cell/src/engine/submit.rs
@@ -45,6 +45,7 @@
         if self.jobs.contains_key(&accepted.job) {
             return;
         }
+        self.inherit_crashes(accepted.job, &progress);
         self.insert(Job::new(accepted, &progress), now);
     }
 
--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -82,7 +82,7 @@
     pub runs: Vec<Run>,
 }
 
-/// A worker that went down when it had just started a task.
+/// A worker that went down, or may have, when it had just started a task.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Crash {
     /// Which start of the task. A member of a gang may be started again under one number, so that alone doesn't
@@ -90,11 +90,19 @@
     pub run: Run,
     /// The worker.
     pub worker: WorkerId,
-    /// Which incarnation of it; not on record, since only the owner that counted it may take it back.
-    #[serde(skip)]
+    /// Which incarnation of it: only that one takes the crash back by answering again.
     pub incarnation: Option<Incarnation>,
     /// Whether it is certain that the task was there: the worker had confirmed it, and broke its connections at once.
     pub is_certain: bool,
+    /// Whether the worker may only be cut off: it is silent, but listed.
+    pub is_doubted: bool,
+}
+
+impl Crash {
+    /// Returns whether another one tells of the same start.
+    pub fn is_same(&self, other: &Self) -> bool {
+        (self.run, &self.worker, self.incarnation) == (other.run, &other.worker, other.incarnation)
+    }
 }
 
 /// The workers that went down under a task.
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -26,7 +26,6 @@
         StepId,
         TaskId, //
     },
-    record::Crash,
 };
 
 /// For this long an inventory may have been overtaken by another: calls wait 1 s for an end and are
@@ -170,9 +169,6 @@
     pub silent: Option<Timestamp>,
     /// How it fell silent, where it is.
     pub silence: Option<Silence>,
-    /// Runs that it had just begun when it fell silent, of those that were given up when its leases had lapsed: it
-    /// has gone down under them if it doesn't answer again.
-    pub doubted: Vec<(TaskId, Crash)>,
     /// Since when the store doesn't list it.
     pub unlisted: Option<Timestamp>,
     /// Since when what the store lists of it names no worker to use.
@@ -218,7 +214,6 @@
             heard: None,
             silent: None,
             silence: None,
-            doubted: Vec::new(),
             unlisted: None,
             distrusted: None,
             seen: 0,
@@ -299,7 +294,6 @@
         self.kept = 0;
         self.reading = None;
         self.over.clear();
-        self.doubted.clear();
         self.failures = 0;
         self.pacing = Pacing::default();
     }
--- a/crates/cell/tests/cell/crash.rs
+++ b/crates/cell/tests/cell/crash.rs
@@ -21,6 +21,7 @@
 
 use crate::world::{
     Faults,
+    Restart,
     World,
     quick_step, //
 };
@@ -129,6 +130,38 @@
     assert_eq!(world.completed(&others), others.len());
 }
 
+/// Its workers stay away until their leases have lapsed and come back under their ids, and owners change meanwhile.
+///
+/// Callers saw such a task take one worker after the other down, for as long as it was not cancelled. A worker that is silent and
+/// listed may only be cut off, so its crash is doubted until it is known to be gone. The owner that doubted it died before that,
+/// and the next one counted nothing.
+#[rstest]
+#[case::a_single_task("urgent", vec![single()])]
+#[case::a_member_of_a_gang("gang", vec![gang()])]
+#[case::a_lasting_task("batch", vec![lasting()])]
+fn a_doubted_crash_is_counted_by_the_next_owner(
+    #[case] queue: &str,
+    #[case] steps: Vec<Step>,
+    #[values(7, 8, 9, 11, 180)] between: u64,
+    #[values(true, false)] is_broken: bool,
+) {
+    let mut world = World::new(1, Faults::default());
+    world.crash_restart = Some(Restart {
+        away: Duration::from_secs(12),
+        is_broken,
+        ..Restart::default()
+    });
+    world.run(Duration::from_secs(1));
+    let job = world.submit(queue, steps.clone());
+    world.crashers.insert(last_task(job, &steps));
+    for _ in 0..180 / between {
+        world.run(Duration::from_secs(between));
+        world.take_over();
+    }
+    assert_eq!(world.violations, Vec::<String>::new());
+    assert_eq!(world.engine.state(job), Some(State::Failed));
+}
+
 /// Two workers go down by themselves when they had just begun a task, which works well on the third one.
 #[test]
 fn a_task_that_works_on_after_two_crashes_is_cleared() {
--- a/crates/cell/tests/cell/history.rs
+++ b/crates/cell/tests/cell/history.rs
@@ -196,6 +196,8 @@
 #[case::the_next_incarnation_said_that_it_leaves(2_804_415_196_290_294_630, Faults { restarts: 40, ..CRASHING })]
 #[case::a_worker_said_that_it_leaves_soon_after_its_restart(1_137_188_293_690_855_454, Faults { restarts: 40, ..CRASHING })]
 #[case::the_order_had_been_carried_out_before(1_854_814_032_114_709_740, RESTARTS)]
+#[case::a_doubted_crash_was_lost_with_its_owner(9_156_714_210_551_861_598, Faults { restarts: 40, ..CRASHING })]
+#[case::the_same_with_a_store_that_goes_away(1_661_957_732_478_948_794, Faults { restarts: 40, ..CRASHING })]
 #[case::a_former_owner_had_heard_the_incarnation_before(3_081_453_588_647_580_746, Faults { restarts: 40, ..CRASHING })]
 fn promises_hold_in_histories_with_restarts_that_broke_one(
     #[case] seed: u64,
--- a/crates/cell/tests/cell/incarnation.rs
+++ b/crates/cell/tests/cell/incarnation.rs
@@ -40,14 +40,45 @@
         Spec,
         Step, //
     },
-    record::Accepted,
+    record::{
+        self,
+        Accepted,
+        Crash,
+        Crashes,
+        Entry,
+        Progress,
+        StepProgress,
+        Usage, //
+    },
 };
 use fulmarpier_state::clock::Timestamp;
+use rstest::rstest;
 
 const MILLISECOND: Duration = Duration::from_millis(1);
 const FIRST: Incarnation = Incarnation(1_000);
 const SECOND: Incarnation = Incarnation(2_000);
 
+/// Makes a job of some tasks.
+fn accepted(job: JobId, count: u16, received: Timestamp) -> Accepted {
+    let step = Step {
+        count,
+        size: size(1_000, 1_024),
+        ..Step::default()
+    };
+    let spec = Spec {
+        text: "text".into(),
+        steps: vec![step],
+        schedule: None,
+    };
+    Accepted {
+        job,
+        queue: queue("batch", 2, false).into(),
+        spec: spec.into(),
+        received,
+        partition: 0,
+    }
+}
+
 /// An engine with one worker, whose calls are answered by hand.
 struct Rig {
     engine: Engine,
@@ -57,6 +88,7 @@
     starts: Vec<Start>,
     stops: Vec<Stop>,
     notes: Vec<Note>,
+    records: Vec<Entry>,
     is_deposed: bool,
     /// Whether the store answers.
     has_store: bool,
@@ -65,21 +97,27 @@
 impl Rig {
     /// Makes one whose worker was heard as the first incarnation.
     fn new() -> Self {
+        let mut rig = Self::inheriting(Inheritance::default());
+        rig.register(FIRST);
+        rig.answer(FIRST, &[]);
+        rig
+    }
+
+    /// Makes one of a new owner, whose worker was not heard yet.
+    fn inheriting(inheritance: Inheritance) -> Self {
         let now = Timestamp::from_millis(1_000);
-        let mut rig = Self {
-            engine: Engine::new(Epoch(1), Bounds::default(), Inheritance::default(), now),
+        Self {
+            engine: Engine::new(Epoch(1), Bounds::default(), inheritance, now),
             now,
             worker: WorkerId::from("w1"),
             holds: Vec::new(),
             starts: Vec::new(),
             stops: Vec::new(),
             notes: Vec::new(),
+            records: Vec::new(),
             is_deposed: false,
             has_store: true,
-        };
-        rig.register(FIRST);
-        rig.answer(FIRST, &[]);
-        rig
+        }
     }
 
     fn register(&mut self, incarnation: Incarnation) {
@@ -106,7 +144,10 @@
             }
             for effect in effects {
                 match effect {
-                    Effect::Record(_) if self.has_store => self.engine.recorded(self.now),
+                    Effect::Record(entries) if self.has_store => {
+                        self.records.extend(entries);
+                        self.engine.recorded(self.now);
+                    }
                     Effect::Hold(hold) => self.holds.push(hold),
                     Effect::Start(start) => self.starts.push(*start),
                     Effect::Stop(stop) => self.stops.push(stop),
@@ -153,24 +194,7 @@
 
     /// Submits a job of some tasks, whose orders leave.
     fn submit(&mut self, job: JobId, count: u16) -> Vec<TaskId> {
-        let step = Step {
-            count,
-            size: size(1_000, 1_024),
-            ..Step::default()
-        };
-        let spec = Spec {
-            text: "text".into(),
-            steps: vec![step],
-            schedule: None,
-        };
-        let accepted = Accepted {
-            job,
-            queue: queue("batch", 2, false).into(),
-            spec: spec.into(),
-            received: self.now,
-            partition: 0,
-        };
-        self.engine.submit(accepted, self.now);
+        self.engine.submit(accepted(job, count, self.now), self.now);
         let before = self.starts.len();
         self.pass(50 * MILLISECOND);
         self.starts[before..]
@@ -366,3 +390,70 @@
     assert_eq!((rig.starts.len(), rig.stops.len()), (2, 0));
     assert_eq!(rig.starts[1].run, Run(1));
 }
+
+/// Returns what is left of a job's progress on record.
+fn read_back(progress: &Progress) -> Progress {
+    let bytes = record::encode(progress).unwrap();
+    record::decode(&bytes).unwrap()
+}
+
+/// Returns what a new owner finds of a task under which the worker's first incarnation went down, or may have.
+fn inherited(job: JobId, is_doubted: bool) -> Inheritance {
+    let crash = Crash {
+        run: Run(1),
+        worker: WorkerId::from("w1"),
+        incarnation: Some(FIRST),
+        is_certain: true,
+        is_doubted,
+    };
+    let step = StepProgress {
+        crashes: vec![Crashes {
+            index: 0,
+            crashes: vec![crash],
+        }],
+        ..StepProgress::default()
+    };
+    let progress = Progress {
+        occurrences: vec![(0, vec![step])],
+        outcome: None,
+    };
+    let usage = Usage {
+        address: "127.0.0.1:1".parse().unwrap(),
+        incarnation: Some(FIRST),
+        runs: Vec::new(),
+    };
+    Inheritance {
+        accepted: vec![accepted(job, 1, Timestamp::from_millis(1_000))],
+        progress: vec![(job, read_back(&progress))],
+        workers: vec![(WorkerId::from("w1"), usage)],
+        ..Inheritance::default()
+    }
+}
+
+/// A former owner believed that a worker had gone down under a task, but it answers: nothing is held against the task any more.
+#[rstest]
+#[case::that_was_doubted(true)]
+#[case::that_was_counted(false)]
+fn a_new_owner_takes_back_a_crash_of_a_worker_that_answers(#[case] is_doubted: bool) {
+    let job = JobId(1);
+    let mut rig = Rig::inheriting(inherited(job, is_doubted));
+    rig.register(FIRST);
+    rig.answer(FIRST, &[]);
+    rig.pass(50 * MILLISECOND);
+    let kept = rig.records.iter().rev().find_map(|entry| match entry {
+        Entry::Job(of, progress) if *of == job => Some(progress),
+        _ => None,
+    });
+    let kept = kept.expect("what is held against the task is kept anew");
+    assert_eq!(kept.occurrences[0].1[0].crashes, Vec::<Crashes>::new());
+}
+
+/// The worker answers as another incarnation: what a former owner doubted is certain now.
+#[test]
+fn a_new_owner_counts_a_doubted_crash_once_another_incarnation_answers() {
+    let mut rig = Rig::inheriting(inherited(JobId(1), true));
+    rig.register(SECOND);
+    assert_eq!(rig.crashes(), 0);
+    rig.answer(SECOND, &[]);
+    assert_eq!(rig.crashes(), 1);
+}
--- a/crates/cell/tests/cell/world/fault.rs
+++ b/crates/cell/tests/cell/world/fault.rs
@@ -54,6 +54,9 @@
         *self.crashed.entry(task).or_default() += 1;
         let others = worker.tasks().filter(|other| *other != task).count();
         self.taken_along.push((task, others));
+        if let Some(restart) = self.crash_restart {
+            return self.end_worker(id, &worker, restart);
+        }
         if self.faults.restarts > 0 && self.chance(500) {
             let restart = self.draw_restart();
             return self.end_worker(id, &worker, restart);
--- a/crates/cell/tests/cell/world/mod.rs
+++ b/crates/cell/tests/cell/world/mod.rs
@@ -63,6 +63,7 @@
         Step, //
     },
     record::{
+        self,
         Accepted,
         Cancellation,
         Entry, //
@@ -180,6 +181,8 @@
     pub crashers: BTreeSet<TaskId>,
     /// How many workers each of them has crashed.
     pub crashed: BTreeMap<TaskId, u32>,
+    /// How a worker that a task crashes restarts under its id, where that is not drawn.
+    pub crash_restart: Option<Restart>,
     /// How many others ran on each worker that a task has crashed, in order.
     pub taken_along: Vec<(TaskId, usize)>,
     /// Under how many workers that went down each task was.
@@ -326,6 +329,7 @@
             is_list_away: false,
             crashers: BTreeSet::new(),
             crashed: BTreeMap::new(),
+            crash_restart: None,
             taken_along: Vec::new(),
             under: BTreeMap::new(),
             wronged: 0,
@@ -772,6 +776,8 @@
             Event::Withdrawn(job) => self.engine.withdraw(job, self.now),
             Event::Recorded(entries) => {
                 for entry in entries {
+                    let bytes = record::encode(&entry).expect("a record can be encoded");
+                    let entry: Entry = record::decode(&bytes).expect("it can be decoded again");
                     self.records.insert(entry.key(), entry);
                 }
                 self.engine.recorded(self.now);
