A crash of a worker that had said that it leaves is counted, as far as it is known what it had just begun

Callers: as before, a task that crashes its workers was started three times more after the third crash. Cause: a worker that leaves goes down by right, so nothing was counted then. But an order that had waited for its record arrives after the worker's word, and the task crashes it at once. Mend: what such a worker is known to have just begun when its connections break is counted, and never as certain; what it may have begun isn't. It holds since a leaving worker gets nothing new for some seconds before it is gone.

--- a/crates/cell/src/engine/crash.rs
+++ b/crates/cell/src/engine/crash.rs
@@ -101,19 +101,26 @@
     }
 
     /// Returns the runs that it may have just begun when it went down.
+    ///
+    /// One that had said that it leaves may have done so. It gets nothing new for a while before, so what it is known to have
+    /// just begun speaks against that; what it may have begun doesn't.
     fn just_begun(&self, is_doubted: bool) -> Vec<(TaskId, Crash)> {
         let (fell, is_timed) = match self.silence {
             Some(Silence::Broken(at)) => (at, self.heard.is_some()),
             Some(Silence::Missed) | None => (self.heard.unwrap_or(Timestamp::ZERO), false),
         };
+        let is_leaving = self.is_leaving();
         let claims = self.claims.iter();
-        let begun = claims.filter(|(_, claim)| claim.may_have_begun(fell));
+        let begun = claims.filter(|(_, claim)| {
+            let is_known = is_timed && claim.begun.is_some();
+            claim.may_have_begun(fell) && (is_known || !is_leaving)
+        });
         let crashes = begun.map(|((task, run), claim)| {
             let crash = Crash {
                 run: *run,
                 worker: self.registration.id.clone(),
                 incarnation: self.incarnation,
-                is_certain: is_timed && claim.begun.is_some(),
+                is_certain: is_timed && claim.begun.is_some() && !is_leaving,
                 is_doubted,
             };
             (*task, crash)
@@ -195,20 +202,18 @@
 }
 
 impl Engine {
-    /// Counts a worker that is gone against the tasks that it had just begun, unless it had said that it leaves.
+    /// Counts a worker that is gone against the tasks that it had just begun.
     pub(super) fn count_crashes(&mut self, slot: Slot, now: Timestamp) {
         let Some(worker) = self.workers.get(&slot) else {
             return;
         };
         let id = worker.registration.id.clone();
-        if !worker.is_leaving() {
-            let is_alone = worker.holds_one_step();
-            let outlasted = worker.outlasted();
-            let begun = worker.just_begun(false);
-            outlasted.into_iter().for_each(|task| self.clear(task));
-            for (task, crash) in begun {
-                self.count_crash(task, crash, is_alone, now);
-            }
+        let is_alone = worker.holds_one_step();
+        let outlasted = worker.outlasted();
+        let begun = worker.just_begun(false);
+        outlasted.into_iter().for_each(|task| self.clear(task));
+        for (task, crash) in begun {
+            self.count_crash(task, crash, is_alone, now);
         }
         for (task, mut crash) in self.doubts(&id) {
             crash.is_doubted = false;
@@ -218,9 +223,10 @@
 
     /// Notes what a silent worker had just begun, before that is given up.
     pub(super) fn doubt_begun(&mut self, slot: Slot, now: Timestamp) {
-        let worker = self.workers.get(&slot);
-        let worker = worker.filter(|worker| !worker.is_leaving());
-        let begun = worker.map(|worker| worker.just_begun(true));
+        let begun = self
+            .workers
+            .get(&slot)
+            .map(|worker| worker.just_begun(true));
         for (task, crash) in begun.unwrap_or_default() {
             self.count_crash(task, crash, false, now);
         }
--- a/crates/cell/tests/cell/history.rs
+++ b/crates/cell/tests/cell/history.rs
@@ -198,6 +198,12 @@
 #[case::the_order_had_been_carried_out_before(1_854_814_032_114_709_740, RESTARTS)]
 #[case::a_doubted_crash_was_lost_with_its_owner(9_156_714_210_551_861_598, Faults { restarts: 40, ..CRASHING })]
 #[case::the_same_with_a_store_that_goes_away(1_661_957_732_478_948_794, Faults { restarts: 40, ..CRASHING })]
+#[case::it_had_said_that_it_leaves(12_163_003_822_740_007_149, Faults { restarts: 40, ..CRASHING })]
+#[case::it_had_said_that_it_leaves_while_the_order_waited_for_its_record(11_735_225_383_589_030_329, Faults { restarts: 40, ..CRASHING })]
+#[case::it_had_said_so_after_changes_of_owners(13_568_423_141_024_824_681, Faults { restarts: 40, ..CRASHING })]
+#[case::it_had_said_so_and_nothing_was_certain(18_187_635_607_985_897_533, Faults { restarts: 40, ..CRASHING })]
+#[case::it_had_said_so_and_was_replaced(8_939_779_740_011_100_528, Faults { restarts: 40, ..CRASHING })]
+#[case::the_same_in_another_history(5_589_939_654_479_410_630, Faults { restarts: 40, ..CRASHING })]
 #[case::a_former_owner_had_heard_the_incarnation_before(3_081_453_588_647_580_746, Faults { restarts: 40, ..CRASHING })]
 fn promises_hold_in_histories_with_restarts_that_broke_one(
     #[case] seed: u64,
--- a/crates/cell/tests/cell/incarnation.rs
+++ b/crates/cell/tests/cell/incarnation.rs
@@ -121,6 +121,11 @@
     }
 
     fn register(&mut self, incarnation: Incarnation) {
+        self.report(incarnation, None);
+    }
+
+    /// Has the worker report itself, and that it leaves after a while if it does.
+    fn report(&mut self, incarnation: Incarnation, leaving: Option<Duration>) {
         let registration = Registration {
             id: self.worker.clone(),
             incarnation: Some(incarnation),
@@ -128,7 +133,7 @@
             pool: PoolName::from("pool"),
             capacity: size(4_000, 4_096),
             labels: Vec::new(),
-            leaving: None,
+            leaving,
         };
         self.engine.register(registration, self.now);
         self.pass(Duration::ZERO);
@@ -376,6 +381,22 @@
     assert_eq!(rig.starts.len(), 1);
 }
 
+/// A worker goes down when it had just begun a task. That it had said that it leaves before doesn't clear the task: it
+/// gets nothing new for a while before it is gone.
+#[test]
+fn a_crash_of_a_worker_that_leaves_is_counted() {
+    let mut rig = Rig::new();
+    let tasks = rig.submit(JobId(1), 1);
+    rig.report(FIRST, Some(Duration::from_secs(2)));
+    rig.started(tasks[0], Run(1), StartAnswer::Started);
+    let hold = rig.holds.pop().unwrap();
+    rig.held(&hold, HoldAnswer::Broken);
+    rig.pass(300 * MILLISECOND);
+    let hold = rig.holds.pop().unwrap();
+    rig.held(&hold, HoldAnswer::Gone);
+    assert_eq!(rig.crashes(), 1);
+}
+
 /// Connections are reset: the order and the call for the inventory break, and the worker is heard again soon.
 #[test]
 fn an_order_without_an_answer_is_given_again_once_its_silent_worker_is_heard() {
