Orders to start don't go to a worker that has said that it leaves while they waited

Callers: the task was lost with the worker some seconds later, or took it down at a moment when that looks like leaving. Cause: placement passes leaving workers over, but an order that waited for its record, or was given again for want of an answer, was not looked at again. Mend: such an order comes to nothing (`not-started why=worker-leaving`) and its task is placed elsewhere; one without an answer is stopped. It holds since a worker's word is in the owner's view before the order leaves, or the order left first.

--- a/crates/cell/src/engine/order.rs
+++ b/crates/cell/src/engine/order.rs
@@ -124,6 +124,13 @@
         own.is_some_and(|own| !own.is_done)
     }
 
+    /// Returns whether a worker has said that it leaves: it gets no orders to start any more, since all that runs there is
+    /// lost with it.
+    fn is_leaving(&self, slot: Slot) -> bool {
+        let worker = self.workers.get(&slot);
+        worker.is_some_and(|worker| worker.registration.leaving.is_some())
+    }
+
     fn unanswered(&self, slot: Slot, task: TaskId, run: Run) -> u8 {
         let claim = self.workers.get(&slot);
         let claim = claim.and_then(|worker| worker.claims.get(&(task, run)));
@@ -146,7 +153,7 @@
         let is_overfull = worker.is_some_and(Worker::is_overfull);
         // One that is silent may come back with less room, or as another kind.
         let is_silent = worker.is_some_and(|worker| worker.silent.is_some());
-        if is_spent || is_overfull || !self.is_wanted(task) {
+        if is_spent || is_overfull || self.is_leaving(slot) || !self.is_wanted(task) {
             self.stop(slot, task, run, "unanswered", now);
         } else if is_silent {
             self.hold_back(slot, task, run);
@@ -176,8 +183,9 @@
                 held.push(*key);
             }
         }
+        let is_leaving = self.is_leaving(slot);
         for (task, run) in held {
-            match self.is_wanted(task) {
+            match self.is_wanted(task) && !is_leaving {
                 true => self.send_start(slot, task, run, now),
                 false => self.stop(slot, task, run, "unanswered", now),
             }
@@ -216,7 +224,7 @@
     ///
     /// A ticket may have run out while the record waited for the store; its worker would turn the order
     /// away, and the members of a gang that did start would wait for the others in vain. Nor is it known by then how much
-    /// room a worker has that shrinks.
+    /// room a worker has that shrinks, and one may have said that it leaves.
     pub(super) fn send_starts(&mut self, starts: Vec<(Slot, TaskId, Run)>, now: Timestamp) {
         let starts = self.hold_announced(starts);
         let late = starts.iter().filter_map(|start| {
@@ -256,6 +264,9 @@
         if is_uncertain || !worker.is_current() {
             return Some("worker-uncertain");
         }
+        if worker.registration.leaving.is_some() {
+            return Some("worker-leaving");
+        }
         (worker.told < self.reports.from).then_some("room-unknown")
     }
 
--- a/crates/cell/tests/cell/history.rs
+++ b/crates/cell/tests/cell/history.rs
@@ -204,6 +204,7 @@
 #[case::it_had_said_so_and_nothing_was_certain(18_187_635_607_985_897_533, Faults { restarts: 40, ..CRASHING })]
 #[case::it_had_said_so_and_was_replaced(8_939_779_740_011_100_528, Faults { restarts: 40, ..CRASHING })]
 #[case::the_same_in_another_history(5_589_939_654_479_410_630, Faults { restarts: 40, ..CRASHING })]
+#[case::a_new_owner_didn_t_know_what_it_had_just_begun(14_807_996_053_756_917_159, Faults { restarts: 40, ..CRASHING })]
 #[case::a_former_owner_had_heard_the_incarnation_before(3_081_453_588_647_580_746, Faults { restarts: 40, ..CRASHING })]
 fn promises_hold_in_histories_with_restarts_that_broke_one(
     #[case] seed: u64,
--- a/crates/cell/tests/cell/incarnation.rs
+++ b/crates/cell/tests/cell/incarnation.rs
@@ -381,6 +381,31 @@
     assert_eq!(rig.starts.len(), 1);
 }
 
+/// An order waits for its record while the store is slow, and its worker says meanwhile that it leaves.
+///
+/// What is started there is lost with the worker, or crashes it at a moment when that looks as if it had left.
+#[test]
+fn an_order_that_waited_for_its_record_doesn_t_go_to_a_worker_that_leaves() {
+    let mut rig = Rig::new();
+    rig.has_store = false;
+    assert_eq!(rig.submit(JobId(1), 1), []);
+    rig.report(FIRST, Some(Duration::from_secs(2)));
+    rig.has_store = true;
+    rig.engine.recorded(rig.now);
+    rig.pass(50 * MILLISECOND);
+    assert_eq!(rig.starts, []);
+}
+
+/// An order gets no answer, and its worker says that it leaves before it is given again.
+#[test]
+fn an_order_without_an_answer_is_not_given_again_to_a_worker_that_leaves() {
+    let mut rig = Rig::new();
+    let tasks = rig.submit(JobId(1), 1);
+    rig.report(FIRST, Some(Duration::from_secs(2)));
+    rig.started(tasks[0], Run(1), StartAnswer::Silent);
+    assert_eq!((rig.starts.len(), rig.stops.len()), (1, 1));
+}
+
 /// A worker goes down when it had just begun a task. That it had said that it leaves before doesn't clear the task: it
 /// gets nothing new for a while before it is gone.
 #[test]
