Only tasks that are ranked behind a step make way for it; `preempting` names who room is made for

Callers: long after some workers had gone down, half of all runs were stopped, one task was placed some forty times, and steps waited for 17 to 24 s. Cause: who makes way went by the priority of queues, who is placed first by rank, and a step that is late is ranked behind all that can be in time. So a late gang had tasks of a lower queue make way that were in time; these waited again at once, came before the gang in the next pass and took the room back; the gang made room again, each 10 to 30 ms, without end. Evidence: a new line `preempting` (step, worker, wanted, fits, victims, ticket). Ruled out: reservations that last one pass (a step comes to its turn in each pass; what came before it took the room); crashes by themselves (they only make gangs late). Mend: a task makes way only for a step that it will be ranked behind. It holds since the victim can't come before the step in any later pass. So a late gang no longer presses out work that can be in time, as the order of steps always meant.

--- a/crates/cell/src/effect.rs
+++ b/crates/cell/src/effect.rs
@@ -163,6 +163,21 @@
         /// Why, as one word.
         why: &'static str,
     },
+    /// Tasks of a worker make way for a step.
+    Preempting {
+        /// The step.
+        step: StepId,
+        /// The worker.
+        worker: WorkerId,
+        /// How many tasks of the step are to start there.
+        wanted: usize,
+        /// How many would fit without that, once what ends already has ended.
+        fits: usize,
+        /// How many make way.
+        victims: usize,
+        /// How long the step's ticket for the worker is valid yet; `None` where there is none, or none is asked for.
+        ticket: Option<Duration>,
+    },
     /// What is believed of a worker has changed.
     Worker {
         /// The worker.
--- a/crates/cell/src/engine/reserve.rs
+++ b/crates/cell/src/engine/reserve.rs
@@ -12,13 +12,16 @@
 };
 
 use super::{
-    Engine, Slot,
+    Engine,
+    Slot,
     place::{
         Demand,
         room_for, //
     },
+    schedule::Rank, //
 };
 use crate::{
+    effect::Note,
     id::{
         Run,
         StepId,
@@ -130,7 +133,9 @@
             return false;
         };
         let is_pressing = !is_gang || now >= job.latest_start(id);
-        let has_waited = self.promoted.get(&demand.queue.name) == Some(&id);
+        let Some((rank, _)) = self.rank(id, now) else {
+            return false;
+        };
         let size = demand.size;
         let count = match is_gang {
             true => stage.waiting.len(),
@@ -142,7 +147,7 @@
         let mut offers: Vec<Offer> = self
             .candidates(&demand, stage)
             .filter(|(slot, worker)| !reserved.holds(*slot, id) && demand.admits(worker, now))
-            .map(|(slot, worker)| self.offer(&demand, slot, worker, has_waited))
+            .map(|(slot, worker)| self.offer(&demand, slot, worker, rank, now))
             .collect();
         offers.sort_by_key(|offer| {
             let missing = offer.most - offer.soon;
@@ -163,7 +168,7 @@
         }
         if is_pressing || self.is_idling_dearer(&chosen) {
             for (offer, wanted) in chosen {
-                self.preempt(&offer, wanted, size, now);
+                self.preempt(id, &offer, wanted, size, now);
             }
         }
         true
@@ -180,7 +185,15 @@
     }
 
     /// Returns what a worker could offer a step; one that has waited for long also waits for gangs to end there.
-    fn offer(&self, demand: &Demand<'_>, slot: Slot, worker: &Worker, has_waited: bool) -> Offer {
+    fn offer(
+        &self,
+        demand: &Demand<'_>,
+        slot: Slot,
+        worker: &Worker,
+        rank: Rank,
+        now: Timestamp,
+    ) -> Offer {
+        let has_waited = self.promoted.get(&demand.queue.name) == Some(&demand.id);
         let mut soon = worker.free;
         let mut later = Resources::ZERO;
         let mut victims = Vec::new();
@@ -190,7 +203,9 @@
             }
             if matches!(claim.phase, Phase::Stopping { .. }) {
                 soon = soon.checked_add(claim.size).unwrap_or(soon);
-            } else if matches!(claim.phase, Phase::Running { .. }) && self.yields(*task, demand) {
+            } else if matches!(claim.phase, Phase::Running { .. })
+                && self.yields(*task, demand, rank, now)
+            {
                 victims.push((*task, *run, claim.size, claim.since));
             } else if self.ends(*task, has_waited) {
                 later = later.checked_add(claim.size).unwrap_or(later);
@@ -223,16 +238,29 @@
     }
 
     /// Returns whether a running task makes way for a step.
-    fn yields(&self, task: TaskId, demand: &Demand<'_>) -> bool {
+    ///
+    /// It waits again at once, so it has to come after the step: before it, it would take back the room that was made, and
+    /// make way again, without end.
+    fn yields(&self, task: TaskId, demand: &Demand<'_>, rank: Rank, now: Timestamp) -> bool {
         let Some(job) = self.jobs.get(&task.step.job) else {
             return false;
         };
         let step = job.step(task.step);
+        let own = self.rank(task.step, now);
         self.queue_of(job).priority > demand.queue.priority
             && step.is_some_and(|step| step.checkpointing && !step.gang && !step.lasting)
+            && own.is_some_and(|(own, _)| own > rank)
     }
 
-    fn preempt(&mut self, offer: &Offer, wanted: usize, size: Resources, now: Timestamp) {
+    /// Has tasks make way on a worker until so many of a step fit there.
+    fn preempt(
+        &mut self,
+        id: StepId,
+        offer: &Offer,
+        wanted: usize,
+        size: Resources,
+        now: Timestamp,
+    ) {
         let Some(worker) = self.workers.get(&offer.slot) else {
             return;
         };
@@ -241,13 +269,42 @@
         let mut room = stopping.fold(worker.free, |room, claim| {
             room.checked_add(claim.size).unwrap_or(room)
         });
+        let mut victims = 0;
         for (task, run, freed) in &offer.victims {
             if room_for(&room, &size) >= wanted {
-                return;
+                break;
             }
+            victims += 1;
             self.stop(offer.slot, *task, *run, "preempted", now);
             room = room.checked_add(*freed).unwrap_or(room);
         }
+        if victims > 0 {
+            self.note_preempting(id, offer, wanted, victims, now);
+        }
+    }
+
+    fn note_preempting(
+        &mut self,
+        id: StepId,
+        offer: &Offer,
+        wanted: usize,
+        victims: usize,
+        now: Timestamp,
+    ) {
+        let Some(worker) = self.workers.get(&offer.slot) else {
+            return;
+        };
+        let stage = self.jobs.get(&id.job).and_then(|job| job.stage(id));
+        let ticket = stage.and_then(|stage| stage.advice.ticket(offer.slot, worker, now));
+        let note = Note::Preempting {
+            step: id,
+            worker: worker.registration.id.clone(),
+            wanted,
+            fits: offer.soon,
+            victims,
+            ticket: ticket.map(|ticket| now.until(ticket.until)),
+        };
+        self.note(note);
     }
 }
 
--- a/crates/cell/src/engine/schedule.rs
+++ b/crates/cell/src/engine/schedule.rs
@@ -183,7 +183,7 @@
     }
 
     /// Returns the rank of a step, and when it changes.
-    fn rank(&self, id: StepId, now: Timestamp) -> Option<(Rank, Option<Timestamp>)> {
+    pub(super) fn rank(&self, id: StepId, now: Timestamp) -> Option<(Rank, Option<Timestamp>)> {
         let job = self.jobs.get(&id.job)?;
         let latest_start = job.latest_start(id);
         let worthless = job.worthless(id.occurrence);
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -13,6 +13,7 @@
 mod overtaking;
 mod pace;
 mod pending;
+mod preempt;
 mod restart;
 mod shrink;
 mod takeover;
--- a/crates/cell/tests/cell/world/mod.rs
+++ b/crates/cell/tests/cell/world/mod.rs
@@ -197,6 +197,8 @@
     pub append: Duration,
     /// How many starts there were.
     pub starts: u32,
+    /// When each run was preempted, in order.
+    pub preempted: Vec<(Timestamp, TaskId)>,
     /// How many orders to start came with a ticket that had run out.
     pub turned_away: u32,
     /// How many calls for advice there were, with how many workers each.
@@ -337,6 +339,7 @@
             down: BTreeMap::new(),
             append: APPEND,
             starts: 0,
+            preempted: Vec::new(),
             turned_away: 0,
             asked: Vec::new(),
             waits: Vec::new(),
@@ -732,6 +735,11 @@
             Effect::Forget(jobs) => jobs.into_iter().for_each(|job| self.forget(job)),
             Effect::Note(Note::Placed { task, worker, .. }) => self.check_place(task, &worker),
             Effect::Note(Note::Waits { step, why, .. }) => self.waits.push((step.job, why)),
+            Effect::Note(Note::Stopping {
+                task,
+                why: "preempted",
+                ..
+            }) => self.preempted.push((self.now, task)),
             Effect::Note(Note::Crashed { task, verdict, .. }) => {
                 self.check_given_up(task, verdict == "given-up");
             }
