--- a/crates/cell/src/engine/loss.rs
+++ b/crates/cell/src/engine/loss.rs
@@ -14,7 +14,10 @@
         Run,
         TaskId, //
     },
-    worker::Phase,
+    worker::{
+        Claim,
+        Phase, //
+    },
 };
 
 /// For this long a worker whose leases have lapsed may come back with ends to tell; cuts of workers
@@ -90,14 +93,21 @@
         notes.into_iter().for_each(|note| self.note(note));
     }
 
-    fn claims_of(&self, slot: Slot) -> Vec<(TaskId, Run)> {
+    /// Returns the runs of a worker whose claims meet a condition.
+    pub(super) fn runs_on(
+        &self,
+        slot: Slot,
+        condition: impl Fn(&Claim) -> bool,
+    ) -> Vec<(TaskId, Run)> {
         let claims = self.workers.get(&slot).map(|worker| &worker.claims);
-        claims.into_iter().flatten().map(|(key, _)| *key).collect()
+        let claims = claims.into_iter().flatten();
+        let runs = claims.filter(|(_, claim)| condition(claim));
+        runs.map(|(key, _)| *key).collect()
     }
 
     /// Notes that the runs of a worker that is given up on may have failed there.
     fn doubt_runs(&mut self, slot: Slot, now: Timestamp) {
-        for (task, run) in self.claims_of(slot) {
+        for (task, run) in self.runs_on(slot, |_| true) {
             let stage = self.jobs.get_mut(&task.step.job);
             let stage = stage.and_then(|job| job.stage_mut(task.step));
             if let Some(own) = stage.and_then(|stage| stage.task_mut(task.index)) {
@@ -107,7 +117,7 @@
     }
 
     fn release_all(&mut self, slot: Slot, now: Timestamp) {
-        for (task, run) in self.claims_of(slot) {
+        for (task, run) in self.runs_on(slot, |_| true) {
             self.release(slot, task, run, now);
         }
     }
--- a/crates/cell/src/engine/order.rs
+++ b/crates/cell/src/engine/order.rs
@@ -246,8 +246,7 @@
                 self.send_start(slot, task, run, now);
                 continue;
             }
-            self.note_not_started(slot, task, run, why.unwrap_or("gang-late"));
-            self.release(slot, task, run, now);
+            self.take_back(slot, task, run, why.unwrap_or("gang-late"), now);
         }
     }
 
--- a/crates/cell/src/engine/shrink.rs
+++ b/crates/cell/src/engine/shrink.rs
@@ -18,6 +18,7 @@
         TaskId, //
     },
     worker::{
+        Claim,
         Phase,
         Worker, //
     },
@@ -72,11 +73,11 @@
             if !self.workers.get(&slot).is_some_and(Worker::is_overfull) {
                 return;
             }
-            self.note_not_started(slot, task, run, "shrunk");
-            self.release(slot, task, run, now);
+            self.take_back(slot, task, run, "shrunk", now);
         }
         // An order without an answer may be carried out yet.
-        for (task, run) in self.unanswered_on(slot) {
+        let is_unanswered = |claim: &Claim| claim.phase == Phase::Starting && claim.unanswered > 0;
+        for (task, run) in self.runs_on(slot, is_unanswered) {
             if self.workers.get(&slot).is_some_and(Worker::is_overfull) {
                 self.stop(slot, task, run, "shrunk", now);
             }
@@ -86,11 +87,23 @@
     /// Takes back all runs of a worker whose orders have not left.
     pub(super) fn take_back_unsent(&mut self, slot: Slot, why: &'static str, now: Timestamp) {
         for (task, run) in self.unsent(slot) {
-            self.note_not_started(slot, task, run, why);
-            self.release(slot, task, run, now);
+            self.take_back(slot, task, run, why, now);
         }
     }
 
+    /// Takes back a run whose order has not left, and never will.
+    pub(super) fn take_back(
+        &mut self,
+        slot: Slot,
+        task: TaskId,
+        run: Run,
+        why: &'static str,
+        now: Timestamp,
+    ) {
+        self.note_not_started(slot, task, run, why);
+        self.release(slot, task, run, now);
+    }
+
     /// Returns the runs of a worker whose orders have not left, the latest first.
     fn unsent(&self, slot: Slot) -> Vec<(TaskId, Run)> {
         let claims = self.workers.get(&slot).map(|worker| &worker.claims);
@@ -101,22 +114,8 @@
         unsent.into_iter().map(|(_, key)| key).collect()
     }
 
-    fn unanswered_on(&self, slot: Slot) -> Vec<(TaskId, Run)> {
-        let claims = self.workers.get(&slot).map(|worker| &worker.claims);
-        let claims = claims.into_iter().flatten();
-        let open = claims.filter(|(_, claim)| claim.phase == Phase::Starting);
-        let unanswered = open.filter(|(_, claim)| claim.unanswered > 0);
-        unanswered.map(|(key, _)| *key).collect()
-    }
-
     /// Tells that an order never leaves.
-    pub(super) fn note_not_started(
-        &mut self,
-        slot: Slot,
-        task: TaskId,
-        run: Run,
-        why: &'static str,
-    ) {
+    fn note_not_started(&mut self, slot: Slot, task: TaskId, run: Run, why: &'static str) {
         let Some(worker) = self.workers.get(&slot) else {
             return;
         };
