--- a/crates/cell/src/engine/crash.rs
+++ b/crates/cell/src/engine/crash.rs
@@ -88,8 +88,8 @@
 }
 
 impl Worker {
-    /// Returns whether it has said that it leaves; what the next incarnation says of itself tells nothing of this one.
-    fn is_leaving(&self) -> bool {
+    /// Returns whether it had said that it leaves; what the next incarnation says of itself tells nothing of this one.
+    fn may_have_left(&self) -> bool {
         self.registration.leaving.is_some() && self.is_current()
     }
 
@@ -109,18 +109,17 @@
             Some(Silence::Broken(at)) => (at, self.heard.is_some()),
             Some(Silence::Missed) | None => (self.heard.unwrap_or(Timestamp::ZERO), false),
         };
-        let is_leaving = self.is_leaving();
+        let may_have_left = self.may_have_left();
+        let is_known = |claim: &Claim| is_timed && claim.begun.is_some();
         let claims = self.claims.iter();
-        let begun = claims.filter(|(_, claim)| {
-            let is_known = is_timed && claim.begun.is_some();
-            claim.may_have_begun(fell) && (is_known || !is_leaving)
-        });
+        let begun = claims
+            .filter(|(_, claim)| claim.may_have_begun(fell) && (is_known(claim) || !may_have_left));
         let crashes = begun.map(|((task, run), claim)| {
             let crash = Crash {
                 run: *run,
                 worker: self.registration.id.clone(),
                 incarnation: self.incarnation,
-                is_certain: is_timed && claim.begun.is_some() && !is_leaving,
+                is_certain: is_known(claim) && !may_have_left,
                 is_doubted,
             };
             (*task, crash)
@@ -244,6 +243,9 @@
         doubts.collect()
     }
 
+    /// Takes in a crash under a task, or that one is doubted, and what follows for the task.
+    ///
+    /// `is_alone` tells whether nothing but tasks of its step was there.
     fn count_crash(&mut self, task: TaskId, crash: Crash, is_alone: bool, now: Timestamp) {
         let id = task.step.job;
         let is_open = self.jobs.get(&id).is_some_and(|job| !job.is_over());
@@ -280,6 +282,7 @@
         }
     }
 
+    /// Remembers that a worker may have to be acquitted of a task, or may turn out to be gone.
     fn remember_suspect(&mut self, worker: &WorkerId, task: TaskId) {
         let suspects = self.crashed.entry(worker.clone()).or_default();
         if !suspects.contains(&task) {
