Gates: a request waits for another target than one that refused it; dead ports of the tests stay bound

Cause: a request whose attempts outlast a target's penalty (250 ms, doubling) was sent to that target again and could use up its three attempts there, or on a full one: one of 30 calls got 502.

Mend: each request knows which targets refused it, waits for another one while one is live, and goes back only where there is none. The dead port stays bound, without a listener, for as long as the tests run.

Ruled out: a longer penalty, which would only make it rarer.

--- a/crates/coordination/src/credit/balance/mod.rs
+++ b/crates/coordination/src/credit/balance/mod.rs
@@ -157,6 +157,20 @@
     ///
     /// See also [`Self::put_back`].
     pub fn take(&mut self, service: &Service, now: Timestamp) -> Result<Ticket, Short> {
+        self.take_elsewhere(service, &[], now)
+    }
+
+    /// Takes a slot for a request that some targets have refused: on another one, while one is live.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Self::take`].
+    pub fn take_elsewhere(
+        &mut self,
+        service: &Service,
+        refused: &[target::Id],
+        now: Timestamp,
+    ) -> Result<Ticket, Short> {
         let Some(pool) = self.pools.get_mut(service) else {
             self.expect(service);
             return Err(Short::NoTarget);
@@ -166,7 +180,7 @@
         } else {
             Short::Full
         };
-        let Some(entry) = pool.pick(&mut self.rng, now) else {
+        let Some(entry) = pool.pick(refused, &mut self.rng, now) else {
             return Err(none);
         };
         entry.take();
--- a/crates/coordination/src/credit/balance/pool.rs
+++ b/crates/coordination/src/credit/balance/pool.rs
@@ -27,8 +27,13 @@
 
 impl Pool {
     /// Picks a target with an empty slot: the emptier of two at random, and where neither will do,
-    /// the best of all.
-    pub(super) fn pick(&mut self, rng: &mut SmallRng, now: Timestamp) -> Option<&mut Entry> {
+    /// the best of all. Some targets have refused the request before.
+    pub(super) fn pick(
+        &mut self,
+        refused: &[target::Id],
+        rng: &mut SmallRng,
+        now: Timestamp,
+    ) -> Option<&mut Entry> {
         if self.entries.is_empty() {
             return None;
         }
@@ -36,25 +41,25 @@
         let (a, b) = (rng.random_range(0..len), rng.random_range(0..len));
         let good = |index: &usize| {
             let entry = &self.entries[*index];
-            entry.is_usable(now) && !entry.penalty.is_active(now)
+            entry.is_usable(now) && is_good(entry, refused, now)
         };
         let of_two = [a, b]
             .into_iter()
             .filter(good)
             .min_by_key(|index| self.entries[*index].in_use);
-        let index = of_two.or_else(|| self.best(rng, now))?;
+        let index = of_two.or_else(|| self.best(refused, rng, now))?;
         Some(&mut self.entries[index])
     }
 
     /// Returns the usable target with the fewest requests.
     ///
-    /// One with a penalty is taken only where all live targets have one. It fails fast, so it would
-    /// otherwise be the one with an empty slot whenever the others are full, and draw in everything
-    /// that should wait for them.
-    fn best(&self, rng: &mut impl Rng, now: Timestamp) -> Option<usize> {
+    /// One with a penalty, or that has refused the request, is taken only where there is no other live target. It
+    /// fails fast, so it would otherwise be the one with an empty slot whenever the others are full, and draw in
+    /// everything that should wait for them.
+    fn best(&self, refused: &[target::Id], rng: &mut impl Rng, now: Timestamp) -> Option<usize> {
         let len = self.entries.len();
         let start = rng.random_range(0..len);
-        let is_good = |entry: &Entry| entry.is_live(now) && !entry.penalty.is_active(now);
+        let is_good = |entry: &Entry| entry.is_live(now) && is_good(entry, refused, now);
         let any_good = self.entries.iter().any(is_good);
         let around = (0..len).map(|step| (start + step) % len);
         let usable = around.filter(|index| {
@@ -123,3 +128,8 @@
             .binary_search_by_key(&target, |entry| entry.target.id)
     }
 }
+
+/// Returns whether a target should be taken before others for a request that some have refused.
+fn is_good(entry: &Entry, refused: &[target::Id], now: Timestamp) -> bool {
+    !entry.penalty.is_active(now) && !refused.contains(&entry.target.id)
+}
--- a/crates/gate/src/forward/admission.rs
+++ b/crates/gate/src/forward/admission.rs
@@ -75,6 +75,7 @@
                 total: count(total),
                 team: count(own.min(total)),
             },
+            refused: Vec::new(),
         },
         limits: upload::Limits {
             keep: KEEP,
--- a/crates/gate/src/forward/attempt.rs
+++ b/crates/gate/src/forward/attempt.rs
@@ -72,6 +72,11 @@
         }
     }
 
+    /// Returns whether it was the target's, so that another one may do better.
+    pub(super) const fn is_of_target(&self) -> bool {
+        matches!(self, Self::Target(_))
+    }
+
     /// Returns what is known of the slot.
     const fn end(&self) -> End {
         match self {
--- a/crates/gate/src/forward/keyed.rs
+++ b/crates/gate/src/forward/keyed.rs
@@ -88,7 +88,10 @@
         Timing, //
     },
     metrics::Retry,
-    slot::Held,
+    slot::{
+        Ask,
+        Held, //
+    },
 };
 
 /// How often a request may be granted in all; it is sent again only where it certainly wasn't run.
@@ -121,6 +124,7 @@
     let attempts = Attempts::new(ATTEMPTS, deadline);
     let mut plan = Plan::new(Class::NonIdempotent, attempts, backoff);
     app.budget().request(app.now());
+    let mut ask = order.admission.ask.clone();
     loop {
         let began = Instant::now();
         let answer = match ask_owner(app, shard, &call, deadline).await {
@@ -143,7 +147,7 @@
             shard,
             ticket,
         };
-        let failure = match run(app, order, &finisher, began).await? {
+        let failure = match run(app, order, &mut ask, &finisher, began).await? {
             Ok(response) => return Ok(response),
             Err(failure) => failure,
         };
@@ -160,16 +164,17 @@
 async fn run(
     app: &Arc<App>,
     order: &Order,
+    ask: &mut Ask,
     finisher: &Report,
     began: Instant,
 ) -> Result<Result<Response, Failure>, Refusal> {
-    let ask = &order.admission.ask;
     let acquired = app.pool.acquire(ask).await;
     let held = acquired.inspect_err(|_| report_later(app, finisher.end(Outcome::NotRun)))?;
     let timing = Timing {
         decision: began.elapsed().saturating_sub(held.waited()),
         waiting: held.waited(),
     };
+    let target = held.target();
     let left = app.now().until(ask.deadline);
     let request = order.envelope.fill(order.body.bytes.clone().into(), left);
     match send(app.clone(), held, request).await {
@@ -178,7 +183,11 @@
             answer::time(&mut response, timing);
             Ok(Ok(response))
         }
-        Err(failure) if failure.outcome() == Outcome::NotRun => Ok(Err(failure)),
+        Err(failure) if failure.outcome() == Outcome::NotRun => {
+            ask.refused
+                .extend(target.filter(|_| failure.is_of_target()));
+            Ok(Err(failure))
+        }
         Err(failure) => {
             report_later(app, finisher.end(Outcome::Unknown));
             let refusal = Refusal::new(Reason::TargetFailed, failure.to_string());
--- a/crates/gate/src/forward/ordinary.rs
+++ b/crates/gate/src/forward/ordinary.rs
@@ -61,7 +61,7 @@
     mut upload: Upload,
     decided: Duration,
 ) -> Result<Response, Refusal> {
-    let ask = &admission.ask;
+    let mut ask = admission.ask.clone();
     let attempts = Attempts::new(ATTEMPTS, ask.deadline);
     let backoff = Backoff::new(random()).base(app.settings.retry.backoff.get());
     let mut plan = Plan::new(Class::Idempotent, attempts, backoff);
@@ -72,11 +72,12 @@
     };
     loop {
         let began = Instant::now();
-        let acquired = app.pool.acquire(ask).await;
+        let acquired = app.pool.acquire(&ask).await;
         let held = acquired.map_err(|refusal| refusal.outcome(plan.outcome()))?;
         timing.waiting += held.waited();
         timing.decision += began.elapsed().saturating_sub(held.waited());
         app.metrics.placed(timing.decision, held.waited());
+        let target = held.target();
         let (body, rest, cut) = upload.take();
         let request = envelope.fill(body, app.now().until(ask.deadline));
         // It runs to its end also where the caller leaves, so that the slot is free when it says so.
@@ -86,6 +87,8 @@
             Ok((delivery, held)) => return Ok(respond(app, delivery, held, timing)),
             Err(failure) => failure,
         };
+        ask.refused
+            .extend(target.filter(|_| failure.is_of_target()));
         if cut.is_too_large() {
             let refusal = upload::too_large(admission.limits.most);
             return Err(refusal.outcome(Outcome::Unknown));
--- a/crates/gate/src/slot/lane.rs
+++ b/crates/gate/src/slot/lane.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use fulmarpier_coordination::credit::Ticket;
+use fulmarpier_coordination::{
+    credit::Ticket,
+    platform::target, //
+};
 use fulmarpier_state::{
     clock::Timestamp,
     refusal::{
@@ -28,10 +31,18 @@
 /// When to come back where nothing better is known.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// A request that waits.
+#[derive(Debug)]
+struct Waiter {
+    verdict: oneshot::Sender<Verdict>,
+    /// The targets that have refused it.
+    refused: Vec<target::Id>,
+}
+
 /// The queue of one service and what is known of its pace.
 #[derive(Debug)]
 pub(super) struct Lane {
-    queue: Queue<oneshot::Sender<Verdict>>,
+    queue: Queue<Waiter>,
     estimate: Estimate,
 }
 
@@ -72,14 +83,20 @@
     ) -> Result<(Place, oneshot::Receiver<Verdict>), Refusal> {
         self.check_deadline(ask, slots, now)?;
         self.queue.set_limits(ask.limits);
-        let (sender, receiver) = oneshot::channel();
-        let pushed = self.queue.push(&ask.team, ask.weight, ask.deadline, sender);
+        let (verdict, receiver) = oneshot::channel();
+        let waiter = Waiter {
+            verdict,
+            refused: ask.refused.clone(),
+        };
+        let pushed = self.queue.push(&ask.team, ask.weight, ask.deadline, waiter);
         let Pushed { ticket, displaced } = pushed.map_err(|full| self.full(full, slots))?;
         if let Some(displaced) = displaced {
             let detail = "another team's request took the place";
             let refusal = Refusal::new(Reason::TeamQueueFull, detail);
             // It may have given up in this moment.
-            let _ = displaced.send(Err(refusal.retry_after(self.drained_after(slots))));
+            let _ = displaced
+                .verdict
+                .send(Err(refusal.retry_after(self.drained_after(slots))));
         }
         Ok((ticket, receiver))
     }
@@ -89,23 +106,22 @@
         self.queue.cancel(place).is_some()
     }
 
-    /// Gives a slot to the next request that still wants it; returns the slot where nobody does.
+    /// Returns the targets that have refused the request that is next.
+    pub(super) fn refused_first(&self) -> &[target::Id] {
+        self.queue.first().map_or(&[], |waiter| &waiter.refused)
+    }
+
+    /// Gives a slot to the next request; returns the slot where that doesn't want it any more.
     pub(super) fn hand(&mut self, ticket: Ticket, now: Timestamp) -> Option<Ticket> {
-        let mut ticket = ticket;
-        while let Some((deadline, sender)) = self.queue.pop() {
-            if deadline <= now {
-                let _ = sender.send(Err(late(now, deadline)));
-                continue;
-            }
-            match sender.send(Ok(ticket)) {
-                Ok(()) => return None,
-                // The request has given up; the next one gets the slot.
-                Err(Ok(back)) => ticket = back,
-                // Only a slot was sent, so only a slot comes back.
-                Err(Err(_)) => return None,
-            }
+        let Some((deadline, waiter)) = self.queue.pop() else {
+            return Some(ticket);
+        };
+        if deadline <= now {
+            let _ = waiter.verdict.send(Err(late(now, deadline)));
+            return Some(ticket);
         }
-        Some(ticket)
+        // What comes back of a request that has given up is the slot that was sent.
+        waiter.verdict.send(Ok(ticket)).err().and_then(Result::ok)
     }
 
     /// Refuses a request that would start after its deadline, going by the pace so far.
--- a/crates/gate/src/slot/pool.rs
+++ b/crates/gate/src/slot/pool.rs
@@ -10,12 +10,15 @@
     time::Duration,
 };
 
-use fulmarpier_coordination::credit::{
-    Balance,
-    End,
-    Reply,
-    Statement,
-    Ticket, //
+use fulmarpier_coordination::{
+    credit::{
+        Balance,
+        End,
+        Reply,
+        Statement,
+        Ticket, //
+    },
+    platform::target,
 };
 use fulmarpier_state::{
     alias::HashMap,
@@ -68,6 +71,9 @@
     pub patience: Duration,
     /// How many requests of the service may wait.
     pub limits: Limits,
+    /// The targets that took nothing of the request on. It waits for another one where there is one: its attempts may
+    /// outlast the time for which such a target is avoided by all.
+    pub refused: Vec<target::Id>,
 }
 
 /// How many slots are held and used, and how many requests wait.
@@ -219,7 +225,11 @@
         }
         let mut state = self.lock();
         let first = state.lane(ask).is_empty();
-        if first && let Ok(ticket) = state.balance.take(&ask.service, now) {
+        if first
+            && let Ok(ticket) = state
+                .balance
+                .take_elsewhere(&ask.service, &ask.refused, now)
+        {
             return Ok(Entered::At(ticket));
         }
         let held = state.balance.usage(&ask.service, now).0;
--- a/crates/gate/src/slot/state.rs
+++ b/crates/gate/src/slot/state.rs
@@ -46,7 +46,10 @@
         };
         let before = lane.len();
         while !lane.is_empty() {
-            let Ok(ticket) = self.balance.take(service, now) else {
+            let taken = self
+                .balance
+                .take_elsewhere(service, lane.refused_first(), now);
+            let Ok(ticket) = taken else {
                 break;
             };
             if let Some(unused) = lane.hand(ticket, now) {
--- a/crates/gate/src/wait/queue.rs
+++ b/crates/gate/src/wait/queue.rs
@@ -133,6 +133,13 @@
         Ok(Pushed { ticket, displaced })
     }
 
+    /// Returns the item that is taken next.
+    pub fn first(&self) -> Option<&T> {
+        let (_, team) = self.order.first()?;
+        let line = self.lines.get(team)?;
+        line.items.first_key_value().map(|(_, item)| item)
+    }
+
     /// Takes the next item and its deadline.
     ///
     /// See also [`Self::push`].
--- a/crates/gate/tests/slot.rs
+++ b/crates/gate/tests/slot.rs
@@ -67,9 +67,14 @@
 
     /// Makes a statement and lets the owner grant so many slots of one target.
     fn grant(&self, slots: u16) {
+        self.grant_on(0, slots);
+    }
+
+    /// The same for one of several targets.
+    fn grant_on(&self, target: u32, slots: u16) {
         let statement = self.pool.state(OWNER, false);
         let id = Id {
-            task: TaskId::new(JobId::from_u128(1), 0),
+            task: TaskId::new(JobId::from_u128(1), target),
             attempt: Attempt(1),
         };
         let address = "127.0.0.1:9".parse().unwrap();
@@ -95,6 +100,7 @@
             deadline: self.clock.now() + Duration::from_millis(deadline),
             patience: Duration::from_millis(200),
             limits: Limits { total: 4, team: 4 },
+            refused: Vec::new(),
         }
     }
 
@@ -153,6 +159,41 @@
     assert!(later.await.unwrap().is_ok());
 }
 
+/// The attempts of a request may outlast the time for which a target is avoided by all.
+#[tokio::test(start_paused = true)]
+async fn a_request_waits_for_another_target_than_the_one_that_refused_it() {
+    let bench = Bench::new();
+    bench.grant_on(0, 1);
+    bench.grant_on(1, 1);
+    let mut refusing = bench.take("a", 1_000).await.unwrap();
+    let other = bench.take("a", 1_000).await.unwrap();
+    let (refused, target) = (refusing.target(), other.target());
+    refusing.ended(End::Refused);
+    drop(refusing);
+    // By then it is not avoided any more.
+    sleep(Duration::from_millis(300)).await;
+    let mut ask = bench.ask("a", 1_000);
+    ask.refused.extend(refused);
+    let pool = bench.pool.clone();
+    let waiting = tokio::spawn(async move { pool.acquire(&ask).await });
+    sleep(Duration::from_millis(100)).await;
+    assert!(!waiting.is_finished());
+    drop(other);
+    assert_eq!(waiting.await.unwrap().unwrap().target(), target);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_request_goes_back_to_the_only_target_there_is() {
+    let bench = Bench::new();
+    bench.grant(1);
+    let mut held = bench.take("a", 1_000).await.unwrap();
+    let mut ask = bench.ask("a", 1_000);
+    ask.refused.extend(held.target());
+    held.ended(End::Refused);
+    drop(held);
+    assert!(bench.pool.acquire(&ask).await.is_ok());
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_grant_serves_who_waits() {
     let bench = Bench::new();
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -5,6 +5,7 @@
 
 use std::{
     net::SocketAddr,
+    sync::Mutex,
     time::Duration, //
 };
 
@@ -42,6 +43,11 @@
     Response, //
 };
 use serde_json::Value;
+use socket2::{
+    Domain,
+    Socket,
+    Type, //
+};
 use tokio::{
     sync::watch,
     time::{
@@ -110,10 +116,14 @@
     }
 }
 
-/// A target on a port where nothing listens.
+/// A target on a port where nothing listens, and which nobody else gets while the tests run.
 pub(crate) fn dead() -> Known {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
+    static BOUND: Mutex<Vec<Socket>> = Mutex::new(Vec::new());
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    socket.bind(&any_port.into()).unwrap();
+    let address = socket.local_addr().unwrap().as_socket().unwrap();
+    BOUND.lock().unwrap().push(socket);
     Known {
         id: id(99),
         address,
