--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 //! | module | what it does |
 //! |---|---|
 //! | [`comeback`] | when a caller that was refused should come back |
+//! | `edition` | the configuration by word of the owner |
 //! | [`front`] | takes, shows and cancels jobs at any node |
 //! | `health` | whether the store answers this node |
 //! | `hand` | gives orders to workers on behalf of the owner |
@@ -23,6 +24,7 @@
 //! | [`succession`] | who should own the cell next, and when an owner should let go |
 
 pub mod comeback;
+mod edition;
 pub mod front;
 mod hand;
 mod health;
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -76,6 +76,8 @@
     },
     /// Does the store answer this node?
     Store,
+    /// Which configuration is in force there, where it is a later version than this one?
+    Configuration(u64),
     /// Give these orders to workers.
     Orders(Orders),
     /// What came of orders that the owner had this node give.
@@ -99,6 +101,7 @@
             Self::Pending(..) => "pending",
             Self::Advise { .. } => "advise",
             Self::Store => "store",
+            Self::Configuration(_) => "configuration",
             Self::Orders(_) => "orders",
             Self::Reports(_) => "reports",
             Self::Vacant(_) => "vacant",
@@ -131,6 +134,19 @@
     Advised(Option<Vec<Advised>>),
     /// How long the store took to answer this node just now, if it did.
     Store(Option<Duration>),
+    /// What is known there of the configuration.
+    Configuration(Edition),
+}
+
+/// A configuration as one node knows it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Edition {
+    /// Its version; zero where there is none.
+    pub(crate) version: u64,
+    /// How long ago the store last told that it is the newest.
+    pub(crate) age: Duration,
+    /// What the operator has written, as key and value, where whoever asks has an earlier version.
+    pub(crate) record: Option<(String, Vec<u8>)>,
 }
 
 /// What an owner's word that it knows no such job rests on.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -42,6 +42,7 @@
 };
 
 use crate::{
+    edition,
     front::Front,
     hand::Hand,
     health::StoreHealth,
@@ -166,6 +167,7 @@
             log: parts.log.clone(),
             meter: parts.meter,
             config: watch::Sender::new(None),
+            config_record: watch::Sender::new(None),
             config_read: watch::Sender::new(Instant::now()),
             claim: watch::Sender::new(None),
             acting: watch::Sender::new(None),
@@ -181,6 +183,7 @@
         });
         let intake = Intake::start(&shared);
         tokio::spawn(follow::follow_config(shared.clone()));
+        tokio::spawn(edition::hear(shared.clone()));
         tokio::spawn(member::run(shared.clone()));
         tokio::spawn(count_left_out(shared.clone()));
         tokio::spawn(pulse::run(shared.clone()));
@@ -291,6 +294,7 @@
                 patience,
             } => Reply::Advised(shared.platform.advise(step, workers, patience).await),
             Question::Store => Reply::Store(member::probe(shared).await),
+            Question::Configuration(known) => Reply::Configuration(edition::tell(shared, known)),
             Question::Orders(orders) => match self.hand.take(orders) {
                 true => Reply::Noted,
                 false => self.not_owner(),
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -55,6 +55,7 @@
         Error,
         Page,
         Platform,
+        Record,
         Rejected,
         Topic, //
     },
@@ -124,7 +125,9 @@
     pub(crate) meter: Meter,
     /// The configuration in force here, once one is known.
     pub(crate) config: watch::Sender<Option<Arc<Config>>>,
-    /// When the store last told this node which configuration is the newest.
+    /// What the operator has written of it.
+    pub(crate) config_record: watch::Sender<Option<Record>>,
+    /// When the store last told this node, or the owner, which configuration is the newest.
     pub(crate) config_read: watch::Sender<Instant>,
     /// The newest claim that is known here.
     pub(crate) claim: watch::Sender<Option<Claim>>,
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -15,8 +15,10 @@
 use crate::{
     port::{
         Error,
+        Fault,
         Page,
         Platform,
+        Record,
         Topic, //
     },
     recall::{
@@ -110,10 +112,10 @@
                 settled
             }
             // The last one that could be read stays in force where another can't.
-            Ok(Batch::More(page)) => Ok(recall::read(&shared, "configuration", page, |record| {
-                shared.platform.configuration(record)
-            })
-            .found),
+            Ok(Batch::More(page)) => {
+                let read = |record: &Record| read_config(&shared, record);
+                Ok(recall::read(&shared, "configuration", page, read).found)
+            }
             Err(error) => Err(error),
         };
         has_failed = configs.is_err();
@@ -121,8 +123,8 @@
             Ok(configs) => {
                 // A call that waits for a change tells at its end that there was none.
                 shared.config_read.send_replace(Instant::now());
-                for config in configs {
-                    take_config(&shared, config);
+                for (config, record) in configs {
+                    take_config(&shared, config, record);
                 }
             }
             Err(_) => pause().await,
@@ -132,18 +134,30 @@
 
 /// Puts the last configuration that can be read in the place of one that can't: a node that starts must not
 /// wait for the next one.
-async fn settle_config<P: Platform>(shared: &Shared<P>, page: Page) -> Result<Vec<Config>, Error> {
+async fn settle_config<P: Platform>(
+    shared: &Shared<P>,
+    page: Page,
+) -> Result<Vec<(Config, Record)>, Error> {
     let own = Own {
         key: |_| true,
-        read: &|record| shared.platform.configuration(record),
+        read: &|record| read_config(shared, record),
     };
     let topic = Topic::Configuration;
     let settled = recall::settle(shared, topic, "configuration", page, own).await;
     settled.map(|settled| settled.found)
 }
 
+/// Reads a configuration, and keeps what the operator has written for nodes that can't read it themselves.
+fn read_config<P: Platform>(
+    shared: &Shared<P>,
+    record: &Record,
+) -> Result<Option<(Config, Record)>, Fault> {
+    let config = shared.platform.configuration(record)?;
+    Ok(config.map(|config| (config, record.clone())))
+}
+
 /// Puts a configuration in force here; an older one than the present changes nothing.
-fn take_config<P: Platform>(shared: &Shared<P>, config: Config) {
+pub(crate) fn take_config<P: Platform>(shared: &Shared<P>, config: Config, record: Record) {
     let present = shared.config.borrow().as_ref().map(|config| config.version);
     if present.is_some_and(|present| present >= config.version) {
         return;
@@ -151,5 +165,6 @@
     slog::info!(shared.log, "configuration"; "version" => config.version,
         "before" => present.unwrap_or(0), "queues" => config.queues.len(),
         "pools" => config.pools.len());
+    shared.config_record.send_replace(Some(record));
     shared.config.send_replace(Some(Arc::new(config)));
 }
--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -8,3 +8,4 @@
 mod support;
 mod suspension;
 mod view;
+mod workspace;
--- a/crates/node/tests/node/platform.rs
+++ b/crates/node/tests/node/platform.rs
@@ -51,6 +51,11 @@
         Accepted,
         Claim, //
     },
+    workspace::{
+        Directory,
+        KeyDigest,
+        Workspace, //
+    },
 };
 use fulmarpier_node::port::{
     Append,
@@ -64,6 +69,7 @@
     Topic, //
 };
 use fulmarpier_state::{
+    quota::Limit,
     resource::Resources,
     unit::{
         Bytes,
@@ -172,6 +178,30 @@
 
 /// A value that is rejected before it is decoded.
 pub(crate) const LOST_VALUE: &[u8] = b"lost";
+/// What a configuration begins with that names workspaces with their keys, as in `keys: a=key b=other`. The longer one is
+/// the later version.
+const KEYS: &[u8] = b"keys:";
+
+/// Returns the version of such a configuration.
+pub(crate) fn version(value: &[u8]) -> u64 {
+    3 + value.len() as u64
+}
+
+fn directory(text: &[u8]) -> Directory {
+    let text = std::str::from_utf8(text).unwrap();
+    let mut directory = Directory::default();
+    for entry in text.split_whitespace() {
+        let (name, keys) = entry.split_once('=').unwrap();
+        let workspace = Workspace {
+            name: name.parse().unwrap(),
+            limit: Limit::default(),
+        };
+        let keys = keys.split(',').map(KeyDigest::of);
+        directory.add(workspace, keys);
+    }
+    directory
+}
+
 /// How often its workers report themselves.
 const REPORTS: Duration = Duration::from_millis(1_000);
 /// How long its tasks run.
@@ -674,6 +704,7 @@
         let (version, pool) = match (record.key.as_str(), record.value.as_deref()) {
             ("config", Some(b"1")) => (1, "p"),
             ("config", Some(b"2")) => (2, "elsewhere"),
+            ("config", Some(value)) if value.starts_with(KEYS) => (version(value), "p"),
             ("config", _) => return Err(Fault::Form),
             _ => return Ok(None),
         };
@@ -686,6 +717,8 @@
             ..queue()
         };
         config.queues.insert(queue.name.clone(), Arc::new(queue));
+        let value = record.value.as_deref().unwrap_or_default();
+        config.directory = value.strip_prefix(KEYS).map(directory);
         Ok(Some(config))
     }
 
--- /dev/null
+++ b/crates/node/tests/node/workspace.rs
@@ -0,0 +1,275 @@
+//! Keys and workspaces: who is let in, by which node, and what they learn of each other.
+
+use std::time::Duration;
+
+use fulmarpier_cell::{
+    config::Ingress,
+    engine::State,
+    id::{
+        JobId,
+        QueueName, //
+    },
+    workspace::KeyDigest,
+};
+use fulmarpier_node::{
+    Node,
+    front::{
+        Front,
+        Refusal, //
+    },
+    port::Topic,
+    revocation::Revocation, //
+};
+use rstest::rstest;
+use tokio::time::{
+    Instant,
+    sleep, //
+};
+
+use crate::{
+    platform::{
+        self,
+        Fake,
+        Mode, //
+    },
+    support::{
+        SECOND,
+        job,
+        node,
+        ready,
+        two_steps,
+        unplaceable,
+        until, //
+    },
+};
+
+fn ingress(is_public: bool) -> Ingress {
+    Ingress {
+        host: "host".to_owned(),
+        prefix: "/".to_owned(),
+        queue: QueueName::from("q"),
+        is_public,
+    }
+}
+
+/// Has the operator name workspaces with their keys; a later version has the longer text.
+fn configure(platform: &Fake, text: &str) {
+    let value = format!("keys: {text}");
+    platform.write(Topic::Configuration, "config", value.as_bytes());
+}
+
+/// Lets a caller in who shows a key.
+fn enter(node: &Node<Fake>, key: &str) -> Result<Front<Fake>, Refusal> {
+    let front = node.front();
+    let config = front.config().ok_or(Refusal::NotReady)?;
+    front.authenticate(&config, &ingress(false), Some(&KeyDigest::of(key)))
+}
+
+/// Returns the version of a configuration that the operator has written so.
+fn version(text: &str) -> u64 {
+    platform::version(format!("keys: {text}").as_bytes())
+}
+
+async fn let_in(node: &Node<Fake>, key: &str) -> Front<Fake> {
+    until(|| async {
+        let config = node.front().config();
+        let has_keys = config.is_some_and(|config| config.directory.is_some());
+        has_keys && enter(node, key).is_ok()
+    })
+    .await;
+    enter(node, key).unwrap()
+}
+
+async fn submit(front: &Front<Fake>, id: u64) -> Result<(), Refusal> {
+    let deadline = Instant::now() + 3 * SECOND;
+    let queue = QueueName::from("q");
+    front.submit(&queue, JobId(id), two_steps(), deadline).await
+}
+
+async fn cancel(front: &Front<Fake>, id: u64) -> Result<(), Refusal> {
+    let deadline = Instant::now() + 3 * SECOND;
+    front
+        .cancel(&QueueName::from("q"), JobId(id), deadline)
+        .await
+}
+
+async fn completed(front: &Front<Fake>, id: u64) {
+    until(|| async { front.look(JobId(id)).await == Ok(State::Completed) }).await;
+}
+
+#[tokio::test]
+async fn calls_show_a_key_that_is_in_force_unless_their_queue_is_public() {
+    let platform = Fake::new();
+    let one = node("one", &platform);
+    ready(&one).await;
+    let config = one.front().config().unwrap();
+    let is_open = |is_public, key: Option<&str>| {
+        let front = one.front();
+        let config = front.config().unwrap();
+        let key = key.map(KeyDigest::of);
+        front
+            .authenticate(&config, &ingress(is_public), key.as_ref())
+            .map(drop)
+    };
+    let front = one.front().authenticate(&config, &ingress(false), None);
+    assert!(front.is_ok(), "there are no workspaces yet");
+    configure(&platform, "a=ka,kb b=kc");
+    let_in(&one, "ka").await;
+    assert_eq!(is_open(false, Some("kb")), Ok(()));
+    assert_eq!(is_open(false, Some("kd")), Err(Refusal::Unauthorized));
+    assert_eq!(is_open(false, Some("")), Err(Refusal::Unauthorized));
+    assert_eq!(is_open(false, None), Err(Refusal::Unauthorized));
+    assert_eq!(is_open(true, None), Ok(()));
+    // The last key of all is taken away: nobody is let in.
+    configure(&platform, "                        ");
+    until(|| async { is_open(false, Some("ka")) == Err(Refusal::Unauthorized) }).await;
+}
+
+#[tokio::test]
+async fn callers_of_another_workspace_see_count_and_cancel_nothing() {
+    let platform = Fake::new();
+    let (one, two) = (node("one", &platform), node("two", &platform));
+    configure(&platform, "a=ka b=kb");
+    ready(&one).await;
+    ready(&two).await;
+    let own = let_in(&one, "ka").await;
+    let other = let_in(&two, "kb").await;
+    let queue = QueueName::from("q");
+    let deadline = Instant::now() + 3 * SECOND;
+    let waiting = job(vec![unplaceable()], None);
+    own.submit(&queue, JobId(1), waiting, deadline)
+        .await
+        .unwrap();
+    until(|| async { own.pending(&queue).await == Ok(1) }).await;
+    assert_eq!(other.pending(&queue).await, Ok(0));
+    assert_eq!(other.look(JobId(1)).await, Err(Refusal::NoJob));
+    assert_eq!(cancel(&other, 1).await, Err(Refusal::NoJob));
+    assert_eq!(own.look(JobId(1)).await, Ok(State::Queued));
+    // Before it was known, too.
+    assert_eq!(cancel(&other, 2).await, Err(Refusal::NoJob));
+    submit(&own, 2).await.unwrap();
+    completed(&own, 2).await;
+    assert_eq!(other.look(JobId(2)).await, Err(Refusal::NoJob));
+    assert_eq!(cancel(&own, 1).await, Ok(()));
+    until(|| async { own.look(JobId(1)).await == Ok(State::Cancelled) }).await;
+}
+
+/// Both are kept by one node, so under keys of one partition.
+#[tokio::test]
+async fn a_job_under_an_id_of_another_workspace_takes_that_ones_place_nowhere() {
+    let platform = Fake::new();
+    let one = node("one", &platform);
+    configure(&platform, "a=ka b=kb");
+    ready(&one).await;
+    let (own, other) = (let_in(&one, "ka").await, let_in(&one, "kb").await);
+    submit(&own, 1).await.unwrap();
+    submit(&other, 1).await.unwrap();
+    completed(&own, 1).await;
+    assert_eq!(platform.starts(1), 4);
+    assert_eq!(other.look(JobId(1)).await, Err(Refusal::NoJob));
+    let two = node("two", &platform);
+    ready(&two).await;
+    one.leave();
+    one.disowned(SECOND).await;
+    one.stop(SECOND).await;
+    let own = let_in(&two, "ka").await;
+    completed(&own, 1).await;
+    assert_eq!(platform.starts(1), 4);
+}
+
+#[rstest]
+#[case::another_key_of_the_workspace("a=ka,kb b=kc", "kb", Ok(State::Completed))]
+#[case::the_key_was_moved_to_another_workspace("a=kb b=ka ", "ka", Err(Refusal::NoJob))]
+#[case::the_key_was_replaced("a=kb,kc", "kb", Ok(State::Completed))]
+#[tokio::test]
+async fn a_job_stays_its_workspaces_whatever_becomes_of_the_key(
+    #[case] later: &str,
+    #[case] key: &str,
+    #[case] expected: Result<State, Refusal>,
+) {
+    let platform = Fake::new();
+    let one = node("one", &platform);
+    configure(&platform, "a=ka");
+    ready(&one).await;
+    let own = let_in(&one, "ka").await;
+    submit(&own, 1).await.unwrap();
+    configure(&platform, later);
+    completed(&own, 1).await;
+    until(|| async {
+        let front = one.front();
+        let config = front.config().unwrap();
+        config.version == version(later)
+    })
+    .await;
+    let front = let_in(&one, key).await;
+    assert_eq!(front.look(JobId(1)).await, expected);
+    // Handed in again by whoever may, it is the same job.
+    if expected.is_ok() {
+        submit(&front, 1).await.unwrap();
+        sleep(SECOND / 2).await;
+        assert_eq!(platform.starts(1), 4);
+    }
+}
+
+/// The store turns a machine away, and the operator takes a key away meanwhile.
+#[rstest]
+#[case::in_silence(Mode::Silent)]
+#[case::at_once(Mode::Refusing)]
+#[tokio::test]
+async fn a_node_that_the_store_leaves_alone_follows_the_configuration_by_word_of_the_owner(
+    #[case] mode: Mode,
+) {
+    let platform = Fake::new();
+    let one = node("one", &platform);
+    ready(&one).await;
+    let apart = platform.machine();
+    let two = node("two", &apart);
+    configure(&platform, "a=ka");
+    ready(&two).await;
+    let_in(&two, "ka").await;
+    apart.set_here(mode);
+    configure(&platform, "a=kb b=kc");
+    let revoked = Instant::now();
+    until(|| async { enter(&two, "ka").err() == Some(Refusal::Unauthorized) }).await;
+    let took = revoked.elapsed();
+    assert!(took < 3 * SECOND, "{took:?}");
+    assert!(enter(&two, "kb").is_ok());
+    // It goes on to know that there is nothing newer.
+    sleep(3 * SECOND).await;
+    assert_eq!(enter(&two, "ka").err(), Some(Refusal::Unauthorized));
+    assert!(enter(&two, "kb").is_ok());
+}
+
+/// Nobody can take a key away meanwhile, but a new one may have come just before.
+#[tokio::test]
+async fn while_the_store_is_away_for_all_the_keys_hold_that_are_known() {
+    let platform = Fake::new();
+    let (one, two) = (node("one", &platform), node("two", &platform));
+    configure(&platform, "a=ka");
+    ready(&one).await;
+    ready(&two).await;
+    let_in(&one, "ka").await;
+    let_in(&two, "ka").await;
+    platform.set(Mode::Silent);
+    sleep(4 * SECOND).await;
+    for node in [&one, &two] {
+        assert!(enter(node, "ka").is_ok());
+        assert_eq!(enter(node, "kb").err(), Some(Refusal::NotReady));
+    }
+}
+
+#[rstest]
+#[case::no_bound(None, 3_600_000, false)]
+#[case::in_time(Some(5_000), 4_400, false)]
+#[case::as_its_call_is_on_its_way(Some(5_000), 4_500, true)]
+#[case::late(Some(5_000), 60_000, true)]
+fn keys_are_refused_in_time_where_the_platform_bounds_that(
+    #[case] within_ms: Option<u64>,
+    #[case] age_ms: u64,
+    #[case] expected: bool,
+) {
+    let revocation = Revocation {
+        within: within_ms.map(Duration::from_millis),
+    };
+    assert_eq!(revocation.forbids(Duration::from_millis(age_ms)), expected);
+}
