A node whose call for advice brought no answer rests before it gets another

Cause: a node that is down refuses at once, so it was the first idle one whenever others were busy, and each step that drew it paused for 100 ms. Mend: it rests for 250 ms, doubled up to 1 s, until a call of it is answered. Two tests, both red without the rest.

--- a/crates/cell/src/advice.rs
+++ b/crates/cell/src/advice.rs
@@ -221,11 +221,31 @@
 /// So many times as many nodes are left to short calls, which come in bursts.
 const SHORT_TIMES: u32 = 2;
 
+/// How long a node gets no call after one that brought no answer, doubled with each that follows: a process that was
+/// stopped is back within some seconds.
+const REST: Duration = Duration::from_millis(250);
+/// The longest of these times.
+const MOST_REST: Duration = Duration::from_secs(1);
+
+/// A node whose calls bring no answer.
+#[derive(Clone, Copy, Debug)]
+struct Rest {
+    /// Before this it gets no call.
+    until: Timestamp,
+    /// How long it rested last.
+    span: Duration,
+}
+
 /// The nodes that ask; the service answers each one call at a time.
+///
+/// A node that is down fails its calls at once, so it would be idle whenever the others are busy, and draw in all of them:
+/// while machines were restarted in turn, half of all calls for advice failed so. It rests instead.
 #[derive(Clone, Debug, Default)]
 pub struct Desk {
     idle: BTreeSet<NodeName>,
     busy: BTreeMap<NodeName, Call>,
+    /// Nodes whose last call brought no answer; they rest, or try again.
+    failing: BTreeMap<NodeName, Rest>,
     /// How many of the calls are long.
     long: usize,
     /// For how long short calls have kept nodes busy within the span of late.
@@ -241,8 +261,14 @@
         let gone = self.busy.keys().filter(|node| !nodes.contains(*node));
         let gone: Vec<NodeName> = gone.cloned().collect();
         let lost = gone.iter().filter_map(|node| self.end(node)).collect();
+        self.failing.retain(|node, _| nodes.contains(node));
+        // Whoever rests is idle once its rest is over.
         let idle = nodes.into_iter();
-        self.idle = idle.filter(|node| !self.busy.contains_key(node)).collect();
+        let idle = idle.filter(|node| {
+            !self.busy.contains_key(node)
+                && (self.idle.contains(node) || !self.failing.contains_key(node))
+        });
+        self.idle = idle.collect();
         lost
     }
 
@@ -269,12 +295,23 @@
         self.busy.insert(node, call);
     }
 
-    /// Notes that a node has finished asking about a step; `None` where it was not.
-    pub fn finish(&mut self, node: &NodeName, step: StepId, now: Timestamp) -> Option<Call> {
+    /// Notes that a node has finished asking about a step, with an answer or without; `None` where it was not asking.
+    pub fn finish(
+        &mut self,
+        node: &NodeName,
+        step: StepId,
+        is_answered: bool,
+        now: Timestamp,
+    ) -> Option<Call> {
         if self.busy.get(node)?.step != step {
             return None;
         }
-        self.idle.insert(node.clone());
+        if is_answered {
+            self.failing.remove(node);
+            self.idle.insert(node.clone());
+        } else {
+            self.rest(node, now);
+        }
         let call = self.end(node)?;
         if !call.is_long {
             self.reckon(now.since(call.since), now);
@@ -282,6 +319,27 @@
         Some(call)
     }
 
+    fn rest(&mut self, node: &NodeName, now: Timestamp) {
+        let before = self.failing.get(node);
+        let span = before.map_or(REST, |rest| (rest.span * 2).min(MOST_REST));
+        let until = now + span;
+        self.failing.insert(node.clone(), Rest { until, span });
+    }
+
+    /// Lets nodes that have rested be asked again; returns whether there is one.
+    pub fn wake(&mut self, now: Timestamp) -> bool {
+        let failing = self.failing.iter();
+        let rested = failing.filter(|(_, rest)| rest.until <= now);
+        let rested: Vec<NodeName> = rested.map(|(node, _)| node.clone()).collect();
+        let mut is_news = false;
+        for node in rested {
+            if !self.busy.contains_key(&node) {
+                is_news |= self.idle.insert(node);
+            }
+        }
+        is_news
+    }
+
     /// Takes in how long a short call has kept its node busy.
     fn reckon(&mut self, took: Duration, now: Timestamp) {
         let passed = now.since(self.reckoned).as_secs_f64();
--- a/crates/cell/src/engine/ask.rs
+++ b/crates/cell/src/engine/ask.rs
@@ -322,7 +322,7 @@
         answer: Option<Vec<Advised>>,
         now: Timestamp,
     ) {
-        let Some(call) = self.desk.finish(node, id, now) else {
+        let Some(call) = self.desk.finish(node, id, answer.is_some(), now) else {
             return;
         };
         self.is_stirred = true;
--- a/crates/cell/src/engine/mod.rs
+++ b/crates/cell/src/engine/mod.rs
@@ -339,6 +339,7 @@
     /// Does what is due and hands out what has to be done; nothing of it may be dropped.
     pub fn advance(&mut self, now: Timestamp) -> Vec<Effect> {
         self.reports.weigh(now);
+        self.is_stirred |= self.desk.wake(now);
         self.open_due(now);
         self.expire_workers(now);
         self.expire_announced(now);
--- a/crates/cell/tests/cell/desk.rs
+++ b/crates/cell/tests/cell/desk.rs
@@ -51,7 +51,7 @@
             .collect();
         now = now + span;
         for node in nodes {
-            desk.finish(&node, STEP, now);
+            desk.finish(&node, STEP, true, now);
         }
     }
     now
@@ -76,3 +76,33 @@
     let is_left = begin(&mut desk, false, now).is_some();
     assert_eq!(is_left, nodes > 1, "a short call finds a node");
 }
+
+/// A process that is down fails its calls at once: it must not be the one that is idle whenever others are busy.
+#[test]
+fn a_node_whose_call_brought_no_answer_is_not_asked_again_at_once() {
+    let at = Timestamp::from_millis;
+    let mut desk = desk(2);
+    let names = [NodeName::from("n0"), NodeName::from("n1")];
+    let [first, second] = &names;
+    let ask_first = |desk: &mut Desk, is_answered, now| {
+        assert_eq!(begin(desk, false, now).as_ref(), Some(first));
+        desk.finish(first, STEP, is_answered, now);
+    };
+    ask_first(&mut desk, false, at(0));
+    assert_eq!(desk.idle(false), Some(second));
+    assert!(!desk.wake(at(249)));
+    // It is known to be there all the while.
+    desk.set_hands(&names);
+    assert_eq!(desk.idle(false), Some(second));
+    assert!(desk.wake(at(250)));
+    ask_first(&mut desk, false, at(250));
+    assert!(!desk.wake(at(749)));
+    assert!(desk.wake(at(750)));
+    for nth in 1..5 {
+        ask_first(&mut desk, false, at(nth * 1_000));
+        assert!(desk.wake(at(nth * 1_000 + 1_000)), "1 s at most");
+    }
+    ask_first(&mut desk, true, at(9_000));
+    ask_first(&mut desk, false, at(9_000));
+    assert!(desk.wake(at(9_250)), "an answer ends the row");
+}
--- a/crates/cell/tests/cell/wide.rs
+++ b/crates/cell/tests/cell/wide.rs
@@ -11,6 +11,7 @@
 use crate::world::{
     Faults,
     World,
+    quick_step,
     size, //
 };
 
@@ -50,6 +51,27 @@
     assert_eq!(world.violations, Vec::<String>::new());
 }
 
+/// Machines are restarted in turn, one in six at a time; callers of urgent jobs are served as if none were.
+#[test]
+fn nodes_that_are_down_hold_up_no_urgent_job() {
+    let nodes = ["a", "b", "c", "d", "e", "f"];
+    let mut world = World::sized(3, Faults::default(), 48, &nodes);
+    world.run(Duration::from_secs(1));
+    let mut jobs = Vec::new();
+    for tick in 0..100 {
+        if tick % 20 == 0 {
+            world.nodes_down = [nodes[tick / 20].into()].into();
+        }
+        jobs.push(world.submit("urgent", vec![quick_step()]));
+        world.run(Duration::from_millis(50));
+    }
+    // Tasks run for up to 3 s.
+    world.run(Duration::from_millis(3_100));
+    assert_eq!(world.completed(&jobs), jobs.len());
+    // Each that is down is tried again once a second at most, after the first times.
+    assert!(world.unadvised <= 20, "{} calls failed", world.unadvised);
+}
+
 /// How many gangs of one worker each come in a second: together they take a tenth more than the eight workers have.
 const NARROW: u32 = 6;
 
--- a/crates/cell/tests/cell/world/mod.rs
+++ b/crates/cell/tests/cell/world/mod.rs
@@ -144,6 +144,8 @@
     Kept(Box<Accepted>),
     Withdrawn(JobId),
     Advised(NodeName, StepId, Vec<WorkerId>),
+    /// A node that is down was asked.
+    Unadvised(NodeName, StepId),
     /// A task has crashed the worker that started it.
     Crash(WorkerId, TaskId),
     /// The worker at a place is back under another id.
@@ -165,6 +167,8 @@
     config: Config,
     /// The nodes that ask for advice.
     nodes: Vec<NodeName>,
+    /// Those of them that are down.
+    pub nodes_down: BTreeSet<NodeName>,
     accepted: Vec<Accepted>,
     /// Jobs whose acceptance was taken off the record.
     forgotten: BTreeSet<JobId>,
@@ -211,6 +215,8 @@
     pub turned_away: u32,
     /// How many calls for advice there were, with how many workers each.
     pub asked: Vec<usize>,
+    /// How many calls for advice nodes that are down were given.
+    pub unadvised: usize,
     /// The reasons to wait that were told, in their order.
     pub waits: Vec<(JobId, Wait)>,
     /// Since when workspaces have had which limits; the last are in force.
@@ -231,6 +237,8 @@
 
 /// How long a call takes one way.
 const WAY: Duration = Duration::from_micros(500);
+/// How long it takes to learn that nothing listens at a node.
+const REFUSED: Duration = Duration::from_millis(5);
 /// How long an append takes.
 const APPEND: Duration = Duration::from_millis(8);
 /// How long an order waits for its answer.
@@ -326,6 +334,7 @@
             epoch,
             config,
             nodes: nodes.iter().copied().map(NodeName::from).collect(),
+            nodes_down: BTreeSet::new(),
             accepted: Vec::new(),
             forgotten: BTreeSet::new(),
             cancelled: BTreeMap::new(),
@@ -352,6 +361,7 @@
             preempted: Vec::new(),
             turned_away: 0,
             asked: Vec::new(),
+            unadvised: 0,
             waits: Vec::new(),
             limits: Vec::new(),
         };
@@ -745,6 +755,15 @@
                 self.calls.insert((worker, asked));
                 self.later(WAY, Event::Hold(Box::new(order)));
             }
+            Effect::Advise {
+                node,
+                step,
+                workers,
+            } if self.nodes_down.contains(&node) => {
+                self.unadvised += 1;
+                self.later(REFUSED, Event::Unadvised(node, step));
+                drop(workers);
+            }
             Effect::Advise {
                 node,
                 step,
@@ -808,6 +827,7 @@
             Event::Held(worker, asked, answer) => self.end_call(&worker, asked, answer),
             Event::HoldTimeout(worker, asked) => self.end_call(&worker, asked, HoldAnswer::Silent),
             Event::Withdrawn(job) => self.engine.withdraw(job, self.now),
+            Event::Unadvised(node, step) => self.engine.advised(&node, step, None, self.now),
             Event::Recorded(entries) => {
                 for entry in entries {
                     let bytes = record::encode(&entry).expect("a record can be encoded");
