Room is taken only with tickets that outlast the record of the start

Seen: while the store took 0.37 s a record, 100 to 400 starts a second were decided, waited for their record and were then taken back since their tickets had run out (ticket-aged); their room stood empty meanwhile, and each asked again. Mend: a ticket is used, or asked for anew, by when the order can leave: the rest of the record on its way and one more, by the time that the last one took (0.5 s at most, so that fresh tickets stay usable).

--- a/crates/cell/src/engine/ask.rs
+++ b/crates/cell/src/engine/ask.rs
@@ -175,9 +175,10 @@
             }
             return;
         }
+        let leaves = self.leaves(now);
         let is_stale = |slot: &Slot| {
             let worker = self.workers.get(slot);
-            worker.is_none_or(|worker| stage.advice.ticket(*slot, worker, now).is_none())
+            worker.is_none_or(|worker| stage.advice.ticket(*slot, worker, leaves).is_none())
         };
         if !rooms.iter().any(|(slot, _)| is_stale(slot)) {
             return;
--- a/crates/cell/src/engine/keep.rs
+++ b/crates/cell/src/engine/keep.rs
@@ -42,6 +42,9 @@
 /// 4,100 of 6,950 priced calls of the store on a quiet day of 48 workers.
 const RECORD_GAP: Duration = Duration::from_millis(24);
 
+/// The longest time for a record that is reckoned with: a ticket must be usable for some time yet, however slow the store.
+const MOST_TOOK: Duration = Duration::from_millis(500);
+
 /// What waits for its record, and the record that is on its way; one at a time.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Ledger {
@@ -54,6 +57,8 @@
     flight: Option<Flight>,
     /// Before this no further record leaves.
     next: Timestamp,
+    /// How long the last record took.
+    took: Duration,
 }
 
 /// What one record covers.
@@ -102,6 +107,15 @@
         self.flight.is_none() && !is_empty
     }
 
+    /// Returns how long what is decided now waits until it is on record, by the time that the last one took: the record on
+    /// its way comes first.
+    fn wait(&self, now: Timestamp) -> Duration {
+        let whole = self.took.min(MOST_TOOK);
+        let flight = self.flight.as_ref();
+        let rest = flight.map(|flight| whole.saturating_sub(now.since(flight.since)));
+        rest.unwrap_or_default() + whole
+    }
+
     /// Returns when the next record may leave, where something waits for it.
     pub(super) fn due(&self) -> Option<Timestamp> {
         self.is_waiting().then_some(self.next)
@@ -113,6 +127,14 @@
 }
 
 impl Engine {
+    /// Returns when an order leaves that is decided now, about.
+    ///
+    /// A ticket has to be usable then. Where the store takes 0.4 s a record, steps that had waited for room took it with
+    /// tickets that ran out before their orders could leave, and took it again after another call for advice.
+    pub(super) fn leaves(&self, now: Timestamp) -> Timestamp {
+        now + self.ledger.wait(now)
+    }
+
     /// Writes what has changed, unless a record is on its way.
     ///
     /// What comes up meanwhile goes into the next one, so records are grouped by the store's pace.
@@ -190,7 +212,8 @@
         let Some(flight) = self.ledger.flight.take() else {
             return;
         };
-        self.reports.note_record(now.since(flight.since), now);
+        self.ledger.took = now.since(flight.since);
+        self.reports.note_record(self.ledger.took, now);
         self.send_starts(flight.starts, now);
         for snapshot in flight.jobs {
             self.apply(snapshot, now);
--- a/crates/cell/src/engine/place.rs
+++ b/crates/cell/src/engine/place.rs
@@ -89,8 +89,9 @@
             return false;
         }
         let stage = job.stage(demand.id);
+        let leaves = self.leaves(now);
         demand.queue.advice.is_none()
-            || stage.is_some_and(|stage| stage.advice.ticket(slot, worker, now).is_some())
+            || stage.is_some_and(|stage| stage.advice.ticket(slot, worker, leaves).is_some())
     }
 
     /// Returns how many more tasks of a step the rule against crowding allows on a worker.
--- a/crates/cell/src/engine/wait.rs
+++ b/crates/cell/src/engine/wait.rs
@@ -236,7 +236,9 @@
         };
         survey.named = stage.advice.named.len();
         let is_free = demand.queue.advice.is_none();
-        let has_ticket = |slot, worker| is_free || stage.advice.ticket(slot, worker, now).is_some();
+        let leaves = self.leaves(now);
+        let has_ticket =
+            |slot, worker| is_free || stage.advice.ticket(slot, worker, leaves).is_some();
         for (slot, worker) in self.candidates(demand, stage) {
             if !is_suited(demand.step, demand.queue, worker) {
                 continue;
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -17,6 +17,7 @@
 mod preempt;
 mod restart;
 mod shrink;
+mod slow;
 mod takeover;
 mod wait;
 mod wide;
--- a/crates/cell/tests/cell/world/mod.rs
+++ b/crates/cell/tests/cell/world/mod.rs
@@ -215,6 +215,8 @@
     pub turned_away: u32,
     /// How many calls for advice there were, with how many workers each.
     pub asked: Vec<usize>,
+    /// How many starts were taken back since their tickets had run out by the time that they were on record.
+    pub aged: usize,
     /// How many calls for advice nodes that are down were given.
     pub unadvised: usize,
     /// The reasons to wait that were told, in their order.
@@ -361,6 +363,7 @@
             preempted: Vec::new(),
             turned_away: 0,
             asked: Vec::new(),
+            aged: 0,
             unadvised: 0,
             waits: Vec::new(),
             limits: Vec::new(),
@@ -785,6 +788,9 @@
                 why: "preempted",
                 ..
             }) => self.preempted.push((self.now, task)),
+            Effect::Note(Note::NotStarted {
+                why: "ticket-aged", ..
+            }) => self.aged += 1,
             Effect::Note(Note::Crashed { task, verdict, .. }) => {
                 self.check_given_up(task, verdict == "given-up");
             }
