Jobs fall into 48 partitions instead of 16

Cause: a partition carries out one append at a time (3 ms, 0.28 s then) and refuses what would wait for 2 s; nodes fall into partitions by their names, up to five into one, and each has up to four copies of an append out while an answer is overdue. Mend: more partitions than nodes, over three topics. What a caller's question about an unknown job may cost stays at 160 calls a second.

It costs some 20 readings a second more.

--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -38,6 +38,7 @@
         Append,
         Condition,
         Error,
+        JOB_PARTITIONS,
         Platform,
         Record,
         Topic, //
@@ -45,9 +46,6 @@
     shared::Shared,
 };
 
-/// Into how many partitions jobs fall. Each node writes to one of them: a partition carries out one
-/// append at a time, in 3 ms and on slow days in 0.3 s, which nodes should not wait for one by one.
-pub(crate) const PARTITIONS: u16 = 16;
 /// How many records wait for one partition at most.
 const QUEUE: usize = 1_024;
 /// How many records go into one append at most; jobs have some kilobytes, calls take two megabytes.
@@ -113,7 +111,7 @@
 pub(crate) fn partition(node: &NodeName) -> u16 {
     let mut hasher = FxHasher::default();
     node.hash(&mut hasher);
-    u16::try_from(hasher.finish() % u64::from(PARTITIONS)).unwrap_or(0)
+    u16::try_from(hasher.finish() % u64::from(JOB_PARTITIONS)).unwrap_or(0)
 }
 
 impl Intake {
@@ -193,7 +191,7 @@
     if kept != Kept::No || shared.store.failing_for() >= ELSEWHERE {
         return kept;
     }
-    append_to(shared, (partition + 1) % PARTITIONS, records).await
+    append_to(shared, (partition + 1) % JOB_PARTITIONS, records).await
 }
 
 async fn append_to<P: Platform>(shared: &Shared<P>, partition: u16, records: Vec<Record>) -> Kept {
--- a/crates/node/src/owner/jobs.rs
+++ b/crates/node/src/owner/jobs.rs
@@ -31,12 +31,10 @@
         JobRecord,
         Key, //
     },
-    intake::{
-        self,
-        PARTITIONS, //
-    },
+    intake,
     port::{
         Error,
+        JOB_PARTITIONS,
         Platform,
         Record,
         Topic, //
@@ -66,7 +64,7 @@
 const WRITES_ON: Duration = Duration::from_secs(20);
 /// The least time between two readings of a partition that somebody asks about: with it, callers who ask for jobs that
 /// don't exist cost 160 calls of the store a second at most.
-const WANTED_GAP: Duration = Duration::from_millis(100);
+const WANTED_GAP: Duration = Duration::from_millis(300);
 /// A new owner begins to act only on what was on record so short a time ago. It waits for the slowest of 16
 /// partitions, 3.5 s where answers are lost, and what other nodes wrote meanwhile is missing from the other 15:
 /// a cancellation among it has to be in force within 3 s, and jobs wait until they are read on, up to 2 s later.
@@ -172,7 +170,7 @@
 
 /// Reads all partitions, and again those that were read long ago: what was on record a moment ago is known then.
 pub(super) async fn read_all<P: Platform>(shared: &Shared<P>) -> (Vec<Partition>, Vec<JobRecord>) {
-    let opened = join_all((0..PARTITIONS).map(|number| Partition::open(shared, number))).await;
+    let opened = join_all((0..JOB_PARTITIONS).map(|number| Partition::open(shared, number))).await;
     let (mut partitions, found): (Vec<Partition>, Vec<Vec<JobRecord>>) = opened.into_iter().unzip();
     let mut found: Vec<JobRecord> = found.into_iter().flatten().collect();
     for _ in 0..MOST_ROUNDS {
--- a/crates/node/tests/node/record.rs
+++ b/crates/node/tests/node/record.rs
@@ -18,7 +18,10 @@
 };
 use fulmarpier_node::{
     front::Refusal,
-    port::Topic, //
+    port::{
+        JOB_PARTITIONS,
+        Topic, //
+    },
 };
 use rstest::rstest;
 use tokio::time::{
@@ -126,7 +129,7 @@
     one.leave();
     one.disowned(SECOND).await;
     one.stop(SECOND).await;
-    for partition in 0..16 {
+    for partition in 0..JOB_PARTITIONS {
         platform.hold_back(Topic::Jobs(partition), 2 * SECOND);
     }
     let again = node("one", &platform);
@@ -145,12 +148,12 @@
     ready(&one).await;
     submit_spec(&one, 1, job(vec![step()], None)).await.unwrap();
     let key = JobId(1).to_string();
-    let own = (0..16).find(|p| platform.newest_job(*p, &key).is_some());
+    let own = (0..JOB_PARTITIONS).find(|p| platform.newest_job(*p, &key).is_some());
     let own = own.unwrap();
     platform.refuse(own);
     submit_spec(&one, 2, job(vec![step()], None)).await.unwrap();
     let key = JobId(2).to_string();
-    let next = (own + 1) % 16;
+    let next = (own + 1) % JOB_PARTITIONS;
     assert!(platform.newest_job(next, &key).is_some());
     sleep(15 * SECOND).await;
     assert_eq!(one.front().look(JobId(2)).await, Ok(State::Completed));
--- a/crates/node/tests/node/service.rs
+++ b/crates/node/tests/node/service.rs
@@ -11,7 +11,8 @@
     record::Accepted,
 };
 use fulmarpier_node::{
-    front::Refusal, //
+    front::Refusal,
+    port::JOB_PARTITIONS, //
 };
 use fulmarpier_state::{
     clock::Timestamp,
@@ -120,7 +121,7 @@
     let platform = Fake::new();
     let one = node("one", &platform);
     ready(&one).await;
-    for partition in (0..16).step_by(2) {
+    for partition in (0..JOB_PARTITIONS).step_by(2) {
         platform.refuse(partition);
     }
     // Whichever partition is whose, one of two neighbours takes the record.
@@ -228,7 +229,7 @@
     let (one, two) = (node("one", &platform), node("two", &platform));
     ready(&one).await;
     ready(&two).await;
-    for partition in 0..16 {
+    for partition in 0..JOB_PARTITIONS {
         let accepted = Accepted {
             job: JobId(100 + u64::from(partition)),
             queue: queue().into(),
@@ -239,9 +240,10 @@
         };
         platform.accept(partition, &accepted);
     }
-    for partition in 0..16 {
-        completed(&two, 100 + partition).await;
-        assert_eq!(platform.starts(100 + partition), 4);
+    for partition in 0..JOB_PARTITIONS {
+        let job = 100 + u64::from(partition);
+        completed(&two, job).await;
+        assert_eq!(platform.starts(job), 4);
     }
 }
 
@@ -254,18 +256,18 @@
     let queue = QueueName::from("q");
     let mut unplaceable = two_steps();
     unplaceable.steps[0].size = Resources::new(Millicores::from_cores(64), Bytes::from_gib(1), 0);
-    for job in 0..16 {
+    for job in 0..u64::from(JOB_PARTITIONS) {
         let deadline = Instant::now() + 3 * SECOND;
         let front = one.front();
         let taken = front.submit(&queue, JobId(100 + job), unplaceable.clone(), deadline);
         taken.await.unwrap();
     }
     tokio::time::sleep(SECOND).await;
-    for partition in 0..16 {
+    for partition in 0..JOB_PARTITIONS {
         platform.cancel(partition, 100 + u64::from(partition));
     }
     tokio::time::sleep(3 * SECOND).await;
-    for job in 100..116 {
+    for job in 100..100 + u64::from(JOB_PARTITIONS) {
         assert_eq!(one.front().look(JobId(job)).await, Ok(State::Cancelled));
     }
 }
