--- a/crates/cell/tests/cell/limit.rs
+++ b/crates/cell/tests/cell/limit.rs
@@ -322,6 +322,39 @@
     assert_eq!(world.engine.pending_for(&batch, Some(&name("calm"))), 0);
 }
 
+/// One workspace sends half as much again as the whole fleet bears, beside two that send what they usually do: these are
+/// served as if it weren't there, and it gets all of its limit.
+#[test]
+fn a_hot_workspace_takes_nothing_from_the_others() {
+    let nodes = ["a", "b", "c", "d", "e", "f"];
+    let mut world = World::sized(1, Faults::default(), 48, &nodes);
+    world.set_limits(&[("hot", 84), ("calm", 192), ("small", 48)]);
+    world.run(SECOND);
+    let mut others = Vec::new();
+    let mut hot = Vec::new();
+    let mut used = Vec::new();
+    // The fleet bears some 12 tasks in each tenth of a second.
+    for tick in 0..100 {
+        hot.extend((0..9).map(|_| world.submit_for("hot", "batch", vec![step(2)])));
+        others.push(world.submit_for("calm", "urgent", vec![step(2)]));
+        others.push(world.submit_for("calm", "batch", vec![step(2)]));
+        if tick % 4 == 0 {
+            others.push(world.submit_for("small", "urgent", vec![step(2)]));
+            others.push(world.submit_for("small", "gang", vec![gang(2)]));
+        }
+        world.run(SECOND / 10);
+        used.push(world.running(&name("hot")).cpu.get() / TASK.cpu.get());
+    }
+    // Two tasks that run for up to 3 s, one after the other at the worst.
+    world.run(6 * SECOND);
+    assert_eq!(world.violations, Vec::<String>::new());
+    assert_eq!(world.completed(&others), others.len());
+    let steady = &used[40..];
+    let mean = steady.iter().sum::<u32>() as usize / steady.len();
+    assert!(mean >= 75, "the hot one has {mean} tasks running of 84");
+    assert!(world.completed(&hot) > 150);
+}
+
 /// Plays a history of two workspaces, one of which is kept to a limit that is lowered and raised.
 fn play(seed: u64, faults: Faults) -> Vec<String> {
     let mut world = World::new(seed, faults);
--- a/crates/cell/tests/cell/world/limit.rs
+++ b/crates/cell/tests/cell/world/limit.rs
@@ -47,21 +47,15 @@
 
     /// Returns the workspace that a job belongs to.
     pub(super) fn workspace_of(&self, job: JobId) -> Option<WorkspaceName> {
-        let mut accepted = self.accepted.iter();
-        let accepted = accepted.find(|accepted| accepted.job == job)?;
-        accepted.workspace_name().cloned()
+        self.holders.get(&job).map(|(name, _)| name.clone())
     }
 
     /// Returns what a workspace has running.
     pub(crate) fn running(&self, name: &WorkspaceName) -> Resources {
-        let jobs = self.accepted.iter();
-        let own = jobs.filter(|accepted| accepted.workspace_name() == Some(name));
-        let own: BTreeMap<JobId, &Accepted> =
-            own.map(|accepted| (accepted.job, accepted)).collect();
         let tasks = self.workers.values().flat_map(Worker::tasks);
         let sizes = tasks.filter_map(|task| {
-            let job = own.get(&task.step.job)?;
-            Some(job.spec.steps[usize::from(task.step.step)].size)
+            let (holder, spec) = self.holders.get(&task.step.job)?;
+            (holder == name).then(|| spec.steps[usize::from(task.step.step)].size)
         });
         sizes.fold(Resources::ZERO, |sum, size| {
             sum.checked_add(size).expect("what runs can be counted")
--- a/crates/cell/tests/cell/world/mod.rs
+++ b/crates/cell/tests/cell/world/mod.rs
@@ -221,6 +221,8 @@
     pub unadvised: usize,
     /// The reasons to wait that were told, in their order.
     pub waits: Vec<(JobId, Wait)>,
+    /// The jobs of workspaces, with what they run.
+    holders: BTreeMap<JobId, (WorkspaceName, Arc<Spec>)>,
     /// Since when workspaces have had which limits; the last are in force.
     limits: Vec<(Timestamp, BTreeMap<WorkspaceName, Resources>)>,
 }
@@ -366,6 +368,7 @@
             aged: 0,
             unadvised: 0,
             waits: Vec::new(),
+            holders: BTreeMap::new(),
             limits: Vec::new(),
         };
         for place in 0..workers {
@@ -485,6 +488,10 @@
 
     /// Keeps a job's acceptance and tells the owner.
     pub(crate) fn keep(&mut self, accepted: Accepted) {
+        if let Some(name) = accepted.workspace_name() {
+            let holder = (name.clone(), accepted.spec.clone());
+            self.holders.insert(accepted.job, holder);
+        }
         self.accepted.push(accepted.clone());
         self.engine.submit(accepted, self.now);
     }
