Only large cells spread their jobs over all partitions

The owner's claim says now how far jobs are spread: all partitions once it knows more than 16 nodes, the first 16 again 30 s after it knows fewer, and it goes on reading the others for 30 s more. What a question about an unknown job costs stays at 160 calls a second. An id of which something is done stays that workspace's over a takeover.

--- a/crates/cell/src/engine/mod.rs
+++ b/crates/cell/src/engine/mod.rs
@@ -286,8 +286,7 @@
         }
         let mut progress: HashMap<JobId, Progress> = inheritance.progress.into_iter().collect();
         for accepted in inheritance.accepted {
-            let progress = progress.remove(&accepted.job).unwrap_or_default();
-            engine.inherit(accepted, &progress, now);
+            engine.inherit(accepted, &mut progress, now);
         }
         let over = progress.into_iter();
         let over = over.filter_map(|(job, progress)| {
--- a/crates/cell/src/engine/submit.rs
+++ b/crates/cell/src/engine/submit.rs
@@ -1,6 +1,9 @@
 //! Jobs and cancellations that come in, and steps whose turn comes.
 
-use fulmarpier_state::clock::Timestamp;
+use fulmarpier_state::{
+    alias::HashMap,
+    clock::Timestamp, //
+};
 
 use super::{
     Engine,
@@ -49,16 +52,25 @@
     /// Takes a job that a former owner may have begun.
     ///
     /// A job that was handed in at two nodes is on record twice; it is one job. The id of one workspace's job is no other
-    /// one's: whose was known first has it.
-    pub(super) fn inherit(&mut self, accepted: Accepted, progress: &Progress, now: Timestamp) {
-        if let Some(known) = self.jobs.get(&accepted.job) {
-            if known.workspace() != accepted.workspace_name() {
-                self.turn_down(&accepted);
+    /// one's: whose has come some way has it, else whose is known first.
+    pub(super) fn inherit(
+        &mut self,
+        accepted: Accepted,
+        progress: &mut HashMap<JobId, Progress>,
+        now: Timestamp,
+    ) {
+        let id = accepted.job;
+        let known = self.jobs.get(&id).map(Job::workspace);
+        let come = progress.get(&id).map(|come| come.workspace.as_ref());
+        match known.or(come) {
+            Some(holder) if holder != accepted.workspace_name() => self.turn_down(&accepted),
+            _ if known.is_some() => {}
+            _ => {
+                let progress = progress.remove(&id).unwrap_or_default();
+                self.inherit_crashes(id, &progress);
+                self.insert(Job::new(accepted, &progress), now);
             }
-            return;
         }
-        self.inherit_crashes(accepted.job, progress);
-        self.insert(Job::new(accepted, progress), now);
     }
 
     pub(super) fn insert(&mut self, mut job: Job, now: Timestamp) {
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -17,5 +17,6 @@
 pub mod id;
 pub mod job;
 pub mod record;
+pub mod spread;
 pub mod worker;
 pub mod workspace;
--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -26,6 +26,7 @@
         WorkerId, //
     },
     job::Spec,
+    spread::Spread,
     workspace::{
         Workspace,
         WorkspaceName, //
@@ -242,6 +243,8 @@
     pub released: bool,
     /// How strong the owner is among the nodes.
     pub strength: Millicores,
+    /// Over how many partitions the nodes spread jobs.
+    pub spread: Spread,
 }
 
 /// Encodes a record.
--- a/crates/cell/tests/cell/limit.rs
+++ b/crates/cell/tests/cell/limit.rs
@@ -305,6 +305,30 @@
     assert_eq!(world.starts, 2);
 }
 
+/// A new owner finds both on record, that which never ran first; what was done is the other one's.
+#[test]
+fn an_id_stays_the_job_of_which_something_is_done_over_a_takeover() {
+    let mut world = world(&[("hot", 4), ("calm", 32)]);
+    let mut late = world.hand_in_for("calm", "batch", vec![step(4)]);
+    let then = Step {
+        after: vec![0],
+        ..step(2)
+    };
+    let first = world.hand_in_for("hot", "batch", vec![step(2), then]);
+    late.job = first.job;
+    world.keep(first.clone());
+    while world.starts < 4 {
+        world.run(SECOND / 10);
+    }
+    world.accepted.insert(0, late);
+    world.take_over();
+    world.run(8 * SECOND);
+    let state = |viewer: &str| world.engine.state_for(first.job, Some(&name(viewer)));
+    assert_eq!(state("hot"), Some(State::Completed));
+    assert_eq!(state("calm"), None);
+    assert_eq!(world.starts, 4);
+}
+
 #[test]
 fn a_count_tells_only_of_the_jobs_of_ones_own_workspace() {
     let mut world = world(&[("hot", 1), ("calm", 1)]);
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -18,6 +18,7 @@
 mod restart;
 mod shrink;
 mod slow;
+mod spread;
 mod takeover;
 mod wait;
 mod wide;
--- a/crates/cell/tests/cell/world/mod.rs
+++ b/crates/cell/tests/cell/world/mod.rs
@@ -169,7 +169,8 @@
     nodes: Vec<NodeName>,
     /// Those of them that are down.
     pub nodes_down: BTreeSet<NodeName>,
-    accepted: Vec<Accepted>,
+    /// The acceptances that were kept, in their order.
+    pub accepted: Vec<Accepted>,
     /// Jobs whose acceptance was taken off the record.
     forgotten: BTreeSet<JobId>,
     /// When each job was cancelled, and how that stands on record.
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -270,7 +270,7 @@
             queue: queue.clone(),
             spec: Arc::new(spec),
             received: self.shared.clock.now(),
-            partition: intake::partition(&self.shared.name),
+            partition: intake::partition(&self.shared.name, self.shared.spread()),
         };
         let Ok(value) = record::encode(&accepted) else {
             return Err(Refusal::NotKept);
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -19,7 +19,10 @@
     time::Duration,
 };
 
-use fulmarpier_cell::id::NodeName;
+use fulmarpier_cell::{
+    id::NodeName,
+    spread::Spread, //
+};
 use fulmarpier_state::alias::FxHasher;
 use tokio::{
     sync::{
@@ -38,6 +41,7 @@
         Append,
         Condition,
         Error,
+        FIRST_PARTITIONS,
         JOB_PARTITIONS,
         Platform,
         Record,
@@ -108,17 +112,21 @@
 /// Returns the partition that a node writes to.
 ///
 /// A job that is handed in twice may stand in two of them; it is one job by its id all the same.
-pub(crate) fn partition(node: &NodeName) -> u16 {
+pub(crate) fn partition(node: &NodeName, spread: Spread) -> u16 {
+    let count = match spread.is_wide() {
+        true => JOB_PARTITIONS,
+        false => FIRST_PARTITIONS,
+    };
     let mut hasher = FxHasher::default();
     node.hash(&mut hasher);
-    u16::try_from(hasher.finish() % u64::from(JOB_PARTITIONS)).unwrap_or(0)
+    u16::try_from(hasher.finish() % u64::from(count)).unwrap_or(0)
 }
 
 impl Intake {
     /// Starts the task that appends.
     pub(crate) fn start<P: Platform>(shared: &Arc<Shared<P>>) -> Self {
         let (entries, queue) = mpsc::channel(QUEUE);
-        tokio::spawn(run(shared.clone(), partition(&shared.name), queue));
+        tokio::spawn(run(shared.clone(), queue));
         Self { entries }
     }
 
@@ -162,11 +170,7 @@
     }
 }
 
-async fn run<P: Platform>(
-    shared: Arc<Shared<P>>,
-    partition: u16,
-    mut queue: mpsc::Receiver<Entry>,
-) {
+async fn run<P: Platform>(shared: Arc<Shared<P>>, mut queue: mpsc::Receiver<Entry>) {
     let mut group = Vec::new();
     while queue.recv_many(&mut group, MOST_GROUPED).await > 0 {
         group.retain(|entry: &Entry| send(&entry.place));
@@ -174,6 +178,7 @@
             continue;
         }
         let records = group.iter().map(|entry| entry.record.clone()).collect();
+        let partition = partition(&shared.name, shared.spread());
         let kept = append(&shared, partition, records).await;
         for entry in group.drain(..) {
             // The caller may have stopped waiting.
@@ -191,7 +196,11 @@
     if kept != Kept::No || shared.store.failing_for() >= ELSEWHERE {
         return kept;
     }
-    append_to(shared, (partition + 1) % JOB_PARTITIONS, records).await
+    let count = match partition < FIRST_PARTITIONS {
+        true => FIRST_PARTITIONS,
+        false => JOB_PARTITIONS,
+    };
+    append_to(shared, (partition + 1) % count, records).await
 }
 
 async fn append_to<P: Platform>(shared: &Shared<P>, partition: u16, records: Vec<Record>) -> Kept {
--- a/crates/node/src/member/follow.rs
+++ b/crates/node/src/member/follow.rs
@@ -180,7 +180,10 @@
     }
     let hello = Question::Hello(shared.greeting());
     match message::ask(&shared.rpc, claim.address, &hello, HELLO_PATIENCE).await {
-        Ok(Reply::Owner(newer)) if newer.epoch == claim.epoch => Belief::Well(newer.renewal),
+        Ok(Reply::Owner(newer)) if newer.epoch == claim.epoch => {
+            shared.note_spread(&newer);
+            Belief::Well(newer.renewal)
+        }
         Ok(Reply::Owner(newer)) if newer.epoch > claim.epoch => Belief::Replaced(newer),
         Ok(Reply::NotOwner {
             claim: known,
@@ -234,6 +237,11 @@
         renewal: 0,
         released: false,
         strength: shared.strength,
+        spread: seen
+            .claim
+            .as_ref()
+            .map(|claim| claim.spread)
+            .unwrap_or_default(),
     };
     let result = append(shared, &claim, seen.end).await;
     let outcome = result.as_ref().err().map_or("won", Error::word);
--- a/crates/node/src/member/own.rs
+++ b/crates/node/src/member/own.rs
@@ -181,6 +181,7 @@
         renewal: 0,
         released: false,
         strength: next.strength,
+        spread: claim.spread,
     };
     // The claim may be on record without an answer: this node must not go on for longer than without the store.
     let patience = ALONE.min(RENEWAL_PATIENCE + STORE_TIMES * shared.store.usual());
@@ -293,10 +294,12 @@
             }
         }
         claim.renewal = claim.renewal.wrapping_add(1);
+        claim.spread = claim.spread.renew(shared.peers.lock().await.len() + 1);
         match timeout(patience, append(shared, claim, *end)).await {
             Ok(Ok(newer)) => {
                 *end = newer;
-                tell_renewal(shared, claim.renewal);
+                shared.note_spread(claim);
+                tell_renewal(shared, claim);
             }
             Ok(Err(_)) | Err(_) => is_certain = false,
         }
@@ -304,10 +307,11 @@
 }
 
 /// Lets other nodes hear how often the claim was renewed.
-fn tell_renewal<P: Platform>(shared: &Shared<P>, renewal: u32) {
+fn tell_renewal<P: Platform>(shared: &Shared<P>, claim: &Claim) {
     shared.acting.send_if_modified(|acting| {
         if let Some(acting) = acting {
-            acting.claim.renewal = renewal;
+            acting.claim.renewal = claim.renewal;
+            acting.claim.spread = claim.spread;
         }
         // Nobody waits for this change.
         false
--- a/crates/node/src/owner/jobs.rs
+++ b/crates/node/src/owner/jobs.rs
@@ -11,7 +11,10 @@
     time::Duration, //
 };
 
-use fulmarpier_cell::id::NodeName;
+use fulmarpier_cell::{
+    id::NodeName,
+    spread::Spread, //
+};
 use futures::future::join_all;
 use kameo::actor::WeakActorRef;
 use tokio::time::{
@@ -34,6 +37,7 @@
     intake,
     port::{
         Error,
+        FIRST_PARTITIONS,
         JOB_PARTITIONS,
         Platform,
         Record,
@@ -62,9 +66,10 @@
 const JOBS_UNKNOWN: Duration = Duration::from_millis(1_500);
 /// For this long a node that is gone may go on writing: cuts last some seconds.
 const WRITES_ON: Duration = Duration::from_secs(20);
-/// The least time between two readings of a partition that somebody asks about: with it, callers who ask for jobs that
-/// don't exist cost 160 calls of the store a second at most.
-const WANTED_GAP: Duration = Duration::from_millis(300);
+/// The least time between two readings of a partition that somebody asks about, in a small cell and in a large one: with it,
+/// callers who ask for jobs that don't exist cost 160 calls of the store a second at most.
+const WANTED_GAP: Duration = Duration::from_millis(100);
+const WANTED_GAP_WIDE: Duration = Duration::from_millis(300);
 /// A new owner begins to act only on what was on record so short a time ago. It waits for the slowest of 16
 /// partitions, 3.5 s where answers are lost, and what other nodes wrote meanwhile is missing from the other 15:
 /// a cancellation among it has to be in force within 3 s, and jobs wait until they are read on, up to 2 s later.
@@ -200,9 +205,23 @@
     control: WeakActorRef<Control<P>>,
 ) {
     loop {
-        sleep_until(partition.asked + WANTED_GAP).await;
+        let may_be_wide = shared.spread().may_be_wide();
+        let gap = if may_be_wide {
+            WANTED_GAP_WIDE
+        } else {
+            WANTED_GAP
+        };
+        sleep_until(partition.asked + gap).await;
         let wanted = view.wants_more(partition.number);
         let is_wanted = timeout(JOBS_LOOK, wanted).await.is_ok();
+        if partition.number >= FIRST_PARTITIONS && !may_be_wide {
+            // No node writes there.
+            view.note(partition.number, Instant::now());
+            if control.upgrade().is_none() {
+                return;
+            }
+            continue;
+        }
         let is_due = partition.asked.elapsed() >= writers.period(partition.number);
         if !is_wanted && !is_due {
             if control.upgrade().is_none() {
@@ -269,7 +288,11 @@
     /// Returns how often a partition is read.
     fn period(&self, partition: u16) -> Duration {
         let nodes = self.seen();
-        let of = |node: &NodeName| intake::partition(node) == partition;
+        // It may not have heard yet how far jobs are spread.
+        let of = |node: &NodeName| {
+            let mut spreads = [Spread::default(), Spread::default().renew(usize::MAX)].into_iter();
+            spreads.any(|spread| intake::partition(node, spread) == partition)
+        };
         let mut writers = nodes.iter().filter(|(node, _)| of(node)).peekable();
         if writers.peek().is_none() {
             return JOBS_UNKNOWN;
--- a/crates/node/src/port.rs
+++ b/crates/node/src/port.rs
@@ -39,6 +39,8 @@
 /// Into how many partitions jobs fall. Each node writes to one of them. A partition carries out one append at a time, in 3 ms
 /// and on slow days in 0.3 s, which nodes should not wait for one by one; it refuses what would wait for 2 s.
 pub const JOB_PARTITIONS: u16 = 48;
+/// Into how many of them the jobs of a small cell fall.
+pub const FIRST_PARTITIONS: u16 = 16;
 
 /// What the store keeps, each with the newest record of every key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -17,7 +17,8 @@
     bounds::Bounds,
     config::Config,
     id::NodeName,
-    record::Claim, //
+    record::Claim,
+    spread::Spread, //
 };
 use fulmarpier_state::{
     alias::HashMap,
@@ -259,6 +260,24 @@
         self.claim.send_replace(Some(claim));
     }
 
+    /// Notes how far jobs are spread by the newest renewal of the claim that is known here.
+    pub(crate) fn note_spread(&self, renewed: &Claim) {
+        self.claim.send_if_modified(|claim| {
+            let known = claim.as_mut().filter(|claim| claim.epoch == renewed.epoch);
+            if let Some(known) = known {
+                known.spread = renewed.spread;
+            }
+            // Nobody waits for this change.
+            false
+        });
+    }
+
+    /// Returns how far jobs are spread, as far as is known here.
+    pub(crate) fn spread(&self) -> Spread {
+        let claim = self.claim.borrow();
+        claim.as_ref().map(|claim| claim.spread).unwrap_or_default()
+    }
+
     /// Returns the strength of the strongest owner that was known here.
     pub(crate) fn strongest(&self) -> Millicores {
         Millicores(self.strongest.load(Ordering::Relaxed))
--- a/crates/node/tests/node/foreign.rs
+++ b/crates/node/tests/node/foreign.rs
@@ -9,7 +9,7 @@
 use fulmarpier_node::{
     Meter,
     port::{
-        JOB_PARTITIONS,
+        FIRST_PARTITIONS,
         Topic, //
     },
 };
@@ -133,7 +133,7 @@
         for key in [job.as_str(), "w/w0", "another"] {
             platform.write(Topic::Progress, key, value);
         }
-        for partition in 0..JOB_PARTITIONS {
+        for partition in 0..FIRST_PARTITIONS {
             for key in [job.as_str(), cancelled.as_str(), "another", "another/x"] {
                 platform.write(Topic::Jobs(partition), key, value);
             }
@@ -205,7 +205,7 @@
     sleep(SECOND).await;
     submit(&one, 1).await.unwrap();
     let key = format!("{}/x", JobId(1));
-    for partition in 0..JOB_PARTITIONS {
+    for partition in 0..FIRST_PARTITIONS {
         platform.write(Topic::Jobs(partition), &key, b"cancel");
     }
     sleep(3 * SECOND).await;
--- a/crates/node/tests/node/record.rs
+++ b/crates/node/tests/node/record.rs
@@ -15,11 +15,12 @@
     },
     job::Schedule,
     record::Claim,
+    spread::Spread,
 };
 use fulmarpier_node::{
     front::Refusal,
     port::{
-        JOB_PARTITIONS,
+        FIRST_PARTITIONS,
         Topic, //
     },
 };
@@ -129,7 +130,7 @@
     one.leave();
     one.disowned(SECOND).await;
     one.stop(SECOND).await;
-    for partition in 0..JOB_PARTITIONS {
+    for partition in 0..FIRST_PARTITIONS {
         platform.hold_back(Topic::Jobs(partition), 2 * SECOND);
     }
     let again = node("one", &platform);
@@ -148,12 +149,12 @@
     ready(&one).await;
     submit_spec(&one, 1, job(vec![step()], None)).await.unwrap();
     let key = JobId(1).to_string();
-    let own = (0..JOB_PARTITIONS).find(|p| platform.newest_job(*p, &key).is_some());
+    let own = (0..FIRST_PARTITIONS).find(|p| platform.newest_job(*p, &key).is_some());
     let own = own.unwrap();
     platform.refuse(own);
     submit_spec(&one, 2, job(vec![step()], None)).await.unwrap();
     let key = JobId(2).to_string();
-    let next = (own + 1) % JOB_PARTITIONS;
+    let next = (own + 1) % FIRST_PARTITIONS;
     assert!(platform.newest_job(next, &key).is_some());
     sleep(15 * SECOND).await;
     assert_eq!(one.front().look(JobId(2)).await, Ok(State::Completed));
@@ -210,6 +211,7 @@
     until(|| async { one.greeted_by().await == 1 }).await;
     let newest = platform.claims().pop().unwrap();
     platform.claim(&Claim {
+        spread: Spread::default(),
         epoch: newest.epoch.next(),
         node: NodeName::from("another"),
         renewal: 0,
--- a/crates/node/tests/node/service.rs
+++ b/crates/node/tests/node/service.rs
@@ -1,18 +1,30 @@
 //! Jobs that nodes take, show, cancel and run, through takeovers and a store in trouble.
 
-use std::time::Duration;
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
 
 use fulmarpier_cell::{
     engine::State,
     id::{
+        Epoch,
         JobId,
+        NodeName,
         QueueName, //
     },
-    record::Accepted,
+    record::{
+        Accepted,
+        Claim, //
+    },
+    spread::Spread,
 };
 use fulmarpier_node::{
     front::Refusal,
-    port::JOB_PARTITIONS, //
+    port::{
+        FIRST_PARTITIONS,
+        JOB_PARTITIONS, //
+    },
 };
 use fulmarpier_state::{
     clock::Timestamp,
@@ -31,6 +43,7 @@
     },
     support::{
         SECOND,
+        accepted,
         completed,
         node,
         node_with,
@@ -121,7 +134,7 @@
     let platform = Fake::new();
     let one = node("one", &platform);
     ready(&one).await;
-    for partition in (0..JOB_PARTITIONS).step_by(2) {
+    for partition in (0..FIRST_PARTITIONS).step_by(2) {
         platform.refuse(partition);
     }
     // Whichever partition is whose, one of two neighbours takes the record.
@@ -229,7 +242,7 @@
     let (one, two) = (node("one", &platform), node("two", &platform));
     ready(&one).await;
     ready(&two).await;
-    for partition in 0..JOB_PARTITIONS {
+    for partition in 0..FIRST_PARTITIONS {
         let accepted = Accepted {
             job: JobId(100 + u64::from(partition)),
             queue: queue().into(),
@@ -240,13 +253,36 @@
         };
         platform.accept(partition, &accepted);
     }
-    for partition in 0..JOB_PARTITIONS {
+    for partition in 0..FIRST_PARTITIONS {
         let job = 100 + u64::from(partition);
         completed(&two, job).await;
         assert_eq!(platform.starts(job), 4);
     }
 }
 
+/// The owner before this one knew more nodes than a small cell has; one that writes to the last partition may be cut off from
+/// the next owner.
+#[tokio::test]
+async fn jobs_run_from_all_partitions_where_the_cell_was_large() {
+    let platform = Fake::new();
+    platform.claim(&Claim {
+        epoch: Epoch(1),
+        node: NodeName::from("gone"),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        incarnation: 1,
+        renewal: 5,
+        released: true,
+        strength: Millicores(500),
+        spread: Spread::default().renew(38),
+    });
+    let one = node("one", &platform);
+    ready(&one).await;
+    let partition = JOB_PARTITIONS - 1;
+    platform.accept(partition, &accepted(100, two_steps(), partition));
+    completed(&one, 100).await;
+    assert_eq!(platform.starts(100), 4);
+}
+
 /// A cancellation that was told to an owner which was being replaced: it is on record, and nobody tells again.
 #[tokio::test(start_paused = true)]
 async fn a_cancellation_that_nobody_has_told_the_owner_of_is_in_force_within_three_seconds() {
@@ -256,18 +292,18 @@
     let queue = QueueName::from("q");
     let mut unplaceable = two_steps();
     unplaceable.steps[0].size = Resources::new(Millicores::from_cores(64), Bytes::from_gib(1), 0);
-    for job in 0..u64::from(JOB_PARTITIONS) {
+    for job in 0..u64::from(FIRST_PARTITIONS) {
         let deadline = Instant::now() + 3 * SECOND;
         let front = one.front();
         let taken = front.submit(&queue, JobId(100 + job), unplaceable.clone(), deadline);
         taken.await.unwrap();
     }
     tokio::time::sleep(SECOND).await;
-    for partition in 0..JOB_PARTITIONS {
+    for partition in 0..FIRST_PARTITIONS {
         platform.cancel(partition, 100 + u64::from(partition));
     }
     tokio::time::sleep(3 * SECOND).await;
-    for job in 100..100 + u64::from(JOB_PARTITIONS) {
+    for job in 100..100 + u64::from(FIRST_PARTITIONS) {
         assert_eq!(one.front().look(JobId(job)).await, Ok(State::Cancelled));
     }
 }
