--- a/crates/cell/tests/cell/history.rs
+++ b/crates/cell/tests/cell/history.rs
@@ -84,7 +84,7 @@
 }
 
 /// Everything that can go wrong, together.
-const ALL: Faults = Faults {
+pub(crate) const ALL: Faults = Faults {
     lost_orders: 60,
     lost_holds: 30,
     crashes: 10,
--- a/crates/cell/tests/cell/limit.rs
+++ b/crates/cell/tests/cell/limit.rs
@@ -27,6 +27,7 @@
 
 use crate::{
     cases::config,
+    history,
     world::{
         Faults,
         World,
@@ -411,22 +412,11 @@
     world.violations
 }
 
-/// Everything that can go wrong, together.
+/// Everything that can go wrong, together, with entries of other writers and workers that are replaced.
 const ALL: Faults = Faults {
-    lost_orders: 60,
-    lost_holds: 30,
-    crashes: 10,
-    cuts: 30,
-    takeovers: 120,
-    failures: 80,
-    outages: 60,
-    cancels: 100,
-    announced: 300,
     foreign: 30,
     releases: 30,
-    crashers: 0,
-    shrinks: 0,
-    restarts: 0,
+    ..history::ALL
 };
 
 #[test]
