Evacuated data centres: nothing is started there, by whichever way a start comes

Cause: nobody read the operator's word.

Every node reads it with the configuration, at no call more; the owner is told of each reading. A worker in such a data centre takes nothing (asked about, placed on, made room on, kept), and the three ways by which an order leaves that was decided before (out of its record, again without an answer, held back while its worker was silent) look again. An owner that has read nothing yet starts nothing; where the settings bound it (evacuate_ms), one whose reading is older than that allows for doesn't either. Ruled out: a check at placing alone (orders wait for their record, for seconds in an outage); a check in the nodes that give orders (they hold one for 0.3 s).

Before: no start was held back. After: the cases of tests/cell/evacuate.rs, the histories with evacuations and the nodes' tests are green.

--- a/crates/cell/examples/fleet.rs
+++ b/crates/cell/examples/fleet.rs
@@ -27,6 +27,7 @@
         Engine,
         Inheritance, //
     },
+    evacuation::Evacuation,
     event::{
         Advised,
         Ended,
@@ -241,6 +242,7 @@
             rng: SmallRng::seed_from_u64(1),
         };
         cell.engine.configure(config());
+        cell.engine.evacuate(Evacuation::default(), now, now);
         let hands: Vec<NodeName> = (0..HANDS)
             .map(|n| NodeName::from(format!("n{n}")))
             .collect();
@@ -445,6 +447,7 @@
         pool: PoolName::from("pool"),
         capacity: Resources::new(Millicores(WORKER.0), Bytes::from_mib(WORKER.1), 0),
         labels: vec!["a".into(), format!("r{}", nth / 8).into()],
+        data_centre: None,
         leaving: None,
     }
 }
--- a/crates/cell/src/bounds.rs
+++ b/crates/cell/src/bounds.rs
@@ -17,6 +17,8 @@
     pub restore: Duration,
     /// How much work lies between two checkpoints of a task.
     pub checkpoint: Duration,
+    /// How long after a data centre was evacuated a task may be started there; `None` bounds that by nothing.
+    pub evacuate: Option<Duration>,
 }
 
 impl Default for Bounds {
@@ -28,6 +30,7 @@
             remote_penalty: 1.5,
             restore: Duration::from_millis(250),
             checkpoint: Duration::from_millis(500),
+            evacuate: None,
         }
     }
 }
@@ -41,7 +44,19 @@
 /// 1.2 s after it last reached the store or a node, and notices that within 0.6 s.
 pub const FORMER_OWNER: Duration = Duration::from_millis(1_800);
 
+/// How long an order to start may be on its way to its worker, by another node too.
+const ON_THE_WAY: Duration = Duration::from_secs(1);
+/// A reading of the operator's records is as old as this before the next one: it waits 1 s for a change.
+const LEAST_AGE: Duration = Duration::from_secs(2);
+
 impl Bounds {
+    /// Returns how old a reading of which data centres are evacuated may be when an order to start leaves; `None` where any
+    /// will do.
+    pub fn evacuation_age(&self) -> Option<Duration> {
+        let evacuate = self.evacuate?;
+        Some(evacuate.saturating_sub(ON_THE_WAY).max(LEAST_AGE))
+    }
+
     /// Returns how long after a stop was confirmed a run that was there has certainly been listed as
     /// ended.
     pub fn stopped(&self) -> Duration {
--- a/crates/cell/src/engine/ask.rs
+++ b/crates/cell/src/engine/ask.rs
@@ -215,6 +215,7 @@
     ) -> Vec<Slot> {
         let fits = |worker: &Worker| room_for(&worker.registration.capacity, &demand.size) as f64;
         let allowed = self.candidates(demand, stage);
+        let allowed = allowed.filter(|(_, worker)| !worker.is_evacuated);
         let allowed: f64 = allowed.map(|(_, worker)| fits(worker)).sum();
         let tasks = stage.waiting.len() as f64;
         let unnamed = |least| {
@@ -281,9 +282,15 @@
         let Some(terms) = self.queue_of(job).advice else {
             return;
         };
+        let workers = &self.workers;
+        let is_evacuated = |slot: &Slot| workers.get(slot).is_none_or(|worker| worker.is_evacuated);
         while let Some(stage) = self.jobs.get_mut(&id.job).and_then(|job| job.stage_mut(id))
-            && let Some(named) = stage.advice.planned.pop()
+            && let Some(mut named) = stage.advice.planned.pop()
         {
+            named.retain(|slot| !is_evacuated(slot));
+            if named.is_empty() {
+                continue;
+            }
             let is_long = terms.duration(named.len()) > LONG_CALL;
             let Some(node) = self.desk.idle(is_long).cloned() else {
                 stage.advice.planned.push(named);
--- a/crates/cell/src/engine/contact.rs
+++ b/crates/cell/src/engine/contact.rs
@@ -76,6 +76,7 @@
                 self.note_worker(slot, "trusted", now);
             }
             self.index(slot);
+            self.mark_evacuated(slot);
             if shrinks && !is_reborn {
                 self.shrink(slot, now);
             }
@@ -142,6 +143,7 @@
             pool: PoolName::from(""),
             capacity: Resources::ZERO,
             labels: Vec::new(),
+            data_centre: None,
             leaving: None,
         };
         let mut worker = Worker::new(registration, self.fence, now, lapses);
@@ -166,6 +168,7 @@
         self.slots.insert(worker.registration.id.clone(), slot);
         self.workers.insert(slot, worker);
         self.index(slot);
+        self.mark_evacuated(slot);
         slot
     }
 
--- a/crates/cell/src/engine/limit.rs
+++ b/crates/cell/src/engine/limit.rs
@@ -4,12 +4,10 @@
 //! order waits for its record or has got no answer, while it is being stopped, on workers that are silent, and by order of a
 //! former owner. So whatever becomes of an order, no start brings a workspace above its limit.
 
-use fulmarpier_state::{clock::Timestamp, resource::Resources};
+use fulmarpier_state::resource::Resources;
 
 use super::{
     Engine,
-    Survey,
-    Wait,
     job::Job,
     reserve::Reserved, //
 };
@@ -127,14 +125,6 @@
         charge.size.checked_mul(count)
     }
 
-    /// Tells that a step waits for the limit of its workspace.
-    pub(super) fn explain_limit(&mut self, id: StepId, now: Timestamp) {
-        if self.is_explained(id, now) {
-            return;
-        }
-        self.tell_wait(id, Wait::Limit, Survey::default(), now);
-    }
-
     /// Returns what each workspace has running.
     pub fn usage(&self) -> Vec<Usage> {
         let accounts = self.quotas.accounts();
--- a/crates/cell/src/engine/mod.rs
+++ b/crates/cell/src/engine/mod.rs
@@ -14,6 +14,7 @@
 //! | `wait` | tells why steps wait, and sets aside those that no worker can run |
 //! | `pace` | slows filling tasks that disturb serving ones |
 //! | `contact` | workers that come, their leases and their inventories |
+//! | `evacuate` | data centres in which nothing new is started |
 //! | `crash` | tasks under which workers go down: run alone, and given up |
 //! | `restart` | workers that come back under their ids |
 //! | `loss` | workers that are lost, and what becomes of their runs |
@@ -28,6 +29,7 @@
 mod contact;
 mod crash;
 mod end;
+mod evacuate;
 mod forget;
 mod job;
 mod keep;
@@ -196,6 +198,8 @@
     aside: BTreeSet<StepId>,
     /// The workers by what they have left.
     rooms: Rooms,
+    /// Which data centres are evacuated; nothing is started before that is known.
+    evacuation: Option<evacuate::Reading>,
     /// When workers are called next.
     calls: Timers<Slot>,
     /// When workers that are silent or not listed may have to be given up or forgotten.
@@ -260,6 +264,7 @@
             agenda: Agenda::default(),
             aside: BTreeSet::new(),
             rooms: Rooms::default(),
+            evacuation: None,
             calls: Timers::default(),
             expiries: Timers::default(),
             stops: Timers::default(),
--- a/crates/cell/src/engine/order.rs
+++ b/crates/cell/src/engine/order.rs
@@ -124,11 +124,12 @@
         own.is_some_and(|own| !own.is_done)
     }
 
-    /// Returns whether a worker has said that it leaves: it gets no orders to start any more, since all that runs there is
-    /// lost with it.
-    fn is_leaving(&self, slot: Slot) -> bool {
-        let worker = self.workers.get(&slot);
-        worker.is_some_and(|worker| worker.registration.leaving.is_some())
+    /// Returns whether a worker gets orders to start again that it may not have had: not one that has said that it leaves,
+    /// since all that runs there is lost with it, nor one in a data centre that is or may be evacuated.
+    fn may_repeat(&self, slot: Slot, now: Timestamp) -> bool {
+        self.workers.get(&slot).is_some_and(|worker| {
+            worker.registration.leaving.is_none() && self.evacuation_forbids(worker, now).is_none()
+        })
     }
 
     fn unanswered(&self, slot: Slot, task: TaskId, run: Run) -> u8 {
@@ -154,7 +155,7 @@
         // One that is silent may come back with less room, or as another kind.
         let is_silent = worker.is_some_and(|worker| worker.silent.is_some());
         let is_excess = is_overfull || self.is_over_limit(task.step.job);
-        if is_spent || is_excess || self.is_leaving(slot) || !self.is_wanted(task) {
+        if is_spent || is_excess || !self.may_repeat(slot, now) || !self.is_wanted(task) {
             self.stop(slot, task, run, "unanswered", now);
         } else if is_silent {
             self.hold_back(slot, task, run);
@@ -184,10 +185,10 @@
                 held.push(*key);
             }
         }
-        let is_leaving = self.is_leaving(slot);
+        let may_repeat = self.may_repeat(slot, now);
         for (task, run) in held {
             let is_excess = self.is_over_limit(task.step.job);
-            match self.is_wanted(task) && !is_leaving && !is_excess {
+            match self.is_wanted(task) && may_repeat && !is_excess {
                 true => self.send_start(slot, task, run, now),
                 false => self.stop(slot, task, run, "unanswered", now),
             }
@@ -226,7 +227,7 @@
     ///
     /// A ticket may have run out while the record waited for the store; its worker would turn the order
     /// away, and the members of a gang that did start would wait for the others in vain. Nor is it known by then how much
-    /// room a worker has that shrinks, and one may have said that it leaves.
+    /// room a worker has that shrinks, one may have said that it leaves, and a data centre may be evacuated.
     pub(super) fn send_starts(&mut self, starts: Vec<(Slot, TaskId, Run)>, now: Timestamp) {
         let starts = self.hold_announced(starts);
         let late = starts.iter().filter_map(|start| {
@@ -268,6 +269,9 @@
         if worker.registration.leaving.is_some() {
             return Some("worker-leaving");
         }
+        if let Some(why) = self.evacuation_forbids(worker, now) {
+            return Some(why);
+        }
         if self.is_over_limit(start.1.step.job) {
             return Some("over-limit");
         }
--- a/crates/cell/src/engine/schedule.rs
+++ b/crates/cell/src/engine/schedule.rs
@@ -6,6 +6,7 @@
 
 use super::{
     Engine,
+    Wait,
     reserve::Reserved, //
 };
 use crate::id::StepId;
@@ -167,6 +168,10 @@
 
     /// Starts what fits of a step, or makes room for it; returns how many looks that took.
     fn look(&mut self, id: StepId, reserved: &mut Reserved, now: Timestamp) -> usize {
+        if !self.knows_evacuation(now) {
+            self.explain(id, Wait::Evacuation, now);
+            return STEP_LOOKS;
+        }
         let advice = self.jobs.get(&id.job).and_then(|job| job.stage(id));
         let advice = advice.map(|stage| &stage.advice);
         // Nothing can be known of it before the answer.
@@ -176,7 +181,7 @@
         }
         let allowed = advice.map_or(0, |advice| advice.allowed.len());
         if self.is_limited(id, reserved) {
-            self.explain_limit(id, now);
+            self.explain(id, Wait::Limit, now);
             return STEP_LOOKS;
         }
         if self.serve(id, reserved, now) || self.set_aside(id, now) {
@@ -184,7 +189,7 @@
         }
         // Nobody makes way for what its own limit holds back.
         if self.is_limited(id, reserved) {
-            self.explain_limit(id, now);
+            self.explain(id, Wait::Limit, now);
             return STEP_LOOKS + allowed;
         }
         self.keep_of_limit(id, reserved);
--- a/crates/cell/src/engine/view.rs
+++ b/crates/cell/src/engine/view.rs
@@ -73,6 +73,8 @@
     pub workers_silent: usize,
     /// Workers that may run tasks of former owners and were not heard of yet.
     pub workers_unheard: usize,
+    /// Workers in data centres that are evacuated.
+    pub workers_evacuated: usize,
 }
 
 impl Engine {
@@ -172,6 +174,7 @@
         });
         let unheard = self.workers.values();
         let unheard = unheard.filter(|worker| worker.heard.is_none() && !worker.claims.is_empty());
+        let evacuated = self.workers.values().filter(|worker| worker.is_evacuated);
         Counts {
             jobs: self.jobs.len() + self.ended.len(),
             waiting: self.waiting().count(),
@@ -186,6 +189,7 @@
             workers_heard: heard.count(),
             workers_silent: silent,
             workers_unheard: unheard.count(),
+            workers_evacuated: evacuated.count(),
         }
     }
 }
--- a/crates/cell/src/engine/wait.rs
+++ b/crates/cell/src/engine/wait.rs
@@ -41,6 +41,10 @@
     Size,
     /// None of the workers that could run it takes tasks: they are silent, leaving or not heard of yet.
     Closed,
+    /// The workers that could run it stand in data centres that are evacuated.
+    Evacuated,
+    /// It is not known of late which data centres are evacuated.
+    Evacuation,
     /// It waits for a node that is free to ask which workers may run it.
     Desk,
     /// The advice service has been asked.
@@ -66,6 +70,8 @@
             Self::Label => "label",
             Self::Size => "size",
             Self::Closed => "closed",
+            Self::Evacuated => "evacuated",
+            Self::Evacuation => "evacuation-unknown",
             Self::Desk => "desk",
             Self::Advice => "advice",
             Self::Barred => "barred",
@@ -202,6 +208,7 @@
         let why = match survey {
             _ if !is_asked && stage.advice.asking > 0 => Wait::Advice,
             _ if !is_asked && self.has_open(&demand, now) => Wait::Desk,
+            Survey { open: 0, .. } if self.is_pool_evacuated(&demand) => Wait::Evacuated,
             Survey { allowed: 0, .. } if is_asked => Wait::Barred,
             Survey { open: 0, .. } => Wait::Closed,
             _ if stage.are_suspects() => Wait::Alone,
@@ -212,6 +219,13 @@
         self.tell_wait(id, why, survey, now);
     }
 
+    /// Tells for what a step waits where no worker has to be looked at for that.
+    pub(super) fn explain(&mut self, id: StepId, why: Wait, now: Timestamp) {
+        if !self.is_explained(id, now) {
+            self.tell_wait(id, why, Survey::default(), now);
+        }
+    }
+
     /// Returns whether the reason why a step waits was looked for of late.
     pub(super) fn is_explained(&self, id: StepId, now: Timestamp) -> bool {
         let stage = self.jobs.get(&id.job).and_then(|job| job.stage(id));
--- a/crates/cell/src/event.rs
+++ b/crates/cell/src/event.rs
@@ -13,6 +13,7 @@
 };
 
 use crate::id::{
+    DataCentre,
     Incarnation,
     PoolName,
     Run,
@@ -35,6 +36,8 @@
     pub capacity: Resources,
     /// Its kind and its rack.
     pub labels: Vec<Arc<str>>,
+    /// Where it stands, where it says so.
+    pub data_centre: Option<DataCentre>,
     /// How long it goes on at least, where it is about to leave.
     pub leaving: Option<Duration>,
 }
--- a/crates/cell/src/id.rs
+++ b/crates/cell/src/id.rs
@@ -277,3 +277,7 @@
     /// A node of the system.
     NodeName
 );
+text_id!(
+    /// A data centre, where workers stand.
+    DataCentre
+);
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod config;
 pub mod effect;
 pub mod engine;
+pub mod evacuation;
 pub mod event;
 pub mod id;
 pub mod job;
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -185,6 +185,8 @@
     pub unlisted: Option<Timestamp>,
     /// Since when what the store lists of it names no worker to use.
     pub distrusted: Option<Timestamp>,
+    /// Whether it stands in a data centre that is evacuated, as far as that is known.
+    pub is_evacuated: bool,
     /// The last end that was taken in.
     pub seen: u64,
     /// The last end that is on record and may be forgotten by the worker.
@@ -228,6 +230,7 @@
             silence: None,
             unlisted: None,
             distrusted: None,
+            is_evacuated: false,
             seen: 0,
             kept: 0,
             over: VecDeque::new(),
@@ -332,6 +335,7 @@
             && self.is_current()
             && self.is_listed()
             && self.registration.leaving.is_none()
+            && !self.is_evacuated
     }
 
     /// Returns whether new tasks may be placed on it now.
--- a/crates/cell/tests/cell/history.rs
+++ b/crates/cell/tests/cell/history.rs
@@ -99,6 +99,7 @@
     crashers: 0,
     shrinks: 0,
     restarts: 0,
+    evacuations: 0,
 };
 
 /// The same while entries of workers turn into those of another writer and back, one every two seconds.
@@ -134,6 +135,7 @@
     crashers: 150,
     shrinks: 0,
     restarts: 0,
+    evacuations: 0,
 };
 
 #[rstest]
@@ -185,6 +187,7 @@
     crashers: 0,
     shrinks: 0,
     restarts: 60,
+    evacuations: 0,
 };
 
 #[rstest]
@@ -309,6 +312,17 @@
         prop_assert_eq!(play(seed, faults), Vec::<String>::new());
     }
 
+    #[test]
+    fn promises_hold_when_data_centres_are_evacuated(seed in any::<u64>()) {
+        let faults = Faults { evacuations: 250, lost_orders: 60, outages: 80, takeovers: 80, failures: 50, announced: 300, ..Faults::default() };
+        prop_assert_eq!(play(seed, faults), Vec::<String>::new());
+    }
+
+    #[test]
+    fn promises_hold_when_data_centres_are_evacuated_amid_all_of_that(seed in any::<u64>()) {
+        prop_assert_eq!(play(seed, Faults { evacuations: 200, restarts: 40, ..CRASHING }), Vec::<String>::new());
+    }
+
     #[test]
     fn promises_hold_when_entries_turn_foreign(seed in any::<u64>()) {
         let faults = Faults { foreign: 150, failures: 50, announced: 300, ..Faults::default() };
--- a/crates/cell/tests/cell/incarnation.rs
+++ b/crates/cell/tests/cell/incarnation.rs
@@ -19,6 +19,7 @@
         Engine,
         Inheritance, //
     },
+    evacuation::Evacuation,
     event::{
         HoldAnswer,
         Inventory,
@@ -107,8 +108,10 @@
     /// Makes one of a new owner, whose worker was not heard yet.
     fn inheriting(inheritance: Inheritance) -> Self {
         let now = Timestamp::from_millis(1_000);
+        let mut engine = Engine::new(Epoch(1), Bounds::default(), inheritance, now);
+        engine.evacuate(Evacuation::default(), now, now);
         Self {
-            engine: Engine::new(Epoch(1), Bounds::default(), inheritance, now),
+            engine,
             now,
             worker: WorkerId::from("w1"),
             holds: Vec::new(),
@@ -134,6 +137,7 @@
             pool: PoolName::from("pool"),
             capacity: size(4_000, 4_096),
             labels: Vec::new(),
+            data_centre: None,
             leaving,
         };
         self.engine.register(registration, self.now);
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -5,6 +5,7 @@
 mod cases;
 mod crash;
 mod desk;
+mod evacuate;
 mod foreign;
 mod forget;
 mod history;
--- a/crates/cell/tests/cell/overtaking.rs
+++ b/crates/cell/tests/cell/overtaking.rs
@@ -16,6 +16,7 @@
         Engine,
         Inheritance, //
     },
+    evacuation::Evacuation,
     event::{
         Ended,
         HoldAnswer,
@@ -91,6 +92,7 @@
 fn a_run_that_has_ended_is_not_taken_up_again_from_an_older_inventory() {
     let mut now = Timestamp::from_millis(1_000);
     let mut engine = Engine::new(Epoch(1), Bounds::default(), Inheritance::default(), now);
+    engine.evacuate(Evacuation::default(), now, now);
     let worker = WorkerId::from("w1");
     engine.register(
         Registration {
@@ -100,6 +102,7 @@
             pool: PoolName::from("pool"),
             capacity: size(4_000, 4_096),
             labels: Vec::new(),
+            data_centre: None,
             leaving: None,
         },
         now,
--- a/crates/cell/tests/cell/pace.rs
+++ b/crates/cell/tests/cell/pace.rs
@@ -12,6 +12,7 @@
         Engine,
         Inheritance, //
     },
+    evacuation::Evacuation,
     event::{
         HoldAnswer,
         Inventory,
@@ -62,6 +63,7 @@
         let now = Timestamp::from_millis(100_000);
         let ids: Vec<WorkerId> = (0..workers).map(|n| format!("w{n}").into()).collect();
         let mut engine = Engine::new(Epoch(1), Bounds::default(), Inheritance::default(), now);
+        engine.evacuate(Evacuation::default(), now, now);
         for id in &ids {
             let registration = Registration {
                 incarnation: None,
@@ -70,6 +72,7 @@
                 pool: PoolName::from("pool"),
                 capacity: size(4_000, 4_096),
                 labels: Vec::new(),
+                data_centre: None,
                 leaving: None,
             };
             engine.register(registration, now);
--- a/crates/cell/tests/cell/pending.rs
+++ b/crates/cell/tests/cell/pending.rs
@@ -10,6 +10,7 @@
         Inheritance,
         State, //
     },
+    evacuation::Evacuation,
     event::{
         Ended,
         HoldAnswer,
@@ -113,6 +114,7 @@
         ..over
     };
     let mut engine = Engine::new(Epoch(2), Bounds::default(), inheritance, now);
+    engine.evacuate(Evacuation::default(), now, now);
     let worker = WorkerId::from("w1");
     engine.register(
         Registration {
@@ -122,6 +124,7 @@
             pool: PoolName::from("pool"),
             capacity: size(4_000, 4_096),
             labels: Vec::new(),
+            data_centre: None,
             leaving: None,
         },
         now,
--- a/crates/cell/tests/cell/takeover.rs
+++ b/crates/cell/tests/cell/takeover.rs
@@ -13,6 +13,7 @@
         Inheritance,
         State, //
     },
+    evacuation::Evacuation,
     event::{
         HoldAnswer,
         Inventory,
@@ -80,6 +81,7 @@
         pool: PoolName::from("pool"),
         capacity: size(4_000, 4_096),
         labels: Vec::new(),
+        data_centre: None,
         leaving: None,
     }
 }
@@ -109,6 +111,7 @@
     };
     let bounds = Bounds::default();
     let mut engine = Engine::new(Epoch(2), bounds, inheritance, began);
+    engine.evacuate(Evacuation::default(), began, began);
     engine.register(registration(&well), began);
     let mut now = began;
     let started = loop {
@@ -161,6 +164,7 @@
         ..Inheritance::default()
     };
     let mut engine = Engine::new(Epoch(2), Bounds::default(), inheritance, now);
+    engine.evacuate(Evacuation::default(), now, now);
     let effects = engine.advance(now);
     let asked = effects.iter().find_map(|effect| match effect {
         Effect::Hold(hold) => Some(hold.asked),
--- a/crates/cell/tests/cell/world/check.rs
+++ b/crates/cell/tests/cell/world/check.rs
@@ -101,6 +101,7 @@
             self.violations.push(format!("{at}: was cancelled"));
         }
         self.check_limit(order, is_in_time);
+        self.check_evacuated(order, is_in_time);
         let job = self
             .accepted
             .iter()
--- a/crates/cell/tests/cell/world/mod.rs
+++ b/crates/cell/tests/cell/world/mod.rs
@@ -6,6 +6,7 @@
 
 mod check;
 mod deliver;
+mod evacuate;
 mod fault;
 mod limit;
 mod restart;
@@ -21,7 +22,6 @@
 };
 
 use fulmarpier_cell::{
-    bounds::Bounds,
     config::{
         AdviceTerms,
         Config,
@@ -39,6 +39,7 @@
         State,
         Wait, //
     },
+    evacuation::Evacuation,
     event::{
         Advised,
         HoldAnswer,
@@ -47,6 +48,7 @@
         StopAnswer, //
     },
     id::{
+        DataCentre,
         Epoch,
         Incarnation,
         JobId,
@@ -92,6 +94,7 @@
 };
 
 pub(crate) use self::restart::Restart;
+pub(crate) use self::worker::DATA_CENTRES;
 use self::worker::Worker;
 
 /// How often each fault comes, in thousandths.
@@ -126,6 +129,8 @@
     pub shrinks: u32,
     /// A second in which a worker restarts under its id. Half of the workers that a task crashes do so too.
     pub restarts: u32,
+    /// A second in which a data centre is evacuated, or taken back.
+    pub evacuations: u32,
 }
 
 /// What comes back to the engine, or happens, at a time.
@@ -153,6 +158,8 @@
     /// A worker is back under its id, at its place.
     Restarted(Box<Registration>, u32, Restart),
     Unlisted(WorkerId),
+    /// The nodes read the operator's records on.
+    OperatorRead,
 }
 
 /// The world.
@@ -190,6 +197,10 @@
     failed: BTreeMap<TaskId, BTreeSet<Run>>,
     /// Whether the list of workers is away while the rest of the store is there.
     pub is_list_away: bool,
+    /// Whether the operator's records are away while the rest of the store is there.
+    pub is_operator_away: bool,
+    /// Whether a new owner's node has read nothing of the operator's yet.
+    pub is_new_owner_blank: bool,
     /// Tasks that crash each worker that starts them.
     pub crashers: BTreeSet<TaskId>,
     /// How many workers each of them has crashed.
@@ -226,6 +237,12 @@
     holders: BTreeMap<JobId, (WorkspaceName, Arc<Spec>)>,
     /// Since when workspaces have had which limits; the last are in force.
     limits: Vec<(Timestamp, BTreeMap<WorkspaceName, Resources>)>,
+    /// The data centres that are evacuated, and since when.
+    evacuated: BTreeMap<DataCentre, Timestamp>,
+    /// What the nodes have read of that, and when.
+    evacuation: (Evacuation, Timestamp),
+    /// What the owner was told; `None` before it was told anything.
+    told: Option<Evacuation>,
 }
 
 /// How long a ticket, which tells when it was given, is valid.
@@ -331,7 +348,12 @@
         let epoch = Epoch(1);
         let mut world = Self {
             now,
-            engine: Engine::new(epoch, Bounds::default(), Inheritance::default(), now),
+            engine: Engine::new(
+                epoch,
+                evacuate::bounds(&faults),
+                Inheritance::default(),
+                now,
+            ),
             workers: BTreeMap::new(),
             violations: Vec::new(),
             rng: SmallRng::seed_from_u64(seed),
@@ -353,6 +375,8 @@
             done: BTreeSet::new(),
             failed: BTreeMap::new(),
             is_list_away: false,
+            is_operator_away: false,
+            is_new_owner_blank: false,
             crashers: BTreeSet::new(),
             crashed: BTreeMap::new(),
             crash_restart: None,
@@ -371,6 +395,9 @@
             waits: Vec::new(),
             holders: BTreeMap::new(),
             limits: Vec::new(),
+            evacuated: BTreeMap::new(),
+            evacuation: (Evacuation::default(), now),
+            told: None,
         };
         for place in 0..workers {
             world.add_worker(place);
@@ -410,6 +437,9 @@
     /// Tells a new owner of the configuration, the nodes and the workers.
     fn introduce(&mut self) {
         self.engine.configure(self.config.clone());
+        if !self.is_new_owner_blank {
+            self.tell_evacuation();
+        }
         self.engine.set_hands(&self.nodes, self.now);
         for worker in self.workers.values() {
             match worker.foreign_until {
@@ -593,6 +623,7 @@
         }
         self.write_entries();
         self.store_back = self.now;
+        self.take_all_back();
     }
 
     /// Has the store go away for a while.
@@ -635,6 +666,10 @@
             self.restart_workers();
         }
         self.report_workers();
+        self.read_operator();
+        if self.faults.evacuations > 0 {
+            self.evacuate_by_chance();
+        }
         if self.chance(self.faults.outages) {
             let span = Duration::from_millis(self.rng.random_range(1_000..5_000));
             self.store_back = self.now + span;
@@ -685,7 +720,9 @@
             }
         }
         self.calls.clear();
-        self.engine = Engine::new(self.epoch, Bounds::default(), inheritance, self.now);
+        let bounds = evacuate::bounds(&self.faults);
+        self.engine = Engine::new(self.epoch, bounds, inheritance, self.now);
+        self.forget_told();
         self.introduce();
     }
 
@@ -728,6 +765,7 @@
     fn carry_out(&mut self, effect: Effect) {
         match effect {
             Effect::Start(order) => {
+                self.check_leaves(&order);
                 if self.chance(self.faults.lost_orders) {
                     let timeout = Event::Started(
                         order.to.worker.clone(),
@@ -781,6 +819,7 @@
                 workers,
             } => {
                 self.asked.push(workers.len());
+                self.check_asked(&workers);
                 let took = Duration::from_millis(20 + workers.len() as u64);
                 self.later(took, Event::Advised(node, step, workers));
             }
@@ -831,6 +870,7 @@
             }
             Event::Restarted(entry, place, restart) => self.come_back(*entry, place, restart),
             Event::Unlisted(worker) => self.engine.unregister(&worker, self.now),
+            Event::OperatorRead => self.read_operator(),
             _ if !is_alive => {}
             Event::Started(worker, task, run, answer) => {
                 self.engine.started(&worker, task, run, answer, self.now);
--- a/crates/cell/tests/cell/world/worker.rs
+++ b/crates/cell/tests/cell/world/worker.rs
@@ -23,6 +23,7 @@
         StopAnswer, //
     },
     id::{
+        DataCentre,
         Epoch,
         Fence,
         Incarnation,
@@ -42,6 +43,9 @@
     size, //
 };
 
+/// The data centres in which workers stand in turn.
+pub(crate) const DATA_CENTRES: [&str; 2] = ["north", "south"];
+
 /// The longest lease that it grants, in milliseconds of its clock.
 const LEASE: u64 = 6_000;
 /// How long a stop takes.
@@ -151,10 +155,17 @@
             pool: PoolName::from("pool"),
             capacity: self.capacity(),
             labels: vec![self.kind.into(), format!("r{}", self.place % 2).into()],
+            data_centre: Some(self.data_centre()),
             leaving: self.leaves.map(|_| LEAVES_AFTER),
         }
     }
 
+    /// Returns where it stands.
+    pub(super) fn data_centre(&self) -> DataCentre {
+        let place = usize::try_from(self.place).unwrap_or(0);
+        DataCentre::from(DATA_CENTRES[place % DATA_CENTRES.len()])
+    }
+
     pub(super) const fn born(&self) -> Timestamp {
         self.born
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 //! |---|---|
 //! | [`comeback`] | when a caller that was refused should come back |
 //! | `edition` | the configuration by word of the owner |
+//! | `evacuation` | which data centres the operator has evacuated |
 //! | [`front`] | takes, shows and cancels jobs at any node |
 //! | `health` | whether the store answers this node |
 //! | `hand` | gives orders to workers on behalf of the owner |
@@ -25,6 +26,7 @@
 
 pub mod comeback;
 mod edition;
+mod evacuation;
 pub mod front;
 mod hand;
 mod health;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -169,6 +169,7 @@
             config: watch::Sender::new(None),
             config_record: watch::Sender::new(None),
             config_read: watch::Sender::new(Instant::now()),
+            evacuation: watch::Sender::new(None),
             claim: watch::Sender::new(None),
             acting: watch::Sender::new(None),
             peers: Mutex::default(),
@@ -182,7 +183,7 @@
             is_alone: AtomicBool::new(false),
         });
         let intake = Intake::start(&shared);
-        tokio::spawn(follow::follow_config(shared.clone()));
+        tokio::spawn(follow::follow_operator(shared.clone()));
         tokio::spawn(edition::hear(shared.clone()));
         tokio::spawn(member::run(shared.clone()));
         tokio::spawn(count_left_out(shared.clone()));
--- a/crates/node/src/owner/control.rs
+++ b/crates/node/src/owner/control.rs
@@ -69,6 +69,7 @@
     view::View,
 };
 use crate::{
+    evacuation,
     hand::Reports,
     message::{
         self,
@@ -147,6 +148,8 @@
     Distrusted(WorkerId),
     /// Another configuration is in force.
     Configured(Arc<Config>),
+    /// Which data centres are evacuated was read.
+    Evacuation(evacuation::Reading),
     /// These nodes are there beside the owner.
     Peers(Vec<Peer>),
     /// Orders were gathered for long enough.
@@ -246,6 +249,10 @@
             Event::Unregistered(worker) => engine.unregister(&worker, now),
             Event::Distrusted(worker) => engine.distrust(&worker, now),
             Event::Configured(config) => engine.configure(config.as_ref().clone()),
+            Event::Evacuation(reading) => {
+                let read = now.saturating_sub(reading.at.elapsed());
+                engine.evacuate(reading.evacuation, read, now);
+            }
             Event::Peers(peers) => {
                 let own = self.shared.peer();
                 let names = peers.iter().map(|peer| peer.node.clone());
@@ -436,7 +443,8 @@
                 "view_ms" => millis(view),
                 "workers_heard" => counts.workers_heard,
                 "workers_silent" => counts.workers_silent,
-                "workers_unheard" => counts.workers_unheard);
+                "workers_unheard" => counts.workers_unheard,
+                "workers_evacuated" => counts.workers_evacuated);
         }
     }
 }
--- a/crates/node/src/owner/takeover.rs
+++ b/crates/node/src/owner/takeover.rs
@@ -26,7 +26,10 @@
     mailbox, //
 };
 use tokio::{
-    sync::mpsc,
+    sync::{
+        mpsc,
+        watch, //
+    },
     time::{
         Instant,
         MissedTickBehavior,
@@ -136,6 +139,10 @@
     if let Some(config) = shared.config.borrow().as_deref() {
         engine.configure(config.clone());
     }
+    if let Some(reading) = shared.evacuation.borrow().clone() {
+        let read = now.saturating_sub(reading.at.elapsed());
+        engine.evacuate(reading.evacuation, read, now);
+    }
     Ok(start(shared, claim, engine, partitions, view))
 }
 
@@ -191,7 +198,10 @@
         ));
     }
     tokio::spawn(tick(weak.clone()));
-    tokio::spawn(follow_config(shared.clone(), weak));
+    let configs = shared.config.subscribe();
+    tokio::spawn(follow(configs, weak.clone(), Event::Configured));
+    let evacuations = shared.evacuation.subscribe();
+    tokio::spawn(follow(evacuations, weak, Event::Evacuation));
     shared.acting.send_replace(Some(Acting {
         claim: claim.clone(),
         seat: Some(Seat {
@@ -221,20 +231,24 @@
     }
 }
 
-async fn follow_config<P: Platform>(shared: Arc<Shared<P>>, control: WeakActorRef<Control<P>>) {
-    let mut configs = shared.config.subscribe();
+/// Tells the engine what is newest of something that this node follows, each time that it changes.
+async fn follow<P: Platform, T: Clone>(
+    mut values: watch::Receiver<Option<T>>,
+    control: WeakActorRef<Control<P>>,
+    event: fn(T) -> Event,
+) {
     loop {
-        let config = configs.borrow_and_update().clone();
+        let value = values.borrow_and_update().clone();
         let Some(control) = control.upgrade() else {
             return;
         };
-        if let Some(config) = config
-            && control.tell(Event::Configured(config)).await.is_err()
+        if let Some(value) = value
+            && control.tell(event(value)).await.is_err()
         {
             return;
         }
         drop(control);
-        if configs.changed().await.is_err() {
+        if values.changed().await.is_err() {
             return;
         }
     }
--- a/crates/node/src/port.rs
+++ b/crates/node/src/port.rs
@@ -15,6 +15,7 @@
         Start,
         Stop, //
     },
+    evacuation,
     event::{
         Advised,
         HoldAnswer,
@@ -51,7 +52,7 @@
     Progress,
     /// Who owns the cell.
     Claims,
-    /// The operator's configuration; read only.
+    /// The operator's configuration, and which data centres are evacuated; read only.
     Configuration,
     /// What workers report of themselves; read only.
     Workers,
@@ -174,6 +175,9 @@
     /// It has no labels.
     #[error("it has no labels")]
     Labels,
+    /// It names no data centre.
+    #[error("it names no data centre")]
+    DataCentre,
 }
 
 impl Fault {
@@ -189,6 +193,7 @@
             Self::Pool => "pool",
             Self::Capacity => "capacity",
             Self::Labels => "labels",
+            Self::DataCentre => "data-centre",
         }
     }
 }
@@ -285,6 +290,14 @@
     /// Fails where it can't be read.
     fn configuration(&self, record: &Record) -> Result<Option<Config>, Fault>;
 
+    /// Reads what the operator says of a data centre out of a record among those of the configuration; `None` where the
+    /// record is another one.
+    ///
+    /// # Errors
+    ///
+    /// Fails where it can't be read, or names no data centre.
+    fn evacuation(&self, record: &Record) -> Result<Option<evacuation::Change>, Fault>;
+
     /// Reads what a worker reports of itself, given the pools that are configured.
     ///
     /// # Errors
--- a/crates/node/src/pulse.rs
+++ b/crates/node/src/pulse.rs
@@ -94,8 +94,12 @@
     if shared.acting.borrow().is_some() {
         shared.stalled.notify_one();
     }
-    shared.config_read.send_modify(|at| {
-        // Where the clock doesn't reach back so far, the configuration is as old as the clock.
-        *at = at.checked_sub(slept).unwrap_or(*at);
+    // Where the clock doesn't reach back so far, what was read is as old as the clock.
+    let age = |at: &mut Instant| *at = at.checked_sub(slept).unwrap_or(*at);
+    shared.config_read.send_modify(age);
+    shared.evacuation.send_modify(|reading| {
+        if let Some(reading) = reading {
+            age(&mut reading.at);
+        }
     });
 }
--- a/crates/node/src/report.rs
+++ b/crates/node/src/report.rs
@@ -252,7 +252,7 @@
 
     /// Sets the gauges of what the owner believes.
     pub(crate) fn believed(&self, counts: &Counts, epoch: u64, view: Duration) {
-        let gauges: [(&'static str, usize); 9] = [
+        let gauges: [(&'static str, usize); 10] = [
             ("jobs", counts.jobs),
             ("waiting", counts.waiting),
             ("open_steps", counts.open_steps),
@@ -262,6 +262,7 @@
             ("workers_heard", counts.workers_heard),
             ("workers_silent", counts.workers_silent),
             ("workers_unheard", counts.workers_unheard),
+            ("workers_evacuated", counts.workers_evacuated),
         ];
         for (kind, value) in gauges {
             let value = u64::try_from(value).unwrap_or(u64::MAX);
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -40,6 +40,7 @@
 };
 
 use crate::{
+    evacuation,
     health::{
         Call,
         StoreHealth, //
@@ -130,6 +131,8 @@
     pub(crate) config_record: watch::Sender<Option<Record>>,
     /// When the store last told this node, or the owner, which configuration is the newest.
     pub(crate) config_read: watch::Sender<Instant>,
+    /// Which data centres are evacuated, once the store has told this node.
+    pub(crate) evacuation: watch::Sender<Option<evacuation::Reading>>,
     /// The newest claim that is known here.
     pub(crate) claim: watch::Sender<Option<Claim>>,
     /// The strength of the strongest owner that was known here, in thousandths of a core.
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -1,11 +1,14 @@
-//! Follows the configuration, and on the owner the list of workers and the jobs.
+//! Follows what the operator writes, and on the owner the list of workers and the jobs.
 
 use std::{
     sync::Arc,
     time::Duration, //
 };
 
-use fulmarpier_cell::config::Config;
+use fulmarpier_cell::{
+    config::Config,
+    evacuation::Change, //
+};
 use rand::random_range;
 use tokio::time::{
     Instant,
@@ -13,6 +16,10 @@
 };
 
 use crate::{
+    evacuation::{
+        self,
+        Extent, //
+    },
     port::{
         Error,
         Fault,
@@ -92,8 +99,16 @@
     sleep(PAUSE.mul_f64(random_range(0.5..=1.0))).await;
 }
 
-/// Follows the configuration for as long as the process runs.
-pub(crate) async fn follow_config<P: Platform>(shared: Arc<Shared<P>>) {
+/// What a record of the operator's says.
+enum Told {
+    /// The configuration, with what the operator has written for nodes that can't read it themselves.
+    Config(Config, Record),
+    /// Whether a data centre is evacuated.
+    Evacuation(Change),
+}
+
+/// Follows what the operator writes for as long as the process runs.
+pub(crate) async fn follow_operator<P: Platform>(shared: Arc<Shared<P>>) {
     let mut reader = Reader::new(Topic::Configuration, "configuration");
     let mut has_failed = false;
     loop {
@@ -103,57 +118,61 @@
             true => Duration::ZERO,
             false => CONFIG_WAIT,
         };
-        let configs = match reader.read(&shared, wait).await {
+        let read = match reader.read(&shared, wait).await {
             Ok(Batch::Whole(page)) => {
-                let settled = settle_config(&shared, page).await;
+                let settled = settle(&shared, page).await;
                 if settled.is_err() {
                     reader = Reader::new(Topic::Configuration, "configuration");
                 }
-                settled
+                settled.map(|told| (Extent::Whole, told))
             }
             // The last one that could be read stays in force where another can't.
             Ok(Batch::More(page)) => {
-                let read = |record: &Record| read_config(&shared, record);
-                Ok(recall::read(&shared, "configuration", page, read).found)
+                let read = |record: &Record| read(&shared, record);
+                let read = recall::read(&shared, "configuration", page, read);
+                Ok((Extent::More, read.found))
             }
             Err(error) => Err(error),
         };
-        has_failed = configs.is_err();
-        match configs {
-            Ok(configs) => {
-                // A call that waits for a change tells at its end that there was none.
-                shared.config_read.send_replace(Instant::now());
-                for (config, record) in configs {
-                    take_config(&shared, config, record);
-                }
-            }
+        has_failed = read.is_err();
+        match read {
+            Ok((extent, told)) => take(&shared, extent, told),
             Err(_) => pause().await,
         }
     }
 }
 
-/// Puts the last configuration that can be read in the place of one that can't: a node that starts must not
-/// wait for the next one.
-async fn settle_config<P: Platform>(
-    shared: &Shared<P>,
-    page: Page,
-) -> Result<Vec<(Config, Record)>, Error> {
+/// Puts the last record that can be read in the place of one that can't: a node that starts must not wait for the next
+/// one.
+async fn settle<P: Platform>(shared: &Shared<P>, page: Page) -> Result<Vec<Told>, Error> {
     let own = Own {
         key: |_| true,
-        read: &|record| read_config(shared, record),
+        read: &|record| read(shared, record),
     };
     let topic = Topic::Configuration;
     let settled = recall::settle(shared, topic, "configuration", page, own).await;
     settled.map(|settled| settled.found)
 }
 
-/// Reads a configuration, and keeps what the operator has written for nodes that can't read it themselves.
-fn read_config<P: Platform>(
-    shared: &Shared<P>,
-    record: &Record,
-) -> Result<Option<(Config, Record)>, Fault> {
-    let config = shared.platform.configuration(record)?;
-    Ok(config.map(|config| (config, record.clone())))
+fn read<P: Platform>(shared: &Shared<P>, record: &Record) -> Result<Option<Told>, Fault> {
+    if let Some(config) = shared.platform.configuration(record)? {
+        return Ok(Some(Told::Config(config, record.clone())));
+    }
+    let change = shared.platform.evacuation(record)?;
+    Ok(change.map(Told::Evacuation))
+}
+
+/// Takes in what was read just now; a call that waits for a change tells at its end that there was none.
+fn take<P: Platform>(shared: &Shared<P>, extent: Extent, told: Vec<Told>) {
+    shared.config_read.send_replace(Instant::now());
+    let mut changes = Vec::new();
+    for told in told {
+        match told {
+            Told::Config(config, record) => take_config(shared, config, record),
+            Told::Evacuation(change) => changes.push(change),
+        }
+    }
+    evacuation::take(shared, extent, changes);
 }
 
 /// Puts a configuration in force here; an older one than the present changes nothing.
--- /dev/null
+++ b/crates/node/tests/node/evacuation.rs
@@ -0,0 +1,114 @@
+//! Data centres that the operator evacuates and takes back.
+
+use std::time::Duration;
+
+use fulmarpier_cell::{
+    engine::State,
+    id::JobId, //
+};
+use fulmarpier_node::port::Topic;
+use rstest::rstest;
+use tokio::time::sleep;
+
+use crate::{
+    platform::{
+        Fake,
+        LOST_VALUE, //
+    },
+    support::{
+        SECOND,
+        completed,
+        node,
+        ready,
+        submit, //
+    },
+};
+
+/// The key under which the operator evacuates the data centre in which all workers stand.
+const KEY: &str = "evacuate/north";
+
+const TOPIC: Topic = Topic::Configuration;
+
+#[rstest]
+#[case::removed(|platform: &Fake| platform.remove(TOPIC, KEY))]
+#[case::compacted(|platform: &Fake| platform.drop_key(TOPIC, KEY))]
+#[tokio::test(start_paused = true)]
+async fn nothing_starts_between_an_evacuation_and_its_end(#[case] take_back: fn(&Fake)) {
+    let platform = Fake::new();
+    let one = node("one", &platform);
+    ready(&one).await;
+    platform.write(TOPIC, KEY, b"{}");
+    sleep(SECOND).await;
+    submit(&one, 1).await.unwrap();
+    sleep(30 * SECOND).await;
+    assert_eq!(one.front().look(JobId(1)).await, Ok(State::Queued));
+    assert_eq!(platform.starts(1), 0);
+    take_back(&platform);
+    completed(&one, 1).await;
+    assert_eq!(platform.starts(1), 4);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_evacuation_outlasts_its_owner() {
+    let platform = Fake::new();
+    let one = node("one", &platform);
+    ready(&one).await;
+    platform.write(TOPIC, KEY, b"{}");
+    sleep(SECOND).await;
+    one.stop(Duration::ZERO).await;
+    let two = node("two", &platform);
+    ready(&two).await;
+    submit(&two, 1).await.unwrap();
+    sleep(10 * SECOND).await;
+    assert_eq!(platform.starts(1), 0);
+    platform.remove(TOPIC, KEY);
+    completed(&two, 1).await;
+}
+
+/// Records of other writers take no data centre out, and put none back.
+#[rstest]
+#[case::no_data_centre("evacuate/nowhere", b"{}")]
+#[case::form(KEY, b"foreign")]
+#[case::bytes(KEY, LOST_VALUE)]
+#[tokio::test(start_paused = true)]
+async fn a_record_of_another_writer_changes_nothing(#[case] key: &str, #[case] value: &[u8]) {
+    let platform = Fake::new();
+    let one = node("one", &platform);
+    ready(&one).await;
+    platform.write(TOPIC, key, value);
+    sleep(SECOND).await;
+    submit(&one, 1).await.unwrap();
+    completed(&one, 1).await;
+    platform.write(TOPIC, KEY, b"{}");
+    platform.write(TOPIC, key, value);
+    sleep(SECOND).await;
+    submit(&one, 2).await.unwrap();
+    sleep(10 * SECOND).await;
+    assert_eq!(platform.starts(2), 0);
+    // A node that begins with the newest records finds the last good one.
+    one.stop(Duration::ZERO).await;
+    let two = node("two", &platform);
+    ready(&two).await;
+    sleep(10 * SECOND).await;
+    assert_eq!(platform.starts(2), 0);
+    platform.remove(TOPIC, KEY);
+    completed(&two, 2).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_evacuation_may_come_and_go_within_a_second() {
+    let platform = Fake::new();
+    let one = node("one", &platform);
+    ready(&one).await;
+    platform.write(TOPIC, KEY, b"{}");
+    sleep(SECOND / 5).await;
+    platform.remove(TOPIC, KEY);
+    sleep(SECOND / 5).await;
+    platform.write(TOPIC, KEY, b"{}");
+    sleep(SECOND / 5).await;
+    submit(&one, 1).await.unwrap();
+    sleep(5 * SECOND).await;
+    assert_eq!(platform.starts(1), 0);
+    platform.remove(TOPIC, KEY);
+    completed(&one, 1).await;
+}
--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -1,5 +1,6 @@
 //! Whole nodes on loopback over a platform in memory.
 
+mod evacuation;
 mod foreign;
 mod history;
 mod platform;
--- a/crates/node/tests/node/platform.rs
+++ b/crates/node/tests/node/platform.rs
@@ -27,6 +27,7 @@
         Start,
         Stop, //
     },
+    evacuation::Change,
     event::{
         Advised,
         Ended,
@@ -39,6 +40,7 @@
         StopAnswer, //
     },
     id::{
+        DataCentre,
         JobId,
         PoolName,
         Run,
@@ -178,6 +180,8 @@
 
 /// A value that is rejected before it is decoded.
 pub(crate) const LOST_VALUE: &[u8] = b"lost";
+/// Where all workers stand.
+const DATA_CENTRE: &str = "north";
 /// What a configuration begins with that names workspaces with their keys, as in `keys: a=key b=other`. The longer one is
 /// the later version.
 const KEYS: &[u8] = b"keys:";
@@ -315,6 +319,33 @@
         state.topics.entry(name(topic)).or_default().push(record);
     }
 
+    /// Removes the record under a key.
+    pub(crate) fn remove(&self, topic: Topic, key: &str) {
+        let record = Record {
+            key: key.to_owned(),
+            value: None,
+        };
+        let mut state = self.state();
+        state.topics.entry(name(topic)).or_default().push(record);
+    }
+
+    /// Drops all records under a key, as if there had never been any, and the history with them.
+    pub(crate) fn drop_key(&self, topic: Topic, key: &str) {
+        let mut state = self.state();
+        let records = state.topics.entry(name(topic)).or_default();
+        // The offsets of the others stay.
+        for record in records.iter_mut().filter(|record| record.key == key) {
+            record.value = None;
+        }
+        let end = records.len() as u64;
+        // Whoever reads on is told that the history is gone.
+        records.push(Record {
+            key: "another".to_owned(),
+            value: Some(b"{}".to_vec().into()),
+        });
+        state.first.insert(name(topic), end + 1);
+    }
+
     /// Forgets the history of every topic, but for some records at its end; the newest of each key stays.
     pub(crate) fn forget(&self, but: usize) {
         let mut state = self.state();
@@ -722,6 +753,22 @@
         Ok(Some(config))
     }
 
+    fn evacuation(&self, record: &Record) -> Result<Option<Change>, Fault> {
+        let Some(name) = record.key.strip_prefix("evacuate/") else {
+            return Ok(None);
+        };
+        if name != DATA_CENTRE {
+            return Err(Fault::DataCentre);
+        }
+        match record.value.as_deref() {
+            None | Some(b"{}") => Ok(Some(Change {
+                data_centre: DataCentre::from(name),
+                is_evacuated: record.value.is_some(),
+            })),
+            Some(_) => Err(Fault::Form),
+        }
+    }
+
     fn registration(
         &self,
         record: &Record,
@@ -742,6 +789,7 @@
             pool,
             capacity: Resources::new(Millicores::from_cores(4), Bytes::from_gib(4), 0),
             labels: Vec::new(),
+            data_centre: Some(DataCentre::from(DATA_CENTRE)),
             leaving: None,
         })
     }
--- a/crates/protocol/src/settings/node.rs
+++ b/crates/protocol/src/settings/node.rs
@@ -34,6 +34,8 @@
 
 /// The least time within which a key may have to be refused.
 const LEAST_REVOKE_MS: f64 = 1_000.0;
+/// The least time within which no task may be started any more in a data centre that was evacuated.
+const LEAST_EVACUATE_MS: f64 = 1_000.0;
 
 /// The settings of one node.
 #[derive(Clone, Debug, PartialEq)]
@@ -57,6 +59,10 @@
     /// How long after it was taken away a key may be accepted by a node that can't read the configuration; `None` bounds
     /// that by nothing.
     pub revoke: Option<Duration>,
+    /// How long after a data centre was evacuated a task may be started there; `None` bounds that by nothing.
+    pub evacuate: Option<Duration>,
+    /// The data centres; without any, whatever the operator names is one.
+    pub data_centres: Vec<String>,
     /// How long a graceful stop may take until the process is killed.
     pub grace: Duration,
     /// How much of a processor the node may use.
@@ -94,6 +100,11 @@
         let store = section.required("store");
         let advice = section.optional("advice");
         let revoke = optional_millis(section, "revoke_ms", LEAST_REVOKE_MS);
+        let evacuate = optional_millis(section, "evacuate_ms", LEAST_EVACUATE_MS);
+        let data_centres: Option<Vec<String>> = section.values("data_centres");
+        if let Some(data_centres) = &data_centres {
+            section.unique("data_centres", data_centres);
+        }
         let workers = section.form("workers");
         let grace = seconds(section, "grace_s", 6.0, 0.5);
         let processor = cores(section, "processor_cores", 1.0);
@@ -109,6 +120,8 @@
             advice: advice?,
             workers: workers?,
             revoke: revoke?,
+            evacuate: evacuate?,
+            data_centres: data_centres?,
             grace: grace?,
             processor: processor?,
             link: link?,
