Calls between nodes: more peers than connections are answered in turn

At 1,168 nodes some 140 never greet the owner: they read its claim from the store sixteen times a second each, and nobody hears of the jobs that they take; those in the owner's data centre come first, so the others' callers lose. Now a further connection takes the place of the one that was idle for longest; one with a call in progress keeps its place. Test: seven peers, three connections; the fourth got no answer before.

Ruled out as the whole mend: a larger number, which is the same fault at another size.

--- a/crates/transport/src/rpc/mod.rs
+++ b/crates/transport/src/rpc/mod.rs
@@ -4,6 +4,7 @@
 //! the rest of the process talks to them through channels.
 
 mod client;
+mod connections;
 mod error;
 mod exchange;
 mod link;
--- a/crates/transport/src/rpc/server.rs
+++ b/crates/transport/src/rpc/server.rs
@@ -42,6 +42,7 @@
 };
 
 use super::{
+    connections::Connections,
     link::network,
     service::{
         Incoming,
@@ -65,7 +66,7 @@
 pub struct Limits {
     /// The most calls that wait to be taken; further ones are told that it is overloaded.
     pub queue: usize,
-    /// The most connections open at once; further ones wait to be accepted.
+    /// The most connections open at once; a further one takes the place of that which was idle for longest.
     pub connections: usize,
 }
 
@@ -167,6 +168,7 @@
 struct Acceptor {
     calls: mpsc::Sender<Incoming>,
     permits: Arc<Semaphore>,
+    connections: Rc<Connections>,
     open: Rc<Open>,
     traffic: Arc<Traffic>,
     tasks: TaskTracker,
@@ -178,6 +180,7 @@
         Self {
             calls,
             permits: Arc::new(Semaphore::new(limits.connections)),
+            connections: Rc::default(),
             open: Rc::default(),
             traffic,
             tasks: TaskTracker::new(),
@@ -219,23 +222,29 @@
     }
 
     async fn accept(&self, listener: &TcpListener) {
-        let Ok(permit) = self.permits.clone().acquire_owned().await else {
-            // The semaphore is never closed.
-            return;
-        };
         let Ok((stream, from)) = listener.accept().await else {
             sleep(ACCEPT_PAUSE).await;
             return;
         };
+        if self.permits.available_permits() == 0 {
+            // Peers keep their connections: without that the last ones to come would never be answered.
+            self.connections.close_idlest();
+        }
+        let Ok(permit) = self.permits.clone().acquire_owned().await else {
+            // The semaphore is never closed.
+            return;
+        };
+        let connection = self.connections.add(self.end.child_token());
         let service = Service {
             from,
             calls: self.calls.clone(),
             open: self.open.clone(),
+            usage: connection.usage(),
         };
         let traffic = self.traffic.clone();
-        let end = self.end.clone();
         self.tasks.spawn_local(async move {
-            serve(stream, service, traffic, end).await;
+            serve(stream, service, traffic, connection.end()).await;
+            drop(connection);
             drop(permit);
         });
     }
--- a/crates/transport/src/rpc/service.rs
+++ b/crates/transport/src/rpc/service.rs
@@ -29,6 +29,8 @@
     oneshot,
 };
 
+use super::connections::Usage;
+
 /// A call that arrived, with the way to answer it.
 #[derive(Debug)]
 pub struct Incoming {
@@ -89,6 +91,7 @@
     pub(super) from: SocketAddr,
     pub(super) calls: mpsc::Sender<Incoming>,
     pub(super) open: Rc<Open>,
+    pub(super) usage: Rc<Usage>,
 }
 
 impl Service {
@@ -98,6 +101,7 @@
             return Err(overloaded("closing"));
         }
         let _entry = self.open.enter();
+        let _busy = self.usage.enter();
         let (answer, answered) = oneshot::channel();
         let incoming = Incoming {
             from: self.from,
--- a/crates/transport/tests/rpc.rs
+++ b/crates/transport/tests/rpc.rs
@@ -291,3 +291,49 @@
     let error = pending.await.expect("joined").expect_err("cut off");
     assert!(!error.not_run());
 }
+
+/// Peers keep their connections, so those that come last must get the place of one that is idle.
+#[tokio::test]
+async fn more_peers_than_connections_are_all_answered_in_turn() {
+    let (server, mut calls) = server(ServerLimits {
+        connections: 3,
+        ..ServerLimits::default()
+    });
+    tokio::spawn(async move {
+        while let Some(incoming) = calls.recv().await {
+            echo(incoming);
+        }
+    });
+    let clients: Vec<Client> = (0..7).map(|_| client()).collect();
+    for _ in 0..3 {
+        for client in &clients {
+            let got = client.call(server.address(), call("x"), LONG).await;
+            assert_eq!(got, Ok(answer(Bytes::from_static(b"x"))));
+        }
+    }
+}
+
+/// A call in progress is not broken off for another peer's connection.
+#[tokio::test]
+async fn a_connection_with_a_call_in_progress_keeps_its_place() {
+    let (server, mut calls) = server(ServerLimits {
+        connections: 2,
+        ..ServerLimits::default()
+    });
+    let address = server.address();
+    let busy = client();
+    let pending = tokio::spawn(async move { busy.call(address, call("busy"), LONG).await });
+    let held = calls.recv().await.expect("a call");
+    tokio::spawn(async move {
+        while let Some(incoming) = calls.recv().await {
+            echo(incoming);
+        }
+    });
+    for _ in 0..4 {
+        let got = client().call(address, call("x"), LONG).await;
+        assert_eq!(got, Ok(answer(Bytes::from_static(b"x"))));
+    }
+    echo(held);
+    let got = pending.await.expect("the call ends");
+    assert_eq!(got, Ok(answer(Bytes::from_static(b"busy"))));
+}
