How many nodes give orders follows from workers and descriptors

The settings name the descriptors. The decision is public in node::share, so that tests play any size.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -23,6 +23,7 @@
 //! | `report` | logs and metrics |
 //! | [`revocation`] | for how long a node may go by keys while it can't read the configuration |
 //! | [`succession`] | who should own the cell next, and when an owner should let go |
+//! | [`share`] | which node gives the orders to which worker |
 
 pub mod comeback;
 mod edition;
@@ -44,6 +45,7 @@
 pub mod revocation;
 mod shared;
 pub mod succession;
+pub mod share;
 mod watch;
 
 pub use self::{
--- a/crates/node/src/member/follow.rs
+++ b/crates/node/src/member/follow.rs
@@ -184,6 +184,9 @@
             shared.note_spread(&newer);
             Belief::Well(newer.renewal)
         }
+            if let Some(extent) = extent {
+                operator::confirm(shared, extent, asked);
+            }
         Ok(Reply::Owner(newer)) if newer.epoch > claim.epoch => Belief::Replaced(newer),
         Ok(Reply::NotOwner {
             claim: known,
--- a/crates/node/src/member/mod.rs
+++ b/crates/node/src/member/mod.rs
@@ -152,6 +152,29 @@
     let read = shared.newest("probe", Topic::Claims);
     let answer = timeout(PROBE, read).await;
     matches!(answer, Ok(Ok(_))).then(|| began.elapsed())
+/// What the store told a node that probed it, and when.
+#[derive(Debug, Default)]
+pub(crate) struct Probe(Mutex<Option<(Instant, Option<Duration>)>>);
+
+/// Returns how long the store takes to answer this node of late, if it does.
+///
+/// All nodes of a cell that the store leaves alone ask the owner that, ten times a second each: they get what a call of its own
+/// has told just now, or share one probe.
+pub(crate) async fn vouch<P: Platform>(shared: &Shared<P>) -> Option<Duration> {
+    if shared.store.has_answered_within(PROBE_HOLDS) {
+        return Some(shared.store.usual());
+    }
+    let mut last = shared.probe.0.lock().await;
+    if let Some((at, took)) = *last
+        && at.elapsed() <= PROBE_HOLDS
+    {
+        return took;
+    }
+    let took = probe(shared).await;
+    *last = Some((Instant::now(), took));
+    took
+}
+
 }
 
 /// Reads the newest claim that is one of this program's.
--- a/crates/node/src/member/own.rs
+++ b/crates/node/src/member/own.rs
@@ -39,12 +39,12 @@
     },
     owner::{
         Event,
-        Peer,
         take_over, //
     },
     port::Platform,
     report::millis,
     shared::{
+    share::Peer,
         Acting,
         Shared, //
     },
@@ -93,7 +93,7 @@
     shared.pulse.forget_events();
     let ending = tokio::select! {
         ending = dismissed(shared) => ending,
-        reason = relieved(shared) => Ending::Wanted(reason),
+        reason = relieved(shared, slow_owners) => Ending::Wanted(reason),
         why = renew(shared, &mut claim, &mut end) => Ending::Forced(why),
         why = doubt(shared) => Ending::Forced(why),
         () = shared.stalled.notified() => Ending::Released("stalled"),
@@ -259,7 +259,7 @@
 }
 
 /// Waits until the cell should be handed to a node that is stronger or quicker, and there is one.
-async fn relieved<P: Platform>(shared: &Shared<P>) -> Reason {
+async fn relieved<P: Platform>(shared: &Shared<P>, slow_owners: u8) -> Reason {
     let began = Instant::now();
     loop {
         sleep(WEIGH).await;
@@ -329,7 +329,11 @@
         if failing < ASK_PEERS {
             continue;
         }
-        let peers = shared.peers.lock().await.clone();
+        let mut peers = shared.peers.lock().await.clone();
+        // As many more are asked before this node is taken to be cut off from all of them.
+        if failing < ALONE {
+            sample(&mut peers);
+        }
         let mut asked: FuturesUnordered<_> = peers
             .iter()
             .map(|peer| {
@@ -363,3 +367,9 @@
         }
     }
 }
+
+/// Leaves some peers drawn at random, so that asking them costs the same in a cell of any size.
+fn sample(peers: &mut Vec<Peer>) {
+    peers.shuffle(&mut rand::rng());
+    peers.truncate(ASKED);
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -55,8 +55,7 @@
     },
     owner::{
         self,
-        Event,
-        Peer, //
+        Event, //
     },
     port::Platform,
     pulse::{
@@ -66,6 +65,7 @@
     report::Meter,
     revocation::Revocation,
     shared::Shared,
+    share::Peer,
     succession::{
         self,
         Greeting, //
@@ -78,6 +78,8 @@
 /// How often nodes that went away are noticed; new ones are at once.
 const SWEEP: Duration = Duration::from_millis(400);
 /// How often lines that were left out of the log are counted.
+/// The part of its descriptors that a node has for connections of other nodes.
+const PEERS_PART: u32 = 4;
 const LEFT_OUT: Duration = Duration::from_secs(1);
 
 /// The ways in which a node can fail to start.
@@ -110,6 +112,8 @@
     /// How much its link carries.
     pub link: Bandwidth,
 }
+    /// How many files and connections it may have open.
+    pub descriptors: u32,
 
 /// What a node is made of.
 #[derive(Debug)]
@@ -149,9 +153,10 @@
             processor,
             link,
         } = parts.identity;
+            descriptors,
         let listen = |source| Error::Listen { address, source };
         let (server, calls) =
-            rpc::Server::start(address, rpc::ServerLimits::default()).map_err(listen)?;
+            rpc::Server::start(address, peer_limits(descriptors)).map_err(listen)?;
         let client = rpc::Client::start(rpc::ClientLimits::default()).map_err(Error::Thread)?;
         let shared = Arc::new(Shared {
             name,
@@ -159,6 +164,7 @@
             incarnation,
             strength: succession::strength(processor, link),
             began: Instant::now(),
+            descriptors,
             bounds: parts.bounds,
             revocation: parts.revocation,
             platform: parts.platform,
@@ -233,6 +239,16 @@
 async fn count_left_out<P: Platform>(shared: Arc<Shared<P>>) {
     let mut ticks = interval(LEFT_OUT);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+/// Returns the bounds of the server for other nodes: all of a cell keep a connection to its owner.
+fn peer_limits(descriptors: u32) -> rpc::ServerLimits {
+    rpc::ServerLimits {
+        connections: usize::try_from(descriptors / PEERS_PART)
+            .unwrap_or(usize::MAX)
+            .max(1),
+        ..rpc::ServerLimits::default()
+    }
+}
+
     loop {
         ticks.tick().await;
         for (kind, count) in shared.meter.take_left_out() {
@@ -294,7 +310,7 @@
                 workers,
                 patience,
             } => Reply::Advised(shared.platform.advise(step, workers, patience).await),
-            Question::Store => Reply::Store(member::probe(shared).await),
+            Question::Store => Reply::Store(member::vouch(shared).await),
             Question::Configuration(known) => Reply::Configuration(edition::tell(shared, known)),
             Question::Orders(orders) => match self.hand.take(orders) {
                 true => Reply::Noted,
@@ -336,7 +352,7 @@
         if before.is_none_or(|(before, _)| Peer::from(&before) != peer) {
             self.news.notify_one();
         }
-        Reply::Owner(acting.claim)
+        Reply::Owner(acting.claim, operator::extent(shared))
     }
 
     fn not_owner(&self) -> Reply {
--- a/crates/node/src/owner/control.rs
+++ b/crates/node/src/owner/control.rs
@@ -58,16 +58,7 @@
     },
 };
 
-use super::{
-    forget,
-    given::Given,
-    orders::Failure,
-    share::{
-        Peer,
-        Share, //
-    },
-    view::View,
-};
+use super::{forget, given::Given, listing, orders::Failure, view::View};
 use crate::{
     evacuation,
     hand::Reports,
@@ -80,6 +71,10 @@
         Order,
         Report, //
     },
+    share::{
+        Peer,
+        Share, //
+    },
     port::Platform,
     pulse,
     report::millis,
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -8,7 +8,6 @@
 mod listing;
 mod orders;
 mod recorder;
-mod share;
 mod takeover;
 mod view;
 mod workers;
@@ -19,7 +18,6 @@
         Control,
         Event, //
     },
-    share::Peer,
     takeover::take_over,
     view::View, //
 };
--- a/crates/node/src/owner/takeover.rs
+++ b/crates/node/src/owner/takeover.rs
@@ -112,7 +112,8 @@
         }
     }
     let progress = newest_progress(shared);
-    let (progress, (partitions, found)) = futures::join!(progress, jobs::read_all(shared));
+    let (progress, (partitions, found), (workers, listed)) =
+        futures::join!(progress, jobs::read_all(shared), list_workers(shared));
     let mut inheritance = Inheritance::default();
     for entry in progress {
         match entry {
@@ -143,7 +144,26 @@
         let read = now.saturating_sub(reading.at.elapsed());
         engine.evacuate(reading.evacuation, read, now);
     }
-    Ok(start(shared, claim, engine, partitions, view))
+    listed
+        .into_iter()
+        .for_each(|change| change.tell(&mut engine, now));
+    Ok(start(shared, claim, engine, partitions, view, workers))
+}
+
+/// Reads the list of workers once, beside the other readings: all workers are called as soon as the engine is there.
+///
+/// Where the store doesn't give it, or there is no configuration to match it with, it is read on later.
+async fn list_workers<P: Platform>(
+    shared: &Shared<P>,
+) -> (workers::Follower, Vec<listing::Change>) {
+    let mut follower = workers::Follower::new();
+    if shared.config.borrow().is_none() {
+        return (follower, Vec::new());
+    }
+    match follower.read(shared).await {
+        Ok(changes) => (follower, changes),
+        Err(_) => (workers::Follower::new(), Vec::new()),
+    }
 }
 
 /// Reads the newest records of the owner's, until the store gives them.
@@ -185,7 +205,7 @@
         queue,
         weak.clone(),
     ));
-    tokio::spawn(workers::follow(shared.clone(), weak.clone()));
+    tokio::spawn(workers.follow(shared.clone(), weak.clone()));
     let writers = jobs::Writers::default();
     tokio::spawn(writers.clone().follow(shared.clone(), weak.clone()));
     for partition in partitions {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -48,7 +48,6 @@
     hedge,
     owner::{
         Control,
-        Peer,
         View, //
     },
     port::{
@@ -66,6 +65,7 @@
     revocation::Revocation,
     succession::Greeting, //
 };
+    share::Peer,
 
 /// The engine's actor, once this node owns the cell and has taken it over.
 pub(crate) struct Acting<P: Platform> {
@@ -118,6 +118,8 @@
     pub(crate) strength: Millicores,
     /// When this life of it began.
     pub(crate) began: Instant,
+    /// How many files and connections it may have open.
+    pub(crate) descriptors: u32,
     pub(crate) bounds: Bounds,
     pub(crate) revocation: Revocation,
     pub(crate) platform: P,
@@ -246,6 +248,7 @@
     /// Returns what this node tells of itself.
     pub(crate) fn greeting(&self) -> Greeting {
         Greeting {
+            descriptors: self.descriptors,
             node: self.name.clone(),
             address: self.address,
             incarnation: self.incarnation,
@@ -256,6 +259,7 @@
         }
     }
 
+            descriptors: self.descriptors,
     /// Notes the newest claim that is known here.
     pub(crate) fn note_claim(&self, claim: Claim) {
         self.strongest
--- a/crates/node/src/succession.rs
+++ b/crates/node/src/succession.rs
@@ -56,6 +56,8 @@
     pub age: Duration,
     /// How late its timers are.
     pub lag: Duration,
+    /// How many files and connections it may have open.
+    pub descriptors: u32,
 }
 
 /// Why an owner lets go of the cell.
--- a/crates/node/tests/node/support.rs
+++ b/crates/node/tests/node/support.rs
@@ -85,6 +85,7 @@
             incarnation: rand::random(),
             processor,
             link: Bandwidth::from_megabits(1_000),
+            descriptors: 4_096,
         },
         bounds: Bounds::default(),
         revocation: Revocation::default(),
--- a/crates/node/tests/succession.rs
+++ b/crates/node/tests/succession.rs
@@ -29,6 +29,7 @@
         address: ([127, 0, 0, 1], 1).into(),
         incarnation: 1,
         strength: Millicores(strength),
+        descriptors: 4_096,
         may_own: true,
         age: Duration::from_secs(age),
         lag: Duration::from_millis(lag),
--- a/crates/protocol/src/settings/node.rs
+++ b/crates/protocol/src/settings/node.rs
@@ -31,6 +31,9 @@
 /// The least and the most that a node's link can have, in megabits a second.
 const LEAST_MEGABITS: f64 = 0.1;
 const MOST_MEGABITS: f64 = 1_000_000.0;
+/// The least and the most files and connections that a node can have open.
+const LEAST_DESCRIPTORS: u32 = 64;
+const MOST_DESCRIPTORS: u32 = 16_777_216;
 
 /// The least time within which a key may have to be refused.
 const LEAST_REVOKE_MS: f64 = 1_000.0;
@@ -69,6 +72,8 @@
     pub processor: Millicores,
     /// How much its link carries.
     pub link: Bandwidth,
+    /// How many files and connections the node may have open.
+    pub descriptors: u32,
     /// How much is logged.
     pub log_level: Level,
 }
@@ -109,6 +114,8 @@
         let grace = seconds(section, "grace_s", 6.0, 0.5);
         let processor = cores(section, "processor_cores", 1.0);
         let link = megabits(section, "link_mbps", 1_000.0);
+        let descriptors =
+            section.within("descriptors", 4_096, LEAST_DESCRIPTORS..=MOST_DESCRIPTORS);
         let log_level = section.or("log_level", Level::Info);
         Some(Self {
             name: name?,
@@ -125,6 +132,7 @@
             grace: grace?,
             processor: processor?,
             link: link?,
+            descriptors: descriptors?,
             log_level: log_level?,
         })
     }
