A store that leaves many nodes alone isn't probed once for each of them

And an owner in doubt asked all nodes, which all called the store. Now what a call of its own told a node within 0.1 s answers for all, or one probe is shared, and an owner asks eight nodes drawn at random, all of them before it takes itself to be cut off from everybody.

--- a/crates/node/src/health.rs
+++ b/crates/node/src/health.rs
@@ -180,6 +180,12 @@
         })
     }
 
+    /// Returns whether the store has answered within some time, and owes nothing since.
+    pub(crate) fn has_answered_within(&self, time: Duration) -> bool {
+        let state = self.state();
+        state.failing.is_none() && state.answered.elapsed() <= time
+    }
+
     /// Returns whether calls have failed without a success in between.
     pub(crate) fn is_failing(&self) -> bool {
         self.state().failing.is_some()
--- a/crates/node/src/member/mod.rs
+++ b/crates/node/src/member/mod.rs
@@ -23,9 +23,12 @@
     Claim, //
 };
 use futures::future::join_all;
-use tokio::time::{
-    Instant,
-    timeout, //
+use tokio::{
+    sync::Mutex,
+    time::{
+        Instant,
+        timeout, //
+    },
 };
 
 use self::{follow::follow, own::own_cell};
@@ -72,6 +75,9 @@
 /// 0.4 s on slow days.
 const PROBE: Duration = Duration::from_millis(450);
 
+/// For so long what the store told a node goes for others that ask it as well.
+const PROBE_HOLDS: Duration = Duration::from_millis(100);
+
 /// The newest claim as it was read, and where the topic ends.
 struct Seen {
     claim: Option<Claim>,
--- a/crates/node/src/member/own.rs
+++ b/crates/node/src/member/own.rs
@@ -69,6 +69,9 @@
 /// After this long without the store the owner asks the others whether it is away for them too.
 const ASK_PEERS: Duration = Duration::from_millis(250);
 /// How much longer than another node's the owner's own probe may take: nodes notice the store's return within
+/// How many of the others it asks. Where the store answers half of them, one of eight tells so but once in 256 times, and
+/// others are asked 0.1 s later.
+const ASKED: usize = 8;
 /// some 60 ms of each other.
 const BACK: Duration = Duration::from_millis(100);
 /// How often the owner looks whether the store owes it an answer for so long.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -187,6 +187,7 @@
             store: StoreHealth::new(parts.log),
             strongest: AtomicU32::new(0),
             is_alone: AtomicBool::new(false),
+            probe: member::Probe::default(),
         });
         let intake = Intake::start(&shared);
         tokio::spawn(follow::follow_operator(shared.clone()));
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -156,6 +156,8 @@
     pub(crate) is_alone: AtomicBool,
 }
 
+    /// What the store told this node when another one asked.
+    pub(crate) probe: member::Probe,
 impl<P: Platform> Shared<P> {
     /// Appends to the store.
     ///
