--- a/crates/node/src/owner/control.rs
+++ b/crates/node/src/owner/control.rs
@@ -19,10 +19,7 @@
         Engine,
         State, //
     },
-    event::{
-        Advised,
-        Registration, //
-    },
+    event::Advised,
     id::{
         Epoch,
         JobId,
@@ -135,12 +132,8 @@
     Advised(NodeName, StepId, Option<Vec<Advised>>),
     /// The record on its way is kept.
     Recorded,
-    /// A worker reported itself.
-    Registered(Registration),
-    /// The store doesn't list a worker any more.
-    Unregistered(WorkerId),
-    /// What the store lists of a worker names none to use.
-    Distrusted(WorkerId),
+    /// The list of workers was read on.
+    Listed(Vec<listing::Change>),
     /// Another configuration is in force.
     Configured(Arc<Config>),
     /// Which data centres are evacuated was read.
@@ -240,9 +233,11 @@
             }
             Event::Advised(node, step, answer) => engine.advised(&node, step, answer, now),
             Event::Recorded => engine.recorded(now),
-            Event::Registered(registration) => engine.register(registration, now),
-            Event::Unregistered(worker) => engine.unregister(&worker, now),
-            Event::Distrusted(worker) => engine.distrust(&worker, now),
+            Event::Listed(changes) => {
+                changes
+                    .into_iter()
+                    .for_each(|change| change.tell(engine, now));
+            }
             Event::Configured(config) => engine.configure(config.as_ref().clone()),
             Event::Evacuation(reading) => {
                 let read = now.saturating_sub(reading.at.elapsed());
--- a/crates/node/src/owner/listing.rs
+++ b/crates/node/src/owner/listing.rs
@@ -7,6 +7,7 @@
 
 use fulmarpier_cell::{
     config::Config,
+    engine::Engine,
     event::Registration,
     id::{
         PoolName,
@@ -14,6 +15,8 @@
     },
 };
 
+use fulmarpier_state::clock::Timestamp;
+
 use crate::port::{
     Fault,
     Platform,
@@ -31,6 +34,28 @@
     Removed,
 }
 
+/// What the engine has to know of the list.
+#[derive(Debug)]
+pub(crate) enum Change {
+    /// A worker reported itself.
+    Registered(Registration),
+    /// The store doesn't list a worker any more.
+    Unregistered(WorkerId),
+    /// What the store lists of a worker names none to use.
+    Distrusted(WorkerId),
+}
+
+impl Change {
+    /// Tells the engine.
+    pub(super) fn tell(self, engine: &mut Engine, now: Timestamp) {
+        match self {
+            Self::Registered(registration) => engine.register(registration, now),
+            Self::Unregistered(worker) => engine.unregister(&worker, now),
+            Self::Distrusted(worker) => engine.distrust(&worker, now),
+        }
+    }
+}
+
 /// Which workers are listed, and which are not any more.
 #[derive(Debug, Default)]
 pub(super) struct Listing {
--- a/crates/node/src/owner/takeover.rs
+++ b/crates/node/src/owner/takeover.rs
@@ -46,6 +46,7 @@
         self,
         Partition, //
     },
+    listing,
     recorder,
     workers, //
 };
@@ -194,6 +195,7 @@
     engine: Engine,
     partitions: Vec<Partition>,
     view: View,
+    workers: workers::Follower,
 ) -> ActorRef<Control<P>> {
     let (records, queue) = mpsc::unbounded_channel();
     let control = Control::new(engine, shared.clone(), records, view.clone());
--- a/crates/node/src/owner/workers.rs
+++ b/crates/node/src/owner/workers.rs
@@ -16,12 +16,14 @@
     Control,
     Event,
     listing::{
+        Change,
         Entry,
         Listing, //
     }, //
 };
 use crate::{
     port::{
+        Error,
         Platform,
         Rejected,
         Topic, //
@@ -42,46 +44,73 @@
 /// An outage shorter than this lets no entry lapse: entries outlive three intervals of heartbeats.
 const SHORT_OUTAGE: Duration = Duration::from_millis(1_500);
 
-/// Follows the list of workers.
-pub(super) async fn follow<P: Platform>(shared: Arc<Shared<P>>, control: WeakActorRef<Control<P>>) {
-    let mut reader = Reader::new(Topic::Workers, "workers");
-    let mut listing = Listing::default();
-    let mut settles = Instant::now();
-    // Without a configuration no entry can be matched, and no job be taken.
-    let mut configs = shared.config.subscribe();
-    let configured = configs.wait_for(Option::is_some);
-    // The sender lives as long as this task.
-    let _ = configured.await;
-    loop {
+/// The list of workers as it is read on.
+pub(super) struct Follower {
+    reader: Reader,
+    listing: Listing,
+    /// Before this a worker that isn't listed may come back.
+    settles: Instant,
+}
+
+impl Follower {
+    /// Makes one that has read nothing yet.
+    pub(super) fn new() -> Self {
+        Self {
+            reader: Reader::new(Topic::Workers, "workers"),
+            listing: Listing::default(),
+            settles: Instant::now(),
+        }
+    }
+
+    /// Reads the list on; returns what the engine has to know of it.
+    pub(super) async fn read<P: Platform>(
+        &mut self,
+        shared: &Shared<P>,
+    ) -> Result<Vec<Change>, Error> {
         let was_failing = shared.store.failing_for();
-        let batch = reader.read(&shared, Duration::ZERO).await;
-        let Some(control) = control.upgrade() else {
-            return;
-        };
-        let Ok(batch) = batch else {
-            drop(control);
-            pause().await;
-            continue;
-        };
+        let batch = self.reader.read(shared, Duration::ZERO).await?;
         if was_failing > SHORT_OUTAGE {
-            settles = Instant::now() + LIST_SETTLES;
+            self.settles = Instant::now() + LIST_SETTLES;
         }
-        let mut events = take(&shared, &mut listing, batch);
-        if Instant::now() >= settles {
-            let missing = listing.take_missing().into_iter();
-            events.extend(missing.map(Event::Unregistered));
+        let mut changes = take(shared, &mut self.listing, batch);
+        if Instant::now() >= self.settles {
+            let missing = self.listing.take_missing().into_iter();
+            changes.extend(missing.map(Change::Unregistered));
         }
-        for event in events {
+        Ok(changes)
+    }
+
+    /// Follows the list for as long as the actor is.
+    pub(super) async fn follow<P: Platform>(
+        mut self,
+        shared: Arc<Shared<P>>,
+        control: WeakActorRef<Control<P>>,
+    ) {
+        // Without a configuration no entry can be matched, and no job be taken.
+        let mut configs = shared.config.subscribe();
+        let configured = configs.wait_for(Option::is_some);
+        // The sender lives as long as this task.
+        let _ = configured.await;
+        loop {
+            let changes = self.read(&shared).await;
+            let Some(control) = control.upgrade() else {
+                return;
+            };
+            let Ok(changes) = changes else {
+                drop(control);
+                pause().await;
+                continue;
+            };
             // The actor may be ending.
-            let _ = control.tell(event).await;
+            let _ = control.tell(Event::Listed(changes)).await;
+            drop(control);
+            sleep(WORKERS_EVERY).await;
         }
-        drop(control);
-        sleep(WORKERS_EVERY).await;
     }
 }
 
 /// Takes in what a read of the list brought; returns what the engine has to know of it.
-fn take<P: Platform>(shared: &Shared<P>, listing: &mut Listing, batch: Batch) -> Vec<Event> {
+fn take<P: Platform>(shared: &Shared<P>, listing: &mut Listing, batch: Batch) -> Vec<Change> {
     let page = match batch {
         Batch::Whole(page) => {
             listing.begin();
@@ -91,13 +120,13 @@
     };
     let config = shared.config.borrow().clone();
     let again = config.map(|config| listing.configure(&config));
-    let mut events = Vec::new();
+    let mut changes = Vec::new();
     for record in again.into_iter().flatten().chain(page.records) {
         match listing.take(&shared.platform, &record) {
-            Entry::Good(registration) => events.push(Event::Registered(registration)),
+            Entry::Good(registration) => changes.push(Change::Registered(registration)),
             Entry::Foreign(worker, fault) => {
                 shared.turn_away("workers", &Rejected::record(&record, fault));
-                events.push(Event::Distrusted(worker));
+                changes.push(Change::Distrusted(worker));
             }
             Entry::Removed => {}
         }
@@ -106,7 +135,7 @@
     for key in unread.filter_map(|rejected| rejected.key) {
         let worker = WorkerId::from(key);
         listing.note(worker.clone());
-        events.push(Event::Distrusted(worker));
+        changes.push(Change::Distrusted(worker));
     }
-    events
+    changes
 }
