A cell whose owners are all slow is handed on less and less

Each slow owner in a row doubles the time that the next one has, up to 32 s; the count stands in the claim. A pure decision, with a test that plays it.

--- a/crates/node/src/member/follow.rs
+++ b/crates/node/src/member/follow.rs
@@ -247,6 +247,7 @@
             .unwrap_or_default(),
     };
     let result = append(shared, &claim, seen.end).await;
+        slow_owners: seen.claim.as_ref().map_or(0, |claim| claim.slow_owners),
     let outcome = result.as_ref().err().map_or("won", Error::word);
     slog::info!(shared.log, "claim"; "epoch" => %claim.epoch, "why" => why,
         "outcome" => outcome);
--- a/crates/node/src/member/own.rs
+++ b/crates/node/src/member/own.rs
@@ -95,6 +95,7 @@
     });
     shared.pulse.forget_events();
     let ending = tokio::select! {
+    let (began, slow_owners) = (Instant::now(), claim.slow_owners);
         ending = dismissed(shared) => ending,
         reason = relieved(shared, slow_owners) => Ending::Wanted(reason),
         why = renew(shared, &mut claim, &mut end) => Ending::Forced(why),
@@ -105,6 +106,9 @@
         "lag_ms" => millis(shared.pulse.owner()));
     let peers = shared.peers.lock().await.clone();
     // While the successor's claim is on its way this node goes on deciding, unless its decisions are what
+    if began.elapsed() >= succession::CALM {
+        claim.slow_owners = 0;
+    }
     // keeps the claim from leaving.
     if matches!(ending, Ending::Wanted(Reason::Slow)) {
         depose(shared, &taking).await;
@@ -186,6 +190,10 @@
         strength: next.strength,
         spread: claim.spread,
     };
+        slow_owners: match reason {
+            Reason::Slow => claim.slow_owners.saturating_add(1),
+            Reason::Outranked | Reason::Leaving => 0,
+        },
     // The claim may be on record without an answer: this node must not go on for longer than without the store.
     let patience = ALONE.min(RENEWAL_PATIENCE + STORE_TIMES * shared.store.usual());
     let kept = timeout(patience, keep_successor(shared, &successor, end)).await;
@@ -269,7 +277,7 @@
         let owned = began.elapsed();
         let lag = shared.pulse.owner();
         let reason = match () {
-            () if succession::is_slow(lag, owned) => Reason::Slow,
+            () if succession::is_slow(lag, owned, slow_owners) => Reason::Slow,
             () if owned >= TENURE => Reason::Outranked,
             () => continue,
         };
--- a/crates/node/src/succession.rs
+++ b/crates/node/src/succession.rs
@@ -1,7 +1,8 @@
 //! Who should own the cell next, and when an owner should let go of it. Pure decisions.
 //!
-//! They answer three loads: a fleet whose small nodes would own what only large ones can carry, a machine
-//! that turns slow beneath the owner, and machines that are restarted one after the other.
+//! They answer four loads: a fleet whose small nodes would own what only large ones can carry, a machine
+//! that turns slow beneath the owner, machines that are restarted one after the other, and a backlog that makes
+//! every owner slow.
 
 use std::{
     net::SocketAddr,
@@ -36,6 +37,11 @@
 const QUICKER: u32 = 3;
 /// An owner doesn't let go for slowness so soon after it took over: it reads, adopts and starts a backlog.
 const SETTLED: Duration = Duration::from_secs(2);
+/// After each owner in a row that was slow the next one has twice the time, up to so many times: where the backlog is what makes
+/// them slow, each change of owners adds to it.
+const MOST_DOUBLINGS: u8 = 4;
+/// An owner that was not slow for so long doesn't count as another one in a row.
+pub const CALM: Duration = Duration::from_secs(60);
 /// How many events a lag is the median of: 0.2 s of the owner's ticks.
 const LATEST: usize = 8;
 
@@ -104,10 +110,10 @@
     strength > other && strength * OUTRANKS.1 >= other * OUTRANKS.0
 }
 
-/// Returns whether an owner should look for a quicker one, by how late its events are and how long it has
-/// owned the cell.
-pub fn is_slow(lag: Duration, owned: Duration) -> bool {
-    lag >= SLOW && owned >= SETTLED
+/// Returns whether an owner should look for a quicker one, by how late its events are, how long it has owned the cell, and how
+/// many owners in a row before it let go for that.
+pub fn is_slow(lag: Duration, owned: Duration, slow_owners: u8) -> bool {
+    lag >= SLOW && owned >= SETTLED * (1 << slow_owners.min(MOST_DOUBLINGS))
 }
 
 /// Returns whether a node gets its processor in time, by how late its timers are.
--- a/crates/node/tests/succession.rs
+++ b/crates/node/tests/succession.rs
@@ -155,6 +155,24 @@
     for _ in 0..40 {
         lag.note(400 * MILLISECOND);
     }
-    assert!(!is_slow(lag.get(), SECOND));
-    assert!(is_slow(lag.get(), 10 * SECOND));
+    assert!(!is_slow(lag.get(), SECOND, 0));
+    assert!(is_slow(lag.get(), 10 * SECOND, 0));
+}
+
+/// A backlog makes each owner slow, whichever node it is: the cell is not handed on each two seconds.
+#[test]
+fn a_cell_whose_owners_are_all_slow_is_handed_on_less_and_less() {
+    let lag = Duration::from_millis(60);
+    let mut now = Duration::ZERO;
+    let mut changes = Vec::new();
+    while now < 60 * SECOND {
+        let slow_owners = u8::try_from(changes.len()).unwrap();
+        let owned = (1u32..).map(|n| Duration::from_millis(100) * n);
+        now += owned
+            .into_iter()
+            .find(|owned| is_slow(lag, *owned, slow_owners))
+            .unwrap();
+        changes.push(now.as_secs());
+    }
+    assert_eq!(changes, [2, 6, 14, 30, 62]);
 }
