Nodes follow the operator by the owner's word, and have the store wait for longer

The owner now tells with each answer to a greeting how far it has read what the operator writes. A node that has read as far goes by that and has the store wait for 4 s; one that has not reads at once; one that hears nothing of the owner for 1.5 s follows as closely as before.

--- a/crates/node/src/evacuation.rs
+++ b/crates/node/src/evacuation.rs
@@ -22,7 +22,7 @@
 
 /// How much of the operator's records was read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Extent {
+pub(crate) enum Scope {
     /// The newest of each key: what isn't among them is taken back.
     Whole,
     /// Those since the last reading.
@@ -30,12 +30,12 @@
 }
 
 /// Takes in what was read just now; each change is told.
-pub(crate) fn take<P: Platform>(shared: &Shared<P>, extent: Extent, changes: Vec<Change>) {
+pub(crate) fn take<P: Platform>(shared: &Shared<P>, scope: Scope, changes: Vec<Change>) {
     let before = shared.evacuation.borrow().clone();
     let before = before.map(|reading| reading.evacuation).unwrap_or_default();
-    let mut evacuation = match extent {
-        Extent::Whole => Evacuation::default(),
-        Extent::More => before.clone(),
+    let mut evacuation = match scope {
+        Scope::Whole => Evacuation::default(),
+        Scope::More => before.clone(),
     };
     for change in changes {
         evacuation.apply(change);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,7 @@
 //! | `hedge` | sends an append again whose answer is overdue |
 //! | `intake` | groups acceptances and cancellations into appends |
 //! | `member` | who owns the cell, and when this node claims it |
+//! | `operator` | how closely this node follows what the operator writes |
 //! | `order` | orders to workers, and what came of them |
 //! | `owner` | the owner's actor, its takeover, and what it reads and writes |
 //! | `watch` | follows the configuration and the list of workers |
@@ -22,8 +23,8 @@
 //! | `pulse` | how late this process gets its processor |
 //! | `report` | logs and metrics |
 //! | [`revocation`] | for how long a node may go by keys while it can't read the configuration |
-//! | [`succession`] | who should own the cell next, and when an owner should let go |
 //! | [`share`] | which node gives the orders to which worker |
+//! | [`succession`] | who should own the cell next, and when an owner should let go |
 
 pub mod comeback;
 mod edition;
@@ -36,6 +37,7 @@
 mod member;
 mod message;
 mod node;
+mod operator;
 mod order;
 mod owner;
 pub mod port;
@@ -43,9 +45,9 @@
 mod recall;
 mod report;
 pub mod revocation;
+pub mod share;
 mod shared;
 pub mod succession;
-pub mod share;
 mod watch;
 
 pub use self::{
--- a/crates/node/src/member/follow.rs
+++ b/crates/node/src/member/follow.rs
@@ -30,6 +30,7 @@
         Question,
         Reply, //
     },
+    operator,
     port::{
         Error,
         Platform, //
@@ -179,15 +180,16 @@
         return Belief::Vacant("former-life");
     }
     let hello = Question::Hello(shared.greeting());
+    let asked = Instant::now();
     match message::ask(&shared.rpc, claim.address, &hello, HELLO_PATIENCE).await {
-        Ok(Reply::Owner(newer)) if newer.epoch == claim.epoch => {
+        Ok(Reply::Owner(newer, extent)) if newer.epoch == claim.epoch => {
             shared.note_spread(&newer);
-            Belief::Well(newer.renewal)
-        }
             if let Some(extent) = extent {
                 operator::confirm(shared, extent, asked);
             }
-        Ok(Reply::Owner(newer)) if newer.epoch > claim.epoch => Belief::Replaced(newer),
+            Belief::Well(newer.renewal)
+        }
+        Ok(Reply::Owner(newer, _)) if newer.epoch > claim.epoch => Belief::Replaced(newer),
         Ok(Reply::NotOwner {
             claim: known,
             incarnation,
@@ -245,9 +247,9 @@
             .as_ref()
             .map(|claim| claim.spread)
             .unwrap_or_default(),
+        slow_owners: seen.claim.as_ref().map_or(0, |claim| claim.slow_owners),
     };
     let result = append(shared, &claim, seen.end).await;
-        slow_owners: seen.claim.as_ref().map_or(0, |claim| claim.slow_owners),
     let outcome = result.as_ref().err().map_or("won", Error::word);
     slog::info!(shared.log, "claim"; "epoch" => %claim.epoch, "why" => why,
         "outcome" => outcome);
--- a/crates/node/src/member/mod.rs
+++ b/crates/node/src/member/mod.rs
@@ -132,7 +132,7 @@
         .map(|peer| message::ask(&shared.rpc, peer.address, &hello, HELLO_PATIENCE));
     let answers = join_all(asked).await;
     let claims = answers.into_iter().filter_map(|answer| match answer {
-        Ok(Reply::Owner(claim)) => Some(claim),
+        Ok(Reply::Owner(claim, _)) => Some(claim),
         Ok(Reply::NotOwner { claim, .. }) => claim,
         _ => None,
     });
@@ -152,12 +152,6 @@
     }
 }
 
-/// Returns how long the store takes to answer this node now, if it does.
-pub(crate) async fn probe<P: Platform>(shared: &Shared<P>) -> Option<Duration> {
-    let began = Instant::now();
-    let read = shared.newest("probe", Topic::Claims);
-    let answer = timeout(PROBE, read).await;
-    matches!(answer, Ok(Ok(_))).then(|| began.elapsed())
 /// What the store told a node that probed it, and when.
 #[derive(Debug, Default)]
 pub(crate) struct Probe(Mutex<Option<(Instant, Option<Duration>)>>);
@@ -181,6 +175,12 @@
     took
 }
 
+/// Returns how long the store takes to answer this node now, if it does.
+pub(crate) async fn probe<P: Platform>(shared: &Shared<P>) -> Option<Duration> {
+    let began = Instant::now();
+    let read = shared.newest("probe", Topic::Claims);
+    let answer = timeout(PROBE, read).await;
+    matches!(answer, Ok(Ok(_))).then(|| began.elapsed())
 }
 
 /// Reads the newest claim that is one of this program's.
--- a/crates/node/src/member/own.rs
+++ b/crates/node/src/member/own.rs
@@ -13,6 +13,7 @@
     future::join_all,
     stream::FuturesUnordered, //
 };
+use rand::seq::SliceRandom;
 use tokio::{
     task::JoinHandle,
     time::{
@@ -43,8 +44,8 @@
     },
     port::Platform,
     report::millis,
-    shared::{
     share::Peer,
+    shared::{
         Acting,
         Shared, //
     },
@@ -68,10 +69,10 @@
 const FRESH: Duration = Duration::from_millis(1_000);
 /// After this long without the store the owner asks the others whether it is away for them too.
 const ASK_PEERS: Duration = Duration::from_millis(250);
-/// How much longer than another node's the owner's own probe may take: nodes notice the store's return within
 /// How many of the others it asks. Where the store answers half of them, one of eight tells so but once in 256 times, and
 /// others are asked 0.1 s later.
 const ASKED: usize = 8;
+/// How much longer than another node's the owner's own probe may take: nodes notice the store's return within
 /// some 60 ms of each other.
 const BACK: Duration = Duration::from_millis(100);
 /// How often the owner looks whether the store owes it an answer for so long.
@@ -94,8 +95,8 @@
         async move { take_over(&shared, &claim).await.is_ok() }
     });
     shared.pulse.forget_events();
-    let ending = tokio::select! {
     let (began, slow_owners) = (Instant::now(), claim.slow_owners);
+    let ending = tokio::select! {
         ending = dismissed(shared) => ending,
         reason = relieved(shared, slow_owners) => Ending::Wanted(reason),
         why = renew(shared, &mut claim, &mut end) => Ending::Forced(why),
@@ -105,10 +106,10 @@
     slog::info!(shared.log, "ownership-ends"; "epoch" => %claim.epoch, "why" => ending.word(),
         "lag_ms" => millis(shared.pulse.owner()));
     let peers = shared.peers.lock().await.clone();
-    // While the successor's claim is on its way this node goes on deciding, unless its decisions are what
     if began.elapsed() >= succession::CALM {
         claim.slow_owners = 0;
     }
+    // While the successor's claim is on its way this node goes on deciding, unless its decisions are what
     // keeps the claim from leaving.
     if matches!(ending, Ending::Wanted(Reason::Slow)) {
         depose(shared, &taking).await;
@@ -189,11 +190,11 @@
         released: false,
         strength: next.strength,
         spread: claim.spread,
-    };
         slow_owners: match reason {
             Reason::Slow => claim.slow_owners.saturating_add(1),
             Reason::Outranked | Reason::Leaving => 0,
         },
+    };
     // The claim may be on record without an answer: this node must not go on for longer than without the store.
     let patience = ALONE.min(RENEWAL_PATIENCE + STORE_TIMES * shared.store.usual());
     let kept = timeout(patience, keep_successor(shared, &successor, end)).await;
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -113,8 +113,8 @@
 /// The answer to a [`Question`].
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) enum Reply {
-    /// This node owns the cell under this claim.
-    Owner(Claim),
+    /// This node owns the cell under this claim, and has read so much of what the operator writes.
+    Owner(Claim, Option<Extent>),
     /// This node doesn't own the cell.
     NotOwner {
         /// The newest claim that it knows of.
@@ -138,6 +138,15 @@
     Configuration(Edition),
 }
 
+/// How far a node has read what the operator writes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Extent {
+    /// The offset of the next record.
+    pub(crate) next: u64,
+    /// How long ago the store last told that there is none.
+    pub(crate) age: Duration,
+}
+
 /// A configuration as one node knows it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Edition {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -53,6 +53,7 @@
         Question,
         Reply, //
     },
+    operator,
     owner::{
         self,
         Event, //
@@ -64,8 +65,8 @@
     },
     report::Meter,
     revocation::Revocation,
-    shared::Shared,
     share::Peer,
+    shared::Shared,
     succession::{
         self,
         Greeting, //
@@ -77,9 +78,9 @@
 const PEER_GONE: Duration = Duration::from_millis(1_600);
 /// How often nodes that went away are noticed; new ones are at once.
 const SWEEP: Duration = Duration::from_millis(400);
-/// How often lines that were left out of the log are counted.
 /// The part of its descriptors that a node has for connections of other nodes.
 const PEERS_PART: u32 = 4;
+/// How often lines that were left out of the log are counted.
 const LEFT_OUT: Duration = Duration::from_secs(1);
 
 /// The ways in which a node can fail to start.
@@ -111,9 +112,9 @@
     pub processor: Millicores,
     /// How much its link carries.
     pub link: Bandwidth,
-}
     /// How many files and connections it may have open.
     pub descriptors: u32,
+}
 
 /// What a node is made of.
 #[derive(Debug)]
@@ -152,8 +153,8 @@
             incarnation,
             processor,
             link,
-        } = parts.identity;
             descriptors,
+        } = parts.identity;
         let listen = |source| Error::Listen { address, source };
         let (server, calls) =
             rpc::Server::start(address, peer_limits(descriptors)).map_err(listen)?;
@@ -163,8 +164,8 @@
             address: server.address(),
             incarnation,
             strength: succession::strength(processor, link),
-            began: Instant::now(),
             descriptors,
+            began: Instant::now(),
             bounds: parts.bounds,
             revocation: parts.revocation,
             platform: parts.platform,
@@ -175,6 +176,7 @@
             config: watch::Sender::new(None),
             config_record: watch::Sender::new(None),
             config_read: watch::Sender::new(Instant::now()),
+            operator: operator::Reading::default(),
             evacuation: watch::Sender::new(None),
             claim: watch::Sender::new(None),
             acting: watch::Sender::new(None),
@@ -185,9 +187,9 @@
             greetings: Mutex::default(),
             pulse: Pulse::default(),
             store: StoreHealth::new(parts.log),
+            probe: member::Probe::default(),
             strongest: AtomicU32::new(0),
             is_alone: AtomicBool::new(false),
-            probe: member::Probe::default(),
         });
         let intake = Intake::start(&shared);
         tokio::spawn(follow::follow_operator(shared.clone()));
@@ -237,9 +239,6 @@
     }
 }
 
-async fn count_left_out<P: Platform>(shared: Arc<Shared<P>>) {
-    let mut ticks = interval(LEFT_OUT);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
 /// Returns the bounds of the server for other nodes: all of a cell keep a connection to its owner.
 fn peer_limits(descriptors: u32) -> rpc::ServerLimits {
     rpc::ServerLimits {
@@ -250,6 +249,9 @@
     }
 }
 
+async fn count_left_out<P: Platform>(shared: Arc<Shared<P>>) {
+    let mut ticks = interval(LEFT_OUT);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
         for (kind, count) in shared.meter.take_left_out() {
--- a/crates/node/src/owner/control.rs
+++ b/crates/node/src/owner/control.rs
@@ -68,13 +68,13 @@
         Order,
         Report, //
     },
+    port::Platform,
+    pulse,
+    report::millis,
     share::{
         Peer,
         Share, //
     },
-    port::Platform,
-    pulse,
-    report::millis,
     shared::Shared,
 };
 
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -46,6 +46,8 @@
         StoreHealth, //
     },
     hedge,
+    member,
+    operator,
     owner::{
         Control,
         View, //
@@ -63,9 +65,9 @@
     pulse::Pulse,
     report::Meter,
     revocation::Revocation,
+    share::Peer,
     succession::Greeting, //
 };
-    share::Peer,
 
 /// The engine's actor, once this node owns the cell and has taken it over.
 pub(crate) struct Acting<P: Platform> {
@@ -116,10 +118,10 @@
     pub(crate) incarnation: u64,
     /// How strong the node is among others.
     pub(crate) strength: Millicores,
-    /// When this life of it began.
-    pub(crate) began: Instant,
     /// How many files and connections it may have open.
     pub(crate) descriptors: u32,
+    /// When this life of it began.
+    pub(crate) began: Instant,
     pub(crate) bounds: Bounds,
     pub(crate) revocation: Revocation,
     pub(crate) platform: P,
@@ -133,6 +135,8 @@
     pub(crate) config_record: watch::Sender<Option<Record>>,
     /// When the store last told this node, or the owner, which configuration is the newest.
     pub(crate) config_read: watch::Sender<Instant>,
+    /// How far what the operator writes was read.
+    pub(crate) operator: operator::Reading,
     /// Which data centres are evacuated, once the store has told this node.
     pub(crate) evacuation: watch::Sender<Option<evacuation::Reading>>,
     /// The newest claim that is known here.
@@ -152,12 +156,12 @@
     pub(crate) greetings: Greetings,
     pub(crate) pulse: Pulse,
     pub(crate) store: StoreHealth,
+    /// What the store told this node when another one asked.
+    pub(crate) probe: member::Probe,
     /// Whether the store is away for this node alone, as far as that can be told.
     pub(crate) is_alone: AtomicBool,
 }
 
-    /// What the store told this node when another one asked.
-    pub(crate) probe: member::Probe,
 impl<P: Platform> Shared<P> {
     /// Appends to the store.
     ///
@@ -244,24 +248,41 @@
             node: self.name.clone(),
             address: self.address,
             processor: self.strength,
+            descriptors: self.descriptors,
         }
     }
 
     /// Returns what this node tells of itself.
     pub(crate) fn greeting(&self) -> Greeting {
         Greeting {
-            descriptors: self.descriptors,
             node: self.name.clone(),
             address: self.address,
             incarnation: self.incarnation,
             strength: self.strength,
+            descriptors: self.descriptors,
             may_own: !self.store.is_failing() && !self.is_leaving(),
             age: self.began.elapsed(),
             lag: self.pulse.timers(),
         }
     }
 
-            descriptors: self.descriptors,
+    /// Notes when the store told, here or elsewhere, that what this node has read of the operator's is the newest.
+    pub(crate) fn note_operator_read(&self, told: Instant) {
+        self.config_read.send_if_modified(|read| {
+            let is_news = told > *read;
+            *read = told.max(*read);
+            is_news
+        });
+        self.evacuation.send_if_modified(|reading| {
+            let reading = reading.as_mut().filter(|reading| reading.at < told);
+            let is_news = reading.is_some();
+            if let Some(reading) = reading {
+                reading.at = told;
+            }
+            is_news
+        });
+    }
+
     /// Notes the newest claim that is known here.
     pub(crate) fn note_claim(&self, claim: Claim) {
         self.strongest
--- a/crates/node/src/succession.rs
+++ b/crates/node/src/succession.rs
@@ -56,14 +56,14 @@
     pub incarnation: u64,
     /// How strong it is, see [`strength`].
     pub strength: Millicores,
+    /// How many files and connections it may have open.
+    pub descriptors: u32,
     /// Whether it could claim the cell.
     pub may_own: bool,
     /// For how long this life of it has run.
     pub age: Duration,
     /// How late its timers are.
     pub lag: Duration,
-    /// How many files and connections it may have open.
-    pub descriptors: u32,
 }
 
 /// Why an owner lets go of the cell.
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -1,6 +1,7 @@
 //! Follows what the operator writes, and on the owner the list of workers and the jobs.
 
 use std::{
+    pin::pin,
     sync::Arc,
     time::Duration, //
 };
@@ -9,6 +10,10 @@
     config::Config,
     evacuation::Change, //
 };
+use futures::future::{
+    Either,
+    select, //
+};
 use rand::random_range;
 use tokio::time::{
     Instant,
@@ -18,8 +23,9 @@
 use crate::{
     evacuation::{
         self,
-        Extent, //
+        Scope, //
     },
+    operator,
     port::{
         Error,
         Fault,
@@ -35,9 +41,6 @@
     shared::Shared,
 };
 
-/// How long the store may wait for a change of the configuration: a call that is lost is noticed
-/// only after this time, and a change has to be in force within 2 s.
-const CONFIG_WAIT: Duration = Duration::from_millis(1_000);
 /// The pause after a failed call, half to whole; refused calls are priced like others.
 const PAUSE: Duration = Duration::from_millis(250);
 
@@ -110,33 +113,46 @@
 /// Follows what the operator writes for as long as the process runs.
 pub(crate) async fn follow_operator<P: Platform>(shared: Arc<Shared<P>>) {
     let mut reader = Reader::new(Topic::Configuration, "configuration");
-    let mut has_failed = false;
+    let mut wait = Duration::ZERO;
     loop {
-        // A store that comes back answers such a call at once, and one that waits only after its wait: whoever asks
-        // for a queue meanwhile is told that this node doesn't know.
-        let wait = match has_failed || shared.store.is_failing() {
-            true => Duration::ZERO,
-            false => CONFIG_WAIT,
+        let batch = {
+            let read = pin!(reader.read(&shared, wait));
+            match select(read, pin!(operator::overdue(&shared, wait))).await {
+                Either::Left((batch, _)) => batch,
+                Either::Right(_) => {
+                    wait = Duration::ZERO;
+                    continue;
+                }
+            }
         };
-        let read = match reader.read(&shared, wait).await {
+        let read = match batch {
             Ok(Batch::Whole(page)) => {
                 let settled = settle(&shared, page).await;
                 if settled.is_err() {
                     reader = Reader::new(Topic::Configuration, "configuration");
                 }
-                settled.map(|told| (Extent::Whole, told))
+                settled.map(|told| (Scope::Whole, told))
             }
             // The last one that could be read stays in force where another can't.
             Ok(Batch::More(page)) => {
                 let read = |record: &Record| read(&shared, record);
                 let read = recall::read(&shared, "configuration", page, read);
-                Ok((Extent::More, read.found))
+                Ok((Scope::More, read.found))
             }
             Err(error) => Err(error),
         };
-        has_failed = read.is_err();
+        wait = match read {
+            // A store that comes back answers such a call at once, and one that waits only after its wait: whoever asks
+            // for a queue meanwhile is told that this node doesn't know.
+            Err(_) => Duration::ZERO,
+            Ok(_) if shared.store.is_failing() => Duration::ZERO,
+            Ok(_) => operator::wait(&shared),
+        };
         match read {
-            Ok((extent, told)) => take(&shared, extent, told),
+            Ok((scope, told)) => {
+                take(&shared, scope, told);
+                operator::note(&shared, reader.next);
+            }
             Err(_) => pause().await,
         }
     }
@@ -163,7 +179,7 @@
 }
 
 /// Takes in what was read just now; a call that waits for a change tells at its end that there was none.
-fn take<P: Platform>(shared: &Shared<P>, extent: Extent, told: Vec<Told>) {
+fn take<P: Platform>(shared: &Shared<P>, scope: Scope, told: Vec<Told>) {
     shared.config_read.send_replace(Instant::now());
     let mut changes = Vec::new();
     for told in told {
@@ -172,7 +188,7 @@
             Told::Evacuation(change) => changes.push(change),
         }
     }
-    evacuation::take(shared, extent, changes);
+    evacuation::take(shared, scope, changes);
 }
 
 /// Puts a configuration in force here; an older one than the present changes nothing.
--- a/crates/node/tests/succession.rs
+++ b/crates/node/tests/succession.rs
@@ -138,7 +138,7 @@
     let tick = 25 * MILLISECOND;
     let mut waited = 5 * MILLISECOND;
     let mut after = Duration::ZERO;
-    while !is_slow(lag.get(), 10 * SECOND) {
+    while !is_slow(lag.get(), 10 * SECOND, 0) {
         // Four times the work that it can do: each tick leaves three quarters of one undone.
         waited += tick * 3 / 4;
         after += tick;
@@ -151,7 +151,7 @@
 fn a_single_late_event_is_not_slowness_nor_is_the_rush_of_a_takeover() {
     let mut lag = Lag::default();
     lag.note(400 * MILLISECOND);
-    assert!(!is_slow(lag.get(), 10 * SECOND));
+    assert!(!is_slow(lag.get(), 10 * SECOND, 0));
     for _ in 0..40 {
         lag.note(400 * MILLISECOND);
     }
