--- a/crates/cell/tests/cell/evacuate.rs
+++ b/crates/cell/tests/cell/evacuate.rs
@@ -263,3 +263,44 @@
     complete(&mut world, job);
     complete(&mut world, filler);
 }
+
+/// The calls about a wide gang wait for the one node that can ask.
+#[test]
+fn calls_that_wait_for_a_node_leave_out_whom_it_concerns() {
+    let mut world = World::sized(1, NONE, 300, &["a"]);
+    world.run(SECOND);
+    let job = world.submit("gang", vec![gang(100)]);
+    world.run(Duration::from_millis(50));
+    assert_eq!(world.asked.len(), 1, "the others wait");
+    world.evacuate_only(&["north"]);
+    complete(&mut world, job);
+    assert!(world.asked.len() > 1);
+}
+
+/// A new owner knows of what may run on workers before it has read where they stand.
+#[test]
+fn a_new_owner_uses_the_workers_elsewhere_that_it_inherits() {
+    let mut world = world(NONE);
+    let early = world.submit("batch", vec![wide_step(32)]);
+    world.run(Duration::from_millis(200));
+    world.evacuate_only(&["north"]);
+    world.take_over();
+    let late = world.submit("batch", vec![wide_step(16)]);
+    complete(&mut world, early);
+    complete(&mut world, late);
+}
+
+/// A gang was told whom it may use in a data centre that is evacuated then: it is asked about others.
+#[test]
+fn a_gang_is_asked_about_others_than_those_that_are_evacuated() {
+    let mut world = World::sized(1, NONE, 96, &["a", "b", "c"]);
+    world.evacuate_only(&["south"]);
+    world.run(SECOND);
+    world.submit("batch", vec![wide_step(192)]);
+    world.run(Duration::from_millis(50));
+    let job = world.submit("gang", vec![gang(8)]);
+    world.run(Duration::from_millis(150));
+    assert_eq!(world.engine.state(job), Some(State::Queued));
+    world.evacuate_only(&["north"]);
+    complete(&mut world, job);
+}
--- a/crates/cell/tests/cell/world/evacuate.rs
+++ b/crates/cell/tests/cell/world/evacuate.rs
@@ -48,6 +48,14 @@
         self.later_read();
     }
 
+    /// Has the operator evacuate these data centres alone; the nodes read that at once.
+    pub(crate) fn evacuate_only(&mut self, data_centres: &[&'static str]) {
+        let now = self.now;
+        let data_centres = data_centres.iter().copied().map(DataCentre::from);
+        self.evacuated = data_centres.map(|name| (name, now)).collect();
+        self.read_operator();
+    }
+
     /// Returns the tasks that run in a data centre.
     pub(crate) fn tasks_in(&self, data_centre: &str) -> Vec<TaskId> {
         let data_centre = DataCentre::from(data_centre);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -387,10 +387,8 @@
             };
             let mut greetings = self.shared.greetings.lock().await;
             greetings.retain(|_, (_, at)| at.elapsed() < PEER_GONE);
-            let greeted = greetings.values();
-            let mut peers: Vec<Peer> = greeted.map(|(greeting, _)| greeting.into()).collect();
             drop(greetings);
-            peers.sort_unstable();
+            let peers = self.shared.greeted().await;
             *self.shared.peers.lock().await = peers.clone();
             let news = (acting.epoch.0, peers.clone());
             if told.as_ref() == Some(&news) {
--- a/crates/node/src/owner/control.rs
+++ b/crates/node/src/owner/control.rs
@@ -212,7 +212,7 @@
         self.shared.stalled.notify_one();
     }
 
-    fn take(&mut self, event: Event) {
+    pub(super) fn take(&mut self, event: Event) {
         let now = self.shared.clock.now();
         let engine = &mut self.engine;
         match event {
--- a/crates/node/src/owner/takeover.rs
+++ b/crates/node/src/owner/takeover.rs
@@ -63,6 +63,7 @@
         Own, //
     },
     report::millis,
+    share::Peer,
     shared::{
         Acting,
         Seat,
@@ -148,7 +149,11 @@
     listed
         .into_iter()
         .for_each(|change| change.tell(&mut engine, now));
-    Ok(start(shared, claim, engine, partitions, view, workers))
+    // All workers are called at once: without the nodes that give orders the owner would connect to each of them.
+    let peers = shared.greeted().await;
+    Ok(start(
+        shared, claim, engine, partitions, view, workers, peers,
+    ))
 }
 
 /// Reads the list of workers once, beside the other readings: all workers are called as soon as the engine is there.
@@ -196,9 +201,11 @@
     partitions: Vec<Partition>,
     view: View,
     workers: workers::Follower,
+    peers: Vec<Peer>,
 ) -> ActorRef<Control<P>> {
     let (records, queue) = mpsc::unbounded_channel();
-    let control = Control::new(engine, shared.clone(), records, view.clone());
+    let mut control = Control::new(engine, shared.clone(), records, view.clone());
+    control.take(Event::Peers(peers));
     let control = Control::spawn_with_mailbox(control, mailbox::bounded(MAILBOX));
     let weak = control.downgrade();
     tokio::spawn(recorder::run(
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -252,6 +252,17 @@
         }
     }
 
+    /// Returns the nodes that have greeted this one as the owner.
+    pub(crate) async fn greeted(&self) -> Vec<Peer> {
+        let greetings = self.greetings.lock().await;
+        let mut peers: Vec<Peer> = greetings
+            .values()
+            .map(|(greeting, _)| greeting.into())
+            .collect();
+        peers.sort_unstable();
+        peers
+    }
+
     /// Returns what this node tells of itself.
     pub(crate) fn greeting(&self) -> Greeting {
         Greeting {
--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -6,6 +6,7 @@
 mod platform;
 mod record;
 mod service;
+mod size;
 mod support;
 mod suspension;
 mod view;
--- a/crates/node/tests/node/platform.rs
+++ b/crates/node/tests/node/platform.rs
@@ -174,6 +174,8 @@
     run_out: Arc<AtomicUsize>,
     /// How many orders to start this machine has given.
     ordered: Arc<AtomicUsize>,
+    /// When this machine read which topic.
+    reads: Arc<Mutex<Vec<(String, Instant)>>>,
     /// For how long this machine was suspended.
     suspended: Arc<Mutex<Duration>>,
 }
@@ -271,6 +273,18 @@
         *self.own.lock().unwrap() = Some(mode);
     }
 
+    fn note_read(&self, topic: Topic) {
+        let read = (name(topic), Instant::now());
+        self.reads.lock().unwrap().push(read);
+    }
+
+    /// Returns when this machine read a topic, in order.
+    pub(crate) fn reads(&self, topic: Topic) -> Vec<Instant> {
+        let reads = self.reads.lock().unwrap();
+        let own = reads.iter().filter(|(read, _)| *read == name(topic));
+        own.map(|(_, at)| *at).collect()
+    }
+
     /// Returns how many calls of this machine a silent store has let run out.
     pub(crate) fn run_out(&self) -> usize {
         self.run_out.load(Ordering::Relaxed)
@@ -611,6 +625,7 @@
 
     async fn read(&self, topic: Topic, from: u64, wait: Duration) -> Result<Page, Error> {
         let until = Instant::now() + wait;
+        self.note_read(topic);
         self.check_held_back(topic).await?;
         if matches!(topic, Topic::Jobs(_)) {
             self.state().job_reads += 1;
@@ -643,6 +658,7 @@
     }
 
     async fn newest(&self, topic: Topic) -> Result<Page, Error> {
+        self.note_read(topic);
         self.check_lost(topic).await?;
         self.check_held_back(topic).await?;
         self.wait_for(topic).await;
--- /dev/null
+++ b/crates/node/tests/node/size.rs
@@ -0,0 +1,124 @@
+//! What grows with the number of nodes, and what must not.
+
+use std::time::Duration;
+
+use fulmarpier_node::{
+    Node,
+    port::Topic, //
+};
+use fulmarpier_state::unit::Millicores;
+use rstest::rstest;
+use tokio::time::{
+    Instant,
+    sleep, //
+};
+
+use crate::{
+    platform::{
+        Fake,
+        Mode, //
+    },
+    support::{
+        SECOND,
+        completed,
+        node,
+        node_with,
+        ready,
+        submit,
+        until, //
+    },
+};
+
+/// Starts an owner, and weaker nodes on machines of their own.
+async fn cell(platform: &Fake, others: usize) -> (Node<Fake>, Vec<(Node<Fake>, Fake)>) {
+    let owner = node_with("owner", platform, Millicores(1_000));
+    ready(&owner).await;
+    let others = (0..others).map(|nth| {
+        let machine = platform.machine();
+        let node = node_with(&format!("n{nth}"), &machine, Millicores(250));
+        (node, machine)
+    });
+    let others: Vec<_> = others.collect();
+    for (node, _) in &others {
+        ready(node).await;
+    }
+    (owner, others)
+}
+
+/// The store turns many nodes away: each asks the owner whether it is away for all.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn an_owner_doesn_t_probe_the_store_for_each_node_that_asks(
+    #[values(2, 6, 12)] others: usize,
+) {
+    let platform = Fake::new();
+    let (_owner, others) = cell(&platform, others).await;
+    sleep(2 * SECOND).await;
+    let before = platform.reads(Topic::Claims).len();
+    for (_, machine) in &others {
+        machine.set_here(Mode::Refusing);
+    }
+    sleep(3 * SECOND).await;
+    let probes = platform.reads(Topic::Claims).len() - before;
+    // One for each tenth of a second is allowed for, whoever asks.
+    assert!(probes <= 30, "{probes} readings of the claims");
+}
+
+/// A node that the owner tells that there is nothing newer leaves the store alone.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn a_node_reads_what_the_operator_writes_each_four_seconds(#[values(2, 12)] others: usize) {
+    let platform = Fake::new();
+    let (_owner, others) = cell(&platform, others).await;
+    sleep(5 * SECOND).await;
+    let from = Instant::now();
+    sleep(20 * SECOND).await;
+    for (_, machine) in &others {
+        let reads = machine.reads(Topic::Configuration);
+        let reads = reads.iter().filter(|at| **at >= from).count();
+        assert!(reads <= 6, "{reads} readings in 20 s");
+    }
+}
+
+/// The store lets a node's call run out that waits for a change; the owner has read it.
+#[tokio::test(start_paused = true)]
+async fn a_change_is_in_force_in_time_where_the_answer_that_tells_of_it_is_lost() {
+    let platform = Fake::new();
+    let (_owner, others) = cell(&platform, 2).await;
+    sleep(5 * SECOND).await;
+    let (node, machine) = &others[0];
+    machine.set_here(Mode::Silent);
+    sleep(Duration::from_millis(50)).await;
+    machine.set_here(Mode::Well);
+    platform.write(Topic::Configuration, "config", b"2");
+    let from = Instant::now();
+    until(|| async {
+        node.front()
+            .config()
+            .is_some_and(|config| config.version == 2)
+    })
+    .await;
+    assert!(from.elapsed() < 2 * SECOND, "{:?}", from.elapsed());
+}
+
+/// The list of workers takes as long to read as the records of the former owner.
+#[tokio::test(start_paused = true)]
+async fn a_new_owner_reads_the_list_of_workers_beside_the_records() {
+    let platform = Fake::new();
+    let one = node("one", &platform);
+    ready(&one).await;
+    submit(&one, 1).await.unwrap();
+    completed(&one, 1).await;
+    one.stop(Duration::ZERO).await;
+    let machine = platform.machine();
+    platform.delay(Topic::Progress, SECOND);
+    platform.delay(Topic::Workers, SECOND);
+    let two = node("two", &machine);
+    ready(&two).await;
+    let progress = machine.reads(Topic::Progress)[0];
+    let workers = machine.reads(Topic::Workers)[0];
+    assert!(workers < progress + SECOND / 2, "{:?}", workers - progress);
+    platform.delay(Topic::Workers, Duration::ZERO);
+    submit(&two, 2).await.unwrap();
+    completed(&two, 2).await;
+}
