A takeover doesn't wait for the list of workers; greetings of weak nodes to a new owner are spread

Now the engine starts when the records are there, weak nodes greet a new owner within a millisecond for each node that the former one knew, 0.7 s at most, and the engine is told of nodes each 25 ms. Of equals those that give orders go on.

--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -245,6 +245,8 @@
     pub strength: Millicores,
     /// Over how many partitions the nodes spread jobs.
     pub spread: Spread,
+    /// How many nodes the owner knew, itself included.
+    pub nodes: u32,
     /// How often in a row owners have let go of the cell since they were slow.
     pub slow_owners: u8,
 }
--- a/crates/node/src/member/follow.rs
+++ b/crates/node/src/member/follow.rs
@@ -48,6 +48,8 @@
 /// How often a node that the owner outranks does; 30 of them greeting four times a second took the owner
 /// a hundredth of a core.
 const WEAK_HELLO: Duration = Duration::from_millis(700);
+/// What the first greeting of a node takes of a new owner's time, with its connection.
+const GREETING: Duration = Duration::from_millis(1);
 /// A claim that was not renewed for this long, beside the store's usual time, has lapsed: two renewals.
 /// Only an owner that doesn't answer is judged by it. It may be short, since a claim that turns out to be
 /// wrong costs a takeover of some 0.1 s, and each 0.1 s without an owner some 5 urgent jobs.
@@ -101,6 +103,8 @@
     let mut answered = Instant::now();
     // How often the claim had been renewed by then, where the owner has said so.
     let mut renewed = 0;
+    let first = first_hello_pause(shared, seen.claim.as_ref());
+    let _ = timeout(first, shared.vacant.notified()).await;
     loop {
         if let Some(newer) = told(shared, &seen) {
             return newer;
@@ -210,6 +214,14 @@
     }
 }
 
+/// Returns how long to wait before a new owner is greeted first: it reads and takes in what is on record just then, and each
+/// greeting takes a part of that time. Strong nodes, which give its orders, don't wait.
+fn first_hello_pause<P: Platform>(shared: &Shared<P>, owner: Option<&Claim>) -> Duration {
+    let owner = owner.filter(|owner| outranks(owner.strength, shared.strength));
+    let most = owner.map_or(Duration::ZERO, |owner| GREETING * owner.nodes);
+    most.min(WEAK_HELLO).mul_f64(random_range(0.0..=1.0))
+}
+
 /// Returns how long to wait between two greetings: weak nodes leave it to others to find the owner gone.
 fn hello_pause<P: Platform>(shared: &Shared<P>, owner: Option<&Claim>) -> Duration {
     let is_weak = owner.is_some_and(|owner| outranks(owner.strength, shared.strength));
@@ -247,6 +259,7 @@
             .as_ref()
             .map(|claim| claim.spread)
             .unwrap_or_default(),
+        nodes: seen.claim.as_ref().map_or(1, |claim| claim.nodes),
         slow_owners: seen.claim.as_ref().map_or(0, |claim| claim.slow_owners),
     };
     let result = append(shared, &claim, seen.end).await;
--- a/crates/node/src/member/own.rs
+++ b/crates/node/src/member/own.rs
@@ -190,6 +190,7 @@
         released: false,
         strength: next.strength,
         spread: claim.spread,
+        nodes: claim.nodes,
         slow_owners: match reason {
             Reason::Slow => claim.slow_owners.saturating_add(1),
             Reason::Outranked | Reason::Leaving => 0,
@@ -306,7 +307,9 @@
             }
         }
         claim.renewal = claim.renewal.wrapping_add(1);
-        claim.spread = claim.spread.renew(shared.peers.lock().await.len() + 1);
+        let nodes = shared.peers.lock().await.len() + 1;
+        claim.spread = claim.spread.renew(nodes);
+        claim.nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
         match timeout(patience, append(shared, claim, *end)).await {
             Ok(Ok(newer)) => {
                 *end = newer;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -37,7 +37,8 @@
     time::{
         Instant,
         MissedTickBehavior,
-        interval, //
+        interval,
+        sleep, //
     },
 };
 
@@ -78,6 +79,8 @@
 const PEER_GONE: Duration = Duration::from_millis(1_600);
 /// How often nodes that went away are noticed; new ones are at once.
 const SWEEP: Duration = Duration::from_millis(400);
+/// The least time between two changes of the nodes that the engine is told: all greet a new owner within a second.
+const SWEEP_GAP: Duration = Duration::from_millis(25);
 /// The part of its descriptors that a node has for connections of other nodes.
 const PEERS_PART: u32 = 4;
 /// How often lines that were left out of the log are counted.
@@ -399,6 +402,7 @@
             // The actor may be ending.
             let _ = control.tell(Event::Peers(peers)).await;
             told = Some(news);
+            sleep(SWEEP_GAP).await;
         }
     }
 }
--- a/crates/node/src/owner/control.rs
+++ b/crates/node/src/owner/control.rs
@@ -248,7 +248,7 @@
                 let names = peers.iter().map(|peer| peer.node.clone());
                 let names: Vec<NodeName> = names.chain([own.node.clone()]).collect();
                 engine.set_hands(&names, now);
-                self.share = Share::new(own, peers);
+                self.share.renew(own, peers);
             }
             Event::Tick(due) => {
                 self.shared.pulse.note_event(due.elapsed());
--- a/crates/node/src/owner/takeover.rs
+++ b/crates/node/src/owner/takeover.rs
@@ -30,6 +30,7 @@
         mpsc,
         watch, //
     },
+    task::JoinHandle,
     time::{
         Instant,
         MissedTickBehavior,
@@ -46,7 +47,6 @@
         self,
         Partition, //
     },
-    listing,
     recorder,
     workers, //
 };
@@ -113,9 +113,12 @@
             Err(_) => pause().await,
         }
     }
-    let progress = newest_progress(shared);
-    let (progress, (partitions, found), (workers, listed)) =
-        futures::join!(progress, jobs::read_all(shared), list_workers(shared));
+    // It goes on by itself when the records are there.
+    let list = tokio::spawn(workers::open(shared.clone()));
+    let ((progress, progress_took), ((partitions, found), jobs_took)) = futures::join!(
+        timed(newest_progress(shared)),
+        timed(jobs::read_all(shared))
+    );
     let mut inheritance = Inheritance::default();
     for entry in progress {
         match entry {
@@ -135,6 +138,7 @@
     slog::info!(shared.log, "takeover"; "epoch" => %claim.epoch,
         "jobs" => inheritance.accepted.len(), "workers" => inheritance.workers.len(),
         "view_ms" => millis(view.age()),
+        "progress_ms" => millis(progress_took), "jobs_ms" => millis(jobs_took),
         "took_ms" => millis(began.elapsed()));
     let now = shared.clock.now();
     let mut engine = Engine::new(claim.epoch, shared.bounds, inheritance, now);
@@ -146,30 +150,15 @@
         let read = now.saturating_sub(reading.at.elapsed());
         engine.evacuate(reading.evacuation, read, now);
     }
-    listed
-        .into_iter()
-        .for_each(|change| change.tell(&mut engine, now));
-    // All workers are called at once: without the nodes that give orders the owner would connect to each of them.
+    // Without the nodes that give orders the owner would connect to each worker itself.
     let peers = shared.greeted().await;
-    Ok(start(
-        shared, claim, engine, partitions, view, workers, peers,
-    ))
+    Ok(start(shared, claim, engine, partitions, view, list, peers))
 }
 
-/// Reads the list of workers once, beside the other readings: all workers are called as soon as the engine is there.
-///
-/// Where the store doesn't give it, or there is no configuration to match it with, it is read on later.
-async fn list_workers<P: Platform>(
-    shared: &Shared<P>,
-) -> (workers::Follower, Vec<listing::Change>) {
-    let mut follower = workers::Follower::new();
-    if shared.config.borrow().is_none() {
-        return (follower, Vec::new());
-    }
-    match follower.read(shared).await {
-        Ok(changes) => (follower, changes),
-        Err(_) => (workers::Follower::new(), Vec::new()),
-    }
+/// Returns what comes of a reading, and how long it took.
+async fn timed<T>(reading: impl Future<Output = T>) -> (T, Duration) {
+    let began = Instant::now();
+    (reading.await, began.elapsed())
 }
 
 /// Reads the newest records of the owner's, until the store gives them.
@@ -200,7 +189,7 @@
     engine: Engine,
     partitions: Vec<Partition>,
     view: View,
-    workers: workers::Follower,
+    list: JoinHandle<workers::Opened>,
     peers: Vec<Peer>,
 ) -> ActorRef<Control<P>> {
     let (records, queue) = mpsc::unbounded_channel();
@@ -214,7 +203,7 @@
         queue,
         weak.clone(),
     ));
-    tokio::spawn(workers.follow(shared.clone(), weak.clone()));
+    tokio::spawn(workers::follow(shared.clone(), list, weak.clone()));
     let writers = jobs::Writers::default();
     tokio::spawn(writers.clone().follow(shared.clone(), weak.clone()));
     for partition in partitions {
--- a/crates/node/src/owner/workers.rs
+++ b/crates/node/src/owner/workers.rs
@@ -7,14 +7,18 @@
 
 use fulmarpier_cell::id::WorkerId;
 use kameo::actor::WeakActorRef;
-use tokio::time::{
-    Instant,
-    sleep, //
+use tokio::{
+    task::JoinHandle,
+    time::{
+        Instant,
+        sleep, //
+    },
 };
 
 use super::{
     Control,
     Event,
+    control::tell,
     listing::{
         Change,
         Entry,
@@ -45,7 +49,7 @@
 const SHORT_OUTAGE: Duration = Duration::from_millis(1_500);
 
 /// The list of workers as it is read on.
-pub(super) struct Follower {
+struct Follower {
     reader: Reader,
     listing: Listing,
     /// Before this a worker that isn't listed may come back.
@@ -54,7 +58,7 @@
 
 impl Follower {
     /// Makes one that has read nothing yet.
-    pub(super) fn new() -> Self {
+    fn new() -> Self {
         Self {
             reader: Reader::new(Topic::Workers, "workers"),
             listing: Listing::default(),
@@ -63,10 +67,7 @@
     }
 
     /// Reads the list on; returns what the engine has to know of it.
-    pub(super) async fn read<P: Platform>(
-        &mut self,
-        shared: &Shared<P>,
-    ) -> Result<Vec<Change>, Error> {
+    async fn read<P: Platform>(&mut self, shared: &Shared<P>) -> Result<Vec<Change>, Error> {
         let was_failing = shared.store.failing_for();
         let batch = self.reader.read(shared, Duration::ZERO).await?;
         if was_failing > SHORT_OUTAGE {
@@ -79,33 +80,58 @@
         }
         Ok(changes)
     }
+}
+
+/// A list that was read once, with what the engine has to know of it.
+pub(super) struct Opened {
+    follower: Follower,
+    changes: Vec<Change>,
+}
 
-    /// Follows the list for as long as the actor is.
-    pub(super) async fn follow<P: Platform>(
-        mut self,
-        shared: Arc<Shared<P>>,
-        control: WeakActorRef<Control<P>>,
-    ) {
-        // Without a configuration no entry can be matched, and no job be taken.
-        let mut configs = shared.config.subscribe();
-        let configured = configs.wait_for(Option::is_some);
-        // The sender lives as long as this task.
-        let _ = configured.await;
-        loop {
-            let changes = self.read(&shared).await;
-            let Some(control) = control.upgrade() else {
-                return;
-            };
-            let Ok(changes) = changes else {
-                drop(control);
-                pause().await;
-                continue;
-            };
-            // The actor may be ending.
-            let _ = control.tell(Event::Listed(changes)).await;
-            drop(control);
-            sleep(WORKERS_EVERY).await;
+/// Reads the list once, while a takeover reads the records: it is the longest of them.
+///
+/// Where the store doesn't give it, or there is no configuration to match it with, it is read later.
+pub(super) async fn open<P: Platform>(shared: Arc<Shared<P>>) -> Opened {
+    let mut follower = Follower::new();
+    let is_configured = shared.config.borrow().is_some();
+    let changes = match is_configured {
+        true => follower.read(&shared).await.unwrap_or_default(),
+        false => Vec::new(),
+    };
+    Opened { follower, changes }
+}
+
+/// Follows the list for as long as the actor is.
+pub(super) async fn follow<P: Platform>(
+    shared: Arc<Shared<P>>,
+    list: JoinHandle<Opened>,
+    control: WeakActorRef<Control<P>>,
+) {
+    let Ok(Opened {
+        mut follower,
+        changes,
+    }) = list.await
+    else {
+        // The runtime is ending.
+        return;
+    };
+    tell(&control, Event::Listed(changes)).await;
+    // Without a configuration no entry can be matched, and no job be taken.
+    let mut configs = shared.config.subscribe();
+    let configured = configs.wait_for(Option::is_some);
+    // The sender lives as long as this task.
+    let _ = configured.await;
+    loop {
+        let changes = follower.read(&shared).await;
+        if control.upgrade().is_none() {
+            return;
         }
+        let Ok(changes) = changes else {
+            pause().await;
+            continue;
+        };
+        tell(&control, Event::Listed(changes)).await;
+        sleep(WORKERS_EVERY).await;
     }
 }
 
--- a/crates/node/src/share.rs
+++ b/crates/node/src/share.rs
@@ -90,20 +90,25 @@
 }
 
 impl Share {
-    /// Says which nodes there are beside the owner.
+    /// Makes one of an owner that knows these nodes.
     pub fn new(owner: Peer, peers: Vec<Peer>) -> Self {
+        let mut share = Self::default();
+        share.renew(owner, peers);
+        share
+    }
+
+    /// Says which nodes there are beside the owner now; of equals those that give orders already go on.
+    pub fn renew(&mut self, owner: Peer, peers: Vec<Peer>) {
+        let giving: Vec<Peer> = self.strong.drain(..).take(self.count).collect();
         let strong = peers
             .into_iter()
             .filter(|peer| !outranks(owner.processor, peer.processor));
-        let mut strong: Vec<Peer> = strong.collect();
-        strong.sort_by_key(|peer| std::cmp::Reverse(peer.processor));
-        Self {
-            owner: Some(owner),
-            strong,
-            count: 0,
-            chosen: HashMap::default(),
-            avoided: HashMap::default(),
-        }
+        self.strong = strong.collect();
+        self.strong
+            .sort_by_key(|peer| (std::cmp::Reverse(peer.processor), !giving.contains(peer)));
+        self.owner = Some(owner);
+        self.count = 0;
+        self.chosen.clear();
     }
 
     /// Returns the node that gives the orders to a worker; `None` where the owner does.
--- a/crates/node/tests/node/record.rs
+++ b/crates/node/tests/node/record.rs
@@ -212,6 +212,7 @@
     let newest = platform.claims().pop().unwrap();
     platform.claim(&Claim {
         spread: Spread::default(),
+        nodes: 1,
         slow_owners: 0,
         epoch: newest.epoch.next(),
         node: NodeName::from("another"),
--- a/crates/node/tests/node/service.rs
+++ b/crates/node/tests/node/service.rs
@@ -274,6 +274,7 @@
         released: true,
         strength: Millicores(500),
         spread: Spread::default().renew(38),
+        nodes: 1,
         slow_owners: 0,
     });
     let one = node("one", &platform);
--- a/crates/node/tests/share.rs
+++ b/crates/node/tests/share.rs
@@ -109,3 +109,29 @@
     let (least, most) = (beside.iter().min().unwrap(), beside.iter().max().unwrap());
     assert!(*most < least * 3 / 2, "{least} to {most}");
 }
+
+/// A new owner hears of its nodes one by one: who gives orders to a worker doesn't change with each.
+#[test]
+fn nodes_that_come_take_no_workers_from_those_that_give_orders() {
+    let peers: Vec<Peer> = (1..=12).map(|port| peer(port, 1_000, 16_384)).collect();
+    let owner = peer(13, 1_000, 16_384);
+    let mut share = Share::new(owner.clone(), peers[9..].to_vec());
+    let of = |share: &mut Share| -> Vec<_> {
+        let nodes = (0..400).map(|nth| share.node_of(&worker(nth), 400));
+        nodes.collect()
+    };
+    let before = of(&mut share);
+    share.renew(owner.clone(), peers.clone());
+    assert_eq!(of(&mut share), before);
+    // One of them is gone: only its workers get another node.
+    let gone = peers[10].address;
+    let rest = peers.into_iter().filter(|peer| peer.address != gone);
+    share.renew(owner, rest.collect());
+    let after = of(&mut share);
+    let moved = before
+        .iter()
+        .zip(&after)
+        .filter(|(before, after)| before != after);
+    assert!(moved.clone().count() > 0);
+    assert!(moved.into_iter().all(|(before, _)| *before == Some(gone)));
+}
