A new owner uses workers as the parts of their list come in

Test: of ten parts that take a second each, a job on the first four workers is done before the fourth is there.

--- a/crates/node/src/owner/takeover.rs
+++ b/crates/node/src/owner/takeover.rs
@@ -30,7 +30,6 @@
         mpsc,
         watch, //
     },
-    task::JoinHandle,
     time::{
         Instant,
         MissedTickBehavior,
@@ -114,7 +113,7 @@
         }
     }
     // It goes on by itself when the records are there.
-    let list = tokio::spawn(workers::open(shared.clone()));
+    let list = workers::open(shared);
     let ((progress, progress_took), ((partitions, found), jobs_took)) = futures::join!(
         timed(newest_progress(shared)),
         timed(jobs::read_all(shared))
@@ -189,7 +188,7 @@
     engine: Engine,
     partitions: Vec<Partition>,
     view: View,
-    list: JoinHandle<workers::Opened>,
+    list: workers::Opening,
     peers: Vec<Peer>,
 ) -> ActorRef<Control<P>> {
     let (records, queue) = mpsc::unbounded_channel();
--- a/crates/node/src/owner/workers.rs
+++ b/crates/node/src/owner/workers.rs
@@ -8,6 +8,7 @@
 use fulmarpier_cell::id::WorkerId;
 use kameo::actor::WeakActorRef;
 use tokio::{
+    sync::mpsc,
     task::JoinHandle,
     time::{
         Instant,
@@ -40,6 +41,8 @@
     },
 };
 
+/// What its readings are for, in logs and metrics.
+const PURPOSE: &str = "workers";
 /// How often the list of workers is read: 48 of them write 32 records a second, so waiting for each
 /// would cost a call a record; a leaving worker has to be known within 2 s.
 const WORKERS_EVERY: Duration = Duration::from_millis(300);
@@ -60,7 +63,7 @@
     /// Makes one that has read nothing yet.
     fn new() -> Self {
         Self {
-            reader: Reader::new(Topic::Workers, "workers"),
+            reader: Reader::new(Topic::Workers, PURPOSE),
             listing: Listing::default(),
             settles: Instant::now(),
         }
@@ -82,40 +85,68 @@
     }
 }
 
-/// A list that was read once, with what the engine has to know of it.
-pub(super) struct Opened {
-    follower: Follower,
-    changes: Vec<Change>,
+/// A list that is being read for the first time.
+pub(super) struct Opening {
+    /// What the engine has to know of the parts that were read.
+    changes: mpsc::UnboundedReceiver<Vec<Change>>,
+    follower: JoinHandle<Follower>,
 }
 
-/// Reads the list once, while a takeover reads the records: it is the longest of them.
+/// Begins to read the list while a takeover reads the records: it is the longest of them, and the workers of its first part
+/// can be used long before the last part is there.
 ///
 /// Where the store doesn't give it, or there is no configuration to match it with, it is read later.
-pub(super) async fn open<P: Platform>(shared: Arc<Shared<P>>) -> Opened {
+pub(super) fn open<P: Platform>(shared: &Arc<Shared<P>>) -> Opening {
+    let (sender, changes) = mpsc::unbounded_channel();
+    let shared = shared.clone();
+    let follower = tokio::spawn(async move {
+        let is_configured = shared.config.borrow().is_some();
+        match is_configured {
+            true => read_parts(&shared, &sender)
+                .await
+                .unwrap_or_else(|_| Follower::new()),
+            false => Follower::new(),
+        }
+    });
+    Opening { changes, follower }
+}
+
+/// Reads the list part by part.
+async fn read_parts<P: Platform>(
+    shared: &Shared<P>,
+    parts: &mpsc::UnboundedSender<Vec<Change>>,
+) -> Result<Follower, Error> {
     let mut follower = Follower::new();
-    let is_configured = shared.config.borrow().is_some();
-    let changes = match is_configured {
-        true => follower.read(&shared).await.unwrap_or_default(),
-        false => Vec::new(),
-    };
-    Opened { follower, changes }
+    let mut after: Option<String> = None;
+    loop {
+        let (page, last) = shared
+            .newest_after(PURPOSE, Topic::Workers, after.as_deref())
+            .await?;
+        // What was written since the first part is read on from its end.
+        follower.reader.begin_at(page.next);
+        let changes = take(shared, &mut follower.listing, Batch::More(page));
+        // The takeover may have been given up.
+        let _ = parts.send(changes);
+        match last {
+            Some(last) => after = Some(last),
+            None => return Ok(follower),
+        }
+    }
 }
 
 /// Follows the list for as long as the actor is.
 pub(super) async fn follow<P: Platform>(
     shared: Arc<Shared<P>>,
-    list: JoinHandle<Opened>,
+    mut list: Opening,
     control: WeakActorRef<Control<P>>,
 ) {
-    let Ok(Opened {
-        mut follower,
-        changes,
-    }) = list.await
-    else {
+    while let Some(changes) = list.changes.recv().await {
+        tell(&control, Event::Listed(changes)).await;
+    }
+    let Ok(mut follower) = list.follower.await else {
         // The runtime is ending.
         return;
     };
-    tell(&control, Event::Listed(changes)).await;
     // Without a configuration no entry can be matched, and no job be taken.
     let mut configs = shared.config.subscribe();
     let configured = configs.wait_for(Option::is_some);
--- a/crates/node/src/port.rs
+++ b/crates/node/src/port.rs
@@ -256,6 +256,13 @@
     /// Reads the newest record of each key.
     fn newest(&self, topic: Topic) -> impl Future<Output = Result<Page, Error>> + Send;
 
+    /// Reads a part of the newest records, behind a key; returns the key to read on behind, where there are more.
+    fn newest_after(
+        &self,
+        topic: Topic,
+        after: Option<&str>,
+    ) -> impl Future<Output = Result<(Page, Option<String>), Error>> + Send;
+
     /// Has further calls of the store connect anew: an answer is overdue, and connections may have fallen
     /// silent.
     fn reconnect(&self);
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -211,6 +211,22 @@
         result
     }
 
+    /// Reads a part of the newest records, behind a key; returns the key to read on behind, where there are more.
+    pub(crate) async fn newest_after(
+        &self,
+        purpose: &'static str,
+        topic: Topic,
+        after: Option<&str>,
+    ) -> Result<(Page, Option<String>), Error> {
+        let call = self.store.begin(purpose, Duration::ZERO);
+        let result = self.platform.newest_after(topic, after).await;
+        self.end(&call, purpose, &result);
+        for rejected in result.iter().flat_map(|(page, _)| &page.rejected) {
+            self.turn_away(purpose, rejected);
+        }
+        result
+    }
+
     fn end_read(&self, call: &Call, purpose: &'static str, result: &Result<Page, Error>) {
         self.end(call, purpose, result);
         for rejected in result.iter().flat_map(|page| &page.rejected) {
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -69,6 +69,11 @@
         }
     }
 
+    /// Reads on from an offset, unless one before it was named already.
+    pub(crate) fn begin_at(&mut self, next: u64) {
+        self.next.get_or_insert(next);
+    }
+
     /// Reads once. After a gap in the history it begins with the newest records again.
     pub(crate) async fn read<P: Platform>(
         &mut self,
--- a/crates/node/tests/node/platform.rs
+++ b/crates/node/tests/node/platform.rs
@@ -126,6 +126,8 @@
     starts: Vec<(TaskId, Instant)>,
     /// How many records it gives at a call, where that is bounded.
     most_given: Option<usize>,
+    /// How many of the newest records it gives at a call, where that is bounded.
+    most_newest: Option<usize>,
     appends: usize,
     /// How often the jobs' partitions were read on.
     job_reads: usize,
@@ -448,6 +450,11 @@
         self.state().most_given = Some(count);
     }
 
+    /// Has the store give so many of the newest records at a call.
+    pub(crate) fn give_newest_by(&self, count: usize) {
+        self.state().most_newest = Some(count);
+    }
+
     pub(crate) fn appends(&self) -> usize {
         self.state().appends
     }
@@ -675,6 +682,21 @@
         Ok(Self::page(records.collect(), next, next))
     }
 
+    async fn newest_after(
+        &self,
+        topic: Topic,
+        after: Option<&str>,
+    ) -> Result<(Page, Option<String>), Error> {
+        let mut page = self.newest(topic).await?;
+        page.records
+            .retain(|record| after.is_none_or(|after| record.key.as_str() > after));
+        let most = self.state().most_newest.unwrap_or(usize::MAX);
+        let has_more = page.records.len() > most;
+        page.records.truncate(most);
+        let last = page.records.last().map(|record| record.key.clone());
+        Ok((page, last.filter(|_| has_more)))
+    }
+
     fn reconnect(&self) {}
 
     async fn start(&self, order: Start) -> StartAnswer {
--- a/crates/node/tests/node/size.rs
+++ b/crates/node/tests/node/size.rs
@@ -122,3 +122,21 @@
     submit(&two, 2).await.unwrap();
     completed(&two, 2).await;
 }
+
+/// A worker that stands in the first part of the list is used before the last part is there.
+#[tokio::test(start_paused = true)]
+async fn a_new_owner_uses_the_workers_of_the_first_part_of_the_list_at_once() {
+    let platform = Fake::with_workers(40);
+    let one = node("one", &platform);
+    ready(&one).await;
+    one.stop(Duration::ZERO).await;
+    platform.give_newest_by(4);
+    platform.delay(Topic::Workers, SECOND);
+    let two = node("two", &platform);
+    ready(&two).await;
+    let from = Instant::now();
+    submit(&two, 1).await.unwrap();
+    completed(&two, 1).await;
+    let took = from.elapsed();
+    assert!(took < 4 * SECOND, "{took:?}");
+}
