--- a/crates/node/src/evacuation.rs
+++ b/crates/node/src/evacuation.rs
@@ -1,9 +1,13 @@
 //! Which data centres the operator has evacuated, as this node has read it.
 
-use fulmarpier_cell::evacuation::{
-    Change,
-    Evacuation, //
+use fulmarpier_cell::{
+    engine::Engine,
+    evacuation::{
+        Change,
+        Evacuation, //
+    },
 };
+use fulmarpier_state::clock::Timestamp;
 use tokio::time::Instant;
 
 use crate::{
@@ -20,6 +24,14 @@
     pub(crate) at: Instant,
 }
 
+impl Reading {
+    /// Tells the owner's engine.
+    pub(crate) fn tell(self, engine: &mut Engine, now: Timestamp) {
+        let read = now.saturating_sub(self.at.elapsed());
+        engine.evacuate(self.evacuation, read, now);
+    }
+}
+
 /// How much of the operator's records was read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Scope {
--- a/crates/node/src/owner/control.rs
+++ b/crates/node/src/owner/control.rs
@@ -239,10 +239,7 @@
                     .for_each(|change| change.tell(engine, now));
             }
             Event::Configured(config) => engine.configure(config.as_ref().clone()),
-            Event::Evacuation(reading) => {
-                let read = now.saturating_sub(reading.at.elapsed());
-                engine.evacuate(reading.evacuation, read, now);
-            }
+            Event::Evacuation(reading) => reading.tell(engine, now),
             Event::Peers(peers) => {
                 let own = self.shared.peer();
                 let names = peers.iter().map(|peer| peer.node.clone());
--- a/crates/node/src/owner/takeover.rs
+++ b/crates/node/src/owner/takeover.rs
@@ -146,8 +146,7 @@
         engine.configure(config.clone());
     }
     if let Some(reading) = shared.evacuation.borrow().clone() {
-        let read = now.saturating_sub(reading.at.elapsed());
-        engine.evacuate(reading.evacuation, read, now);
+        reading.tell(&mut engine, now);
     }
     // Without the nodes that give orders the owner would connect to each worker itself.
     let peers = shared.greeted().await;
