Planned calls for advice are gone through only once a node is free to ask

Ruled out by plays: the bound on what is known of evacuations, changes of owners soon after an outage.

--- a/crates/cell/src/engine/ask.rs
+++ b/crates/cell/src/engine/ask.rs
@@ -287,15 +287,16 @@
         while let Some(stage) = self.jobs.get_mut(&id.job).and_then(|job| job.stage_mut(id))
             && let Some(mut named) = stage.advice.planned.pop()
         {
-            named.retain(|slot| !is_evacuated(slot));
-            if named.is_empty() {
-                continue;
-            }
             let is_long = terms.duration(named.len()) > LONG_CALL;
             let Some(node) = self.desk.idle(is_long).cloned() else {
                 stage.advice.planned.push(named);
                 return;
             };
+            // Only once a node is free: hundreds of steps may wait for one, and each is looked at in every pass.
+            named.retain(|slot| !is_evacuated(slot));
+            if named.is_empty() {
+                continue;
+            }
             stage.advice.begin(&named);
             let workers = named.iter().filter_map(|slot| self.workers.get(slot));
             let workers = workers
