cell: type for the class of a worker's speed

Cause: placement and the estimation of speeds are built side by side and meet in this type. Every worker is typical until the estimation exists, so no decision changes.

--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod id;
 pub mod job;
 pub mod record;
+pub mod speed;
 pub mod spread;
 pub mod worker;
 pub mod workspace;
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -27,6 +27,7 @@
         StepId,
         TaskId, //
     },
+    speed::Class,
 };
 
 /// For how long a newer inventory may have overtaken an older one: heartbeats wait 1 s for an end and time out 0.8 s
@@ -199,6 +200,8 @@
     pub failures: u32,
     /// The share of the processor time that its best-effort tasks may use.
     pub throttling: Throttling,
+    /// How its speed compares with its pool.
+    pub speed_class: Class,
     clock_reading: Option<ClockReading>,
     leases_end: Timestamp,
 }
@@ -237,6 +240,7 @@
             backoff_until: Timestamp::ZERO,
             failures: 0,
             throttling: Throttling::default(),
+            speed_class: Class::default(),
             clock_reading: None,
             leases_end,
         }
