cell: restart a task once the worker of its last attempt is known to be gone

Cause: a run on a worker that was declared lost counts as an attempt for 12 s, because the worker may return and report that the run failed. This also held for a worker that is not listed, is silent and has no lease left. A task with one attempt left waited for these 12 s although no failure could be reported any more. Change: a run on such a worker no longer counts, whether the worker was unlisted before or after its leases had expired. The caution stays for a worker that is listed, that has an unusable entry, or that only a former owner's record names. A failure that the removed incarnation reports on its return is not counted, since the platform doesn't count it either.

--- a/crates/cell/src/engine/contact.rs
+++ b/crates/cell/src/engine/contact.rs
@@ -68,6 +68,7 @@
             let shrinks = !worker.registration.capacity.fits(&registration.capacity);
             worker.registered = now;
             worker.unlisted_since = None;
+            worker.is_known_unlisted = false;
             let was_distrusted = worker.distrusted_since.take().is_some();
             worker.registration = registration;
             worker.update_capacity();
@@ -101,9 +102,11 @@
         let Some(slot) = self.slots.get(id).copied() else {
             return;
         };
-        if let Some(worker) = self.workers.get_mut(&slot)
-            && worker.unlisted_since.is_none()
-        {
+        let Some(worker) = self.workers.get_mut(&slot) else {
+            return;
+        };
+        worker.is_known_unlisted = true;
+        if worker.unlisted_since.is_none() {
             worker.unlisted_since = Some(now);
             self.update_indexes(slot);
             self.log_worker(slot, "unlisted", now);
@@ -120,9 +123,11 @@
         let Some(slot) = self.slots.get(id).copied() else {
             return;
         };
-        if let Some(worker) = self.workers.get_mut(&slot)
-            && worker.distrusted_since.is_none()
-        {
+        let Some(worker) = self.workers.get_mut(&slot) else {
+            return;
+        };
+        worker.is_known_unlisted = false;
+        if worker.distrusted_since.is_none() {
             worker.distrusted_since = Some(now);
             self.update_indexes(slot);
             self.log_worker(slot, "distrusted", now);
@@ -323,6 +328,7 @@
         worker.heard = Some(now);
         worker.silent_since = None;
         worker.silence = None;
+        worker.lapsed_runs.clear();
         worker.read_clock(inventory.clock, now);
         worker.listed_runs = inventory.running.len();
         worker.incarnation = inventory.incarnation.or(worker.incarnation);
--- a/crates/cell/src/engine/end.rs
+++ b/crates/cell/src/engine/end.rs
@@ -134,6 +134,9 @@
 
     /// Handles the failure of a run: counts it against the worker and the attempts of the task.
     fn handle_failure(&mut self, slot: Slot, task: TaskId, run: Run, now: Timestamp) {
+        if self.is_failure_excluded(slot, task, run) {
+            return;
+        }
         if let Some(worker) = self.workers.get_mut(&slot) {
             worker.failures += 1;
             if worker.failures >= MIN_FAILURES_FOR_QUARANTINE {
@@ -177,6 +180,15 @@
         }
     }
 
+    /// Returns whether a failure that a worker reports comes too late to count: the worker had been removed, and the
+    /// task may have been restarted on the strength of that.
+    fn is_failure_excluded(&self, slot: Slot, task: TaskId, run: Run) -> bool {
+        let reporter = self.workers.get(&slot).zip(self.task(task));
+        reporter.is_some_and(|(worker, state)| {
+            state.is_failure_excluded(&worker.registration.id, worker.incarnation, run)
+        })
+    }
+
     /// Stops the other members of a gang after one has ended without success.
     fn stop_gang(&mut self, task: TaskId, run: Run, now: Timestamp) {
         let Some(job) = self.jobs.get(&task.step.job) else {
--- a/crates/cell/src/engine/job.rs
+++ b/crates/cell/src/engine/job.rs
@@ -22,9 +22,11 @@
 use crate::{
     advice::Advice,
     id::{
+        Incarnation,
         Run,
         StepId,
-        TaskId, //
+        TaskId,
+        WorkerId, //
     },
     job::{
         Spec,
@@ -42,6 +44,17 @@
     workspace::WorkspaceName,
 };
 
+/// A run on a worker that was declared lost.
+#[derive(Clone, Debug)]
+pub(super) struct LostRun {
+    pub(super) run: Run,
+    pub(super) worker: WorkerId,
+    /// The incarnation of the worker, if known.
+    pub(super) incarnation: Option<Incarnation>,
+    /// Until when the worker may return and report that the run failed; `None` if no such report counts any more.
+    pub(super) may_fail_until: Option<Timestamp>,
+}
+
 /// The state of a task.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Task {
@@ -56,9 +69,8 @@
     pub(super) crashes: Vec<Crash>,
     /// When the task began to wait for an empty worker.
     pub(super) waits_for_empty_since: Option<Timestamp>,
-    /// Runs on workers that were declared lost, each with the time until which its worker may still return and report
-    /// that the run failed.
-    pub(super) lost_runs: Vec<(Run, Timestamp)>,
+    /// The runs on workers that were declared lost.
+    pub(super) lost_runs: Vec<LostRun>,
     /// The last run that was started.
     pub(super) last_run: Run,
     pub(super) checkpoint: Option<Arc<str>>,
@@ -106,6 +118,41 @@
         }
     }
 
+    /// Returns how many lost runs may still be reported to have failed.
+    fn unsettled_runs(&self, now: Timestamp) -> usize {
+        let lost = self.lost_runs.iter();
+        let unsettled = lost.filter(|lost| {
+            lost.may_fail_until.is_some_and(|until| until > now)
+                && !self.failures.contains(&lost.run)
+        });
+        unsettled.count()
+    }
+
+    /// Notes that no report by a worker that a lost run failed there counts any more.
+    pub(super) fn settle_lost_run(&mut self, worker: &WorkerId, run: Run) {
+        let lost = self.lost_runs.iter_mut();
+        for lost in lost.filter(|lost| lost.run == run && lost.worker == *worker) {
+            lost.may_fail_until = None;
+        }
+    }
+
+    /// Returns whether a report by an incarnation of a worker that a run failed there comes too late to count.
+    ///
+    /// An order that arrives late may start the run on the next incarnation, whose reports count.
+    pub(super) fn is_failure_excluded(
+        &self,
+        worker: &WorkerId,
+        incarnation: Option<Incarnation>,
+        run: Run,
+    ) -> bool {
+        let lost = self.lost_runs.iter();
+        let mut excluded = lost.filter(|lost| lost.may_fail_until.is_none());
+        incarnation.is_some()
+            && excluded.any(|lost| {
+                lost.run == run && lost.worker == *worker && lost.incarnation == incarnation
+            })
+    }
+
     /// Removes a run that is certainly gone; returns whether it was the last that may have been under way.
     pub(super) fn end_run(&mut self, slot: Slot, run: Run) -> bool {
         if self.active_run != Some((slot, run)) {
@@ -187,11 +234,7 @@
     /// Returns how many attempts a task may have used: its failures, and lost runs that may turn out to have failed.
     pub(super) fn attempts_used(&self, index: u16, is_gang: bool, now: Timestamp) -> usize {
         let state = self.task(index);
-        let lost = state.map_or(0, |task| {
-            let lost = task.lost_runs.iter();
-            let lost = lost.filter(|(run, until)| *until > now && !task.failures.contains(run));
-            lost.count()
-        });
+        let lost = state.map_or(0, |task| task.unsettled_runs(now));
         let counted = if is_gang { 0 } else { index };
         let failed = self.task(counted).map_or(0, |task| task.failures.len());
         failed + lost
--- a/crates/cell/src/engine/loss.rs
+++ b/crates/cell/src/engine/loss.rs
@@ -6,7 +6,8 @@
 
 use super::{
     Engine,
-    Slot, //
+    Slot,
+    job::LostRun, //
 };
 use crate::{
     effect::LogRecord,
@@ -16,7 +17,8 @@
     },
     worker::{
         Allocation,
-        Phase, //
+        Phase,
+        Worker, //
     },
 };
 
@@ -24,6 +26,24 @@
 /// workers last some seconds longer than their leases.
 const LATE_RETURN_PERIOD: Duration = Duration::from_secs(12);
 
+impl Worker {
+    /// Returns whether no failure of a run on a worker whose leases have certainly expired can be reported any more.
+    ///
+    /// This holds for a worker that the store is known not to list. It rests on:
+    ///
+    /// - the expiry of all leases, by which the worker has ended its runs and refuses orders that arrive later; an end
+    ///   that it lists after that does not count, by the platform's rules;
+    /// - the rule that a worker whose entry is still missing 2 s after the store's return is gone; the node reports
+    ///   entries as missing only after that;
+    /// - the removal of the worker, since the answer to a call made before it is not taken in any more.
+    ///
+    /// It does not hold for a worker that is listed, that has an unusable entry, or that only a former owner's record
+    /// names: these may be cut off and return.
+    const fn is_failure_report_excluded(&self) -> bool {
+        self.is_known_unlisted
+    }
+}
+
 impl Engine {
     /// Frees the resources of a run that is certainly gone, and lets its task be restarted.
     pub(super) fn release(&mut self, slot: Slot, task: TaskId, run: Run, now: Timestamp) {
@@ -110,13 +130,36 @@
         runs.map(|(key, _)| *key).collect()
     }
 
-    /// Notes that the runs of a worker that is declared lost may have failed there.
-    fn note_possible_failures(&mut self, slot: Slot, now: Timestamp) {
+    /// Adds the runs of a worker that is declared lost to their tasks.
+    ///
+    /// Until `may_fail_until` they may turn out to have failed there; `None` if that can't be reported any more.
+    fn note_lost_runs(&mut self, slot: Slot, may_fail_until: Option<Timestamp>) {
+        let Some(worker) = self.workers.get(&slot) else {
+            return;
+        };
+        let (id, incarnation) = (worker.registration.id.clone(), worker.incarnation);
         for (task, run) in self.runs_on(slot, |_| true) {
-            let stage = self.jobs.get_mut(&task.step.job);
-            let stage = stage.and_then(|job| job.stage_mut(task.step));
-            if let Some(state) = stage.and_then(|stage| stage.task_mut(task.index)) {
-                state.lost_runs.push((run, now + LATE_RETURN_PERIOD));
+            if let Some(state) = self.task_mut(task) {
+                state.lost_runs.push(LostRun {
+                    run,
+                    worker: id.clone(),
+                    incarnation,
+                    may_fail_until,
+                });
+            }
+        }
+    }
+
+    /// Settles the runs that were lost when the leases of a worker had expired while it was listed: the worker is gone,
+    /// so it can't report any more that they failed.
+    fn settle_lapsed_runs(&mut self, slot: Slot) {
+        let Some(worker) = self.workers.get_mut(&slot) else {
+            return;
+        };
+        let id = worker.registration.id.clone();
+        for (task, run) in std::mem::take(&mut worker.lapsed_runs) {
+            if let Some(state) = self.task_mut(task) {
+                state.settle_lost_run(&id, run);
             }
         }
     }
@@ -148,14 +191,34 @@
             }
             return;
         }
-        self.note_possible_failures(slot, now);
-        if is_listed {
-            self.log_worker(slot, "lapsed", now);
-            self.log_losses(slot, "lapsed", now);
-            self.add_doubted_crashes(slot, now);
-            self.release_all(slot, now);
-        } else {
-            self.remove_lost_worker(slot, "gone", now);
+        match is_listed {
+            true => self.lapse(slot, now),
+            false => self.give_up(slot, now),
+        }
+    }
+
+    /// Releases the runs of a silent worker that is listed, so that it may return.
+    fn lapse(&mut self, slot: Slot, now: Timestamp) {
+        self.note_lost_runs(slot, Some(now + LATE_RETURN_PERIOD));
+        let lapsed = self.runs_on(slot, |_| true);
+        if let Some(worker) = self.workers.get_mut(&slot) {
+            worker.lapsed_runs.extend(lapsed);
+        }
+        self.log_worker(slot, "lapsed", now);
+        self.log_losses(slot, "lapsed", now);
+        self.add_doubted_crashes(slot, now);
+        self.release_all(slot, now);
+    }
+
+    /// Removes a silent worker that is not listed, or not with a usable entry.
+    fn give_up(&mut self, slot: Slot, now: Timestamp) {
+        let worker = self.workers.get(&slot);
+        let is_excluded = worker.is_some_and(Worker::is_failure_report_excluded);
+        if is_excluded {
+            self.settle_lapsed_runs(slot);
         }
+        let until = (!is_excluded).then_some(now + LATE_RETURN_PERIOD);
+        self.note_lost_runs(slot, until);
+        self.remove_lost_worker(slot, "gone", now);
     }
 }
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -184,6 +184,9 @@
     pub silence: Option<Silence>,
     /// When the store stopped listing it.
     pub unlisted_since: Option<Timestamp>,
+    /// Whether the store is known to have no entry for it. A worker that is only known from the records of a former
+    /// owner counts as unlisted before that is known.
+    pub is_known_unlisted: bool,
     /// When its entry in the store became unusable.
     pub distrusted_since: Option<Timestamp>,
     /// Whether it is in a data centre that is evacuated, as far as known.
@@ -192,6 +195,8 @@
     pub last_processed_end: u64,
     /// The serial number of the last end that is recorded, so that the worker may forget it.
     pub last_recorded_end: u64,
+    /// The runs that were released when its leases had expired while it was still listed, since it last answered.
+    pub lapsed_runs: Vec<(TaskId, Run)>,
     /// Runs that are over and when the engine learnt that; an older inventory that arrives late still lists them.
     ended_runs: VecDeque<(Timestamp, TaskId, Run)>,
     /// The time until which it gets no new tasks, after it refused tasks or failed those that it started.
@@ -232,10 +237,12 @@
             silent_since: None,
             silence: None,
             unlisted_since: None,
+            is_known_unlisted: false,
             distrusted_since: None,
             is_evacuated: false,
             last_processed_end: 0,
             last_recorded_end: 0,
+            lapsed_runs: Vec::new(),
             ended_runs: VecDeque::new(),
             backoff_until: Timestamp::ZERO,
             failures: 0,
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -2,6 +2,7 @@
 
 mod advice_nodes;
 mod announce;
+mod attempts;
 #[path = "../../../coordination/tests/support/cases.rs"]
 mod cases;
 mod crash;
--- a/crates/cell/tests/cell/world/deliver.rs
+++ b/crates/cell/tests/cell/world/deliver.rs
@@ -10,7 +10,10 @@
         StartAnswer,
         StopAnswer, //
     },
-    id::WorkerId,
+    id::{
+        TaskId,
+        WorkerId, //
+    },
 };
 use fulmarpier_state::clock::Timestamp;
 use rand::RngExt;
@@ -45,7 +48,7 @@
         is_answered: bool,
     ) {
         let (now, id) = (self.now, order.to.worker.clone());
-        let fails = self.chance(self.faults.failures);
+        let fails = self.chance(self.faults.failures) || self.must_fail(order.task);
         let duration = Duration::from_millis(self.rng.random_range(200..3_000));
         let (exit_reason, duration) = match (self.can_never_assemble(order.task.step), fails) {
             (true, _) => (ExitReason::GangTimeout, Bounds::default().gang_wait),
@@ -92,6 +95,16 @@
         }
     }
 
+    /// Returns whether the next run of a task has to fail, and counts it.
+    fn must_fail(&mut self, task: TaskId) -> bool {
+        let left = self.failing_runs.get_mut(&task);
+        let left = left.filter(|left| **left > 0);
+        left.is_some_and(|left| {
+            *left -= 1;
+            true
+        })
+    }
+
     pub(super) fn deliver_stop(&mut self, order: &fulmarpier_cell::effect::Stop, is_current: bool) {
         let (now, id) = (self.now, order.to.worker.clone());
         let is_known = self.workers.contains_key(&id) || self.is_down(&id);
--- a/crates/cell/tests/cell/world/mod.rs
+++ b/crates/cell/tests/cell/world/mod.rs
@@ -14,6 +14,7 @@
 
 mod check;
 mod deliver;
+mod depart;
 mod evacuate;
 mod fault;
 mod limit;
@@ -165,6 +166,8 @@
     NewWorker(u32),
     /// A worker has restarted under its id, in its slot.
     Restarted(Box<Registration>, u32, Restart),
+    /// A worker that has announced its departure leaves.
+    Departed(WorkerId),
     /// The entry of a crashed worker is removed from the list of workers.
     Unlisted(WorkerId),
     /// The nodes read the operator's records.
@@ -217,6 +220,8 @@
     pub crashing_task_ids: BTreeSet<TaskId>,
     /// How many workers each such task has crashed.
     pub crashed: BTreeMap<TaskId, u32>,
+    /// How many of the next runs of each task fail, whatever the rate of failures.
+    pub failing_runs: BTreeMap<TaskId, u32>,
     /// How a worker restarts after a task has crashed it; random if `None`.
     pub crash_restart: Option<Restart>,
     /// How many other tasks ran on each worker that a task has crashed, in order.
@@ -393,6 +398,7 @@
             is_new_owner_uninformed: false,
             crashing_task_ids: BTreeSet::new(),
             crashed: BTreeMap::new(),
+            failing_runs: BTreeMap::new(),
             crash_restart: None,
             tasks_lost_with: Vec::new(),
             crashes_while_running: BTreeMap::new(),
@@ -892,6 +898,7 @@
                 self.register_slot(slot);
             }
             Event::Restarted(entry, slot, restart) => self.complete_restart(*entry, slot, restart),
+            Event::Departed(worker) => self.complete_departure(&worker),
             Event::Unlisted(worker) => self.engine.unregister(&worker, self.now),
             Event::OperatorRead => self.read_operator_records(),
             _ if !is_current => {}
