cell: wait reason for tasks that may have no attempt left

Cause: a step whose waiting tasks may not start, since lost runs may yet be reported to have failed or crashes are not settled, was treated as if nothing were left to place. No wait reason was logged for it. Change: the reason `attempts`, for gangs and for steps of single tasks of which none may start. Nothing else changes for such a step: it reserves and preempts nothing and renews no tickets. Measured: the tests of `attempts` that wait for this reason cover a listed worker, unusable entries, a change of owners and doubted crashes.

--- a/crates/cell/src/engine/place.rs
+++ b/crates/cell/src/engine/place.rs
@@ -12,6 +12,7 @@
     Engine,
     Order,
     Slot,
+    WaitReason,
     job::{
         Job,
         Stage, //
@@ -105,7 +106,7 @@
         usize::from(max_per_worker).saturating_sub(here)
     }
 
-    /// Starts tasks of a step one by one. Returns true if none is left waiting.
+    /// Starts tasks of a step one by one. Returns true if none waits for a worker.
     pub(super) fn place_singles(
         &mut self,
         id: StepId,
@@ -115,8 +116,12 @@
         loop {
             let Some(index) = self.first_startable(id, now) else {
                 let is_placed = self.place_suspects(id, reserved, now);
-                if self.first_waiting(id).is_none() {
-                    self.open_steps.remove(id);
+                match self.first_waiting(id) {
+                    None => self.open_steps.remove(id),
+                    Some(_) if is_placed => {
+                        self.update_known_wait_reason(id, WaitReason::Attempts, now);
+                    }
+                    Some(_) => {}
                 }
                 return is_placed;
             };
@@ -268,6 +273,7 @@
             .iter()
             .any(|index| !self.has_attempt_left(id, *index, now))
         {
+            self.update_known_wait_reason(id, WaitReason::Attempts, now);
             return true;
         }
         let Some(places) = self.find_gang_workers(id, &waiting, reserved, now) else {
--- a/crates/cell/src/engine/wait.rs
+++ b/crates/cell/src/engine/wait.rs
@@ -60,6 +60,9 @@
     EmptyWorker,
     /// There is free capacity, but too little for a whole gang, or it is reserved for another step.
     Reserved,
+    /// The waiting tasks may have used all their attempts: runs on lost workers may yet be reported to have failed, or
+    /// crashes are not settled.
+    Attempts,
     /// The step's workspace is at its limit, or the rest of the limit is reserved for a step of higher rank.
     Limit,
 }
@@ -80,6 +83,7 @@
             Self::Ticket => "ticket",
             Self::EmptyWorker => "alone",
             Self::Reserved => "kept",
+            Self::Attempts => "attempts",
             Self::Limit => "limit",
         }
     }
--- a/crates/cell/tests/cell/attempts.rs
+++ b/crates/cell/tests/cell/attempts.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use fulmarpier_cell::{
-    engine::State,
+    engine::{
+        State,
+        WaitReason, //
+    },
     id::{
         JobId,
         StepId,
@@ -16,6 +19,7 @@
 use crate::world::{
     Faults,
     MAX_ATTEMPTS,
+    Restart,
     World,
     quick_step, //
 };
@@ -114,6 +118,87 @@
     cut_off
 }
 
+/// Why a worker that is lost may still return.
+#[derive(Clone, Copy, Debug)]
+enum Presence {
+    /// It is listed.
+    Listed,
+    /// Another writer has overwritten its entry.
+    Overwritten,
+    /// Its entry was removed, and then written by another writer.
+    WrittenAgain,
+    /// The owner knows it from the records of the former owner only.
+    OnRecord,
+}
+
+/// Guards against a start without an attempt left, and against a wait without a reason.
+#[rstest]
+#[case::a_single_task("batch", single_task())]
+#[case::a_gang("gang", gang())]
+fn a_task_waits_while_the_worker_of_its_last_attempt_may_return(
+    #[case] queue: &str,
+    #[case] step: Step,
+    #[values(
+        Presence::Listed,
+        Presence::Overwritten,
+        Presence::WrittenAgain,
+        Presence::OnRecord
+    )]
+    presence: Presence,
+) {
+    let (mut world, job) = run_last_attempt(queue, &step);
+    for id in cut_off_busy_workers(&mut world) {
+        match presence {
+            Presence::Listed => {}
+            Presence::Overwritten => world.overwrite_entry(&id, FOREVER),
+            Presence::WrittenAgain => {
+                world.engine.unregister(&id, world.now);
+                world.overwrite_entry(&id, FOREVER);
+            }
+            Presence::OnRecord => world.depart(&id, TICK),
+        }
+    }
+    if let Presence::OnRecord = presence {
+        world.run(2 * TICK);
+        world.take_over();
+    }
+    let starts = world.starts;
+    run_until(&mut world, |world| {
+        world.reported_waits.contains(&(job, WaitReason::Attempts))
+    });
+    assert_eq!(world.starts, starts);
+    let waited = run_until(&mut world, |world| world.starts > starts);
+    assert!(
+        waited >= 10 * SECOND && waited <= 13 * SECOND,
+        "it is restarted after {waited:?}"
+    );
+    world.run(10 * SECOND);
+    assert_eq!(world.engine.state(job), Some(State::Completed));
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
+/// Guards against the same needless wait where the worker is still listed when its leases expire.
+#[rstest]
+#[case::a_single_task("batch", single_task())]
+#[case::a_gang("gang", gang())]
+fn a_task_is_restarted_once_the_lapsed_worker_of_its_last_attempt_is_unlisted(
+    #[case] queue: &str,
+    #[case] step: Step,
+) {
+    let (mut world, job) = run_last_attempt(queue, &step);
+    let cut_off = cut_off_busy_workers(&mut world);
+    run_until(&mut world, |world| {
+        world.reported_waits.contains(&(job, WaitReason::Attempts))
+    });
+    let starts = world.starts;
+    world.is_list_unavailable = true;
+    for id in cut_off {
+        world.engine.unregister(&id, world.now);
+    }
+    let waited = run_until(&mut world, |world| world.starts > starts);
+    assert!(waited <= SECOND, "it is restarted after {waited:?}");
+}
+
 /// Guards against a job that fails by an end which doesn't count: its worker lists it after its leases have expired.
 #[rstest]
 #[case::a_single_task("batch", single_task())]
@@ -142,3 +227,25 @@
     assert_eq!(world.engine.state(job), Some(State::Completed));
     assert_eq!(world.violations, Vec::<String>::new());
 }
+
+/// Guards against a wait without a reason of a task that must not start until its doubted crashes are settled.
+#[test]
+fn a_task_that_awaits_the_settlement_of_crashes_is_reported_to_wait_for_it() {
+    let mut world = World::new(1, Faults::default());
+    world.crash_restart = Some(Restart {
+        downtime: FOREVER,
+        ..Restart::default()
+    });
+    world.run(SECOND);
+    let job = world.submit("urgent", vec![single_task()]);
+    let id = StepId {
+        job,
+        occurrence: 0,
+        step: 0,
+    };
+    world.crashing_task_ids.insert(id.task(0));
+    world.run(60 * SECOND);
+    assert_eq!(world.starts, 5);
+    let last = world.reported_waits.last();
+    assert_eq!(last, Some(&(job, WaitReason::Attempts)));
+}
