cell: histories check that no step waits although it could start

Cause: no test asked whether an open step with free capacity, an attempt left and advice available starts; the histories had no worker at whose address nothing answers any more, so none was ever declared gone while it held runs. The check uses the state of the simulated workers, not the free capacity that the engine assumes.

--- a/crates/cell/src/engine/open_steps.rs
+++ b/crates/cell/src/engine/open_steps.rs
@@ -99,6 +99,11 @@
         self.ranked.range((from, Bound::Unbounded)).next().copied()
     }
 
+    /// Returns the ids of all open steps.
+    pub(super) fn ids(&self) -> impl Iterator<Item = &StepId> {
+        self.steps.keys()
+    }
+
     /// Returns the number of open steps.
     pub(super) fn len(&self) -> usize {
         self.steps.len()
--- a/crates/cell/src/engine/view.rs
+++ b/crates/cell/src/engine/view.rs
@@ -160,6 +160,15 @@
             .filter(|job| !job.has_begun && !job.is_over())
     }
 
+    /// Returns the steps that have tasks to start, with the indices of these tasks.
+    pub fn waiting_tasks(&self) -> impl Iterator<Item = (StepId, Vec<u16>)> {
+        let open = self.open_steps.ids().chain(&self.unschedulable);
+        open.filter_map(|id| {
+            let stage = self.jobs.get(&id.job)?.stage(*id)?;
+            Some((*id, stage.waiting.iter().copied().collect()))
+        })
+    }
+
     /// Returns the cost of advice calls for a step and the validity of their tickets, if its queue needs advice.
     pub fn advice_timing(&self, step: StepId) -> Option<AdviceTiming> {
         let job = self.jobs.get(&step.job)?;
--- a/crates/cell/tests/cell/history.rs
+++ b/crates/cell/tests/cell/history.rs
@@ -28,6 +28,7 @@
 /// Runs a history with some jobs; returns the violated invariants.
 fn run_history(seed: u64, faults: Faults) -> Vec<String> {
     let mut world = World::new(seed, faults);
+    world.check_waits_from_now_on();
     world.run(Duration::from_secs(1));
     for round in 0..6 {
         world.submit("batch", vec![step(5, vec![]), step(2, vec![0])]);
@@ -56,6 +57,7 @@
         requires: Some(label.into()),
         ..step(count, vec![])
     };
+    world.check_waits_from_now_on();
     world.run(Duration::from_secs(1));
     for round in 0..6 {
         world.submit("batch", vec![labelled("r1", 2), step(2, vec![0])]);
@@ -102,6 +104,7 @@
     capacity_changes: 0,
     restarts: 0,
     evacuations: 0,
+    departures: 0,
 };
 
 /// [`ALL`], while another writer overwrites the entry of some worker about every two seconds.
@@ -142,6 +145,7 @@
     capacity_changes: 0,
     restarts: 0,
     evacuations: 0,
+    departures: 0,
 };
 
 #[rstest]
@@ -197,6 +201,7 @@
     capacity_changes: 0,
     restarts: 60,
     evacuations: 0,
+    departures: 0,
 };
 
 #[rstest]
@@ -263,6 +268,17 @@
         prop_assert_eq!(run_history(seed, faults), Vec::<String>::new());
     }
 
+    #[test]
+    fn invariants_hold_when_workers_leave_or_fail_for_good(seed in any::<u64>()) {
+        let faults = Faults { departures: 60, failures: 200, announcements: 300, ..Faults::default() };
+        prop_assert_eq!(run_history(seed, faults), Vec::<String>::new());
+    }
+
+    #[test]
+    fn invariants_hold_when_workers_leave_or_fail_for_good_with_all_faults(seed in any::<u64>()) {
+        prop_assert_eq!(run_history(seed, Faults { departures: 30, failures: 200, ..ALL }), Vec::<String>::new());
+    }
+
     #[test]
     fn invariants_hold_when_labels_come_and_go(seed in any::<u64>()) {
         prop_assert_eq!(run_history_with_labels(seed, Faults { cancels: 0, ..ALL }), Vec::<String>::new());
--- a/crates/cell/tests/cell/world/depart.rs
+++ b/crates/cell/tests/cell/world/depart.rs
@@ -4,7 +4,14 @@
 
 use fulmarpier_cell::id::WorkerId;
 
-use super::World;
+use rand::RngExt;
+
+use super::{
+    CRASHED_LISTING_DURATION,
+    Event,
+    World,
+    worker::Worker, //
+};
 
 /// Longer than any history.
 const FOREVER: Duration = Duration::from_secs(3_600);
@@ -19,7 +26,7 @@
         worker.announce_leaving(leaves_at);
         let slot = worker.slot;
         self.register_slot(slot);
-        self.schedule(notice, super::Event::Departed(id.clone()));
+        self.schedule(notice, Event::Departed(id.clone()));
         self.add_worker_at_new_address();
     }
 
@@ -28,10 +35,41 @@
         let Some(worker) = self.workers.remove(id) else {
             return;
         };
-        self.count_crash_of_running_tasks(&worker);
+        self.go_silent(id, &worker);
+        self.engine.unregister(id, self.now);
+    }
+
+    /// Makes some workers fail or leave for good.
+    pub(super) fn remove_workers(&mut self) {
+        for id in self.workers.keys().cloned().collect::<Vec<_>>() {
+            let stays = self.workers[&id].leaves_at.is_none();
+            if !stays || !self.chance(self.faults.departures) {
+                continue;
+            }
+            if self.chance(500) {
+                let notice = Duration::from_millis(self.rng.random_range(2_000..4_000));
+                self.depart(&id, notice);
+            } else {
+                self.fail(&id);
+            }
+        }
+    }
+
+    /// Lets a worker fail. Its entry stays listed for some time, and a new worker, at another address, replaces it.
+    fn fail(&mut self, id: &WorkerId) {
+        let Some(worker) = self.workers.remove(id) else {
+            return;
+        };
+        self.go_silent(id, &worker);
+        self.schedule(CRASHED_LISTING_DURATION, Event::Unlisted(id.clone()));
+        self.add_worker_at_new_address();
+    }
+
+    /// Lets nothing answer at the address of a worker any more.
+    fn go_silent(&mut self, id: &WorkerId, worker: &Worker) {
+        self.count_crash_of_running_tasks(worker);
         self.break_connections(id);
         self.down_until.insert(id.clone(), self.now + FOREVER);
-        self.engine.unregister(id, self.now);
     }
 
     fn add_worker_at_new_address(&mut self) {
--- a/crates/cell/tests/cell/world/evacuate.rs
+++ b/crates/cell/tests/cell/world/evacuate.rs
@@ -108,7 +108,7 @@
         }
     }
 
-    fn is_evacuated_for_owner(&self, worker: &WorkerId) -> bool {
+    pub(super) fn is_evacuated_for_owner(&self, worker: &WorkerId) -> bool {
         let known = self.owner_evacuation.as_ref();
         let worker = self.workers.get(worker);
         known
--- a/crates/cell/tests/cell/world/mod.rs
+++ b/crates/cell/tests/cell/world/mod.rs
@@ -19,6 +19,7 @@
 mod fault;
 mod limit;
 mod restart;
+mod waiting;
 mod worker;
 
 use std::{
@@ -103,6 +104,7 @@
 };
 
 pub(crate) use self::restart::Restart;
+use self::waiting::Waits;
 pub(crate) use self::worker::DATA_CENTRES;
 use self::worker::Worker;
 
@@ -140,6 +142,9 @@
     pub restarts: u32,
     /// A data centre is evacuated, or its evacuation ends, per second and data centre.
     pub evacuations: u32,
+    /// A worker fails or leaves for good, per second and worker, and a new one starts at another address. Half of them
+    /// announce that 2 to 4 s before.
+    pub departures: u32,
 }
 
 /// An answer to the engine, or something that happens in the world, at a given time.
@@ -260,6 +265,8 @@
     read_evacuation: (Evacuation, Timestamp),
     /// The evacuations that the owner was last informed of; `None` if it has no information yet.
     owner_evacuation: Option<Evacuation>,
+    /// What the check of waiting steps remembers.
+    waits: Waits,
 }
 
 /// How long a ticket is valid. The text of a ticket is the time at which it was issued, in microseconds.
@@ -418,6 +425,7 @@
             evacuated: BTreeMap::new(),
             read_evacuation: (Evacuation::default(), now),
             owner_evacuation: None,
+            waits: Waits::default(),
         };
         for slot in 0..workers {
             world.add_worker(slot);
@@ -688,6 +696,9 @@
         if self.faults.restarts > 0 {
             self.restart_workers();
         }
+        if self.faults.departures > 0 {
+            self.remove_workers();
+        }
         self.register_workers();
         self.read_operator_records();
         if self.faults.evacuations > 0 {
@@ -704,6 +715,12 @@
             let index = self.rng.random_range(0..self.accepted.len());
             self.cancel(self.accepted[index].job);
         }
+        self.check_waits();
+    }
+
+    /// Makes the history check that no step waits long although it could start.
+    pub(crate) fn check_waits_from_now_on(&mut self) {
+        self.waits.is_checked = true;
     }
 
     /// Removes an acceptance from the store.
@@ -746,6 +763,7 @@
         let bounds = evacuate::bounds(&self.faults);
         self.engine = Engine::new(self.epoch, bounds, stored, self.now);
         self.reset_owner_evacuation();
+        self.waits.reset_owner();
         self.inform_new_owner();
     }
 
@@ -786,6 +804,9 @@
     }
 
     fn execute(&mut self, effect: Effect) {
+        if let Effect::Log(record) = &effect {
+            self.waits.note(record, self.now);
+        }
         match effect {
             Effect::Start(order) => {
                 self.check_sent_start(&order);
