--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -12,6 +12,7 @@
 mod order;
 mod overtaking;
 mod overwritten_entries;
+mod pace;
 mod pending;
 mod preempt;
 mod removal;
--- a/crates/cell/tests/cell/world/mod.rs
+++ b/crates/cell/tests/cell/world/mod.rs
@@ -25,6 +25,7 @@
         BTreeMap,
         BTreeSet, //
     },
+    fmt,
     sync::Arc,
     time::Duration,
 };
@@ -239,6 +240,8 @@
     pub refused_tickets: u32,
     /// The number of workers in each call for advice, in order.
     pub advice_call_sizes: Vec<usize>,
+    /// The placements and calls for advice, in order, as [`Self::note_decision`] writes them.
+    pub decisions: Vec<String>,
     /// How many starts were withdrawn because their ticket had expired by the time that their record was stored.
     pub expired_ticket_starts: usize,
     /// How many calls for advice were sent to nodes that are down.
@@ -404,6 +407,7 @@
             preempted: Vec::new(),
             refused_tickets: 0,
             advice_call_sizes: Vec::new(),
+            decisions: Vec::new(),
             expired_ticket_starts: 0,
             failed_advice_calls: 0,
             reported_waits: Vec::new(),
@@ -779,6 +783,14 @@
         self.check_waiting();
     }
 
+    /// Notes a decision about workers, which it names by their slots.
+    fn note_decision(&mut self, what: &str, of: impl fmt::Display, workers: &[WorkerId]) {
+        let slots = workers.iter().filter_map(|id| self.workers.get(id));
+        let slots: Vec<String> = slots.map(|worker| worker.slot.to_string()).collect();
+        self.decisions
+            .push(format!("{what} {of}: {}", slots.join(" ")));
+    }
+
     fn execute(&mut self, effect: Effect) {
         match effect {
             Effect::Start(order) => {
@@ -836,6 +848,7 @@
                 workers,
             } => {
                 self.advice_call_sizes.push(workers.len());
+                self.note_decision("ask", step, &workers);
                 self.check_advice_call(&workers);
                 let call_duration = Duration::from_millis(20 + workers.len() as u64);
                 self.schedule(call_duration, Event::Advised(node, step, workers));
@@ -846,6 +859,7 @@
             }
             Effect::Remove(jobs) => jobs.into_iter().for_each(|job| self.remove_acceptance(job)),
             Effect::Log(LogRecord::Placed { task, worker, .. }) => {
+                self.note_decision("place", task, std::slice::from_ref(&worker));
                 self.check_placement(task, &worker)
             }
             Effect::Log(LogRecord::Waiting { step, why, .. }) => {
