cell: placement by the speed of workers

Cause: workers of unequal speed are treated as equal, so that urgent tasks run on slow workers while faster ones have room, and gangs wait for one slow member. Change: urgent tasks take the fastest class first. Others take the slowest class while they have slack. Gangs take the fastest class at which all members fit as a lower bound and are filled from it upwards. Urgent steps and gangs ask for advice about faster workers with room first. A class only orders the workers that may run a step.

--- a/crates/cell/src/engine/ask.rs
+++ b/crates/cell/src/engine/ask.rs
@@ -140,7 +140,8 @@
     /// Returns the workers that could run a step and were not asked about yet, with at least `min_cpu` processor time
     /// left.
     ///
-    /// Those with the most free capacity come first.
+    /// Those with the most free capacity come first. Where the workers differ in speed and the step is selective, those
+    /// with free capacity for a task come first, and among them the fastest ones.
     fn unasked_workers<'a>(
         &'a self,
         demand: &'a Demand<'_>,
@@ -148,10 +149,17 @@
         min_cpu: Millicores,
         now: Timestamp,
     ) -> impl Iterator<Item = (Slot, &'a Worker)> {
-        let slots = self
-            .free_capacity
-            .with_free_cpu(&demand.queue.pool, min_cpu)
-            .rev();
+        let (free_capacity, pool) = (&self.free_capacity, &demand.queue.pool);
+        let is_by_class = is_selective(demand) && !free_capacity.is_uniform(pool);
+        let (by_class, others) = match is_by_class {
+            true => {
+                let by_class = free_capacity.fastest_first(pool, demand.size, min_cpu);
+                (Some(by_class), None)
+            }
+            false => (None, Some(free_capacity.most_free_first(pool, min_cpu))),
+        };
+        let by_class = by_class.into_iter().flatten();
+        let slots = by_class.chain(others.into_iter().flatten());
         let slots = slots.filter(|slot| !stage.advice.was_asked(*slot));
         let workers = slots.filter_map(|slot| Some((slot, self.workers.get(&slot)?)));
         workers.filter(move |(_, worker)| {
--- a/crates/cell/src/engine/free_capacity.rs
+++ b/crates/cell/src/engine/free_capacity.rs
@@ -11,10 +11,11 @@
 use super::Slot;
 use crate::{
     id::PoolName,
+    speed::Class,
     worker::Worker, //
 };
 
-/// The number of workers in each pool, and those that accept tasks, ordered by free CPU.
+/// The number of workers in each pool, and those that accept tasks, ordered by free CPU within each class of speed.
 ///
 /// Updating a worker takes logarithmic time. If no worker accepts tasks, as when none has answered a new owner yet, a
 /// step finds that out at once. Without the index, checking 540 workers for each of 1,800 waiting steps blocked a new
@@ -30,13 +31,15 @@
 #[derive(Clone, Debug, Default)]
 struct Pool {
     members: usize,
-    accepting: BTreeSet<(Millicores, Slot)>,
+    /// The workers that accept tasks, for each class of speed from the slowest on.
+    accepting: [BTreeSet<(Millicores, Slot)>; Class::ALL.len()],
 }
 
 /// The position of a worker in the index.
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Entry {
     pool: PoolName,
+    class: Class,
     /// Its free CPU, if it accepts tasks.
     free: Option<Millicores>,
 }
@@ -46,6 +49,7 @@
     pub(super) fn set(&mut self, slot: Slot, worker: Option<&Worker>) {
         let entry = worker.map(|worker| Entry {
             pool: worker.registration.pool.clone(),
+            class: worker.speed_class,
             free: worker.accepts_tasks().then_some(worker.free.cpu),
         });
         if self.free.len() <= slot.index() {
@@ -61,7 +65,7 @@
         {
             pool.members -= 1;
             if let Some(free) = before.free {
-                pool.accepting.remove(&(free, slot));
+                pool.accepting[before.class as usize].remove(&(free, slot));
             }
         }
         let Some(entry) = entry else {
@@ -70,7 +74,7 @@
         let pool = self.pools.entry(entry.pool.clone()).or_default();
         pool.members += 1;
         if let Some(free) = entry.free {
-            pool.accepting.insert((free, slot));
+            pool.accepting[entry.class as usize].insert((free, slot));
         }
         self.entries.insert(slot, entry);
     }
@@ -87,15 +91,68 @@
         self.pools.get(pool).map_or(0, |pool| pool.members)
     }
 
-    /// Returns the workers of a pool that accept tasks and have at least `min_cpu` free, those with the least first.
-    /// Doesn't check for backoff after a rejection.
+    /// Returns whether all workers of a pool that accept tasks are of one class.
+    pub(super) fn is_uniform(&self, pool: &PoolName) -> bool {
+        let classes = self.pools.get(pool).map(|pool| &pool.accepting);
+        let classes = classes.into_iter().flatten();
+        classes.filter(|class| !class.is_empty()).count() <= 1
+    }
+
+    /// Returns the workers of a pool that accept tasks and have at least `min_cpu` free, the slowest class first, and
+    /// in each class those with the least. Doesn't check for backoff after a rejection.
     pub(super) fn with_free_cpu(
         &self,
         pool: &PoolName,
         min_cpu: Millicores,
-    ) -> impl DoubleEndedIterator<Item = Slot> + use<'_> {
-        let pool = self.pools.get(pool).into_iter();
-        pool.flat_map(move |pool| pool.accepting.range((min_cpu, Slot::FIRST)..))
+    ) -> impl Iterator<Item = Slot> + use<'_> {
+        let classes = self.pools.get(pool).map(|pool| &pool.accepting);
+        let classes = classes.into_iter().flatten();
+        classes
+            .flat_map(move |class| class.range((min_cpu, Slot::FIRST)..))
             .map(|(_, slot)| *slot)
     }
+
+    /// Returns the same workers, those with the most free CPU first.
+    pub(super) fn most_free_first(
+        &self,
+        pool: &PoolName,
+        min_cpu: Millicores,
+    ) -> impl Iterator<Item = Slot> + use<'_> {
+        let classes = self.pools.get(pool).map(|pool| &pool.accepting);
+        // Each class with the next of its workers.
+        let mut classes: Vec<_> = classes
+            .into_iter()
+            .flatten()
+            .map(|class| {
+                let mut rest = class.range((min_cpu, Slot::FIRST)..);
+                (rest.next_back(), rest)
+            })
+            .collect();
+        std::iter::from_fn(move || {
+            let (next, rest) = classes.iter_mut().max_by_key(|(next, _)| *next)?;
+            let (_, slot) = std::mem::replace(next, rest.next_back())?;
+            Some(*slot)
+        })
+    }
+
+    /// Returns the same workers: first those that have the free resources for a task of a size, the fastest class first
+    /// and in each class those with the most free CPU; then the others in the same order.
+    pub(super) fn fastest_first(
+        &self,
+        pool: &PoolName,
+        size: Resources,
+        min_cpu: Millicores,
+    ) -> impl Iterator<Item = Slot> + use<'_> {
+        let classes = self.pools.get(pool).map(|pool| &pool.accepting);
+        let by_class = move |min_cpu| {
+            let classes = classes.into_iter().flatten().rev();
+            let workers =
+                classes.flat_map(move |class| class.range((min_cpu, Slot::FIRST)..).rev());
+            workers.map(|(_, slot)| *slot)
+        };
+        let fitting = by_class(min_cpu.max(size.cpu));
+        let fitting = fitting.filter(move |slot| self.fits(*slot, &size));
+        let others = by_class(min_cpu);
+        fitting.chain(others.filter(move |slot| !self.fits(*slot, &size)))
+    }
 }
--- a/crates/cell/src/engine/mod.rs
+++ b/crates/cell/src/engine/mod.rs
@@ -13,6 +13,7 @@
 //! | `free_capacity` | indexes the workers by their free resources |
 //! | `schedule` | places the open steps in order of urgency |
 //! | `place` | finds workers for single tasks and gangs |
+//! | `pace` | holds the classes of workers' speeds, and the order in which steps take them |
 //! | `reserve` | reserves workers and preempts tasks for a gang or an urgent task |
 //! | `ask` | asks which workers may run a step |
 //! | `order` | handles answers to orders, and repeats stops until they are settled |
@@ -40,6 +41,7 @@
 mod loss;
 mod open_steps;
 mod order;
+mod pace;
 mod place;
 mod recording;
 mod removal;
--- a/crates/cell/src/engine/place.rs
+++ b/crates/cell/src/engine/place.rs
@@ -1,7 +1,5 @@
 //! Finding workers for tasks.
 
-use std::collections::BTreeMap;
-
 use fulmarpier_state::{
     clock::Timestamp,
     resource::Resources,
@@ -26,6 +24,10 @@
         StepId, //
     },
     job::Step,
+    pace::{
+        self,
+        Candidate, //
+    },
     worker::{
         Allocation,
         Phase,
@@ -180,6 +182,7 @@
         let demand = self.demand(job, id)?;
         let stage = job.stage(id)?;
         let avoid = stage.task(index)?.avoided_worker;
+        let preference = self.preference(job, &demand, now);
         let fitting = self
             .candidates_with_capacity(&demand, stage)
             .filter(|(slot, worker)| {
@@ -193,6 +196,7 @@
                 is_avoided,
                 is_remote(&demand, worker),
                 self.interference_count(&demand, worker),
+                preference.position(worker.speed_class),
                 cpu_left_key(&demand, worker),
                 *slot,
             )
@@ -370,19 +374,39 @@
             places.extend(isolated.into_iter().zip(slots));
         }
         let count = others.len();
-        let in_one_rack = demand.step.same_rack.then(|| in_one_rack(&fits, count));
-        let slots = in_one_rack.flatten().or_else(|| {
-            fits.sort_by_key(|(slot, _, worker)| {
-                let interference_count = self.interference_count(&demand, worker);
-                let left = cpu_left_key(&demand, worker);
-                (is_remote(&demand, worker), interference_count, left, *slot)
-            });
-            assign_slots(fits.iter().map(|(slot, fit, _)| (*slot, *fit)), count)
-        })?;
+        let candidates: Vec<Candidate<'_, Slot>> = fits
+            .iter()
+            .map(|(slot, fit, worker)| self.gang_candidate(&demand, *slot, *fit, worker))
+            .collect();
+        let in_one_rack = demand.step.same_rack;
+        let in_one_rack = in_one_rack.then(|| pace::choose_rack(&candidates, count));
+        let slots = in_one_rack
+            .flatten()
+            .or_else(|| pace::choose_workers(candidates, count))?;
         places.extend(others.into_iter().zip(slots));
         Some(places)
     }
 
+    /// Returns what matters of a worker for members of a gang.
+    fn gang_candidate<'a>(
+        &self,
+        demand: &Demand<'_>,
+        slot: Slot,
+        fits: usize,
+        worker: &'a Worker,
+    ) -> Candidate<'a, Slot> {
+        let interference_count = self.interference_count(demand, worker);
+        Candidate {
+            worker: slot,
+            fits,
+            class: worker.speed_class,
+            // A worker's labels are its kind and its rack, in this order.
+            rack: worker.registration.labels.last().map(AsRef::as_ref),
+            penalty: (is_remote(demand, worker), interference_count),
+            left: cpu_left_key(demand, worker),
+        }
+    }
+
     /// Allocates the resources for a run. Its start order is sent once the allocation is on record.
     ///
     /// Returns false, and changes nothing, if the workspace's limit or the worker's free resources don't allow it.
@@ -510,20 +534,3 @@
     }
     None
 }
-
-/// Assigns all members to workers of one rack: the one with the least free capacity among those in which they all fit.
-///
-/// Returns `None` if there is no such rack.
-fn in_one_rack(fits: &[(Slot, usize, &Worker)], count: usize) -> Option<Vec<Slot>> {
-    let mut racks: BTreeMap<&str, Vec<(Slot, usize)>> = BTreeMap::new();
-    for (slot, fit, worker) in fits {
-        // A worker's labels are its kind and its rack, in this order.
-        if let Some(rack) = worker.registration.labels.last() {
-            racks.entry(rack).or_default().push((*slot, *fit));
-        }
-    }
-    let total = |fits: &[(Slot, usize)]| fits.iter().map(|(_, fit)| *fit).sum::<usize>();
-    let fitting = racks.into_values().filter(|fits| total(fits) >= count);
-    let fits = fitting.min_by_key(|fits| total(fits))?;
-    assign_slots(fits.into_iter(), count)
-}
--- a/crates/cell/src/engine/reserve.rs
+++ b/crates/cell/src/engine/reserve.rs
@@ -28,6 +28,7 @@
         StepId,
         TaskId, //
     },
+    speed::Class,
     worker::{
         Phase,
         Worker, //
@@ -114,6 +115,7 @@
 /// What a worker could offer a step, now and after other tasks have ended or been preempted.
 struct Offer {
     slot: Slot,
+    class: Class,
     /// How many tasks fit once the runs that are being stopped have ended.
     fits_soon: usize,
     /// How many tasks fit once all short and preemptible tasks have ended too.
@@ -173,11 +175,13 @@
             })
             .map(|(slot, worker)| self.offer(&demand, slot, worker, rank, now))
             .collect();
+        let preference = self.preference(job, &demand, now);
         offers.sort_by_key(|offer| {
             let missing = offer.fits_eventually - offer.fits_soon;
             (
                 std::cmp::Reverse(offer.fits_soon),
                 missing,
+                preference.position(offer.class),
                 std::cmp::Reverse(offer.idle_cpu),
                 offer.slot,
             )
@@ -248,6 +252,7 @@
             .unwrap_or(free_eventually);
         Offer {
             slot,
+            class: worker.speed_class,
             fits_soon: fit_count(&free_soon, &demand.size),
             fits_eventually: fit_count(&free_eventually, &demand.size),
             idle_cpu: u64::from(worker.free.cpu.get()),
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod event;
 pub mod id;
 pub mod job;
+pub mod pace;
 pub mod record;
 pub mod speed;
 pub mod spread;
--- a/crates/cell/tests/cell/world/mod.rs
+++ b/crates/cell/tests/cell/world/mod.rs
@@ -172,6 +172,25 @@
     OperatorRead,
 }
 
+/// A decision of the owner, with the slots of the workers.
+#[derive(Clone, Debug)]
+pub(crate) enum Decision {
+    Place(TaskId, u32),
+    Ask(StepId, Vec<u32>),
+}
+
+impl fmt::Display for Decision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Place(task, slot) => write!(f, "place {task}: {slot}"),
+            Self::Ask(step, slots) => {
+                let slots: Vec<String> = slots.iter().map(u32::to_string).collect();
+                write!(f, "ask {step}: {}", slots.join(" "))
+            }
+        }
+    }
+}
+
 /// A simulated cell.
 pub(crate) struct World {
     pub now: Timestamp,
@@ -240,8 +259,8 @@
     pub refused_tickets: u32,
     /// The number of workers in each call for advice, in order.
     pub advice_call_sizes: Vec<usize>,
-    /// The placements and calls for advice, in order, as [`Self::note_decision`] writes them.
-    pub decisions: Vec<String>,
+    /// The placements and calls for advice, in order.
+    pub decisions: Vec<Decision>,
     /// How many starts were withdrawn because their ticket had expired by the time that their record was stored.
     pub expired_ticket_starts: usize,
     /// How many calls for advice were sent to nodes that are down.
@@ -783,12 +802,10 @@
         self.check_waiting();
     }
 
-    /// Notes a decision about workers, which it names by their slots.
-    fn note_decision(&mut self, what: &str, of: impl fmt::Display, workers: &[WorkerId]) {
-        let slots = workers.iter().filter_map(|id| self.workers.get(id));
-        let slots: Vec<String> = slots.map(|worker| worker.slot.to_string()).collect();
-        self.decisions
-            .push(format!("{what} {of}: {}", slots.join(" ")));
+    /// Returns the slots of workers.
+    fn slots_of(&self, workers: &[WorkerId]) -> Vec<u32> {
+        let workers = workers.iter().filter_map(|id| self.workers.get(id));
+        workers.map(|worker| worker.slot).collect()
     }
 
     fn execute(&mut self, effect: Effect) {
@@ -848,7 +865,8 @@
                 workers,
             } => {
                 self.advice_call_sizes.push(workers.len());
-                self.note_decision("ask", step, &workers);
+                self.decisions
+                    .push(Decision::Ask(step, self.slots_of(&workers)));
                 self.check_advice_call(&workers);
                 let call_duration = Duration::from_millis(20 + workers.len() as u64);
                 self.schedule(call_duration, Event::Advised(node, step, workers));
@@ -859,7 +877,9 @@
             }
             Effect::Remove(jobs) => jobs.into_iter().for_each(|job| self.remove_acceptance(job)),
             Effect::Log(LogRecord::Placed { task, worker, .. }) => {
-                self.note_decision("place", task, std::slice::from_ref(&worker));
+                if let Some(worker) = self.workers.get(&worker) {
+                    self.decisions.push(Decision::Place(task, worker.slot));
+                }
                 self.check_placement(task, &worker)
             }
             Effect::Log(LogRecord::Waiting { step, why, .. }) => {
