cell: measure the cost of decisions with workers of unequal speed

Cause: examples/fleet has workers of one class only, which the index keeps in one set. Change: with the argument `mixed`, the engine is told that a third each of the workers is slow, typical and fast.

--- a/crates/cell/examples/fleet.rs
+++ b/crates/cell/examples/fleet.rs
@@ -4,7 +4,10 @@
 //! workers answer at once, and the advice service after a fixed time. Prints the processor time that the engine uses
 //! per second of virtual time, and the longest time that one event took:
 //!
-//! `cargo run --release -p fulmarpier-cell --example fleet [WORKERS ...] [load=PERCENT ...]`.
+//! `cargo run --release -p fulmarpier-cell --example fleet [WORKERS ...] [load=PERCENT ...] [mixed]`.
+//!
+//! With `mixed` the engine is told that a third each of the workers is slow, typical and fast, which does not change
+//! how long their tasks take.
 
 use std::{
     collections::BTreeMap,
@@ -56,6 +59,7 @@
         Step, //
     },
     record::Accepted,
+    speed::Class,
 };
 use fulmarpier_state::{
     alias::HashMap,
@@ -150,10 +154,11 @@
     let loads = loads.filter_map(|text| text.parse().ok());
     let fleet_sizes = values_or_default(fleet_sizes.collect(), &DEFAULT_FLEET_SIZES);
     let loads = values_or_default(loads.collect(), &DEFAULT_LOADS);
+    let is_mixed = arguments.iter().any(|text| text == "mixed");
     println!("load  workers  starts/s  ms/s  us/start  worst ms  waiting");
     for load in loads {
         for fleet_size in &fleet_sizes {
-            measure(*fleet_size, load);
+            measure(*fleet_size, load, is_mixed);
         }
     }
 }
@@ -264,6 +269,14 @@
         simulation
     }
 
+    /// Tells the engine that a third each of the workers is slow, typical and fast.
+    fn set_speed_classes(&mut self, workers: u32) {
+        for (nth, class) in (0..workers).zip(Class::ALL.into_iter().cycle()) {
+            let id = WorkerId::from(format!("w{nth}"));
+            self.engine.set_speed_class(&id, class);
+        }
+    }
+
     /// Registers all workers again; the time that this takes is not counted.
     fn register_workers(&mut self, workers: u32) {
         for nth in 0..workers {
@@ -473,8 +486,11 @@
     }
 }
 
-fn measure(workers: u32, load: u32) {
+fn measure(workers: u32, load: u32, is_mixed: bool) {
     let mut simulation = Simulation::new(workers);
+    if is_mixed {
+        simulation.set_speed_classes(workers);
+    }
     let end = simulation.now + MEASUREMENT_DURATION;
     let tick = TICK.as_secs_f64();
     // The number of jobs of each kind that are due, including a fraction of the next one.
