cell: tests of the order of advice for batch and of the pace of a repaired gang

Cause: no test failed when batch steps asked by class, or when a lost member of a typical gang was replaced on a fast worker. Change: one test for each; the simulated world has a batch queue with advice.

--- a/crates/cell/tests/cell/pace.rs
+++ b/crates/cell/tests/cell/pace.rs
@@ -1,6 +1,7 @@
 //! Placement by the speed of workers.
 
 use std::{
+    cmp::Reverse,
     collections::{
         BTreeMap,
         BTreeSet, //
@@ -201,15 +202,10 @@
     assert_eq!(world.violations, Vec::<String>::new());
 }
 
-/// Guards against a long gang call or an urgent call that is spent on slow workers, and against fast workers without
-/// room that are asked about before slow ones that have it.
-#[rstest]
-#[case::urgent("urgent", step(2))]
-#[case::gang("gang", gang(2))]
-fn faster_workers_are_asked_about_first_among_those_with_room(
-    #[case] queue: &str,
-    #[case] asking: Step,
-) {
+/// Returns the slots of the first call for advice about a step, and the classes of the workers.
+///
+/// Of 60 workers, ten fast ones are full; ten fast, twenty typical and twenty slow ones have room.
+fn first_call(queue: &str, asking: Step) -> (Vec<u32>, impl Fn(&u32) -> (bool, Reverse<Class>)) {
     let mut world = World::sized(1, Faults::default(), 60, &NODES);
     world.run(SECOND);
     let filling = Step {
@@ -220,29 +216,74 @@
     world.run(Duration::from_millis(50));
     let full: BTreeSet<u32> = slots_of(&world, &[filling]).into_iter().collect();
     assert_eq!(full.len(), 10);
-    // Ten fast workers are full, and ten have room.
-    let class_of = |slot| match (full.contains(&slot), slot % 3) {
+    let is_full = full.clone();
+    let class_of = move |slot| match (is_full.contains(&slot), slot % 3) {
         (true, _) | (false, 0) => Class::Fast,
         (false, 1) => Class::Typical,
         (false, _) => Class::Slow,
     };
-    set_classes(&mut world, class_of);
+    set_classes(&mut world, &class_of);
     world.submit(queue, vec![asking]);
     world.run(Duration::from_millis(50));
-    let mut calls = world
-        .decisions
-        .iter()
-        .filter_map(|decision| match decision {
-            Decision::Ask(_, slots) => Some(slots),
-            Decision::Place(..) => None,
-        });
+    let calls = world.decisions.into_iter();
+    let mut calls = calls.filter_map(|decision| match decision {
+        Decision::Ask(_, slots) => Some(slots),
+        Decision::Place(..) => None,
+    });
     let asked = calls.next().expect("a call for advice");
-    let order = asked.iter();
-    let order: Vec<_> = order
-        .map(|slot| (full.contains(slot), std::cmp::Reverse(class_of(*slot))))
-        .collect();
+    let order = move |slot: &u32| (full.contains(slot), Reverse(class_of(*slot)));
+    (asked, order)
+}
+
+/// Guards against calls that are spent on slow workers, and against fast workers without room that are asked about
+/// before slow ones that have it.
+#[rstest]
+#[case::urgent("urgent", step(2))]
+#[case::gang("gang", gang(2))]
+fn faster_workers_are_asked_about_first_among_those_with_room(
+    #[case] queue: &str,
+    #[case] asking: Step,
+) {
+    let (asked, order) = first_call(queue, asking);
     assert_eq!(asked.len(), 48);
-    assert!(order.is_sorted(), "{order:?}");
+    assert!(asked.is_sorted_by_key(order), "{asked:?}");
+}
+
+/// Guards against batch steps that ask about full workers before those with room, because of their class.
+#[test]
+fn batch_asks_about_workers_with_room_first_whatever_their_class() {
+    let (asked, order) = first_call("advised-batch", step(2));
+    assert_eq!(asked.len(), 60);
+    assert!(asked.is_sorted_by_key(|slot| order(slot).0), "{asked:?}");
+}
+
+/// Guards against a member of a gang that replaces a lost one on a slower worker, or on a faster one than the gang can
+/// use.
+#[test]
+fn a_lost_member_of_a_gang_is_replaced_at_the_pace_of_the_others() {
+    let mut world = World::sized(1, Faults::default(), WORKERS, &NODES);
+    world.append_duration = Duration::from_millis(200);
+    world.run(SECOND);
+    let job = world.submit("gang", vec![gang(4)]);
+    world.run(Duration::from_millis(100));
+    let gang_slots: BTreeSet<u32> = slots_of(&world, &[job]).into_iter().collect();
+    // The gang runs on typical workers; there is room on workers of each class.
+    set_classes(&mut world, |slot| match gang_slots.contains(&slot) {
+        true => Class::Typical,
+        false => class_of(slot, WORKERS),
+    });
+    let lost = world.workers.values();
+    let mut lost = lost.filter(|worker| gang_slots.contains(&worker.slot));
+    let lost = lost.next().expect("a worker of the gang").id.clone();
+    world.replace_worker(&lost, "a");
+    world.run(SECOND);
+    let slots = slots_of(&world, &[job]);
+    let replacements: Vec<Class> = slots[4..]
+        .iter()
+        .map(|slot| class_of(*slot, WORKERS))
+        .collect();
+    assert_eq!(replacements, [Class::Typical; 2]);
+    assert_eq!(world.violations, Vec::<String>::new());
 }
 
 /// Guards against urgent tasks that preempt others on slow workers when that costs as little on fast ones.
--- a/crates/cell/tests/cell/world/mod.rs
+++ b/crates/cell/tests/cell/world/mod.rs
@@ -372,6 +372,7 @@
             queue("urgent", 0, true),
             queue("gang", 1, true),
             queue("batch", 2, false),
+            queue("advised-batch", 2, true),
         ] {
             config.queues.insert(queue.name.clone(), Arc::new(queue));
         }
