cell: tests of the order of advice tell slow from fast and full from short of memory

Cause: the test for batch passed when workers were asked about by class from the slowest on, and no test failed when equal workers without memory were asked about last. Change: the full workers are of both classes, and a test has equal workers with free CPU and no memory.

--- a/crates/cell/tests/cell/pace.rs
+++ b/crates/cell/tests/cell/pace.rs
@@ -91,6 +91,36 @@
     insta::assert_snapshot!(decisions.join("\n"));
 }
 
+/// Guards against calls for advice that name other workers than before where no worker is known to be slower or faster:
+/// the order is by free CPU, also of workers that have too little memory left.
+#[test]
+fn equal_workers_are_asked_about_in_the_order_of_their_free_cpu() {
+    let mut world = World::sized(1, Faults::default(), WORKERS, &NODES);
+    world.run(SECOND);
+    let without_memory = Step {
+        size: size(1_000, 4_096),
+        ..step(4)
+    };
+    let half = Step {
+        size: size(2_000, 1_024),
+        anti_affinity: Some(1),
+        ..step(20)
+    };
+    let without_memory = world.submit("batch", vec![without_memory]);
+    world.submit("batch", vec![half]);
+    world.run(Duration::from_millis(50));
+    world.submit("urgent", vec![step(2)]);
+    world.run(Duration::from_millis(50));
+    let mut asked = world.decisions.iter().find_map(|decision| match decision {
+        Decision::Ask(_, slots) => Some(slots[..4].to_vec()),
+        Decision::Place(..) => None,
+    });
+    asked.iter_mut().for_each(|slots| slots.sort_unstable());
+    let mut expected = slots_of(&world, &[without_memory]);
+    expected.sort_unstable();
+    assert_eq!(asked, Some(expected));
+}
+
 /// Returns the class of each third of the slots, slowest first.
 fn class_of(slot: u32, workers: u32) -> Class {
     Class::ALL[(slot * 3 / workers) as usize]
@@ -204,7 +234,7 @@
 
 /// Returns the slots of the first call for advice about a step, and the classes of the workers.
 ///
-/// Of 60 workers, ten fast ones are full; ten fast, twenty typical and twenty slow ones have room.
+/// Of 60 workers, ten are full, some of them fast and the others slow. Those with room are of all classes.
 fn first_call(queue: &str, asking: Step) -> (Vec<u32>, impl Fn(&u32) -> (bool, Reverse<Class>)) {
     let mut world = World::sized(1, Faults::default(), 60, &NODES);
     world.run(SECOND);
@@ -218,6 +248,7 @@
     assert_eq!(full.len(), 10);
     let is_full = full.clone();
     let class_of = move |slot| match (is_full.contains(&slot), slot % 3) {
+        (true, _) if slot % 2 == 0 => Class::Slow,
         (true, _) | (false, 0) => Class::Fast,
         (false, 1) => Class::Typical,
         (false, _) => Class::Slow,
