--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -13,6 +13,7 @@
 mod order;
 mod overtaking;
 mod overwritten_entries;
+mod pace;
 mod pending;
 mod preempt;
 mod removal;
--- a/crates/cell/tests/cell/world/mod.rs
+++ b/crates/cell/tests/cell/world/mod.rs
@@ -27,6 +27,7 @@
         BTreeMap,
         BTreeSet, //
     },
+    fmt,
     sync::Arc,
     time::Duration,
 };
@@ -179,6 +180,25 @@
     OperatorRead,
 }
 
+/// A decision of the owner, with the slots of the workers.
+#[derive(Clone, Debug)]
+pub(crate) enum Decision {
+    Place(TaskId, u32),
+    Ask(StepId, Vec<u32>),
+}
+
+impl fmt::Display for Decision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Place(task, slot) => write!(f, "place {task}: {slot}"),
+            Self::Ask(step, slots) => {
+                let slots: Vec<String> = slots.iter().map(u32::to_string).collect();
+                write!(f, "ask {step}: {}", slots.join(" "))
+            }
+        }
+    }
+}
+
 /// A simulated cell.
 pub(crate) struct World {
     pub now: Timestamp,
@@ -249,6 +269,8 @@
     pub refused_tickets: u32,
     /// The number of workers in each call for advice, in order.
     pub advice_call_sizes: Vec<usize>,
+    /// The placements and calls for advice, in order.
+    pub decisions: Vec<Decision>,
     /// How many starts were withdrawn because their ticket had expired by the time that their record was stored.
     pub expired_ticket_starts: usize,
     /// How many calls for advice were sent to nodes that are down.
@@ -362,6 +384,7 @@
             queue("urgent", 0, true),
             queue("gang", 1, true),
             queue("batch", 2, false),
+            queue("advised-batch", 2, true),
         ] {
             config.queues.insert(queue.name.clone(), Arc::new(queue));
         }
@@ -417,6 +440,7 @@
             preempted: Vec::new(),
             refused_tickets: 0,
             advice_call_sizes: Vec::new(),
+            decisions: Vec::new(),
             expired_ticket_starts: 0,
             failed_advice_calls: 0,
             reported_waits: Vec::new(),
@@ -803,6 +827,12 @@
         self.check_waiting();
     }
 
+    /// Returns the slots of workers.
+    fn slots_of(&self, workers: &[WorkerId]) -> Vec<u32> {
+        let workers = workers.iter().filter_map(|id| self.workers.get(id));
+        workers.map(|worker| worker.slot).collect()
+    }
+
     fn execute(&mut self, effect: Effect) {
         if let Effect::Log(record) = &effect {
             self.waits.note(record, self.now);
@@ -863,6 +893,8 @@
                 workers,
             } => {
                 self.advice_call_sizes.push(workers.len());
+                self.decisions
+                    .push(Decision::Ask(step, self.slots_of(&workers)));
                 self.check_advice_call(&workers);
                 let call_duration = Duration::from_millis(20 + workers.len() as u64);
                 self.schedule(call_duration, Event::Advised(node, step, workers));
@@ -873,6 +905,9 @@
             }
             Effect::Remove(jobs) => jobs.into_iter().for_each(|job| self.remove_acceptance(job)),
             Effect::Log(LogRecord::Placed { task, worker, .. }) => {
+                if let Some(worker) = self.workers.get(&worker) {
+                    self.decisions.push(Decision::Place(task, worker.slot));
+                }
                 self.check_placement(task, &worker)
             }
             Effect::Log(LogRecord::Waiting { step, why, .. }) => {
