cell: learn the speeds of workers from the progress of their runs

The engine treated workers of unequal speed as equal: the progress that workers report for their runs was decoded and discarded.

The progress is now kept, and a run is compared with the runs of its step on other workers. The resulting class of a worker is in Worker::speed_class, and Allocation::remaining returns the remaining time of a run. A change of class is logged (msg=speed). Progress does not yet reach the owner in inventories that other nodes fetch.

--- a/crates/cell/examples/fleet.rs
+++ b/crates/cell/examples/fleet.rs
@@ -208,6 +208,7 @@
             run: *run,
             checkpoint: None,
             load: 0,
+            progress: None,
         });
         HeartbeatAnswer::Inventory(Inventory {
             incarnation: None,
--- a/crates/cell/src/effect.rs
+++ b/crates/cell/src/effect.rs
@@ -32,6 +32,10 @@
         Cancellation,
         Entry, //
     },
+    speed::{
+        Class,
+        Speed, //
+    },
     workspace::WorkspaceName,
 };
 
@@ -118,7 +122,7 @@
 }
 
 /// A decision or a change in the engine's view, for the log.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum LogRecord {
     /// A run was placed on a worker.
     Placed {
@@ -192,6 +196,17 @@
         /// How long ago the worker last answered, if it ever has.
         heard: Option<Duration>,
     },
+    /// A worker has become faster or slower than the typical worker of its pool, or like it.
+    Speed {
+        /// The worker.
+        worker: WorkerId,
+        /// Its estimated speed.
+        speed: Speed,
+        /// Its new class.
+        class: Class,
+        /// The number of runs that the estimate is worth, rounded.
+        runs: u32,
+    },
     /// A worker is considered lost, together with a run that it may have held.
     Lost {
         /// The task.
--- a/crates/cell/src/engine/contact.rs
+++ b/crates/cell/src/engine/contact.rs
@@ -30,6 +30,7 @@
         WorkerId, //
     },
     record::WorkerRuns,
+    speed::Track,
     worker::{
         Allocation,
         CallState,
@@ -65,6 +66,9 @@
             let is_leaving = registration.leaving.is_some();
             let is_changed = worker.capabilities_differ(&registration);
             let has_new_incarnation = worker.is_superseded_by(&registration);
+            if worker.registration.pool != registration.pool {
+                worker.forget_speed();
+            }
             let shrinks = !worker.registration.capacity.fits(&registration.capacity);
             worker.registered = now;
             worker.unlisted_since = None;
@@ -157,6 +161,7 @@
                 run,
                 checkpoint: None,
                 load: 0,
+                progress: None,
             };
             // Runs that a former owner was stopping may be missing from an inventory; they end within the grace time.
             self.adopt(slot, &running, now + self.bounds.stop_settle_time(), now);
@@ -339,6 +344,7 @@
             listed.push((running.task, running.run));
             self.apply_running(slot, running, sent_at, now);
         }
+        self.observe_inventory(slot, &inventory, now);
         for ended in inventory.ended {
             listed.push((ended.task, ended.run));
             if ended.serial > last_processed {
@@ -426,7 +432,10 @@
         let allocation = Allocation {
             size,
             charge,
-            phase: Phase::Running { since: proven_from },
+            phase: Phase::Running {
+                since: proven_from,
+                track: Track::default(),
+            },
             since: now,
             fence: worker.fence,
             unanswered_starts: u8::from(!is_listed),
@@ -469,7 +478,7 @@
                 let is_settled = match allocation.phase {
                     Phase::Recording => false,
                     Phase::Starting => is_obsolete,
-                    Phase::Running { since } => is_obsolete || since <= sent_at,
+                    Phase::Running { since, .. } => is_obsolete || since <= sent_at,
                     // During a stop, a run may be listed neither as running nor as ended.
                     Phase::Stopping { confirmed } => {
                         confirmed.is_some_and(|at| at + self.bounds.stop_settle_time() <= sent_at)
--- a/crates/cell/src/engine/job.rs
+++ b/crates/cell/src/engine/job.rs
@@ -39,6 +39,7 @@
         Progress,
         StepProgress, //
     },
+    speed::Baseline,
     workspace::WorkspaceName,
 };
 
@@ -84,6 +85,8 @@
     pub(super) wait_reason_at: Timestamp,
     /// When the current run of a gang was decided.
     pub(super) gang_since: Timestamp,
+    /// The rate of its tasks on a typical worker, once a run has been observed.
+    pub(super) baseline: Option<Box<Baseline>>,
     /// How many gangs of its queue had started when the step was opened.
     pub(super) gangs_started_before: u64,
 }
@@ -129,6 +132,7 @@
             wait_reason: None,
             wait_reason_at: Timestamp::ZERO,
             gang_since: Timestamp::ZERO,
+            baseline: None,
             gangs_started_before: 0,
         };
         for failures in &recorded.failures {
--- a/crates/cell/src/engine/mod.rs
+++ b/crates/cell/src/engine/mod.rs
@@ -24,6 +24,7 @@
 //! | `restart` | handles new incarnations of known workers |
 //! | `loss` | handles lost workers and their runs |
 //! | `end` | handles ends of runs, attempts, and ends of jobs |
+//! | `progress` | learns the speeds of workers from the progress of their runs |
 //! | `removal` | removes jobs that are over, except for their outcomes |
 //! | `recording` | writes records, and continues what waited for them |
 //! | `view` | provides what callers and operators see |
@@ -41,6 +42,7 @@
 mod open_steps;
 mod order;
 mod place;
+mod progress;
 mod recording;
 mod removal;
 mod reserve;
@@ -110,6 +112,7 @@
         Fence,
         JobId,
         NodeName,
+        PoolName,
         QueueName,
         Run,
         StepId,
@@ -124,6 +127,7 @@
         Progress,
         WorkerRuns, //
     },
+    speed,
     worker::Worker,
     workspace::WorkspaceName,
 };
@@ -197,6 +201,10 @@
     /// Which worker reports are recent enough to trust their capacity.
     report_validity: ReportValidity,
     next_slot: u32,
+    /// What is known of the speeds in each pool.
+    pools: HashMap<PoolName, speed::Pool>,
+    /// When the typical speeds are updated next.
+    next_recentre: Timestamp,
     /// Open steps that have tasks to start.
     open_steps: OpenSteps,
     /// Open steps that no known worker could run; they are parked here until a worker is listed or changes.
@@ -272,6 +280,8 @@
             slots: HashMap::default(),
             report_validity: ReportValidity::default(),
             next_slot: 0,
+            pools: HashMap::default(),
+            next_recentre: now,
             open_steps: OpenSteps::default(),
             unschedulable: BTreeSet::new(),
             free_capacity: FreeCapacity::default(),
@@ -357,6 +367,7 @@
         self.needs_pass |= self.advice_nodes.end_backoffs(now);
         self.begin_due_occurrences(now);
         self.expire_workers(now);
+        self.recentre_pools(now);
         self.expire_announced(now);
         self.send_stops(now);
         if self.retry_skipped_at.is_some_and(|at| at <= now) {
--- a/crates/cell/src/event.rs
+++ b/crates/cell/src/event.rs
@@ -12,13 +12,16 @@
     Serialize, //
 };
 
-use crate::id::{
-    DataCentre,
-    Incarnation,
-    PoolName,
-    Run,
-    TaskId,
-    WorkerId, //
+use crate::{
+    id::{
+        DataCentre,
+        Incarnation,
+        PoolName,
+        Run,
+        TaskId,
+        WorkerId, //
+    },
+    speed::Progress,
 };
 
 /// A worker as it registers itself in the store.
@@ -85,6 +88,9 @@
     /// A rough measurement over the last half second. For a task with a target for its response times, it is their tail
     /// latency in milliseconds; for any other task, it is the processor time in use in thousandths of a core.
     pub load: u32,
+    /// The share of its work that is done, if the worker reports it.
+    #[serde(skip)]
+    pub progress: Option<Progress>,
 }
 
 /// A run that has ended and that the worker still reports.
--- a/crates/cell/src/speed.rs
+++ b/crates/cell/src/speed/mod.rs
@@ -1,4 +1,23 @@
 //! The speed of workers relative to the others of their pool.
+//!
+//! The rate of a run depends on its step and on its worker. Tasks of a step are alike, so each run is compared with the
+//! runs of its step on other workers:
+//!
+//! | module | what it does |
+//! |---|---|
+//! | `progress` | the progress that a worker reports |
+//! | `track` | the progress of a run over time |
+//! | `baseline` | the rate of a step's tasks on a typical worker |
+//! | `estimate` | the speed of a worker, and its class |
+//! | `pool` | the typical speed of a pool, and the noise of its runs |
+//! | `observe` | separates the effects of the step and of the worker |
+
+mod baseline;
+mod estimate;
+mod observe;
+mod pool;
+mod progress;
+mod track;
 
 use std::{
     fmt,
@@ -6,6 +25,25 @@
     str::FromStr, //
 };
 
+pub use self::{
+    baseline::{
+        Baseline,
+        Share, //
+    },
+    estimate::Estimate,
+    observe::Observation,
+    pool::Pool,
+    progress::{
+        OutOfRange,
+        Progress, //
+    },
+    track::{
+        Reading,
+        Span,
+        Track, //
+    },
+};
+
 /// The speed of a worker; 1.0 is the typical speed in its pool.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 pub struct Speed(f64);
@@ -14,6 +52,11 @@
     /// The typical speed in a pool.
     pub const TYPICAL: Self = Self(1.0);
 
+    /// Returns the speed with a natural logarithm.
+    fn from_log(log: f64) -> Self {
+        Self(log.exp().clamp(f64::MIN_POSITIVE, f64::MAX))
+    }
+
     /// Returns the speed as a multiple of the typical one.
     pub const fn get(self) -> f64 {
         self.0
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -27,7 +27,11 @@
         StepId,
         TaskId, //
     },
-    speed::Class,
+    speed::{
+        Class,
+        Estimate,
+        Track, //
+    },
 };
 
 /// For how long a newer inventory may have overtaken an older one: heartbeats wait 1 s for an end and time out 0.8 s
@@ -38,7 +42,7 @@
 const UNLISTED_RETENTION: Duration = Duration::from_secs(10);
 
 /// The state of a run on its worker.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Phase {
     /// The run was placed; its order waits until the placement is recorded.
     Recording,
@@ -48,6 +52,8 @@
     Running {
         /// When it was confirmed; inventories requested earlier may not list it yet.
         since: Timestamp,
+        /// Its progress.
+        track: Track,
     },
     /// It has to end, or must not begin.
     Stopping {
@@ -66,7 +72,7 @@
 }
 
 /// A run that may use a worker's capacity, from its placement to the proof that it is gone.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Allocation {
     /// The resources that it takes.
     pub size: Resources,
@@ -96,7 +102,18 @@
         self.first_confirmed.get_or_insert(now);
         self.resend_when_heard = false;
         if self.phase == Phase::Starting {
-            self.phase = Phase::Running { since: now };
+            self.phase = Phase::Running {
+                since: now,
+                track: Track::default(),
+            };
+        }
+    }
+
+    /// Returns the remaining time of the run if it goes on at its pace; `None` if that is not known.
+    pub fn remaining(&self, now: Timestamp) -> Option<Duration> {
+        match &self.phase {
+            Phase::Running { track, .. } => track.remaining(now),
+            Phase::Recording | Phase::Starting | Phase::Stopping { .. } => None,
         }
     }
 }
@@ -200,6 +217,10 @@
     pub failures: u32,
     /// The share of the processor time that its best-effort tasks may use.
     pub throttling: Throttling,
+    /// Its speed according to the runs that are counted; `None` if it is unknown.
+    pub settled_speed: Option<Estimate>,
+    /// The same with what the runs under way have shown so far.
+    pub speed: Option<Estimate>,
     /// How its speed compares with its pool.
     pub speed_class: Class,
     clock_reading: Option<ClockReading>,
@@ -240,6 +261,8 @@
             backoff_until: Timestamp::ZERO,
             failures: 0,
             throttling: Throttling::default(),
+            settled_speed: None,
+            speed: None,
             speed_class: Class::default(),
             clock_reading: None,
             leases_end,
@@ -321,6 +344,7 @@
         self.ended_runs.clear();
         self.failures = 0;
         self.throttling = Throttling::default();
+        self.forget_speed();
     }
 
     /// Returns whether an inventory requested at `sent_at` proves that no order to start a run can be carried out any
--- a/crates/cell/tests/cell/incarnation.rs
+++ b/crates/cell/tests/cell/incarnation.rs
@@ -186,6 +186,7 @@
             run: *run,
             checkpoint: None,
             load: 0,
+            progress: None,
         });
         let inventory = Inventory {
             incarnation: Some(incarnation),
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -18,6 +18,7 @@
 mod restart;
 mod shrink;
 mod slow;
+mod speed;
 mod spread;
 mod takeover;
 mod throttling;
--- a/crates/cell/tests/cell/overtaking.rs
+++ b/crates/cell/tests/cell/overtaking.rs
@@ -163,6 +163,7 @@
         run: Run(1),
         checkpoint: None,
         load: 0,
+        progress: None,
     };
     let older = Inventory {
         incarnation: None,
--- a/crates/cell/tests/cell/pending.rs
+++ b/crates/cell/tests/cell/pending.rs
@@ -197,6 +197,7 @@
             run,
             checkpoint: None,
             load: 0,
+            progress: None,
         }
     });
     let inventory = Inventory {
--- a/crates/cell/tests/cell/takeover.rs
+++ b/crates/cell/tests/cell/takeover.rs
@@ -187,6 +187,7 @@
         run: Run(1),
         checkpoint: None,
         load: 0,
+        progress: None,
     };
     let inventory = Inventory {
         incarnation: None,
--- a/crates/cell/tests/cell/throttling.rs
+++ b/crates/cell/tests/cell/throttling.rs
@@ -134,6 +134,7 @@
                 run: *run,
                 checkpoint: None,
                 load: self.tail_latency_ms,
+                progress: None,
             });
             let inventory = Inventory {
                 incarnation: None,
--- a/crates/cell/tests/cell/world/worker.rs
+++ b/crates/cell/tests/cell/world/worker.rs
@@ -349,6 +349,7 @@
             run: task.run,
             checkpoint: None,
             load: 0,
+            progress: None,
         });
         Inventory {
             incarnation: Some(self.incarnation()),
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -349,6 +349,7 @@
         LogRecord::Stopping { why, .. } => ("stopping", why),
         LogRecord::Preempting { .. } => ("preempting", ""),
         LogRecord::Worker { belief, .. } => ("worker", belief),
+        LogRecord::Speed { class, .. } => ("speed", class.as_str()),
         LogRecord::Lost { why, .. } => ("lost", why),
         LogRecord::Crashed { verdict, .. } => ("crashed", verdict),
         LogRecord::Adopted { .. } => ("adopted", ""),
@@ -418,6 +419,13 @@
         } => slog::info!(log, "worker"; "worker" => worker.as_str(), "belief" => belief,
             OptionalField("incarnation", incarnation.map(|incarnation| incarnation.0)),
             "heard_ms" => heard.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(-1))),
+        LogRecord::Speed {
+            worker,
+            speed,
+            class,
+            runs,
+        } => slog::info!(log, "speed"; "worker" => worker.as_str(), "speed" => speed.get(),
+            "class" => class.as_str(), "runs" => runs),
         LogRecord::Lost {
             task,
             run,
--- a/crates/node/tests/node/platform.rs
+++ b/crates/node/tests/node/platform.rs
@@ -789,6 +789,7 @@
                     run: *run,
                     checkpoint: None,
                     load: 0,
+                    progress: None,
                 });
                 return HeartbeatAnswer::Inventory(Inventory {
                     incarnation: None,
