node: carry the progress of runs in reports of inventories

Nodes fetch inventories on behalf of the owner, and the format of their reports has no field names, so that a field more would keep nodes of this and of earlier builds from understanding each other. The progress now follows the message as a list of its own, which earlier builds ignore.

--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -6,7 +6,13 @@
     time::Duration, //
 };
 
-use fulmarpier_cell::id::Epoch;
+use fulmarpier_cell::{
+    event::{
+        HeartbeatAnswer,
+        Inventory, //
+    },
+    id::Epoch,
+};
 use fulmarpier_state::alias::HashMap;
 use serde::{
     Deserialize,
@@ -62,6 +68,26 @@
     pub(crate) reports: Vec<(u64, Report)>,
 }
 
+impl Reports {
+    /// Returns the inventories among the reports.
+    pub(crate) fn inventories(&self) -> impl Iterator<Item = &Inventory> {
+        let reports = self.reports.iter();
+        reports.filter_map(|(_, report)| match report {
+            Report::Inventory(_, _, HeartbeatAnswer::Inventory(inventory)) => Some(inventory),
+            _ => None,
+        })
+    }
+
+    /// Returns the inventories among the reports for modification.
+    pub(crate) fn inventories_mut(&mut self) -> impl Iterator<Item = &mut Inventory> {
+        let reports = self.reports.iter_mut();
+        reports.filter_map(|(_, report)| match report {
+            Report::Inventory(_, _, HeartbeatAnswer::Inventory(inventory)) => Some(inventory),
+            _ => None,
+        })
+    }
+}
+
 /// A report that is queued for the owner that issued the order.
 struct Outgoing {
     epoch: Epoch,
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -38,6 +38,7 @@
         Orders,
         Reports, //
     },
+    progress,
     succession::Hello, //
 };
 
@@ -177,7 +178,7 @@
     let malformed = |error: postcard::Error| rpc::Error::Malformed {
         reason: error.to_string(),
     };
-    let message = postcard::to_stdvec(request).map_err(malformed)?;
+    let message = encode_request(request).map_err(malformed)?;
     let call = Call::Peer(peer::Request {
         message: message.into(),
     });
@@ -189,10 +190,24 @@
     }
 }
 
+fn encode_request(request: &Request) -> Result<Vec<u8>, postcard::Error> {
+    let message = postcard::to_stdvec(request)?;
+    match request {
+        Request::Reports(reports) => progress::append(message, reports.inventories()),
+        _ => Ok(message),
+    }
+}
+
 /// Decodes a request from a call; returns `None` if the call carries no valid request.
 pub(crate) fn decode_request(call: &Call) -> Option<Request> {
     match call {
-        Call::Peer(request) => postcard::from_bytes(&request.message).ok(),
+        Call::Peer(request) => {
+            let (mut decoded, following) = postcard::take_from_bytes(&request.message).ok()?;
+            if let Request::Reports(reports) = &mut decoded {
+                progress::restore(following, reports.inventories_mut());
+            }
+            Some(decoded)
+        }
         _ => None,
     }
 }
