transport: a connection that times out leaves the effect of its calls unknown

Cause: the RPC library translates the system's time-out of a connection (TCP_USER_TIMEOUT, keep-alive) into "overloaded", and Error::not_run said of such a call that it was not run. The gate and the owner give a call that was not run again, to the same or another node, although the first one may have been carried out.

Change: any failure of an established connection reaches the library as a lost connection.

Result: the test, a call of 64 MiB to a peer that reads nothing, got Overloaded before and gets Disconnected now.

--- a/crates/transport/src/rpc/traffic.rs
+++ b/crates/transport/src/rpc/traffic.rs
@@ -56,7 +56,8 @@
     }
 }
 
-/// One half of a stream whose bytes are counted, in all and for its link.
+/// One half of a stream whose bytes are counted, in all and for its link, and whose failures all count as a lost
+/// connection.
 pub(super) struct Counted<T> {
     inner: T,
     all: Arc<Traffic>,
@@ -69,6 +70,12 @@
     }
 }
 
+/// Turns any failure of a connection into its loss. The RPC system would report a time-out as "overloaded", which
+/// proves that a call was not run.
+fn lost(error: io::Error) -> io::Error {
+    io::Error::new(io::ErrorKind::ConnectionAborted, error)
+}
+
 impl<T: AsyncRead + Unpin> AsyncRead for Counted<T> {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -76,7 +83,7 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        ready!(Pin::new(&mut self.inner).poll_read(cx, buf))?;
+        ready!(Pin::new(&mut self.inner).poll_read(cx, buf)).map_err(lost)?;
         let read = (buf.filled().len() - before) as u64;
         self.all.received.fetch_add(read, Ordering::Relaxed);
         self.link.received.fetch_add(read, Ordering::Relaxed);
@@ -90,17 +97,17 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let written = ready!(Pin::new(&mut self.inner).poll_write(cx, buf))?;
+        let written = ready!(Pin::new(&mut self.inner).poll_write(cx, buf)).map_err(lost)?;
         self.all.sent.fetch_add(written as u64, Ordering::Relaxed);
         self.link.sent.fetch_add(written as u64, Ordering::Relaxed);
         Poll::Ready(Ok(written))
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_flush(cx)
+        Pin::new(&mut self.inner).poll_flush(cx).map_err(lost)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_shutdown(cx)
+        Pin::new(&mut self.inner).poll_shutdown(cx).map_err(lost)
     }
 }
--- a/crates/transport/tests/rpc.rs
+++ b/crates/transport/tests/rpc.rs
@@ -140,6 +140,24 @@
     assert_eq!(error, Err(Error::Disconnected));
 }
 
+/// The system's time-out of a stalled connection was reported as "overloaded", which proves that the call was not run.
+#[tokio::test]
+async fn a_connection_that_times_out_leaves_the_effect_unknown() {
+    let listener = TcpListener::bind(any_port()).await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let stalled = tokio::spawn(async move {
+        // The connection stays open, and nothing is read from it.
+        let _connection = listener.accept().await.expect("a connection");
+        std::future::pending::<()>().await;
+    });
+    // More than the system buffers.
+    let message = Bytes::from(vec![0; 64 << 20]);
+    let call = Call::Peer(peer::Request { message });
+    let error = client().call(address, call, LONG).await;
+    assert_eq!(error, Err(Error::Disconnected));
+    stalled.abort();
+}
+
 #[tokio::test]
 async fn the_client_connects_again_after_a_loss() {
     let (first, mut calls) = server(ServerLimits::default());
