transport: send a call again when the server closed the idle connection for another peer

Cause: a server with more peers than connections closes the one that was idle for longest. A client that had sent a call there before it noticed got Disconnected, effect unknown, although the call was not run; and the server could still take up a call between its decision and the end of the connection.

Change: from the decision on the server runs no call of that connection, and it sends the reason before it disconnects. The client reports such a call as Evicted, which proves that it was not run, and sends it again on a new connection, four times in all at most. Any other lost connection leaves the effect unknown as before. Peers of an earlier version see a lost connection.

--- a/crates/transport/src/rpc/client.rs
+++ b/crates/transport/src/rpc/client.rs
@@ -101,7 +101,7 @@
         Ok(Self { orders, traffic })
     }
 
-    /// Makes one call, sent at most once, and waits for the answer up to `timeout`.
+    /// Makes one call, which runs at most once, and waits for the answer up to `timeout`.
     ///
     /// # Errors
     ///
--- a/crates/transport/src/rpc/connections.rs
+++ b/crates/transport/src/rpc/connections.rs
@@ -17,13 +17,23 @@
 pub(super) struct Usage {
     calls: Cell<usize>,
     last: Cell<Instant>,
+    eviction: CancellationToken,
 }
 
 impl Usage {
-    /// Notes a call, which is in progress for as long as what is returned lives.
-    pub(super) fn enter(self: &Rc<Self>) -> Busy {
+    /// Notes a call, which is in progress for as long as what is returned lives; none once the connection is
+    /// evicted, since the peer is told that its last calls were not run.
+    pub(super) fn enter(self: &Rc<Self>) -> Option<Busy> {
+        if self.eviction.is_cancelled() {
+            return None;
+        }
         self.calls.set(self.calls.get() + 1);
-        Busy(self.clone())
+        Some(Busy(self.clone()))
+    }
+
+    /// Returns the token that is cancelled when the connection is evicted.
+    pub(super) fn eviction(&self) -> CancellationToken {
+        self.eviction.clone()
     }
 }
 
@@ -37,49 +47,40 @@
     }
 }
 
-struct Held {
-    usage: Rc<Usage>,
-    end: CancellationToken,
-}
-
 /// The connections.
 #[derive(Default)]
 pub(super) struct Connections {
     next: Cell<u64>,
-    held: RefCell<BTreeMap<u64, Held>>,
+    held: RefCell<BTreeMap<u64, Rc<Usage>>>,
 }
 
 impl Connections {
-    /// Adds a connection that ends with a token.
-    pub(super) fn add(self: &Rc<Self>, end: CancellationToken) -> Connection {
+    /// Adds a connection.
+    pub(super) fn add(self: &Rc<Self>) -> Connection {
         let number = self.next.get();
         self.next.set(number + 1);
         let usage = Rc::new(Usage {
             calls: Cell::new(0),
             last: Cell::new(Instant::now()),
+            eviction: CancellationToken::new(),
         });
-        let held = Held {
-            usage: usage.clone(),
-            end: end.clone(),
-        };
-        self.held.borrow_mut().insert(number, held);
+        self.held.borrow_mut().insert(number, usage.clone());
         Connection {
             number,
             usage,
-            end,
             all: self.clone(),
         }
     }
 
-    /// Ends the connection that was idle for longest; none where all have calls in progress.
-    pub(super) fn close_idlest(&self) {
+    /// Evicts the connection that was idle for longest; none where all have calls in progress.
+    pub(super) fn evict_idlest(&self) {
         let held = self.held.borrow();
-        let idle = held.values().filter(|held| {
-            let is_ending = held.end.is_cancelled();
-            held.usage.calls.get() == 0 && !is_ending
+        let idle = held.values().filter(|usage| {
+            let is_evicted = usage.eviction.is_cancelled();
+            usage.calls.get() == 0 && !is_evicted
         });
-        if let Some(idlest) = idle.min_by_key(|held| held.usage.last.get()) {
-            idlest.end.cancel();
+        if let Some(idlest) = idle.min_by_key(|usage| usage.last.get()) {
+            idlest.eviction.cancel();
         }
     }
 }
@@ -88,7 +89,6 @@
 pub(super) struct Connection {
     number: u64,
     usage: Rc<Usage>,
-    end: CancellationToken,
     all: Rc<Connections>,
 }
 
@@ -96,10 +96,6 @@
     pub(super) fn usage(&self) -> Rc<Usage> {
         self.usage.clone()
     }
-
-    pub(super) fn end(&self) -> CancellationToken {
-        self.end.clone()
-    }
 }
 
 impl Drop for Connection {
--- a/crates/transport/src/rpc/error.rs
+++ b/crates/transport/src/rpc/error.rs
@@ -4,6 +4,8 @@
 
 use capnp::ErrorKind;
 
+use super::eviction;
+
 /// The ways in which a call can fail.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Error {
@@ -29,6 +31,9 @@
         /// What the other side said.
         reason: String,
     },
+    /// The other side closed the connection, idle until then, for another peer. The call was not run.
+    #[error("the idle connection was closed for another peer")]
+    Evicted,
     /// This side is closing. Nothing was sent.
     #[error("the client is closed")]
     Closed,
@@ -61,6 +66,7 @@
                 | Self::Unreachable { .. }
                 | Self::Overloaded
                 | Self::Rejected { .. }
+                | Self::Evicted
                 | Self::Closed
         )
     }
@@ -72,6 +78,7 @@
             Self::Unreachable { .. } => "unreachable",
             Self::Overloaded => "overloaded",
             Self::Rejected { .. } => "rejected",
+            Self::Evicted => "evicted",
             Self::Closed => "closed",
             Self::Timeout => "timeout",
             Self::Disconnected => "disconnected",
@@ -84,6 +91,7 @@
 impl From<capnp::Error> for Error {
     fn from(error: capnp::Error) -> Self {
         match error.kind {
+            ErrorKind::Disconnected if eviction::is_evicted(&error) => Self::Evicted,
             ErrorKind::Disconnected => Self::Disconnected,
             ErrorKind::Overloaded => Self::Overloaded,
             ErrorKind::Unimplemented => Self::Rejected {
--- a/crates/transport/src/rpc/exchange.rs
+++ b/crates/transport/src/rpc/exchange.rs
@@ -30,7 +30,7 @@
 }
 
 /// Makes a call and waits for its answer.
-pub(super) async fn exchange(sched: &sched::Client, call: Call) -> Result<Answer, Error> {
+pub(super) async fn exchange(sched: &sched::Client, call: &Call) -> Result<Answer, Error> {
     match call {
         Call::Sync(request) => ask!(request, sched.sync_request(), sync, Sync),
         Call::Submit(request) => ask!(request, sched.submit_request(), submit, Submit),
--- a/crates/transport/src/rpc/link.rs
+++ b/crates/transport/src/rpc/link.rs
@@ -24,30 +24,39 @@
         spawn_local, //
     },
 };
-use tokio_util::compat::{
-    TokioAsyncReadCompatExt,
-    TokioAsyncWriteCompatExt, //
+use tokio_util::{
+    compat::{
+        TokioAsyncReadCompatExt,
+        TokioAsyncWriteCompatExt, //
+    },
+    sync::CancellationToken,
 };
 
-use super::traffic::{
-    Counted,
-    Traffic, //
+use super::{
+    eviction::Evictable,
+    traffic::{
+        Counted,
+        Traffic, //
+    },
 };
 use crate::silence;
 
-/// The network of one connection, with its bytes counted.
+/// The network of one connection, with its bytes counted. It ends with a reason for the peer once `eviction` is
+/// cancelled.
 pub(super) fn network(
     stream: TcpStream,
     side: Side,
     all: Arc<Traffic>,
     link: Arc<Traffic>,
+    eviction: CancellationToken,
 ) -> VatNetwork<impl futures::AsyncRead + Unpin + 'static> {
     // Without it answers are only slower.
     let _ = stream.set_nodelay(true);
     // Without it a connection that falls silent is noticed by the next call that gets no answer.
     let _ = silence::watch(&stream);
     let (reader, writer) = stream.into_split();
-    let reader = Counted::new(reader, all.clone(), link.clone()).compat();
+    let reader = Counted::new(reader, all.clone(), link.clone());
+    let reader = Evictable::new(reader, eviction).compat();
     let writer = Counted::new(writer, all, link).compat_write();
     VatNetwork::new(
         BufReader::new(reader),
@@ -70,7 +79,9 @@
     pub(super) async fn connect(address: SocketAddr, all: Arc<Traffic>) -> std::io::Result<Self> {
         let stream = TcpStream::connect(address).await?;
         let traffic = Arc::new(Traffic::default());
-        let network = network(stream, Side::Client, all, traffic.clone());
+        // Only servers evict connections.
+        let eviction = CancellationToken::new();
+        let network = network(stream, Side::Client, all, traffic.clone(), eviction);
         let mut system = RpcSystem::new(Box::new(network), None);
         let sched = system.bootstrap(Side::Server);
         let ended = Rc::new(Cell::new(false));
--- a/crates/transport/src/rpc/mod.rs
+++ b/crates/transport/src/rpc/mod.rs
@@ -6,6 +6,7 @@
 mod client;
 mod connections;
 mod error;
+mod eviction;
 mod exchange;
 mod link;
 mod peer;
--- a/crates/transport/src/rpc/peer.rs
+++ b/crates/transport/src/rpc/peer.rs
@@ -36,6 +36,10 @@
     traffic::Traffic, //
 };
 
+/// How often a call is sent at most when the peer evicts one connection after the other: it has more callers at once
+/// than connections, and each new connection takes the place of another one.
+const MAX_SENDINGS: u32 = 4;
+
 /// The state of the connection to one peer.
 pub(super) struct Peer {
     address: SocketAddr,
@@ -69,12 +73,24 @@
         }
     }
 
-    /// Makes one call, sent at most once.
+    /// Makes one call, which runs at most once: it is sent again only where the peer says that it was not run because
+    /// the connection was evicted.
     pub(super) async fn call(&self, call: Call, deadline: Instant) -> Result<Answer, Error> {
         let _permit = timeout_at(deadline, self.permits.acquire())
             .await
             .map_err(|_| Error::Overloaded)?
             .map_err(|_| Error::Closed)?;
+        let mut sendings = 1;
+        loop {
+            match self.send(&call, deadline).await {
+                Err(Error::Evicted) if sendings < MAX_SENDINGS => sendings += 1,
+                result => return result,
+            }
+        }
+    }
+
+    /// Sends a call once and waits for its answer.
+    async fn send(&self, call: &Call, deadline: Instant) -> Result<Answer, Error> {
         let link = timeout_at(deadline, self.link())
             .await
             .unwrap_or(Err(Error::Unreachable {
@@ -83,9 +99,9 @@
         self.traffic.call();
         let heard = link.received();
         match timeout_at(deadline, exchange(&link.sched, call)).await {
-            Ok(Err(Error::Disconnected)) => {
+            Ok(Err(error @ (Error::Disconnected | Error::Evicted))) => {
                 self.drop_link(&link);
-                Err(Error::Disconnected)
+                Err(error)
             }
             Ok(answer) => answer,
             Err(_) => {
--- a/crates/transport/src/rpc/server.rs
+++ b/crates/transport/src/rpc/server.rs
@@ -228,13 +228,13 @@
         };
         if self.permits.available_permits() == 0 {
             // Peers keep their connections: without that the last ones to come would never be answered.
-            self.connections.close_idlest();
+            self.connections.evict_idlest();
         }
         let Ok(permit) = self.permits.clone().acquire_owned().await else {
             // The semaphore is never closed.
             return;
         };
-        let connection = self.connections.add(self.end.child_token());
+        let connection = self.connections.add();
         let service = Service {
             from,
             calls: self.calls.clone(),
@@ -242,17 +242,20 @@
             usage: connection.usage(),
         };
         let traffic = self.traffic.clone();
+        let end = self.end.clone();
         self.tasks.spawn_local(async move {
-            serve(stream, service, traffic, connection.end()).await;
+            serve(stream, service, traffic, end).await;
             drop(connection);
             drop(permit);
         });
     }
 }
 
-/// Serves one connection until the peer leaves or the server ends.
+/// Serves one connection until the peer leaves, the connection is evicted or the server ends.
 async fn serve(stream: TcpStream, service: Service, traffic: Arc<Traffic>, end: CancellationToken) {
-    let network = network(stream, Side::Server, traffic, Arc::default());
+    let eviction = service.usage.eviction();
+    let evicted = eviction.clone();
+    let network = network(stream, Side::Server, traffic, Arc::default(), eviction);
     let client: sched::Client = capnp_rpc::new_client(service);
     let system = RpcSystem::new(Box::new(network), Some(client.client));
     let disconnector = system.get_disconnector();
@@ -260,6 +263,10 @@
     tokio::select! {
         // A peer that left or sent nonsense ends only its own connection.
         _ = &mut system => {}
+        () = evicted.cancelled() => {
+            // The system ends by itself once it has told the peer why.
+            let _ = timeout(FLUSH, system).await;
+        }
         () = end.cancelled() => {
             // What can't be written out in time is lost with the connection.
             let _ = timeout(FLUSH, join(disconnector, system)).await;
--- a/crates/transport/src/rpc/service.rs
+++ b/crates/transport/src/rpc/service.rs
@@ -29,7 +29,10 @@
     oneshot,
 };
 
-use super::connections::Usage;
+use super::{
+    connections::Usage,
+    eviction, //
+};
 
 /// A call that arrived, with the way to answer it.
 #[derive(Debug)]
@@ -101,7 +104,9 @@
             return Err(overloaded("closing"));
         }
         let _entry = self.open.enter();
-        let _busy = self.usage.enter();
+        let Some(_busy) = self.usage.enter() else {
+            return Err(eviction::refusal());
+        };
         let (answer, answered) = oneshot::channel();
         let incoming = Incoming {
             from: self.from,
