demo: ask again with the same key while the first request is in progress

Cause: the demonstration sends a request again under its key through another gate as soon as it has the first answer. The owner may not have the report of its end yet and refuses with 409 key-busy, whose hint is to ask again with the same key; the demonstration took that for a failure.

Change: the repeated request follows the hint, after the time that the refusal names, 30 times at most. Every other refusal still ends the demonstration.

--- a/crates/demo/src/caller.rs
+++ b/crates/demo/src/caller.rs
@@ -5,7 +5,11 @@
     time::Duration, //
 };
 
-use fulmarpier_protocol::http::table::Table;
+use fulmarpier_protocol::{
+    http::table::Table,
+    problem::Problem, //
+};
+use fulmarpier_state::refusal::Reason;
 use reqwest::{
     Client,
     Response,
@@ -15,11 +19,16 @@
     Value,
     json, //
 };
+use tokio::time::sleep;
 
 use crate::TOKEN;
 
 /// How long a caller waits for an answer.
 const TIMEOUT: Duration = Duration::from_secs(30);
+/// How often a caller asks for the answer to a request that is in progress before it gives up.
+const MAX_REPEATS: u32 = 30;
+/// How long a caller waits before it asks again, if the gate names no time.
+const REPEAT_PAUSE: Duration = Duration::from_millis(100);
 
 /// Why a call came to nothing.
 #[derive(Debug, thiserror::Error)]
@@ -45,6 +54,19 @@
     },
 }
 
+impl Error {
+    /// Returns how long to wait before asking again with the same key; `None` unless the first request with it is
+    /// still in progress.
+    fn busy(&self) -> Option<Duration> {
+        let Self::Refused { problem, .. } = self else {
+            return None;
+        };
+        let problem = Problem::parse(problem.as_bytes()).ok()?;
+        let wait = problem.retry_after.map_or(REPEAT_PAUSE, |span| span.get());
+        (problem.reason == Reason::KeyBusy).then_some(wait)
+    }
+}
+
 /// A caller and an operator at one gate.
 #[derive(Clone, Debug)]
 pub struct Caller {
@@ -121,6 +143,24 @@
         Ok(answered)
     }
 
+    /// Sends a request again under its key, and asks again for as long as the first one is in progress.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Self::request`] does, and if the first request remains in progress.
+    pub async fn repeat(&self, service: &str, body: &str, key: &str) -> Result<Answered, Error> {
+        let mut repeats = 0;
+        loop {
+            let answered = self.request(service, body, Some(key)).await;
+            let busy = answered.as_ref().err().and_then(Error::busy);
+            let Some(wait) = busy.filter(|_| repeats < MAX_REPEATS) else {
+                return answered;
+            };
+            repeats += 1;
+            sleep(wait).await;
+        }
+    }
+
     /// Submits a job and returns its id.
     ///
     /// # Errors
--- a/crates/demo/src/script.rs
+++ b/crates/demo/src/script.rs
@@ -109,7 +109,9 @@
     step("A non-idempotent request is sent twice with one key, and runs once.");
     let key = uuid::Uuid::now_v7().to_string();
     let once = request(first, "order a plumber", Some(&key)).await?;
-    let again = request(last(&callers)?, "order a plumber", Some(&key)).await?;
+    let again = last(&callers)?;
+    let again = again.repeat(SERVICE, "order a plumber", &key).await;
+    let again = again.map_err(call("a repeated request"))?;
     println!(
         "first: replayed={}, again: replayed={}",
         once.replayed, again.replayed
