node: virtual time stands still while a test's requests between nodes are pending

Cause: a test with a paused clock advances it whenever its runtime is idle, also while hellos are on real sockets and on the threads that serve them. Under load the owner's replies then came virtual seconds late, and a node that isn't told that there is nothing newer reads the store more often, as it should.

Change: the client counts the calls that wait for their answers, a node returns that number, and the test of how often the operator's records are read lets its clock stand while there are any.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -237,6 +237,11 @@
         self.shared.hellos.lock().await.len()
     }
 
+    /// Returns the number of requests to other nodes that wait for a reply.
+    pub fn pending_requests(&self) -> usize {
+        self.shared.rpc.pending()
+    }
+
     /// Stops serving peers; requests in progress get up to `drain` to finish.
     pub async fn stop(self, drain: Duration) {
         drop(self.server.close(drain).await);
--- a/crates/node/tests/node/size.rs
+++ b/crates/node/tests/node/size.rs
@@ -20,6 +20,7 @@
     },
     support::{
         SECOND,
+        sleep_between_requests,
         start_node,
         start_node_with_processor,
         submit,
@@ -69,10 +70,12 @@
 #[tokio::test(start_paused = true)]
 async fn a_node_reads_what_the_operator_writes_each_four_seconds(#[values(2, 12)] others: usize) {
     let platform = Fake::new();
-    let (_owner, others) = start_cell(&platform, others).await;
-    sleep(5 * SECOND).await;
+    let (owner, others) = start_cell(&platform, others).await;
+    let mut nodes = vec![&owner];
+    nodes.extend(others.iter().map(|(node, _)| node));
+    sleep_between_requests(&nodes, 5 * SECOND).await;
     let from = Instant::now();
-    sleep(20 * SECOND).await;
+    sleep_between_requests(&nodes, 20 * SECOND).await;
     for (_, machine) in &others {
         let reads = machine.reads(Topic::Configuration);
         let reads = reads.iter().filter(|at| **at >= from).count();
--- a/crates/node/tests/node/support.rs
+++ b/crates/node/tests/node/support.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::SocketAddr,
+    thread,
     time::Duration, //
 };
 
@@ -39,14 +40,21 @@
         Millicores, //
     },
 };
-use tokio::time::{
-    Instant,
-    sleep, //
+use tokio::{
+    task::spawn_blocking,
+    time::{
+        Instant,
+        sleep, //
+    },
 };
 
 use crate::platform::Fake;
 
 pub(crate) const SECOND: Duration = Duration::from_secs(1);
+/// The longest virtual time that passes while a request between nodes is on its way, see [`sleep_between_requests`].
+const VIRTUAL_STEP: Duration = Duration::from_millis(10);
+/// How often to look, in real time, whether such a request has been replied to.
+const REAL_STEP: Duration = Duration::from_micros(100);
 
 /// Returns the only queue of the tests' configuration.
 pub(crate) fn queue() -> Queue {
@@ -121,6 +129,21 @@
     }
 }
 
+/// Sleeps while virtual time stands still whenever one of the nodes waits for a reply of another.
+///
+/// Requests between nodes take real time, and a runtime whose clock is paused advances it while they do. Under load
+/// a reply then seems to take seconds.
+pub(crate) async fn sleep_between_requests(nodes: &[&Node<Fake>], span: Duration) {
+    let until = Instant::now() + span;
+    while Instant::now() < until {
+        sleep(VIRTUAL_STEP).await;
+        while nodes.iter().any(|node| node.pending_requests() > 0) {
+            // The clock does not advance by itself while a blocking task runs.
+            let _ = spawn_blocking(|| thread::sleep(REAL_STEP)).await;
+        }
+    }
+}
+
 /// Returns a step of two short tasks.
 pub(crate) fn step() -> Step {
     Step {
--- a/crates/transport/src/rpc/client.rs
+++ b/crates/transport/src/rpc/client.rs
@@ -4,7 +4,13 @@
     io,
     net::SocketAddr,
     rc::Rc,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{
+            AtomicUsize,
+            Ordering, //
+        },
+    },
     thread,
     time::Duration, //
 };
@@ -71,6 +77,23 @@
 pub struct Client {
     orders: mpsc::Sender<Order>,
     traffic: Arc<Traffic>,
+    pending: Arc<AtomicUsize>,
+}
+
+/// Counts one call for as long as it lives.
+struct Pending<'a>(&'a AtomicUsize);
+
+impl<'a> Pending<'a> {
+    fn enter(count: &'a AtomicUsize) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(count)
+    }
+}
+
+impl Drop for Pending<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 /// One call on its way to the client's thread.
@@ -98,7 +121,11 @@
             .spawn(move || {
                 LocalSet::new().block_on(&runtime, run(incoming, limits, shared));
             })?;
-        Ok(Self { orders, traffic })
+        Ok(Self {
+            orders,
+            traffic,
+            pending: Arc::default(),
+        })
     }
 
     /// Makes one call, which runs at most once, and waits for the answer up to `timeout`.
@@ -112,6 +139,7 @@
         call: Call,
         timeout: Duration,
     ) -> Result<Answer, Error> {
+        let _pending = Pending::enter(&self.pending);
         let (answer, answered) = oneshot::channel();
         let order = Order {
             address,
@@ -126,6 +154,11 @@
         answered.await.unwrap_or(Err(Error::Disconnected))
     }
 
+    /// Returns how many calls wait for their answers.
+    pub fn pending(&self) -> usize {
+        self.pending.load(Ordering::Relaxed)
+    }
+
     /// Returns what was counted so far.
     pub fn traffic(&self) -> Totals {
         self.traffic.totals()
--- a/crates/transport/tests/rpc.rs
+++ b/crates/transport/tests/rpc.rs
@@ -223,6 +223,23 @@
     assert!(matches!(error, Err(Error::Failed { .. })), "{error:?}");
 }
 
+/// Tests in virtual time rely on it: they would let time pass while a call is on its way.
+#[tokio::test]
+async fn a_call_is_pending_until_its_caller_has_the_answer() {
+    let (server, mut calls) = server(ServerLimits::default());
+    let client = client();
+    let pending = async {
+        let incoming = calls.recv().await.expect("a call");
+        let pending = client.pending();
+        echo(incoming);
+        pending
+    };
+    let answered = client.call(server.address(), call("x"), LONG);
+    let (pending, answered) = tokio::join!(pending, answered);
+    assert!(answered.is_ok());
+    assert_eq!((pending, client.pending()), (1, 0));
+}
+
 #[tokio::test]
 async fn a_full_queue_answers_overloaded_and_nothing_is_run() {
     let (server, mut calls) = server(ServerLimits {
