--- a/crates/transport/tests/rpc.rs
+++ b/crates/transport/tests/rpc.rs
@@ -140,6 +140,24 @@
     assert_eq!(error, Err(Error::Disconnected));
 }
 
+/// The system's time-out of a stalled connection was reported as "overloaded", which proves that the call was not run.
+#[tokio::test]
+async fn a_connection_that_times_out_leaves_the_effect_unknown() {
+    let listener = TcpListener::bind(any_port()).await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let stalled = tokio::spawn(async move {
+        // The connection stays open, and nothing is read from it.
+        let _connection = listener.accept().await.expect("a connection");
+        std::future::pending::<()>().await;
+    });
+    // More than the system buffers.
+    let message = Bytes::from(vec![0; 64 << 20]);
+    let call = Call::Peer(peer::Request { message });
+    let error = client().call(address, call, LONG).await;
+    assert_eq!(error, Err(Error::Disconnected));
+    stalled.abort();
+}
+
 #[tokio::test]
 async fn the_client_connects_again_after_a_loss() {
     let (first, mut calls) = server(ServerLimits::default());
@@ -205,6 +223,23 @@
     assert!(matches!(error, Err(Error::Failed { .. })), "{error:?}");
 }
 
+/// Tests in virtual time rely on it: they would let time pass while a call is on its way.
+#[tokio::test]
+async fn a_call_is_pending_until_its_caller_has_the_answer() {
+    let (server, mut calls) = server(ServerLimits::default());
+    let client = client();
+    let pending = async {
+        let incoming = calls.recv().await.expect("a call");
+        let pending = client.pending();
+        echo(incoming);
+        pending
+    };
+    let answered = client.call(server.address(), call("x"), LONG);
+    let (pending, answered) = tokio::join!(pending, answered);
+    assert!(answered.is_ok());
+    assert_eq!((pending, client.pending()), (1, 0));
+}
+
 #[tokio::test]
 async fn a_full_queue_answers_overloaded_and_nothing_is_run() {
     let (server, mut calls) = server(ServerLimits {
