cell: rank steps by the shares and rates of their workspaces

When one workspace sent several times its usual load, its steps took the capacity in the order of their latest starts, at the expense of all others: the weights in the configuration were read but not used.

Inside a class, priority and lateness, the steps of workspaces that are over their share now come after the others, and those of jobs beyond the weight in jobs per second come last. Where the configuration names no workspaces, ranks are as before.

--- a/crates/cell/src/effect.rs
+++ b/crates/cell/src/effect.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::SocketAddr,
+    num::NonZeroU32,
     sync::Arc,
     time::Duration, //
 };
@@ -32,6 +33,7 @@
         Cancellation,
         Entry, //
     },
+    share::Share,
     workspace::WorkspaceName,
 };
 
@@ -253,6 +255,24 @@
         /// How long the step has waited since it became ready.
         waited: Duration,
     },
+    /// A workspace has become over its share of the capacity, or stopped being so.
+    Share {
+        /// The workspace.
+        workspace: WorkspaceName,
+        /// The result of the evaluation.
+        share: Share,
+    },
+    /// A job lies beyond the number of jobs per second that its workspace can rely on.
+    BeyondRate {
+        /// The job.
+        job: JobId,
+        /// The workspace.
+        workspace: WorkspaceName,
+        /// The number of jobs per second.
+        rate: NonZeroU32,
+        /// The time since the job was received.
+        age: Duration,
+    },
     /// A call to the advice service has finished.
     Advised {
         /// The step.
--- a/crates/cell/src/engine/announce.rs
+++ b/crates/cell/src/engine/announce.rs
@@ -39,6 +39,7 @@
         }
         self.announced.insert(id, now + ANNOUNCEMENT_TIMEOUT);
         self.add_job(Job::new(accepted, &Progress::default()), now);
+        self.count_job(id, now);
         true
     }
 
@@ -54,7 +55,9 @@
             // None of the orders has left, so the runs can be released without a stop.
             self.release(slot, task, run, now);
         }
-        self.jobs.remove(&id);
+        if let Some(job) = self.jobs.remove(&id) {
+            self.uncount_job(&job);
+        }
         self.open_steps.remove_job(id);
         self.unschedulable.retain(|step| step.job != id);
     }
--- a/crates/cell/src/engine/contact.rs
+++ b/crates/cell/src/engine/contact.rs
@@ -180,6 +180,8 @@
     pub(super) fn update_indexes(&mut self, slot: Slot) {
         let worker = self.workers.get(&slot);
         self.free_capacity.set(slot, worker);
+        self.competition
+            .set_capacity(slot, worker, &mut self.quotas);
         self.calls.set(slot, worker.and_then(Worker::next_call));
         self.expiries
             .set(slot, worker.and_then(Worker::next_expiry));
--- a/crates/cell/src/engine/job.rs
+++ b/crates/cell/src/engine/job.rs
@@ -86,6 +86,8 @@
     pub(super) gang_since: Timestamp,
     /// How many gangs of its queue had started when the step was opened.
     pub(super) gangs_started_before: u64,
+    /// When a scheduling pass last started a task of the step.
+    pub(super) last_start: Option<Timestamp>,
 }
 
 impl Task {
@@ -130,6 +132,7 @@
             wait_reason_at: Timestamp::ZERO,
             gang_since: Timestamp::ZERO,
             gangs_started_before: 0,
+            last_start: None,
         };
         for failures in &recorded.failures {
             if let Some(task) = stage.tasks.get_mut(usize::from(failures.index)) {
@@ -210,6 +213,8 @@
     pub(super) accepted: Accepted,
     /// The account of its workspace, if it belongs to one.
     pub(super) account: Option<quota::Slot>,
+    /// Whether it lies beyond the number of jobs per second that its workspace can rely on.
+    pub(super) is_beyond_rate: bool,
     pub(super) is_cancelled: bool,
     /// Whether a task of the job is known to have run on a worker, by this owner or from the store.
     pub(super) has_begun: bool,
@@ -236,6 +241,7 @@
         let objective = critical_path.mul_f64(queue.stretch.max(0.0)) + queue.objective_offset;
         let mut job = Self {
             account: None,
+            is_beyond_rate: false,
             is_cancelled: false,
             has_begun: progress.has_begun(),
             occurrences: BTreeMap::new(),
--- a/crates/cell/src/engine/limit.rs
+++ b/crates/cell/src/engine/limit.rs
@@ -18,6 +18,7 @@
         StepId, //
     },
     job::Step,
+    share::Share,
     worker::Charge,
     workspace::WorkspaceName,
 };
@@ -31,6 +32,8 @@
     pub used: Resources,
     /// The limit, if there is one.
     pub limit: Option<Resources>,
+    /// Its share at the last evaluation, if it asked for capacity then.
+    pub share: Option<Share>,
 }
 
 /// Returns the resources that a run of a step is charged with. Best-effort tasks are charged with their declared CPU
@@ -133,10 +136,11 @@
     /// Returns the resource usage of each workspace.
     pub fn usage(&self) -> Vec<Usage> {
         let accounts = self.quotas.accounts();
-        let usage = accounts.map(|(_, account)| Usage {
+        let usage = accounts.map(|(slot, account)| Usage {
             workspace: account.team.clone(),
             used: account.used,
             limit: account.limit.resources,
+            share: self.competition.share(slot),
         });
         usage.collect()
     }
--- a/crates/cell/src/engine/loss.rs
+++ b/crates/cell/src/engine/loss.rs
@@ -47,6 +47,7 @@
             return;
         };
         let is_over = job.is_over();
+        let account = job.account;
         let Some(stage) = job.stage_mut(task.step) else {
             return;
         };
@@ -58,7 +59,7 @@
         }
         stage.waiting.insert(task.index);
         stage.opened_at.get_or_insert(now);
-        self.open_steps.insert(task.step);
+        self.open_steps.insert(task.step, account);
     }
 
     /// Removes an incarnation that is gone, with all its runs.
--- a/crates/cell/src/engine/mod.rs
+++ b/crates/cell/src/engine/mod.rs
@@ -8,6 +8,7 @@
 //! | `announce` | prepares jobs whose acceptance is not yet on record |
 //! | `shrink` | handles workers whose capacity has decreased |
 //! | `limit` | enforces the resource limits of workspaces |
+//! | `share` | ranks the steps of workspaces that compete, by their shares and rates |
 //! | `submit` | accepts jobs and cancellations, opens steps that are ready |
 //! | `open_steps` | holds the steps that have tasks to start, in order of urgency |
 //! | `free_capacity` | indexes the workers by their free resources |
@@ -46,6 +47,7 @@
 mod reserve;
 mod restart;
 mod schedule;
+mod share;
 mod shrink;
 mod submit;
 mod throttling;
@@ -73,6 +75,7 @@
     open_steps::OpenSteps,
     recording::RecordQueue,
     schedule::Rank,
+    share::Competition,
     shrink::ReportValidity,
     timer::Timers, //
 };
@@ -184,6 +187,8 @@
     ended: HashMap<JobId, Ended>,
     /// The resources in use by each workspace, and its limit.
     quotas: quota::Ledger,
+    /// Which workspaces are over their share, and how many jobs each has submitted.
+    competition: Competition,
     /// Jobs that are over, with the time at which this became known.
     ended_at: Vec<(Timestamp, JobId)>,
     /// Removed jobs whose memory is freed incrementally.
@@ -265,6 +270,7 @@
             ended: HashMap::default(),
             ended_at: Vec::new(),
             quotas: quota::Ledger::default(),
+            competition: Competition::default(),
             pending_drops: Vec::new(),
             pending_removals: Vec::new(),
             next_sweep: now,
@@ -304,6 +310,7 @@
         for accepted in stored.accepted {
             engine.restore_job(accepted, &mut progress, now);
         }
+        engine.count_restored_jobs(now);
         let over = progress.into_iter();
         let over = over.filter_map(|(job, progress)| {
             let ended = Ended {
@@ -337,6 +344,7 @@
         if config.version >= self.config.version {
             self.config = config;
             self.set_limits();
+            self.competition.expire_shares();
             self.open_steps.mark_all_unranked();
             self.needs_pass = true;
             self.reopen_unschedulable();
--- a/crates/cell/src/engine/open_steps.rs
+++ b/crates/cell/src/engine/open_steps.rs
@@ -9,7 +9,10 @@
     ops::Bound, //
 };
 
-use fulmarpier_state::clock::Timestamp;
+use fulmarpier_state::{
+    clock::Timestamp,
+    quota, //
+};
 
 use super::{
     schedule::Rank,
@@ -22,33 +25,66 @@
 
 /// The open steps, ordered by rank.
 ///
-/// The rank of a step changes only when its job becomes late or worth nothing, or when the configuration changes. Since
-/// ranks are stored, a pass over 20,000 waiting steps begins with the most urgent one without ranking the others again.
+/// The rank of a step changes only when its job becomes late or worth nothing, when its workspace becomes over its share
+/// or stops being so, when it has been passed over for long, or when the configuration changes. Since ranks are stored, a pass over 20,000 waiting steps begins with the most urgent one without ranking the others again.
 #[derive(Clone, Debug, Default)]
 pub(super) struct OpenSteps {
-    /// All open steps, with their ranks once they are computed.
-    steps: BTreeMap<StepId, Option<Rank>>,
+    steps: BTreeMap<StepId, OpenStep>,
+    /// The open steps of each workspace that has any.
+    by_account: BTreeMap<quota::Slot, BTreeSet<StepId>>,
     ranked: BTreeSet<Rank>,
     unranked: Vec<StepId>,
     /// The times at which ranks change.
     changes: Timers<StepId>,
 }
 
+/// An open step.
+#[derive(Clone, Copy, Debug)]
+struct OpenStep {
+    /// Its rank, once it is computed.
+    rank: Option<Rank>,
+    /// The account of its workspace, if it belongs to one.
+    account: Option<quota::Slot>,
+}
+
 impl OpenSteps {
-    /// Adds a step, unless it is present.
-    pub(super) fn insert(&mut self, id: StepId) {
+    /// Adds a step, unless it is present, with the account of its workspace.
+    pub(super) fn insert(&mut self, id: StepId, account: Option<quota::Slot>) {
         if let Entry::Vacant(place) = self.steps.entry(id) {
-            place.insert(None);
+            place.insert(OpenStep {
+                rank: None,
+                account,
+            });
             self.unranked.push(id);
+            if let Some(account) = account {
+                self.by_account.entry(account).or_default().insert(id);
+            }
         }
     }
 
     /// Removes a step.
     pub(super) fn remove(&mut self, id: StepId) {
-        if let Some(Some(rank)) = self.steps.remove(&id) {
+        self.changes.set(id, None);
+        let Some(step) = self.steps.remove(&id) else {
+            return;
+        };
+        if let Some(rank) = step.rank {
             self.ranked.remove(&rank);
         }
-        self.changes.set(id, None);
+        if let Some(account) = step.account {
+            self.remove_from_account(account, id);
+        }
+    }
+
+    /// Removes a step from those of its workspace.
+    fn remove_from_account(&mut self, account: quota::Slot, id: StepId) {
+        let Some(steps) = self.by_account.get_mut(&account) else {
+            return;
+        };
+        steps.remove(&id);
+        if steps.is_empty() {
+            self.by_account.remove(&account);
+        }
     }
 
     /// Removes all steps of a job.
@@ -70,9 +106,20 @@
         self.unranked.push(id);
     }
 
+    /// Marks all steps of a workspace for ranking.
+    pub(super) fn mark_account_unranked(&mut self, account: quota::Slot) {
+        let steps = self.by_account.get(&account);
+        self.unranked.extend(steps.into_iter().flatten());
+    }
+
+    /// Returns the accounts of the workspaces that have open steps.
+    pub(super) fn accounts(&self) -> impl Iterator<Item = quota::Slot> {
+        self.by_account.keys().copied()
+    }
+
     /// Returns the rank of an open step, once it is computed.
     pub(super) fn rank_of(&self, id: StepId) -> Option<Rank> {
-        self.steps.get(&id).copied().flatten()
+        self.steps.get(&id).and_then(|step| step.rank)
     }
 
     /// Removes and returns the steps that have to be ranked now.
@@ -86,7 +133,10 @@
     /// Sets the rank of a step, and the time at which it changes.
     pub(super) fn rank(&mut self, rank: Rank, change: Option<Timestamp>) {
         let id = rank.step;
-        if let Some(Some(before)) = self.steps.insert(id, Some(rank)) {
+        let Some(step) = self.steps.get_mut(&id) else {
+            return;
+        };
+        if let Some(before) = step.rank.replace(rank) {
             self.ranked.remove(&before);
         }
         self.ranked.insert(rank);
--- a/crates/cell/src/engine/schedule.rs
+++ b/crates/cell/src/engine/schedule.rs
@@ -7,7 +7,8 @@
 use super::{
     Engine,
     WaitReason,
-    reserve::Reservations, //
+    reserve::Reservations,
+    share::Claim, //
 };
 use crate::id::StepId;
 
@@ -52,6 +53,7 @@
     class: Class,
     priority: u8,
     lateness: Lateness,
+    claim: Claim,
     latest_start: Timestamp,
     pub(super) step: StepId,
 }
@@ -91,6 +93,7 @@
 impl Engine {
     /// Runs a scheduling pass: examines the open steps in order of urgency and starts the tasks that fit.
     pub(super) fn schedule(&mut self, now: Timestamp) {
+        self.update_shares(now);
         for id in self.open_steps.take_unranked(now) {
             if let Some((rank, change)) = self.rank(id, now) {
                 self.open_steps.rank(rank, change);
@@ -187,7 +190,12 @@
             self.update_known_wait_reason(id, WaitReason::Limit, now);
             return STEP_CHECKS;
         }
-        if self.start_fitting(id, reserved, now) || self.park_unschedulable(id, now) {
+        let waiting = self.waiting_count(id);
+        let is_placed = self.start_fitting(id, reserved, now);
+        if self.waiting_count(id) < waiting {
+            self.note_start(id, now);
+        }
+        if is_placed || self.park_unschedulable(id, now) {
             return STEP_CHECKS + allowed;
         }
         // Nothing is preempted for a step that its own workspace's limit holds back.
@@ -220,14 +228,18 @@
             Lateness::Late if is_promoted => Lateness::InTime,
             lateness => lateness,
         };
+        let (claim, claim_change) = self.claim(job, id, now);
         let rank = Rank {
             class: Class::new(priority, lateness),
             priority,
             lateness,
+            claim,
             latest_start,
             step: id,
         };
-        Some((rank, until.map(|until| until + TIME_RESOLUTION)))
+        let lateness_change = until.map(|until| until + TIME_RESOLUTION);
+        let changes = [lateness_change, claim_change];
+        Some((rank, changes.into_iter().flatten().min()))
     }
 
     /// Asks for advice if needed and starts the tasks of a step that fit. Returns false if some have to wait.
--- a/crates/cell/src/engine/submit.rs
+++ b/crates/cell/src/engine/submit.rs
@@ -36,7 +36,9 @@
             self.reject(&accepted);
             return false;
         }
+        let id = accepted.job;
         self.add_job(Job::new(accepted, &Progress::default()), now);
+        self.count_job(id, now);
         true
     }
 
@@ -129,6 +131,7 @@
             return;
         };
         let spec = job.spec().clone();
+        let account = job.account;
         let started = self.gangs_started.get(&job.accepted.queue.name);
         let started = started.copied().unwrap_or_default();
         for (occurrence, stages) in &mut job.occurrences {
@@ -145,11 +148,12 @@
                     stage.opened_at = Some(now);
                     stage.gangs_started_before = started;
                 }
-                self.open_steps.insert(StepId {
+                let step = StepId {
                     job: id,
                     occurrence: *occurrence,
                     step: u16::try_from(index).unwrap_or(u16::MAX),
-                });
+                };
+                self.open_steps.insert(step, account);
                 self.needs_pass = true;
             }
         }
--- a/crates/cell/src/engine/wait.rs
+++ b/crates/cell/src/engine/wait.rs
@@ -190,9 +190,10 @@
     pub(super) fn reopen_unschedulable(&mut self) {
         for id in std::mem::take(&mut self.unschedulable) {
             let job = self.jobs.get(&id.job).filter(|job| !job.is_over());
+            let account = job.and_then(|job| job.account);
             let stage = job.and_then(|job| job.stage(id));
             if stage.is_some_and(|stage| !stage.waiting.is_empty()) {
-                self.open_steps.insert(id);
+                self.open_steps.insert(id, account);
                 self.needs_pass = true;
             }
         }
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -16,6 +16,7 @@
         Counts,
         WorkspaceUsage, //
     },
+    share::Standing,
 };
 use fulmarpier_state::{
     alias::HashMap,
@@ -48,7 +49,7 @@
 /// The number of characters to which a log line shortens a key of another writer. Keys have up to 255 bytes.
 const MAX_KEY_CHARS: usize = 64;
 
-/// The maximum number of workspaces with gauges. A platform may have hundreds, and each takes six gauges.
+/// The maximum number of workspaces with gauges. A platform may have hundreds, and each takes ten gauges.
 const MAX_WORKSPACES: usize = 32;
 
 /// The number of log lines of one kind in the current period of one second.
@@ -71,6 +72,7 @@
     advice: Histogram<f64>,
     engine_state: Gauge<u64>,
     workspaces: Gauge<u64>,
+    shares: Gauge<u64>,
     suppressed_lines: Counter<u64>,
     lost_reports: Counter<u64>,
     rejected: Counter<u64>,
@@ -129,6 +131,10 @@
                 "fulmarpier_workspace",
                 "What workspaces have running and may have, by workspace, resource and kind.",
             ),
+            shares: registry.gauge(
+                "fulmarpier_workspace_share",
+                "How the usage of workspaces compares with their shares, by workspace and kind.",
+            ),
             suppressed_lines: registry.counter(
                 "fulmarpier_log_lines_left_out",
                 "Lines left out of the log by kind.",
@@ -295,6 +301,25 @@
                     self.0.workspaces.record(amount, &labels);
                 }
             }
+            self.share(usage);
+        }
+    }
+
+    /// Sets the gauges of a workspace's share. All are zero while the workspace doesn't ask for capacity.
+    fn share(&self, usage: &WorkspaceUsage) {
+        let share = usage.share.unwrap_or_default();
+        let gauges = [
+            ("ratio_thousandths", share.ratio.thousandths().into()),
+            ("weight", share.weight),
+            ("weights_asking", share.weights),
+            ("over", (share.standing == Standing::Over).into()),
+        ];
+        for (kind, value) in gauges {
+            let labels = [
+                KeyValue::new("workspace", usage.workspace.to_string()),
+                KeyValue::new("kind", kind),
+            ];
+            self.0.shares.record(value, &labels);
         }
     }
 
@@ -354,6 +379,8 @@
         LogRecord::Adopted { .. } => ("adopted", ""),
         LogRecord::Finished { outcome, .. } => ("finished", outcome),
         LogRecord::Waiting { why, .. } => ("waits", why.as_str()),
+        LogRecord::Share { share, .. } => ("share", share.standing.as_str()),
+        LogRecord::BeyondRate { .. } => ("rate", "beyond"),
         LogRecord::Advised { .. } => ("advised", ""),
     }
 }
@@ -456,6 +483,18 @@
             "room" => survey.fitting_tasks, "ticketed" => survey.fitting_tasks_with_ticket,
             "heard_ms" => survey.longest_silence.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(-1)),
             "waited_ms" => millis(*waited)),
+        LogRecord::Share { workspace, share } => {
+            slog::info!(log, "share"; "workspace" => %workspace,
+                "over" => share.standing == Standing::Over, "share" => %share.ratio,
+                "weight" => share.weight, "weights" => share.weights)
+        }
+        LogRecord::BeyondRate {
+            job,
+            workspace,
+            rate,
+            age,
+        } => slog::info!(log, "rate"; "job" => %job, "workspace" => %workspace,
+            "weight" => rate.get(), "age_ms" => millis(*age)),
         LogRecord::Advised {
             step,
             node,
--- a/crates/state/src/quota/ledger.rs
+++ b/crates/state/src/quota/ledger.rs
@@ -169,6 +169,11 @@
         }
     }
 
+    /// Returns the largest of the parts of each resource of the cell that a team holds: 1.0 where it holds all of one.
+    pub fn dominant_share(&self, slot: Slot) -> f64 {
+        self.dominant(self.account(slot).used) as f64 / SCALE as f64
+    }
+
     /// Returns the share that a team may hold before it yields, as a fraction of [`SCALE`].
     ///
     /// It is twice the team's part by weight, but leaves at least half of what the others' parts
