cell: count waiting tasks only for steps of workspaces

A scheduling pass counted the waiting tasks of each step before and after its placement, to note when an over-share step was served. Steps of jobs without a workspace need no such note and are no longer counted.

--- a/crates/cell/src/engine/share.rs
+++ b/crates/cell/src/engine/share.rs
@@ -200,10 +200,11 @@
         }
     }
 
-    /// Returns how many tasks of a step wait to be started.
-    pub(super) fn waiting_count(&self, id: StepId) -> usize {
-        let stage = self.jobs.get(&id.job).and_then(|job| job.stage(id));
-        stage.map_or(0, |stage| stage.waiting.len())
+    /// Returns how many tasks of a step wait to be started, if its job belongs to a workspace.
+    pub(super) fn waiting_count(&self, id: StepId) -> Option<usize> {
+        let job = self.jobs.get(&id.job)?;
+        job.account?;
+        job.stage(id).map(|stage| stage.waiting.len())
     }
 
     /// Notes that tasks of a step were started, so that the step doesn't count as passed over.
