cell: tests of shares, rates and a surge

Pure tests of the ratio, the hysteresis and the token bucket, and tests in virtual time: a surge of seven times the usual load, unused shares, aging, changed weights, takeover, and preemption while standings change all the time.

--- a/crates/cell/tests/cell/world/limit.rs
+++ b/crates/cell/tests/cell/world/limit.rs
@@ -1,4 +1,4 @@
-//! Workspaces and their limits, and the check that no start takes a workspace above its limit.
+//! Workspaces, their weights and their limits, and the check that no start takes a workspace above its limit.
 
 use super::*;
 use crate::world::worker::TASK_SIZE;
@@ -6,7 +6,37 @@
 /// How long after the decision an unanswered order may still be executed: the owner sends it up to three times.
 const MAX_UNANSWERED_ORDER_AGE: Duration = Duration::from_secs(14);
 
+/// The limit of a workspace that has none to speak of, in running tasks of the usual size.
+const AMPLE_LIMIT: u32 = 100_000;
+
 impl World {
+    /// Sets the weights of workspaces, which have no other limits to speak of.
+    pub(crate) fn set_weights(&mut self, weights: &[(&'static str, u32)]) {
+        let weights_by_name = weights.iter().map(|(name, weight)| {
+            let name: WorkspaceName = name.parse().expect("the name is accepted");
+            (name, *weight)
+        });
+        self.weights.extend(weights_by_name);
+        let limits: Vec<(&'static str, u32)> = weights
+            .iter()
+            .map(|(name, _)| (*name, AMPLE_LIMIT))
+            .collect();
+        self.set_limits(&limits);
+    }
+
+    /// Returns a workspace with its weight; the default weight if none is set.
+    fn workspace(&self, name: WorkspaceName, size: Resources) -> Workspace {
+        let weight = self.weights.get(&name).copied();
+        Workspace {
+            limit: Limit {
+                resources: Some(size),
+                weight: weight.unwrap_or(Limit::default().weight),
+                ..Limit::default()
+            },
+            name,
+        }
+    }
+
     /// Sets the limits of workspaces, in running tasks of the usual size.
     pub(crate) fn set_limits(&mut self, limits: &[(&'static str, u32)]) {
         let sizes = limits.iter().map(|(name, tasks)| {
@@ -18,7 +48,7 @@
         let sizes: BTreeMap<WorkspaceName, Resources> = sizes.collect();
         let mut directory = Directory::default();
         for (name, size) in &sizes {
-            directory.add(workspace(name.clone(), *size), []);
+            directory.add(self.workspace(name.clone(), *size), []);
         }
         // The last limit of a removed workspace stays in force for its jobs.
         let before = self.limit_history.last().map(|(_, limits)| limits.clone());
@@ -42,7 +72,7 @@
         let (_, limits) = self.limit_history.last().expect("there are workspaces");
         let size = limits.get(&name).copied().unwrap_or(Resources::ZERO);
         Accepted {
-            workspace: Some(workspace(name, size).into()),
+            workspace: Some(self.workspace(name, size).into()),
             ..self.new_job(queue, steps)
         }
     }
@@ -89,13 +119,3 @@
         }
     }
 }
-
-fn workspace(name: WorkspaceName, size: Resources) -> Workspace {
-    Workspace {
-        name,
-        limit: Limit {
-            resources: Some(size),
-            ..Limit::default()
-        },
-    }
-}
--- a/crates/cell/tests/cell/world/mod.rs
+++ b/crates/cell/tests/cell/world/mod.rs
@@ -80,6 +80,7 @@
         Cancelled,
         Entry, //
     },
+    share::Standing,
     workspace::{
         Directory,
         Workspace,
@@ -249,6 +250,12 @@
     workspace_jobs: BTreeMap<JobId, (WorkspaceName, Arc<Spec>)>,
     /// The limits of all workspaces, with the time from which they apply. The last ones are in force.
     limit_history: Vec<(Timestamp, BTreeMap<WorkspaceName, Resources>)>,
+    /// The weights of workspaces that have another than the default one.
+    weights: BTreeMap<WorkspaceName, u32>,
+    /// When each workspace became over its share or stopped being so, in order.
+    pub reported_standings: Vec<(Timestamp, WorkspaceName, Standing)>,
+    /// The jobs that the engine reported as beyond the rate of their workspace, in order.
+    pub beyond_rate: Vec<JobId>,
     /// The evacuated data centres, with the time at which their evacuation began.
     evacuated: BTreeMap<DataCentre, Timestamp>,
     /// The evacuations that the nodes have read last, and when they read them.
@@ -409,6 +416,9 @@
             reported_waits: Vec::new(),
             workspace_jobs: BTreeMap::new(),
             limit_history: Vec::new(),
+            weights: BTreeMap::new(),
+            reported_standings: Vec::new(),
+            beyond_rate: Vec::new(),
             evacuated: BTreeMap::new(),
             read_evacuation: (Evacuation::default(), now),
             owner_evacuation: None,
@@ -851,6 +861,11 @@
             Effect::Log(LogRecord::Waiting { step, why, .. }) => {
                 self.reported_waits.push((step.job, why))
             }
+            Effect::Log(LogRecord::Share { workspace, share }) => {
+                let change = (self.now, workspace, share.standing);
+                self.reported_standings.push(change);
+            }
+            Effect::Log(LogRecord::BeyondRate { job, .. }) => self.beyond_rate.push(job),
             Effect::Log(LogRecord::Stopping {
                 task,
                 why: "preempted",
