--- a/crates/cell/tests/cell/speed/play.rs
+++ b/crates/cell/tests/cell/speed/play.rs
@@ -10,7 +10,6 @@
     Pool,
     Progress,
     Reading,
-    Speed,
     Track, //
 };
 use fulmarpier_state::clock::Timestamp;
@@ -65,8 +64,6 @@
 pub(crate) enum Placement {
     /// Any worker.
     Any,
-    /// Short steps run on the workers that are believed to be fast, once there are some; other steps run on the rest.
-    ByClass,
 }
 
 /// A simulated pool.
@@ -76,7 +73,6 @@
     pub(crate) placement: Placement,
     /// A change to the percentage that a worker reports, by worker.
     pub(crate) distort: fn(usize, f64, &mut SmallRng) -> f64,
-    is_observed: bool,
     steps: BTreeMap<usize, Baseline>,
     next_step: usize,
     now_ms: u64,
@@ -103,7 +99,6 @@
             pool,
             placement: Placement::Any,
             distort: |_, percent, _| percent,
-            is_observed: true,
             steps: BTreeMap::new(),
             next_step: 0,
             now_ms: 2_000,
@@ -111,13 +106,6 @@
         }
     }
 
-    /// Lets time pass before the estimator begins, as before a change of owners.
-    pub(crate) fn run_unobserved(&mut self, millis: u64) {
-        self.is_observed = false;
-        self.run(millis);
-        self.is_observed = true;
-    }
-
     /// Lets time pass.
     pub(crate) fn run(&mut self, millis: u64) {
         let until = self.now_ms + millis;
@@ -140,18 +128,6 @@
         matching.count() as f64 / self.workers.len() as f64
     }
 
-    /// Returns the part of the workers of a hidden speed that are in a class.
-    pub(crate) fn share_in(&self, hidden: f64, class: Class) -> f64 {
-        let all = self.workers.iter().filter(|worker| worker.hidden == hidden);
-        let right = all.clone().filter(|worker| worker.class == class);
-        right.count() as f64 / all.count() as f64
-    }
-
-    /// Returns the estimated speed of a worker.
-    pub(crate) fn speed(&self, worker: usize) -> Speed {
-        self.workers[worker].current.speed(&self.pool)
-    }
-
     pub(crate) fn now(&self) -> Timestamp {
         Timestamp::from_millis(self.now_ms)
     }
@@ -174,7 +150,7 @@
         self.next_step += 1;
         self.steps.insert(step, Baseline::default());
         let duration = self.rng.random_range(0.5..3.0);
-        let allowed = self.allowed(duration);
+        let allowed = self.allowed();
         let mut left = count;
         while left > 0 {
             let worker = allowed[self.rng.random_range(0..allowed.len())];
@@ -192,20 +168,10 @@
         }
     }
 
-    fn allowed(&self, duration: f64) -> Vec<usize> {
+    fn allowed(&self) -> Vec<usize> {
         let all = 0..self.workers.len();
-        let is_urgent = duration < 1.3;
-        let is_fast = |index: &usize| self.workers[*index].class == Class::Fast;
-        let matching: Vec<usize> = match self.placement {
-            Placement::Any => Vec::new(),
-            Placement::ByClass => all
-                .clone()
-                .filter(|index| is_fast(index) == is_urgent)
-                .collect(),
-        };
-        match matching.len() < 10 {
-            true => all.collect(),
-            false => matching,
+        match self.placement {
+            Placement::Any => all.collect(),
         }
     }
 
@@ -249,12 +215,6 @@
                 track: &mut task.track,
                 step,
             };
-            if !self.is_observed {
-                if !is_done {
-                    worker.tasks.push(task);
-                }
-                continue;
-            }
             if is_done {
                 run.end(clock, &mut worker.estimate, &mut self.pool, now);
                 continue;
