cell: a worker without an observed run keeps its class

Cause: each end of a run updated the class from the estimate, also where no run had shown anything, as on a platform that reports no progress. A class that was set by other means was reset. Measured: the three cases of urgent_tasks_avoid_slow_workers_and_gangs_are_not_mixed failed on the merged code and pass with the change.

--- a/crates/cell/src/engine/progress.rs
+++ b/crates/cell/src/engine/progress.rs
@@ -149,6 +149,9 @@
                 observation.preview(&mut current, pool, now);
             });
         }
+        if !current.is_observed() {
+            return;
+        }
         let Some(worker) = self.workers.get_mut(&slot) else {
             return;
         };
--- a/crates/cell/src/speed/estimate.rs
+++ b/crates/cell/src/speed/estimate.rs
@@ -73,6 +73,11 @@
         }
     }
 
+    /// Returns whether any run has been observed.
+    pub fn is_observed(&self) -> bool {
+        self.updated > Timestamp::ZERO
+    }
+
     /// Returns the number of runs that the estimate is worth.
     pub fn weight(&self, now: Timestamp) -> f64 {
         let age = now.since(self.updated).as_secs_f64();
