Mend what a review of the merged parts found

transport: a connection may be evicted only once it has been idle for 10 ms, so that the answer to its last call has left; otherwise a call that ran would be reported as not run.

--- a/crates/cell/src/engine/loss.rs
+++ b/crates/cell/src/engine/loss.rs
@@ -33,14 +33,15 @@
     ///
     /// - the expiry of all leases, by which the worker has ended its runs and refuses orders that arrive later; an end
     ///   that it lists after that does not count, by the platform's rules;
-    /// - the rule that a worker whose entry is still missing 2 s after the store's return is gone; the node reports
-    ///   entries as missing only after that;
+    /// - the rule that a worker whose entry is still missing 2 s after the store's return is gone, which the node waits
+    ///   for before it reports an entry as missing;
+    /// - the incarnation, by which a report of the removed one is recognized and not counted if it returns after all;
     /// - the removal of the worker, since the answer to a call made before it is not taken in any more.
     ///
     /// It does not hold for a worker that is listed, that has an unusable entry, or that only a former owner's record
     /// names: these may be cut off and return.
     const fn is_failure_report_excluded(&self) -> bool {
-        self.is_known_unlisted
+        self.is_known_unlisted && self.incarnation.is_some()
     }
 }
 
--- a/crates/cell/src/engine/share.rs
+++ b/crates/cell/src/engine/share.rs
@@ -1,4 +1,4 @@
-//! Workspaces that compete: which of them are over their share, and which of their jobs lie beyond their rate.
+//! Fair sharing between workspaces: which of them are over their share, and which of their jobs lie beyond their rate.
 //!
 //! Both only change the order in which steps are placed. A step of a workspace that is over its share, or of a job that
 //! lies beyond the rate, starts whenever no other step takes the capacity.
@@ -35,9 +35,9 @@
     worker::Worker,
 };
 
-/// How long a step of a workspace that is over its share may wait without a start before it ranks as if the workspace
-/// were within its share. Surges of one workspace last up to 7 s; with a shorter time, their steps would overtake those
-/// of the others before the surge is over.
+/// How long a step of a workspace that is over its share may wait without a start before the share no longer affects its
+/// rank. It has to exceed the length of a surge, or the steps of the surge would overtake those of other workspaces
+/// before it is over.
 const MAX_PASSED_OVER: Duration = Duration::from_secs(10);
 
 /// The claim of a step to capacity, compared with the steps of other workspaces; the strongest comes first.
--- a/crates/cell/src/share.rs
+++ b/crates/cell/src/share.rs
@@ -21,8 +21,8 @@
 /// The minimum time between two evaluations. Tasks run for half a second and longer, so usage changes little within it.
 pub const EVALUATION_INTERVAL: Duration = Duration::from_millis(100);
 /// For how long a workspace counts as asking after its last open step. Most steps of a workspace within its share are
-/// open only while a call for advice is under way (15 to 250 ms). If only the moment of the evaluation counted, the
-/// shares of all others would change several times a second.
+/// open only while a call for advice is in progress. Without this period, the shares of all others would change several
+/// times a second.
 pub const ASKING_PERIOD: Duration = Duration::from_secs(1);
 
 /// The usage of a workspace as a multiple of its share, in thousandths.
--- a/crates/cell/src/speed/estimate.rs
+++ b/crates/cell/src/speed/estimate.rs
@@ -15,16 +15,15 @@
 const MAX_WEIGHT: f64 = 32.0;
 /// The weight from which a worker can be told from a typical one: a single run may be a straggler.
 const MIN_CLASS_WEIGHT: f64 = 2.0;
-/// The weight of an estimate is halved for each such period without a run: the worker may have changed meanwhile.
+/// The time after which the weight of an estimate is halved if no run is observed: the worker may have changed meanwhile.
 const HALF_LIFE: Duration = Duration::from_secs(30);
 /// The deviation up to which an observation counts in full, in standard deviations.
 const MAX_DEVIATION: f64 = 2.0;
-/// The deviation from which an observation is a surprise, in standard deviations. A task that takes seven times as long
-/// as the others of its step deviates by some six.
-const SURPRISE_DEVIATION: f64 = 3.0;
-/// The weight of consecutive surprises on one side that shows that the worker has changed. With 3% of stragglers, one run
-/// in a thousand is the second straggler in a row.
-const MAX_SURPRISES: f64 = 1.5;
+/// The deviation from which an observation is an outlier, in standard deviations.
+const OUTLIER_DEVIATION: f64 = 3.0;
+/// The weight of consecutive outliers on one side that shows that the worker has changed: more than one, since a single
+/// run may be a straggler.
+const CHANGE_WEIGHT: f64 = 1.5;
 
 /// The smallest factor between a worker's speed and the typical speed that matters.
 const MIN_DIFFERENCE: f64 = 1.1;
@@ -49,8 +48,8 @@
     pub(super) weight: f64,
     /// When it was updated.
     updated: Timestamp,
-    /// The weight of the latest consecutive surprises; negative if the runs were slower than expected.
-    surprises: f64,
+    /// The weight of the latest consecutive outliers; negative if the runs were slower than expected.
+    outlier_weight: f64,
 }
 
 /// How an observation deviates from an estimate.
@@ -69,7 +68,7 @@
             log,
             weight,
             updated: Timestamp::ZERO,
-            surprises: 0.0,
+            outlier_weight: 0.0,
         }
     }
 
@@ -125,19 +124,19 @@
         pool.noise() * (1.0 / self.weight + 1.0 / weight).sqrt()
     }
 
-    /// Counts surprises, and returns whether the worker must have changed.
+    /// Counts outliers, and returns whether the worker must have changed.
     fn is_changed_by(&mut self, deviation: f64, weight: f64, pool: &Pool) -> bool {
-        let is_surprise =
-            deviation.abs() > SURPRISE_DEVIATION * self.standard_deviation(weight, pool);
-        if !is_surprise || self.surprises * deviation < 0.0 {
-            self.surprises = 0.0;
+        let is_outlier =
+            deviation.abs() > OUTLIER_DEVIATION * self.standard_deviation(weight, pool);
+        if !is_outlier || self.outlier_weight * deviation < 0.0 {
+            self.outlier_weight = 0.0;
         }
-        if is_surprise {
-            self.surprises += weight * deviation.signum();
+        if is_outlier {
+            self.outlier_weight += weight * deviation.signum();
         }
-        let is_changed = self.surprises.abs() >= MAX_SURPRISES;
+        let is_changed = self.outlier_weight.abs() >= CHANGE_WEIGHT;
         if is_changed {
-            self.surprises = 0.0;
+            self.outlier_weight = 0.0;
         }
         is_changed
     }
--- a/crates/cell/src/speed/pool.rs
+++ b/crates/cell/src/speed/pool.rs
@@ -32,7 +32,7 @@
 /// The greatest logarithmic difference from the typical speed that counts for the spread.
 const MAX_DIFFERENCE: f64 = 1.0;
 /// The factor by which the variance of estimates exceeds what follows from their weights: runs of one step share the
-/// error of their baseline, and some are stragglers. Simulated pools have 1.2.
+/// error of their baseline, and some are stragglers.
 const EXCESS_VARIANCE: f64 = 1.3;
 
 /// A weighted mean whose memory is bounded.
@@ -61,8 +61,8 @@
     /// The mean deviation of runs from the estimates of their workers, by the duration of their steps.
     ///
     /// Runs that end soon are compared with few others of their step, and many short runs end before they are listed
-    /// twice, so that the others seem too slow. Without this correction, the estimates of workers that run only short
-    /// steps drift away from those of the others by a quarter within a minute.
+    /// twice, so that the others seem too slow. Without this correction, workers that run only short
+    /// steps would appear faster or slower than the others.
     biases: [Mean; BIAS_BOUNDS.len() + 1],
 }
 
--- a/crates/cell/src/speed/track.rs
+++ b/crates/cell/src/speed/track.rs
@@ -9,9 +9,8 @@
     Share, //
 };
 
-/// A change of pace within a run by more than this factor shows that its worker has become faster or slower, since the
-/// work of a run does not change. Slowdowns that matter are by a factor of seven, and rounded percentages cause changes
-/// by up to 1.5.
+/// The factor by which the pace of a run has to change to show that its worker has become faster or slower: the work of
+/// a run does not change. It exceeds what rounding to whole per cent can cause.
 const MIN_CHANGE_FACTOR: f64 = 2.0;
 /// The progress, in per cent, from which paces are compared: rounding changes it by a fifth at most.
 const MIN_COMPARED_PERCENT: f64 = 5.0;
--- a/crates/transport/src/rpc/connections.rs
+++ b/crates/transport/src/rpc/connections.rs
@@ -6,12 +6,17 @@
         RefCell, //
     },
     collections::BTreeMap,
-    rc::Rc, //
+    rc::Rc,
+    time::Duration, //
 };
 
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+/// How long a connection has to be idle before it may be evicted. The answer to its last call has then left; otherwise
+/// the peer would be told that a call was not run whose answer is lost with the connection.
+pub(super) const MIN_IDLE: Duration = Duration::from_millis(10);
+
 /// How a connection is used.
 #[derive(Debug)]
 pub(super) struct Usage {
@@ -72,16 +77,18 @@
         }
     }
 
-    /// Evicts the connection that was idle for longest; none where all have calls in progress.
-    pub(super) fn evict_idlest(&self) {
+    /// Evicts the least recently used connection that is idle; returns whether there was one.
+    pub(super) fn evict_least_recently_used(&self) -> bool {
         let held = self.held.borrow();
         let idle = held.values().filter(|usage| {
             let is_evicted = usage.eviction.is_cancelled();
-            usage.calls.get() == 0 && !is_evicted
+            usage.calls.get() == 0 && usage.last.get().elapsed() >= MIN_IDLE && !is_evicted
         });
-        if let Some(idlest) = idle.min_by_key(|usage| usage.last.get()) {
-            idlest.eviction.cancel();
+        let least_recent = idle.min_by_key(|usage| usage.last.get());
+        if let Some(usage) = least_recent {
+            usage.eviction.cancel();
         }
+        least_recent.is_some()
     }
 }
 
--- a/crates/transport/src/rpc/error.rs
+++ b/crates/transport/src/rpc/error.rs
@@ -32,7 +32,7 @@
         reason: String,
     },
     /// The other side closed the connection, idle until then, for another peer. The call was not run.
-    #[error("the idle connection was closed for another peer")]
+    #[error("the peer evicted the idle connection; the call was not run")]
     Evicted,
     /// This side is closing. Nothing was sent.
     #[error("the client is closed")]
--- a/crates/transport/src/rpc/eviction.rs
+++ b/crates/transport/src/rpc/eviction.rs
@@ -24,7 +24,7 @@
 };
 
 /// The reason as it travels between processes. Peers without it report a lost connection.
-const REASON: &str = "the idle connection is closed and ran no further call";
+const REASON: &str = "connection evicted while idle; the call was not run";
 
 /// Returns the answer to a call that arrives on an evicted connection.
 pub(super) fn refusal() -> capnp::Error {
--- a/crates/transport/src/rpc/server.rs
+++ b/crates/transport/src/rpc/server.rs
@@ -42,7 +42,10 @@
 };
 
 use super::{
-    connections::Connections,
+    connections::{
+        Connections,
+        MIN_IDLE, //
+    },
     link::network,
     service::{
         Incoming,
@@ -221,15 +224,22 @@
         }
     }
 
+    /// Evicts a connection if there are as many as allowed.
+    ///
+    /// Peers keep their connections, so without that the last ones to come would never be answered.
+    async fn make_room(&self) {
+        while self.permits.available_permits() == 0 && !self.connections.evict_least_recently_used()
+        {
+            sleep(MIN_IDLE).await;
+        }
+    }
+
     async fn accept(&self, listener: &TcpListener) {
         let Ok((stream, from)) = listener.accept().await else {
             sleep(ACCEPT_PAUSE).await;
             return;
         };
-        if self.permits.available_permits() == 0 {
-            // Peers keep their connections: without that the last ones to come would never be answered.
-            self.connections.evict_idlest();
-        }
+        self.make_room().await;
         let Ok(permit) = self.permits.clone().acquire_owned().await else {
             // The semaphore is never closed.
             return;
