node: a gauge with the number of workers of each class of speed

Cause: an operator could not see how many workers count as slow or fast. Change: fulmarpier_worker_speed{class} counts the listed workers. Measured: the new tests of the counts and of the gauge pass.

--- a/crates/cell/src/engine/view.rs
+++ b/crates/cell/src/engine/view.rs
@@ -15,6 +15,7 @@
         Cancellation,
         Outcome, //
     },
+    speed::Class,
     workspace::{
         WorkspaceName,
         is_seen_by, //
@@ -53,7 +54,7 @@
 }
 
 /// The numbers of an engine's jobs, steps, runs and workers, for metrics.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Counts {
     /// Jobs, ended ones included.
     pub jobs: usize,
@@ -75,6 +76,8 @@
     pub workers_not_yet_heard: usize,
     /// Workers in data centres that are evacuated.
     pub workers_evacuated: usize,
+    /// Listed workers of each class of speed, slowest first.
+    pub workers_by_speed: [(Class, usize); Class::ALL.len()],
 }
 
 impl Engine {
@@ -203,6 +206,13 @@
             workers_silent: silent,
             workers_not_yet_heard: not_yet_heard.count(),
             workers_evacuated: evacuated.count(),
+            workers_by_speed: Class::ALL.map(|class| (class, self.count_workers(class))),
         }
     }
+
+    /// Returns the number of listed workers of a class of speed.
+    fn count_workers(&self, class: Class) -> usize {
+        let listed = self.workers.values().filter(|worker| worker.is_listed());
+        listed.filter(|worker| worker.speed_class == class).count()
+    }
 }
--- a/crates/cell/tests/cell/pace.rs
+++ b/crates/cell/tests/cell/pace.rs
@@ -137,6 +137,25 @@
     }
 }
 
+/// Guards against workers that are counted in no class, or in one that they no longer have.
+#[test]
+fn workers_are_counted_by_class() {
+    let counts = |world: &World| {
+        world
+            .engine
+            .counts()
+            .workers_by_speed
+            .map(|(_, count)| count)
+    };
+    let mut world = World::sized(1, Faults::default(), WORKERS, &NODES);
+    world.run(SECOND);
+    assert_eq!(counts(&world), [0, 24, 0]);
+    set_classes(&mut world, |slot| class_of(slot, WORKERS));
+    assert_eq!(counts(&world), [8, 8, 8]);
+    set_classes(&mut world, |_| Class::Fast);
+    assert_eq!(counts(&world), [0, 0, 24]);
+}
+
 /// Returns the slots on which tasks of jobs were placed.
 fn slots_of(world: &World, jobs: &[JobId]) -> Vec<u32> {
     let placed = world
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -73,6 +73,7 @@
     engine_state: Gauge<u64>,
     workspaces: Gauge<u64>,
     shares: Gauge<u64>,
+    worker_speeds: Gauge<u64>,
     suppressed_lines: Counter<u64>,
     lost_reports: Counter<u64>,
     rejected: Counter<u64>,
@@ -135,6 +136,10 @@
                 "fulmarpier_workspace_share",
                 "How the usage of workspaces compares with their shares, by workspace and kind.",
             ),
+            worker_speeds: registry.gauge(
+                "fulmarpier_worker_speed",
+                "How many workers are slower or faster than others of their pool, by class.",
+            ),
             suppressed_lines: registry.counter(
                 "fulmarpier_log_lines_left_out",
                 "Lines left out of the log by kind.",
@@ -279,6 +284,11 @@
                 .engine_state
                 .record(value, &[KeyValue::new("kind", kind)]);
         }
+        for (class, value) in counts.workers_by_speed {
+            let value = u64::try_from(value).unwrap_or(u64::MAX);
+            let labels = [KeyValue::new("class", class.as_str())];
+            self.0.worker_speeds.record(value, &labels);
+        }
         for (kind, value) in [("epoch", epoch), ("view_ms", millis(staleness))] {
             let labels = [KeyValue::new("kind", kind)];
             self.0.engine_state.record(value, &labels);
@@ -451,7 +461,7 @@
             speed,
             class,
             runs,
-        } => slog::info!(log, "speed"; "worker" => worker.as_str(), "speed" => speed.get(),
+        } => slog::info!(log, "speed"; "worker" => worker.as_str(), "speed" => %speed,
             "class" => class.as_str(), "runs" => runs),
         LogRecord::Lost {
             task,
--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -1,6 +1,7 @@
 //! Tests of whole nodes that talk to each other over loopback and use an in-memory platform.
 
 mod evacuation;
+mod gauges;
 mod history;
 mod invalid_records;
 mod platform;
