cell: drop the remaining time of runs

Cause: no decision used it. Preemption chooses victims without it. Change: Allocation::remaining and Track::remaining are removed, and the readings of runs that show no speed, which only they needed. Measured: the tests of the estimation and of placement by speed pass, as before.

--- a/crates/cell/src/engine/progress.rs
+++ b/crates/cell/src/engine/progress.rs
@@ -68,7 +68,9 @@
                     progress,
                     at: now,
                 };
-                self.observe_reading(slot, (run.task, run.run), reading);
+                self.observe(slot, (run.task, run.run), |observation, estimate, pool| {
+                    observation.read(reading, estimate, pool);
+                });
             }
         }
         let last_processed = self.workers.get(&slot);
@@ -85,39 +87,24 @@
         self.update_speed(slot, now);
     }
 
-    /// Adds a reading of the progress of a run, which shows the speed of its worker if its step allows that.
-    fn observe_reading(&mut self, slot: Slot, run: (TaskId, Run), reading: Reading) {
-        let is_observed = self.observe(slot, run, |observation, estimate, pool| {
-            observation.read(reading, estimate, pool);
-        });
-        let worker = self.workers.get_mut(&slot);
-        let allocation = worker.and_then(|worker| worker.allocations.get_mut(&run));
-        if !is_observed
-            && let Some(allocation) = allocation
-            && let Phase::Running { track, .. } = &mut allocation.phase
-        {
-            track.read(reading);
-        }
-    }
-
-    /// Observes a run with what is known of its worker, its step and its pool. Returns `false`, and does nothing, if the
-    /// run can't show the speed of its worker.
+    /// Observes a run with what is known of its worker, its step and its pool. Does nothing if the run can't show the
+    /// speed of its worker.
     fn observe(
         &mut self,
         slot: Slot,
         run: (TaskId, Run),
         act: impl FnOnce(&mut Observation<'_>, &mut Estimate, &mut Pool),
-    ) -> bool {
+    ) {
         let Some(worker) = self.workers.get_mut(&slot) else {
-            return false;
+            return;
         };
         let Some(step) = baseline(&mut self.jobs, &worker.registration, run.0) else {
-            return false;
+            return;
         };
         let allocation = worker.allocations.get_mut(&run);
         let Some(Phase::Running { track, .. }) = allocation.map(|allocation| &mut allocation.phase)
         else {
-            return false;
+            return;
         };
         let pool = worker.registration.pool.clone();
         let pool = self.pools.entry(pool).or_default();
@@ -128,7 +115,6 @@
             step,
         };
         act(&mut observation, estimate, pool);
-        true
     }
 
     /// Updates the speed and the class of a worker.
--- a/crates/cell/src/speed/track.rs
+++ b/crates/cell/src/speed/track.rs
@@ -113,13 +113,4 @@
     pub fn span_to_end(&self, clock: u64) -> Option<Span> {
         Span::new(self.first.as_ref()?, clock, 100.0)
     }
-
-    /// Returns the remaining time of the run if it goes on at its pace; `None` if the pace is unknown or zero.
-    pub fn remaining(&self, now: Timestamp) -> Option<Duration> {
-        let span = self.span().filter(|span| span.percent > 0.0)?;
-        let last = self.last?;
-        let left = 100.0 - last.progress.percent();
-        let left = Duration::try_from_secs_f64(left * span.seconds / span.percent).ok()?;
-        Some(left.saturating_sub(now.since(last.at)))
-    }
 }
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -108,14 +108,6 @@
             };
         }
     }
-
-    /// Returns the remaining time of the run if it goes on at its pace; `None` if that is not known.
-    pub fn remaining(&self, now: Timestamp) -> Option<Duration> {
-        match &self.phase {
-            Phase::Running { track, .. } => track.remaining(now),
-            Phase::Recording | Phase::Starting | Phase::Stopping { .. } => None,
-        }
-    }
 }
 
 /// A reading of a worker's clock.
