--- a/crates/cell/tests/cell/speed/mod.rs
+++ b/crates/cell/tests/cell/speed/mod.rs
@@ -49,6 +49,7 @@
 /// An urgent step of three tasks that looks for fast workers gets them all, most of the time, only if nine in ten are in
 /// their true class. Speeds that differ by less than the work of a step's tasks take longer to tell apart.
 #[rstest]
+#[case::wide(&WIDE, 0.3, 0.03, 10)]
 #[case::narrow(&NARROW, 0.3, 0.03, 30)]
 #[case::narrow_with_even_tasks(&NARROW, 0.15, 0.0, 12)]
 fn nine_workers_in_ten_are_in_their_true_class(
@@ -94,9 +95,48 @@
     }
 }
 
+/// Changes the speed of some workers by a factor, and returns the part of them that are in a class after some seconds with
+/// at least three tasks under way: two slow ones may be stragglers.
+fn share_after_change(
+    play: &mut Play,
+    workers: usize,
+    factor: f64,
+    seconds: u64,
+    class: Class,
+) -> f64 {
+    for worker in &mut play.workers[..workers] {
+        worker.hidden *= factor;
+        worker.work_ms = 0;
+    }
+    let mut classes = vec![None; workers];
+    for _ in 0..300 {
+        play.run(100);
+        for (worker, found) in play.workers.iter().zip(&mut classes) {
+            if worker.work_ms >= seconds * 1_000 {
+                found.get_or_insert(worker.class);
+            }
+        }
+    }
+    let right = classes.iter().filter(|found| **found == Some(class));
+    right.count() as f64 / workers as f64
+}
+
+/// Guards against workers that keep the class that they had before a fault, or after its repair.
+#[rstest]
+fn a_worker_that_becomes_slow_is_noticed_and_recovers(#[values(1, 2, 3, 4, 5)] seed: u64) {
+    const FAULTY: usize = 40;
+    let mut play = pool(&[1.0], seed);
+    play.run(20_000);
+    let noticed = share_after_change(&mut play, FAULTY, 1.0 / 7.5, 3, Class::Slow);
+    assert!(noticed >= 0.9, "only {noticed} are noticed");
+    let recovered = share_after_change(&mut play, FAULTY, 7.5, 5, Class::Typical);
+    assert!(recovered >= 0.9, "only {recovered} have recovered");
+}
+
 /// Guards against workers that report their progress wrongly now and then.
 #[rstest]
 #[case::back(|percent: f64, rng: &mut SmallRng| percent * rng.random_range(0.0..1.0_f64))]
+#[case::jump(|_: f64, _: &mut SmallRng| 99.0)]
 #[case::not_a_number(|_: f64, _: &mut SmallRng| f64::NAN)]
 #[case::out_of_range(|_: f64, rng: &mut SmallRng| rng.random_range(-1e9..1e9))]
 fn invalid_progress_does_not_change_classes(
--- a/crates/cell/tests/cell/speed/play.rs
+++ b/crates/cell/tests/cell/speed/play.rs
@@ -50,6 +50,8 @@
 pub(crate) struct Worker {
     pub(crate) hidden: f64,
     pub(crate) class: Class,
+    /// For how long it has had at least three tasks under way.
+    pub(crate) work_ms: u64,
     pub(crate) estimate: Estimate,
     pub(crate) current: Estimate,
     tasks: Vec<Task>,
@@ -94,6 +96,7 @@
         let workers = speeds.iter().cycle().take(count).map(|speed| Worker {
             hidden: *speed,
             class: Class::default(),
+            work_ms: 0,
             estimate: pool.unknown(),
             current: pool.unknown(),
             tasks: Vec::new(),
@@ -215,6 +218,9 @@
     /// Lets a worker work for a tick, and processes its inventory if one is due.
     fn advance(&mut self, index: usize) {
         let worker = &mut self.workers[index];
+        if worker.tasks.len() >= 3 {
+            worker.work_ms += TICK_MS;
+        }
         for task in &mut worker.tasks {
             task.done += worker.hidden * TICK_MS as f64 / 1_000.0;
             worker.has_end |= task.done >= task.work;
