cell: judge runs again while their steps become known

A run that ended soon was compared with the few runs of its step that were known by then, by rates of workers whose speeds were not known either. Speeds came out too close to each other at first, drifted apart where short steps ran on fast workers only, and a worker that had recovered was judged by its longest runs.

Runs now count for good after 3 s and are compared again until then, with the current speeds of up to eight other workers of their step. The end of a run counts as its completion, so that short runs count too. The bias of runs by the duration of their steps is learned and taken out, and a run whose pace has changed is compared with itself. The difference that makes a class follows from how much the speeds of the pool differ.

The gauge of the owner's state counts the workers by class.

--- a/crates/cell/examples/fleet.rs
+++ b/crates/cell/examples/fleet.rs
@@ -56,6 +56,7 @@
         Step, //
     },
     record::Accepted,
+    speed::Progress,
 };
 use fulmarpier_state::{
     alias::HashMap,
@@ -179,7 +180,8 @@
 /// A simulated worker that carries out all orders.
 #[derive(Default)]
 struct SimulatedWorker {
-    running: BTreeMap<TaskId, Run>,
+    /// The runs, with their starts and durations.
+    running: BTreeMap<TaskId, (Run, Timestamp, Duration)>,
     ended: Vec<Ended>,
     serial: u64,
     /// When the pending call that waits for an end was made.
@@ -188,7 +190,7 @@
 
 impl SimulatedWorker {
     fn end(&mut self, task: TaskId, run: Run, reason: ExitReason) {
-        if self.running.get(&task) != Some(&run) {
+        if self.running.get(&task).map(|(run, ..)| *run) != Some(run) {
             return;
         }
         self.running.remove(&task);
@@ -203,13 +205,19 @@
     }
 
     fn inventory(&self, now: Timestamp) -> HeartbeatAnswer {
-        let running = self.running.iter().map(|(task, run)| Running {
-            task: *task,
-            run: *run,
-            checkpoint: None,
-            load: 0,
-            progress: None,
-        });
+        let running = self
+            .running
+            .iter()
+            .map(|(task, (run, started, duration))| Running {
+                task: *task,
+                run: *run,
+                checkpoint: None,
+                load: 0,
+                progress: {
+                    let done = started.until(now).as_secs_f64() / duration.as_secs_f64();
+                    Progress::try_from((100.0 * done).floor()).ok()
+                },
+            });
         HeartbeatAnswer::Inventory(Inventory {
             incarnation: None,
             clock: u64::try_from(now.since(Timestamp::ZERO).as_millis()).unwrap_or(0),
@@ -307,7 +315,7 @@
                 let delay = Duration::from_millis(self.rng.random_range(shortest..longest));
                 self.starts += 1;
                 if let Some(simulated_worker) = self.simulated_workers.get_mut(&worker) {
-                    simulated_worker.running.insert(task, run);
+                    simulated_worker.running.insert(task, (run, now, delay));
                 }
                 self.schedule(delay, Event::End(worker.clone(), task, run));
                 self.call_engine(|engine, now| {
--- a/crates/cell/src/engine/view.rs
+++ b/crates/cell/src/engine/view.rs
@@ -15,6 +15,7 @@
         Cancellation,
         Outcome, //
     },
+    speed::Class,
     workspace::{
         WorkspaceName,
         is_seen_by, //
@@ -75,6 +76,8 @@
     pub workers_not_yet_heard: usize,
     /// Workers in data centres that are evacuated.
     pub workers_evacuated: usize,
+    /// Workers that answer, by the class of their speed, in the order of [`Class::ALL`].
+    pub workers_by_speed: [usize; Class::ALL.len()],
 }
 
 impl Engine {
@@ -172,9 +175,11 @@
         let silent = workers
             .filter(|worker| worker.silent_since.is_some())
             .count();
-        let heard = self.workers.values().filter(|worker| {
-            worker.heard.is_some() && worker.silent_since.is_none() && worker.is_listed()
-        });
+        let answering = || {
+            self.workers.values().filter(|worker| {
+                worker.heard.is_some() && worker.silent_since.is_none() && worker.is_listed()
+            })
+        };
         let not_yet_heard = self.workers.values();
         let not_yet_heard =
             not_yet_heard.filter(|worker| worker.heard.is_none() && !worker.allocations.is_empty());
@@ -190,10 +195,15 @@
                 .map(|worker| worker.allocations.len())
                 .sum(),
             listed_runs: self.workers.values().map(|worker| worker.listed_runs).sum(),
-            workers_heard: heard.count(),
+            workers_heard: answering().count(),
             workers_silent: silent,
             workers_not_yet_heard: not_yet_heard.count(),
             workers_evacuated: evacuated.count(),
+            workers_by_speed: Class::ALL.map(|class| {
+                answering()
+                    .filter(|worker| worker.speed_class == class)
+                    .count()
+            }),
         }
     }
 }
--- a/crates/cell/src/speed/estimate.rs
+++ b/crates/cell/src/speed/estimate.rs
@@ -14,7 +14,12 @@
 /// The maximum weight of an estimate, in runs. An estimate follows a gradual change within as many runs.
 const MAX_WEIGHT: f64 = 32.0;
 /// The weight from which a worker can be told from a typical one: a single run may be a straggler.
-const MIN_CLASS_WEIGHT: f64 = 2.0;
+const MIN_CLASS_WEIGHT: f64 = 1.0;
+/// The weight below which a fast or slow worker counts as typical again, because it has not run anything for long.
+const MIN_KNOWN_WEIGHT: f64 = 0.25;
+/// The least weight by which a fast or slow worker counts as typical again. A worker that is slow does not become typical
+/// because the estimate is less certain for a while.
+const MIN_EXIT_WEIGHT: f64 = 4.0;
 /// The weight of an estimate is halved for each such period without a run: the worker may have changed meanwhile.
 const HALF_LIFE: Duration = Duration::from_secs(30);
 /// The deviation up to which an observation counts in full, in standard deviations.
@@ -22,9 +27,11 @@
 /// The deviation from which an observation is a surprise, in standard deviations. A task that takes seven times as long
 /// as the others of its step deviates by some six.
 const SURPRISE_DEVIATION: f64 = 3.0;
-/// The weight of consecutive surprises on one side that shows that the worker has changed. With 3% of stragglers, one run
-/// in a thousand is the second straggler in a row.
-const MAX_SURPRISES: f64 = 1.5;
+/// The evidence of consecutive surprises on one side that shows that the worker has changed. With 3% of stragglers, one run
+/// in 37,000 is the third straggler in a row.
+const MAX_EVIDENCE: i8 = 3;
+/// The weight from which a run is a surprise.
+const MIN_SURPRISE_WEIGHT: f64 = 0.2;
 
 /// The smallest factor between a worker's speed and the typical speed that matters.
 const MIN_DIFFERENCE: f64 = 1.1;
@@ -33,24 +40,24 @@
 const ALIKE_DEVIATIONS: f64 = 3.6;
 /// The same if the speeds of the pool differ by far more than the uncertainty of an estimate: the mistakes on either side
 /// of the limit are then about as frequent.
-const UNALIKE_DEVIATIONS: f64 = 1.2;
+const UNALIKE_DEVIATIONS: f64 = 1.3;
 /// The smallest difference in standard deviations of the pool's speeds. It is half of the distance between three groups
 /// of equal size and equal distance, whose standard deviation is 0.82 times that distance.
-const MIN_SPREADS: f64 = 0.6;
+const MIN_SPREADS: f64 = 0.65;
 /// The part of the difference that made a worker fast or slow at which it counts as typical again.
-const EXIT_RATIO: f64 = 0.8;
+const EXIT_RATIO: f64 = 0.9;
 
 /// The estimated speed of a worker, on a scale that only its [`Pool`] relates to the typical speed.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Estimate {
     /// The natural logarithm of the speed.
-    pub(super) log: f64,
+    log: f64,
     /// The number of runs that the estimate was worth when it was updated.
-    pub(super) weight: f64,
+    weight: f64,
     /// When it was updated.
     updated: Timestamp,
-    /// The weight of the latest consecutive surprises; negative if the runs were slower than expected.
-    surprises: f64,
+    /// The evidence of the latest consecutive surprises; negative if the runs were slower than expected.
+    evidence: i8,
 }
 
 /// How an observation deviates from an estimate.
@@ -69,10 +76,20 @@
             log,
             weight,
             updated: Timestamp::ZERO,
-            surprises: 0.0,
+            evidence: 0,
         }
     }
 
+    /// Returns the natural logarithm of the speed.
+    pub(super) const fn log(&self) -> f64 {
+        self.log
+    }
+
+    /// Returns the number of runs that the estimate was worth when it was updated.
+    pub(super) const fn last_weight(&self) -> f64 {
+        self.weight
+    }
+
     /// Returns the number of runs that the estimate is worth.
     pub fn weight(&self, now: Timestamp) -> f64 {
         let age = now.since(self.updated).as_secs_f64();
@@ -93,13 +110,23 @@
         Speed::from_log(self.log - pool.typical())
     }
 
-    /// Adds the observation of a run.
-    pub(super) fn add(&mut self, observed: Share, pool: &Pool, now: Timestamp) -> Deviation {
+    /// Adds the observation of a run. If it is a surprise, it counts `evidence` for a change of the worker.
+    pub(super) fn add(
+        &mut self,
+        observed: Share,
+        evidence: i8,
+        pool: &Pool,
+        now: Timestamp,
+    ) -> Deviation {
         let prior = pool.prior_weight();
         self.weight = self.weight(now).max(prior);
         self.updated = now;
         let deviation = observed.log() - self.log;
-        if self.is_changed_by(deviation, observed.weight(), pool) {
+        let limit = SURPRISE_DEVIATION * self.standard_deviation(observed.weight(), pool);
+        let is_surprise = deviation.abs() > limit;
+        if observed.weight() >= MIN_SURPRISE_WEIGHT
+            && self.is_changed_by(deviation, if is_surprise { evidence } else { 0 })
+        {
             self.weight = prior;
         }
         let scale = self.standard_deviation(observed.weight(), pool);
@@ -120,19 +147,16 @@
         pool.noise() * (1.0 / self.weight + 1.0 / weight).sqrt()
     }
 
-    /// Counts surprises, and returns whether the worker must have changed.
-    fn is_changed_by(&mut self, deviation: f64, weight: f64, pool: &Pool) -> bool {
-        let is_surprise =
-            deviation.abs() > SURPRISE_DEVIATION * self.standard_deviation(weight, pool);
-        if !is_surprise || self.surprises * deviation < 0.0 {
-            self.surprises = 0.0;
-        }
-        if is_surprise {
-            self.surprises += weight * deviation.signum();
-        }
-        let is_changed = self.surprises.abs() >= MAX_SURPRISES;
+    /// Adds the evidence of a run, and returns whether the worker must have changed.
+    fn is_changed_by(&mut self, deviation: f64, evidence: i8) -> bool {
+        let evidence = if deviation > 0.0 { evidence } else { -evidence };
+        self.evidence = match evidence.signum() == self.evidence.signum() {
+            true => self.evidence + evidence,
+            false => evidence,
+        };
+        let is_changed = self.evidence.abs() >= MAX_EVIDENCE;
         if is_changed {
-            self.surprises = 0.0;
+            self.evidence = 0;
         }
         is_changed
     }
@@ -140,13 +164,16 @@
     /// Returns the class of the worker, which was `former` before.
     pub fn class(&self, former: Class, pool: &Pool, now: Timestamp) -> Class {
         let weight = self.weight(now);
-        if weight < MIN_CLASS_WEIGHT && former == Class::Typical {
+        let min_weight = match former {
+            Class::Typical => MIN_CLASS_WEIGHT,
+            Class::Slow | Class::Fast => MIN_KNOWN_WEIGHT,
+        };
+        if weight < min_weight {
             return Class::Typical;
         }
-        let entry = Self::min_difference(weight, pool);
         let limit = |class| match class == former {
-            true => entry * EXIT_RATIO,
-            false => entry,
+            true => EXIT_RATIO * Self::min_difference(weight.max(MIN_EXIT_WEIGHT), pool),
+            false => Self::min_difference(weight, pool),
         };
         match self.log - pool.typical() {
             difference if difference > limit(Class::Fast) => Class::Fast,
--- a/crates/cell/src/speed/mod.rs
+++ b/crates/cell/src/speed/mod.rs
@@ -8,15 +8,19 @@
 //! | `progress` | the progress that a worker reports |
 //! | `track` | the progress of a run over time |
 //! | `baseline` | the rate of a step's tasks on a typical worker |
+//! | `sample` | what a run shows of the speed of its worker |
 //! | `estimate` | the speed of a worker, and its class |
+//! | `profile` | what is known of the speed of one worker |
 //! | `pool` | the typical speed of a pool, and the noise of its runs |
-//! | `observe` | separates the effects of the step and of the worker |
+//! | `share` | weighted observations |
 
 mod baseline;
 mod estimate;
-mod observe;
 mod pool;
+mod profile;
 mod progress;
+mod sample;
+mod share;
 mod track;
 
 use std::{
@@ -25,18 +29,23 @@
     str::FromStr, //
 };
 
+use self::share::Share;
 pub use self::{
     baseline::{
         Baseline,
-        Share, //
+        View, //
     },
     estimate::Estimate,
-    observe::Observation,
     pool::Pool,
+    profile::{
+        Observed,
+        Profile, //
+    },
     progress::{
         OutOfRange,
         Progress, //
     },
+    sample::Sample,
     track::{
         Reading,
         Span,
--- a/crates/cell/src/speed/pool.rs
+++ b/crates/cell/src/speed/pool.rs
@@ -32,8 +32,9 @@
 /// The greatest logarithmic difference from the typical speed that counts for the spread.
 const MAX_DIFFERENCE: f64 = 1.0;
 /// The factor by which the variance of estimates exceeds what follows from their weights: runs of one step share the
-/// error of their baseline, and some are stragglers. Simulated pools have 1.2.
-const EXCESS_VARIANCE: f64 = 1.3;
+/// error of their baseline, and some are stragglers. In simulated pools, the factor is up to 1.3; the spread of a pool of
+/// equal workers must come out as zero.
+const EXCESS_VARIANCE: f64 = 1.4;
 
 /// A weighted mean whose memory is bounded.
 #[derive(Clone, Copy, Debug)]
@@ -132,22 +133,22 @@
     /// Each worker counts once, however many runs it has had, so that steps that run only on fast workers do not shift
     /// the typical speed.
     pub fn recentre(&mut self, estimates: impl Iterator<Item = Estimate>) {
-        let known = estimates.filter(|estimate| estimate.weight >= MIN_ESTIMATE_WEIGHT);
+        let known = estimates.filter(|estimate| estimate.last_weight() >= MIN_ESTIMATE_WEIGHT);
         let mut known: Vec<Estimate> = known.collect();
         let Some(last) = known.len().checked_sub(1) else {
             return;
         };
         let trimmed = known.len() / TRIMMED_DIVISOR;
-        let order = |one: &Estimate, other: &Estimate| one.log.total_cmp(&other.log);
+        let order = |one: &Estimate, other: &Estimate| one.log().total_cmp(&other.log());
         known.select_nth_unstable_by(trimmed, order);
         known[trimmed..].select_nth_unstable_by(last - 2 * trimmed, order);
         let middle = known[trimmed..=last - trimmed].iter();
-        self.typical = mean(middle.map(|estimate| estimate.log));
+        self.typical = mean(middle.map(|estimate| estimate.log()));
         let noise = EXCESS_VARIANCE * self.noise().powi(2);
         let excess = known.iter().map(|estimate| {
-            let difference = estimate.log - self.typical;
+            let difference = estimate.log() - self.typical;
             let difference = difference.clamp(-MAX_DIFFERENCE, MAX_DIFFERENCE);
-            difference.powi(2) - noise / estimate.weight
+            difference.powi(2) - noise / estimate.last_weight()
         });
         self.spread = mean(excess).max(0.0).sqrt();
     }
--- a/crates/cell/src/speed/track.rs
+++ b/crates/cell/src/speed/track.rs
@@ -5,16 +5,18 @@
 use fulmarpier_state::clock::Timestamp;
 
 use super::{
+    Estimate,
     Progress,
-    Share, //
+    Sample,
+    Share,
+    share::difference_weight, //
 };
 
 /// A change of pace within a run by more than this factor shows that its worker has become faster or slower, since the
-/// work of a run does not change. Slowdowns that matter are by a factor of seven, and rounded percentages cause changes
-/// by up to 1.5.
+/// work of a run does not change. Slowdowns that matter are by a factor of seven.
 const MIN_CHANGE_FACTOR: f64 = 2.0;
-/// The progress, in per cent, from which paces are compared: rounding changes it by a fifth at most.
-const MIN_COMPARED_PERCENT: f64 = 5.0;
+/// The error of the progress over a span, in per cent: workers round percentages to integers.
+const ROUNDING_ERROR_PERCENT: f64 = 1.0;
 /// The progress that is assumed for a run that shows none, in per cent: the mean of what is rounded down to zero.
 const STANDSTILL_PERCENT: f64 = 0.5;
 
@@ -58,13 +60,22 @@
         (self.percent.max(STANDSTILL_PERCENT) / 100.0 / self.seconds).ln()
     }
 
+    /// Returns the logarithm of the rate on a typical worker, by the estimate of the worker.
+    fn typical_rate(self, estimate: &Estimate, now: Timestamp) -> Share {
+        // The weight of a rate whose only error is rounding.
+        let weight = self.percent.powi(2) / 2.0;
+        Share::new(
+            self.log_rate() - estimate.log(),
+            difference_weight(weight, estimate.weight(now)),
+        )
+    }
+
     /// Returns whether a later span is certainly of another pace.
     fn differs(self, later: Self) -> bool {
-        let expected = self.percent / self.seconds * later.seconds;
-        let is_comparable = self.percent >= MIN_COMPARED_PERCENT
-            && expected.max(later.percent) >= MIN_COMPARED_PERCENT;
-        let change = later.log_rate() - self.log_rate();
-        is_comparable && change.abs() > MIN_CHANGE_FACTOR.ln()
+        let min_rate = |span: Self| (span.percent - ROUNDING_ERROR_PERCENT) / span.seconds;
+        let max_rate = |span: Self| (span.percent + ROUNDING_ERROR_PERCENT) / span.seconds;
+        min_rate(later) > MIN_CHANGE_FACTOR * max_rate(self)
+            || min_rate(self) > MIN_CHANGE_FACTOR * max_rate(later)
     }
 }
 
@@ -73,6 +84,8 @@
 pub struct Track {
     first: Option<Reading>,
     last: Option<Reading>,
+    /// The run's own rate on a typical worker, if its pace has changed and was known before.
+    own_rate: Option<Share>,
     /// What the run counts in the baseline of its step.
     pub(super) share: Share,
     /// Whether the run counts for its worker already. One run counts once for each pace that it shows.
@@ -82,11 +95,15 @@
 }
 
 impl Track {
-    /// Adds a reading. If the run's pace has changed, returns what was measured before the change.
+    /// Adds a reading. If the run's pace has changed, returns what it showed before the change, if that does not count
+    /// already.
+    ///
+    /// A run whose pace has changed is compared with itself from then on, because runs with much work are the likeliest to
+    /// outlast a change. `estimate` is that of its worker before the change.
     ///
     /// Readings of completed work are ignored, since it may have been completed before. After a reading that contradicts
     /// an earlier one, measuring begins again, and a run whose progress went back does not count any more.
-    pub fn read(&mut self, reading: Reading) -> Option<Span> {
+    pub fn read(&mut self, reading: Reading, estimate: Option<&Estimate>) -> Option<Sample> {
         if reading.progress.is_complete() {
             return None;
         }
@@ -100,17 +117,45 @@
         };
         let former = self.first.and_then(|first| Span::between(&first, &last));
         let former = former.filter(|former| former.differs(increment) && !self.is_contradictory)?;
-        self.first = Some(last);
-        Some(former)
+        let sample = self.sample_of(former);
+        // The increment may contain both paces.
+        self.first = Some(reading);
+        self.is_counted = false;
+        self.own_rate = estimate.map(|estimate| former.typical_rate(estimate, reading.at));
+        sample
+    }
+
+    /// Returns what the run has shown so far, if that does not count already.
+    pub(super) fn sample(&self) -> Option<Sample> {
+        self.sample_of(self.span()?)
+    }
+
+    /// Returns what the run has shown until its end, if that does not count already.
+    pub(super) fn final_sample(&self, span: Span) -> Option<Sample> {
+        let sample = self.sample_of(span)?;
+        Some(Sample {
+            is_ended: true,
+            ..sample
+        })
+    }
+
+    fn sample_of(&self, span: Span) -> Option<Sample> {
+        let first = self.first.filter(|_| !self.is_counted)?;
+        Some(Sample {
+            span,
+            since: first.at,
+            own_rate: self.own_rate,
+            is_ended: false,
+        })
     }
 
     /// Returns what was measured, if there are two readings.
-    pub fn span(&self) -> Option<Span> {
+    pub(super) fn span(&self) -> Option<Span> {
         Span::between(self.first.as_ref()?, self.last.as_ref()?)
     }
 
     /// Returns what was measured of a run that was done by the time `clock` of the worker's clock.
-    pub fn span_to_end(&self, clock: u64) -> Option<Span> {
+    pub(super) fn span_to_end(&self, clock: u64) -> Option<Span> {
         Span::new(self.first.as_ref()?, clock, 100.0)
     }
 
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -29,7 +29,7 @@
     },
     speed::{
         Class,
-        Estimate,
+        Profile,
         Track, //
     },
 };
@@ -109,6 +109,19 @@
         }
     }
 
+    /// Returns whether the run is known to run.
+    pub(crate) const fn is_running(&self) -> bool {
+        matches!(self.phase, Phase::Running { .. })
+    }
+
+    /// Returns the progress of the run for modification, if it is known to run.
+    pub(crate) const fn track_mut(&mut self) -> Option<&mut Track> {
+        match &mut self.phase {
+            Phase::Running { track, .. } => Some(track),
+            Phase::Recording | Phase::Starting | Phase::Stopping { .. } => None,
+        }
+    }
+
     /// Returns the remaining time of the run if it goes on at its pace; `None` if that is not known.
     pub fn remaining(&self, now: Timestamp) -> Option<Duration> {
         match &self.phase {
@@ -217,10 +230,8 @@
     pub failures: u32,
     /// The share of the processor time that its best-effort tasks may use.
     pub throttling: Throttling,
-    /// Its speed according to the runs that are counted; `None` if it is unknown.
-    pub settled_speed: Option<Estimate>,
-    /// The same with what the runs under way have shown so far.
-    pub speed: Option<Estimate>,
+    /// What its runs show of its speed.
+    pub speed: Profile<StepId>,
     /// How its speed compares with its pool.
     pub speed_class: Class,
     clock_reading: Option<ClockReading>,
@@ -261,8 +272,7 @@
             backoff_until: Timestamp::ZERO,
             failures: 0,
             throttling: Throttling::default(),
-            settled_speed: None,
-            speed: None,
+            speed: Profile::default(),
             speed_class: Class::default(),
             clock_reading: None,
             leases_end,
--- a/crates/cell/tests/cell/speed/play.rs
+++ b/crates/cell/tests/cell/speed/play.rs
@@ -5,13 +5,13 @@
 use fulmarpier_cell::speed::{
     Baseline,
     Class,
-    Estimate,
-    Observation,
+    Observed,
     Pool,
+    Profile,
     Progress,
     Reading,
-    Speed,
-    Track, //
+    Track,
+    View, //
 };
 use fulmarpier_state::clock::Timestamp;
 use rand::{
@@ -24,12 +24,12 @@
 const TICK_MS: u64 = 10;
 /// The longest time between two inventories of a worker.
 const MAX_INVENTORY_INTERVAL_MS: u64 = 1_000;
-/// The shortest time between two inventories of a worker: a round trip.
-const MIN_INVENTORY_INTERVAL_MS: u64 = 60;
-/// The part of the tasks that take longer than the others of their step, and by which factor.
-const STRAGGLERS: (f64, f64) = (0.03, 7.0);
-/// The spread of the work of a step's tasks.
-const WORK_SPREAD: f64 = 0.3;
+/// How much more work a straggler has.
+const STRAGGLER_FACTOR: f64 = 7.0;
+/// One of so many percentages is wrong, if any are.
+const DISTORTED: u32 = 50;
+/// The capacity of a worker.
+const MAX_TASKS_PER_WORKER: usize = 10;
 /// The number of tasks that are started per worker and second.
 const TASKS_PER_WORKER_SECOND: f64 = 1.6;
 
@@ -51,8 +51,9 @@
 pub(crate) struct Worker {
     pub(crate) hidden: f64,
     pub(crate) class: Class,
-    pub(crate) estimate: Estimate,
-    pub(crate) current: Estimate,
+    /// For how long it has had at least three tasks under way.
+    pub(crate) work_ms: u64,
+    pub(crate) profile: Profile<usize>,
     tasks: Vec<Task>,
     last_inventory: u64,
     has_end: bool,
@@ -74,8 +75,14 @@
     pub(crate) workers: Vec<Worker>,
     pub(crate) pool: Pool,
     pub(crate) placement: Placement,
-    /// A change to the percentage that a worker reports, by worker.
-    pub(crate) distort: fn(usize, f64, &mut SmallRng) -> f64,
+    /// What workers report instead of a percentage, once in [`DISTORTED`] times.
+    pub(crate) distort: Option<fn(f64, &mut SmallRng) -> f64>,
+    /// The spread of the work of a step's tasks.
+    pub(crate) work_spread: f64,
+    /// The part of the tasks that are stragglers.
+    pub(crate) stragglers: f64,
+    /// The shortest time between two inventories of a worker: a round trip, and the recording of the ends.
+    pub(crate) min_inventory_interval_ms: u64,
     is_observed: bool,
     steps: BTreeMap<usize, Baseline>,
     next_step: usize,
@@ -91,8 +98,8 @@
         let workers = speeds.iter().cycle().take(count).map(|speed| Worker {
             hidden: *speed,
             class: Class::default(),
-            estimate: pool.unknown(),
-            current: pool.unknown(),
+            work_ms: 0,
+            profile: Profile::default(),
             tasks: Vec::new(),
             last_inventory: rng.random_range(0..MAX_INVENTORY_INTERVAL_MS),
             has_end: false,
@@ -102,7 +109,10 @@
             workers: workers.collect(),
             pool,
             placement: Placement::Any,
-            distort: |_, percent, _| percent,
+            distort: None,
+            work_spread: 0.3,
+            stragglers: 0.03,
+            min_inventory_interval_ms: 60,
             is_observed: true,
             steps: BTreeMap::new(),
             next_step: 0,
@@ -128,7 +138,8 @@
                 self.advance(index);
             }
             if self.now_ms.is_multiple_of(1_000) {
-                let estimates = self.workers.iter().map(|worker| worker.current);
+                let workers = self.workers.iter();
+                let estimates = workers.filter_map(|worker| worker.profile.estimate());
                 self.pool.recentre(estimates);
             }
         }
@@ -140,19 +151,7 @@
         matching.count() as f64 / self.workers.len() as f64
     }
 
-    /// Returns the part of the workers of a hidden speed that are in a class.
-    pub(crate) fn share_in(&self, hidden: f64, class: Class) -> f64 {
-        let all = self.workers.iter().filter(|worker| worker.hidden == hidden);
-        let right = all.clone().filter(|worker| worker.class == class);
-        right.count() as f64 / all.count() as f64
-    }
-
-    /// Returns the estimated speed of a worker.
-    pub(crate) fn speed(&self, worker: usize) -> Speed {
-        self.workers[worker].current.speed(&self.pool)
-    }
-
-    pub(crate) fn now(&self) -> Timestamp {
+    fn now(&self) -> Timestamp {
         Timestamp::from_millis(self.now_ms)
     }
 
@@ -176,9 +175,11 @@
         let duration = self.rng.random_range(0.5..3.0);
         let allowed = self.allowed(duration);
         let mut left = count;
-        while left > 0 {
+        // What finds no capacity is dropped.
+        for _ in 0..2 * count {
             let worker = allowed[self.rng.random_range(0..allowed.len())];
-            let tasks = self.rng.random_range(1..=4).min(left);
+            let free = MAX_TASKS_PER_WORKER - self.workers[worker].tasks.len();
+            let tasks = self.rng.random_range(1..=4).min(left).min(free);
             left -= tasks;
             for _ in 0..tasks {
                 let work = duration * self.work_factor();
@@ -212,85 +213,108 @@
     /// Draws the work of a task in relation to its step's; the sum of twelve uniform values is nearly normal.
     fn work_factor(&mut self) -> f64 {
         let normal: f64 = (0..12).map(|_| self.rng.random_range(0.0..1.0)).sum();
-        let factor = (WORK_SPREAD * (normal - 6.0)).exp();
-        match self.rng.random_bool(STRAGGLERS.0) {
-            true => factor * STRAGGLERS.1,
+        let factor = (self.work_spread * (normal - 6.0)).exp();
+        match self.rng.random_bool(self.stragglers) {
+            true => factor * STRAGGLER_FACTOR,
             false => factor,
         }
     }
 
     /// Lets a worker work for a tick, and processes its inventory if one is due.
     fn advance(&mut self, index: usize) {
-        let now = self.now();
         let worker = &mut self.workers[index];
+        if worker.tasks.len() >= 3 {
+            worker.work_ms += TICK_MS;
+        }
         for task in &mut worker.tasks {
             task.done += worker.hidden * TICK_MS as f64 / 1_000.0;
             worker.has_end |= task.done >= task.work;
         }
         let age = self.now_ms.saturating_sub(worker.last_inventory);
         let interval = match worker.has_end {
-            true => MIN_INVENTORY_INTERVAL_MS,
+            true => self.min_inventory_interval_ms,
             false => MAX_INVENTORY_INTERVAL_MS,
         };
-        if age < interval {
-            return;
+        if age >= interval {
+            worker.last_inventory = self.now_ms;
+            worker.has_end = false;
+            self.observe(index);
         }
-        worker.last_inventory = self.now_ms;
-        worker.has_end = false;
+    }
+
+    /// Processes the inventory of a worker.
+    fn observe(&mut self, index: usize) {
+        let now = self.now();
+        let views = self.views(index);
+        let view = |step: usize| views[&step];
+        let worker = &mut self.workers[index];
         let clock = self.now_ms + worker.clock_offset;
-        for mut task in std::mem::take(&mut worker.tasks) {
-            let Some(step) = self.steps.get_mut(&task.step) else {
-                continue;
-            };
-            let is_done = task.done >= task.work;
-            let percent = (self.distort)(index, task.percent(), &mut self.rng);
-            let mut run = Observation {
-                worker: index,
-                track: &mut task.track,
-                step,
-            };
-            if !self.is_observed {
-                if !is_done {
-                    worker.tasks.push(task);
+        let (done, mut running): (Vec<Task>, Vec<Task>) = std::mem::take(&mut worker.tasks)
+            .into_iter()
+            .partition(|task| task.done >= task.work);
+        if self.is_observed {
+            for task in &mut running {
+                let percent = match self.distort {
+                    Some(distort) if self.rng.random_ratio(1, DISTORTED) => {
+                        distort(task.percent(), &mut self.rng)
+                    }
+                    _ => task.percent(),
+                };
+                if let Ok(progress) = Progress::try_from(percent) {
+                    let reading = Reading {
+                        clock,
+                        progress,
+                        at: now,
+                    };
+                    let view = view(task.step);
+                    let run = observed(index, task, &mut self.steps, view.as_ref());
+                    worker.profile.read(run, reading, &self.pool);
                 }
-                continue;
-            }
-            if is_done {
-                run.end(clock, &mut worker.estimate, &mut self.pool, now);
-                continue;
             }
-            if let Ok(progress) = Progress::try_from(percent) {
-                let reading = Reading {
-                    clock,
-                    progress,
-                    at: now,
-                };
-                run.read(reading, &mut worker.estimate, &mut self.pool);
+            for mut task in done {
+                let view = view(task.step);
+                let run = observed(index, &mut task, &mut self.steps, view.as_ref());
+                worker.profile.end(run, clock, &self.pool);
             }
-            worker.tasks.push(task);
+            let tracks = running.iter_mut().map(|task| (task.step, &mut task.track));
+            worker.profile.update(tracks, view, &mut self.pool, now);
+        }
+        worker.tasks = running;
+        if let Some(estimate) = worker.profile.estimate() {
+            worker.class = estimate.class(worker.class, &self.pool, now);
         }
-        let current = self.current_estimate(index);
-        let worker = &mut self.workers[index];
-        worker.current = current;
-        worker.class = current.class(worker.class, &self.pool, now);
     }
 
-    /// Returns the estimate with what the runs under way have shown.
-    fn current_estimate(&mut self, index: usize) -> Estimate {
-        let now = self.now();
-        let worker = &mut self.workers[index];
-        let mut estimate = worker.estimate;
-        for task in &mut worker.tasks {
-            let Some(step) = self.steps.get_mut(&task.step) else {
-                continue;
-            };
-            let run = Observation {
-                worker: index,
-                track: &mut task.track,
-                step,
-            };
-            run.preview(&mut estimate, &self.pool, now);
-        }
-        estimate
+    /// Returns the baselines of the steps that a worker is compared with.
+    fn views(&self, index: usize) -> BTreeMap<usize, Option<View>> {
+        let worker = &self.workers[index];
+        let estimate = |id: u32| self.workers[id as usize].profile.estimate();
+        let steps = worker.tasks.iter().map(|task| task.step);
+        steps
+            .chain(worker.profile.open_steps())
+            .map(|step| {
+                let view = self.steps[&step].view(id(index), estimate, &self.pool, self.now());
+                (step, view)
+            })
+            .collect()
+    }
+}
+
+fn id(worker: usize) -> u32 {
+    u32::try_from(worker).unwrap()
+}
+
+fn observed<'a>(
+    worker: usize,
+    task: &'a mut Task,
+    steps: &'a mut BTreeMap<usize, Baseline>,
+    view: Option<&'a View>,
+) -> Observed<'a, usize> {
+    Observed {
+        worker: id(worker),
+        track: &mut task.track,
+        step: task.step,
+        baseline: steps.get_mut(&task.step).unwrap(),
+        view,
     }
 }
--- a/crates/cell/tests/cell/world/worker.rs
+++ b/crates/cell/tests/cell/world/worker.rs
@@ -32,6 +32,7 @@
         TaskId,
         WorkerId, //
     },
+    speed::Progress,
 };
 use fulmarpier_state::{
     clock::Timestamp,
@@ -54,10 +55,20 @@
 #[derive(Debug)]
 struct Task {
     run: Run,
+    started_at: Timestamp,
     ends_at: Timestamp,
     exit_reason: ExitReason,
 }
 
+impl Task {
+    /// Returns the progress, in whole percentages.
+    fn progress(&self, now: Timestamp) -> Option<Progress> {
+        let duration = self.started_at.until(self.ends_at).as_secs_f64();
+        let elapsed = self.started_at.until(now).as_secs_f64();
+        Progress::try_from((100.0 * elapsed / duration).floor()).ok()
+    }
+}
+
 /// One incarnation of a worker.
 #[derive(Debug)]
 pub(crate) struct Worker {
@@ -244,6 +255,7 @@
         }
         let task = Task {
             run: order.run,
+            started_at: now,
             ends_at: now + duration,
             exit_reason,
         };
@@ -349,7 +361,7 @@
             run: task.run,
             checkpoint: None,
             load: 0,
-            progress: None,
+            progress: task.progress(now),
         });
         Inventory {
             incarnation: Some(self.incarnation()),
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -255,7 +255,8 @@
 
     /// Sets the gauges that describe the state of the owner's engine.
     pub(crate) fn engine_counts(&self, counts: &Counts, epoch: u64, staleness: Duration) {
-        let gauges: [(&'static str, usize); 10] = [
+        let [slow, typical, fast] = counts.workers_by_speed;
+        let gauges: [(&'static str, usize); 13] = [
             ("jobs", counts.jobs),
             ("waiting", counts.pending_jobs),
             ("open_steps", counts.open_steps),
@@ -266,6 +267,9 @@
             ("workers_silent", counts.workers_silent),
             ("workers_unheard", counts.workers_not_yet_heard),
             ("workers_evacuated", counts.workers_evacuated),
+            ("workers_slow", slow),
+            ("workers_typical", typical),
+            ("workers_fast", fast),
         ];
         for (kind, value) in gauges {
             let value = u64::try_from(value).unwrap_or(u64::MAX);
