--- a/crates/cell/src/speed/estimate.rs
+++ b/crates/cell/src/speed/estimate.rs
@@ -28,7 +28,7 @@
 /// The smallest factor between a worker's speed and the typical speed that matters.
 const MIN_DIFFERENCE: f64 = 1.1;
 /// The difference that tells a worker from a typical one if all others are alike, in standard deviations of the
-/// estimate: of 350 equal workers, hardly one differs by more.
+/// estimate: of a thousand equal workers, hardly one differs by more.
 const ALIKE_DEVIATIONS: f64 = 3.6;
 /// The same if the speeds of the pool differ by far more than the uncertainty of an estimate: the mistakes on either side
 /// of the limit are then about as frequent.
