cell: report gangs of which some members don't run

Callers saw members of a gang end `alone`. The logs didn't tell why nobody had stopped them: of 13 such ends one stands in the logs of all nodes, since lines are limited to 120 a second and kind, and nothing says how many members of a gang run, are ordered or wait when one ends.

- New line `gang` with the number of members in each state, the age of the run and the wait reason of its step: when members are missing while others may run (once a run), and when a member ends for want of the others.
The counter of decisions counts both.
- Lines are limited by kind and reason, so that rare reasons stay in the log when frequent ones of the same kind are left out.
- `not-started` says how long before the start was decided.
- The world of the tests can run gangs as the platform does: members wait for each other, work together and end together.

No decision changes.

--- a/crates/cell/src/effect.rs
+++ b/crates/cell/src/effect.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     engine::{
+        Census,
         WaitReason,
         WaitSurvey, //
     },
@@ -149,6 +150,23 @@
         worker: WorkerId,
         /// The reason, as one word.
         why: &'static str,
+        /// The time since the run was placed, if it is still on its worker's account.
+        age: Option<Duration>,
+    },
+    /// A member of a gang does not run while others may, or has ended because of that.
+    Gang {
+        /// The step.
+        step: StepId,
+        /// The run of its members.
+        run: Run,
+        /// What was found, as one word.
+        state: &'static str,
+        /// The number of members in each state.
+        members: Census,
+        /// The time since the run was decided; `None` if a former owner did that.
+        age: Option<Duration>,
+        /// Why its missing members wait, as last reported.
+        waits: Option<WaitReason>,
     },
     /// A run has ended.
     Ended {
--- a/crates/cell/src/engine/end.rs
+++ b/crates/cell/src/engine/end.rs
@@ -55,7 +55,11 @@
                 self.clear_crashes(task);
                 self.handle_failure(slot, task, run, now);
             }
-            ExitReason::LeaseExpired | ExitReason::GangTimeout => self.clear_crashes(task),
+            ExitReason::LeaseExpired => self.clear_crashes(task),
+            ExitReason::GangTimeout => {
+                self.clear_crashes(task);
+                self.log_gang(task.step, run, "alone", now);
+            }
             ExitReason::Stopped | ExitReason::GangBroken => {}
         }
         self.release(slot, task, run, now);
--- a/crates/cell/src/engine/job.rs
+++ b/crates/cell/src/engine/job.rs
@@ -97,6 +97,8 @@
     pub(super) wait_reason_at: Timestamp,
     /// When the current run of a gang was decided.
     pub(super) gang_since: Timestamp,
+    /// The run of a gang that was last reported to lack members.
+    pub(super) reported_run: Option<Run>,
     /// The rate of its tasks on a typical worker, once a run has been observed.
     pub(super) baseline: Option<Box<Baseline>>,
     /// How many gangs of its queue had started when the step was opened.
@@ -181,6 +183,7 @@
             wait_reason: None,
             wait_reason_at: Timestamp::ZERO,
             gang_since: Timestamp::ZERO,
+            reported_run: None,
             baseline: None,
             gangs_started_before: 0,
             last_start: None,
--- a/crates/cell/src/engine/mod.rs
+++ b/crates/cell/src/engine/mod.rs
@@ -5,6 +5,7 @@
 //! |---|---|
 //! | `job` | holds the state of jobs, with their steps and tasks |
 //! | `timer` | finds what is due |
+//! | `assembly` | tells which members of a gang run, and which are still to come |
 //! | `announce` | prepares jobs whose acceptance is not yet on record |
 //! | `shrink` | handles workers whose capacity has decreased |
 //! | `limit` | enforces the resource limits of workspaces |
@@ -33,6 +34,7 @@
 
 mod announce;
 mod ask;
+mod assembly;
 mod contact;
 mod crash;
 mod end;
@@ -73,17 +75,8 @@
     quota, //
 };
 
-use self::{
-    free_capacity::FreeCapacity,
-    job::Job,
-    open_steps::OpenSteps,
-    recording::RecordQueue,
-    schedule::Rank,
-    share::Competition,
-    shrink::ReportValidity,
-    timer::Timers, //
-};
 pub use self::{
+    assembly::Census,
     limit::Usage as WorkspaceUsage,
     throttling::Throttling,
     view::{
@@ -96,6 +89,16 @@
         WaitSurvey, //
     },
 };
+use self::{
+    free_capacity::FreeCapacity,
+    job::Job,
+    open_steps::OpenSteps,
+    recording::RecordQueue,
+    schedule::Rank,
+    share::Competition,
+    shrink::ReportValidity,
+    timer::Timers, //
+};
 use crate::{
     advice::{
         AllowedShares,
@@ -226,6 +229,8 @@
     expiries: Timers<Slot>,
     /// When the next stop order is sent for each run that has to end.
     stops: Timers<(Slot, TaskId, Run)>,
+    /// Gangs with a member whose run has ended or never began.
+    changed_gangs: BTreeSet<StepId>,
     /// When occurrences of scheduled jobs are due.
     due: BTreeSet<(Timestamp, JobId, u32)>,
     /// The tasks that had just begun on a worker when it seemed to crash, by worker. The crashes are retracted if the
@@ -297,6 +302,7 @@
             calls: Timers::default(),
             expiries: Timers::default(),
             stops: Timers::default(),
+            changed_gangs: BTreeSet::new(),
             due: BTreeSet::new(),
             tasks_by_crashed_worker: HashMap::default(),
             advice_nodes: Nodes::default(),
@@ -379,6 +385,7 @@
         self.expire_workers(now);
         self.recentre_pools(now);
         self.expire_announced(now);
+        self.check_gangs(now);
         self.send_stops(now);
         if self.retry_skipped_at.is_some_and(|at| at <= now) {
             self.retry_skipped_at = None;
--- a/crates/cell/src/engine/order.rs
+++ b/crates/cell/src/engine/order.rs
@@ -63,12 +63,7 @@
             return;
         };
         if answer != StartAnswer::Started {
-            self.log(LogRecord::NotStarted {
-                task,
-                run,
-                worker: worker.clone(),
-                why: answer.as_str(),
-            });
+            self.log_not_started(slot, task, run, answer.as_str(), now);
         }
         match answer {
             StartAnswer::Started => {
--- a/crates/cell/src/engine/shrink.rs
+++ b/crates/cell/src/engine/shrink.rs
@@ -113,7 +113,7 @@
         why: &'static str,
         now: Timestamp,
     ) {
-        self.log_not_started(slot, task, run, why);
+        self.log_not_started(slot, task, run, why, now);
         self.release(slot, task, run, now);
     }
 
@@ -130,16 +130,25 @@
     }
 
     /// Logs that a run is not started.
-    fn log_not_started(&mut self, slot: Slot, task: TaskId, run: Run, why: &'static str) {
+    pub(super) fn log_not_started(
+        &mut self,
+        slot: Slot,
+        task: TaskId,
+        run: Run,
+        why: &'static str,
+        now: Timestamp,
+    ) {
         let Some(worker) = self.workers.get(&slot) else {
             return;
         };
-        let worker = worker.registration.id.clone();
-        self.log(LogRecord::NotStarted {
+        let allocation = worker.allocations.get(&(task, run));
+        let record = LogRecord::NotStarted {
             task,
             run,
-            worker,
+            worker: worker.registration.id.clone(),
             why,
-        });
+            age: allocation.map(|allocation| now.since(allocation.since)),
+        };
+        self.log(record);
     }
 }
--- /dev/null
+++ b/crates/cell/tests/cell/gang.rs
@@ -0,0 +1,125 @@
+//! Members of gangs that have started while others have not.
+
+use std::time::Duration;
+
+use fulmarpier_cell::{
+    engine::{
+        Census,
+        State, //
+    },
+    id::{
+        JobId,
+        StepId,
+        TaskId, //
+    },
+    job::Step,
+};
+use rstest::rstest;
+
+use crate::world::{
+    Decision,
+    Faults,
+    World,
+    quick_step, //
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+const MEMBERS: u16 = 4;
+/// The limit of the workspace in tasks of the members' size.
+const LIMIT: u32 = 5;
+
+fn gang() -> Step {
+    Step {
+        count: MEMBERS,
+        gang: true,
+        estimate: 3 * SECOND,
+        ..quick_step()
+    }
+}
+
+/// Returns a member of the gang that a job consists of.
+fn member(job: JobId, index: u16) -> TaskId {
+    let step = StepId {
+        job,
+        occurrence: 0,
+        step: 0,
+    };
+    step.task(index)
+}
+
+/// Creates a world of one workspace.
+fn world(faults: Faults) -> World {
+    let mut world = World::new(1, faults);
+    world.simulate_gangs();
+    world.set_limits(&[("hot", LIMIT)]);
+    world.run(SECOND);
+    world
+}
+
+/// Creates such a world with a gang that has not started yet.
+fn world_with_gang() -> (World, JobId) {
+    let mut world = world(Faults::default());
+    let job = world.submit_for("hot", "gang", vec![gang()]);
+    (world, job)
+}
+
+/// Submits two urgent tasks once the gang is placed: one takes what is left of the limit, the other what becomes free.
+fn submit_rival(world: &mut World) {
+    world.append_duration = SECOND / 5;
+    while !world
+        .decisions
+        .iter()
+        .any(|decision| matches!(decision, Decision::Place(..)))
+    {
+        world.run(SECOND / 40);
+    }
+    let tasks = Step {
+        count: 2,
+        long_running: true,
+        ..quick_step()
+    };
+    world.submit_for("hot", "urgent", vec![tasks]);
+}
+
+/// Runs until members of gangs have started.
+fn run_until_started(world: &mut World, members: u32) {
+    for _ in 0..400 {
+        if world.starts >= members {
+            return;
+        }
+        world.run(SECOND / 40);
+    }
+    panic!("{} members have started", world.starts);
+}
+
+#[test]
+fn a_gang_that_lacks_a_member_is_reported_once_with_its_members() {
+    let (mut world, job) = world_with_gang();
+    world.refusals.insert(member(job, 0), u32::MAX);
+    submit_rival(&mut world);
+    run_until_started(&mut world, u32::from(MEMBERS) - 1);
+    world.run(SECOND / 2);
+    let members = Census {
+        ordered: usize::from(MEMBERS) - 1,
+        waiting: 1,
+        ..Census::default()
+    };
+    assert_eq!(world.reported_gangs, [("incomplete", members)]);
+}
+
+/// Guards against a gang that is stopped although all its members work.
+#[rstest]
+#[case::a_gang(false)]
+#[case::a_gang_of_a_former_owner(true)]
+fn a_whole_gang_is_not_stopped(#[case] has_new_owner: bool) {
+    let (mut world, job) = world_with_gang();
+    run_until_started(&mut world, MEMBERS.into());
+    if has_new_owner {
+        world.take_over();
+    }
+    world.run(10 * SECOND);
+    assert_eq!(world.engine.state(job), Some(State::Completed));
+    assert_eq!(world.starts, u32::from(MEMBERS));
+    assert_eq!(world.ended_alone(), []);
+    assert_eq!(world.violations, Vec::<String>::new());
+}
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -7,6 +7,7 @@
 mod cases;
 mod crash;
 mod evacuate;
+mod gang;
 mod history;
 mod incarnation;
 mod limit;
--- a/crates/cell/tests/cell/world/deliver.rs
+++ b/crates/cell/tests/cell/world/deliver.rs
@@ -25,8 +25,10 @@
     NETWORK_DELAY,
     ORDER_TIMEOUT,
     World,
+    gang,
     has_expired,
     issued_at,
+    take_one,
     worker::Worker, //
 };
 
@@ -80,8 +82,26 @@
             }
             return;
         }
+        if take_one(&mut self.refusals, order.task) {
+            let answer = Event::Started(id, order.task, order.run, StartAnswer::Unhealthy);
+            return self.schedule(NETWORK_DELAY, answer);
+        }
+        let is_gang = self.is_simulated_gang(order.task.step);
+        let (duration, exit_reason) = match is_gang {
+            true => {
+                self.plan_gang_end(order.task.step, order.run, (exit_reason, duration));
+                (gang::wait(), ExitReason::GangTimeout)
+            }
+            false => (duration, exit_reason),
+        };
+        let Some(worker) = self.workers.get_mut(&id) else {
+            return;
+        };
         let answer = worker.start(order, duration, exit_reason, now);
         if answer == StartAnswer::Started {
+            if is_gang {
+                self.assemble_gang(order.task.step, order.run);
+            }
             self.starts += 1;
             self.started_jobs.insert(order.task.step.job);
             if self.crashing_task_ids.contains(&order.task) {
@@ -97,12 +117,7 @@
 
     /// Returns whether the next run of a task has to fail, and counts it.
     fn must_fail(&mut self, task: TaskId) -> bool {
-        let left = self.failing_runs.get_mut(&task);
-        let left = left.filter(|left| **left > 0);
-        left.is_some_and(|left| {
-            *left -= 1;
-            true
-        })
+        take_one(&mut self.failing_runs, task)
     }
 
     pub(super) fn deliver_stop(&mut self, order: &fulmarpier_cell::effect::Stop, is_current: bool) {
--- a/crates/cell/tests/cell/world/fault.rs
+++ b/crates/cell/tests/cell/world/fault.rs
@@ -77,7 +77,7 @@
         }
     }
 
-    fn step(&self, id: StepId) -> Option<&Step> {
+    pub(super) fn step(&self, id: StepId) -> Option<&Step> {
         let mut jobs = self.accepted.iter();
         let job = jobs.find(|accepted| accepted.job == id.job)?;
         job.spec.steps.get(usize::from(id.step))
--- a/crates/cell/tests/cell/world/mod.rs
+++ b/crates/cell/tests/cell/world/mod.rs
@@ -17,6 +17,7 @@
 mod depart;
 mod evacuate;
 mod fault;
+mod gang;
 mod limit;
 mod restart;
 mod waiting;
@@ -45,6 +46,7 @@
         Removal, //
     },
     engine::{
+        Census,
         Engine,
         State,
         StoredState,
@@ -105,6 +107,7 @@
     rngs::SmallRng, //
 };
 
+use self::gang::Gangs;
 pub(crate) use self::restart::Restart;
 use self::waiting::Waits;
 pub(crate) use self::worker::DATA_CENTRES;
@@ -296,6 +299,13 @@
     owner_evacuation: Option<Evacuation>,
     /// What the check of waiting steps remembers.
     waits: Waits,
+    gangs: Gangs,
+    /// The reports on gangs that lack members, in order.
+    pub reported_gangs: Vec<(&'static str, Census)>,
+    /// How many of the next orders to start each task are refused.
+    pub refusals: BTreeMap<TaskId, u32>,
+    /// How many of the next orders to start each task are lost.
+    pub lost_starts: BTreeMap<TaskId, u32>,
 }
 
 /// How long a ticket is valid. The text of a ticket is the time at which it was issued, in microseconds.
@@ -342,6 +352,15 @@
 /// Maximum number of attempts of a task.
 pub(crate) const MAX_ATTEMPTS: u32 = 3;
 
+/// Takes one from the number of a task, if any are left; returns whether it did.
+fn take_one(left: &mut BTreeMap<TaskId, u32>, task: TaskId) -> bool {
+    let left = left.get_mut(&task).filter(|left| **left > 0);
+    left.is_some_and(|left| {
+        *left -= 1;
+        true
+    })
+}
+
 /// Returns a queue of the pool `pool`, with or without calls for advice.
 pub(crate) fn queue(name: &str, priority: u8, advice: bool) -> Queue {
     Queue {
@@ -460,6 +479,10 @@
             read_evacuation: (Evacuation::default(), now),
             owner_evacuation: None,
             waits: Waits::default(),
+            gangs: Gangs::default(),
+            reported_gangs: Vec::new(),
+            refusals: BTreeMap::new(),
+            lost_starts: BTreeMap::new(),
         };
         for slot in 0..workers {
             world.add_worker(slot);
@@ -827,6 +850,7 @@
             .values_mut()
             .filter_map(|worker| worker.advance(self.now).then(|| worker.id.clone()))
             .collect();
+        self.break_gangs();
         for id in ended {
             self.answer_waiting_heartbeat(&id);
         }
@@ -850,7 +874,11 @@
         match effect {
             Effect::Start(order) => {
                 self.check_sent_start(&order);
-                if self.chance(self.faults.lost_orders) {
+                if take_one(&mut self.lost_starts, order.task) {
+                    let (worker, task, run) = (order.to.worker, order.task, order.run);
+                    let timeout = Event::Started(worker, task, run, StartAnswer::NoAnswer);
+                    self.schedule(ORDER_TIMEOUT, timeout);
+                } else if self.chance(self.faults.lost_orders) {
                     let timeout = Event::Started(
                         order.to.worker.clone(),
                         order.task,
@@ -927,6 +955,9 @@
                 let change = (self.now, workspace, share.standing);
                 self.reported_standings.push(change);
             }
+            Effect::Log(LogRecord::Gang { state, members, .. }) => {
+                self.reported_gangs.push((state, members));
+            }
             Effect::Log(LogRecord::BeyondRate { job, .. }) => self.beyond_rate.push(job),
             Effect::Log(LogRecord::Stopping {
                 task,
--- a/crates/cell/tests/cell/world/worker.rs
+++ b/crates/cell/tests/cell/world/worker.rs
@@ -29,6 +29,7 @@
         Incarnation,
         PoolName,
         Run,
+        StepId,
         TaskId,
         WorkerId, //
     },
@@ -363,6 +364,29 @@
         self.tasks.keys().copied()
     }
 
+    /// Returns how many members of a gang's run are under way here.
+    pub(super) fn members(&self, id: StepId, run: Run) -> usize {
+        let tasks = self.tasks.iter();
+        tasks
+            .filter(|(task, state)| task.step == id && state.run == run)
+            .count()
+    }
+
+    /// Makes the members of a gang's run that are not being stopped end at a time.
+    pub(super) fn end_members(&mut self, id: StepId, run: Run, reason: ExitReason, at: Timestamp) {
+        for (task, state) in &mut self.tasks {
+            if task.step == id && state.run == run && state.exit_reason != ExitReason::Stopped {
+                state.exit_reason = reason;
+                state.ends_at = at;
+            }
+        }
+    }
+
+    /// Returns the ends that the owner has not acknowledged.
+    pub(super) fn ends(&self) -> impl Iterator<Item = (TaskId, Run, ExitReason)> {
+        self.ended.iter().map(|end| (end.task, end.run, end.reason))
+    }
+
     pub(crate) fn run_count(&self, task: TaskId) -> usize {
         usize::from(self.tasks.contains_key(&task))
     }
--- a/crates/node/src/frontend/mod.rs
+++ b/crates/node/src/frontend/mod.rs
@@ -196,7 +196,7 @@
 
     fn log_authentication(&self, outcome: &'static str, config: &Config, key: Option<&KeyDigest>) {
         self.shared.meter.request("authenticate", outcome);
-        if !self.shared.meter.may_log("key") {
+        if !self.shared.meter.may_log("key", outcome) {
             return;
         }
         slog::info!(self.shared.log, "key"; "key" => key.map(KeyDigest::to_string).unwrap_or_default(),
@@ -416,7 +416,7 @@
     }
 
     fn log_unknown_job(&self, job: JobId, unknown: UnknownJob) {
-        if self.shared.meter.may_log("no-job") {
+        if self.shared.meter.may_log("no-job", "") {
             slog::info!(self.shared.log, "no-job"; "job" => %job, "epoch" => %unknown.epoch,
                 "view_ms" => millis(unknown.max_staleness));
         }
@@ -435,7 +435,7 @@
             Err(refusal) => refusal.as_str(),
         };
         self.shared.meter.request(call, outcome);
-        if !self.shared.meter.may_log("request") {
+        if !self.shared.meter.may_log("request", outcome) {
             return;
         }
         let version = self.config().map_or(0, |config| config.version);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -258,14 +258,14 @@
     }
 }
 
-/// Logs the number of suppressed log lines of each kind, for as long as the process runs.
+/// Logs the number of suppressed log lines of each kind and reason, for as long as the process runs.
 async fn log_suppressed_lines<P: Platform>(shared: Arc<Shared<P>>) {
     let mut ticks = interval(SUPPRESSED_LINES_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        for (kind, count) in shared.meter.take_suppressed_lines() {
-            slog::warn!(shared.log, "lines-left-out"; "kind" => kind, "count" => count);
+        for ((kind, reason), count) in shared.meter.take_suppressed_lines() {
+            slog::warn!(shared.log, "lines-left-out"; "kind" => kind, "why" => reason, "count" => count);
         }
     }
 }
--- a/crates/node/src/owner/engine_actor.rs
+++ b/crates/node/src/owner/engine_actor.rs
@@ -426,7 +426,7 @@
         let staleness = self.read_progress.age();
         self.shared.meter.engine_counts(&counts, epoch, staleness);
         self.shared.meter.workspaces(self.engine.usage());
-        if self.shared.meter.may_log("believed") {
+        if self.shared.meter.may_log("believed", "") {
             slog::info!(self.shared.log, "believed"; "epoch" => epoch, "jobs" => counts.jobs,
                 "waiting" => counts.pending_jobs,
                 "open_steps" => counts.open_steps, "claims" => counts.allocations,
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -14,6 +14,7 @@
     effect::LogRecord,
     engine::{
         Counts,
+        WaitReason,
         WorkspaceUsage, //
     },
     share::Standing,
@@ -42,8 +43,9 @@
     Rejected, //
 };
 
-/// The maximum number of log lines of one kind per second. A busy second has about 400 decisions; lines beyond the
-/// limit are only counted. A line has about 150 bytes.
+/// The maximum number of log lines of one kind and reason per second. A busy second has about 400 decisions; lines beyond
+/// the limit are only counted. A line has about 150 bytes. Reasons are limited separately because the rare ones, such as a
+/// gang's end for want of members, are those that explain a fault.
 const MAX_LINES_PER_SECOND: u32 = 120;
 const SECOND: Duration = Duration::from_secs(1);
 /// The number of characters to which a log line shortens a key of another writer. Keys have up to 255 bytes.
@@ -52,7 +54,10 @@
 /// The maximum number of workspaces with gauges. A platform may have hundreds, and each takes ten gauges.
 const MAX_WORKSPACES: usize = 32;
 
-/// The number of log lines of one kind in the current period of one second.
+/// The kind and the reason of a log line; the reason is empty if the kind has none.
+type Kind = (&'static str, &'static str);
+
+/// The number of log lines of one kind and reason in the current period of one second.
 #[derive(Debug)]
 struct RateLimit {
     since: Instant,
@@ -78,7 +83,7 @@
     lost_reports: Counter<u64>,
     rejected: Counter<u64>,
     peer_calls: Counter<u64>,
-    rate_limits: Mutex<HashMap<&'static str, RateLimit>>,
+    rate_limits: Mutex<HashMap<Kind, RateLimit>>,
 }
 
 /// The metrics of a node and the rate limits of its log; cheap to clone.
@@ -142,7 +147,7 @@
             ),
             suppressed_lines: registry.counter(
                 "fulmarpier_log_lines_left_out",
-                "Lines left out of the log by kind.",
+                "Lines left out of the log by kind and reason.",
             ),
             peer_calls: registry.counter("fulmarpier_peer_calls", "Calls of other nodes by kind."),
             lost_reports: registry.counter(
@@ -168,13 +173,13 @@
         self.0.registry.render()
     }
 
-    /// Counts a log line of this kind and returns whether it is within the rate limit.
-    pub(crate) fn may_log(&self, kind: &'static str) -> bool {
+    /// Counts a log line of this kind and reason and returns whether it is within the rate limit.
+    pub(crate) fn may_log(&self, kind: &'static str, reason: &'static str) -> bool {
         let now = Instant::now();
         let Ok(mut rate_limits) = self.0.rate_limits.lock() else {
             return false;
         };
-        let limit = rate_limits.entry(kind).or_insert(RateLimit {
+        let limit = rate_limits.entry((kind, reason)).or_insert(RateLimit {
             since: now,
             written: 0,
             suppressed: 0,
@@ -188,14 +193,15 @@
             return true;
         }
         limit.suppressed += 1;
-        self.0
-            .suppressed_lines
-            .add(1, &[KeyValue::new("kind", kind)]);
+        self.0.suppressed_lines.add(
+            1,
+            &[KeyValue::new("kind", kind), KeyValue::new("reason", reason)],
+        );
         false
     }
 
-    /// Returns the number of lines of each kind that were suppressed since the last call.
-    pub(crate) fn take_suppressed_lines(&self) -> Vec<(&'static str, u64)> {
+    /// Returns the number of lines of each kind and reason that were suppressed since the last call.
+    pub(crate) fn take_suppressed_lines(&self) -> Vec<(Kind, u64)> {
         let Ok(mut rate_limits) = self.0.rate_limits.lock() else {
             return Vec::new();
         };
@@ -255,7 +261,7 @@
             KeyValue::new("fault", rejected.fault.as_str()),
         ];
         self.0.rejected.add(1, &labels);
-        if !self.may_log(KIND) {
+        if !self.may_log(KIND, rejected.fault.as_str()) {
             return;
         }
         slog::warn!(log, "record-rejected"; "topic" => topic,
@@ -344,7 +350,7 @@
             LogRecord::Advised { took, .. } => self.0.advice.record(took.as_secs_f64(), &[]),
             _ => {}
         }
-        if self.may_log(kind) {
+        if self.may_log(kind, reason) {
             write_line(log, record);
         }
     }
@@ -380,6 +386,7 @@
     match record {
         LogRecord::Placed { .. } => ("placed", ""),
         LogRecord::NotStarted { why, .. } => ("not-started", why),
+        LogRecord::Gang { state, .. } => ("gang", state),
         LogRecord::Ended { reason, .. } => ("ended", reason.as_str()),
         LogRecord::Stopping { why, .. } => ("stopping", why),
         LogRecord::Preempting { .. } => ("preempting", ""),
@@ -422,8 +429,21 @@
             run,
             worker,
             why,
+            age,
         } => slog::info!(log, "not-started"; "task" => %task, "run" => run.0,
-            "worker" => worker.as_str(), "why" => why),
+            "worker" => worker.as_str(), "why" => why, OptionalField("age_ms", age.map(millis))),
+        LogRecord::Gang {
+            step,
+            run,
+            state,
+            members,
+            age,
+            waits,
+        } => slog::info!(log, "gang"; "step" => %step, "run" => run.0, "state" => state,
+            "running" => members.running, "ordered" => members.ordered, "unsent" => members.unsent,
+            "stopping" => members.stopping, "waiting" => members.waiting,
+            OptionalField("age_ms", age.map(millis)),
+            "why" => waits.map_or("", WaitReason::as_str)),
         LogRecord::Ended {
             task,
             run,
