cell: tests of members of gangs that end alone, known to fail

Three tests, five cases, each red on this commit: the missing member can't be started (its workspace is at its limit, evacuations are unknown, a new owner has no advice), its orders get no answer, or a former owner has left the gang incomplete. In each the other members wait for gang_wait (3 s in the tests) and end `alone`; nobody stops them.

--- a/crates/cell/tests/cell/gang.rs
+++ b/crates/cell/tests/cell/gang.rs
@@ -28,6 +28,17 @@
 /// The limit of the workspace in tasks of the members' size.
 const LIMIT: u32 = 5;
 
+/// What keeps the missing member of a gang from being started again.
+#[derive(Clone, Copy, Debug)]
+enum Obstacle {
+    /// Its workspace is at its limit.
+    Limit,
+    /// It isn't known which data centres are evacuated.
+    UnknownEvacuations,
+    /// No node can ask which workers may run the step.
+    NoAdvice,
+}
+
 fn gang() -> Step {
     Step {
         count: MEMBERS,
@@ -92,6 +103,58 @@
     panic!("{} members have started", world.starts);
 }
 
+#[rstest]
+#[case(Obstacle::Limit)]
+#[case(Obstacle::UnknownEvacuations)]
+#[case(Obstacle::NoAdvice)]
+fn no_member_ends_alone_while_the_missing_one_can_t_be_started(#[case] obstacle: Obstacle) {
+    let faults = Faults {
+        evacuations: u32::from(matches!(obstacle, Obstacle::UnknownEvacuations)),
+        ..Faults::default()
+    };
+    let mut world = world(faults);
+    if matches!(obstacle, Obstacle::UnknownEvacuations) {
+        world.are_operator_records_unavailable = true;
+        // The last reading, of the first second, is valid for 2 s.
+        world.run(4 * SECOND / 10);
+    }
+    let job = world.submit_for("hot", "gang", vec![gang()]);
+    world.refusals.insert(member(job, 0), u32::MAX);
+    if matches!(obstacle, Obstacle::Limit) {
+        submit_rival(&mut world);
+    }
+    run_until_started(&mut world, u32::from(MEMBERS) - 1);
+    if matches!(obstacle, Obstacle::NoAdvice) {
+        world.nodes_down = ["a", "b", "c"].map(From::from).into();
+        world.take_over();
+    }
+    world.run(10 * SECOND);
+    assert_eq!(world.ended_alone(), []);
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
+#[test]
+fn no_member_ends_alone_while_the_orders_to_start_another_get_no_answer() {
+    let (mut world, job) = world_with_gang();
+    world.lost_starts.insert(member(job, 0), u32::MAX);
+    run_until_started(&mut world, u32::from(MEMBERS) - 1);
+    world.run(10 * SECOND);
+    assert_eq!(world.ended_alone(), []);
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
+#[test]
+fn no_member_ends_alone_that_a_former_owner_has_started() {
+    let (mut world, job) = world_with_gang();
+    world.lost_starts.insert(member(job, 0), u32::MAX);
+    run_until_started(&mut world, u32::from(MEMBERS) - 1);
+    world.run(2 * SECOND);
+    world.take_over();
+    world.run(10 * SECOND);
+    assert_eq!(world.ended_alone(), []);
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
 #[test]
 fn a_gang_that_lacks_a_member_is_reported_once_with_its_members() {
     let (mut world, job) = world_with_gang();
