cell: stop incomplete gangs apart from the scheduling pass

Callers saw members of a gang end `alone`: they had waited for the others for the whole time that the platform allows, and nobody had stopped them.

Cause: what stops an incomplete gang was part of the scheduling pass (`repair_gang` in `place_gang`). A pass doesn't get there while the step's workspace is at its limit, evacuations are unknown or the first advice is pending, nor where its cost limit ends before the step.

Now `engine::assembly` notes when the first order of a gang's run is sent, and has a timer for each gang that lacks a member: missing members may be placed by the passes for half of the time that members wait, as before; then the gang is stopped, whether a pass comes to it or not. A gang that a former owner has left incomplete is stopped at once, as before. The time counts from the first order and not from the decision, which may be 1.3 s earlier.

--- a/crates/cell/src/engine/job.rs
+++ b/crates/cell/src/engine/job.rs
@@ -17,7 +17,8 @@
 use super::{
     Engine,
     Slot,
-    WaitReason, //
+    WaitReason,
+    assembly::Assembly, //
 };
 use crate::{
     advice::Advice,
@@ -95,8 +96,8 @@
     pub(super) wait_reason: Option<WaitReason>,
     /// When the wait reason was last evaluated.
     pub(super) wait_reason_at: Timestamp,
-    /// When the current run of a gang was decided.
-    pub(super) gang_since: Timestamp,
+    /// The current run of a gang, once an order to start one of its members was sent.
+    pub(super) assembly: Option<Assembly>,
     /// The run of a gang that was last reported to lack members.
     pub(super) reported_run: Option<Run>,
     /// The rate of its tasks on a typical worker, once a run has been observed.
@@ -182,7 +183,7 @@
             advice: Advice::default(),
             wait_reason: None,
             wait_reason_at: Timestamp::ZERO,
-            gang_since: Timestamp::ZERO,
+            assembly: None,
             reported_run: None,
             baseline: None,
             gangs_started_before: 0,
--- a/crates/cell/src/engine/loss.rs
+++ b/crates/cell/src/engine/loss.rs
@@ -83,7 +83,7 @@
         stage.opened_at.get_or_insert(now);
         self.open_steps.insert(task.step, account);
         if is_gang {
-            self.changed_gangs.insert(task.step);
+            self.note_missing_member(task.step, now);
         }
     }
 
--- a/crates/cell/src/engine/mod.rs
+++ b/crates/cell/src/engine/mod.rs
@@ -5,7 +5,7 @@
 //! |---|---|
 //! | `job` | holds the state of jobs, with their steps and tasks |
 //! | `timer` | finds what is due |
-//! | `assembly` | tells which members of a gang run, and which are still to come |
+//! | `assembly` | stops gangs of which members wait in vain for the others |
 //! | `announce` | prepares jobs whose acceptance is not yet on record |
 //! | `shrink` | handles workers whose capacity has decreased |
 //! | `limit` | enforces the resource limits of workspaces |
@@ -229,8 +229,8 @@
     expiries: Timers<Slot>,
     /// When the next stop order is sent for each run that has to end.
     stops: Timers<(Slot, TaskId, Run)>,
-    /// Gangs with a member whose run has ended or never began.
-    changed_gangs: BTreeSet<StepId>,
+    /// When gangs that may lack members are checked.
+    assemblies: Timers<StepId>,
     /// When occurrences of scheduled jobs are due.
     due: BTreeSet<(Timestamp, JobId, u32)>,
     /// The tasks that had just begun on a worker when it seemed to crash, by worker. The crashes are retracted if the
@@ -302,7 +302,7 @@
             calls: Timers::default(),
             expiries: Timers::default(),
             stops: Timers::default(),
-            changed_gangs: BTreeSet::new(),
+            assemblies: Timers::default(),
             due: BTreeSet::new(),
             tasks_by_crashed_worker: HashMap::default(),
             advice_nodes: Nodes::default(),
--- a/crates/cell/src/engine/place.rs
+++ b/crates/cell/src/engine/place.rs
@@ -36,10 +36,6 @@
     },
 };
 
-/// For the time that the members of a gang wait for each other, divided by this, missing members of a partly started
-/// gang are placed on other workers. After that the gang is stopped and started anew.
-const GANG_REPAIR_DIVISOR: u32 = 2;
-
 /// The requirements of a step on a worker.
 pub(super) struct Demand<'a> {
     pub(super) id: StepId,
@@ -269,8 +265,9 @@
             self.open_steps.remove(id);
             return true;
         }
-        if stage.active_count() > 0 {
-            return self.repair_gang(id, reserved, now);
+        if let Some(run) = stage.gang_run() {
+            self.repair_gang(id, run, reserved, now);
+            return true;
         }
         let waiting: Vec<u16> = stage.waiting.iter().copied().collect();
         if waiting
@@ -287,9 +284,6 @@
         self.count_started_gang(id);
         let run = waiting.iter().map(|index| self.next_run(id, *index)).max();
         let run = run.unwrap_or_default();
-        if let Some(stage) = self.jobs.get_mut(&id.job).and_then(|job| job.stage_mut(id)) {
-            stage.gang_since = now;
-        }
         for (index, slot) in places {
             // `find_gang_workers` has checked the free resources for all members.
             self.start(id, index, slot, run, now);
@@ -306,42 +300,18 @@
         }
     }
 
-    /// Starts missing members of a gang on other workers, or stops the members that would wait for them indefinitely.
-    fn repair_gang(&mut self, id: StepId, reserved: &Reservations, now: Timestamp) -> bool {
-        let Some(stage) = self.jobs.get(&id.job).and_then(|job| job.stage(id)) else {
-            return true;
-        };
-        let active = stage.tasks.iter().enumerate();
-        let active: Vec<(u16, Slot, Run)> = active
-            .filter_map(|(index, task)| {
-                let (slot, run) = task.active_run?;
-                Some((u16::try_from(index).ok()?, slot, run))
-            })
-            .collect();
-        let run = active.iter().map(|(_, _, run)| *run).max();
-        let is_ending = active.iter().any(|(index, slot, run)| {
-            let worker = self.workers.get(slot);
-            let allocation =
-                worker.and_then(|worker| worker.allocations.get(&(id.task(*index), *run)));
-            allocation.is_none_or(|allocation| matches!(allocation.phase, Phase::Stopping { .. }))
-        });
-        let until = stage.gang_since + self.bounds.gang_wait / GANG_REPAIR_DIVISOR;
-        if !is_ending && now < until {
-            while let (Some(run), Some(index)) = (run, self.first_waiting(id)) {
-                let found = self.find_worker(id, index, reserved, now);
-                if !found.is_some_and(|slot| self.start(id, index, slot, run, now)) {
-                    break;
-                }
-            }
-            if self.first_waiting(id).is_none() {
-                self.open_steps.remove(id);
-            }
-            return true;
+    /// Starts missing members of a gang on other workers while there is time for that.
+    fn repair_gang(&mut self, id: StepId, run: Run, reserved: &Reservations, now: Timestamp) {
+        if !self.may_repair_gang(id, run, now) {
+            return;
         }
-        for (index, slot, run) in active {
-            self.stop(slot, id.task(index), run, "incomplete", now);
+        while let Some(index) = self.first_waiting(id) {
+            let found = self.find_worker(id, index, reserved, now);
+            if !found.is_some_and(|slot| self.start(id, index, slot, run, now)) {
+                return;
+            }
         }
-        true
+        self.open_steps.remove(id);
     }
 
     /// Returns a worker for each member of a gang, or `None` if they don't all fit.
