cell: stop gangs of which a member's start order gets no answer

Callers saw members of a gang end `alone` while the owner believed that the missing one was under way.

Cause: a step is looked at only while a task of it waits. A member whose start order gets no answer has a run; so has one whose stop is not yet proven.

Each gang is now checked from its first order until all its members were seen to run. It is stopped as soon as a member has to be stopped, and where the orders of members have had no answer for three quarters of the time that the others wait. A gang that is at work is whole: its members work only together, so progress in one worker's list proves that the others run, too, and they count as confirmed.

A gang at work whose member's worker is silent is not stopped (`a_gang_at_work_is_not_stopped_while_the_worker_of_a_member_is_silent`; red, 12 starts for 6, without the proof by progress).

--- a/crates/cell/src/engine/assembly.rs
+++ b/crates/cell/src/engine/assembly.rs
@@ -23,6 +23,9 @@
 /// The time that the members of a gang wait for each other, divided by this, is how long missing members may still be
 /// placed. After that the gang is stopped, while there is time left for the stop orders to arrive.
 const REPAIR_DIVISOR: u32 = 2;
+/// How long the start orders of members may go without an answer before the gang is stopped, in quarters of the time that
+/// the members wait for each other.
+const CONFIRMATION_QUARTERS: u32 = 3;
 
 /// The current run of a gang, from its first start order on.
 #[derive(Clone, Copy, Debug)]
@@ -30,6 +33,8 @@
     run: Run,
     /// When the first start order was sent; no member has waited for longer.
     since: Timestamp,
+    /// Whether all members were seen to run. From then on none of them waits for the others.
+    is_whole: bool,
 }
 
 /// The number of members of a gang in each state.
@@ -53,9 +58,9 @@
         self.running + self.ordered > 0
     }
 
-    /// Returns whether a member may run and waits for one that doesn't.
-    const fn is_incomplete(&self) -> bool {
-        self.waiting > 0 && self.has_begun()
+    /// Returns whether all members run.
+    const fn is_whole(&self) -> bool {
+        self.ordered + self.unsent + self.stopping + self.waiting == 0
     }
 }
 
@@ -72,27 +77,66 @@
         let Some(stage) = job.and_then(|job| job.stage_mut(id)) else {
             return;
         };
-        if stage.assembly.is_none_or(|assembly| assembly.run != run) {
-            stage.assembly = Some(Assembly { run, since: now });
+        if stage.assembly.is_some_and(|assembly| assembly.run == run) {
+            return;
         }
+        stage.assembly = Some(Assembly {
+            run,
+            since: now,
+            is_whole: false,
+        });
+        let end = now + self.bounds.gang_wait / REPAIR_DIVISOR;
+        self.assemblies.set(id, Some(end));
     }
 
-    /// Returns until when missing members of a gang's run are placed; `None` if no order of the run was sent, or if a
-    /// former owner has sent it.
-    fn end_of_repair(&self, id: StepId, run: Run) -> Option<Timestamp> {
+    /// Notes that a run is being stopped, so that the other members of its gang may wait for it.
+    pub(super) fn note_stop(&mut self, id: StepId, now: Timestamp) {
+        let stage = self.jobs.get(&id.job).and_then(|job| job.stage(id));
+        let assembly = stage.and_then(|stage| stage.assembly);
+        if assembly.is_some_and(|assembly| !assembly.is_whole) {
+            self.assemblies.set(id, Some(now));
+        }
+    }
+
+    /// Notes that all members of a gang's run are known to run: one of them is at work, and they work only together.
+    pub(super) fn mark_whole(&mut self, id: StepId, run: Run, now: Timestamp) {
+        let stage = self.jobs.get_mut(&id.job).and_then(|job| job.stage_mut(id));
+        let assembly = stage.and_then(|stage| stage.assembly.as_mut());
+        let assembly = assembly.filter(|assembly| assembly.run == run && !assembly.is_whole);
+        let Some(assembly) = assembly else {
+            return;
+        };
+        assembly.is_whole = true;
+        for (index, slot, run) in self.gang_members(id) {
+            self.confirm(slot, id.task(index), run, now);
+        }
+    }
+
+    /// Returns what is known of the assembly of a gang's run; `None` if no order of it was sent, or if a former owner has
+    /// sent it.
+    fn assembly(&self, id: StepId, run: Run) -> Option<Assembly> {
         let stage = self.jobs.get(&id.job)?.stage(id)?;
-        let assembly = stage.assembly.filter(|assembly| assembly.run == run)?;
-        Some(assembly.since + self.bounds.gang_wait / REPAIR_DIVISOR)
+        stage.assembly.filter(|assembly| assembly.run == run)
+    }
+
+    /// Returns until when the members of a gang's run may wait for those that don't run; `None` if they must not wait.
+    fn end_of_wait(&self, id: StepId, run: Run, census: &Census) -> Option<Timestamp> {
+        let assembly = self.assembly(id, run)?;
+        let wait = match census {
+            _ if assembly.is_whole || census.stopping > 0 => return None,
+            Census { waiting: 0, .. } => self.bounds.gang_wait * CONFIRMATION_QUARTERS / 4,
+            _ => self.bounds.gang_wait / REPAIR_DIVISOR,
+        };
+        Some(assembly.since + wait)
     }
 
     /// Returns whether missing members of a partly started gang may be placed.
     pub(super) fn may_repair_gang(&self, id: StepId, run: Run, now: Timestamp) -> bool {
         let census = self.census(id);
-        let is_in_time = match self.end_of_repair(id, run) {
+        match self.end_of_wait(id, run, &census) {
             Some(end) => now < end,
-            None => !census.has_begun(),
-        };
-        is_in_time && census.stopping == 0
+            None => !census.has_begun() && census.stopping == 0,
+        }
     }
 
     /// Stops the gangs of which members wait in vain for the others.
@@ -107,15 +151,22 @@
 
     fn check_gang(&mut self, id: StepId, run: Run, now: Timestamp) {
         let census = self.census(id);
-        if !census.is_incomplete() {
+        if census.is_whole() {
+            return self.mark_whole(id, run, now);
+        }
+        let is_whole = self
+            .assembly(id, run)
+            .is_none_or(|assembly| assembly.is_whole);
+        if !census.has_begun() || (is_whole && census.waiting == 0) {
             return;
         }
         if census.stopping == 0 {
             self.report_incomplete_gang(id, run, now);
-            if let Some(end) = self.end_of_repair(id, run).filter(|end| now < *end) {
-                self.assemblies.set(id, Some(end));
-                return;
-            }
+        }
+        let end = self.end_of_wait(id, run, &census);
+        if let Some(end) = end.filter(|end| now < *end) {
+            self.assemblies.set(id, Some(end));
+            return;
         }
         for (index, slot, run) in self.gang_members(id) {
             self.stop(slot, id.task(index), run, "incomplete", now);
@@ -147,8 +198,7 @@
     /// Logs the state of a gang.
     pub(super) fn log_gang(&mut self, id: StepId, run: Run, state: &'static str, now: Timestamp) {
         let stage = self.jobs.get(&id.job).and_then(|job| job.stage(id));
-        let assembly = stage.and_then(|stage| stage.assembly);
-        let assembly = assembly.filter(|assembly| assembly.run == run);
+        let assembly = self.assembly(id, run);
         let waits = stage.and_then(|stage| stage.wait_reason);
         self.log(LogRecord::Gang {
             step: id,
--- a/crates/cell/src/engine/contact.rs
+++ b/crates/cell/src/engine/contact.rs
@@ -399,9 +399,13 @@
         allocation.confirm(now);
         allocation.fence = worker.fence;
         allocation.update_outlived_crash_window(sent_at);
+        let is_at_work = allocation.note_progress(running);
         if allocation.is_exclusive && allocation.outlived_crash_window {
             self.end_isolation(slot, task, running.run);
         }
+        if is_at_work {
+            self.mark_whole(task.step, running.run, now);
+        }
         self.save_checkpoint(task, running.checkpoint.as_ref());
     }
 
@@ -450,6 +454,7 @@
             resend_when_heard: false,
             is_exclusive: is_suspect && is_wanted,
             first_confirmed: is_listed.then_some(now),
+            progress: running.progress,
             outlived_crash_window: false,
         };
         worker.adopt(task, run, allocation);
--- a/crates/cell/src/engine/order.rs
+++ b/crates/cell/src/engine/order.rs
@@ -311,7 +311,7 @@
     }
 
     /// Notes that the worker has a run.
-    fn confirm(&mut self, slot: Slot, task: TaskId, run: Run, now: Timestamp) {
+    pub(super) fn confirm(&mut self, slot: Slot, task: TaskId, run: Run, now: Timestamp) {
         let worker = self.workers.get_mut(&slot);
         let allocation = worker.and_then(|worker| worker.allocations.get_mut(&(task, run)));
         if let Some(allocation) = allocation {
@@ -344,6 +344,7 @@
         }
         allocation.phase = Phase::Stopping { confirmed: None };
         let worker = worker.registration.id.clone();
+        self.note_stop(task.step, now);
         self.stops.set((slot, task, run), Some(now));
         self.log(LogRecord::Stopping {
             task,
--- a/crates/cell/src/engine/place.rs
+++ b/crates/cell/src/engine/place.rs
@@ -423,6 +423,7 @@
             is_exclusive: stage.is_suspect(index)
                 && worker.exclusive_capacity(id) != Resources::ZERO,
             first_confirmed: None,
+            progress: None,
             outlived_crash_window: false,
         };
         if !worker.allocate(task, run, allocation) {
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -19,7 +19,10 @@
     bounds::Bounds,
     effect::Destination,
     engine::Throttling,
-    event::Registration,
+    event::{
+        Registration,
+        Running, //
+    },
     id::{
         Fence,
         Incarnation,
@@ -30,6 +33,7 @@
     speed::{
         Class,
         Estimate,
+        Progress,
         Track, //
     },
 };
@@ -92,11 +96,25 @@
     pub is_exclusive: bool,
     /// When the worker was first known to have it; the worker may have started it earlier.
     pub first_confirmed: Option<Timestamp>,
+    /// Its progress when the worker last listed it.
+    pub progress: Option<Progress>,
     /// Whether the worker is known to have run it for longer than a crash at its start takes.
     pub outlived_crash_window: bool,
 }
 
 impl Allocation {
+    /// Notes the progress with which the worker lists the run; returns whether that shows that the run is at work.
+    ///
+    /// A run that resumes from a checkpoint is listed with the progress of the checkpoint before it works.
+    pub fn note_progress(&mut self, running: &Running) -> bool {
+        let before = self.progress;
+        self.progress = running.progress.or(before);
+        running.progress.is_some_and(|progress| match before {
+            Some(before) => progress > before,
+            None => running.checkpoint.is_none() && progress.percent() > 0.0,
+        })
+    }
+
     /// Notes that the worker has the run.
     pub fn confirm(&mut self, now: Timestamp) {
         self.first_confirmed.get_or_insert(now);
--- a/crates/cell/tests/cell/gang.rs
+++ b/crates/cell/tests/cell/gang.rs
@@ -24,7 +24,11 @@
 };
 
 const SECOND: Duration = Duration::from_secs(1);
+/// How long gangs work.
+const WORK: Duration = Duration::from_secs(5);
 const MEMBERS: u16 = 4;
+/// The number of members of a gang that takes two workers.
+const WIDE_MEMBERS: u16 = 6;
 /// The limit of the workspace in tasks of the members' size.
 const LIMIT: u32 = 5;
 
@@ -61,7 +65,7 @@
 /// Creates a world of one workspace.
 fn world(faults: Faults) -> World {
     let mut world = World::new(1, faults);
-    world.simulate_gangs();
+    world.simulate_gangs(WORK);
     world.set_limits(&[("hot", LIMIT)]);
     world.run(SECOND);
     world
@@ -74,6 +78,19 @@
     (world, job)
 }
 
+/// Creates a world with a gang that takes two workers and has not started yet.
+fn world_of_wide_gang() -> (World, JobId) {
+    let mut world = World::new(1, Faults::default());
+    world.simulate_gangs(WORK);
+    world.run(SECOND);
+    let wide = Step {
+        count: WIDE_MEMBERS,
+        ..gang()
+    };
+    let job = world.submit("gang", vec![wide]);
+    (world, job)
+}
+
 /// Submits two urgent tasks once the gang is placed: one takes what is left of the limit, the other what becomes free.
 fn submit_rival(world: &mut World) {
     world.append_duration = SECOND / 5;
@@ -170,6 +187,17 @@
     assert_eq!(world.reported_gangs, [("incomplete", members)]);
 }
 
+#[test]
+fn a_gang_at_work_is_not_stopped_while_the_worker_of_a_member_is_silent() {
+    let (mut world, job) = world_of_wide_gang();
+    world.cut_off_starts.insert(member(job, WIDE_MEMBERS - 1));
+    run_until_started(&mut world, WIDE_MEMBERS.into());
+    world.run(10 * SECOND);
+    assert_eq!(world.engine.state(job), Some(State::Completed));
+    assert_eq!(world.starts, u32::from(WIDE_MEMBERS));
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
 /// Guards against a gang that is stopped although all its members work.
 #[rstest]
 #[case::a_gang(false)]
--- a/crates/cell/tests/cell/world/deliver.rs
+++ b/crates/cell/tests/cell/world/deliver.rs
@@ -32,6 +32,9 @@
     worker::Worker, //
 };
 
+/// How long a worker is unreachable that is cut off when it has started a task.
+const CUT_OFF_DURATION: Duration = Duration::from_secs(4);
+
 impl World {
     fn reachable_worker(&mut self, id: &WorkerId) -> Option<&mut Worker> {
         let now = self.now;
@@ -89,7 +92,7 @@
         let is_gang = self.is_simulated_gang(order.task.step);
         let (duration, exit_reason) = match is_gang {
             true => {
-                self.plan_gang_end(order.task.step, order.run, (exit_reason, duration));
+                self.plan_gang_end(order.task.step, order.run, exit_reason);
                 (gang::wait(), ExitReason::GangTimeout)
             }
             false => (duration, exit_reason),
@@ -109,12 +112,24 @@
             }
             self.check_start(order, is_answered);
         }
+        if self.cut_off_starts.remove(&order.task) {
+            self.cut_off(&id, CUT_OFF_DURATION);
+            let timeout = Event::Started(id, order.task, order.run, StartAnswer::NoAnswer);
+            return self.schedule(ORDER_TIMEOUT, timeout);
+        }
         if is_current && is_answered {
             let event = Event::Started(id, order.task, order.run, answer);
             self.schedule(NETWORK_DELAY, event);
         }
     }
 
+    /// Makes a worker unreachable for some time.
+    fn cut_off(&mut self, id: &WorkerId, span: Duration) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.unreachable_until = self.now + span;
+        }
+    }
+
     /// Returns whether the next run of a task has to fail, and counts it.
     fn must_fail(&mut self, task: TaskId) -> bool {
         take_one(&mut self.failing_runs, task)
--- a/crates/cell/tests/cell/world/gang.rs
+++ b/crates/cell/tests/cell/world/gang.rs
@@ -25,18 +25,18 @@
 /// What the world remembers of gangs.
 #[derive(Debug, Default)]
 pub(super) struct Gangs {
-    /// Whether the members of gangs wait for each other.
-    pub(super) are_simulated: bool,
-    /// How each run of a gang ends once all its members have started, and after how long.
-    ends: BTreeMap<(StepId, Run), (ExitReason, Duration)>,
+    /// How long gangs work once all their members have started, if members wait for each other.
+    work: Option<Duration>,
+    /// How each run of a gang ends.
+    ends: BTreeMap<(StepId, Run), ExitReason>,
     /// The runs of members that ended because the others did not start.
     alone: BTreeSet<(TaskId, Run)>,
 }
 
 impl World {
-    /// Makes the members of gangs wait for each other from now on.
-    pub(crate) fn simulate_gangs(&mut self) {
-        self.gangs.are_simulated = true;
+    /// Makes the members of gangs wait for each other from now on, and then work for some time.
+    pub(crate) fn simulate_gangs(&mut self, work: Duration) {
+        self.gangs.work = Some(work);
     }
 
     /// Returns the runs of members that ended because the others did not start.
@@ -45,12 +45,12 @@
     }
 
     pub(super) fn is_simulated_gang(&self, id: StepId) -> bool {
-        self.gangs.are_simulated && self.step(id).is_some_and(|step| step.gang)
+        self.gangs.work.is_some() && self.step(id).is_some_and(|step| step.gang)
     }
 
     /// Notes how a gang's run ends, by the first of its members that starts.
-    pub(super) fn plan_gang_end(&mut self, id: StepId, run: Run, end: (ExitReason, Duration)) {
-        self.gangs.ends.entry((id, run)).or_insert(end);
+    pub(super) fn plan_gang_end(&mut self, id: StepId, run: Run, reason: ExitReason) {
+        self.gangs.ends.entry((id, run)).or_insert(reason);
     }
 
     /// Lets a gang's run begin to work if all its members have started.
@@ -62,17 +62,18 @@
             .values()
             .map(|worker| worker.members(id, run))
             .sum();
-        let end = self.gangs.ends.get(&(id, run)).copied();
-        if let Some((reason, duration)) = end.filter(|_| started == count) {
+        let reason = self.gangs.ends.get(&(id, run)).copied();
+        if let Some((reason, work)) = reason.zip(self.gangs.work).filter(|_| started == count) {
             for worker in self.workers.values_mut() {
-                worker.end_members(id, run, reason, now + duration);
+                worker.end_members(id, run, reason, now + work);
+                worker.begin_work(id, run, now);
             }
         }
     }
 
     /// Ends the other members of each gang of which one has ended without success.
     pub(super) fn break_gangs(&mut self) {
-        if !self.gangs.are_simulated {
+        if self.gangs.work.is_none() {
             return;
         }
         let ended = self.workers.values().flat_map(|worker| worker.ends());
--- a/crates/cell/tests/cell/world/mod.rs
+++ b/crates/cell/tests/cell/world/mod.rs
@@ -306,6 +306,8 @@
     pub refusals: BTreeMap<TaskId, u32>,
     /// How many of the next orders to start each task are lost.
     pub lost_starts: BTreeMap<TaskId, u32>,
+    /// The tasks whose worker is cut off once it has started them, before it answers.
+    pub cut_off_starts: BTreeSet<TaskId>,
 }
 
 /// How long a ticket is valid. The text of a ticket is the time at which it was issued, in microseconds.
@@ -483,6 +485,7 @@
             reported_gangs: Vec::new(),
             refusals: BTreeMap::new(),
             lost_starts: BTreeMap::new(),
+            cut_off_starts: BTreeSet::new(),
         };
         for slot in 0..workers {
             world.add_worker(slot);
--- a/crates/cell/tests/cell/world/worker.rs
+++ b/crates/cell/tests/cell/world/worker.rs
@@ -33,6 +33,7 @@
         TaskId,
         WorkerId, //
     },
+    speed::Progress,
 };
 use fulmarpier_state::{
     clock::Timestamp,
@@ -57,6 +58,17 @@
     run: Run,
     ends_at: Timestamp,
     exit_reason: ExitReason,
+    /// When it began to work, if it is a member of a gang whose members have all started.
+    works_since: Option<Timestamp>,
+}
+
+impl Task {
+    /// Returns the progress, if it is shown.
+    fn progress(&self, now: Timestamp) -> Option<Progress> {
+        let since = self.works_since?;
+        let work = since.until(self.ends_at).as_secs_f64();
+        Progress::try_from(100.0 * (now.since(since).as_secs_f64() / work).min(1.0)).ok()
+    }
 }
 
 /// One incarnation of a worker.
@@ -247,6 +259,7 @@
             run: order.run,
             ends_at: now + duration,
             exit_reason,
+            works_since: None,
         };
         self.tasks.insert(order.task, task);
         self.highest_runs.insert(order.task, order.run);
@@ -350,7 +363,7 @@
             run: task.run,
             checkpoint: None,
             load: 0,
-            progress: None,
+            progress: task.progress(now),
         });
         Inventory {
             incarnation: Some(self.incarnation()),
@@ -382,6 +395,13 @@
         }
     }
 
+    /// Makes the members of a gang's run show their progress from now on.
+    pub(super) fn begin_work(&mut self, id: StepId, run: Run, now: Timestamp) {
+        let members = self.tasks.iter_mut();
+        let members = members.filter(|(task, state)| task.step == id && state.run == run);
+        members.for_each(|(_, state)| state.works_since = Some(now));
+    }
+
     /// Returns the ends that the owner has not acknowledged.
     pub(super) fn ends(&self) -> impl Iterator<Item = (TaskId, Run, ExitReason)> {
         self.ended.iter().map(|end| (end.task, end.run, end.reason))
