cell: stop gangs that a former owner has left incomplete at once

Callers saw members of a gang end `alone` after changes of owner, in surges in which the owner gives the cell up as too slow.

Cause: a new owner takes each run on record for one that may be under way, and a worker's list without it for no proof before the time that a stop takes (1.1 s) has passed; then heartbeats wait up to a second for an end. That caution is right for starting the run again, since an order of the former owner may still arrive, but the members that run wait meanwhile.

A run that is only known from the record and missing from its worker's list counts as missing for the others of its gang, which are stopped at once: it isn't known for how long they have waited. Its own room and charge stay until it is proven gone, as before, and its order is refused if it still arrives. Where the workers of missing members don't answer, the gang is stopped after half of the time that members wait, unless it is seen to be at work.

--- a/crates/cell/src/engine/assembly.rs
+++ b/crates/cell/src/engine/assembly.rs
@@ -27,11 +27,12 @@
 /// the members wait for each other.
 const CONFIRMATION_QUARTERS: u32 = 3;
 
-/// The current run of a gang, from its first start order on.
+/// The current run of a gang, from its first start order or from the takeover on.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Assembly {
     run: Run,
-    /// When the first start order was sent; no member has waited for longer.
+    /// When the first start order was sent; no member has waited for longer. For a run of a former owner, when it was
+    /// taken over; members may have waited before.
     since: Timestamp,
     /// Whether all members were seen to run. From then on none of them waits for the others.
     is_whole: bool,
@@ -46,6 +47,8 @@
     pub ordered: usize,
     /// Members whose start order has not been sent yet.
     pub unsent: usize,
+    /// Members that a former owner has ordered and that their workers don't list.
+    pub unlisted: usize,
     /// Members that are being stopped.
     pub stopping: usize,
     /// Members without a run.
@@ -60,21 +63,36 @@
 
     /// Returns whether all members run.
     const fn is_whole(&self) -> bool {
-        self.ordered + self.unsent + self.stopping + self.waiting == 0
+        self.ordered + self.unsent + self.stopping + self.missing() == 0
+    }
+
+    /// Returns the number of members that don't run and for which no order to start is under way.
+    const fn missing(&self) -> usize {
+        self.waiting + self.unlisted
     }
 }
 
 impl Engine {
-    /// Notes that a member of a gang has no run any more, so that the others may wait for it.
-    pub(super) fn note_missing_member(&mut self, id: StepId, now: Timestamp) {
-        self.assemblies.set(id, Some(now));
+    /// Notes that a task doesn't run, so that the other members of its gang may wait for it.
+    pub(super) fn note_missing(&mut self, id: StepId, now: Timestamp) {
+        if self.is_gang(id) {
+            self.assemblies.set(id, Some(now));
+        }
+    }
+
+    fn is_gang(&self, id: StepId) -> bool {
+        let step = self.jobs.get(&id.job).and_then(|job| job.step(id));
+        step.is_some_and(|step| step.gang)
     }
 
-    /// Notes that a start order for a task is sent, which begins the assembly of its gang if it is the first one.
-    pub(super) fn note_order(&mut self, id: StepId, run: Run, now: Timestamp) {
-        let job = self.jobs.get_mut(&id.job);
-        let job = job.filter(|job| job.step(id).is_some_and(|step| step.gang));
-        let Some(stage) = job.and_then(|job| job.stage_mut(id)) else {
+    /// Notes that a run of a task may be under way from now on, which begins the assembly of its gang if it is the first
+    /// one.
+    pub(super) fn begin_assembly(&mut self, id: StepId, run: Run, now: Timestamp) {
+        if !self.is_gang(id) {
+            return;
+        }
+        let stage = self.jobs.get_mut(&id.job).and_then(|job| job.stage_mut(id));
+        let Some(stage) = stage else {
             return;
         };
         if stage.assembly.is_some_and(|assembly| assembly.run == run) {
@@ -85,8 +103,7 @@
             since: now,
             is_whole: false,
         });
-        let end = now + self.bounds.gang_wait / REPAIR_DIVISOR;
-        self.assemblies.set(id, Some(end));
+        self.assemblies.set(id, Some(now));
     }
 
     /// Notes that a run is being stopped, so that the other members of its gang may wait for it.
@@ -112,8 +129,7 @@
         }
     }
 
-    /// Returns what is known of the assembly of a gang's run; `None` if no order of it was sent, or if a former owner has
-    /// sent it.
+    /// Returns what is known of the assembly of a gang's run; `None` if no order of it was sent.
     fn assembly(&self, id: StepId, run: Run) -> Option<Assembly> {
         let stage = self.jobs.get(&id.job)?.stage(id)?;
         stage.assembly.filter(|assembly| assembly.run == run)
@@ -122,10 +138,14 @@
     /// Returns until when the members of a gang's run may wait for those that don't run; `None` if they must not wait.
     fn end_of_wait(&self, id: StepId, run: Run, census: &Census) -> Option<Timestamp> {
         let assembly = self.assembly(id, run)?;
-        let wait = match census {
+        let is_own = run >= self.epoch.first_run();
+        let wait = match census.missing() {
             _ if assembly.is_whole || census.stopping > 0 => return None,
-            Census { waiting: 0, .. } => self.bounds.gang_wait * CONFIRMATION_QUARTERS / 4,
-            _ => self.bounds.gang_wait / REPAIR_DIVISOR,
+            0 if is_own => self.bounds.gang_wait * CONFIRMATION_QUARTERS / 4,
+            0 => self.bounds.gang_wait / REPAIR_DIVISOR,
+            _ if is_own => self.bounds.gang_wait / REPAIR_DIVISOR,
+            // It isn't known for how long the others have waited.
+            _ => return None,
         };
         Some(assembly.since + wait)
     }
@@ -157,16 +177,16 @@
         let is_whole = self
             .assembly(id, run)
             .is_none_or(|assembly| assembly.is_whole);
-        if !census.has_begun() || (is_whole && census.waiting == 0) {
+        if !census.has_begun() || (is_whole && census.missing() == 0) {
             return;
         }
-        if census.stopping == 0 {
+        let end = self.end_of_wait(id, run, &census);
+        let end = end.filter(|end| now < *end);
+        if census.stopping == 0 && (end.is_none() || census.missing() > 0) {
             self.report_incomplete_gang(id, run, now);
         }
-        let end = self.end_of_wait(id, run, &census);
-        if let Some(end) = end.filter(|end| now < *end) {
-            self.assemblies.set(id, Some(end));
-            return;
+        if end.is_some() {
+            return self.assemblies.set(id, end);
         }
         for (index, slot, run) in self.gang_members(id) {
             self.stop(slot, id.task(index), run, "incomplete", now);
@@ -231,6 +251,7 @@
                 Phase::Running { .. } if allocation.first_confirmed.is_some() => {
                     census.running += 1;
                 }
+                Phase::Running { .. } if allocation.is_unlisted => census.unlisted += 1,
                 Phase::Running { .. } | Phase::Starting => census.ordered += 1,
                 Phase::Recording => census.unsent += 1,
                 Phase::Stopping { .. } => census.stopping += 1,
--- a/crates/cell/src/engine/contact.rs
+++ b/crates/cell/src/engine/contact.rs
@@ -362,6 +362,7 @@
                 self.handle_end(slot, ended, now);
             }
         }
+        self.note_unlisted(slot, &listed, now);
         self.release_absent(slot, &listed, sent_at, now);
         if !was_heard {
             self.send_deferred_starts(slot, now);
@@ -454,6 +455,7 @@
             resend_when_heard: false,
             is_exclusive: is_suspect && is_wanted,
             first_confirmed: is_listed.then_some(now),
+            is_unlisted: false,
             progress: running.progress,
             outlived_crash_window: false,
         };
@@ -464,9 +466,33 @@
         let worker = worker.registration.id.clone();
         self.update_indexes(slot);
         self.log(LogRecord::Adopted { task, run, worker });
-        match is_wanted {
-            true => self.save_checkpoint(task, running.checkpoint.as_ref()),
-            false => self.stop(slot, task, run, "unwanted", now),
+        if is_wanted {
+            self.begin_assembly(task.step, run, now);
+            self.save_checkpoint(task, running.checkpoint.as_ref());
+        } else {
+            self.stop(slot, task, run, "unwanted", now);
+        }
+    }
+
+    /// Notes the runs that are only known from the record and that the worker's inventory doesn't list.
+    ///
+    /// An order of the former owner may still arrive, so this doesn't prove that they are gone. But the other members of
+    /// their gangs wait for them.
+    fn note_unlisted(&mut self, slot: Slot, listed: &[(TaskId, Run)], now: Timestamp) {
+        let Some(worker) = self.workers.get_mut(&slot) else {
+            return;
+        };
+        let mut steps = Vec::new();
+        for (key, allocation) in &mut worker.allocations {
+            let is_recorded = matches!(allocation.phase, Phase::Running { .. })
+                && allocation.first_confirmed.is_none();
+            if is_recorded && !listed.contains(key) {
+                allocation.is_unlisted = true;
+                steps.push(key.0.step);
+            }
+        }
+        for step in steps {
+            self.note_missing(step, now);
         }
     }
 
--- a/crates/cell/src/engine/loss.rs
+++ b/crates/cell/src/engine/loss.rs
@@ -69,7 +69,6 @@
         };
         let is_over = job.is_over();
         let account = job.account;
-        let is_gang = job.step(task.step).is_some_and(|step| step.gang);
         let Some(stage) = job.stage_mut(task.step) else {
             return;
         };
@@ -82,9 +81,7 @@
         stage.waiting.insert(task.index);
         stage.opened_at.get_or_insert(now);
         self.open_steps.insert(task.step, account);
-        if is_gang {
-            self.note_missing_member(task.step, now);
-        }
+        self.note_missing(task.step, now);
     }
 
     /// Removes an incarnation that is gone, with all its runs.
--- a/crates/cell/src/engine/place.rs
+++ b/crates/cell/src/engine/place.rs
@@ -423,6 +423,7 @@
             is_exclusive: stage.is_suspect(index)
                 && worker.exclusive_capacity(id) != Resources::ZERO,
             first_confirmed: None,
+            is_unlisted: false,
             progress: None,
             outlived_crash_window: false,
         };
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -96,6 +96,8 @@
     pub is_exclusive: bool,
     /// When the worker was first known to have it; the worker may have started it earlier.
     pub first_confirmed: Option<Timestamp>,
+    /// Whether the worker has answered this owner without listing it, while it was only known from the record.
+    pub is_unlisted: bool,
     /// Its progress when the worker last listed it.
     pub progress: Option<Progress>,
     /// Whether the worker is known to have run it for longer than a crash at its start takes.
@@ -118,6 +120,7 @@
     /// Notes that the worker has the run.
     pub fn confirm(&mut self, now: Timestamp) {
         self.first_confirmed.get_or_insert(now);
+        self.is_unlisted = false;
         self.resend_when_heard = false;
         if self.phase == Phase::Starting {
             self.phase = Phase::Running {
--- a/crates/cell/tests/cell/gang.rs
+++ b/crates/cell/tests/cell/gang.rs
@@ -198,6 +198,24 @@
     assert_eq!(world.violations, Vec::<String>::new());
 }
 
+#[test]
+fn tasks_that_are_no_gang_run_on_when_a_former_owner_has_not_started_all_of_them() {
+    let mut world = world(Faults::default());
+    let tasks = Step {
+        gang: false,
+        ..gang()
+    };
+    let job = world.submit_for("hot", "batch", vec![tasks]);
+    world.lost_starts.insert(member(job, 0), u32::MAX);
+    run_until_started(&mut world, u32::from(MEMBERS) - 1);
+    world.lost_starts.clear();
+    world.take_over();
+    world.run(10 * SECOND);
+    assert_eq!(world.engine.state(job), Some(State::Completed));
+    assert_eq!(world.starts, u32::from(MEMBERS));
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
 /// Guards against a gang that is stopped although all its members work.
 #[rstest]
 #[case::a_gang(false)]
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -441,6 +441,7 @@
             waits,
         } => slog::info!(log, "gang"; "step" => %step, "run" => run.0, "state" => state,
             "running" => members.running, "ordered" => members.ordered, "unsent" => members.unsent,
+            "unlisted" => members.unlisted,
             "stopping" => members.stopping, "waiting" => members.waiting,
             OptionalField("age_ms", age.map(millis)),
             "why" => waits.map_or("", WaitReason::as_str)),
