cell: stop only the listed members of a former owner's incomplete gangs

Only a member that its worker lists waits for others. So the gangs of a former owner are checked when a member is listed, and only listed members are stopped; the others are proven gone as before, or listed and stopped then.

--- a/crates/cell/src/engine/assembly.rs
+++ b/crates/cell/src/engine/assembly.rs
@@ -15,7 +15,8 @@
     effect::LogRecord,
     id::{
         Run,
-        StepId, //
+        StepId,
+        TaskId, //
     },
     worker::Phase,
 };
@@ -56,11 +57,6 @@
 }
 
 impl Census {
-    /// Returns whether a member may run, so that it waits for those that don't.
-    const fn has_begun(&self) -> bool {
-        self.running + self.ordered > 0
-    }
-
     /// Returns whether all members run.
     const fn is_whole(&self) -> bool {
         self.ordered + self.unsent + self.stopping + self.missing() == 0
@@ -106,6 +102,14 @@
         self.assemblies.set(id, Some(now));
     }
 
+    /// Notes that a worker lists a run for the first time, which may wait for other members of its gang.
+    pub(super) fn note_listed(&mut self, id: StepId, run: Run, now: Timestamp) {
+        let assembly = self.assembly(id, run);
+        if assembly.is_some_and(|assembly| !assembly.is_whole) && !self.is_own(run) {
+            self.assemblies.set(id, Some(now));
+        }
+    }
+
     /// Notes that a run is being stopped, so that the other members of its gang may wait for it.
     pub(super) fn note_stop(&mut self, id: StepId, now: Timestamp) {
         let stage = self.jobs.get(&id.job).and_then(|job| job.stage(id));
@@ -138,14 +142,12 @@
     /// Returns until when the members of a gang's run may wait for those that don't run; `None` if they must not wait.
     fn end_of_wait(&self, id: StepId, run: Run, census: &Census) -> Option<Timestamp> {
         let assembly = self.assembly(id, run)?;
-        let is_own = run >= self.epoch.first_run();
-        let wait = match census.missing() {
+        let wait = match (census.missing(), self.is_own(run)) {
             _ if assembly.is_whole || census.stopping > 0 => return None,
-            0 if is_own => self.bounds.gang_wait * CONFIRMATION_QUARTERS / 4,
-            0 => self.bounds.gang_wait / REPAIR_DIVISOR,
-            _ if is_own => self.bounds.gang_wait / REPAIR_DIVISOR,
+            (0, true) => self.bounds.gang_wait * CONFIRMATION_QUARTERS / 4,
+            (0, false) | (_, true) => self.bounds.gang_wait / REPAIR_DIVISOR,
             // It isn't known for how long the others have waited.
-            _ => return None,
+            (_, false) => return None,
         };
         Some(assembly.since + wait)
     }
@@ -155,10 +157,21 @@
         let census = self.census(id);
         match self.end_of_wait(id, run, &census) {
             Some(end) => now < end,
-            None => !census.has_begun() && census.stopping == 0,
+            None => self.is_own(run) && self.assembly(id, run).is_none() && census.stopping == 0,
         }
     }
 
+    /// Returns whether this owner has decided a run.
+    fn is_own(&self, run: Run) -> bool {
+        run >= self.epoch.first_run()
+    }
+
+    /// Returns whether members of a gang's run may wait for others. Of the members that a former owner has ordered, only
+    /// those that their workers list may: stopping all others would be a call to each of their workers at a takeover.
+    fn has_begun(&self, run: Run, census: &Census) -> bool {
+        census.running > 0 || (census.ordered > 0 && self.is_own(run))
+    }
+
     /// Stops the gangs of which members wait in vain for the others.
     pub(super) fn check_gangs(&mut self, now: Timestamp) {
         for id in self.assemblies.take_due(now) {
@@ -177,7 +190,7 @@
         let is_whole = self
             .assembly(id, run)
             .is_none_or(|assembly| assembly.is_whole);
-        if !census.has_begun() || (is_whole && census.missing() == 0) {
+        if !self.has_begun(run, &census) || (is_whole && census.missing() == 0) {
             return;
         }
         let end = self.end_of_wait(id, run, &census);
@@ -188,11 +201,21 @@
         if end.is_some() {
             return self.assemblies.set(id, end);
         }
+        let is_own = self.is_own(run);
         for (index, slot, run) in self.gang_members(id) {
-            self.stop(slot, id.task(index), run, "incomplete", now);
+            if is_own || self.is_confirmed(slot, id.task(index), run) {
+                self.stop(slot, id.task(index), run, "incomplete", now);
+            }
         }
     }
 
+    /// Returns whether a worker has confirmed or listed a run.
+    fn is_confirmed(&self, slot: Slot, task: TaskId, run: Run) -> bool {
+        let allocation = self.workers.get(&slot);
+        let allocation = allocation.and_then(|worker| worker.allocations.get(&(task, run)));
+        allocation.is_some_and(|allocation| allocation.first_confirmed.is_some())
+    }
+
     /// Returns the members of a gang that may be under way, each with its worker and its run.
     fn gang_members(&self, id: StepId) -> Vec<(u16, Slot, Run)> {
         let stage = self.jobs.get(&id.job).and_then(|job| job.stage(id));
--- a/crates/cell/src/engine/contact.rs
+++ b/crates/cell/src/engine/contact.rs
@@ -397,6 +397,7 @@
             self.adopt(slot, running, now, now);
             return;
         };
+        let is_first = allocation.first_confirmed.is_none();
         allocation.confirm(now);
         allocation.fence = worker.fence;
         allocation.update_outlived_crash_window(sent_at);
@@ -404,6 +405,9 @@
         if allocation.is_exclusive && allocation.outlived_crash_window {
             self.end_isolation(slot, task, running.run);
         }
+        if is_first {
+            self.note_listed(task.step, running.run, now);
+        }
         if is_at_work {
             self.mark_whole(task.step, running.run, now);
         }
@@ -486,7 +490,7 @@
         for (key, allocation) in &mut worker.allocations {
             let is_recorded = matches!(allocation.phase, Phase::Running { .. })
                 && allocation.first_confirmed.is_none();
-            if is_recorded && !listed.contains(key) {
+            if is_recorded && !allocation.is_unlisted && !listed.contains(key) {
                 allocation.is_unlisted = true;
                 steps.push(key.0.step);
             }
--- a/crates/cell/tests/cell/gang.rs
+++ b/crates/cell/tests/cell/gang.rs
@@ -14,8 +14,10 @@
     },
     job::Step,
 };
+use proptest::prelude::*;
 use rstest::rstest;
 
+use crate::cases::config;
 use crate::world::{
     Decision,
     Faults,
@@ -216,6 +218,47 @@
     assert_eq!(world.violations, Vec::<String>::new());
 }
 
+/// Runs gangs of a workspace at its limit, of which some members' orders get lost, while owners change.
+fn run_history(seed: u64, lost_starts: &[(u16, u32)]) -> World {
+    let faults = Faults {
+        takeovers: 250,
+        failures: 80,
+        announcements: 300,
+        ..Faults::default()
+    };
+    let mut world = World::new(seed, faults);
+    world.simulate_gangs(SECOND);
+    world.set_limits(&[("hot", LIMIT), ("calm", 4 * LIMIT)]);
+    world.run(SECOND);
+    for (round, (index, count)) in lost_starts.iter().enumerate() {
+        let workspace = if round % 2 == 0 { "hot" } else { "calm" };
+        let job = world.submit_for(workspace, "gang", vec![gang()]);
+        world.lost_starts.insert(member(job, *index), *count);
+        world.submit_for("hot", "urgent", vec![quick_step()]);
+        world.run(SECOND);
+    }
+    world.end_faults();
+    world.run(60 * SECOND);
+    if world.violations.is_empty() {
+        world.check_ends();
+    }
+    world
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn no_member_ends_alone_while_owners_change_and_orders_get_lost(
+        seed in any::<u64>(),
+        lost_starts in prop::collection::vec((0..MEMBERS, 0..5_u32), 6..12),
+    ) {
+        let world = run_history(seed, &lost_starts);
+        prop_assert_eq!(world.ended_alone(), []);
+        prop_assert_eq!(&world.violations, &Vec::<String>::new());
+    }
+}
+
 /// Guards against a gang that is stopped although all its members work.
 #[rstest]
 #[case::a_gang(false)]
