cell: members with another run than their gang's count as missing

The gang then had members of two runs, was taken for whole and not stopped, and progress of one run confirmed members of the other. A former run doesn't begin an assembly anew either.

--- a/crates/cell/src/engine/assembly.rs
+++ b/crates/cell/src/engine/assembly.rs
@@ -52,7 +52,7 @@
     pub unlisted: usize,
     /// Members that are being stopped.
     pub stopping: usize,
-    /// Members without a run.
+    /// Members without a run, or with another run than the others.
     pub waiting: usize,
 }
 
@@ -91,7 +91,8 @@
         let Some(stage) = stage else {
             return;
         };
-        if stage.assembly.is_some_and(|assembly| assembly.run == run) {
+        // An order of a former run may be carried out late.
+        if stage.assembly.is_some_and(|assembly| assembly.run >= run) {
             return;
         }
         stage.assembly = Some(Assembly {
@@ -128,8 +129,10 @@
             return;
         };
         assembly.is_whole = true;
-        for (index, slot, run) in self.gang_members(id) {
-            self.confirm(slot, id.task(index), run, now);
+        for (index, slot, member_run) in self.gang_members(id) {
+            if member_run == run {
+                self.confirm(slot, id.task(index), run, now);
+            }
         }
     }
 
@@ -154,7 +157,7 @@
 
     /// Returns whether missing members of a partly started gang may be placed.
     pub(super) fn may_repair_gang(&self, id: StepId, run: Run, now: Timestamp) -> bool {
-        let census = self.census(id);
+        let census = self.census(id, run);
         match self.end_of_wait(id, run, &census) {
             Some(end) => now < end,
             None => self.is_own(run) && self.assembly(id, run).is_none() && census.stopping == 0,
@@ -183,7 +186,7 @@
     }
 
     fn check_gang(&mut self, id: StepId, run: Run, now: Timestamp) {
-        let census = self.census(id);
+        let census = self.census(id, run);
         if census.is_whole() {
             return self.mark_whole(id, run, now);
         }
@@ -247,20 +250,21 @@
             step: id,
             run,
             state,
-            members: self.census(id),
+            members: self.census(id, run),
             age: assembly.map(|assembly| now.since(assembly.since)),
             waits,
         });
     }
 
-    /// Returns how many members of a gang are in each state.
-    fn census(&self, id: StepId) -> Census {
+    /// Returns how many members of a gang's run are in each state.
+    fn census(&self, id: StepId, run: Run) -> Census {
         let mut census = Census::default();
         let Some(stage) = self.jobs.get(&id.job).and_then(|job| job.stage(id)) else {
             return census;
         };
         for (index, task) in (0u16..).zip(&stage.tasks) {
-            let Some((slot, run)) = task.active_run else {
+            let active = task.active_run.filter(|(_, active)| *active == run);
+            let Some((slot, run)) = active else {
                 census.waiting += usize::from(!task.is_done);
                 continue;
             };
