--- a/crates/cell/tests/cell/history.rs
+++ b/crates/cell/tests/cell/history.rs
@@ -27,7 +27,17 @@
 
 /// Runs a history with some jobs; returns the violated invariants.
 fn run_history(seed: u64, faults: Faults) -> Vec<String> {
+    run_history_in(World::new(seed, faults))
+}
+
+/// Runs a history in which the members of gangs wait for each other; returns the violated invariants.
+fn run_history_with_gangs(seed: u64, faults: Faults) -> Vec<String> {
     let mut world = World::new(seed, faults);
+    world.simulate_gangs(Duration::from_secs(2));
+    run_history_in(world)
+}
+
+fn run_history_in(mut world: World) -> Vec<String> {
     world.check_waits_from_now_on();
     world.run(Duration::from_secs(1));
     for round in 0..6 {
@@ -292,6 +302,11 @@
         prop_assert_eq!(run_history(seed, DEPARTURES), Vec::<String>::new());
     }
 
+    #[test]
+    fn invariants_hold_when_the_members_of_gangs_wait_for_each_other(seed in any::<u64>()) {
+        prop_assert_eq!(run_history_with_gangs(seed, ALL), Vec::<String>::new());
+    }
+
     #[test]
     fn invariants_hold_when_labels_come_and_go(seed in any::<u64>()) {
         prop_assert_eq!(run_history_with_labels(seed, Faults { cancels: 0, ..ALL }), Vec::<String>::new());
