cell: check a gang again when members are ordered a second time

From reading: where all orders of a gang are refused and its members placed anew in the same run, their second orders set no timer, as the assembly had begun already. If one of them got no answer while its worker was silent, nothing looked at the gang. Now each order of a run that isn't whole sets it.

--- a/crates/cell/src/engine/assembly.rs
+++ b/crates/cell/src/engine/assembly.rs
@@ -1,8 +1,10 @@
-//! The assembly of gangs: the members that run wait for the others, and end if these don't come in time.
+//! The assembly of gangs: stops the members that run before they have waited too long for the others.
 //!
-//! A scheduling pass places missing members, if it gets to the gang. Whether members wait in vain is checked apart from
-//! the passes, since the limit of the workspace, missing advice or the cost limit may keep a pass from a gang for longer
-//! than its members wait.
+//! On their workers, the members of a gang wait for each other for [`Bounds::gang_wait`] and then end. A scheduling pass
+//! places missing members, if it gets to the gang. Whether members wait in vain is checked apart from the passes, since the
+//! limit of the workspace, missing advice or the cost limit may keep a pass from a gang for longer than its members wait.
+//!
+//! [`Bounds::gang_wait`]: crate::bounds::Bounds::gang_wait
 
 use fulmarpier_state::clock::Timestamp;
 
@@ -25,7 +27,7 @@
 /// placed. After that the gang is stopped, while there is time left for the stop orders to arrive.
 const REPAIR_DIVISOR: u32 = 2;
 /// How long the start orders of members may go without an answer before the gang is stopped, in quarters of the time that
-/// the members wait for each other.
+/// the members wait for each other. This is longer than for missing members, since a member without an answer may run.
 const CONFIRMATION_QUARTERS: u32 = 3;
 
 /// The current run of a gang, from its first start order or from the takeover on.
@@ -81,9 +83,8 @@
         step.is_some_and(|step| step.gang)
     }
 
-    /// Notes that a run of a task may be under way from now on, which begins the assembly of its gang if it is the first
-    /// one.
-    pub(super) fn begin_assembly(&mut self, id: StepId, run: Run, now: Timestamp) {
+    /// Notes that a run of a task may be under way from now on. The first one begins the assembly of its gang.
+    pub(super) fn note_ordered(&mut self, id: StepId, run: Run, now: Timestamp) {
         if !self.is_gang(id) {
             return;
         }
@@ -92,15 +93,16 @@
             return;
         };
         // An order of a former run may be carried out late.
-        if stage.assembly.is_some_and(|assembly| assembly.run >= run) {
-            return;
+        if stage.assembly.is_none_or(|assembly| assembly.run < run) {
+            stage.assembly = Some(Assembly {
+                run,
+                since: now,
+                is_whole: false,
+            });
+        }
+        if stage.assembly.is_some_and(|assembly| !assembly.is_whole) {
+            self.assemblies.set(id, Some(now));
         }
-        stage.assembly = Some(Assembly {
-            run,
-            since: now,
-            is_whole: false,
-        });
-        self.assemblies.set(id, Some(now));
     }
 
     /// Notes that a worker lists a run for the first time, which may wait for other members of its gang.
--- a/crates/cell/src/engine/contact.rs
+++ b/crates/cell/src/engine/contact.rs
@@ -471,7 +471,7 @@
         self.update_indexes(slot);
         self.log(LogRecord::Adopted { task, run, worker });
         if is_wanted {
-            self.begin_assembly(task.step, run, now);
+            self.note_ordered(task.step, run, now);
             self.save_checkpoint(task, running.checkpoint.as_ref());
         } else {
             self.stop(slot, task, run, "unwanted", now);
--- a/crates/cell/src/engine/order.rs
+++ b/crates/cell/src/engine/order.rs
@@ -220,7 +220,7 @@
             allocation.phase = Phase::Starting;
             allocation.fence = to.fence;
         }
-        self.begin_assembly(task.step, run, now);
+        self.note_ordered(task.step, run, now);
         self.outbox.push(Effect::Start(Box::new(Start {
             to,
             task,
