cell: progress keeps a gang from being stopped, and proves no more

Progress that a worker reports may be wrong. It confirmed all members of a gang, so a member whose order had no answer yet counted as running; a list without it would then have released the task while the order could still be carried out, and the task could run twice. From reading, not seen.

Now progress only marks the gang as whole: it isn't stopped, and the order of a member without an answer is sent again, or put off until its silent worker answers, in place of a stop after three. The member stays unconfirmed. `a_gang_at_work_is_not_stopped_while_the_worker_of_a_member_is_silent` holds as before.

--- a/crates/cell/src/engine/assembly.rs
+++ b/crates/cell/src/engine/assembly.rs
@@ -122,22 +122,24 @@
         }
     }
 
-    /// Notes that all members of a gang's run are known to run: one of them is at work, and they work only together.
-    pub(super) fn mark_whole(&mut self, id: StepId, run: Run, now: Timestamp) {
+    /// Notes that all members of a gang's run seem to run: they are confirmed, or one of them is at work, which they are
+    /// only together.
+    ///
+    /// Progress is not relied on for more than that: a member without an answer stays unconfirmed.
+    pub(super) fn mark_whole(&mut self, id: StepId, run: Run) {
         let stage = self.jobs.get_mut(&id.job).and_then(|job| job.stage_mut(id));
         let assembly = stage.and_then(|stage| stage.assembly.as_mut());
-        let assembly = assembly.filter(|assembly| assembly.run == run && !assembly.is_whole);
-        let Some(assembly) = assembly else {
-            return;
-        };
-        assembly.is_whole = true;
-        for (index, slot, member_run) in self.gang_members(id) {
-            if member_run == run {
-                self.confirm(slot, id.task(index), run, now);
-            }
+        if let Some(assembly) = assembly.filter(|assembly| assembly.run == run) {
+            assembly.is_whole = true;
         }
     }
 
+    /// Returns whether all members of a gang's run seem to run.
+    pub(super) fn is_gang_whole(&self, id: StepId, run: Run) -> bool {
+        let assembly = self.assembly(id, run);
+        assembly.is_some_and(|assembly| assembly.is_whole)
+    }
+
     /// Returns what is known of the assembly of a gang's run; `None` if no order of it was sent.
     fn assembly(&self, id: StepId, run: Run) -> Option<Assembly> {
         let stage = self.jobs.get(&id.job)?.stage(id)?;
@@ -190,7 +192,7 @@
     fn check_gang(&mut self, id: StepId, run: Run, now: Timestamp) {
         let census = self.census(id, run);
         if census.is_whole() {
-            return self.mark_whole(id, run, now);
+            return self.mark_whole(id, run);
         }
         let is_whole = self
             .assembly(id, run)
--- a/crates/cell/src/engine/contact.rs
+++ b/crates/cell/src/engine/contact.rs
@@ -409,7 +409,7 @@
             self.note_listed(task.step, running.run, now);
         }
         if is_at_work {
-            self.mark_whole(task.step, running.run, now);
+            self.mark_whole(task.step, running.run);
         }
         self.save_checkpoint(task, running.checkpoint.as_ref());
     }
--- a/crates/cell/src/engine/order.rs
+++ b/crates/cell/src/engine/order.rs
@@ -148,8 +148,9 @@
         else {
             return;
         };
-        allocation.unanswered_starts += 1;
-        let is_exhausted = allocation.unanswered_starts >= MAX_UNANSWERED_STARTS;
+        allocation.unanswered_starts = allocation.unanswered_starts.saturating_add(1);
+        let is_exhausted = allocation.unanswered_starts >= MAX_UNANSWERED_STARTS
+            && !self.is_gang_whole(task.step, run);
         let worker = self.workers.get(&slot);
         let is_overcommitted = worker.is_some_and(Worker::is_overcommitted);
         // A silent worker may come back with less capacity, or as a worker of another kind.
@@ -311,7 +312,7 @@
     }
 
     /// Notes that the worker has a run.
-    pub(super) fn confirm(&mut self, slot: Slot, task: TaskId, run: Run, now: Timestamp) {
+    fn confirm(&mut self, slot: Slot, task: TaskId, run: Run, now: Timestamp) {
         let worker = self.workers.get_mut(&slot);
         let allocation = worker.and_then(|worker| worker.allocations.get_mut(&(task, run)));
         if let Some(allocation) = allocation {
