--- a/crates/cell/src/effect.rs
+++ b/crates/cell/src/effect.rs
@@ -150,7 +150,7 @@
         worker: WorkerId,
         /// The reason, as one word.
         why: &'static str,
-        /// The time since the run was placed, if it is still on its worker's account.
+        /// The time since the run was placed or taken over, if its worker still has it allocated.
         age: Option<Duration>,
     },
     /// A member of a gang does not run while others may, or has ended because of that.
@@ -163,7 +163,8 @@
         state: &'static str,
         /// The number of members in each state.
         members: Census,
-        /// The time since the run was decided; `None` if a former owner did that.
+        /// The time since its first order was sent, or since the takeover for a run of a former owner; `None` if no order
+        /// was sent.
         age: Option<Duration>,
         /// Why its missing members wait, as last reported.
         waits: Option<WaitReason>,
