--- a/crates/node/src/member/own.rs
+++ b/crates/node/src/member/own.rs
@@ -87,6 +87,7 @@
 
 /// Owns the cell until the claim is lost, given up, or can't be trusted any more.
 pub(super) async fn own_cell<P: Platform>(shared: &Arc<Shared<P>>, mut claim: Claim, mut end: u64) {
+    slog::info!(shared.log, "ownership-begins"; "epoch" => %claim.epoch, "end" => end);
     shared.ownership.send_replace(Some(Ownership {
         claim: claim.clone(),
         engine: None,
--- a/crates/node/src/owner/recorder.rs
+++ b/crates/node/src/owner/recorder.rs
@@ -56,6 +56,8 @@
         sequence += 1;
         let is_stored = write_group(&shared, epoch, &mut sequence, &entries).await;
         let Some(actor) = actor.upgrade() else {
+            slog::info!(shared.log, "recorder-ends"; "epoch" => %epoch, "why" => "actor-ended",
+                "appends" => sequence);
             return;
         };
         let event = match is_stored {
@@ -65,6 +67,8 @@
         // The actor may be stopping.
         let _ = actor.tell(event).await;
         if !is_stored {
+            slog::info!(shared.log, "recorder-ends"; "epoch" => %epoch, "why" => "fenced",
+                "appends" => sequence);
             shared.ownership.send_replace(None);
             return;
         }
