node: own the cell once under an epoch

Cause: an owner that gives the cell up as lost leaves its claim as it is. If nobody claims the cell before it reads the claim again, it found its own claim and owned the cell a second time under the same epoch, beside the record writer of the first ownership. The store can't tell the two writers apart: it answers the second one's first appends as repeats, or gives each the other's next number, and older records replace newer ones.

Change: a node owns the cell once under an epoch, and claims it anew after that; the record writer ends with its ownership, and gives the ownership up on a number that isn't its own; what is left of an ownership neither ends nor replaces a later one. No wait and no limit has changed.

--- a/crates/node/src/member/follow.rs
+++ b/crates/node/src/member/follow.rs
@@ -191,8 +191,11 @@
         return OwnerStatus::Lost("released");
     }
     if claim.node == shared.name {
-        // The claim is this node's, but this process doesn't hold it.
-        return OwnerStatus::Lost("former-life");
+        // The claim is this node's, but of an earlier process or of an ownership that has ended.
+        return OwnerStatus::Lost(match claim.incarnation == shared.incarnation {
+            true => "given-up",
+            false => "former-life",
+        });
     }
     let hello = Request::Hello(shared.hello());
     let asked = Instant::now();
--- a/crates/node/src/member/mod.rs
+++ b/crates/node/src/member/mod.rs
@@ -20,9 +20,12 @@
     time::Duration, //
 };
 
-use fulmarpier_cell::record::{
-    self,
-    Claim, //
+use fulmarpier_cell::{
+    id::Epoch,
+    record::{
+        self,
+        Claim, //
+    }, //
 };
 use futures::future::join_all;
 use tokio::{
@@ -94,13 +97,15 @@
 pub(crate) async fn run<P: Platform>(shared: Arc<Shared<P>>) {
     tokio::spawn(isolation::run(shared.clone()));
     let mut seen = read_claim(&shared).await;
+    // The epoch of this process's latest ownership. It is not owned under again: the store, the workers and the other
+    // nodes tell ownerships apart by their epochs alone, and a new one numbers its appends, runs and orders anew.
+    let mut last_owned = Epoch::default();
     loop {
-        let is_owner = seen
-            .claim
-            .as_ref()
-            .is_some_and(|claim| is_own(&shared, claim));
-        match seen.claim.clone().filter(|_| is_owner) {
+        let claim = seen.claim.as_ref();
+        let claim = claim.filter(|claim| is_own(&shared, claim) && claim.epoch > last_owned);
+        match claim.cloned() {
             Some(claim) => {
+                last_owned = claim.epoch;
                 own_cell(&shared, claim, seen.end).await;
                 seen = read_claim(&shared).await;
             }
--- a/crates/node/src/member/own.rs
+++ b/crates/node/src/member/own.rs
@@ -124,7 +124,7 @@
         Ending::Released(_) | Ending::Lost(_) => None,
     };
     report_ownership_lost(shared, &takeover).await;
-    shared.ownership.send_replace(None);
+    shared.end_ownership(claim.epoch);
     if let Some(successor) = successor {
         announce_successor(shared, successor, &peers).await;
         return;
--- a/crates/node/src/owner/engine_actor.rs
+++ b/crates/node/src/owner/engine_actor.rs
@@ -288,9 +288,9 @@
                 Effect::Remove(jobs) => removal::remove_acceptances(&self.shared, jobs),
                 Effect::Log(record) => self.log_record(&record),
                 Effect::OwnershipLost => {
-                    slog::warn!(self.shared.log, "fenced"; "epoch" => %self.engine.epoch());
+                    slog::warn!(self.shared.log, "fenced"; "epoch" => %self.engine.epoch(), "by" => "worker");
                     self.has_lost_ownership = true;
-                    self.shared.ownership.send_replace(None);
+                    self.shared.end_ownership(self.engine.epoch());
                 }
             }
         }
@@ -378,6 +378,8 @@
 
     async fn handle(&mut self, event: Event, context: &mut Context<Self, ()>) {
         let is_batch_due = matches!(event, Event::BatchDue);
+        // Events that were sent before the ownership ended may still be queued.
+        self.has_lost_ownership |= !self.shared.owns(self.engine.epoch());
         self.check_stall();
         self.handle_event(event);
         if self.has_lost_ownership {
--- a/crates/node/src/owner/takeover.rs
+++ b/crates/node/src/owner/takeover.rs
@@ -64,7 +64,6 @@
     },
     shared::{
         EngineHandle,
-        Ownership,
         Shared, //
     },
     telemetry::millis,
@@ -227,13 +226,14 @@
     tokio::spawn(forward_changes(configs, weak.clone(), Event::Configured));
     let evacuations = shared.evacuation.subscribe();
     tokio::spawn(forward_changes(evacuations, weak, Event::Evacuation));
-    shared.ownership.send_replace(Some(Ownership {
-        claim: claim.clone(),
-        engine: Some(EngineHandle {
-            actor: actor.clone(),
-            read_progress,
-        }),
-    }));
+    let engine = EngineHandle {
+        actor: actor.clone(),
+        read_progress,
+    };
+    if !shared.publish_engine(claim.epoch, engine) {
+        // The ownership ended while the stored state was being read.
+        actor.kill();
+    }
     actor
 }
 
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -16,7 +16,10 @@
 use fulmarpier_cell::{
     bounds::Bounds,
     config::Config,
-    id::NodeName,
+    id::{
+        Epoch,
+        NodeName, //
+    },
     record::Claim,
     spread::Spread, //
 };
@@ -268,6 +271,44 @@
         self.ownership.borrow().as_ref()?.engine.clone()
     }
 
+    /// Returns whether this node owns the cell under an epoch.
+    pub(crate) fn owns(&self, epoch: Epoch) -> bool {
+        is_of_epoch(self.ownership.borrow().as_ref(), epoch)
+    }
+
+    /// Publishes the engine of an ownership; returns false if that ownership has ended.
+    pub(crate) fn publish_engine(&self, epoch: Epoch, engine: EngineHandle<P>) -> bool {
+        self.ownership.send_if_modified(|ownership| {
+            let current = ownership.as_mut();
+            let current = current.filter(|ownership| ownership.claim.epoch == epoch);
+            let is_current = current.is_some();
+            if let Some(ownership) = current {
+                ownership.engine = Some(engine);
+            }
+            is_current
+        })
+    }
+
+    /// Ends the ownership of an epoch, unless this node already owns the cell under another one: what is left of a
+    /// former ownership must not end a later one.
+    pub(crate) fn end_ownership(&self, epoch: Epoch) {
+        self.ownership.send_if_modified(|ownership| {
+            let is_current = is_of_epoch(ownership.as_ref(), epoch);
+            if is_current {
+                *ownership = None;
+            }
+            is_current
+        });
+    }
+
+    /// Waits until the ownership of an epoch has ended.
+    pub(crate) async fn wait_until_ended(&self, epoch: Epoch) {
+        let mut ownership = self.ownership.subscribe();
+        let ended = ownership.wait_for(|current| !is_of_epoch(current.as_ref(), epoch));
+        // The sender lives as long as this node.
+        let _ = ended.await;
+    }
+
     /// Returns the description of this node that other nodes use.
     pub(crate) fn as_peer(&self) -> Peer {
         Peer {
@@ -351,10 +392,15 @@
     }
 
     /// Returns the highest epoch known to this node.
-    pub(crate) fn epoch(&self) -> fulmarpier_cell::id::Epoch {
+    pub(crate) fn epoch(&self) -> Epoch {
         let claim = self.claim.borrow();
         claim
             .as_ref()
             .map_or_else(Default::default, |claim| claim.epoch)
     }
 }
+
+/// Returns whether an ownership is that of an epoch.
+fn is_of_epoch<P: Platform>(ownership: Option<&Ownership<P>>, epoch: Epoch) -> bool {
+    ownership.is_some_and(|ownership| ownership.claim.epoch == epoch)
+}
--- /dev/null
+++ b/crates/node/tests/node/ownership.rs
@@ -0,0 +1,105 @@
+//! Nodes that own the cell more than once.
+
+use std::time::Duration;
+
+use fulmarpier_cell::{
+    engine::State,
+    id::JobId, //
+};
+use rstest::rstest;
+use tokio::time::sleep;
+
+use crate::{
+    platform::{
+        Fake,
+        Mode, //
+    },
+    support::{
+        SECOND,
+        job,
+        start_node,
+        step,
+        submit_spec,
+        wait_until,
+        wait_until_completed,
+        wait_until_ready, //
+    },
+};
+
+/// An owner that reaches neither the store nor another node for this long gives the cell up.
+const SILENCE: Duration = Duration::from_millis(1_550);
+
+/// Guards against an ownership that uses the epoch of an earlier one of the same node: the store takes its first
+/// appends for repeats of the earlier one's, so it answers that they are stored and stores nothing.
+#[rstest]
+#[case::few_appends(1)]
+#[case::more_appends_than_may_be_repeated(12)]
+#[tokio::test(start_paused = true)]
+async fn what_the_last_node_records_after_it_lost_the_store_survives_it(#[case] before: u64) {
+    let platform = Fake::new();
+    let one = start_node("one", &platform);
+    wait_until_ready(&one).await;
+    for id in 1..=before {
+        submit_spec(&one, id, job(vec![step()], None))
+            .await
+            .unwrap();
+        wait_until_completed(&one, id).await;
+    }
+    for round in 1..=3u64 {
+        // A run that ends during the silence is recorded after it.
+        let id = 100 * round;
+        submit_spec(&one, id, job(vec![step()], None))
+            .await
+            .unwrap();
+        sleep(Duration::from_millis(30)).await;
+        platform.set_mode(Mode::Unresponsive);
+        sleep(SILENCE).await;
+        platform.set_mode(Mode::Healthy);
+        wait_until_ready(&one).await;
+        submit_spec(&one, id + 1, job(vec![step()], None))
+            .await
+            .unwrap();
+        wait_until_completed(&one, id).await;
+        wait_until_completed(&one, id + 1).await;
+    }
+    let takeovers = platform.takeovers();
+    assert!(
+        takeovers.len() > 3,
+        "the cell was not given up: {takeovers:?}"
+    );
+    one.stop(Duration::ZERO).await;
+    let two = start_node("two", &platform);
+    wait_until(|| async { platform.owner().as_deref() == Some("two") }).await;
+    wait_until_ready(&two).await;
+    sleep(SECOND).await;
+    for round in 1..=3u64 {
+        for id in [100 * round, 100 * round + 1] {
+            let state = two.frontend().job_state(JobId(id)).await;
+            assert_eq!(state, Ok(State::Completed), "job {id}");
+            assert_eq!(platform.starts(id), 2, "starts of the tasks of job {id}");
+        }
+    }
+    assert!(takeovers.is_sorted_by(|a, b| a < b), "{takeovers:?}");
+}
+
+/// Guards against a record writer that outlives its ownership: its retries are refused for their epoch, which must not
+/// end the next ownership of the same node.
+#[tokio::test(start_paused = true)]
+async fn what_is_left_of_an_ownership_doesn_t_end_the_next_one() {
+    let platform = Fake::new();
+    let one = start_node("one", &platform);
+    wait_until_ready(&one).await;
+    submit_spec(&one, 1, job(vec![step()], None)).await.unwrap();
+    platform.set_mode(Mode::Unresponsive);
+    sleep(SILENCE).await;
+    platform.set_mode(Mode::Healthy);
+    wait_until_completed(&one, 1).await;
+    let takeovers = platform.takeovers().len();
+    sleep(10 * SECOND).await;
+    assert_eq!(
+        platform.takeovers().len(),
+        takeovers,
+        "no further ownership begins"
+    );
+    assert_eq!(platform.starts(1), 2);
+}
--- a/crates/node/tests/node/platform.rs
+++ b/crates/node/tests/node/platform.rs
@@ -83,7 +83,13 @@
     sleep, //
 };
 
-use crate::support::queue;
+use crate::{
+    support::queue,
+    writer::{
+        Admission,
+        Writer, //
+    }, //
+};
 
 /// How the store behaves.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -119,10 +125,8 @@
     topics: BTreeMap<String, Vec<Record>>,
     /// The first offset of each topic that is still kept, if it is not zero.
     first_offsets: BTreeMap<String, u64>,
-    /// The highest epoch that has written; appends of older ones are refused.
-    fence: u32,
-    /// Epoch, sequence number and end offset of the writer's last append, which answer a retry of it.
-    last_append: Option<(u32, u64, u64)>,
+    /// The owner's writer of records.
+    writer: Writer,
     workers: BTreeMap<WorkerId, Worker>,
     starts: Vec<(TaskId, Instant)>,
     /// The maximum number of records in the answer to a read, if there is one.
@@ -472,6 +476,11 @@
         self.state().max_newest_per_read = Some(count);
     }
 
+    /// Returns the epochs under which owners have taken over, in order.
+    pub(crate) fn takeovers(&self) -> Vec<u32> {
+        self.state().writer.takeovers()
+    }
+
     pub(crate) fn appends(&self) -> usize {
         self.state().appends
     }
@@ -598,16 +607,12 @@
             Condition::EndsAt(at) if at == end => {}
             Condition::EndsAt(_) => return Err(Error::WrongEnd { end }),
             Condition::Writer { epoch, sequence } => {
-                if epoch.0 < state.fence {
-                    return Err(Error::Fenced);
-                }
-                state.fence = epoch.0;
-                if let Some((last_epoch, last_sequence, last_end)) = state.last_append
-                    && (last_epoch, last_sequence) == (epoch.0, sequence)
-                {
-                    return Ok(last_end);
+                let count = append.records.len();
+                let new_end = end + count as u64;
+                match state.writer.admit(epoch.0, sequence, count, new_end)? {
+                    Admission::New => {}
+                    Admission::Repeat(first) => return Ok(first),
                 }
-                state.last_append = Some((epoch.0, sequence, end + append.records.len() as u64));
             }
         }
         let topic = state.topics.entry(name).or_default();
