cell, node: bound what a job may put on record, and store any entry

Restarts didn't help.

Change: a job has at most 5,000 tasks open at a time, as an occurrence could have before; the record says how many occurrences are done and lists the open ones. Entries over the size of a record are stored in pieces, groups over the size of a call in several calls. A refusal that doesn't pass by itself is an error of its own with a log line, tried again each 5 s. A job whose description is larger than a record is refused as invalid. What former versions stored is read as before, and written so as long as no occurrence is done.

--- a/crates/cell/src/engine/contact.rs
+++ b/crates/cell/src/engine/contact.rs
@@ -419,9 +419,13 @@
     /// If an inventory requested at `proven_from` or later doesn't list the run, that proves that it is gone.
     fn adopt(&mut self, slot: Slot, running: &Running, proven_from: Timestamp, now: Timestamp) {
         let (task, run) = (running.task, running.run);
+        self.begin_listed_occurrence(task.step, now);
         let charge = self.charge(task.step);
         let job = self.jobs.get_mut(&task.step.job);
         let is_over = job.as_ref().is_none_or(|job| job.is_over());
+        let has_finished = job
+            .as_ref()
+            .is_some_and(|job| job.has_finished(task.step.occurrence));
         let size = job
             .as_ref()
             .and_then(|job| job.step(task.step))
@@ -438,7 +442,7 @@
                 stage.opened_at.get_or_insert(now);
                 is_wanted = true;
             }
-        } else {
+        } else if !has_finished {
             let unknown_runs = self.unknown_runs.entry(task.step.job).or_default();
             unknown_runs.push((slot, task, run));
         }
--- a/crates/cell/src/engine/job.rs
+++ b/crates/cell/src/engine/job.rs
@@ -211,6 +211,11 @@
         stage
     }
 
+    /// Returns whether all tasks are done.
+    fn is_done(&self) -> bool {
+        usize::from(self.done) == self.tasks.len()
+    }
+
     pub(super) fn task(&self, index: u16) -> Option<&Task> {
         self.tasks.get(usize::from(index))
     }
@@ -269,6 +274,11 @@
     pub(super) is_cancelled: bool,
     /// Whether a task of the job is known to have run on a worker, by this owner or from the store.
     pub(super) has_begun: bool,
+    /// How many occurrences are done, counted from the first without a gap, according to the store.
+    pub(super) finished: u32,
+    /// The next occurrence to begin.
+    pub(super) next_occurrence: u32,
+    /// The later occurrences that have begun.
     pub(super) occurrences: BTreeMap<u32, Vec<Stage>>,
     /// The outcome, once it is decided.
     pub(super) outcome: Option<Outcome>,
@@ -295,6 +305,8 @@
             is_beyond_rate: false,
             is_cancelled: false,
             has_begun: progress.has_begun(),
+            finished: progress.finished,
+            next_occurrence: progress.finished,
             occurrences: BTreeMap::new(),
             outcome: progress.outcome,
             recorded_outcome: progress.outcome,
@@ -305,6 +317,7 @@
         for (occurrence, steps) in &progress.occurrences {
             job.begin_occurrence(*occurrence, steps);
         }
+        job.drop_finished(job.leading_done());
         job
     }
 
@@ -335,9 +348,51 @@
         self.occurrences.entry(occurrence).or_insert(stages);
     }
 
-    /// Returns how many occurrences the job has.
-    pub(super) fn occurrence_count(&self) -> u32 {
-        self.spec().schedule.map_or(1, |schedule| schedule.times)
+    /// Returns the next occurrence to begin with the time at which it is due, unless all have begun or too many are
+    /// open.
+    pub(super) fn next_occurrence(&self) -> Option<(u32, Timestamp)> {
+        let next = self.next_occurrence;
+        let is_open = next.saturating_sub(self.finished) < self.spec().max_open_occurrences();
+        (is_open && next < self.spec().occurrences()).then(|| (next, self.due_time(next)))
+    }
+
+    /// Returns when an occurrence may begin.
+    fn due_time(&self, occurrence: u32) -> Timestamp {
+        match self.spec().schedule {
+            Some(schedule) => Timestamp::ZERO + schedule.first + schedule.period * occurrence,
+            None => Timestamp::ZERO,
+        }
+    }
+
+    /// Returns whether an occurrence is done according to the store, so that nothing else is known of it.
+    pub(super) const fn has_finished(&self, occurrence: u32) -> bool {
+        occurrence < self.finished
+    }
+
+    /// Returns whether an occurrence is due and has not begun.
+    pub(super) fn may_begin(&self, occurrence: u32, now: Timestamp) -> bool {
+        !self.has_finished(occurrence)
+            && !self.occurrences.contains_key(&occurrence)
+            && occurrence < self.spec().occurrences()
+            && self.due_time(occurrence) <= now
+    }
+
+    /// Returns how many occurrences are done, counted from the first without a gap.
+    pub(super) fn leading_done(&self) -> u32 {
+        let begun = (self.finished..).zip(&self.occurrences);
+        let done = begun.take_while(|(expected, (occurrence, stages))| {
+            expected == *occurrence && stages.iter().all(Stage::is_done)
+        });
+        self.finished + u32::try_from(done.count()).unwrap_or(u32::MAX)
+    }
+
+    /// Drops the occurrences that are done according to the store.
+    pub(super) fn drop_finished(&mut self, finished: u32) {
+        if finished > self.finished {
+            self.finished = finished;
+            self.next_occurrence = self.next_occurrence.max(finished);
+            self.occurrences = self.occurrences.split_off(&finished);
+        }
     }
 
     pub(super) fn step(&self, id: StepId) -> Option<&Step> {
@@ -358,28 +413,37 @@
     pub(super) fn is_done(&self) -> bool {
         let begun = u32::try_from(self.occurrences.len()).unwrap_or(u32::MAX);
         let mut stages = self.occurrences.values().flatten();
-        begun >= self.occurrence_count()
-            && stages.all(|stage| usize::from(stage.done) == stage.tasks.len())
+        self.finished.saturating_add(begun) >= self.spec().occurrences()
+            && stages.all(Stage::is_done)
     }
 
     /// Returns the progress to record.
     pub(super) fn progress(&self) -> Progress {
-        // Once a job has ended, its outcome replaces the progress of its steps.
-        let occurrences = self.occurrences.iter();
-        let occurrences = occurrences.filter(|_| self.outcome.is_none());
+        let workspace = self.workspace().cloned();
+        if self.outcome.is_some() {
+            // Once a job has ended, its outcome replaces the progress of its steps.
+            return Progress {
+                outcome: self.outcome,
+                workspace,
+                ..Progress::default()
+            };
+        }
+        let finished = self.leading_done();
+        let open = self.occurrences.range(finished..);
         Progress {
-            occurrences: occurrences
+            finished,
+            occurrences: open
                 .map(|(index, stages)| (*index, stages.iter().map(Stage::progress).collect()))
                 .collect(),
-            outcome: self.outcome,
-            workspace: self.workspace().cloned(),
+            outcome: None,
+            workspace,
         }
     }
 
     /// Returns the time from which the latency of an occurrence counts: its scheduled time, or the job's arrival.
     fn start_of(&self, occurrence: u32) -> Timestamp {
         match self.spec().schedule {
-            Some(schedule) => Timestamp::ZERO + schedule.first + schedule.period * occurrence,
+            Some(_) => self.due_time(occurrence),
             None => self.accepted.received,
         }
     }
--- a/crates/cell/src/engine/loss.rs
+++ b/crates/cell/src/engine/loss.rs
@@ -70,6 +70,7 @@
         let is_over = job.is_over();
         let account = job.account;
         let Some(stage) = job.stage_mut(task.step) else {
+            self.remove_unknown_run(slot, task, run);
             return;
         };
         let Some(state) = stage.task_mut(task.index) else {
--- a/crates/cell/src/engine/mod.rs
+++ b/crates/cell/src/engine/mod.rs
@@ -231,8 +231,8 @@
     stops: Timers<(Slot, TaskId, Run)>,
     /// When gangs that may lack members are checked.
     assemblies: Timers<StepId>,
-    /// When occurrences of scheduled jobs are due.
-    due: BTreeSet<(Timestamp, JobId, u32)>,
+    /// When the next occurrence of each scheduled job is due.
+    due: BTreeSet<(Timestamp, JobId)>,
     /// The tasks that had just begun on a worker when it seemed to crash, by worker. The crashes are retracted if the
     /// worker answers again.
     tasks_by_crashed_worker: HashMap<WorkerId, Vec<TaskId>>,
--- a/crates/cell/src/engine/recording.rs
+++ b/crates/cell/src/engine/recording.rs
@@ -12,7 +12,8 @@
 
 use super::{
     Engine,
-    Slot, //
+    Slot,
+    job::Job, //
 };
 use crate::{
     effect::{
@@ -79,6 +80,8 @@
 struct Snapshot {
     job: JobId,
     outcome: Option<Outcome>,
+    /// How many occurrences are done, counted from the first without a gap.
+    finished: u32,
     done: Vec<(StepId, u16)>,
 }
 
@@ -160,7 +163,7 @@
             let Some(job) = self.jobs.get(&id) else {
                 continue;
             };
-            entries.push(Entry::Job(id, job.progress()));
+            entries.push(Entry::job(id, job.progress()));
             snapshots.push(self.snapshot(id));
         }
         let mut starts = Vec::new();
@@ -210,6 +213,7 @@
         Snapshot {
             job: id,
             outcome: job.and_then(|job| job.outcome),
+            finished: job.map_or(0, Job::leading_done),
             done: done.collect(),
         }
     }
@@ -252,7 +256,10 @@
                 after,
             });
             self.schedule_removal(snapshot.job, now);
+        } else {
+            job.drop_finished(snapshot.finished);
         }
+        self.begin_occurrences(snapshot.job, now);
         self.open_steps(snapshot.job, now);
     }
 
--- a/crates/cell/src/engine/submit.rs
+++ b/crates/cell/src/engine/submit.rs
@@ -78,51 +78,64 @@
         }
     }
 
-    /// Adds a job and begins its occurrences that are due.
+    /// Adds a job and begins its occurrences that are due, as far as they may be open.
     pub(super) fn add_job(&mut self, mut job: Job, now: Timestamp) {
         let id = job.accepted.job;
         job.is_cancelled = self.is_cancelled(&job);
         self.open_account(&mut job);
         let is_over = job.is_over();
-        let schedule = job.spec().schedule;
         self.jobs.insert(id, job);
         if is_over {
             self.schedule_removal(id, now);
             return;
         }
-        match schedule {
-            Some(schedule) => {
-                for occurrence in 0..schedule.times {
-                    let at = Timestamp::ZERO + schedule.first + schedule.period * occurrence;
-                    match at <= now {
-                        // A worker may be running it on an order of a former owner.
-                        true => self.begin_occurrence(id, occurrence, now),
-                        false => drop(self.due.insert((at, id, occurrence))),
-                    }
-                }
-            }
-            None => self.begin_occurrence(id, 0, now),
-        }
+        self.begin_occurrences(id, now);
     }
 
     /// Begins the occurrences of scheduled jobs that are due.
     pub(super) fn begin_due_occurrences(&mut self, now: Timestamp) {
-        while let Some((at, job, occurrence)) = self.due.first().copied() {
+        while let Some((at, job)) = self.due.first().copied() {
             if at > now {
                 return;
             }
             self.due.pop_first();
-            self.begin_occurrence(job, occurrence, now);
+            self.begin_occurrences(job, now);
         }
     }
 
-    fn begin_occurrence(&mut self, id: JobId, occurrence: u32, now: Timestamp) {
+    /// Begins the occurrences of a job that are due, as far as they may be open, and notes when the next one is due.
+    ///
+    /// After a takeover, workers may be running them on orders of a former owner.
+    pub(super) fn begin_occurrences(&mut self, id: JobId, now: Timestamp) {
         let Some(job) = self.jobs.get_mut(&id).filter(|job| !job.is_over()) else {
             return;
         };
-        job.begin_occurrence(occurrence, &[]);
-        self.assign_unknown_runs(id);
-        self.open_steps(id, now);
+        let mut has_begun = false;
+        while let Some((occurrence, at)) = job.next_occurrence() {
+            if at > now {
+                self.due.insert((at, id));
+                break;
+            }
+            job.begin_occurrence(occurrence, &[]);
+            job.next_occurrence += 1;
+            has_begun = true;
+        }
+        if has_begun {
+            self.assign_unknown_runs(id);
+            self.open_steps(id, now);
+        }
+    }
+
+    /// Begins an occurrence that is due because a worker lists a run of it: a former owner may have had more of them
+    /// open.
+    pub(super) fn begin_listed_occurrence(&mut self, step: StepId, now: Timestamp) {
+        let job = self.jobs.get_mut(&step.job);
+        let job = job.filter(|job| !job.is_over() && job.may_begin(step.occurrence, now));
+        if let Some(job) = job {
+            job.begin_occurrence(step.occurrence, &[]);
+            self.assign_unknown_runs(step.job);
+            self.open_steps(step.job, now);
+        }
     }
 
     /// Opens the steps of a job whose preceding steps are all done according to the record.
--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -14,7 +14,8 @@
     Serialize, //
 };
 
-/// The maximum number of tasks of a job; it limits the cost of one submission.
+/// The maximum number of tasks of a job that may be open at a time. It limits what one submission costs: the tasks that
+/// an owner holds in memory, and the size of the record of their progress.
 const MAX_TASKS: u32 = 5_000;
 /// The maximum number of steps of a job.
 const MAX_STEPS: usize = 100;
@@ -99,6 +100,17 @@
     /// What a step needs at once exceeds the limit of its workspace.
     #[error("step {0} needs more at once than its workspace may have running")]
     Limit(usize),
+    /// A long-running step repeats so often that too many of its tasks would run at the same time.
+    #[error("the long-running tasks of all repeats are more than {MAX_TASKS}")]
+    TooManyLongRunning,
+    /// The description of the job is larger than a record of the store.
+    #[error("the job is described in {bytes} bytes; {most} can be stored")]
+    TooLarge {
+        /// The size of its record, in bytes.
+        bytes: usize,
+        /// The greatest size of a record, in bytes.
+        most: usize,
+    },
     /// The job repeats but has no period.
     #[error("a job that repeats needs a period")]
     NoPeriod,
@@ -149,10 +161,14 @@
                 return Err(Invalid::Order(index));
             }
         }
-        let tasks: u32 = self.steps.iter().map(|step| u32::from(step.count)).sum();
-        if tasks > MAX_TASKS {
+        if self.tasks_per_occurrence() > MAX_TASKS {
             return Err(Invalid::TooManyTasks);
         }
+        // An occurrence with a long-running step never ends.
+        let is_long_running = self.steps.iter().any(|step| step.long_running);
+        if is_long_running && self.occurrences() > self.max_open_occurrences() {
+            return Err(Invalid::TooManyLongRunning);
+        }
         let repeats = self.schedule.filter(|schedule| schedule.times > 1);
         if repeats.is_some_and(|schedule| schedule.period.is_zero()) {
             return Err(Invalid::NoPeriod);
@@ -160,6 +176,23 @@
         Ok(())
     }
 
+    fn tasks_per_occurrence(&self) -> u32 {
+        self.steps.iter().map(|step| u32::from(step.count)).sum()
+    }
+
+    /// Returns how many occurrences the job has.
+    pub fn occurrences(&self) -> u32 {
+        self.schedule.map_or(1, |schedule| schedule.times)
+    }
+
+    /// Returns how many occurrences may be open at a time, from the first that is not done on.
+    ///
+    /// Occurrences that are due while the earlier ones are open, because they overlap or because the job makes up for
+    /// the past, begin as these are done.
+    pub fn max_open_occurrences(&self) -> u32 {
+        (MAX_TASKS / self.tasks_per_occurrence().max(1)).max(1)
+    }
+
     /// Returns for each step the estimated length of the longest chain of steps that begins with it.
     pub fn critical_paths(&self) -> Vec<Duration> {
         let mut longest = vec![Duration::ZERO; self.steps.len()];
--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -169,10 +169,25 @@
     }
 }
 
+/// The progress of a job with all of its occurrences that have begun.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlainProgress {
+    /// The steps of each occurrence that has begun.
+    pub occurrences: Vec<(u32, Vec<StepProgress>)>,
+    /// How the job ended, once it has.
+    pub outcome: Option<Outcome>,
+    /// The workspace of the job.
+    pub workspace: Option<WorkspaceName>,
+}
+
 /// The progress of a job; stored before a worker may forget an end and before a caller sees it.
+///
+/// Its size is bounded by the tasks that may be open at a time, however often the job repeats.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Progress {
-    /// The steps of each occurrence that has begun.
+    /// How many occurrences are done, counted from the first without a gap.
+    pub finished: u32,
+    /// The steps of each later occurrence that has begun.
     pub occurrences: Vec<(u32, Vec<StepProgress>)>,
     /// How the job ended, once it has.
     pub outcome: Option<Outcome>,
@@ -185,15 +200,27 @@
     /// order reaches it.
     pub fn has_begun(&self) -> bool {
         let mut steps = self.occurrences.iter().flat_map(|(_, steps)| steps);
-        steps.any(|step| !step.done.is_empty() || !step.failures.is_empty())
+        self.finished > 0 || steps.any(|step| !step.done.is_empty() || !step.failures.is_empty())
     }
 }
 
-/// A record that the owner keeps; each variant has its own key.
+impl From<PlainProgress> for Progress {
+    fn from(plain: PlainProgress) -> Self {
+        Self {
+            finished: 0,
+            occurrences: plain.occurrences,
+            outcome: plain.outcome,
+            workspace: plain.workspace,
+        }
+    }
+}
+
+/// A record that the owner keeps; each variant has its own key. Records name a variant by its position.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Entry {
-    /// The progress of a job.
-    Job(JobId, Progress),
+    /// The progress of a job of which no occurrence is left out. Versions that know no other form read it, so it is
+    /// used as long as it can be.
+    PlainJob(JobId, PlainProgress),
     /// The runs that a worker may hold; stored before an order to start is sent.
     ///
     /// Before a new owner starts one of these elsewhere, it has to receive the worker's inventory or wait until the
@@ -201,6 +228,8 @@
     Worker(WorkerId, WorkerRuns),
     /// A worker that is permanently gone; its key is removed.
     RemovedWorker(WorkerId),
+    /// The progress of a job.
+    Job(JobId, Progress),
 }
 
 /// The runs that a worker may hold.
@@ -215,11 +244,24 @@
 }
 
 impl Entry {
+    /// Returns the record of a job's progress.
+    pub fn job(id: JobId, progress: Progress) -> Self {
+        if progress.finished > 0 {
+            return Self::Job(id, progress);
+        }
+        let plain = PlainProgress {
+            occurrences: progress.occurrences,
+            outcome: progress.outcome,
+            workspace: progress.workspace,
+        };
+        Self::PlainJob(id, plain)
+    }
+
     /// Returns the key under which the record is stored.
     pub fn key(&self) -> String {
         match self {
-            Self::Job(job, _) => job.to_string(),
-            Self::Worker(worker, _) | Self::RemovedWorker(worker) => format!("w/{worker}"),
+            Self::Job(job, _) | Self::PlainJob(job, _) => job.to_string(),
+            Self::Worker(worker, _) | Self::RemovedWorker(worker) => worker_key(worker),
         }
     }
 
@@ -229,6 +271,11 @@
     }
 }
 
+/// Returns the key under which the runs of a worker are stored.
+pub fn worker_key(worker: &WorkerId) -> String {
+    format!("w/{worker}")
+}
+
 /// The ownership of the cell. A later claim names the claim that it replaces by its position in the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Claim {
--- a/crates/cell/tests/cell/incarnation.rs
+++ b/crates/cell/tests/cell/incarnation.rs
@@ -477,9 +477,8 @@
         ..StepProgress::default()
     };
     let progress = Progress {
-        workspace: None,
         occurrences: vec![(0, vec![step])],
-        outcome: None,
+        ..Progress::default()
     };
     let runs = WorkerRuns {
         address: "127.0.0.1:1".parse().unwrap(),
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -19,6 +19,7 @@
 mod preempt;
 mod rate;
 mod removal;
+mod repeat;
 mod restart;
 mod share;
 mod shrink;
--- a/crates/cell/tests/cell/world/check.rs
+++ b/crates/cell/tests/cell/world/check.rs
@@ -139,12 +139,18 @@
     fn is_done_anywhere(&self, task: TaskId) -> bool {
         let is_listed = self.workers.values().any(|worker| worker.has_done(task));
         let entry = self.records.get(&task.step.job.to_string());
-        let is_recorded = entry.is_some_and(|entry| match entry {
-            Entry::Job(_, progress) => progress
-                .occurrences
-                .iter()
-                .any(|(_, steps)| steps[usize::from(task.step.step)].is_done(task.index)),
-            Entry::Worker(..) | Entry::RemovedWorker(_) => false,
+        let progress = entry.and_then(|entry| match entry {
+            Entry::Job(_, progress) => Some(progress.clone()),
+            Entry::PlainJob(_, progress) => Some(progress.clone().into()),
+            Entry::Worker(..) | Entry::RemovedWorker(_) => None,
+        });
+        let is_recorded = progress.is_some_and(|progress| {
+            let occurrence = task.step.occurrence;
+            let mut open = progress.occurrences.iter();
+            occurrence < progress.finished
+                || open.any(|(index, steps)| {
+                    *index == occurrence && steps[usize::from(task.step.step)].is_done(task.index)
+                })
         });
         is_listed || is_recorded || self.done.contains(&task)
     }
--- a/crates/cell/tests/cell/world/mod.rs
+++ b/crates/cell/tests/cell/world/mod.rs
@@ -226,6 +226,8 @@
     /// Jobs of which a worker has started a task.
     started_jobs: BTreeSet<JobId>,
     records: BTreeMap<String, Entry>,
+    /// The size of the largest record of a job's progress, in bytes.
+    pub largest_progress: usize,
     /// Future events by time, each with the epoch of the owner that it belongs to.
     events: BTreeMap<(Timestamp, u64), (Epoch, Event)>,
     /// The last number given to a worker, a job or an event.
@@ -444,6 +446,7 @@
             cancelled: BTreeMap::new(),
             started_jobs: BTreeSet::new(),
             records: BTreeMap::new(),
+            largest_progress: 0,
             events: BTreeMap::new(),
             last_id: 0,
             heartbeats: BTreeSet::new(),
@@ -815,6 +818,9 @@
         for entry in self.records.values() {
             match entry {
                 Entry::Job(job, progress) => stored.progress.push((*job, progress.clone())),
+                Entry::PlainJob(job, progress) => {
+                    stored.progress.push((*job, progress.clone().into()));
+                }
                 Entry::Worker(id, runs) => stored.workers.push((id.clone(), runs.clone())),
                 Entry::RemovedWorker(_) => {}
             }
@@ -827,6 +833,15 @@
         self.inform_new_owner();
     }
 
+    /// Replaces the owner by another one that finds a record in the store.
+    pub(crate) fn restore(&mut self, entry: Entry) {
+        if let Entry::Job(job, _) | Entry::PlainJob(job, _) = &entry {
+            self.started_jobs.insert(*job);
+        }
+        self.records.insert(entry.key(), entry);
+        self.take_over();
+    }
+
     /// Returns how many of the given jobs are completed.
     pub(crate) fn completed(&self, jobs: &[JobId]) -> usize {
         let states = jobs.iter().map(|job| self.engine.state(*job));
@@ -1028,6 +1043,9 @@
             Event::Recorded(entries) => {
                 for entry in entries {
                     let bytes = record::encode(&entry).expect("a record can be encoded");
+                    if matches!(entry, Entry::Job(..) | Entry::PlainJob(..)) {
+                        self.largest_progress = self.largest_progress.max(bytes.len());
+                    }
                     let entry: Entry =
                         record::decode(&bytes).expect("the record can be decoded again");
                     self.records.insert(entry.key(), entry);
--- a/crates/node/src/frontend/mod.rs
+++ b/crates/node/src/frontend/mod.rs
@@ -284,6 +284,7 @@
             key: Key::acceptance(job, self.workspace_name().cloned()).to_string(),
             value: Some(value.into()),
         };
+        self.check_size(&record)?;
         let began = Instant::now();
         let is_announced = self.announce(&accepted);
         let outcome = self.intake.write(&self.shared, record, deadline).await;
@@ -301,6 +302,15 @@
         Ok(())
     }
 
+    /// Checks that the store takes the record of a job.
+    fn check_size(&self, record: &Record) -> Result<(), Invalid> {
+        let (bytes, most) = (record.stored_len(), self.shared.store_limits.record);
+        match bytes <= most {
+            true => Ok(()),
+            false => Err(Invalid::TooLarge { bytes, most }),
+        }
+    }
+
     /// Returns how long the caller of a refused job should wait before it retries.
     pub fn retry_after(&self, job: JobId) -> Duration {
         let is_isolated = self.shared.is_isolated.load(Ordering::Relaxed);
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -52,7 +52,7 @@
 
 /// The maximum number of records in the queue.
 const MAX_QUEUED_RECORDS: usize = 1_024;
-/// The maximum number of records in one append. A job takes a few kilobytes, and a call carries up to two megabytes.
+/// The maximum number of records in one append. A job takes a few kilobytes.
 const MAX_RECORDS_PER_APPEND: usize = 128;
 /// The pause before an unanswered append is retried.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
@@ -172,22 +172,41 @@
 
 /// Appends queued records, one batch at a time.
 async fn run<P: Platform>(shared: Arc<Shared<P>>, mut queue: mpsc::Receiver<Entry>) {
-    let mut batch = Vec::new();
-    while queue.recv_many(&mut batch, MAX_RECORDS_PER_APPEND).await > 0 {
-        batch.retain(|entry: &Entry| mark_sent(&entry.state));
-        if batch.is_empty() {
-            continue;
-        }
-        let records = batch.iter().map(|entry| entry.record.clone()).collect();
-        let partition = partition(&shared.name, shared.spread());
-        let outcome = append(&shared, partition, records).await;
-        for entry in batch.drain(..) {
-            // The caller may have stopped waiting.
-            let _ = entry.done.send(outcome);
+    let mut received = Vec::new();
+    while queue.recv_many(&mut received, MAX_RECORDS_PER_APPEND).await > 0 {
+        while !received.is_empty() {
+            let mut batch = take_batch(&mut received, shared.store_limits.call);
+            batch.retain(|entry| mark_sent(&entry.state));
+            if !batch.is_empty() {
+                write_batch(&shared, batch).await;
+            }
         }
     }
 }
 
+/// Removes and returns the first entries whose records fit into one call; at least one.
+fn take_batch(entries: &mut Vec<Entry>, call_bytes: usize) -> Vec<Entry> {
+    let mut size = 0;
+    let fitting = entries.iter().take_while(|entry| {
+        size += entry.record.framed_len();
+        size <= call_bytes
+    });
+    let count = fitting.count().max(1);
+    let rest = entries.split_off(count.min(entries.len()));
+    std::mem::replace(entries, rest)
+}
+
+/// Appends the records of a batch and reports the outcome to those that wait for it.
+async fn write_batch<P: Platform>(shared: &Shared<P>, batch: Vec<Entry>) {
+    let records = batch.iter().map(|entry| entry.record.clone()).collect();
+    let partition = partition(&shared.name, shared.spread());
+    let outcome = append(shared, partition, records).await;
+    for entry in batch {
+        // The caller may have stopped waiting.
+        let _ = entry.done.send(outcome);
+    }
+}
+
 /// Appends records to a node's own partition, or to the next partition if the store refuses the first.
 ///
 /// A refused append has no effect, so the records can go to another partition. The store may refuse single partitions:
@@ -221,7 +240,9 @@
     loop {
         match shared.append("accept", append.clone()).await {
             Ok(_) => return Outcome::Stored(partition),
-            Err(Error::Refused(_)) if failure == Outcome::NotStored => return Outcome::NotStored,
+            Err(Error::Refused(_) | Error::Rejected(_)) if failure == Outcome::NotStored => {
+                return Outcome::NotStored;
+            }
             // An earlier attempt may still take effect.
             Err(_) => failure = Outcome::Unknown,
         }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -64,7 +64,10 @@
         self,
         Event, //
     },
-    platform::Platform,
+    platform::{
+        Platform,
+        StoreLimits, //
+    },
     revocation::RevocationLimit,
     shared::Shared,
     succession::{
@@ -131,6 +134,8 @@
     pub revocation_limit: RevocationLimit,
     /// The platform interface.
     pub platform: P,
+    /// How much the platform's store takes at once.
+    pub store_limits: StoreLimits,
     /// The logger.
     pub log: Logger,
     /// The metrics recorder.
@@ -173,6 +178,7 @@
             bounds: parts.bounds,
             revocation_limit: parts.revocation_limit,
             platform: parts.platform,
+            store_limits: parts.store_limits,
             rpc: client,
             clock: Clock::start(),
             log: parts.log.clone(),
--- a/crates/node/src/owner/listing.rs
+++ b/crates/node/src/owner/listing.rs
@@ -13,12 +13,14 @@
         PoolName,
         WorkerId, //
     },
+    record::worker_key,
 };
 
 use fulmarpier_state::clock::Timestamp;
 
 use crate::platform::{
     Fault,
+    MAX_KEY_BYTES,
     Platform,
     Record, //
 };
@@ -98,6 +100,10 @@
             return Entry::Removed;
         }
         self.mark_listed(id.clone());
+        if worker_key(&id).len() > MAX_KEY_BYTES {
+            // The owner could not store what the worker runs.
+            return Entry::Invalid(id, Fault::Id);
+        }
         match platform.registration(record, &self.pools) {
             Ok(registration) => Entry::Valid(registration),
             Err(fault) => {
--- a/crates/node/src/owner/mod.rs
+++ b/crates/node/src/owner/mod.rs
@@ -9,6 +9,7 @@
 mod recorder;
 mod removal;
 mod requests;
+mod split;
 mod takeover;
 mod workers;
 
--- a/crates/node/src/owner/recorder.rs
+++ b/crates/node/src/owner/recorder.rs
@@ -1,21 +1,25 @@
 //! Writes the owner's records to the store, in order and one append at a time.
 
-use std::sync::Arc;
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
 
 use fulmarpier_cell::{
     id::Epoch,
-    record::{
-        self,
-        Entry, //
-    },
+    record::Entry, //
 };
 use kameo::actor::WeakActorRef;
-use tokio::sync::mpsc;
+use tokio::{
+    sync::mpsc,
+    time::sleep, //
+};
 
 use super::{
     EngineActor,
     Event,
-    engine_actor::tell, //
+    engine_actor::tell,
+    split::Splitter, //
 };
 use crate::{
     platform::{
@@ -30,6 +34,10 @@
     watch::wait_to_retry,
 };
 
+/// The delay before records are sent again that the store doesn't take. Only a change of the store's limits can make that
+/// succeed, and another owner would have to write the same records.
+const REJECTED_RETRY_DELAY: Duration = Duration::from_secs(5);
+
 /// Raises the writer's epoch in the store, so that it refuses later records of former owners.
 ///
 /// # Errors
@@ -56,6 +64,8 @@
     Fenced,
     /// Another writer has appended under the epoch, so the answers to appends can't be told apart any more.
     SharedEpoch,
+    /// An entry can't be encoded.
+    Unstorable,
 }
 
 impl Ending {
@@ -65,6 +75,7 @@
             Self::ActorEnded => "actor-ended",
             Self::Fenced => "fenced",
             Self::SharedEpoch => "shared-epoch",
+            Self::Unstorable => "unstorable",
         }
     }
 }
@@ -76,85 +87,101 @@
 pub(super) async fn run<P: Platform>(
     shared: Arc<Shared<P>>,
     epoch: Epoch,
-    records: mpsc::UnboundedReceiver<Vec<Entry>>,
+    splitter: Splitter,
+    groups: mpsc::UnboundedReceiver<Vec<Entry>>,
     actor: WeakActorRef<EngineActor<P>>,
 ) {
-    let mut sequence = 0;
+    let mut writer = Writer {
+        shared: &shared,
+        epoch,
+        splitter,
+        sequence: 0,
+    };
     let ending = tokio::select! {
-        ending = write_groups(&shared, epoch, records, &actor, &mut sequence) => ending,
+        ending = writer.write_groups(groups, &actor) => ending,
         () = shared.wait_until_ended(epoch) => Ending::OwnershipEnded,
     };
     slog::info!(shared.log, "recorder-ends"; "epoch" => %epoch, "why" => ending.as_str(),
-        "appends" => sequence);
-    if matches!(ending, Ending::Fenced | Ending::SharedEpoch) {
-        tell(&actor, Event::OwnershipLost).await;
+        "appends" => writer.sequence);
+    if !matches!(ending, Ending::OwnershipEnded | Ending::ActorEnded) {
         shared.end_ownership(epoch);
+        tell(&actor, Event::OwnershipLost).await;
     }
 }
 
-/// Writes the groups of entries one after the other; `sequence` is the number of the last append.
-async fn write_groups<P: Platform>(
-    shared: &Shared<P>,
+/// The writer of the records of one ownership.
+struct Writer<'a, P: Platform> {
+    shared: &'a Shared<P>,
     epoch: Epoch,
-    mut groups: mpsc::UnboundedReceiver<Vec<Entry>>,
-    actor: &WeakActorRef<EngineActor<P>>,
-    sequence: &mut u64,
-) -> Ending {
-    while let Some(entries) = groups.recv().await {
-        *sequence += 1;
-        if let Err(ending) = write_group(shared, epoch, *sequence, &entries).await {
-            return ending;
+    splitter: Splitter,
+    /// The number of the last append.
+    sequence: u64,
+}
+
+impl<P: Platform> Writer<'_, P> {
+    /// Writes groups of entries one after the other.
+    async fn write_groups(
+        &mut self,
+        mut groups: mpsc::UnboundedReceiver<Vec<Entry>>,
+        actor: &WeakActorRef<EngineActor<P>>,
+    ) -> Ending {
+        while let Some(entries) = groups.recv().await {
+            if let Err(ending) = self.write_group(&entries).await {
+                return ending;
+            }
+            tell(actor, Event::Recorded).await;
         }
-        tell(actor, Event::Recorded).await;
+        Ending::ActorEnded
     }
-    Ending::ActorEnded
-}
 
-/// Writes a group of entries, retrying until it is stored.
-///
-/// # Errors
-///
-/// Fails if the store has another writer under this epoch or a later one.
-async fn write_group<P: Platform>(
-    shared: &Shared<P>,
-    epoch: Epoch,
-    sequence: u64,
-    entries: &[Entry],
-) -> Result<(), Ending> {
-    let records: Vec<Record> = entries
-        .iter()
-        .filter_map(|entry| {
-            let value = match entry.is_removal() {
-                true => None,
-                false => Some(record::encode(entry).ok()?.into()),
-            };
-            Some(Record {
-                key: entry.key(),
-                value,
-            })
-        })
-        .collect();
-    loop {
+    /// Writes a group of entries. Nothing is done on the strength of a part of it, so it may take several appends.
+    async fn write_group(&mut self, entries: &[Entry]) -> Result<(), Ending> {
+        let calls = self.splitter.calls(entries).map_err(|error| {
+            slog::error!(self.shared.log, "unstorable"; "epoch" => %self.epoch, "why" => %error);
+            Ending::Unstorable
+        })?;
+        for records in calls {
+            self.append(records).await?;
+        }
+        Ok(())
+    }
+
+    /// Appends records, retrying until they are stored.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store has another writer under this epoch or a later one.
+    async fn append(&mut self, records: Vec<Record>) -> Result<(), Ending> {
+        self.sequence += 1;
+        let (shared, epoch, sequence) = (self.shared, self.epoch, self.sequence);
         let append = Append {
             topic: Topic::Progress,
-            records: records.clone(),
+            records,
             condition: Condition::Writer { epoch, sequence },
         };
-        match shared.append("progress", append).await {
-            Ok(_) => return Ok(()),
-            Err(Error::Fenced) => {
-                slog::warn!(shared.log, "fenced"; "epoch" => %epoch, "by" => "store");
-                return Err(Ending::Fenced);
-            }
-            // This writer numbers its appends without gaps, so the other numbers are another writer's. With the
-            // expected number it would overwrite that writer's records, or take the answer to one of its appends for
-            // its own.
-            Err(Error::Sequence { expected }) => {
-                slog::warn!(shared.log, "sequence"; "epoch" => %epoch, "sent" => sequence,
-                    "expected" => expected);
-                return Err(Ending::SharedEpoch);
+        loop {
+            match shared.append("progress", append.clone()).await {
+                Ok(_) => return Ok(()),
+                Err(Error::Fenced) => {
+                    slog::warn!(shared.log, "fenced"; "epoch" => %epoch, "by" => "store");
+                    return Err(Ending::Fenced);
+                }
+                // This writer numbers its appends without gaps, so the other numbers are another writer's. With the
+                // expected number it would overwrite that writer's records, or take the answer to one of its appends
+                // for its own.
+                Err(Error::Sequence { expected }) => {
+                    slog::warn!(shared.log, "sequence"; "epoch" => %epoch, "sent" => sequence,
+                        "expected" => expected);
+                    return Err(Ending::SharedEpoch);
+                }
+                Err(Error::Rejected(status)) => {
+                    let sizes = append.records.iter().map(Record::stored_len);
+                    slog::error!(shared.log, "unstorable"; "epoch" => %epoch, "status" => status,
+                        "records" => append.records.len(), "largest" => sizes.max().unwrap_or(0));
+                    sleep(REJECTED_RETRY_DELAY).await;
+                }
+                Err(_) => wait_to_retry().await,
             }
-            Err(_) => wait_to_retry().await,
         }
     }
 }
--- a/crates/node/src/owner/takeover.rs
+++ b/crates/node/src/owner/takeover.rs
@@ -10,9 +10,7 @@
         Engine,
         StoredState, //
     },
-    id::JobId,
     record::{
-        self,
         Claim,
         Entry, //
     },
@@ -47,6 +45,12 @@
         Partition, //
     },
     recorder,
+    split::{
+        Contents,
+        Pieces,
+        Splitter,
+        Stored, //
+    },
     workers, //
 };
 use crate::{
@@ -58,7 +62,6 @@
     frontend::JobRecord,
     platform::{
         Error,
-        Fault,
         Platform,
         Topic, //
     },
@@ -82,16 +85,9 @@
 const MAILBOX_CAPACITY: usize = 16_384;
 
 /// Which records of the progress topic are the owner's, and how they are decoded.
-const OWNER_RECORDS: Decoder<'static, Entry> = Decoder {
-    is_own: |key| key.starts_with("w/") || key.parse::<JobId>().is_ok(),
-    decode: &|record| {
-        let Some(value) = &record.value else {
-            return Ok(None);
-        };
-        let entry: Entry = record::decode(value).map_err(|_| Fault::Structure)?;
-        let is_own = entry.key() == record.key;
-        is_own.then_some(Some(entry)).ok_or(Fault::Id)
-    },
+const OWNER_RECORDS: Decoder<'static, Stored> = Decoder {
+    is_own: Stored::is_key,
+    decode: &Stored::read,
 };
 
 /// Takes over the cell under a claim that this node has won. The actor runs until the ownership
@@ -117,9 +113,13 @@
     let ((progress, progress_took), ((partitions, found), jobs_took)) =
         futures::join!(timed(read_progress(shared)), timed(jobs::read_all(shared)));
     let mut stored = StoredState::default();
-    for entry in progress {
+    for rejected in &progress.rejected {
+        shared.record_rejected("progress", rejected);
+    }
+    for entry in progress.entries {
         match entry {
             Entry::Job(job, progress) => stored.progress.push((job, progress)),
+            Entry::PlainJob(job, progress) => stored.progress.push((job, progress.into())),
             Entry::Worker(id, usage) => stored.workers.push((id, usage)),
             Entry::RemovedWorker(_) => {}
         }
@@ -150,15 +150,15 @@
     // The actor starts with the nodes that have sent hellos so far: without nodes that send its
     // orders, the owner would connect to each worker itself.
     let peers = shared.hello_peers().await;
-    Ok(start_actor(
-        shared,
-        claim,
+    let prepared = Prepared {
         engine,
+        pieces: progress.pieces,
         partitions,
         read_progress,
         list,
         peers,
-    ))
+    };
+    Ok(start_actor(shared, claim, prepared))
 }
 
 /// Returns the output of a future, and how long it took.
@@ -168,7 +168,7 @@
 }
 
 /// Reads the newest of the owner's records, retrying until the store answers.
-async fn read_progress<P: Platform>(shared: &Shared<P>) -> Vec<Entry> {
+async fn read_progress<P: Platform>(shared: &Shared<P>) -> Contents {
     const TOPIC: Topic = Topic::Progress;
     const PURPOSE: &str = "progress";
     let mut reader = Reader::new(TOPIC, PURPOSE);
@@ -180,7 +180,7 @@
             Err(error) => Err(error),
         };
         match decoded {
-            Ok(decoded) => return decoded.values,
+            Ok(decoded) => return Contents::assemble(decoded.values),
             Err(_) => {
                 reader = Reader::new(TOPIC, PURPOSE);
                 wait_to_retry().await;
@@ -189,23 +189,39 @@
     }
 }
 
-fn start_actor<P: Platform>(
-    shared: &Arc<Shared<P>>,
-    claim: &Claim,
+/// What a takeover has prepared for the actor and its tasks.
+struct Prepared {
     engine: Engine,
+    pieces: Pieces,
     partitions: Vec<Partition>,
     read_progress: ReadProgress,
     list: workers::InitialRead,
     peers: Vec<Peer>,
+}
+
+fn start_actor<P: Platform>(
+    shared: &Arc<Shared<P>>,
+    claim: &Claim,
+    prepared: Prepared,
 ) -> ActorRef<EngineActor<P>> {
+    let Prepared {
+        engine,
+        pieces,
+        partitions,
+        read_progress,
+        list,
+        peers,
+    } = prepared;
     let (records, queue) = mpsc::unbounded_channel();
     let mut actor = EngineActor::new(engine, shared.clone(), records, read_progress.clone());
     actor.handle_event(Event::Peers(peers));
     let actor = EngineActor::spawn_with_mailbox(actor, mailbox::bounded(MAILBOX_CAPACITY));
     let weak = actor.downgrade();
+    let splitter = Splitter::new(claim.epoch, shared.store_limits, pieces);
     tokio::spawn(recorder::run(
         shared.clone(),
         claim.epoch,
+        splitter,
         queue,
         weak.clone(),
     ));
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -69,6 +69,50 @@
     pub value: Option<Bytes>,
 }
 
+impl Record {
+    /// Returns a record that removes a key.
+    pub const fn removal(key: String) -> Self {
+        Self { key, value: None }
+    }
+
+    /// Returns its size in the store, which [`StoreLimits::record`] limits: the length of the key in one byte, the key
+    /// and the value.
+    pub fn stored_len(&self) -> usize {
+        1 + self.key.len() + self.value.as_ref().map_or(0, Bytes::len)
+    }
+
+    /// Returns its size in an append, where its length precedes it.
+    pub fn framed_len(&self) -> usize {
+        LENGTH_BYTES as usize + self.stored_len()
+    }
+}
+
+/// The greatest length of a key, in bytes.
+pub const MAX_KEY_BYTES: usize = 255;
+
+/// How much the store takes at once, in bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StoreLimits {
+    /// The greatest size of a record.
+    pub record: usize,
+    /// The greatest size of all records of an append together.
+    pub call: usize,
+}
+
+impl StoreLimits {
+    /// Returns the limits of a store. A record is limited by what fits into a call, too.
+    pub fn new(record: u32, call: u32) -> Self {
+        let to_usize = |bytes| usize::try_from(bytes).unwrap_or(usize::MAX);
+        Self {
+            record: to_usize(record.min(call.saturating_sub(LENGTH_BYTES))),
+            call: to_usize(call),
+        }
+    }
+}
+
+/// The size of the length that precedes each record in an append, in bytes.
+const LENGTH_BYTES: u32 = 4;
+
 /// The precondition of an append.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Condition {
@@ -103,6 +147,9 @@
     /// The call was not executed and will not be.
     #[error("the store refused: {0}")]
     Refused(&'static str),
+    /// The store doesn't take this call, now or later; carries the status. Nothing was executed.
+    #[error("the store doesn't take the call: status {0}")]
+    Rejected(u16),
     /// No answer arrived: the call may have been executed or may still be.
     #[error("the store gave no answer; the effect is unknown")]
     Unanswered,
@@ -137,6 +184,7 @@
     pub const fn as_str(&self) -> &'static str {
         match self {
             Self::Refused(why) => why,
+            Self::Rejected(_) => "rejected",
             Self::Unanswered => "unanswered",
             Self::WrongEnd { .. } => "moved",
             Self::Fenced => "fenced",
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -65,6 +65,7 @@
         Platform,
         Record,
         Rejected,
+        StoreLimits,
         Topic, //
     },
     revocation::RevocationLimit,
@@ -128,6 +129,7 @@
     pub(crate) bounds: Bounds,
     pub(crate) revocation_limit: RevocationLimit,
     pub(crate) platform: P,
+    pub(crate) store_limits: StoreLimits,
     pub(crate) rpc: rpc::Client,
     pub(crate) clock: Clock,
     pub(crate) log: Logger,
--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -10,6 +10,7 @@
 mod record;
 mod service;
 mod size;
+mod store_limits;
 mod support;
 mod suspension;
 mod workspace;
--- a/crates/node/tests/node/platform.rs
+++ b/crates/node/tests/node/platform.rs
@@ -64,10 +64,12 @@
     Condition,
     Error,
     Fault,
+    MAX_KEY_BYTES,
     Page,
     Platform,
     Record,
     Rejected,
+    StoreLimits,
     Topic, //
 };
 use fulmarpier_state::{
@@ -125,6 +127,10 @@
     topics: BTreeMap<String, Vec<Record>>,
     /// The first offset of each topic that is still kept, if it is not zero.
     first_offsets: BTreeMap<String, u64>,
+    /// How much the store takes at once, if not as much as usual.
+    limits: Option<StoreLimits>,
+    /// How many appends were refused for their size.
+    oversized_appends: usize,
     /// The owner's writer of records.
     writer: Writer,
     workers: BTreeMap<WorkerId, Worker>,
@@ -218,6 +224,11 @@
     directory
 }
 
+/// How much the store takes at once.
+const USUAL_STORE_LIMITS: StoreLimits = StoreLimits {
+    record: 262_144,
+    call: 2_097_152,
+};
 /// How often the workers write their entries.
 const REPORT_INTERVAL: Duration = Duration::from_millis(1_000);
 /// How long tasks run.
@@ -476,6 +487,31 @@
         self.state().max_newest_per_read = Some(count);
     }
 
+    /// Returns how much the store takes at once.
+    pub(crate) fn store_limits(&self) -> StoreLimits {
+        self.state().limits.unwrap_or(USUAL_STORE_LIMITS)
+    }
+
+    /// Sets how much the store takes at once.
+    pub(crate) fn limit_appends(&self, limits: StoreLimits) {
+        self.state().limits = Some(limits);
+    }
+
+    /// Returns how many appends were refused for their size.
+    pub(crate) fn oversized_appends(&self) -> usize {
+        self.state().oversized_appends
+    }
+
+    /// Returns how many keys of a topic have a record.
+    pub(crate) fn key_count(&self, topic: Topic) -> usize {
+        let state = self.state();
+        let records = state.topics.get(&topic_name(topic)).into_iter().flatten();
+        let newest: BTreeMap<&str, bool> = records
+            .map(|record| (record.key.as_str(), record.value.is_some()))
+            .collect();
+        newest.into_values().filter(|has_value| *has_value).count()
+    }
+
     /// Returns the epochs under which owners have taken over, in order.
     pub(crate) fn takeovers(&self) -> Vec<u32> {
         self.state().writer.takeovers()
@@ -598,6 +634,16 @@
     }
 
     fn apply_append(&self, append: Append) -> Result<u64, Error> {
+        let limits = self.store_limits();
+        let is_large = append
+            .records
+            .iter()
+            .any(|record| record.stored_len() > limits.record || record.key.len() > MAX_KEY_BYTES);
+        let size: usize = append.records.iter().map(Record::framed_len).sum();
+        if is_large || size > limits.call {
+            self.state().oversized_appends += 1;
+            return Err(Error::Rejected(400));
+        }
         let mut state = self.state();
         state.appends += 1;
         let name = topic_name(append.topic);
--- a/crates/node/tests/node/support.rs
+++ b/crates/node/tests/node/support.rs
@@ -102,6 +102,7 @@
         bounds: Bounds::default(),
         revocation_limit: RevocationLimit::default(),
         platform: platform.clone(),
+        store_limits: platform.store_limits(),
         log: slog::Logger::root(slog::Discard, slog::o!()),
         meter,
     })
--- a/crates/protocol/src/settings/node.rs
+++ b/crates/protocol/src/settings/node.rs
@@ -35,6 +35,12 @@
 const LEAST_DESCRIPTORS: u32 = 64;
 const MOST_DESCRIPTORS: u32 = 16_777_216;
 
+/// How much the platform's store usually takes in one record and in one call, in bytes.
+const DEFAULT_RECORD_BYTES: u32 = 262_144;
+const DEFAULT_CALL_BYTES: u32 = 2_097_152;
+/// The least that a store may take at once: the text of a job alone has up to 4,000 bytes.
+const LEAST_STORE_BYTES: u32 = 8_192;
+
 /// The least time within which a key may have to be refused.
 const LEAST_REVOKE_MS: f64 = 1_000.0;
 /// The least time within which no task may be started any more in a data centre that was evacuated.
@@ -55,6 +61,10 @@
     pub metrics: SocketAddr,
     /// The platform's store.
     pub store: SocketAddr,
+    /// The greatest size of a record of the store, in bytes.
+    pub store_record_bytes: u32,
+    /// The greatest size of all records of one call of the store together, in bytes.
+    pub store_call_bytes: u32,
     /// The advice service; without one no queue may ask for advice.
     pub advice: Option<SocketAddr>,
     /// What the platform promises of its workers.
@@ -103,6 +113,16 @@
         let peers = section.required("peers");
         let metrics = section.required("metrics");
         let store = section.required("store");
+        let store_record_bytes = section.within(
+            "store_record_bytes",
+            DEFAULT_RECORD_BYTES,
+            LEAST_STORE_BYTES..=u32::MAX,
+        );
+        let store_call_bytes = section.within(
+            "store_call_bytes",
+            DEFAULT_CALL_BYTES,
+            LEAST_STORE_BYTES..=u32::MAX,
+        );
         let advice = section.optional("advice");
         let revoke = optional_millis(section, "revoke_ms", LEAST_REVOKE_MS);
         let evacuate = optional_millis(section, "evacuate_ms", LEAST_EVACUATE_MS);
@@ -124,6 +144,8 @@
             peers: peers?,
             metrics: metrics?,
             store: store?,
+            store_record_bytes: store_record_bytes?,
+            store_call_bytes: store_call_bytes?,
             advice: advice?,
             workers: workers?,
             revoke: revoke?,
