cell: log runs that are taken for gone because their worker lists them nowhere

The line `absent` tells: the run, its phase, and how many ends the inventory listed; `lost why=lapsed` was there for the lease.

--- a/crates/cell/src/effect.rs
+++ b/crates/cell/src/effect.rs
@@ -256,6 +256,19 @@
         /// The consequence for the task, as one word.
         verdict: &'static str,
     },
+    /// A run was taken for gone because its worker's inventory lists it neither as running nor as ended.
+    Absent {
+        /// The task.
+        task: TaskId,
+        /// The run of the task.
+        run: Run,
+        /// The worker.
+        worker: WorkerId,
+        /// The phase of the run, as one word.
+        phase: &'static str,
+        /// The number of ended runs in the inventory.
+        ends: usize,
+    },
     /// A run that a former owner started was taken over.
     Adopted {
         /// The task.
--- a/crates/cell/src/engine/contact.rs
+++ b/crates/cell/src/engine/contact.rs
@@ -341,6 +341,7 @@
         worker.incarnation = inventory.incarnation.or(worker.incarnation);
         worker.is_superseded = false;
         let last_processed = worker.last_processed_end;
+        let ends = inventory.ended.len();
         if !was_heard {
             self.log_worker(slot, "heard", now);
             self.retract_crashes(slot);
@@ -363,7 +364,7 @@
             }
         }
         self.note_unlisted(slot, &listed, now);
-        self.release_absent(slot, &listed, sent_at, now);
+        self.release_absent(slot, &listed, ends, sent_at, now);
         if !was_heard {
             self.send_deferred_starts(slot, now);
         }
@@ -511,13 +512,14 @@
         &mut self,
         slot: Slot,
         listed: &[(TaskId, Run)],
+        ends: usize,
         sent_at: Timestamp,
         now: Timestamp,
     ) {
         let Some(worker) = self.workers.get(&slot) else {
             return;
         };
-        let absent: Vec<(TaskId, Run)> = worker
+        let absent: Vec<(TaskId, Run, &'static str)> = worker
             .allocations
             .iter()
             .filter(|(key, allocation)| {
@@ -533,9 +535,17 @@
                 };
                 is_settled && !listed.contains(key)
             })
-            .map(|(key, _)| *key)
+            .map(|((task, run), allocation)| (*task, *run, allocation.phase.as_str()))
             .collect();
-        for (task, run) in absent {
+        let id = worker.registration.id.clone();
+        for (task, run, phase) in absent {
+            self.log(LogRecord::Absent {
+                task,
+                run,
+                worker: id.clone(),
+                phase,
+                ends,
+            });
             self.release(slot, task, run, now);
         }
     }
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -66,6 +66,18 @@
     },
 }
 
+impl Phase {
+    /// Returns the name of the phase, as logs and metric labels have it.
+    pub const fn as_str(&self) -> &'static str {
+        match self {
+            Self::Recording => "recording",
+            Self::Starting => "starting",
+            Self::Running { .. } => "running",
+            Self::Stopping { .. } => "stopping",
+        }
+    }
+}
+
 /// What a run counts against the limit of its workspace.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Charge {
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -394,6 +394,7 @@
         LogRecord::Speed { class, .. } => ("speed", class.as_str()),
         LogRecord::Lost { why, .. } => ("lost", why),
         LogRecord::Crashed { verdict, .. } => ("crashed", verdict),
+        LogRecord::Absent { phase, .. } => ("absent", phase),
         LogRecord::Adopted { .. } => ("adopted", ""),
         LogRecord::Finished { outcome, .. } => ("finished", outcome),
         LogRecord::Waiting { why, .. } => ("waits", why.as_str()),
@@ -501,6 +502,14 @@
             verdict,
         } => slog::warn!(log, "crashed"; "task" => %task, "run" => run.0,
             "worker" => worker.as_str(), "crashes" => crashes, "verdict" => verdict),
+        LogRecord::Absent {
+            task,
+            run,
+            worker,
+            phase,
+            ends,
+        } => slog::info!(log, "absent"; "task" => %task, "run" => run.0,
+            "worker" => worker.as_str(), "phase" => phase, "ends" => ends),
         LogRecord::Adopted { task, run, worker } => slog::info!(log, "adopted"; "task" => %task,
             "run" => run.0, "worker" => worker.as_str()),
         LogRecord::Finished {
