cell: conclude nothing from a list of ends that may be cut

Cause: a worker lists 500 ends at a time. The owner took each confirmed run that an inventory lists neither as running nor as ended for gone.

Change: an inventory says whether it may omit ends, as the translation of the platform's answers sees it; the absence of a run in such a one proves neither that it is gone nor that a gang lacks a member, nor which runs a restarted worker has not started. Acknowledged ends make room for the rest, as before.

The stand-ins list 500 ends, in random histories one to three, and the check of the histories counts a start between an end and its acknowledgement. A test of a crash matched the record of a job by its former variant only.

--- a/crates/cell/examples/fleet.rs
+++ b/crates/cell/examples/fleet.rs
@@ -216,6 +216,7 @@
             progress: None,
         });
         HeartbeatAnswer::Inventory(Inventory {
+            omits_ends: false,
             incarnation: None,
             clock: u64::try_from(now.since(Timestamp::ZERO).as_millis()).unwrap_or(0),
             running: running.collect(),
--- a/crates/cell/src/engine/contact.rs
+++ b/crates/cell/src/engine/contact.rs
@@ -341,7 +341,7 @@
         worker.incarnation = inventory.incarnation.or(worker.incarnation);
         worker.is_superseded = false;
         let last_processed = worker.last_processed_end;
-        let ends = inventory.ended.len();
+        let (ends, omits_ends) = (inventory.ended.len(), inventory.omits_ends);
         if !was_heard {
             self.log_worker(slot, "heard", now);
             self.retract_crashes(slot);
@@ -363,8 +363,11 @@
                 self.handle_end(slot, ended, now);
             }
         }
-        self.note_unlisted(slot, &listed, now);
-        self.release_absent(slot, &listed, ends, sent_at, now);
+        // A run that is listed nowhere may have ended; its end is then listed later.
+        if !omits_ends {
+            self.note_unlisted(slot, &listed, now);
+            self.release_absent(slot, &listed, ends, sent_at, now);
+        }
         if !was_heard {
             self.send_deferred_starts(slot, now);
         }
@@ -507,7 +510,8 @@
 
     /// Releases the resources of runs that an inventory proves to be gone.
     ///
-    /// The absence of a run proves that only if its start or stop was settled before the inventory was requested.
+    /// The absence of a run proves that only if its start or stop was settled before the inventory was requested, and if
+    /// the inventory lists all ends.
     fn release_absent(
         &mut self,
         slot: Slot,
--- a/crates/cell/src/engine/restart.rs
+++ b/crates/cell/src/engine/restart.rs
@@ -79,7 +79,8 @@
         self.log_worker(slot, "reborn", now);
     }
 
-    /// Excludes runs that the new incarnation has started, or may have, from those that were lost with the former one.
+    /// Excludes runs that the new incarnation has started, or may have, from those that were lost with the former one. If
+    /// its inventory omits ends, these are all runs.
     fn exclude_restarted_runs(&mut self, slot: Slot, inventory: &Inventory, sent_at: Timestamp) {
         let Some(worker) = self.workers.get_mut(&slot) else {
             return;
@@ -91,7 +92,7 @@
             let is_later = allocation
                 .first_confirmed
                 .is_some_and(|begun| begun > sent_at);
-            if is_later || reported.contains(key) {
+            if is_later || inventory.omits_ends || reported.contains(key) {
                 allocation.first_confirmed = None;
                 allocation.outlived_crash_window = false;
                 allocation.unanswered_starts = 0;
--- a/crates/cell/src/event.rs
+++ b/crates/cell/src/event.rs
@@ -117,8 +117,11 @@
     pub clock: u64,
     /// The runs that the worker holds.
     pub running: Vec<Running>,
-    /// The runs that have ended since the last acknowledged end.
+    /// The runs that have ended since the last acknowledged end, or the first of them.
     pub ended: Vec<Ended>,
+    /// Whether later ends may be missing from that list. They are listed once those before them are acknowledged.
+    #[serde(skip)]
+    pub omits_ends: bool,
 }
 
 /// The result of a heartbeat.
--- a/crates/cell/tests/cell/history.rs
+++ b/crates/cell/tests/cell/history.rs
@@ -60,6 +60,13 @@
     world.violations
 }
 
+/// Runs a history in which workers list few ends at a time; returns the violated invariants.
+fn run_history_with_short_lists(seed: u64, faults: Faults) -> Vec<String> {
+    let mut world = World::new(seed, faults);
+    world.max_listed_ends = 1 + usize::try_from(seed % 3).unwrap_or(0);
+    run_history_in(world)
+}
+
 /// Runs a history with jobs that require a label which at times no worker has; returns the violated invariants.
 fn run_history_with_labels(seed: u64, faults: Faults) -> Vec<String> {
     let mut world = World::new(seed, faults);
@@ -307,6 +314,18 @@
         prop_assert_eq!(run_history_with_gangs(seed, ALL), Vec::<String>::new());
     }
 
+    /// Guards against ends beyond those that a worker lists being taken for runs that are gone.
+    #[test]
+    fn invariants_hold_when_workers_list_few_ends_at_a_time(seed in any::<u64>()) {
+        let faults = Faults { disconnections: 60, outages: 60, lost_heartbeats: 30, failures: 50, ..Faults::default() };
+        prop_assert_eq!(run_history_with_short_lists(seed, faults), Vec::<String>::new());
+    }
+
+    #[test]
+    fn invariants_hold_when_workers_list_few_ends_at_a_time_with_all_faults(seed in any::<u64>()) {
+        prop_assert_eq!(run_history_with_short_lists(seed, Faults { restarts: 40, ..ALL }), Vec::<String>::new());
+    }
+
     #[test]
     fn invariants_hold_when_labels_come_and_go(seed in any::<u64>()) {
         prop_assert_eq!(run_history_with_labels(seed, Faults { cancels: 0, ..ALL }), Vec::<String>::new());
--- a/crates/cell/tests/cell/incarnation.rs
+++ b/crates/cell/tests/cell/incarnation.rs
@@ -189,6 +189,7 @@
             progress: None,
         });
         let inventory = Inventory {
+            omits_ends: false,
             incarnation: Some(incarnation),
             clock: 10,
             running: running.collect(),
@@ -504,10 +505,11 @@
     harness.send_inventory(FIRST_INCARNATION, &[]);
     harness.advance(50 * MILLISECOND);
     let progress = harness.records.iter().rev().find_map(|entry| match entry {
-        Entry::Job(id, progress) if *id == job => Some(progress),
+        Entry::Job(id, progress) if *id == job => Some(progress.clone()),
+        Entry::PlainJob(id, progress) if *id == job => Some(progress.clone().into()),
         _ => None,
     });
-    let progress = progress.expect("the task's crashes are recorded again");
+    let progress: Progress = progress.expect("the task's crashes are recorded again");
     assert_eq!(progress.occurrences[0].1[0].crashes, Vec::<Crashes>::new());
 }
 
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -10,6 +10,7 @@
 mod gang;
 mod history;
 mod incarnation;
+mod inventory;
 mod limit;
 mod order;
 mod overtaking;
--- a/crates/cell/tests/cell/overtaking.rs
+++ b/crates/cell/tests/cell/overtaking.rs
@@ -146,6 +146,7 @@
         checkpoint: None,
     };
     let newer = Inventory {
+        omits_ends: false,
         incarnation: None,
         clock: 10,
         running: Vec::new(),
@@ -166,6 +167,7 @@
         progress: None,
     };
     let older = Inventory {
+        omits_ends: false,
         incarnation: None,
         clock: 9,
         running: vec![running],
--- a/crates/cell/tests/cell/pending.rs
+++ b/crates/cell/tests/cell/pending.rs
@@ -165,6 +165,7 @@
         }
     });
     let inventory = Inventory {
+        omits_ends: false,
         incarnation: None,
         clock: 1_000,
         running: Vec::new(),
@@ -201,6 +202,7 @@
         }
     });
     let inventory = Inventory {
+        omits_ends: false,
         incarnation: None,
         clock: 1_000,
         running: running.collect(),
--- a/crates/cell/tests/cell/takeover.rs
+++ b/crates/cell/tests/cell/takeover.rs
@@ -190,6 +190,7 @@
         progress: None,
     };
     let inventory = Inventory {
+        omits_ends: false,
         incarnation: None,
         clock: 5,
         running: vec![running],
--- a/crates/cell/tests/cell/throttling.rs
+++ b/crates/cell/tests/cell/throttling.rs
@@ -137,6 +137,7 @@
                 progress: None,
             });
             let inventory = Inventory {
+                omits_ends: false,
                 incarnation: None,
                 clock: 1,
                 running: running.collect(),
--- a/crates/cell/tests/cell/world/check.rs
+++ b/crates/cell/tests/cell/world/check.rs
@@ -6,6 +6,7 @@
     engine::State,
     id::{
         JobId,
+        Run,
         StepId,
         TaskId,
         WorkerId, //
@@ -60,10 +61,20 @@
         }
     }
 
+    /// Checks that a task whose successful end has just been acknowledged was not started again after that end.
+    pub(super) fn check_done(&mut self, task: TaskId, run: Run) {
+        let last = self.last_starts.get(&task).copied().unwrap_or_default();
+        if last > run {
+            let line = format!("{task} run {last}: run {run} had ended before");
+            self.violations.push(line);
+        }
+    }
+
     /// Checks the invariants about starts. `is_in_time` is false for an order that is executed late.
     pub(super) fn check_start(&mut self, order: &fulmarpier_cell::effect::Start, is_in_time: bool) {
         let task = order.task;
         let at = format!("{task} run {} on {}", order.run, order.to.worker);
+        self.last_starts.insert(task, order.run);
         let running = self.workers.values();
         let count: usize = running.map(|worker| worker.run_count(task)).sum();
         if count > 1 {
--- a/crates/cell/tests/cell/world/deliver.rs
+++ b/crates/cell/tests/cell/world/deliver.rs
@@ -124,7 +124,7 @@
     }
 
     /// Makes a worker unreachable for some time.
-    fn cut_off(&mut self, id: &WorkerId, span: Duration) {
+    pub(super) fn cut_off(&mut self, id: &WorkerId, span: Duration) {
         if let Some(worker) = self.workers.get_mut(id) {
             worker.unreachable_until = self.now + span;
         }
@@ -188,6 +188,7 @@
         for (task, run, is_done) in acknowledged {
             if is_done {
                 self.done.insert(task);
+                self.check_done(task, run);
             } else {
                 self.failed.entry(task).or_default().insert(run);
             }
@@ -221,11 +222,11 @@
     }
 
     fn answer_heartbeat(&mut self, id: &WorkerId, sent_at: Timestamp) {
-        let now = self.now;
+        let (now, most) = (self.now, self.max_listed_ends);
         let Some(worker) = self.reachable_worker(id) else {
             return;
         };
-        let answer = HeartbeatAnswer::Inventory(worker.inventory(now));
+        let answer = HeartbeatAnswer::Inventory(worker.inventory(most, now));
         self.schedule(
             NETWORK_DELAY,
             Event::HeartbeatAnswered(id.clone(), sent_at, answer),
--- a/crates/cell/tests/cell/world/mod.rs
+++ b/crates/cell/tests/cell/world/mod.rs
@@ -226,6 +226,8 @@
     /// Jobs of which a worker has started a task.
     started_jobs: BTreeSet<JobId>,
     records: BTreeMap<String, Entry>,
+    /// How many ends a worker lists at a time.
+    pub max_listed_ends: usize,
     /// The size of the largest record of a job's progress, in bytes.
     pub largest_progress: usize,
     /// Future events by time, each with the epoch of the owner that it belongs to.
@@ -239,6 +241,8 @@
     next_second: Timestamp,
     /// Tasks whose successful end was acknowledged.
     done: BTreeSet<TaskId>,
+    /// The run under which each task was last started.
+    last_starts: BTreeMap<TaskId, Run>,
     /// Runs whose failure was acknowledged.
     failed: BTreeMap<TaskId, BTreeSet<Run>>,
     /// Whether only the list of workers is unavailable, not the rest of the store.
@@ -324,6 +328,8 @@
     issued_at(ticket) + TICKET_VALIDITY < now
 }
 
+/// How many ends a worker of the platform lists at a time.
+const MAX_LISTED_ENDS: usize = 500;
 /// One-way network delay of a call.
 const NETWORK_DELAY: Duration = Duration::from_micros(500);
 /// How long a call takes to fail if nothing listens at the node.
@@ -446,6 +452,7 @@
             cancelled: BTreeMap::new(),
             started_jobs: BTreeSet::new(),
             records: BTreeMap::new(),
+            max_listed_ends: MAX_LISTED_ENDS,
             largest_progress: 0,
             events: BTreeMap::new(),
             last_id: 0,
@@ -453,6 +460,7 @@
             outage_end: now,
             next_second: now,
             done: BTreeSet::new(),
+            last_starts: BTreeMap::new(),
             failed: BTreeMap::new(),
             is_list_unavailable: false,
             are_operator_records_unavailable: false,
@@ -720,6 +728,13 @@
         self.end_all_evacuations();
     }
 
+    /// Makes all workers unreachable for some time.
+    pub(crate) fn cut_off_all(&mut self, span: Duration) {
+        for id in self.workers.keys().cloned().collect::<Vec<_>>() {
+            self.cut_off(&id, span);
+        }
+    }
+
     /// Starts an outage of the store.
     pub(crate) fn start_outage(&mut self, span: Duration) {
         self.outage_end = self.now + span;
--- a/crates/cell/tests/cell/world/worker.rs
+++ b/crates/cell/tests/cell/world/worker.rs
@@ -354,7 +354,8 @@
             .is_some_and(|(until, _)| has_ended || until <= now)
     }
 
-    pub(crate) fn inventory(&self, now: Timestamp) -> Inventory {
+    /// Returns what this worker holds, with at most `most` ends.
+    pub(crate) fn inventory(&self, most: usize, now: Timestamp) -> Inventory {
         // A task that is being stopped is not listed until it has ended.
         let running = self.tasks.iter();
         let running = running.filter(|(_, task)| task.exit_reason != ExitReason::Stopped);
@@ -369,7 +370,9 @@
             incarnation: Some(self.incarnation()),
             clock: self.clock(now),
             running: running.collect(),
-            ended: self.ended.clone(),
+            // The others are listed once these are acknowledged.
+            ended: self.ended.iter().take(most).cloned().collect(),
+            omits_ends: self.ended.len() >= most,
         }
     }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -23,7 +23,7 @@
 //! | `order` | orders to workers and their results |
 //! | `owner` | the owner's actor, its takeover, and its reads and writes of the store |
 //! | [`platform`] | the interface to the store, the workers and the advice service |
-//! | [`progress`] | the progress of runs in messages between nodes |
+//! | [`supplement`] | what follows the inventories in messages between nodes |
 //! | [`retry_delay`] | how long a refused caller should wait before it retries |
 //! | [`revocation`] | how long a node may accept keys while it can't read the configuration |
 //! | `shared` | the state that the components of a node share |
@@ -48,11 +48,11 @@
 mod order;
 mod owner;
 pub mod platform;
-pub mod progress;
 pub mod retry_delay;
 pub mod revocation;
 mod shared;
 pub mod succession;
+pub mod supplement;
 mod telemetry;
 mod watch;
 
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -38,8 +38,8 @@
         Orders,
         Reports, //
     },
-    progress,
-    succession::Hello, //
+    succession::Hello,
+    supplement, //
 };
 
 /// A request of one node to another.
@@ -193,7 +193,7 @@
 fn encode_request(request: &Request) -> Result<Vec<u8>, postcard::Error> {
     let message = postcard::to_stdvec(request)?;
     match request {
-        Request::Reports(reports) => progress::append(message, reports.inventories()),
+        Request::Reports(reports) => supplement::append(message, reports.inventories()),
         _ => Ok(message),
     }
 }
@@ -204,7 +204,7 @@
         Call::Peer(request) => {
             let (mut decoded, following) = postcard::take_from_bytes(&request.message).ok()?;
             if let Request::Reports(reports) = &mut decoded {
-                progress::restore(following, reports.inventories_mut());
+                supplement::restore(following, reports.inventories_mut());
             }
             Some(decoded)
         }
--- a/crates/node/tests/node/platform.rs
+++ b/crates/node/tests/node/platform.rs
@@ -229,6 +229,8 @@
     record: 262_144,
     call: 2_097_152,
 };
+/// How many ends a worker lists at a time.
+const MAX_LISTED_ENDS: usize = 500;
 /// How often the workers write their entries.
 const REPORT_INTERVAL: Duration = Duration::from_millis(1_000);
 /// How long tasks run.
@@ -749,7 +751,23 @@
         }
     }
 
+    /// Reads the newest records in pages, which are no snapshot.
     async fn newest(&self, topic: Topic) -> Result<Page, Error> {
+        let (mut page, mut after) = self.newest_after(topic, None).await?;
+        while let Some(key) = after {
+            let (more, last) = self.newest_after(topic, Some(&key)).await?;
+            page.records.extend(more.records);
+            page.rejected.extend(more.rejected);
+            after = last;
+        }
+        Ok(page)
+    }
+
+    async fn newest_after(
+        &self,
+        topic: Topic,
+        after: Option<&str>,
+    ) -> Result<(Page, Option<String>), Error> {
         self.log_read(topic);
         self.fail_if_lost(topic).await?;
         self.fail_if_blocked(topic).await?;
@@ -761,28 +779,21 @@
             .get(&topic_name(topic))
             .cloned()
             .unwrap_or_default();
-        let next = records.len() as u64;
+        let end = records.len() as u64;
         let newest: BTreeMap<String, Record> = records
             .into_iter()
             .map(|record| (record.key.clone(), record))
             .collect();
-        let records = newest.into_values();
-        let records = records.filter(|record| record.value.is_some());
-        Ok(Self::page(records.collect(), next, next))
-    }
-
-    async fn newest_after(
-        &self,
-        topic: Topic,
-        after: Option<&str>,
-    ) -> Result<(Page, Option<String>), Error> {
-        let mut page = self.newest(topic).await?;
-        page.records
-            .retain(|record| after.is_none_or(|after| record.key.as_str() > after));
-        let most = self.state().max_newest_per_read.unwrap_or(usize::MAX);
-        let has_more = page.records.len() > most;
-        page.records.truncate(most);
-        let last = page.records.last().map(|record| record.key.clone());
+        let newest = newest.into_values();
+        let mut rest: Vec<Record> = newest
+            .filter(|record| record.value.is_some())
+            .filter(|record| after.is_none_or(|after| record.key.as_str() > after))
+            .collect();
+        let most = state.max_newest_per_read.unwrap_or(usize::MAX);
+        let has_more = rest.len() > most;
+        rest.truncate(most);
+        let last = rest.last().map(|record| record.key.clone());
+        let page = Self::page(rest, end, end);
         Ok((page, last.filter(|_| has_more)))
     }
 
@@ -843,10 +854,11 @@
                     progress: None,
                 });
                 return HeartbeatAnswer::Inventory(Inventory {
+                    omits_ends: worker.ended.len() >= MAX_LISTED_ENDS,
                     incarnation: None,
                     clock: 1,
                     running: running.collect(),
-                    ended: worker.ended.clone(),
+                    ended: worker.ended.iter().take(MAX_LISTED_ENDS).cloned().collect(),
                 });
             }
         }
--- a/crates/node/tests/progress.rs
+++ b/crates/node/tests/supplement.rs
@@ -1,4 +1,4 @@
-//! The progress of runs in messages between nodes of this build and of earlier ones.
+//! What follows the inventories in messages between nodes of this build and of earlier ones.
 
 use fulmarpier_cell::{
     event::{
@@ -12,7 +12,7 @@
     },
     speed::Progress,
 };
-use fulmarpier_node::progress;
+use fulmarpier_node::supplement;
 use rstest::rstest;
 
 fn inventory(percentages: &[Option<f64>]) -> Inventory {
@@ -37,14 +37,14 @@
 /// Encodes inventories as a node of this build does.
 fn encode(inventories: &[Inventory]) -> Vec<u8> {
     let message = postcard::to_stdvec(inventories).unwrap();
-    progress::append(message, inventories.iter()).unwrap()
+    supplement::append(message, inventories.iter()).unwrap()
 }
 
 /// Decodes inventories as a node of this build does.
 fn decode(message: &[u8]) -> Vec<Inventory> {
     let (mut inventories, following) =
         postcard::take_from_bytes::<Vec<Inventory>>(message).unwrap();
-    progress::restore(following, inventories.iter_mut());
+    supplement::restore(following, inventories.iter_mut());
     inventories
 }
 
@@ -59,6 +59,16 @@
     assert_eq!(decode(&encode(&inventories())), inventories());
 }
 
+/// Guards against an inventory that omits ends and seems whole to the owner.
+#[rstest]
+#[case::beside_progress(inventories())]
+#[case::without_progress(vec![inventory(&[None]), inventory(&[])])]
+#[case::without_runs(vec![inventory(&[]), inventory(&[])])]
+fn the_omission_of_ends_arrives_with_its_inventory(#[case] mut inventories: Vec<Inventory>) {
+    inventories[1].omits_ends = true;
+    assert_eq!(decode(&encode(&inventories)), inventories);
+}
+
 /// Guards against inventories that an owner of an earlier build can't decode.
 #[test]
 fn an_earlier_build_decodes_the_message_without_progress() {
