node: take a worker for unlisted only at the end of the list

After the store has dropped its history, a worker that is listed again behind the page that lacks it was reported as unlisted until the next read, 0.3 s later. An owner gives up a silent worker that it knows to be unlisted without waiting for late reports.

Change: workers are taken for unlisted only once the list has been read to its end behind the pages.

--- a/crates/node/src/owner/workers.rs
+++ b/crates/node/src/owner/workers.rs
@@ -69,14 +69,29 @@
         }
     }
 
-    /// Reads what is new in the list; returns the changes for the engine.
+    /// Reads what is new in the list up to its end; returns the changes for the engine.
+    ///
+    /// That a worker isn't listed shows only at the end: a full read comes in pages that are no snapshot, so a worker may
+    /// have been listed again behind the page that lacks it, and in what follows the read.
     async fn read<P: Platform>(&mut self, shared: &Shared<P>) -> Result<Vec<Change>, Error> {
         let failing_for = shared.store.failing_for();
-        let batch = self.reader.read(shared, Duration::ZERO).await?;
+        let mut changes = Vec::new();
+        loop {
+            let batch = match self.reader.read(shared, Duration::ZERO).await {
+                Ok(batch) => batch,
+                Err(error) if changes.is_empty() => return Err(error),
+                // The listing holds these changes already.
+                Err(_) => return Ok(changes),
+            };
+            let is_end = matches!(&batch, Batch::Incremental(page) if page.is_last());
+            changes.extend(apply_batch(shared, &mut self.listing, batch));
+            if is_end {
+                break;
+            }
+        }
         if failing_for > MAX_HARMLESS_OUTAGE {
             self.settled_at = Instant::now() + OUTAGE_RECOVERY_TIME;
         }
-        let mut changes = apply_batch(shared, &mut self.listing, batch);
         if Instant::now() >= self.settled_at {
             let missing = self.listing.take_missing().into_iter();
             changes.extend(missing.map(Change::Unregistered));
--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -13,5 +13,6 @@
 mod store_limits;
 mod support;
 mod suspension;
+mod worker_list;
 mod workspace;
 mod writer;
