cell: end an ownership before its numbers of runs are used up

An owner has 10,000 numbers for the runs of a task; a lasting task that ends as soon as it starts uses them up within an hour, and went on with the numbers of the next epoch. The next owner doesn't know how far it came, and gives them once more: a worker takes the second start for one that it has carried out, or two workers have the same run.

Change: a run that the epoch has no number for ends the ownership, before the run is recorded; the node claims the cell under the next epoch. The reason is in the line `fenced`.

Measured: an_owner_gives_no_run_a_number_of_its_successor is red without the check, green with it.

--- a/crates/cell/examples/fleet.rs
+++ b/crates/cell/examples/fleet.rs
@@ -365,7 +365,8 @@
             }
             Effect::Record(_) => self.schedule(RECORD_LATENCY, Event::Recorded),
             // No task is best-effort here.
-            Effect::Throttle(_) | Effect::Remove(_) | Effect::Log(_) | Effect::OwnershipLost => {}
+            Effect::Throttle(_) | Effect::Remove(_) | Effect::Log(_) | Effect::OwnershipLost(_) => {
+            }
         }
     }
 
--- a/crates/cell/src/effect.rs
+++ b/crates/cell/src/effect.rs
@@ -361,6 +361,25 @@
     Remove(Vec<Removal>),
     /// Write a log record.
     Log(LogRecord),
+    /// The ownership has to end.
+    OwnershipLost(Loss),
+}
+
+/// Why an engine can't go on under its epoch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Loss {
     /// Another node owns the cell, since a worker has seen a higher epoch.
-    OwnershipLost,
+    Fenced,
+    /// The numbers that the epoch has for the runs of a task are used up.
+    RunsUsedUp,
+}
+
+impl Loss {
+    /// Returns the reason as one word.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Fenced => "worker",
+            Self::RunsUsedUp => "runs-used-up",
+        }
+    }
 }
--- a/crates/cell/src/engine/contact.rs
+++ b/crates/cell/src/engine/contact.rs
@@ -16,6 +16,7 @@
         Effect,
         Heartbeat,
         LogRecord, //
+        Loss,
     },
     event::{
         HeartbeatAnswer,
@@ -270,7 +271,7 @@
                 worker.retry_call(is_probe, now);
                 self.update_indexes(slot);
             }
-            HeartbeatAnswer::Fenced => self.outbox.push(Effect::OwnershipLost),
+            HeartbeatAnswer::Fenced => self.outbox.push(Effect::OwnershipLost(Loss::Fenced)),
             HeartbeatAnswer::Replaced => self.remove_lost_worker(slot, "replaced", now),
             HeartbeatAnswer::NoAnswer
             | HeartbeatAnswer::ConnectionLost
--- a/crates/cell/src/engine/order.rs
+++ b/crates/cell/src/engine/order.rs
@@ -18,6 +18,7 @@
     effect::{
         Effect,
         LogRecord,
+        Loss,
         Start,
         Stop, //
     },
@@ -71,7 +72,7 @@
                 self.confirm(slot, task, run, now);
             }
             StartAnswer::Fenced if !self.may_have_stale_orders(slot) => {
-                self.outbox.push(Effect::OwnershipLost)
+                self.outbox.push(Effect::OwnershipLost(Loss::Fenced))
             }
             StartAnswer::Replaced => self.remove_lost_worker(slot, "replaced", now),
             StartAnswer::NoAnswer => self.retry_start(slot, task, run, now),
@@ -399,7 +400,7 @@
                 }
             }
             StopAnswer::Fenced if !self.may_have_stale_orders(slot) => {
-                self.outbox.push(Effect::OwnershipLost);
+                self.outbox.push(Effect::OwnershipLost(Loss::Fenced));
             }
             StopAnswer::NoAnswer | StopAnswer::Fenced => {
                 self.stops
--- a/crates/cell/src/engine/place.rs
+++ b/crates/cell/src/engine/place.rs
@@ -19,7 +19,11 @@
 };
 use crate::{
     config::Queue,
-    effect::LogRecord,
+    effect::{
+        Effect,
+        LogRecord,
+        Loss, //
+    },
     id::{
         Run,
         StepId, //
@@ -164,11 +168,18 @@
     }
 
     /// Returns the number of the next run of a task.
-    pub(super) fn next_run(&self, id: StepId, index: u16) -> Run {
+    ///
+    /// If this ownership has used up its numbers for the task, the run belongs to the next ownership, which would give it
+    /// once more; so this one ends, before the run is recorded.
+    pub(super) fn next_run(&mut self, id: StepId, index: u16) -> Run {
         let stage = self.jobs.get(&id.job).and_then(|job| job.stage(id));
         let last = stage.and_then(|stage| stage.task(index));
         let last = last.map_or(Run(0), |task| task.last_run);
-        self.epoch.first_run().max(Run(last.0 + 1))
+        let run = self.epoch.first_run().max(Run(last.0.saturating_add(1)));
+        if self.epoch.is_beyond(run) {
+            self.outbox.push(Effect::OwnershipLost(Loss::RunsUsedUp));
+        }
+        run
     }
 
     /// Returns the best worker for one task that may share it with other tasks.
@@ -282,8 +293,10 @@
             return false;
         };
         self.count_started_gang(id);
-        let run = waiting.iter().map(|index| self.next_run(id, *index)).max();
-        let run = run.unwrap_or_default();
+        let mut run = Run::default();
+        for index in &waiting {
+            run = run.max(self.next_run(id, *index));
+        }
         for (index, slot) in places {
             // `find_gang_workers` has checked the free resources for all members.
             self.start(id, index, slot, run, now);
--- a/crates/cell/src/engine/throttling.rs
+++ b/crates/cell/src/engine/throttling.rs
@@ -20,6 +20,7 @@
 use crate::{
     effect::{
         Effect,
+        Loss,
         Throttle, //
     },
     event::{
@@ -173,7 +174,7 @@
             }
             StopAnswer::NoAnswer => {}
             StopAnswer::Fenced if self.may_have_stale_orders(slot) => {}
-            StopAnswer::Fenced => self.outbox.push(Effect::OwnershipLost),
+            StopAnswer::Fenced => self.outbox.push(Effect::OwnershipLost(Loss::Fenced)),
             StopAnswer::Replaced => self.remove_lost_worker(slot, "replaced", now),
         }
     }
--- a/crates/cell/src/id.rs
+++ b/crates/cell/src/id.rs
@@ -155,7 +155,8 @@
 pub struct Epoch(pub u32);
 
 impl Epoch {
-    /// The number of runs that an owner can number for one task; far above the number of attempts in a day.
+    /// The number of runs that an owner can number for one task. A long-running task that ends as soon as it starts uses
+    /// them up within an hour; then another ownership has to begin.
     const RUNS_PER_EPOCH: u32 = 10_000;
 
     /// Returns the first run that an owner of this epoch may give a task; it is above those of all former owners.
@@ -167,6 +168,11 @@
             + 1)
     }
 
+    /// Returns whether a run is above those that an owner of this epoch may give.
+    pub fn is_beyond(self, run: Run) -> bool {
+        run >= self.next().first_run()
+    }
+
     /// Returns the next epoch.
     #[must_use]
     pub const fn next(self) -> Self {
--- a/crates/cell/tests/cell/incarnation.rs
+++ b/crates/cell/tests/cell/incarnation.rs
@@ -34,6 +34,7 @@
         JobId,
         PoolName,
         Run,
+        StepId,
         TaskId,
         WorkerId, //
     },
@@ -162,7 +163,7 @@
                     Effect::Start(start) => self.starts.push(*start),
                     Effect::Stop(stop) => self.stops.push(stop),
                     Effect::Log(record) => self.log_records.push(record),
-                    Effect::OwnershipLost => self.has_lost_ownership = true,
+                    Effect::OwnershipLost(_) => self.has_lost_ownership = true,
                     _ => {}
                 }
             }
@@ -267,6 +268,45 @@
     );
 }
 
+/// Guards against two starts of a task under one number: a task that is restarted very often uses up the numbers of its
+/// owner, and the next owner's numbers begin there.
+#[rstest]
+#[case::the_last_number(9_999, Some(10_000))]
+#[case::no_number_left(10_000, None)]
+fn an_owner_gives_no_run_a_number_of_its_successor(
+    #[case] last: u32,
+    #[case] expected: Option<u32>,
+) {
+    let job = JobId(1);
+    let task = StepId {
+        job,
+        occurrence: 0,
+        step: 0,
+    }
+    .task(0);
+    let runs = WorkerRuns {
+        address: "127.0.0.1:1".parse().unwrap(),
+        incarnation: Some(FIRST_INCARNATION),
+        runs: vec![(task, Run(last))],
+    };
+    let mut harness = Harness::of_new_owner(StoredState {
+        accepted: vec![accepted(job, 1, Timestamp::from_millis(1_000))],
+        workers: vec![(WorkerId::from("w1"), runs)],
+        ..StoredState::default()
+    });
+    harness.register(FIRST_INCARNATION);
+    harness.send_inventory(FIRST_INCARNATION, &[]);
+    harness.advance(2_000 * MILLISECOND);
+    // The absence of the run counts for an inventory that was asked for by now.
+    harness.send_inventory(FIRST_INCARNATION, &[]);
+    harness.send_inventory(FIRST_INCARNATION, &[]);
+    harness.advance(50 * MILLISECOND);
+    assert_eq!(harness.has_lost_ownership, expected.is_none());
+    if let Some(expected) = expected {
+        assert_eq!(harness.starts.last().unwrap().run, Run(expected));
+    }
+}
+
 #[test]
 fn an_order_refused_for_the_raised_fence_doesn_t_end_the_ownership() {
     let mut harness = Harness::new();
--- a/crates/cell/tests/cell/removal.rs
+++ b/crates/cell/tests/cell/removal.rs
@@ -211,7 +211,7 @@
         .map(|accepted| record::encode(accepted).unwrap().len());
     let acceptance_bytes: usize = acceptance_sizes.sum();
     let remaining_bytes: usize = ended
-        .map(|(job, progress)| encoded_len(&Entry::Job(job, progress)))
+        .map(|(job, progress)| encoded_len(&Entry::job(job, progress)))
         .sum();
     println!(
         "{remaining_bytes} bytes for {DAILY_JOBS} finished jobs, {} with their acceptances",
--- a/crates/cell/tests/cell/world/mod.rs
+++ b/crates/cell/tests/cell/world/mod.rs
@@ -1005,7 +1005,7 @@
             }
             // No history has best-effort tasks, so there is nothing to throttle.
             Effect::Throttle(_) | Effect::Log(_) => {}
-            Effect::OwnershipLost => self
+            Effect::OwnershipLost(_) => self
                 .violations
                 .push("the owner lost the ownership".to_owned()),
         }
--- a/crates/node/src/owner/engine_actor.rs
+++ b/crates/node/src/owner/engine_actor.rs
@@ -287,8 +287,9 @@
                 }
                 Effect::Remove(jobs) => removal::remove_acceptances(&self.shared, jobs),
                 Effect::Log(record) => self.log_record(&record),
-                Effect::OwnershipLost => {
-                    slog::warn!(self.shared.log, "fenced"; "epoch" => %self.engine.epoch(), "by" => "worker");
+                Effect::OwnershipLost(loss) => {
+                    slog::warn!(self.shared.log, "fenced"; "epoch" => %self.engine.epoch(),
+                        "by" => loss.as_str());
                     self.has_lost_ownership = true;
                     self.shared.end_ownership(self.engine.epoch());
                 }
