node: bound the size of messages with orders and reports

The orders for a node that gather in 6 ms went in one message: a node refuses messages over 64 MB, such as 16,000 starts with 4,000 bytes of text each, and the owner would send the same again. The same for up to 64 inventories in a message of reports.

Change: messages carry at most 128 KB of orders or reports. What divides records, acceptances, orders and reports over calls is one function.

The refusal itself was worked out from the transport's limit, not played.

--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -29,9 +29,11 @@
         Request, //
     },
     order::{
+        MAX_MESSAGE_BYTES,
         Order,
         Report, //
     },
+    pack::pack,
     platform::Platform,
     shared::Shared,
 };
@@ -170,11 +172,10 @@
             reports.push((outgoing.number, outgoing.report));
         }
         for ((owner, epoch), reports) in calls {
-            tokio::spawn(send_batch(
-                shared.clone(),
-                owner,
-                Reports { epoch, reports },
-            ));
+            for reports in pack(reports, MAX_MESSAGE_BYTES, |(_, report)| report.size()) {
+                let reports = Reports { epoch, reports };
+                tokio::spawn(send_batch(shared.clone(), owner, reports));
+            }
         }
     }
 }
--- a/crates/node/src/intake.rs
+++ b/crates/node/src/intake.rs
@@ -37,6 +37,7 @@
 };
 
 use crate::{
+    pack::pack,
     platform::{
         Append,
         Condition,
@@ -174,8 +175,9 @@
 async fn run<P: Platform>(shared: Arc<Shared<P>>, mut queue: mpsc::Receiver<Entry>) {
     let mut received = Vec::new();
     while queue.recv_many(&mut received, MAX_RECORDS_PER_APPEND).await > 0 {
-        while !received.is_empty() {
-            let mut batch = take_batch(&mut received, shared.store_limits.call);
+        let entries: Vec<Entry> = std::mem::take(&mut received);
+        let size_of = |entry: &Entry| entry.record.framed_len();
+        for mut batch in pack(entries, shared.store_limits.call, size_of) {
             batch.retain(|entry| mark_sent(&entry.state));
             if !batch.is_empty() {
                 write_batch(&shared, batch).await;
@@ -184,18 +186,6 @@
     }
 }
 
-/// Removes and returns the first entries whose records fit into one call; at least one.
-fn take_batch(entries: &mut Vec<Entry>, call_bytes: usize) -> Vec<Entry> {
-    let mut size = 0;
-    let fitting = entries.iter().take_while(|entry| {
-        size += entry.record.framed_len();
-        size <= call_bytes
-    });
-    let count = fitting.count().max(1);
-    let rest = entries.split_off(count.min(entries.len()));
-    std::mem::replace(entries, rest)
-}
-
 /// Appends the records of a batch and reports the outcome to those that wait for it.
 async fn write_batch<P: Platform>(shared: &Shared<P>, batch: Vec<Entry>) {
     let records = batch.iter().map(|entry| entry.record.clone()).collect();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -23,6 +23,7 @@
 //! | `order` | orders to workers and their results |
 //! | `owner` | the owner's actor, its takeover, and its reads and writes of the store |
 //! | [`platform`] | the interface to the store, the workers and the advice service |
+//! | [`pack`] | divides what is sent into calls of a bounded size |
 //! | [`supplement`] | what follows the inventories in messages between nodes |
 //! | [`retry_delay`] | how long a refused caller should wait before it retries |
 //! | [`revocation`] | how long a node may accept keys while it can't read the configuration |
@@ -47,6 +48,7 @@
 mod operator;
 mod order;
 mod owner;
+pub mod pack;
 pub mod platform;
 pub mod retry_delay;
 pub mod revocation;
--- a/crates/node/src/order.rs
+++ b/crates/node/src/order.rs
@@ -37,6 +37,14 @@
     telemetry::Meter, //
 };
 
+/// How much of orders or reports one message carries, in bytes. A node refuses messages of more than 64 MB, however often
+/// they are sent, and a link of 10 Mbit/s carries 375 kB in the time that a call may take.
+pub(crate) const MAX_MESSAGE_BYTES: usize = 131_072;
+/// What an order or a report takes in a message beside its texts and lists, in bytes.
+const BASE_SIZE: usize = 100;
+/// What a run in an inventory takes in a message beside its checkpoint, in bytes.
+const RUN_SIZE: usize = 40;
+
 /// An order to a worker.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) enum Order {
@@ -63,6 +71,20 @@
     Inventory(WorkerId, Timestamp, HeartbeatAnswer),
 }
 
+impl Report {
+    /// Returns about how much it takes in a message, in bytes. An inventory may list thousands of runs.
+    pub(crate) fn size(&self) -> usize {
+        let Self::Inventory(_, _, HeartbeatAnswer::Inventory(inventory)) = self else {
+            return BASE_SIZE;
+        };
+        let running = inventory.running.iter().map(|run| &run.checkpoint);
+        let ended = inventory.ended.iter().map(|end| &end.checkpoint);
+        let runs = running.chain(ended);
+        let runs = runs.map(|text| RUN_SIZE + text.as_ref().map_or(0, |text| text.len()));
+        BASE_SIZE + runs.sum::<usize>()
+    }
+}
+
 impl Order {
     /// Returns the destination.
     pub(crate) fn destination(&self) -> &Destination {
@@ -82,6 +104,17 @@
         }
     }
 
+    /// Returns about how much it takes in a message, in bytes. Callers choose the size of the payload.
+    pub(crate) fn size(&self) -> usize {
+        match self {
+            Self::Start(order) => {
+                let checkpoint = order.checkpoint.as_ref().map_or(0, |text| text.len());
+                BASE_SIZE + order.payload.len() + checkpoint
+            }
+            Self::Stop(_) | Self::Throttle(_) | Self::Heartbeat(_) => BASE_SIZE,
+        }
+    }
+
     /// Returns the report on an order without an answer, which may or may not take effect.
     pub(crate) fn unanswered_report(&self) -> Report {
         let worker = self.destination().worker.clone();
--- a/crates/node/src/owner/orders.rs
+++ b/crates/node/src/owner/orders.rs
@@ -27,9 +27,11 @@
         Request, //
     },
     order::{
+        MAX_MESSAGE_BYTES,
         Order,
         Report, //
     },
+    pack::pack,
     platform::Platform,
 };
 
@@ -89,7 +91,9 @@
     pub(super) fn send_batches(&mut self, actor_ref: &ActorRef<Self>) {
         self.is_batch_scheduled = false;
         for (node, orders) in std::mem::take(&mut self.batches) {
-            self.send_through(node, orders, actor_ref.downgrade());
+            for call in pack(orders, MAX_MESSAGE_BYTES, |(_, order)| order.size()) {
+                self.send_through(node, call, actor_ref.downgrade());
+            }
         }
     }
 
--- a/crates/node/src/owner/split.rs
+++ b/crates/node/src/owner/split.rs
@@ -23,11 +23,14 @@
     Serialize, //
 };
 
-use crate::platform::{
-    Fault,
-    Record,
-    Rejected,
-    StoreLimits, //
+use crate::{
+    pack::pack,
+    platform::{
+        Fault,
+        Record,
+        Rejected,
+        StoreLimits, //
+    },
 };
 
 /// The first byte of the value of a head. An entry begins with the number of its variant, which is far lower.
@@ -188,7 +191,7 @@
         for entry in entries {
             self.add_entry(entry, &mut records)?;
         }
-        Ok(pack(records, self.limits.call))
+        Ok(pack(records, self.limits.call, Record::framed_len))
     }
 
     fn add_entry(&mut self, entry: &Entry, records: &mut Vec<Record>) -> Result<(), record::Error> {
@@ -234,20 +237,3 @@
         head
     }
 }
-
-/// Distributes records over calls of a size, in order. A record that is larger than that gets a call of its own.
-fn pack(records: Vec<Record>, call_bytes: usize) -> Vec<Vec<Record>> {
-    let mut calls: Vec<Vec<Record>> = Vec::new();
-    let mut size = 0;
-    for record in records {
-        size += record.framed_len();
-        match calls.last_mut() {
-            Some(call) if size <= call_bytes => call.push(record),
-            _ => {
-                size = record.framed_len();
-                calls.push(vec![record]);
-            }
-        }
-    }
-    calls
-}
