--- a/crates/cell/tests/cell/repeat.rs
+++ b/crates/cell/tests/cell/repeat.rs
@@ -86,6 +86,39 @@
     assert_eq!(largest_progress(u32::MAX), largest);
 }
 
+/// Guards against an owner whose memory grows with the occurrences to come: with a repeat each second for a year it went
+/// over its limit and was killed, and the next one too.
+#[rstest]
+#[case::to_come(2_000_000)]
+#[case::overdue(0)]
+fn the_memory_of_an_owner_doesn_t_grow_with_repeats(#[case] first_s: u64) {
+    let size_of_state = |times: u32| {
+        let mut world = World::new(1, Faults::default());
+        let schedule = Schedule {
+            times,
+            first: Duration::from_secs(first_s),
+            period: Duration::from_secs(1),
+        };
+        let step = Step {
+            count: 2_500,
+            ..small_step()
+        };
+        world.submit_repeated("batch", vec![step], Some(schedule));
+        world.run(Duration::from_secs(1));
+        format!("{:?}", world.engine).len()
+    };
+    // The numbers of repeats themselves have more digits.
+    let (some, more, most) = (
+        size_of_state(10),
+        size_of_state(10_000),
+        size_of_state(100_000_000),
+    );
+    assert!(
+        some.abs_diff(more) <= 32 && more.abs_diff(most) <= 32,
+        "{some} {more} {most}"
+    );
+}
+
 proptest! {
     #![proptest_config(config())]
 
