cell: a call under way to a former address ends no worker that has moved

Moving to another address, of an entry or after a probe, is one function now, which makes the calls in flight again.

--- a/crates/cell/src/engine/contact.rs
+++ b/crates/cell/src/engine/contact.rs
@@ -16,8 +16,8 @@
         Destination,
         Effect,
         Heartbeat,
-        LogRecord, //
-        Loss,
+        LogRecord,
+        Loss, //
     },
     event::{
         HeartbeatAnswer,
@@ -53,9 +53,6 @@
 const SHARED_WORKER_HEARTBEAT_WAIT: Duration = Duration::from_millis(400);
 /// The delay before another heartbeat or probe is sent to a worker that gave no answer.
 const SILENT_WORKER_RETRY_DELAY: Duration = Duration::from_millis(200);
-/// The delay before a call that takes the place of one in flight to another address: answers are matched to calls by the
-/// time of the call.
-const CALL_SEPARATION: Duration = Duration::from_millis(1);
 /// The longest time between two lease renewals while an end waits to be recorded in the store.
 const UNRECORDED_END_RENEWAL_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -70,16 +67,11 @@
             if worker.is_contradicted_by(&registration) {
                 return self.note_contradiction(slot, registration, now);
             }
-            if worker.contradiction.take().is_some() {
-                // A probe in flight is on its way to the other address.
-                worker.probe = Some(CallState::Due(now + CALL_SEPARATION));
+            if worker.contradiction.is_some() {
+                worker.set_contradiction(None, now);
             }
             if worker.registration.address != registration.address {
-                // Answers to calls in flight come from the former address.
-                let next = CallState::Due(now + CALL_SEPARATION);
-                worker.heartbeat = next;
-                worker.probe = worker.probe.map(|_| next);
-                worker.address_since = now;
+                worker.move_to(registration.address, now);
             }
             let was_leaving = worker.registration.leaving.is_some();
             let is_leaving = registration.leaving.is_some();
@@ -164,11 +156,12 @@
             return;
         };
         let id = entry.id.clone();
-        let former = worker.contradiction.replace(entry);
-        let is_new = former.as_ref().map(|entry| entry.address)
-            != worker.contradiction.as_ref().map(|entry| entry.address);
-        if is_new {
-            worker.probe = Some(CallState::Due(now + CALL_SEPARATION));
+        let former = worker.contradiction.as_ref();
+        if former.is_some_and(|former| former.address == entry.address) {
+            // The probe of that address goes on.
+            worker.contradiction = Some(entry);
+        } else {
+            worker.set_contradiction(Some(entry), now);
             self.log_worker(slot, "contradicted", now);
         }
         self.mark_entry_unusable(&id, now);
@@ -188,10 +181,8 @@
         };
         match answer {
             HeartbeatAnswer::Inventory(_) => {
-                let entry = worker.contradiction.take();
-                if let Some(entry) = entry {
-                    worker.registration.address = entry.address;
-                    worker.address_since = now;
+                if let Some(entry) = worker.contradiction.take() {
+                    worker.move_to(entry.address, now);
                     self.register(entry, now);
                 }
                 true
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -6,6 +6,7 @@
         BTreeMap,
         VecDeque, //
     },
+    net::SocketAddr,
     time::Duration, //
 };
 
@@ -143,6 +144,10 @@
     }
 }
 
+/// The delay before a call that takes the place of one in flight to another address: answers are matched to calls by the
+/// time of the call.
+const CALL_SEPARATION: Duration = Duration::from_millis(1);
+
 /// A reading of a worker's clock.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct ClockReading {
@@ -317,6 +322,22 @@
         is_known && entry.address != self.registration.address
     }
 
+    /// Changes its address. Answers to calls in flight come from the former one, so the calls are made again.
+    pub fn move_to(&mut self, address: SocketAddr, now: Timestamp) {
+        let next = CallState::Due(now + CALL_SEPARATION);
+        self.registration.address = address;
+        self.address_since = now;
+        self.heartbeat = next;
+        self.probe = self.probe.map(|_| next);
+    }
+
+    /// Sets the entry that contradicts its address, or none. A probe in flight is on its way to another address, so a new
+    /// one is made.
+    pub fn set_contradiction(&mut self, entry: Option<Registration>, now: Timestamp) {
+        self.contradiction = entry;
+        self.probe = Some(CallState::Due(now + CALL_SEPARATION));
+    }
+
     /// Returns the destination for its probes: the address of a contradicting entry, if there is one.
     pub fn probe_destination(&self) -> Destination {
         let entry = self.contradiction.as_ref();
--- a/crates/cell/tests/cell/incarnation.rs
+++ b/crates/cell/tests/cell/incarnation.rs
@@ -131,10 +131,15 @@
 
     /// Registers the worker; `leaving` is the minimum time that it keeps running, if it leaves.
     fn register_leaving(&mut self, incarnation: Incarnation, leaving: Option<Duration>) {
+        self.register_at("127.0.0.1:1", incarnation, leaving);
+    }
+
+    /// Registers the worker at an address.
+    fn register_at(&mut self, address: &str, incarnation: Incarnation, leaving: Option<Duration>) {
         let registration = Registration {
             id: self.worker.clone(),
             incarnation: Some(incarnation),
-            address: "127.0.0.1:1".parse().unwrap(),
+            address: address.parse().unwrap(),
             pool: PoolName::from("pool"),
             capacity: size(4_000, 4_096),
             labels: Vec::new(),
@@ -268,6 +273,48 @@
     );
 }
 
+/// Guards against a worker that is given up because a call was under way to an address that it has left.
+#[rstest]
+#[case::restarted(SECOND_INCARNATION)]
+#[case::moved(FIRST_INCARNATION)]
+fn a_worker_that_answers_at_another_address_is_called_there(#[case] incarnation: Incarnation) {
+    const ELSEWHERE: &str = "127.0.0.1:2";
+    let mut harness = Harness::new();
+    let tasks = harness.submit(JobId(1), 1);
+    harness.answer_start(tasks[0], Run(1), StartAnswer::Started);
+    let former = harness.heartbeats.pop().unwrap();
+    harness.register_at(ELSEWHERE, incarnation, None);
+    assert!(harness.has_logged_belief("contradicted"));
+    harness.advance(2 * MILLISECOND);
+    let probe = harness.heartbeats.pop().unwrap();
+    assert_eq!(probe.to.address, ELSEWHERE.parse().unwrap());
+    harness.send_inventory_to(&probe, incarnation, &[(tasks[0], Run(1))]);
+    harness.answer_heartbeat(&former, HeartbeatAnswer::Replaced);
+    assert!(!harness.has_logged_belief("replaced"));
+    harness.advance(2 * MILLISECOND);
+    let next = harness.heartbeats.pop().unwrap();
+    assert_eq!(next.to.address, ELSEWHERE.parse().unwrap());
+    assert_eq!(harness.engine.counts().allocations, 1);
+}
+
+/// Guards against a worker that is given up because another one answers at the address of a foreign entry.
+#[test]
+fn a_worker_is_not_given_up_for_what_another_one_answers() {
+    let mut harness = Harness::new();
+    let tasks = harness.submit(JobId(1), 1);
+    harness.answer_start(tasks[0], Run(1), StartAnswer::Started);
+    harness.register_at("127.0.0.1:2", FIRST_INCARNATION, None);
+    harness.advance(2 * MILLISECOND);
+    let probe = harness.heartbeats.pop().unwrap();
+    harness.answer_heartbeat(&probe, HeartbeatAnswer::Replaced);
+    assert!(harness.has_logged_belief("misaddressed"));
+    assert_eq!(harness.engine.counts().allocations, 1);
+    assert!(harness.submit(JobId(2), 1).is_empty());
+    // Its own entry is back.
+    harness.register(FIRST_INCARNATION);
+    assert_eq!(harness.submit(JobId(3), 1).len(), 2);
+}
+
 /// Guards against two starts of a task under one number: a task that is restarted very often uses up the numbers of its
 /// owner, and the next owner's numbers begin there.
 #[rstest]
