--- a/crates/cell/src/engine/contact.rs
+++ b/crates/cell/src/engine/contact.rs
@@ -52,7 +52,7 @@
 /// Interference shows after half a second and has to be ended within a few seconds.
 const SHARED_WORKER_HEARTBEAT_WAIT: Duration = Duration::from_millis(400);
 /// The delay before another heartbeat or probe is sent to a worker that gave no answer.
-const SILENT_WORKER_RETRY_DELAY: Duration = Duration::from_millis(200);
+pub(super) const SILENT_WORKER_RETRY_DELAY: Duration = Duration::from_millis(200);
 /// The longest time between two lease renewals while an end waits to be recorded in the store.
 const UNRECORDED_END_RENEWAL_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -149,61 +149,6 @@
         }
     }
 
-    /// Notes an entry with another address than the one at which the worker is known. Until a probe of the new address has
-    /// shown whether the worker is there, the entry counts as unusable and the worker is called where it was.
-    fn note_contradiction(&mut self, slot: Slot, entry: Registration, now: Timestamp) {
-        let Some(worker) = self.workers.get_mut(&slot) else {
-            return;
-        };
-        let id = entry.id.clone();
-        let former = worker.contradiction.as_ref();
-        if former.is_some_and(|former| former.address == entry.address) {
-            // The probe of that address goes on.
-            worker.contradiction = Some(entry);
-        } else {
-            worker.set_contradiction(Some(entry), now);
-            self.log_worker(slot, "contradicted", now);
-        }
-        self.mark_entry_unusable(&id, now);
-        self.update_indexes(slot);
-    }
-
-    /// Handles the answer to a probe of the address that a contradicting entry names; returns false if it shows that the
-    /// worker is not there, or not yet whether it is.
-    fn settle_contradiction(
-        &mut self,
-        slot: Slot,
-        answer: &HeartbeatAnswer,
-        now: Timestamp,
-    ) -> bool {
-        let Some(worker) = self.workers.get_mut(&slot) else {
-            return false;
-        };
-        match answer {
-            HeartbeatAnswer::Inventory(_) => {
-                if let Some(entry) = worker.contradiction.take() {
-                    worker.move_to(entry.address, now);
-                    self.register(entry, now);
-                }
-                true
-            }
-            // Another worker answers there, so the entry isn't this worker's.
-            HeartbeatAnswer::Replaced | HeartbeatAnswer::Fenced => {
-                worker.contradiction = None;
-                self.log_worker(slot, "misaddressed", now);
-                self.update_indexes(slot);
-                false
-            }
-            HeartbeatAnswer::NoAnswer
-            | HeartbeatAnswer::ConnectionLost
-            | HeartbeatAnswer::Refused => {
-                worker.probe = Some(CallState::Due(now + SILENT_WORKER_RETRY_DELAY));
-                self.update_indexes(slot);
-                false
-            }
-        }
-    }
-
     /// Adds a worker that may run tasks started by former owners, with the runs on record.
     pub(super) fn track_former_worker(
         &mut self,
@@ -559,74 +504,6 @@
         }
     }
 
-    /// Notes the runs that are only known from the record and that the worker's inventory doesn't list.
-    ///
-    /// An order of the former owner may still arrive, so this doesn't prove that they are gone. But the other members of
-    /// their gangs wait for them.
-    fn note_unlisted(&mut self, slot: Slot, listed: &[(TaskId, Run)], now: Timestamp) {
-        let Some(worker) = self.workers.get_mut(&slot) else {
-            return;
-        };
-        let mut steps = Vec::new();
-        for (key, allocation) in &mut worker.allocations {
-            let is_recorded = matches!(allocation.phase, Phase::Running { .. })
-                && allocation.first_confirmed.is_none();
-            if is_recorded && !allocation.is_unlisted && !listed.contains(key) {
-                allocation.is_unlisted = true;
-                steps.push(key.0.step);
-            }
-        }
-        for step in steps {
-            self.note_missing(step, now);
-        }
-    }
-
-    /// Releases the resources of runs that an inventory proves to be gone.
-    ///
-    /// The absence of a run proves that only if its start or stop was settled before the inventory was requested, and if
-    /// the inventory lists all ends.
-    fn release_absent(
-        &mut self,
-        slot: Slot,
-        listed: &[(TaskId, Run)],
-        ends: usize,
-        sent_at: Timestamp,
-        now: Timestamp,
-    ) {
-        let Some(worker) = self.workers.get(&slot) else {
-            return;
-        };
-        let absent: Vec<(TaskId, Run, &'static str)> = worker
-            .allocations
-            .iter()
-            .filter(|(key, allocation)| {
-                let is_obsolete = worker.are_orders_obsolete(allocation, sent_at);
-                let is_settled = match allocation.phase {
-                    Phase::Recording => false,
-                    Phase::Starting => is_obsolete,
-                    Phase::Running { since, .. } => is_obsolete || since <= sent_at,
-                    // During a stop, a run may be listed neither as running nor as ended.
-                    Phase::Stopping { confirmed } => {
-                        confirmed.is_some_and(|at| at + self.bounds.stop_settle_time() <= sent_at)
-                    }
-                };
-                is_settled && !listed.contains(key)
-            })
-            .map(|((task, run), allocation)| (*task, *run, allocation.phase.as_str()))
-            .collect();
-        let id = worker.registration.id.clone();
-        for (task, run, phase) in absent {
-            self.log(LogRecord::Absent {
-                task,
-                run,
-                worker: id.clone(),
-                phase,
-                ends,
-            });
-            self.release(slot, task, run, now);
-        }
-    }
-
     /// Logs a change in what is believed about a worker.
     pub(super) fn log_worker(&mut self, slot: Slot, belief: &'static str, now: Timestamp) {
         let Some(worker) = self.workers.get(&slot) else {
--- a/crates/cell/src/engine/mod.rs
+++ b/crates/cell/src/engine/mod.rs
@@ -22,6 +22,8 @@
 //! | `wait` | reports why steps wait, and parks those that no known worker could run |
 //! | `throttling` | throttles best-effort tasks that disturb latency-sensitive ones |
 //! | `contact` | handles newly listed workers, heartbeats and inventories |
+//! | `address` | handles entries that name another address of a known worker |
+//! | `absence` | concludes from inventories which runs are gone |
 //! | `evacuate` | tracks data centres in which nothing new is started |
 //! | `crash` | isolates, and finally fails, tasks that crash their workers |
 //! | `restart` | handles new incarnations of known workers |
@@ -32,6 +34,8 @@
 //! | `recording` | writes records, and continues what waited for them |
 //! | `view` | provides what callers and operators see |
 
+mod absence;
+mod address;
 mod announce;
 mod ask;
 mod assembly;
--- a/crates/cell/src/engine/order.rs
+++ b/crates/cell/src/engine/order.rs
@@ -120,16 +120,6 @@
         worker.is_some_and(|worker| !worker.fence.is_first())
     }
 
-    /// Returns whether an order for a run may have gone to an address at which its worker was known before. What answers
-    /// there says nothing about the worker.
-    pub(super) fn was_ordered_elsewhere(&self, slot: Slot, task: TaskId, run: Run) -> bool {
-        let worker = self.workers.get(&slot);
-        worker.is_some_and(|worker| {
-            let allocation = worker.allocations.get(&(task, run));
-            allocation.is_some_and(|allocation| allocation.since < worker.address_since)
-        })
-    }
-
     /// Returns whether a task still has to run.
     fn is_unfinished(&self, task: TaskId) -> bool {
         let job = self.jobs.get(&task.step.job).filter(|job| !job.is_over());
