cell: a probe of another address acknowledges no ends

The probe of the address that an entry contradicts may be answered by another incarnation, which numbers its ends from one; with the acknowledgement of the former one it would forget them unheard, and their tasks would start again.

Change: only calls to the known address acknowledge ends.

--- a/crates/cell/src/engine/contact.rs
+++ b/crates/cell/src/engine/contact.rs
@@ -529,9 +529,13 @@
     sent_at: Timestamp,
 ) -> Effect {
     Effect::Heartbeat(Heartbeat {
+        // At another address, another incarnation may answer, which numbers its own ends.
+        acknowledged: match to.address == worker.registration.address {
+            true => worker.acknowledged(),
+            false => 0,
+        },
         to,
         deadline,
-        acknowledged: worker.acknowledged(),
         wait,
         sent_at,
     })
--- a/crates/cell/tests/cell/incarnation.rs
+++ b/crates/cell/tests/cell/incarnation.rs
@@ -21,6 +21,8 @@
     },
     evacuation::Evacuation,
     event::{
+        Ended,
+        ExitReason,
         HeartbeatAnswer,
         Inventory,
         Registration,
@@ -297,6 +299,32 @@
     assert_eq!(harness.engine.counts().allocations, 1);
 }
 
+/// Guards against ends that a restarted worker forgets unheard, since a probe acknowledged those of its former incarnation.
+#[test]
+fn a_probe_of_another_address_acknowledges_no_ends() {
+    let mut harness = Harness::new();
+    let tasks = harness.submit(JobId(1), 1);
+    let heartbeat = harness.heartbeats.pop().unwrap();
+    let inventory = Inventory {
+        incarnation: Some(FIRST_INCARNATION),
+        clock: 10,
+        ended: vec![Ended {
+            serial: 1,
+            task: tasks[0],
+            run: Run(1),
+            reason: ExitReason::Done,
+            checkpoint: None,
+        }],
+        ..Inventory::default()
+    };
+    harness.answer_heartbeat(&heartbeat, HeartbeatAnswer::Inventory(inventory));
+    harness.advance(100 * MILLISECOND);
+    assert_eq!(harness.heartbeats.pop().unwrap().acknowledged, 1);
+    harness.register_at("127.0.0.1:2", SECOND_INCARNATION, None);
+    harness.advance(2 * MILLISECOND);
+    assert_eq!(harness.heartbeats.pop().unwrap().acknowledged, 0);
+}
+
 /// Guards against a worker that is given up because another one answers at the address of a foreign entry.
 #[test]
 fn a_worker_is_not_given_up_for_what_another_one_answers() {
