--- a/crates/cell/tests/cell/incarnation.rs
+++ b/crates/cell/tests/cell/incarnation.rs
@@ -343,8 +343,7 @@
     assert_eq!(harness.submit(JobId(3), 1).len(), 2);
 }
 
-/// Guards against two starts of a task under one number: a task that is restarted very often uses up the numbers of its
-/// owner, and the next owner's numbers begin there.
+/// Guards against two starts under one number: a task restarted very often uses up the numbers of its owner.
 #[rstest]
 #[case::the_last_number(9_999, Some(10_000))]
 #[case::no_number_left(10_000, None)]
--- a/crates/cell/tests/cell/repeat.rs
+++ b/crates/cell/tests/cell/repeat.rs
@@ -86,8 +86,7 @@
     assert_eq!(largest_progress(u32::MAX), largest);
 }
 
-/// Guards against an owner whose memory grows with the occurrences to come: with a repeat each second for a year it went
-/// over its limit and was killed, and the next one too.
+/// Guards against owners that go over their memory one after the other, because it grows with the occurrences to come.
 #[rstest]
 #[case::to_come(2_000_000)]
 #[case::overdue(0)]
--- a/crates/node/tests/node/ownership.rs
+++ b/crates/node/tests/node/ownership.rs
@@ -29,8 +29,7 @@
 /// An owner that reaches neither the store nor another node for this long gives the cell up.
 const SILENCE: Duration = Duration::from_millis(1_550);
 
-/// Guards against an ownership that uses the epoch of an earlier one of the same node: the store takes its first
-/// appends for repeats of the earlier one's, so it answers that they are stored and stores nothing.
+/// Guards against two ownerships under one epoch: the store takes appends of the second for repeats of the first's.
 #[rstest]
 #[case::few_appends(1)]
 #[case::more_appends_than_may_be_repeated(12)]
@@ -82,8 +81,7 @@
     assert!(takeovers.is_sorted_by(|a, b| a < b), "{takeovers:?}");
 }
 
-/// Guards against a record writer that outlives its ownership: its retries are refused for their epoch, which must not
-/// end the next ownership of the same node.
+/// Guards against a record writer that outlives its ownership and, once refused, ends the node's next one.
 #[tokio::test(start_paused = true)]
 async fn what_is_left_of_an_ownership_doesn_t_end_the_next_one() {
     let platform = Fake::new();
--- a/crates/node/tests/node/store_limits.rs
+++ b/crates/node/tests/node/store_limits.rs
@@ -50,8 +50,7 @@
     }
 }
 
-/// Guards against a record that the store refuses for its size and that the owner sends again for ever: nothing of any
-/// job goes on behind it.
+/// Guards against a record too large for the store that is sent again for ever, and holds up every job.
 #[tokio::test(start_paused = true)]
 async fn a_job_of_many_tasks_doesn_t_hold_up_the_others() {
     let platform = Fake::new();
@@ -104,8 +103,7 @@
     assert!(left <= 2, "{left} records are left in the store");
 }
 
-/// Guards against a job that the store can't take and that is refused as if a later attempt could succeed; the jobs
-/// that arrive with it are accepted.
+/// Guards against a job too large for the store that is refused as if a retry could help, with those beside it.
 #[tokio::test(start_paused = true)]
 async fn a_job_that_can_t_be_stored_is_refused_as_invalid_and_alone() {
     let platform = Fake::new();
@@ -135,8 +133,7 @@
     assert_eq!(state, Err(Refusal::NoJob));
 }
 
-/// Guards against a job that repeats so often that its progress doesn't fit into a record: no job went on any more,
-/// though no process, link or worker was disturbed.
+/// Guards against a job that repeats so often that the record of its progress holds up every job.
 #[tokio::test(start_paused = true)]
 async fn a_job_that_makes_up_for_a_week_doesn_t_hold_up_the_others() {
     let platform = Fake::new();
@@ -166,8 +163,7 @@
     assert_eq!(state, Ok(State::Running));
 }
 
-/// Guards against calls without end, and owners that replace each other without end, when the store takes less than the
-/// settings say.
+/// Guards against endless calls and changes of owner when the store takes less than the settings say.
 #[tokio::test(start_paused = true)]
 async fn what_the_store_never_takes_is_rarely_sent_again() {
     let platform = Fake::new();
