node: log a rejected record once for each key and fault

An entry that another writer repeats, or that alternates with the worker's own, took a line each time; only the rate of lines was limited.

The counter counts each as before.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -25,6 +25,7 @@
 //! | [`platform`] | the interface to the store, the workers and the advice service |
 //! | [`pack`] | divides what is sent into calls of a bounded size |
 //! | [`supplement`] | what follows the inventories in messages between nodes |
+//! | `rejection_log` | which rejected records have been logged |
 //! | [`retry_delay`] | how long a refused caller should wait before it retries |
 //! | [`revocation`] | how long a node may accept keys while it can't read the configuration |
 //! | `shared` | the state that the components of a node share |
@@ -50,6 +51,7 @@
 mod owner;
 pub mod pack;
 pub mod platform;
+mod rejection_log;
 pub mod retry_delay;
 pub mod revocation;
 mod shared;
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -38,9 +38,12 @@
 use slog::Logger;
 use tokio::time::Instant;
 
-use crate::platform::{
-    Error,
-    Rejected, //
+use crate::{
+    platform::{
+        Error,
+        Rejected, //
+    },
+    rejection_log::RejectionLog,
 };
 
 /// The maximum number of log lines of one kind and reason per second. A busy second has about 400 decisions; lines beyond
@@ -82,6 +85,7 @@
     suppressed_lines: Counter<u64>,
     lost_reports: Counter<u64>,
     rejected: Counter<u64>,
+    logged_rejections: Mutex<RejectionLog>,
     peer_calls: Counter<u64>,
     rate_limits: Mutex<HashMap<Kind, RateLimit>>,
 }
@@ -158,6 +162,7 @@
                 "fulmarpier_records_rejected",
                 "Records of other writers that were turned away, by topic and kind of fault.",
             ),
+            logged_rejections: Mutex::default(),
             rate_limits: Mutex::default(),
             registry,
         };
@@ -253,7 +258,7 @@
         self.0.lost_reports.add(1, &[KeyValue::new("reason", why)]);
     }
 
-    /// Counts and logs a rejected record.
+    /// Counts a rejected record, and logs the first one of each key and fault.
     pub(crate) fn record_rejected(&self, log: &Logger, topic: &'static str, rejected: &Rejected) {
         const KIND: &str = "record-rejected";
         let labels = [
@@ -261,9 +266,14 @@
             KeyValue::new("fault", rejected.fault.as_str()),
         ];
         self.0.rejected.add(1, &labels);
-        if !self.may_log(KIND, rejected.fault.as_str()) {
+        let Ok(mut logged) = self.0.logged_rejections.lock() else {
+            return;
+        };
+        if logged.contains(topic, rejected) || !self.may_log(KIND, rejected.fault.as_str()) {
             return;
         }
+        logged.insert(topic, rejected);
+        drop(logged);
         slog::warn!(log, "record-rejected"; "topic" => topic,
             "key" => rejected.key.as_deref().map_or_else(String::new, shorten),
             OptionalField("offset", rejected.offset),
--- a/crates/node/tests/node/invalid_records.rs
+++ b/crates/node/tests/node/invalid_records.rs
@@ -15,6 +15,10 @@
 };
 use fulmarpier_state::unit::Millicores;
 use rstest::rstest;
+use slog::{
+    Drain,
+    Logger, //
+};
 use tokio::time::sleep;
 
 use crate::{
@@ -23,8 +27,10 @@
         REJECTED_VALUE, //
     },
     support::{
+        Lines,
         SECOND,
         start_node,
+        start_node_with_log,
         start_node_with_meter,
         submit,
         wait_until_completed,
@@ -94,24 +100,39 @@
     platform.write(Topic::Workers, "w3", b"elsewhere");
     platform.write(Topic::Workers, "w4", REJECTED_VALUE);
     sleep(SECOND).await;
-    let after = meter.render().unwrap();
-    let mut lines: Vec<&str> = after
+    let counts = ["form", "pool", "value"].map(|fault| rejected(&meter, fault));
+    assert_eq!(counts, [Some(2), Some(1), Some(1)]);
+}
+
+/// Returns how many records were rejected for a fault, according to the metrics.
+fn rejected(meter: &Meter, fault: &str) -> Option<u32> {
+    let text = meter.render().unwrap();
+    let mut lines = text
         .lines()
-        .filter(|line| line.starts_with("fulmarpier_records_rejected_total{"))
-        .collect();
-    lines.sort_unstable();
-    let counts = ["form", "pool", "value"].map(|fault| {
-        let line = lines
-            .iter()
-            .find(|line| line.contains(&format!("fault=\"{fault}\"")));
-        line.and_then(|line| line.rsplit(' ').next())
-            .map(str::to_owned)
-    });
-    assert_eq!(
-        counts,
-        ["2", "1", "1"].map(|count| Some(count.to_owned())),
-        "{lines:?}"
-    );
+        .filter(|line| line.starts_with("fulmarpier_records_rejected_total{"));
+    let line = lines.find(|line| line.contains(&format!("fault=\"{fault}\"")))?;
+    line.rsplit(' ').next()?.parse().ok()
+}
+
+/// Guards against a log filled by a foreign entry that comes again and again.
+#[tokio::test(start_paused = true)]
+async fn an_invalid_entry_is_logged_once_for_each_key_and_fault() {
+    let platform = Fake::new();
+    let (meter, lines) = (Meter::new().unwrap(), Lines::default());
+    let log = Logger::root(lines.clone().fuse(), slog::o!());
+    let one = start_node_with_log("one", &platform, Millicores(250), meter.clone(), log);
+    wait_until_ready(&one).await;
+    for _ in 0..10 {
+        for value in [b"foreign".as_slice(), b"here", b"elsewhere"] {
+            for worker in ["w1", "w2"] {
+                platform.write(Topic::Workers, worker, value);
+            }
+            sleep(SECOND).await;
+        }
+    }
+    assert_eq!(lines.count("record-rejected"), 4);
+    let counts = ["form", "pool"].map(|fault| rejected(&meter, fault));
+    assert_eq!(counts, [Some(20), Some(20)]);
 }
 
 /// Values that other writers may leave in any topic.
--- a/crates/node/tests/node/support.rs
+++ b/crates/node/tests/node/support.rs
@@ -2,6 +2,10 @@
 
 use std::{
     net::SocketAddr,
+    sync::{
+        Arc,
+        Mutex, //
+    },
     thread,
     time::Duration, //
 };
@@ -40,6 +44,14 @@
         Millicores, //
     },
 };
+use slog::{
+    Discard,
+    Drain,
+    Logger,
+    Never,
+    OwnedKVList,
+    Record, //
+};
 use tokio::{
     task::spawn_blocking,
     time::{
@@ -89,6 +101,18 @@
     platform: &Fake,
     processor: Millicores,
     meter: Meter,
+) -> Node<Fake> {
+    let log = Logger::root(Discard, slog::o!());
+    start_node_with_log(name, platform, processor, meter, log)
+}
+
+/// Starts a node that records its metrics in `meter` and writes to `log`.
+pub(crate) fn start_node_with_log(
+    name: &str,
+    platform: &Fake,
+    processor: Millicores,
+    meter: Meter,
+    log: Logger,
 ) -> Node<Fake> {
     Node::start(Parts {
         identity: Identity {
@@ -103,12 +127,34 @@
         revocation_limit: RevocationLimit::default(),
         platform: platform.clone(),
         store_limits: platform.store_limits(),
-        log: slog::Logger::root(slog::Discard, slog::o!()),
+        log,
         meter,
     })
     .unwrap()
 }
 
+/// A log that keeps the messages of its lines.
+#[derive(Clone, Default)]
+pub(crate) struct Lines(Arc<Mutex<Vec<String>>>);
+
+impl Lines {
+    /// Returns how many lines have a message.
+    pub(crate) fn count(&self, message: &str) -> usize {
+        let lines = self.0.lock().unwrap();
+        lines.iter().filter(|line| *line == message).count()
+    }
+}
+
+impl Drain for Lines {
+    type Ok = ();
+    type Err = Never;
+
+    fn log(&self, record: &Record<'_>, _: &OwnedKVList) -> Result<(), Never> {
+        self.0.lock().unwrap().push(record.msg().to_string());
+        Ok(())
+    }
+}
+
 /// Waits until a node accepts jobs and can tell which jobs exist.
 pub(crate) async fn wait_until_ready(node: &Node<Fake>) {
     wait_until(|| async {
