cell: count only open occurrences against the tasks that a job may have open

Cause: the limit of 5,000 open tasks was counted from the first occurrence that is open.

Change: occurrences that are done are recorded as ranges, wherever they stand, and count no more. There are at most as many ranges as open occurrences and one, so record and memory stay bounded whatever a job repeats. A job whose occurrences were all begun by a former owner opens their steps by itself; the histories were red until it did.

Result: an_occurrence_that_waits_doesn_t_hold_up_the_later_ones starts 5,000 tasks with the former count and over 5,000 now, with the same owner and a new one.

--- a/crates/cell/src/engine/job.rs
+++ b/crates/cell/src/engine/job.rs
@@ -33,6 +33,7 @@
         Spec,
         Step, //
     },
+    occurrence,
     record::{
         Accepted,
         Crash,
@@ -274,11 +275,11 @@
     pub(super) is_cancelled: bool,
     /// Whether a task of the job is known to have run on a worker, by this owner or from the store.
     pub(super) has_begun: bool,
-    /// How many occurrences are done, counted from the first without a gap, according to the store.
-    pub(super) finished: u32,
-    /// The next occurrence to begin.
-    pub(super) next_occurrence: u32,
-    /// The later occurrences that have begun.
+    /// The occurrences that are done according to the store.
+    finished: occurrence::Set,
+    /// All occurrences before this one have begun.
+    next_occurrence: u32,
+    /// The other occurrences that have begun.
     pub(super) occurrences: BTreeMap<u32, Vec<Stage>>,
     /// The outcome, once it is decided.
     pub(super) outcome: Option<Outcome>,
@@ -305,8 +306,8 @@
             is_beyond_rate: false,
             is_cancelled: false,
             has_begun: progress.has_begun(),
-            finished: progress.finished,
-            next_occurrence: progress.finished,
+            finished: progress.finished.clone(),
+            next_occurrence: 0,
             occurrences: BTreeMap::new(),
             outcome: progress.outcome,
             recorded_outcome: progress.outcome,
@@ -317,7 +318,7 @@
         for (occurrence, steps) in &progress.occurrences {
             job.begin_occurrence(*occurrence, steps);
         }
-        job.drop_finished(job.leading_done());
+        job.drop_finished(&job.done_occurrences());
         job
     }
 
@@ -350,10 +351,16 @@
 
     /// Returns the next occurrence to begin with the time at which it is due, unless all have begun or too many are
     /// open.
-    pub(super) fn next_occurrence(&self) -> Option<(u32, Timestamp)> {
-        let next = self.next_occurrence;
-        let is_open = next.saturating_sub(self.finished) < self.spec().max_open_occurrences();
-        (is_open && next < self.spec().occurrences()).then(|| (next, self.due_time(next)))
+    pub(super) fn next_occurrence(&mut self) -> Option<(u32, Timestamp)> {
+        if self.occurrences.len() >= self.spec().max_open_occurrences() {
+            return None;
+        }
+        let mut next = self.finished.next_missing(self.next_occurrence);
+        while self.occurrences.contains_key(&next) {
+            next = self.finished.next_missing(next + 1);
+        }
+        self.next_occurrence = next;
+        (next < self.spec().occurrences()).then(|| (next, self.due_time(next)))
     }
 
     /// Returns when an occurrence may begin.
@@ -365,8 +372,8 @@
     }
 
     /// Returns whether an occurrence is done according to the store, so that nothing else is known of it.
-    pub(super) const fn has_finished(&self, occurrence: u32) -> bool {
-        occurrence < self.finished
+    pub(super) fn has_finished(&self, occurrence: u32) -> bool {
+        self.finished.contains(occurrence)
     }
 
     /// Returns whether an occurrence is due and has not begun.
@@ -377,21 +384,18 @@
             && self.due_time(occurrence) <= now
     }
 
-    /// Returns how many occurrences are done, counted from the first without a gap.
-    pub(super) fn leading_done(&self) -> u32 {
-        let begun = (self.finished..).zip(&self.occurrences);
-        let done = begun.take_while(|(expected, (occurrence, stages))| {
-            expected == *occurrence && stages.iter().all(Stage::is_done)
-        });
-        self.finished + u32::try_from(done.count()).unwrap_or(u32::MAX)
+    /// Returns the occurrences that are done, though perhaps not yet according to the store.
+    pub(super) fn done_occurrences(&self) -> Vec<u32> {
+        let begun = self.occurrences.iter();
+        let done = begun.filter(|(_, stages)| stages.iter().all(Stage::is_done));
+        done.map(|(occurrence, _)| *occurrence).collect()
     }
 
-    /// Drops the occurrences that are done according to the store.
-    pub(super) fn drop_finished(&mut self, finished: u32) {
-        if finished > self.finished {
-            self.finished = finished;
-            self.next_occurrence = self.next_occurrence.max(finished);
-            self.occurrences = self.occurrences.split_off(&finished);
+    /// Drops occurrences that are done according to the store.
+    pub(super) fn drop_finished(&mut self, occurrences: &[u32]) {
+        for occurrence in occurrences {
+            self.occurrences.remove(occurrence);
+            self.finished.insert(*occurrence);
         }
     }
 
@@ -413,7 +417,7 @@
     pub(super) fn is_done(&self) -> bool {
         let begun = u32::try_from(self.occurrences.len()).unwrap_or(u32::MAX);
         let mut stages = self.occurrences.values().flatten();
-        self.finished.saturating_add(begun) >= self.spec().occurrences()
+        self.finished.len().saturating_add(begun) >= self.spec().occurrences()
             && stages.all(Stage::is_done)
     }
 
@@ -428,13 +432,18 @@
                 ..Progress::default()
             };
         }
-        let finished = self.leading_done();
-        let open = self.occurrences.range(finished..);
+        let mut finished = self.finished.clone();
+        for occurrence in self.done_occurrences() {
+            finished.insert(occurrence);
+        }
+        let begun = self.occurrences.iter();
+        let open = begun.filter(|(occurrence, _)| !finished.contains(**occurrence));
+        let open: Vec<_> = open
+            .map(|(index, stages)| (*index, stages.iter().map(Stage::progress).collect()))
+            .collect();
         Progress {
             finished,
-            occurrences: open
-                .map(|(index, stages)| (*index, stages.iter().map(Stage::progress).collect()))
-                .collect(),
+            occurrences: open,
             outcome: None,
             workspace,
         }
--- a/crates/cell/src/engine/recording.rs
+++ b/crates/cell/src/engine/recording.rs
@@ -80,8 +80,8 @@
 struct Snapshot {
     job: JobId,
     outcome: Option<Outcome>,
-    /// How many occurrences are done, counted from the first without a gap.
-    finished: u32,
+    /// The occurrences that are done.
+    finished: Vec<u32>,
     done: Vec<(StepId, u16)>,
 }
 
@@ -213,7 +213,7 @@
         Snapshot {
             job: id,
             outcome: job.and_then(|job| job.outcome),
-            finished: job.map_or(0, Job::leading_done),
+            finished: job.map(Job::done_occurrences).unwrap_or_default(),
             done: done.collect(),
         }
     }
@@ -257,7 +257,7 @@
             });
             self.schedule_removal(snapshot.job, now);
         } else {
-            job.drop_finished(snapshot.finished);
+            job.drop_finished(&snapshot.finished);
         }
         self.begin_occurrences(snapshot.job, now);
         self.open_steps(snapshot.job, now);
--- a/crates/cell/src/engine/submit.rs
+++ b/crates/cell/src/engine/submit.rs
@@ -89,7 +89,9 @@
             self.schedule_removal(id, now);
             return;
         }
-        self.begin_occurrences(id, now);
+        self.begin_next_occurrences(id, now);
+        // Occurrences that a former owner began are open too.
+        self.open_occurrences(id, now);
     }
 
     /// Begins the occurrences of scheduled jobs that are due.
@@ -104,11 +106,16 @@
     }
 
     /// Begins the occurrences of a job that are due, as far as they may be open, and notes when the next one is due.
-    ///
-    /// After a takeover, workers may be running them on orders of a former owner.
     pub(super) fn begin_occurrences(&mut self, id: JobId, now: Timestamp) {
+        if self.begin_next_occurrences(id, now) {
+            self.open_occurrences(id, now);
+        }
+    }
+
+    /// Begins them without opening their steps; returns whether one has begun.
+    fn begin_next_occurrences(&mut self, id: JobId, now: Timestamp) -> bool {
         let Some(job) = self.jobs.get_mut(&id).filter(|job| !job.is_over()) else {
-            return;
+            return false;
         };
         let mut has_begun = false;
         while let Some((occurrence, at)) = job.next_occurrence() {
@@ -117,13 +124,16 @@
                 break;
             }
             job.begin_occurrence(occurrence, &[]);
-            job.next_occurrence += 1;
             has_begun = true;
         }
-        if has_begun {
-            self.assign_unknown_runs(id);
-            self.open_steps(id, now);
-        }
+        has_begun
+    }
+
+    /// Opens the steps of the occurrences that have begun. After a takeover, workers may be running them on orders of a
+    /// former owner.
+    fn open_occurrences(&mut self, id: JobId, now: Timestamp) {
+        self.assign_unknown_runs(id);
+        self.open_steps(id, now);
     }
 
     /// Begins an occurrence that is due because a worker lists a run of it: a former owner may have had more of them
@@ -133,8 +143,7 @@
         let job = job.filter(|job| !job.is_over() && job.may_begin(step.occurrence, now));
         if let Some(job) = job {
             job.begin_occurrence(step.occurrence, &[]);
-            self.assign_unknown_runs(step.job);
-            self.open_steps(step.job, now);
+            self.open_occurrences(step.job, now);
         }
     }
 
--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -166,7 +166,8 @@
         }
         // An occurrence with a long-running step never ends.
         let is_long_running = self.steps.iter().any(|step| step.long_running);
-        if is_long_running && self.occurrences() > self.max_open_occurrences() {
+        let occurrences = usize::try_from(self.occurrences()).unwrap_or(usize::MAX);
+        if is_long_running && occurrences > self.max_open_occurrences() {
             return Err(Invalid::TooManyLongRunning);
         }
         let repeats = self.schedule.filter(|schedule| schedule.times > 1);
@@ -185,12 +186,13 @@
         self.schedule.map_or(1, |schedule| schedule.times)
     }
 
-    /// Returns how many occurrences may be open at a time, from the first that is not done on.
+    /// Returns how many occurrences may be open at a time.
     ///
-    /// Occurrences that are due while the earlier ones are open, because they overlap or because the job makes up for
-    /// the past, begin as these are done.
-    pub fn max_open_occurrences(&self) -> u32 {
-        (MAX_TASKS / self.tasks_per_occurrence().max(1)).max(1)
+    /// Occurrences that are due while so many are open, because they overlap or because the job makes up for the past,
+    /// begin as others are done.
+    pub fn max_open_occurrences(&self) -> usize {
+        let most = (MAX_TASKS / self.tasks_per_occurrence().max(1)).max(1);
+        usize::try_from(most).unwrap_or(usize::MAX)
     }
 
     /// Returns for each step the estimated length of the longest chain of steps that begins with it.
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod event;
 pub mod id;
 pub mod job;
+pub mod occurrence;
 pub mod pace;
 pub mod rate;
 pub mod record;
--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -26,6 +26,7 @@
         WorkerId, //
     },
     job::Spec,
+    occurrence,
     spread::Spread,
     workspace::{
         Workspace,
@@ -185,9 +186,9 @@
 /// Its size is bounded by the tasks that may be open at a time, however often the job repeats.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Progress {
-    /// How many occurrences are done, counted from the first without a gap.
-    pub finished: u32,
-    /// The steps of each later occurrence that has begun.
+    /// The occurrences that are done.
+    pub finished: occurrence::Set,
+    /// The steps of each other occurrence that has begun.
     pub occurrences: Vec<(u32, Vec<StepProgress>)>,
     /// How the job ended, once it has.
     pub outcome: Option<Outcome>,
@@ -200,14 +201,15 @@
     /// order reaches it.
     pub fn has_begun(&self) -> bool {
         let mut steps = self.occurrences.iter().flat_map(|(_, steps)| steps);
-        self.finished > 0 || steps.any(|step| !step.done.is_empty() || !step.failures.is_empty())
+        !self.finished.is_empty()
+            || steps.any(|step| !step.done.is_empty() || !step.failures.is_empty())
     }
 }
 
 impl From<PlainProgress> for Progress {
     fn from(plain: PlainProgress) -> Self {
         Self {
-            finished: 0,
+            finished: occurrence::Set::default(),
             occurrences: plain.occurrences,
             outcome: plain.outcome,
             workspace: plain.workspace,
@@ -246,7 +248,7 @@
 impl Entry {
     /// Returns the record of a job's progress.
     pub fn job(id: JobId, progress: Progress) -> Self {
-        if progress.finished > 0 {
+        if !progress.finished.is_empty() {
             return Self::Job(id, progress);
         }
         let plain = PlainProgress {
--- a/crates/cell/tests/cell/repeat.rs
+++ b/crates/cell/tests/cell/repeat.rs
@@ -1,6 +1,9 @@
 //! Jobs that repeat: how many occurrences are open at a time, and how large the record of their progress is.
 
-use std::time::Duration;
+use std::{
+    collections::BTreeSet,
+    time::Duration, //
+};
 
 use fulmarpier_cell::{
     engine::State,
@@ -11,11 +14,13 @@
         Spec,
         Step, //
     },
+    occurrence,
     record::{
         self,
         Entry, //
     },
 };
+use fulmarpier_state::clock::Timestamp;
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -118,9 +123,64 @@
     );
 }
 
+/// Guards against later occurrences that don't begin, with workers free, because an early one waits for a silent worker.
+#[rstest]
+#[case::same_owner(false)]
+#[case::new_owner(true)]
+fn an_occurrence_that_waits_doesn_t_hold_up_the_later_ones(#[case] owner_dies: bool) {
+    let mut world = World::new(1, Faults::default());
+    world.run(Duration::from_secs(1));
+    world.resize(1_000);
+    world.run(Duration::from_secs(1));
+    // Five occurrences of such a step may be open at a time.
+    let step = Step {
+        count: 1_000,
+        ..small_step()
+    };
+    let schedule = Schedule {
+        times: 8,
+        first: world.now.since(Timestamp::ZERO),
+        period: Duration::from_millis(600),
+    };
+    let job = world.submit_repeated("batch", vec![step], Some(schedule));
+    while world.starts < 1_000 {
+        world.run(Duration::from_millis(25));
+    }
+    // The lease lasts longer.
+    world.cut_off_busy(Duration::from_secs(5));
+    world.run(Duration::from_millis(1_500));
+    if owner_dies {
+        world.take_over();
+    }
+    world.run(Duration::from_millis(3_200));
+    assert!(world.starts > 5_000, "{} starts", world.starts);
+    world.run(Duration::from_secs(30));
+    assert_eq!(world.violations.first(), None);
+    assert_eq!(world.engine.state(job), Some(State::Completed));
+}
+
 proptest! {
     #![proptest_config(config())]
 
+    /// Guards against a set that loses or invents occurrences where its ranges meet.
+    #[test]
+    fn a_set_of_occurrences_has_what_was_inserted(
+        inserted in prop::collection::vec(prop_oneof![0u32..12, u32::MAX - 3..u32::MAX], 0..20),
+    ) {
+        let mut set = occurrence::Set::default();
+        for occurrence in &inserted {
+            set.insert(*occurrence);
+        }
+        let expected: BTreeSet<u32> = inserted.into_iter().collect();
+        for occurrence in (0..14).chain(u32::MAX - 5..u32::MAX) {
+            prop_assert_eq!(set.contains(occurrence), expected.contains(&occurrence));
+        }
+        prop_assert_eq!(set.len() as usize, expected.len());
+        let bytes = record::encode(&set).unwrap();
+        let gaps = expected.iter().filter(|occurrence| !expected.contains(&(**occurrence + 1)));
+        prop_assert!(bytes.len() <= 1 + 10 * gaps.count());
+    }
+
     /// Guards against an occurrence that is forgotten or begins again when the record says only how many are done.
     #[test]
     fn each_occurrence_is_done_once_across_takeovers(
--- a/crates/cell/tests/cell/world/check.rs
+++ b/crates/cell/tests/cell/world/check.rs
@@ -158,7 +158,7 @@
         let is_recorded = progress.is_some_and(|progress| {
             let occurrence = task.step.occurrence;
             let mut open = progress.occurrences.iter();
-            occurrence < progress.finished
+            progress.finished.contains(occurrence)
                 || open.any(|(index, steps)| {
                     *index == occurrence && steps[usize::from(task.step.step)].is_done(task.index)
                 })
--- a/crates/cell/tests/cell/world/mod.rs
+++ b/crates/cell/tests/cell/world/mod.rs
@@ -747,6 +747,15 @@
         self.end_all_evacuations();
     }
 
+    /// Makes the workers that run something unreachable for some time.
+    pub(crate) fn cut_off_busy(&mut self, span: Duration) {
+        let busy = self.workers.iter();
+        let busy = busy.filter(|(_, worker)| worker.tasks().next().is_some());
+        for id in busy.map(|(id, _)| id.clone()).collect::<Vec<_>>() {
+            self.cut_off(&id, span);
+        }
+    }
+
     /// Makes all workers unreachable for some time.
     pub(crate) fn cut_off_all(&mut self, span: Duration) {
         for id in self.workers.keys().cloned().collect::<Vec<_>>() {
