--- a/crates/cell/src/engine/ask.rs
+++ b/crates/cell/src/engine/ask.rs
@@ -10,12 +10,12 @@
 use super::{
     Engine,
     Slot,
-    job::Stage,
     place::{
         Demand,
         fit_count, //
     },
     reserve::Reservations, //
+    stage::Stage,
 };
 use crate::{
     advice::{
--- a/crates/cell/src/engine/assembly.rs
+++ b/crates/cell/src/engine/assembly.rs
@@ -11,7 +11,7 @@
 use super::{
     Engine,
     Slot,
-    job::Stage, //
+    stage::Stage, //
 };
 use crate::{
     effect::LogRecord,
--- a/crates/cell/src/engine/crash.rs
+++ b/crates/cell/src/engine/crash.rs
@@ -18,13 +18,12 @@
 use fulmarpier_state::clock::Timestamp;
 
 use super::{
-    Engine,
-    Slot,
-    job::{
+    Engine, Slot,
+    reserve::Reservations,
+    stage::{
         Stage,
         Task, //
     },
-    reserve::Reservations, //
 };
 use crate::{
     effect::LogRecord,
--- a/crates/cell/src/engine/loss.rs
+++ b/crates/cell/src/engine/loss.rs
@@ -7,7 +7,7 @@
 use super::{
     Engine,
     Slot,
-    job::LostRun, //
+    stage::LostRun, //
 };
 use crate::{
     effect::LogRecord,
--- a/crates/cell/src/engine/mod.rs
+++ b/crates/cell/src/engine/mod.rs
@@ -3,7 +3,8 @@
 //!
 //! | module | what it does |
 //! |---|---|
-//! | `job` | holds the state of jobs, with their steps and tasks |
+//! | `job` | holds the state of jobs and their occurrences |
+//! | `stage` | holds the state of the steps of an occurrence, with their tasks |
 //! | `timer` | finds what is due |
 //! | `assembly` | stops gangs of which members wait in vain for the others |
 //! | `announce` | prepares jobs whose acceptance is not yet on record |
@@ -59,6 +60,7 @@
 mod schedule;
 mod share;
 mod shrink;
+mod stage;
 mod submit;
 mod throttling;
 mod timer;
--- a/crates/cell/src/engine/place.rs
+++ b/crates/cell/src/engine/place.rs
@@ -11,11 +11,9 @@
     Order,
     Slot,
     WaitReason,
-    job::{
-        Job,
-        Stage, //
-    },
-    reserve::Reservations, //
+    job::Job,
+    reserve::Reservations,
+    stage::Stage, //
 };
 use crate::{
     config::Queue,
