--- a/crates/cell/src/engine/ask.rs
+++ b/crates/cell/src/engine/ask.rs
@@ -14,8 +14,8 @@
         Demand,
         fit_count, //
     },
-    reserve::Reservations, //
-    stage::Stage,
+    reserve::Reservations,
+    stage::Stage, //
 };
 use crate::{
     advice::{
--- a/crates/cell/src/engine/crash.rs
+++ b/crates/cell/src/engine/crash.rs
@@ -18,12 +18,13 @@
 use fulmarpier_state::clock::Timestamp;
 
 use super::{
-    Engine, Slot,
+    Engine,
+    Slot,
     reserve::Reservations,
     stage::{
         Stage,
         Task, //
-    },
+    }, //
 };
 use crate::{
     effect::LogRecord,
--- a/crates/cell/src/engine/job.rs
+++ b/crates/cell/src/engine/job.rs
@@ -16,7 +16,7 @@
     stage::{
         Stage,
         Task, //
-    },
+    }, //
 };
 use crate::{
     id::{
