cell, node: log and measure what calls for advice are for and how long steps wait for a node

Its steps wait for a node that makes their call for advice, and no line told who had the nodes, what calls were for or how long a step had wanted one; all queues shared one limit of lines.

advised: purpose, tasks, waited_ms, priority, limited by priority. advice-load: every 2 s and priority the nodes that make calls and the steps that want one. fulmarpier_advice_seconds{priority,purpose}, fulmarpier_advice_wait_seconds{priority}, fulmarpier_advice_load{priority,kind}; priorities from 7 on share a label. OPERATIONS: from a late batch job to its cause. No decision changes.

Tests advice_load.

--- a/crates/cell/src/advice.rs
+++ b/crates/cell/src/advice.rs
@@ -104,6 +104,29 @@
     }
 }
 
+/// What a call to the advice service is for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Purpose {
+    /// There is no answer about the step yet.
+    #[default]
+    First,
+    /// The workers that may run the step have too little capacity, so it asks about others.
+    Further,
+    /// The tickets for workers with free capacity have expired.
+    Renewal,
+}
+
+impl Purpose {
+    /// Returns the purpose as one word, for logs and metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::First => "first",
+            Self::Further => "further",
+            Self::Renewal => "renewal",
+        }
+    }
+}
+
 /// The answers of the advice service about a step, and the calls that are pending.
 ///
 /// The set of workers that may run the step doesn't change while the step exists; only the tickets expire.
@@ -117,6 +140,10 @@
     pub asked: Vec<Slot>,
     /// The workers to ask about once nodes are free for the calls, one list per call.
     pub planned: Vec<Vec<Slot>>,
+    /// What the planned calls are for.
+    pub planned_for: Purpose,
+    /// Since when the step has waited for a node that makes its next call.
+    pub node_wanted_since: Option<Timestamp>,
     /// The number of calls in flight.
     pub calls_in_flight: usize,
     /// The time before which no further call is made.
@@ -124,12 +151,19 @@
 }
 
 impl Advice {
-    /// Notes that a call about these workers has begun.
-    pub fn begin(&mut self, asked: &[Slot]) {
+    /// Notes that no node is free for the next call.
+    pub fn want_node(&mut self, now: Timestamp) {
+        self.node_wanted_since.get_or_insert(now);
+    }
+
+    /// Notes that a call about these workers has begun; returns for how long the step has waited for a node.
+    pub fn begin(&mut self, asked: &[Slot], now: Timestamp) -> Duration {
         self.calls_in_flight += 1;
         self.asked.extend(asked);
         self.asked.sort_unstable();
         self.asked.dedup();
+        let since = self.node_wanted_since.take();
+        since.map_or(Duration::ZERO, |since| now.since(since))
     }
 
     /// Notes an answer.
@@ -160,6 +194,11 @@
         self.calls_in_flight > 0 && !self.is_answered && self.planned.is_empty()
     }
 
+    /// Returns whether no further call may be made yet: one is in flight, or the last one got no answer.
+    pub fn is_call_pending(&self, now: Timestamp) -> bool {
+        self.calls_in_flight > 0 || now < self.retry_at
+    }
+
     /// Returns whether a worker was asked about.
     pub fn was_asked(&self, slot: Slot) -> bool {
         self.asked.binary_search(&slot).is_ok()
@@ -184,6 +223,25 @@
     pub since: Timestamp,
     /// Whether the call takes long, so that shorter calls should not have to wait behind it.
     pub is_long: bool,
+    /// The priority of the step's queue.
+    pub priority: u8,
+    /// What the call is for.
+    pub purpose: Purpose,
+    /// How many tasks of the step waited to be started when the call began.
+    pub tasks: usize,
+    /// For how long the step waited for a node to make the call.
+    pub waited: Duration,
+}
+
+/// The calls of the queues of one priority.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// The number of nodes that make a call for one of their steps.
+    pub busy_nodes: usize,
+    /// The number of their steps that wait for a node.
+    pub waiting_steps: usize,
+    /// The time for which the first of these steps has waited.
+    pub longest_wait: Duration,
 }
 
 /// The share of workers that the advice service allows, by queue.
@@ -332,6 +390,11 @@
             .insert(node.clone(), Backoff { until, duration });
     }
 
+    /// Returns the calls that are in flight.
+    pub fn calls(&self) -> impl Iterator<Item = &Call> {
+        self.busy.values()
+    }
+
     /// Makes nodes available again whose backoff is over; returns whether there is any.
     pub fn end_backoffs(&mut self, now: Timestamp) -> bool {
         let failing = self.failing.iter();
--- a/crates/cell/src/effect.rs
+++ b/crates/cell/src/effect.rs
@@ -14,6 +14,7 @@
 };
 
 use crate::{
+    advice::Purpose,
     engine::{
         Census,
         WaitReason,
@@ -332,6 +333,14 @@
         allowed: Option<usize>,
         /// The duration of the call.
         took: Duration,
+        /// For how long the step had waited for a node to make the call.
+        waited: Duration,
+        /// What the call was for.
+        purpose: Purpose,
+        /// The priority of the step's queue.
+        priority: u8,
+        /// The number of its tasks that waited when the call began.
+        tasks: usize,
     },
 }
 
--- a/crates/cell/src/engine/ask.rs
+++ b/crates/cell/src/engine/ask.rs
@@ -1,6 +1,9 @@
 //! Calls to the advice service, which says which workers may run a step.
 
-use std::time::Duration;
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
 
 use fulmarpier_state::{
     clock::Timestamp,
@@ -20,6 +23,8 @@
 use crate::{
     advice::{
         Call,
+        Load,
+        Purpose,
         Ticket, //
     },
     effect::{
@@ -88,6 +93,16 @@
     last.filter(|_| is_selective(demand)).map(|last| last + 1)
 }
 
+/// What a step whose tasks don't all fit needs of the advice service.
+enum Refresh {
+    /// Nothing, or the answer to a call that is in flight.
+    None,
+    /// A call, for which no node is free.
+    AwaitsNode,
+    /// A call about these workers.
+    Call(Purpose, Vec<Slot>),
+}
+
 impl Engine {
     /// Returns whether it is known which workers may run a step.
     pub(super) fn has_advice(&self, id: StepId) -> bool {
@@ -114,9 +129,12 @@
             self.make_planned_calls(id, now);
             return;
         }
-        if !self.may_call(&demand, stage, now) {
+        if stage.advice.is_call_pending(now) {
             return;
         }
+        if !self.has_node(&demand) {
+            return self.want_node(id, now);
+        }
         let tasks = stage.waiting.len() as f64;
         let share = self.allowed_shares.share(&demand.queue.name);
         let is_selective = is_selective(&demand);
@@ -133,7 +151,7 @@
             fits_when_empty += fit_count(&worker.registration.capacity, &demand.size) as f64;
             asked.push(slot);
         }
-        self.plan_calls(id, asked);
+        self.plan_calls(id, asked, Purpose::First);
         self.make_planned_calls(id, now);
     }
 
@@ -167,21 +185,41 @@
         })
     }
 
-    /// Asks again about workers that have free capacity but whose tickets have expired.
+    /// Asks again about workers that have free capacity but whose tickets have expired, or about further workers.
     pub(super) fn refresh_advice(
         &mut self,
         id: StepId,
         reserved: &mut Reservations,
         now: Timestamp,
     ) {
+        match self.refresh(id, reserved, now) {
+            Refresh::None => {
+                if let Some(stage) = self.jobs.get_mut(&id.job).and_then(|job| job.stage_mut(id)) {
+                    stage.advice.node_wanted_since = None;
+                }
+            }
+            Refresh::AwaitsNode => self.want_node(id, now),
+            Refresh::Call(purpose, slots) => {
+                self.plan_calls(id, slots, purpose);
+                self.make_planned_calls(id, now);
+                if purpose == Purpose::Renewal {
+                    // Which tickets to renew is decided again once another node is free.
+                    self.drop_planned(id);
+                }
+            }
+        }
+    }
+
+    /// Returns what a step needs of the advice service, and reserves the workers on which a gang fits.
+    fn refresh(&self, id: StepId, reserved: &mut Reservations, now: Timestamp) -> Refresh {
         let Some(job) = self.jobs.get(&id.job) else {
-            return;
+            return Refresh::None;
         };
         let Some(demand) = self.demand(job, id).filter(|d| d.queue.advice.is_some()) else {
-            return;
+            return Refresh::None;
         };
         let Some(stage) = job.stage(id) else {
-            return;
+            return Refresh::None;
         };
         let mut fits_by_slot: Vec<(Slot, usize)> = Vec::new();
         for (slot, worker) in self.candidates_with_capacity(&demand, stage) {
@@ -197,12 +235,14 @@
             false => 1,
         };
         if fits < needed {
-            if self.may_call(&demand, stage, now) {
-                let further = self.further_workers(&demand, stage, reserved, now);
-                self.plan_calls(id, further);
-                self.make_planned_calls(id, now);
-            }
-            return;
+            return match () {
+                () if stage.advice.is_call_pending(now) => Refresh::None,
+                () if !self.has_node(&demand) => Refresh::AwaitsNode,
+                () => {
+                    let further = self.further_workers(&demand, stage, reserved, now);
+                    Refresh::Call(Purpose::Further, further)
+                }
+            };
         }
         let departure = self.expected_departure(now);
         let is_stale = |slot: &Slot| {
@@ -210,7 +250,7 @@
             worker.is_none_or(|worker| stage.advice.ticket(*slot, worker, departure).is_none())
         };
         if !fits_by_slot.iter().any(|(slot, _)| is_stale(slot)) {
-            return;
+            return Refresh::None;
         }
         // Keep those on which the most tasks fit, and no more than are needed.
         fits_by_slot.sort_by_key(|(slot, fits)| (std::cmp::Reverse(*fits), *slot));
@@ -224,11 +264,10 @@
         if is_gang {
             reserved.reserve_for_gang(slots.into_iter(), id);
         }
-        if self.may_call(&demand, stage, now) {
-            self.plan_calls(id, stale);
-            self.make_planned_calls(id, now);
-            // Which tickets to renew is decided again once another node is free.
-            self.drop_planned(id);
+        match () {
+            () if stage.advice.is_call_pending(now) => Refresh::None,
+            () if !self.has_node(&demand) => Refresh::AwaitsNode,
+            () => Refresh::Call(Purpose::Renewal, stale),
         }
     }
 
@@ -281,17 +320,22 @@
         }
     }
 
-    /// Returns whether a call for a step could leave now: none is under way or backed off, and a node is free for a
-    /// call about one worker.
-    fn may_call(&self, demand: &Demand<'_>, stage: &Stage, now: Timestamp) -> bool {
+    /// Returns whether a node is free for a call for a step about one worker.
+    fn has_node(&self, demand: &Demand<'_>) -> bool {
         let timing = demand.queue.advice;
         let is_long = timing.is_some_and(|timing| timing.call_duration(1) > LONG_CALL_THRESHOLD);
-        let is_free = stage.advice.calls_in_flight == 0 && stage.advice.retry_at <= now;
-        is_free && self.advice_nodes.idle(is_long).is_some()
+        self.advice_nodes.idle(is_long).is_some()
+    }
+
+    /// Notes that a step waits for a node that makes its next call.
+    fn want_node(&mut self, id: StepId, now: Timestamp) {
+        if let Some(stage) = self.jobs.get_mut(&id.job).and_then(|job| job.stage_mut(id)) {
+            stage.advice.want_node(now);
+        }
     }
 
     /// Plans calls about workers, split over several nodes if there are too many workers for one call.
-    fn plan_calls(&mut self, id: StepId, asked: Vec<Slot>) {
+    fn plan_calls(&mut self, id: StepId, asked: Vec<Slot>, purpose: Purpose) {
         let calls = asked
             .len()
             .div_ceil(MAX_WORKERS_PER_CALL)
@@ -305,6 +349,7 @@
         let planned: Vec<Vec<Slot>> = planned.collect();
         if let Some(stage) = self.jobs.get_mut(&id.job).and_then(|job| job.stage_mut(id)) {
             stage.advice.planned = planned;
+            stage.advice.planned_for = purpose;
         }
     }
 
@@ -320,7 +365,8 @@
         if stage.is_none_or(|stage| stage.advice.planned.is_empty()) {
             return;
         }
-        let Some(timing) = self.queue_of(job).advice else {
+        let queue = self.queue_of(job);
+        let (Some(timing), priority) = (queue.advice, queue.priority) else {
             return;
         };
         let workers = &self.workers;
@@ -331,6 +377,7 @@
             let is_long = timing.call_duration(slots.len()) > LONG_CALL_THRESHOLD;
             let Some(node) = self.advice_nodes.idle(is_long).cloned() else {
                 stage.advice.planned.push(slots);
+                stage.advice.want_node(now);
                 return;
             };
             // This comes after the check for a free node to keep it cheap: hundreds of steps may wait for a node, and
@@ -339,7 +386,7 @@
             if slots.is_empty() {
                 continue;
             }
-            stage.advice.begin(&slots);
+            let waited = stage.advice.begin(&slots, now);
             let workers = slots.iter().filter_map(|slot| self.workers.get(slot));
             let workers = workers
                 .map(|worker| worker.registration.id.clone())
@@ -349,6 +396,10 @@
                 asked: slots,
                 since: now,
                 is_long,
+                priority,
+                purpose: stage.advice.planned_for,
+                tasks: stage.waiting.len(),
+                waited,
             };
             self.advice_nodes.begin(node.clone(), call);
             self.outbox.push(Effect::Advise {
@@ -384,6 +435,10 @@
             asked: call.asked.len(),
             allowed: answer.as_ref().map(Vec::len),
             took: now.since(call.since),
+            waited: call.waited,
+            purpose: call.purpose,
+            priority: call.priority,
+            tasks: call.tasks,
         });
         let Some(answer) = answer else {
             self.handle_unanswered_call(&call, now);
@@ -436,4 +491,28 @@
                 .fail(&call.asked, now + UNANSWERED_CALL_BACKOFF);
         }
     }
+
+    /// Returns the calls of the queues that need advice, by their priority.
+    pub fn advice_load(&self, now: Timestamp) -> BTreeMap<u8, Load> {
+        let queues = self.config.queues.values();
+        let advised = queues.filter(|queue| queue.advice.is_some());
+        let mut loads: BTreeMap<u8, Load> = advised
+            .map(|queue| (queue.priority, Load::default()))
+            .collect();
+        for call in self.advice_nodes.calls() {
+            loads.entry(call.priority).or_default().busy_nodes += 1;
+        }
+        for id in self.open_steps.iter() {
+            let job = self.jobs.get(&id.job);
+            let stage = job.and_then(|job| job.stage(id));
+            let since = stage.and_then(|stage| stage.advice.node_wanted_since);
+            let Some((job, since)) = job.zip(since) else {
+                continue;
+            };
+            let load = loads.entry(self.queue_of(job).priority).or_default();
+            load.waiting_steps += 1;
+            load.longest_wait = load.longest_wait.max(now.since(since));
+        }
+        loads
+    }
 }
--- a/crates/cell/src/engine/open_steps.rs
+++ b/crates/cell/src/engine/open_steps.rs
@@ -112,6 +112,11 @@
         self.unranked.extend(steps.into_iter().flatten());
     }
 
+    /// Returns all steps.
+    pub(super) fn iter(&self) -> impl Iterator<Item = StepId> {
+        self.steps.keys().copied()
+    }
+
     /// Returns the accounts of the workspaces that have open steps.
     pub(super) fn accounts(&self) -> impl Iterator<Item = quota::Slot> {
         self.by_account.keys().copied()
--- a/crates/cell/src/engine/place.rs
+++ b/crates/cell/src/engine/place.rs
@@ -449,6 +449,9 @@
         let worker = worker.registration.id.clone();
         let waited = stage.opened_at.map(|opened| now.since(opened));
         stage.waiting.remove(&index);
+        if stage.waiting.is_empty() {
+            stage.advice.node_wanted_since = None;
+        }
         stage.wait_reason = None;
         stage.wait_reason_at = now;
         let mut checkpoint = None;
--- a/crates/cell/tests/cell/advice_nodes.rs
+++ b/crates/cell/tests/cell/advice_nodes.rs
@@ -5,7 +5,8 @@
 use fulmarpier_cell::{
     advice::{
         Call,
-        Nodes, //
+        Nodes,
+        Purpose, //
     },
     id::{
         JobId,
@@ -36,6 +37,10 @@
         asked: Vec::new(),
         since,
         is_long,
+        priority: 1,
+        purpose: Purpose::First,
+        tasks: 1,
+        waited: Duration::ZERO,
     };
     advice_nodes.begin(node.clone(), call);
     Some(node)
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -1,5 +1,6 @@
 //! Tests of a cell's engine in virtual time.
 
+mod advice_load;
 mod advice_nodes;
 mod announce;
 mod attempts;
--- a/crates/cell/tests/cell/world/mod.rs
+++ b/crates/cell/tests/cell/world/mod.rs
@@ -34,6 +34,7 @@
 };
 
 use fulmarpier_cell::{
+    advice::Purpose,
     config::{
         AdviceTiming,
         Config,
@@ -186,6 +187,14 @@
     OperatorRead,
 }
 
+/// What the engine reported of a call for advice.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct AdviceCall {
+    pub(crate) purpose: Purpose,
+    pub(crate) tasks: usize,
+    pub(crate) waited: Duration,
+}
+
 /// A decision of the owner, with the slots of the workers.
 #[derive(Clone, Debug)]
 pub(crate) enum Decision {
@@ -281,6 +290,8 @@
     pub refused_tickets: u32,
     /// The number of workers in each call for advice, in order.
     pub advice_call_sizes: Vec<usize>,
+    /// The finished calls for advice, in order.
+    pub advice_calls: Vec<AdviceCall>,
     /// The placements and calls for advice, in order.
     pub decisions: Vec<Decision>,
     /// How many starts were withdrawn because their ticket had expired by the time that their record was stored.
@@ -481,6 +492,7 @@
             preempted: Vec::new(),
             refused_tickets: 0,
             advice_call_sizes: Vec::new(),
+            advice_calls: Vec::new(),
             decisions: Vec::new(),
             expired_ticket_starts: 0,
             failed_advice_calls: 0,
@@ -1025,6 +1037,16 @@
             Effect::Log(LogRecord::Gang { state, members, .. }) => {
                 self.reported_gangs.push((state, members));
             }
+            Effect::Log(LogRecord::Advised {
+                purpose,
+                tasks,
+                waited,
+                ..
+            }) => self.advice_calls.push(AdviceCall {
+                purpose,
+                tasks,
+                waited,
+            }),
             Effect::Log(LogRecord::BeyondRate { job, .. }) => self.beyond_rate.push(job),
             Effect::Log(LogRecord::Stopping {
                 task,
--- a/crates/node/src/owner/engine_actor.rs
+++ b/crates/node/src/owner/engine_actor.rs
@@ -428,6 +428,8 @@
         let epoch = u64::from(self.engine.epoch().0);
         let staleness = self.read_progress.age();
         self.shared.meter.engine_counts(&counts, epoch, staleness);
+        let loads = self.engine.advice_load(self.shared.clock.now());
+        self.shared.meter.advice_load(&self.shared.log, &loads);
         self.shared.meter.workspaces(self.engine.usage());
         if self.shared.meter.may_log("believed", "") {
             slog::info!(self.shared.log, "believed"; "epoch" => epoch, "jobs" => counts.jobs,
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cmp::Reverse,
+    collections::BTreeMap,
     fmt,
     sync::{
         Arc,
@@ -11,6 +12,7 @@
 };
 
 use fulmarpier_cell::{
+    advice::Load,
     effect::LogRecord,
     engine::{
         Counts,
@@ -78,6 +80,8 @@
     wait: Histogram<f64>,
     finish: Histogram<f64>,
     advice: Histogram<f64>,
+    advice_wait: Histogram<f64>,
+    advice_load: Gauge<u64>,
     engine_state: Gauge<u64>,
     workspaces: Gauge<u64>,
     shares: Gauge<u64>,
@@ -134,7 +138,18 @@
                 "fulmarpier_finish_seconds",
                 "From a job's arrival to the record of its end.",
             ),
-            advice: registry.histogram("fulmarpier_advice_seconds", "Calls for advice."),
+            advice: registry.histogram(
+                "fulmarpier_advice_seconds",
+                "Calls for advice by priority and purpose.",
+            ),
+            advice_wait: registry.histogram(
+                "fulmarpier_advice_wait_seconds",
+                "From when a step wants a call for advice to when a node makes it, by priority.",
+            ),
+            advice_load: registry.gauge(
+                "fulmarpier_advice_load",
+                "The calls for advice that are made or wanted, by priority and kind.",
+            ),
             engine_state: registry
                 .gauge("fulmarpier_believed", "What the owner believes, by kind."),
             workspaces: registry.gauge(
@@ -295,15 +310,12 @@
             ("workers_evacuated", counts.workers_evacuated),
         ];
         for (kind, value) in gauges {
-            let value = u64::try_from(value).unwrap_or(u64::MAX);
-            self.0
-                .engine_state
-                .record(value, &[KeyValue::new("kind", kind)]);
+            let labels = [KeyValue::new("kind", kind)];
+            self.0.engine_state.record(count(value), &labels);
         }
         for (class, value) in counts.workers_by_speed {
-            let value = u64::try_from(value).unwrap_or(u64::MAX);
             let labels = [KeyValue::new("class", class.as_str())];
-            self.0.worker_speeds.record(value, &labels);
+            self.0.worker_speeds.record(count(value), &labels);
         }
         for (kind, value) in [("epoch", epoch), ("view_ms", millis(staleness))] {
             let labels = [KeyValue::new("kind", kind)];
@@ -311,6 +323,30 @@
         }
     }
 
+    /// Sets the gauges of the calls for advice, and logs them.
+    pub(crate) fn advice_load(&self, log: &Logger, loads: &BTreeMap<u8, Load>) {
+        for (priority, load) in loads {
+            let priority = priority_label(*priority);
+            let gauges = [
+                ("busy_nodes", count(load.busy_nodes)),
+                ("waiting_steps", count(load.waiting_steps)),
+                ("longest_wait_ms", millis(load.longest_wait)),
+            ];
+            for (kind, value) in gauges {
+                let labels = [
+                    KeyValue::new("priority", priority),
+                    KeyValue::new("kind", kind),
+                ];
+                self.0.advice_load.record(value, &labels);
+            }
+            if self.may_log("advice-load", priority) {
+                slog::info!(log, "advice-load"; "priority" => priority,
+                    "busy_nodes" => load.busy_nodes, "waiting_steps" => load.waiting_steps,
+                    "longest_wait_ms" => millis(load.longest_wait));
+            }
+        }
+    }
+
     /// Sets the gauges of usage and limits for the workspaces with the largest limits.
     pub(crate) fn workspaces(&self, mut usage: Vec<WorkspaceUsage>) {
         let memory = |size: Option<Resources>| size.map_or(0, |size| size.memory.get());
@@ -357,7 +393,21 @@
         match record {
             LogRecord::Placed { waited, .. } => self.0.wait.record(waited.as_secs_f64(), &[]),
             LogRecord::Finished { after, .. } => self.0.finish.record(after.as_secs_f64(), &[]),
-            LogRecord::Advised { took, .. } => self.0.advice.record(took.as_secs_f64(), &[]),
+            LogRecord::Advised {
+                took,
+                waited,
+                purpose,
+                priority,
+                ..
+            } => {
+                let priority = KeyValue::new("priority", priority_label(*priority));
+                let wait = waited.as_secs_f64();
+                self.0
+                    .advice_wait
+                    .record(wait, std::slice::from_ref(&priority));
+                let labels = [priority, KeyValue::new("purpose", purpose.as_str())];
+                self.0.advice.record(took.as_secs_f64(), &labels);
+            }
             _ => {}
         }
         if self.may_log(kind, reason) {
@@ -410,10 +460,29 @@
         LogRecord::Waiting { why, .. } => ("waits", why.as_str()),
         LogRecord::Share { share, .. } => ("share", share.standing.as_str()),
         LogRecord::BeyondRate { .. } => ("rate", "beyond"),
-        LogRecord::Advised { .. } => ("advised", ""),
+        LogRecord::Advised { priority, .. } => ("advised", priority_label(*priority)),
+    }
+}
+
+/// Returns a priority as a metric label. Priorities from 7 on share one, which bounds the number of series.
+const fn priority_label(priority: u8) -> &'static str {
+    match priority {
+        0 => "0",
+        1 => "1",
+        2 => "2",
+        3 => "3",
+        4 => "4",
+        5 => "5",
+        6 => "6",
+        _ => "7+",
     }
 }
 
+/// Returns a number of things as a value of a gauge.
+fn count(value: usize) -> u64 {
+    u64::try_from(value).unwrap_or(u64::MAX)
+}
+
 /// Returns the beginning of a key, with characters escaped that could end a log line or forge a field.
 fn shorten(key: &str) -> String {
     let chars = key.chars().take(MAX_KEY_CHARS);
@@ -559,7 +628,13 @@
             asked,
             allowed,
             took,
+            waited,
+            purpose,
+            priority,
+            tasks,
         } => slog::info!(log, "advised"; "step" => %step, "node" => node.as_str(),
+            "priority" => priority, "purpose" => purpose.as_str(), "tasks" => tasks,
+            "waited_ms" => millis(*waited),
             "named" => asked, "allowed" => allowed.map_or(-1, |count| i64::try_from(count).unwrap_or(i64::MAX)),
             "took_ms" => millis(*took)),
     }
