cell: a test in which a batch queue gets no advice while gangs want all nodes; fails

Callers saw too little earned of a class of batch jobs (SHORT). The test plays the load that divides the nodes: gangs that want 100 to 115% of the calls that two nodes can make, batch jobs that need 7%, urgent ones.

--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -23,6 +23,7 @@
 mod removal;
 mod repeat;
 mod restart;
+mod scarce_nodes;
 mod share;
 mod shrink;
 mod slow;
