--- a/crates/cell/tests/cell/pace.rs
+++ b/crates/cell/tests/cell/pace.rs
@@ -64,7 +64,7 @@
 
 /// Guards against decisions that change where no worker is known to be slower or faster than the others.
 ///
-/// The snapshot was taken before placement regarded the speed of workers. The load exceeds the capacity, so that tasks
+/// The snapshot was taken from a build whose placement disregards the speed of workers. The load exceeds the capacity, so that tasks
 /// wait, tickets are renewed, and tasks are preempted.
 #[test]
 fn equal_workers_are_chosen_as_without_regard_to_speed() {
