cell, node: end a hold when a workspace's limit keeps its gang from starting; log and count holds

Callers beside a workspace at its limit would have waited for workers that were held for a gang of it which couldn't start: the hold is made below the limit and nothing looked at the limit again. Now the workers are released. Test a_hold_ends_when_its_workspace_reaches_its_limit, red without; so is a_hold_ends_when_its_gang_is_cancelled without the release of what is over. With no holds at all these, a_hold_ends_when_its_gang_starts and all 6 cases of no_more_tasks_are_preempted_for_a_gang_than_its_members_displace are red (run once more).

A step's wait for a node is no longer cut short while calls of it that were planned together still want one.

--- a/crates/cell/src/effect.rs
+++ b/crates/cell/src/effect.rs
@@ -207,6 +207,17 @@
         /// The remaining validity of the step's ticket for the worker; `None` if there is none or none is required.
         ticket: Option<Duration>,
     },
+    /// Workers on which tasks were preempted for a gang are held for it, or not any more.
+    Hold {
+        /// The step.
+        step: StepId,
+        /// That the hold has begun, or why it has ended, as one word.
+        state: &'static str,
+        /// The number of workers.
+        workers: usize,
+        /// How long they have been held.
+        age: Duration,
+    },
     /// The engine's view of a worker's state has changed.
     Worker {
         /// The worker.
--- a/crates/cell/src/engine/ask.rs
+++ b/crates/cell/src/engine/ask.rs
@@ -194,7 +194,9 @@
     ) {
         match self.refresh(id, reserved, now) {
             Refresh::None => {
-                if let Some(stage) = self.jobs.get_mut(&id.job).and_then(|job| job.stage_mut(id)) {
+                let stage = self.jobs.get_mut(&id.job).and_then(|job| job.stage_mut(id));
+                // Planned calls still wait for nodes.
+                if let Some(stage) = stage.filter(|stage| stage.advice.planned.is_empty()) {
                     stage.advice.node_wanted_since = None;
                 }
             }
@@ -222,15 +224,9 @@
             return Refresh::None;
         };
         let mut fits_by_slot: Vec<(Slot, usize)> = Vec::new();
-        let held = self.held_workers.get(&id);
-        for (slot, worker) in self.candidates(&demand, stage) {
-            // Tickets for workers that are held are renewed while preempted tasks are still stopping there.
-            let free = match held.is_some_and(|held| held.contains(&slot)) {
-                true => worker.free_after_stops(),
-                false => worker.free,
-            };
-            let fits = fit_count(&free, &demand.size);
-            if fits > 0 && !reserved.is_reserved_for_other(slot, id) && demand.admits(worker, now) {
+        // Tickets for workers that are held are renewed while preempted tasks are still stopping there.
+        for (slot, worker, fits) in self.candidates_after_stops(&demand, stage) {
+            if fits > 0 && !reserved.excludes(slot, &demand) && demand.admits(worker, now) {
                 fits_by_slot.push((slot, fits));
             }
         }
--- a/crates/cell/src/engine/mod.rs
+++ b/crates/cell/src/engine/mod.rs
@@ -99,6 +99,7 @@
 };
 use self::{
     free_capacity::FreeCapacity,
+    hold::Hold,
     job::Job,
     open_steps::OpenSteps,
     recording::RecordQueue,
@@ -265,7 +266,7 @@
     /// For each step with tasks that have to run alone, the worker that is being emptied for it.
     emptying: BTreeMap<StepId, Slot>,
     /// For each gang for which tasks were preempted, the workers that are held for it until it starts.
-    held_workers: BTreeMap<StepId, BTreeSet<Slot>>,
+    holds: BTreeMap<StepId, Hold>,
     /// Whether a change may allow a waiting task to start, so that a scheduling pass is needed.
     needs_pass: bool,
     /// The last step that the previous pass examined in addition to the most urgent ones. The next pass continues
@@ -325,7 +326,7 @@
             gangs_started: HashMap::default(),
             promoted: HashMap::default(),
             emptying: BTreeMap::new(),
-            held_workers: BTreeMap::new(),
+            holds: BTreeMap::new(),
             needs_pass: true,
             resume_after: None,
             retry_skipped_at: None,
--- a/crates/cell/src/engine/place.rs
+++ b/crates/cell/src/engine/place.rs
@@ -240,7 +240,7 @@
 
     /// Returns the workers that advice allows for a step or, if the queue needs no advice, all of its pool with at
     /// least `min_cpu` free.
-    fn slots_for<'a>(
+    pub(super) fn slots_for<'a>(
         &'a self,
         demand: &Demand<'_>,
         stage: &'a Stage,
@@ -291,7 +291,7 @@
             self.reserve_until_empty(id, reserved, now);
             return false;
         };
-        self.release_held_workers(id);
+        self.release_held_workers(id, "started", now);
         self.count_started_gang(id);
         let mut run = Run::default();
         for index in &waiting {
--- a/crates/cell/src/engine/reserve.rs
+++ b/crates/cell/src/engine/reserve.rs
@@ -221,7 +221,7 @@
                 victims += self.preempt(id, &offer, wanted, size, now);
             }
             if is_gang && victims > 0 {
-                self.hold_workers(id, slots);
+                self.hold_workers(id, slots, now);
             }
         }
         true
--- a/crates/cell/src/engine/schedule.rs
+++ b/crates/cell/src/engine/schedule.rs
@@ -195,6 +195,7 @@
         }
         let allowed = advice.map_or(0, |advice| advice.allowed.len());
         if self.is_limited(id, reserved) {
+            self.release_held_workers(id, "limit", now);
             self.update_known_wait_reason(id, WaitReason::Limit, now);
             return STEP_CHECKS;
         }
--- a/crates/cell/src/engine/view.rs
+++ b/crates/cell/src/engine/view.rs
@@ -76,6 +76,8 @@
     pub workers_not_yet_heard: usize,
     /// Workers in data centres that are evacuated.
     pub workers_evacuated: usize,
+    /// Workers that are held for gangs.
+    pub workers_held: usize,
     /// Listed workers of each class of speed, slowest first.
     pub workers_by_speed: [(Class, usize); Class::ALL.len()],
 }
@@ -206,6 +208,7 @@
             workers_silent: silent,
             workers_not_yet_heard: not_yet_heard.count(),
             workers_evacuated: evacuated.count(),
+            workers_held: self.held_worker_count(),
             workers_by_speed: Class::ALL.map(|class| (class, self.count_workers(class))),
         }
     }
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -10,6 +10,7 @@
 mod evacuate;
 mod gang;
 mod history;
+mod hold;
 mod incarnation;
 mod inventory;
 mod limit;
--- a/crates/cell/tests/cell/preempt.rs
+++ b/crates/cell/tests/cell/preempt.rs
@@ -26,6 +26,7 @@
 
 /// How many workers there are, each with the capacity for four tasks of the usual size.
 const WORKERS: u32 = 48;
+const TASKS_PER_WORKER: usize = 4;
 /// How many members a gang has; each fills a whole worker.
 const MEMBERS: u16 = 8;
 
@@ -118,7 +119,6 @@
     let mut gangs = Vec::new();
     let mut percent_due = 0;
     for tick in 0..200 {
-        // A gang each 300 ms takes an eighth of the fleet; batch jobs of the rest of the load and urgent ones compete.
         if tick % 3 == 0 {
             gangs.push(world.submit("gang", vec![gang.clone()]));
         }
@@ -132,7 +132,6 @@
     }
     assert_eq!(world.violations, Vec::<String>::new());
     let mut victims: BTreeMap<JobId, usize> = BTreeMap::new();
-    // Urgent steps preempt too.
     for (step, count) in &world.preemptions {
         if gangs.contains(&step.job) {
             *victims.entry(step.job).or_default() += count;
@@ -141,8 +140,7 @@
     let most = victims.values().max().copied().unwrap_or_default();
     println!("{} gangs, at most {most} tasks for one", victims.len());
     assert!(!victims.is_empty());
-    // Each member takes the place of four tasks.
-    let needed = usize::from(gang.count) * 4;
+    let needed = usize::from(gang.count) * TASKS_PER_WORKER;
     assert!(
         most <= needed,
         "{most} preempted for a gang, {needed} would suffice"
--- a/crates/node/src/owner/engine_actor.rs
+++ b/crates/node/src/owner/engine_actor.rs
@@ -442,7 +442,8 @@
                 "workers_heard" => counts.workers_heard,
                 "workers_silent" => counts.workers_silent,
                 "workers_unheard" => counts.workers_not_yet_heard,
-                "workers_evacuated" => counts.workers_evacuated);
+                "workers_evacuated" => counts.workers_evacuated,
+                "workers_held" => counts.workers_held);
         }
     }
 }
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -297,7 +297,7 @@
 
     /// Sets the gauges that describe the state of the owner's engine.
     pub(crate) fn engine_counts(&self, counts: &Counts, epoch: u64, staleness: Duration) {
-        let gauges: [(&'static str, usize); 10] = [
+        let gauges: [(&'static str, usize); 11] = [
             ("jobs", counts.jobs),
             ("waiting", counts.pending_jobs),
             ("open_steps", counts.open_steps),
@@ -308,6 +308,7 @@
             ("workers_silent", counts.workers_silent),
             ("workers_unheard", counts.workers_not_yet_heard),
             ("workers_evacuated", counts.workers_evacuated),
+            ("workers_held", counts.workers_held),
         ];
         for (kind, value) in gauges {
             let labels = [KeyValue::new("kind", kind)];
@@ -450,6 +451,7 @@
         LogRecord::Ended { reason, .. } => ("ended", reason.as_str()),
         LogRecord::Stopping { why, .. } => ("stopping", why),
         LogRecord::Preempting { .. } => ("preempting", ""),
+        LogRecord::Hold { state, .. } => ("hold", state),
         LogRecord::Worker { belief, .. } => ("worker", belief),
         LogRecord::Speed { class, .. } => ("speed", class.as_str()),
         LogRecord::Lost { why, .. } => ("lost", why),
@@ -549,6 +551,13 @@
         } => slog::info!(log, "preempting"; "step" => %step, "worker" => worker.as_str(),
             "wanted" => wanted, "fits" => fits, "victims" => victims,
             OptionalField("ticket_ms", ticket.map(millis))),
+        LogRecord::Hold {
+            step,
+            state,
+            workers,
+            age,
+        } => slog::info!(log, "hold"; "step" => %step, "state" => state, "workers" => workers,
+            "age_ms" => millis(*age)),
         LogRecord::Worker {
             worker,
             incarnation,
