node, cell: log what an owner and its successor believe of each other

For the incident of a task under two owners: no change of logic.

- `ownership-begins` names the former owner, the evidence and the age of its last renewal; `ownership-ends` how long it lasted and was without the store.
- `takeover` counts the workers and runs of the record that are awaited; `worker-unheard` tells of a worker that is given up without ever having answered this owner.
- `fenced` by a worker names the worker, the call, the age of the ownership.

Ran: the tests of both crates. The node's tests pass.

--- a/crates/cell/src/effect.rs
+++ b/crates/cell/src/effect.rs
@@ -218,6 +218,19 @@
         /// How long they have been held.
         age: Duration,
     },
+    /// A worker that has never answered this owner is considered lost.
+    Unheard {
+        /// The worker.
+        worker: WorkerId,
+        /// The state of the worker, as one word.
+        why: &'static str,
+        /// The number of runs that it may have held.
+        runs: usize,
+        /// The time since the takeover.
+        owned: Duration,
+        /// How long after the takeover the last lease granted by a former owner may have expired.
+        lease: Duration,
+    },
     /// The engine's view of a worker's state has changed.
     Worker {
         /// The worker.
@@ -386,20 +399,31 @@
 }
 
 /// Why an engine can't go on under its epoch.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Loss {
     /// Another node owns the cell, since a worker has seen a higher epoch.
-    Fenced,
+    Fenced(Refusal),
     /// The numbers that the epoch has for the runs of a task are used up.
     RunsUsedUp,
 }
 
 impl Loss {
     /// Returns the reason as one word.
-    pub const fn as_str(self) -> &'static str {
+    pub const fn as_str(&self) -> &'static str {
         match self {
-            Self::Fenced => "worker",
+            Self::Fenced(_) => "worker",
             Self::RunsUsedUp => "runs-used-up",
         }
     }
 }
+
+/// A call that a worker has refused because it has seen a higher epoch.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// The worker.
+    pub worker: WorkerId,
+    /// The kind of the call, as one word.
+    pub call: &'static str,
+    /// How long ago the worker last answered this owner, if it ever has.
+    pub heard: Option<Duration>,
+}
--- a/crates/cell/src/engine/contact.rs
+++ b/crates/cell/src/engine/contact.rs
@@ -16,8 +16,7 @@
         Destination,
         Effect,
         Heartbeat,
-        LogRecord,
-        Loss, //
+        LogRecord, //
     },
     event::{
         HeartbeatAnswer,
@@ -288,7 +287,7 @@
                 worker.retry_call(is_probe, now);
                 self.update_indexes(slot);
             }
-            HeartbeatAnswer::Fenced => self.outbox.push(Effect::OwnershipLost(Loss::Fenced)),
+            HeartbeatAnswer::Fenced => self.end_fenced(id, "heartbeat", now),
             HeartbeatAnswer::Replaced => self.remove_lost_worker(slot, "replaced", now),
             HeartbeatAnswer::NoAnswer
             | HeartbeatAnswer::ConnectionLost
--- a/crates/cell/src/engine/loss.rs
+++ b/crates/cell/src/engine/loss.rs
@@ -10,10 +10,16 @@
     stage::LostRun, //
 };
 use crate::{
-    effect::LogRecord,
+    effect::{
+        Effect,
+        LogRecord,
+        Loss,
+        Refusal, //
+    },
     id::{
         Run,
-        TaskId, //
+        TaskId,
+        WorkerId, //
     },
     worker::{
         Allocation,
@@ -100,6 +106,35 @@
         self.update_indexes(slot);
     }
 
+    /// Ends the ownership because a worker has refused a call for its fence.
+    pub(super) fn end_fenced(&mut self, id: &WorkerId, call: &'static str, now: Timestamp) {
+        let slot = self.slots.get(id);
+        let heard = slot.and_then(|slot| self.workers.get(slot)?.heard);
+        let refusal = Refusal {
+            worker: id.clone(),
+            call,
+            heard: heard.map(|heard| now.since(heard)),
+        };
+        self.outbox
+            .push(Effect::OwnershipLost(Loss::Fenced(refusal)));
+    }
+
+    /// Logs that a worker which has never answered this owner is considered lost.
+    fn log_unheard(&mut self, slot: Slot, why: &'static str, now: Timestamp) {
+        let worker = self.workers.get(&slot);
+        let Some(worker) = worker.filter(|worker| worker.heard.is_none()) else {
+            return;
+        };
+        let record = LogRecord::Unheard {
+            worker: worker.registration.id.clone(),
+            why,
+            runs: self.ordered_runs(slot).len(),
+            owned: now.since(self.began),
+            lease: worker.leases_end().since(self.began),
+        };
+        self.log(record);
+    }
+
     /// Logs the runs that are lost with a worker.
     pub(super) fn log_losses(&mut self, slot: Slot, why: &'static str, now: Timestamp) {
         let Some(worker) = self.workers.get(&slot) else {
@@ -196,6 +231,7 @@
         let is_listed = worker.is_listed();
         if !worker.has_expired(now) {
             if worker.is_forgettable(now) {
+                self.log_unheard(slot, "gone", now);
                 self.remove_lost_worker(slot, "gone", now);
             }
             return;
@@ -213,6 +249,7 @@
         if let Some(worker) = self.workers.get_mut(&slot) {
             worker.lapsed_runs.extend(lapsed);
         }
+        self.log_unheard(slot, "lapsed", now);
         self.log_worker(slot, "lapsed", now);
         self.log_losses(slot, "lapsed", now);
         self.add_doubted_crashes(slot, now);
@@ -228,6 +265,7 @@
         }
         let until = (!is_excluded).then_some(now + LATE_RETURN_PERIOD);
         self.note_lost_runs(slot, until);
+        self.log_unheard(slot, "gone", now);
         self.remove_lost_worker(slot, "gone", now);
     }
 }
--- a/crates/cell/src/engine/mod.rs
+++ b/crates/cell/src/engine/mod.rs
@@ -194,6 +194,8 @@
 #[derive(Debug)]
 pub struct Engine {
     epoch: Epoch,
+    /// When the ownership began to act, after its takeover had read the store.
+    began: Timestamp,
     /// The highest fence carried by orders to any worker.
     fence: Fence,
     bounds: Bounds,
@@ -288,6 +290,7 @@
     pub fn new(epoch: Epoch, bounds: Bounds, stored: StoredState, now: Timestamp) -> Self {
         let mut engine = Self {
             epoch,
+            began: now,
             fence: Fence::first(epoch),
             bounds,
             config: Config::default(),
--- a/crates/cell/src/engine/order.rs
+++ b/crates/cell/src/engine/order.rs
@@ -18,7 +18,6 @@
     effect::{
         Effect,
         LogRecord,
-        Loss,
         Start,
         Stop, //
     },
@@ -78,7 +77,7 @@
                 self.confirm(slot, task, run, now);
             }
             StartAnswer::Fenced if !self.may_have_stale_orders(slot) => {
-                self.outbox.push(Effect::OwnershipLost(Loss::Fenced))
+                self.end_fenced(worker, "start", now)
             }
             StartAnswer::Replaced => self.remove_lost_worker(slot, "replaced", now),
             StartAnswer::NoAnswer => self.retry_start(slot, task, run, now),
@@ -386,8 +385,8 @@
             return;
         };
         let is_elsewhere = self.was_ordered_elsewhere(slot, task, run);
-        let worker = self.workers.get_mut(&slot);
-        let allocation = worker.and_then(|worker| worker.allocations.get_mut(&(task, run)));
+        let holder = self.workers.get_mut(&slot);
+        let allocation = holder.and_then(|holder| holder.allocations.get_mut(&(task, run)));
         let Some(allocation) = allocation else {
             return;
         };
@@ -407,7 +406,7 @@
                 }
             }
             StopAnswer::Fenced if !self.may_have_stale_orders(slot) => {
-                self.outbox.push(Effect::OwnershipLost(Loss::Fenced));
+                self.end_fenced(worker, "stop", now);
             }
             StopAnswer::NoAnswer | StopAnswer::Fenced => {
                 self.stops
--- a/crates/cell/src/engine/throttling.rs
+++ b/crates/cell/src/engine/throttling.rs
@@ -20,7 +20,6 @@
 use crate::{
     effect::{
         Effect,
-        Loss,
         Throttle, //
     },
     event::{
@@ -174,7 +173,7 @@
             }
             StopAnswer::NoAnswer => {}
             StopAnswer::Fenced if self.may_have_stale_orders(slot) => {}
-            StopAnswer::Fenced => self.outbox.push(Effect::OwnershipLost(Loss::Fenced)),
+            StopAnswer::Fenced => self.end_fenced(worker, "throttle", now),
             StopAnswer::Replaced if self.was_ordered_elsewhere(slot, task, run) => {}
             StopAnswer::Replaced => self.remove_lost_worker(slot, "replaced", now),
         }
--- a/crates/cell/tests/cell/takeover.rs
+++ b/crates/cell/tests/cell/takeover.rs
@@ -7,7 +7,12 @@
         Bounds,
         MAX_FORMER_OWNER_ACTIVITY, //
     },
-    effect::Effect,
+    effect::{
+        Effect,
+        LogRecord,
+        Loss,
+        Refusal, //
+    },
     engine::{
         Engine,
         State,
@@ -114,6 +119,7 @@
     engine.set_evacuation(Evacuation::default(), takeover, takeover);
     engine.register(registration(&healthy), takeover);
     let mut now = takeover;
+    let mut unheard = Vec::new();
     let start_delay = loop {
         engine.register(registration(&healthy), now);
         let mut effects = engine.advance(now);
@@ -139,11 +145,23 @@
                     engine.handle_heartbeat_answer(&healthy, heartbeat.sent_at, empty, now);
                 }
                 Effect::Record(_) => engine.handle_recorded(now),
+                Effect::Log(record @ LogRecord::Unheard { .. }) => unheard.push((record, now)),
                 _ => {}
             }
         }
         now = now + Duration::from_millis(20);
     };
+    let leases_end = takeover + bounds.lease_expiry_time() + MAX_FORMER_OWNER_ACTIVITY;
+    let lost_at = unheard.first().map(|(_, at)| at.since(takeover));
+    let records: Vec<LogRecord> = unheard.into_iter().map(|(record, _)| record).collect();
+    let expected = LogRecord::Unheard {
+        worker: silent,
+        why: "gone",
+        runs: 1,
+        owned: lost_at.unwrap_or_default(),
+        lease: leases_end.since(takeover),
+    };
+    assert_eq!(records, [expected]);
     assert!(
         start_delay >= bounds.lease_expiry_time() + MAX_FORMER_OWNER_ACTIVITY,
         "{start_delay:?}"
@@ -155,6 +173,32 @@
     );
 }
 
+/// Guards against an ownership that ends without a word on which worker knew of a later one.
+#[test]
+fn an_owner_that_a_worker_refuses_for_its_fence_names_the_worker() {
+    let now = Timestamp::from_millis(100_000);
+    let worker = WorkerId::from("w1");
+    let stored = StoredState::default();
+    let mut engine = Engine::new(Epoch(2), Bounds::default(), stored, now);
+    engine.register(registration(&worker), now);
+    let sent_at = engine
+        .advance(now)
+        .into_iter()
+        .find_map(|effect| match effect {
+            Effect::Heartbeat(heartbeat) => Some(heartbeat.sent_at),
+            _ => None,
+        });
+    let sent_at = sent_at.expect("a heartbeat is sent");
+    engine.handle_heartbeat_answer(&worker, sent_at, HeartbeatAnswer::Fenced, now);
+    let refusal = Refusal {
+        worker,
+        call: "heartbeat",
+        heard: None,
+    };
+    let expected = Effect::OwnershipLost(Loss::Fenced(refusal));
+    assert!(engine.advance(now).contains(&expected));
+}
+
 #[test]
 fn a_run_of_an_occurrence_that_was_due_is_taken_over() {
     let now = Timestamp::from_millis(100_000);
--- a/crates/node/src/member/follow.rs
+++ b/crates/node/src/member/follow.rs
@@ -18,6 +18,7 @@
 use super::{
     HELLO_TIMEOUT,
     Observation,
+    Predecessor,
     STORE_LATENCY_FACTOR,
     adopt_peer_claim,
     append,
@@ -172,7 +173,9 @@
         if epoch(&fresh) != epoch(&seen) {
             return fresh;
         }
-        return claim_cell(shared, fresh, why).await;
+        let former = Predecessor::replaced(&seen, &fresh, why);
+        let claimed = claim_cell(shared, fresh, why).await;
+        return Observation { former, ..claimed };
     }
 }
 
@@ -302,6 +305,7 @@
                 claim: Some(claim),
                 end,
                 renewal_seen_at: Instant::now(),
+                former: None,
             }
         }
         Err(Error::WrongEnd { .. }) => read_claim(shared).await,
--- a/crates/node/src/member/mod.rs
+++ b/crates/node/src/member/mod.rs
@@ -9,11 +9,12 @@
 //! A node is weak if the owner [outranks](crate::succession::outranks) it, and strong otherwise.
 //!
 //! `follow` holds the tasks of a node that doesn't own the cell, and `own` those of the owner;
-//! `isolation` detects whether the store fails for this node alone.
+//! `isolation` detects whether the store fails for this node alone, and `report` logs who owns the cell and why.
 
 mod follow;
 mod isolation;
 mod own;
+mod report;
 
 use std::{
     sync::Arc,
@@ -36,7 +37,11 @@
     },
 };
 
-use self::{follow::follow, own::own_cell};
+use self::{
+    follow::follow,
+    own::own_cell,
+    report::Predecessor, //
+};
 use crate::{
     fallback,
     message::{
@@ -91,6 +96,8 @@
     end: u64,
     /// When the latest renewal of the claim was first seen.
     renewal_seen_at: Instant,
+    /// The owner that the claim replaces, if it is this node's and the owner is known.
+    former: Option<Predecessor>,
 }
 
 /// Follows the owner, or acts as the owner, as long as the process runs.
@@ -106,10 +113,16 @@
         match claim.cloned() {
             Some(claim) => {
                 last_owned = claim.epoch;
-                own_cell(&shared, claim, seen.end).await;
+                own_cell(&shared, claim, seen.end, seen.former.as_ref()).await;
                 seen = read_claim(&shared).await;
             }
-            None => seen = follow(&shared, seen).await,
+            None => {
+                seen.former = None;
+                // A claim of this node that it didn't make was made on its behalf.
+                let former = Predecessor::handing_over(&seen);
+                seen = follow(&shared, seen).await;
+                seen.former = seen.former.or(former);
+            }
         }
     }
 }
@@ -158,6 +171,7 @@
         claim: Some(claim),
         end: 0,
         renewal_seen_at: Instant::now(),
+        former: None,
     }
 }
 
@@ -222,6 +236,7 @@
         claim,
         end,
         renewal_seen_at: Instant::now(),
+        former: None,
     })
 }
 
--- a/crates/node/src/member/own.rs
+++ b/crates/node/src/member/own.rs
@@ -6,7 +6,11 @@
     time::Duration, //
 };
 
-use fulmarpier_cell::record::Claim;
+use fulmarpier_cell::{
+    id::NodeName,
+    record::Claim, //
+};
+use fulmarpier_transport::rpc;
 use futures::{
     FutureExt,
     StreamExt,
@@ -30,6 +34,13 @@
     append,
     is_own,
     probe,
+    report::{
+        self,
+        Answers,
+        Confirmation,
+        Predecessor,
+        StoreLoss, //
+    },
     try_read_claim, //
 };
 use crate::{
@@ -86,8 +97,13 @@
 const MAX_DISCONNECTED_TIME: Duration = Duration::from_millis(1_200);
 
 /// Owns the cell until the claim is lost, given up, or can't be trusted any more.
-pub(super) async fn own_cell<P: Platform>(shared: &Arc<Shared<P>>, mut claim: Claim, mut end: u64) {
-    slog::info!(shared.log, "ownership-begins"; "epoch" => %claim.epoch, "end" => end);
+pub(super) async fn own_cell<P: Platform>(
+    shared: &Arc<Shared<P>>,
+    mut claim: Claim,
+    mut end: u64,
+    former: Option<&Predecessor>,
+) {
+    report::begin(shared, claim.epoch, end, former);
     shared.ownership.send_replace(Some(Ownership {
         claim: claim.clone(),
         engine: None,
@@ -101,15 +117,15 @@
     });
     shared.lag.reset_event_waits();
     let (began, slow_owners) = (Instant::now(), claim.consecutive_slow_owners);
+    let (epoch, confirmation) = (claim.epoch, Confirmation::new());
     let ending = tokio::select! {
         ending = wait_until_fenced_or_leaving(shared) => ending,
         reason = wait_for_better_owner(shared, slow_owners) => Ending::HandOver(reason),
-        why = renew_claim(shared, &mut claim, &mut end) => Ending::Lost(why),
-        why = wait_for_store_loss(shared) => Ending::Lost(why),
+        why = renew_claim(shared, &mut claim, &mut end, &confirmation) => Ending::Lost(why),
+        why = wait_for_store_loss(shared, StoreLoss::new(epoch, &confirmation)) => Ending::Lost(why),
         () = shared.stalled.notified() => Ending::Released("stalled"),
     };
-    slog::info!(shared.log, "ownership-ends"; "epoch" => %claim.epoch, "why" => ending.as_str(),
-        "lag_ms" => millis(shared.lag.owner_lag()));
+    report::end(shared, epoch, ending.as_str(), began, &confirmation);
     let peers = shared.peers.lock().await.clone();
     if began.elapsed() >= succession::SLOW_SERIES_GAP {
         claim.consecutive_slow_owners = 0;
@@ -315,6 +331,7 @@
     shared: &Shared<P>,
     claim: &mut Claim,
     end: &mut u64,
+    confirmation: &Confirmation,
 ) -> &'static str {
     let mut is_certain = true;
     loop {
@@ -325,6 +342,7 @@
                 Ok(Some(seen)) if seen.claim.as_ref().is_some_and(|c| is_own(shared, c)) => {
                     *end = seen.end;
                     is_certain = true;
+                    confirmation.renew();
                 }
                 Ok(Some(_)) => return "replaced",
                 Ok(None) | Err(_) => continue,
@@ -337,6 +355,7 @@
         match timeout(time_limit, append(shared, claim, *end)).await {
             Ok(Ok(newer)) => {
                 *end = newer;
+                confirmation.renew();
                 shared.record_spread(claim);
                 publish_renewal(shared, claim);
             }
@@ -361,11 +380,15 @@
 ///
 /// While the store is down for every node, none can claim the cell, so the owner goes on. If the
 /// store answers another node, that node may own the cell already, or should.
-async fn wait_for_store_loss<P: Platform>(shared: &Shared<P>) -> &'static str {
+async fn wait_for_store_loss<P: Platform>(
+    shared: &Shared<P>,
+    mut log: StoreLoss<'_>,
+) -> &'static str {
     loop {
         sleep(STORE_CHECK_INTERVAL).await;
         let failing = shared.store.failing_for();
         if failing < PEER_QUERY_THRESHOLD {
+            log.has_store(shared);
             continue;
         }
         let mut peers = shared.peers.lock().await.clone();
@@ -376,19 +399,14 @@
         }
         let mut asked: FuturesUnordered<_> = peers
             .iter()
-            .map(|peer| {
-                message::send(
-                    &shared.rpc,
-                    peer.address,
-                    &Request::ProbeStore,
-                    2 * HELLO_TIMEOUT,
-                )
-            })
+            .map(|peer| ask_about_store(shared, peer))
             .collect();
         // If the store has just come back, it answers this node as well a moment later.
         let mut own_probe = pin!(probe(shared));
         let mut answers = 0;
-        while let Some(answer) = asked.next().await {
+        let mut noted = Answers::new(peers.len());
+        while let Some((node, answer)) = asked.next().await {
+            noted.note(node, &answer);
             match answer {
                 // A store that is slow for the others is slow for the owner too.
                 Ok(Reply::StoreLatency(Some(took)))
@@ -399,20 +417,32 @@
                         Ok(Some(_))
                     ) {
                         answers += 1;
+                        noted.note_own_probe();
                         break;
                     }
-                    return "store-answers-others";
+                    return log.end(shared, failing, &noted, "store-answers-others");
                 }
                 Ok(_) => answers += 1,
                 Err(_) => {}
             }
         }
         if answers == 0 && failing >= MAX_DISCONNECTED_TIME {
-            return "alone";
+            return log.end(shared, failing, &noted, "alone");
         }
+        log.go_on(shared, failing, &noted);
     }
 }
 
+/// Asks a node whether the store answers it; returns its name and its answer.
+async fn ask_about_store<'a, P: Platform>(
+    shared: &Shared<P>,
+    peer: &'a Peer,
+) -> (&'a NodeName, Result<Reply, rpc::Error>) {
+    let (question, time_limit) = (Request::ProbeStore, 2 * HELLO_TIMEOUT);
+    let answer = message::send(&shared.rpc, peer.address, &question, time_limit).await;
+    (&peer.node, answer)
+}
+
 /// Keeps a random sample of the peers, so that asking them costs the same in a cell of any size.
 fn retain_sample(peers: &mut Vec<Peer>) {
     peers.shuffle(&mut rand::rng());
--- a/crates/node/src/owner/engine_actor.rs
+++ b/crates/node/src/owner/engine_actor.rs
@@ -13,7 +13,8 @@
     },
     effect::{
         Effect,
-        LogRecord, //
+        LogRecord,
+        Loss, //
     },
     engine::{
         Engine,
@@ -76,7 +77,10 @@
     },
     platform::Platform,
     shared::Shared,
-    telemetry::millis,
+    telemetry::{
+        OptionalField,
+        millis, //
+    },
 };
 
 /// Added to twice the expected duration of an advice call to give its timeout. The duration counts
@@ -288,8 +292,7 @@
                 Effect::Remove(jobs) => removal::remove_acceptances(&self.shared, jobs),
                 Effect::Log(record) => self.log_record(&record),
                 Effect::OwnershipLost(loss) => {
-                    slog::warn!(self.shared.log, "fenced"; "epoch" => %self.engine.epoch(),
-                        "by" => loss.as_str());
+                    self.log_loss(&loss);
                     self.has_lost_ownership = true;
                     self.shared.end_ownership(self.engine.epoch());
                 }
@@ -319,6 +322,21 @@
         self.shared.meter.decision(&self.shared.log, record);
     }
 
+    /// Logs why the engine can't go on.
+    fn log_loss(&self, loss: &Loss) {
+        let refusal = match loss {
+            Loss::Fenced(refusal) => Some(refusal),
+            Loss::RunsUsedUp => None,
+        };
+        let heard = refusal.and_then(|refusal| refusal.heard);
+        slog::warn!(self.shared.log, "fenced"; "epoch" => %self.engine.epoch(),
+            "by" => loss.as_str(),
+            "worker" => refusal.map_or("", |refusal| refusal.worker.as_str()),
+            "call" => refusal.map_or("", |refusal| refusal.call),
+            "owned_ms" => millis(self.started_at.elapsed()),
+            OptionalField("heard_ms", heard.map(millis)));
+    }
+
     /// Calls the advice service from this node, or has another node call it.
     fn advise(
         &self,
--- a/crates/node/src/owner/takeover.rs
+++ b/crates/node/src/owner/takeover.rs
@@ -132,8 +132,16 @@
             JobRecord::Unreadable(job) => read_progress.note_unreadable(job),
         }
     }
+    let awaited = stored.workers.iter();
+    let awaited = awaited.filter(|(_, usage)| !usage.runs.is_empty()).count();
+    let runs: usize = stored
+        .workers
+        .iter()
+        .map(|(_, usage)| usage.runs.len())
+        .sum();
     slog::info!(shared.log, "takeover"; "epoch" => %claim.epoch,
         "jobs" => stored.accepted.len(), "workers" => stored.workers.len(),
+        "workers_awaited" => awaited, "runs_awaited" => runs,
         "view_ms" => millis(read_progress.age()),
         "progress_ms" => millis(progress_took), "jobs_ms" => millis(jobs_took),
         "took_ms" => millis(began.elapsed()));
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -427,7 +427,7 @@
 }
 
 /// A numeric log field that is omitted if the value is unknown.
-struct OptionalField(&'static str, Option<u64>);
+pub(crate) struct OptionalField(pub(crate) &'static str, pub(crate) Option<u64>);
 
 impl slog::KV for OptionalField {
     fn serialize(
@@ -452,6 +452,7 @@
         LogRecord::Stopping { why, .. } => ("stopping", why),
         LogRecord::Preempting { .. } => ("preempting", ""),
         LogRecord::Hold { state, .. } => ("hold", state),
+        LogRecord::Unheard { why, .. } => ("worker-unheard", why),
         LogRecord::Worker { belief, .. } => ("worker", belief),
         LogRecord::Speed { class, .. } => ("speed", class.as_str()),
         LogRecord::Lost { why, .. } => ("lost", why),
@@ -558,6 +559,14 @@
             age,
         } => slog::info!(log, "hold"; "step" => %step, "state" => state, "workers" => workers,
             "age_ms" => millis(*age)),
+        LogRecord::Unheard {
+            worker,
+            why,
+            runs,
+            owned,
+            lease,
+        } => slog::info!(log, "worker-unheard"; "worker" => worker.as_str(), "why" => why,
+            "runs" => runs, "owned_ms" => millis(*owned), "lease_ms" => millis(*lease)),
         LogRecord::Worker {
             worker,
             incarnation,
