node: the network between nodes is a trait; TCP is its only implementation here

Whole nodes couldn't run in virtual time: calls between them take real time on the threads of the rpc client and server. A node is now given its network; Node::start takes TCP, as before, and Node::start_on any other, for tests. No decision changes.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,6 +18,7 @@
 //! | `lag` | measures how late timers and events run in this process |
 //! | `member` | follows the ownership of the cell and claims it |
 //! | `message` | the messages between nodes |
+//! | [`network`] | the network between nodes |
 //! | `node` | starts and stops a node and serves the requests of its peers |
 //! | `operator` | how current this node's copy of the operator's records is |
 //! | `order` | orders to workers and their results |
@@ -45,6 +46,7 @@
 mod lag;
 mod member;
 mod message;
+pub mod network;
 mod node;
 mod operator;
 mod order;
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::SocketAddr,
+    sync::Arc,
     time::Duration, //
 };
 
@@ -38,6 +39,7 @@
         Orders,
         Reports, //
     },
+    network,
     succession::Hello,
     supplement, //
 };
@@ -170,7 +172,7 @@
 
 /// Sends a request to a node and waits for the reply.
 pub(crate) async fn send(
-    client: &rpc::Client,
+    client: &Arc<dyn network::Client>,
     address: SocketAddr,
     request: &Request,
     timeout: Duration,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -59,6 +59,11 @@
         Reply,
         Request, //
     },
+    network::{
+        self,
+        Endpoint,
+        Network, //
+    },
     operator,
     owner::{
         self,
@@ -146,7 +151,7 @@
 pub struct Node<P: Platform> {
     shared: Arc<Shared<P>>,
     frontend: Frontend<P>,
-    server: rpc::Server,
+    server: Box<dyn network::Server>,
 }
 
 impl<P: Platform> Node<P> {
@@ -156,6 +161,15 @@
     ///
     /// Fails if the address for peer connections can't be listened on or a thread can't be spawned.
     pub fn start(parts: Parts<P>) -> Result<Self, Error> {
+        Self::start_on(&network::Tcp, parts)
+    }
+
+    /// Starts a node on a network, see [`Self::start`].
+    ///
+    /// # Errors
+    ///
+    /// Fails if the network can't be connected to.
+    pub fn start_on(network: &impl Network, parts: Parts<P>) -> Result<Self, Error> {
         let Identity {
             name,
             address,
@@ -164,10 +178,11 @@
             link,
             descriptors,
         } = parts.identity;
-        let listen = |source| Error::Listen { address, source };
-        let (server, calls) =
-            rpc::Server::start(address, peer_limits(descriptors)).map_err(listen)?;
-        let client = rpc::Client::start(rpc::ClientLimits::default()).map_err(Error::Thread)?;
+        let Endpoint {
+            client,
+            server,
+            calls,
+        } = network.connect(address, peer_limits(descriptors))?;
         let shared = Arc::new(Shared {
             name,
             address: server.address(),
@@ -250,7 +265,7 @@
 
     /// Stops serving peers; requests in progress get up to `drain` to finish.
     pub async fn stop(self, drain: Duration) {
-        drop(self.server.close(drain).await);
+        self.server.close(drain).await;
     }
 }
 
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -27,10 +27,7 @@
     alias::HashMap,
     unit::Millicores, //
 };
-use fulmarpier_transport::{
-    clock::Clock,
-    rpc, //
-};
+use fulmarpier_transport::clock::Clock;
 use kameo::actor::ActorRef;
 use slog::Logger;
 use tokio::{
@@ -52,6 +49,7 @@
     hedge,
     lag::LagMonitor,
     member,
+    network,
     operator,
     owner::{
         EngineActor,
@@ -130,7 +128,7 @@
     pub(crate) revocation_limit: RevocationLimit,
     pub(crate) platform: P,
     pub(crate) store_limits: StoreLimits,
-    pub(crate) rpc: rpc::Client,
+    pub(crate) rpc: Arc<dyn network::Client>,
     pub(crate) clock: Clock,
     pub(crate) log: Logger,
     pub(crate) meter: Meter,
