tests: a world of whole nodes, workers and a store in virtual time; a data centre that is cut off, known red

A data centre's nodes and workers are cut off together from the store and from the rest for 25 s. In the first, cut at 3.1 s, another node claims the cell at 4.4 s, takes the silent workers' leases for expired at 12.5 s (heard_ms=-1) and starts 16 of 24 tasks again; the former owner keeps their first runs until the links heal (fenced by=store at 28.8 s). In the second, 10 tasks that were done during the cut are run again, and 6 run twice at a time.

The world's workers hold leases on their own clocks, which never shorten and end everything when they lapse, refuse lower fences and list ends until they are acknowledged. WORLD_LOG=1 prints the nodes' lines with the world's time.

--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -1,5 +1,7 @@
-//! Tests of whole nodes that talk to each other over loopback and use an in-memory platform.
+//! Tests of whole nodes that use an in-memory platform. They talk to each other over loopback or, in a
+//! [`world::World`], in virtual time.
 
+mod data_centre_cut;
 mod evacuation;
 mod gauges;
 mod history;
@@ -15,4 +17,5 @@
 mod suspension;
 mod worker_list;
 mod workspace;
+mod world;
 mod writer;
--- /dev/null
+++ b/crates/node/tests/node/world/mod.rs
@@ -0,0 +1,327 @@
+//! A world of whole nodes in virtual time: nodes and workers in data centres, a store, and the links between them.
+
+mod log;
+mod machine;
+mod network;
+mod workers;
+
+use std::time::Duration;
+
+use fulmarpier_cell::{
+    bounds::Bounds,
+    config::Queue,
+    engine::State,
+    id::{
+        DataCentre,
+        JobId,
+        NodeName, //
+    },
+    job::{
+        Spec,
+        Step, //
+    },
+    record::Accepted,
+};
+use fulmarpier_node::{
+    Identity,
+    Meter,
+    Node,
+    Parts,
+    platform::SMALL_CELL_JOB_PARTITIONS,
+    revocation::RevocationLimit, //
+};
+use fulmarpier_state::unit::{
+    Bandwidth,
+    Millicores, //
+};
+use slog::{
+    Discard,
+    Logger, //
+};
+use tokio::time::{
+    Instant,
+    sleep, //
+};
+
+use self::{
+    log::Log,
+    machine::Machine,
+    network::{
+        Links,
+        Port, //
+    },
+    workers::Workers, //
+};
+pub(crate) use self::{
+    network::{
+        Effect,
+        Site, //
+    },
+    workers::Record,
+};
+use crate::{
+    platform::Fake,
+    support::{
+        acceptance,
+        queue,
+        step, //
+    },
+};
+
+/// How often to look whether something holds.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The names of the data centres.
+const DATA_CENTRES: [&str; 4] = ["a", "b", "c", "d"];
+
+/// The size of a data centre.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Size {
+    pub(crate) nodes: usize,
+    pub(crate) workers: usize,
+}
+
+/// Three data centres with seven nodes.
+pub(crate) const USUAL_SIZES: [Size; 3] = [
+    Size {
+        nodes: 3,
+        workers: 2,
+    },
+    Size {
+        nodes: 2,
+        workers: 2,
+    },
+    Size {
+        nodes: 2,
+        workers: 2,
+    },
+];
+
+/// A process of a node.
+struct Process {
+    node: Node<Machine>,
+    machine: Machine,
+}
+
+pub(crate) struct World {
+    sizes: Vec<Size>,
+    pub(crate) links: Links,
+    pub(crate) store: Fake,
+    workers: Workers,
+    processes: Vec<Option<Process>>,
+    jobs: Vec<JobId>,
+    started_at: Instant,
+}
+
+impl World {
+    /// Starts a world. The first node owns the cell.
+    pub(crate) async fn start(sizes: &[Size]) -> Self {
+        let node_count = sizes.iter().map(|size| size.nodes).sum();
+        let worker_count = sizes.iter().map(|size| size.workers).sum();
+        let mut world = Self {
+            sizes: sizes.to_vec(),
+            links: Links::default(),
+            store: Fake::with_workers(worker_count),
+            workers: Workers::new(worker_count, &Bounds::default()),
+            processes: (0..node_count).map(|_| None).collect(),
+            jobs: Vec::new(),
+            started_at: Instant::now(),
+        };
+        for node in 0..node_count {
+            world.start_node(node);
+            world.wait_until_ready(node).await;
+        }
+        world
+    }
+
+    /// Returns the data centre of each node or worker, given the number of them in each data centre.
+    fn data_centres(&self, count: impl Fn(&Size) -> usize) -> Vec<usize> {
+        let sizes = self.sizes.iter().enumerate();
+        sizes
+            .flat_map(|(nth, size)| std::iter::repeat_n(nth, count(size)))
+            .collect()
+    }
+
+    pub(crate) fn data_centre_count(&self) -> usize {
+        self.sizes.len()
+    }
+
+    /// Returns the nodes of a data centre.
+    pub(crate) fn nodes_of(&self, data_centre: usize) -> Vec<Site> {
+        let all = self.data_centres(|size| size.nodes);
+        let own = (0..all.len()).filter(|node| all[*node] == data_centre);
+        own.map(Site::Node).collect()
+    }
+
+    /// Returns the workers of a data centre.
+    pub(crate) fn workers_of(&self, data_centre: usize) -> Vec<Site> {
+        let all = self.data_centres(|size| size.workers);
+        let own = (0..all.len()).filter(|worker| all[*worker] == data_centre);
+        own.map(Site::Worker).collect()
+    }
+
+    pub(crate) fn nodes(&self) -> Vec<Site> {
+        (0..self.processes.len()).map(Site::Node).collect()
+    }
+
+    /// Returns all nodes, all workers and the store.
+    pub(crate) fn sites(&self) -> Vec<Site> {
+        let data_centres = 0..self.sizes.len();
+        let workers = data_centres.flat_map(|data_centre| self.workers_of(data_centre));
+        let nodes = self.nodes().into_iter();
+        nodes.chain(workers).chain([Site::Store]).collect()
+    }
+
+    /// Loses all messages between two groups.
+    pub(crate) fn cut(&self, one: &[Site], other: &[Site], span: Duration) {
+        self.links.begin(one, other, Effect::Lose, span);
+        self.links.begin(other, one, Effect::Lose, span);
+    }
+
+    /// Loses all messages between a group and the rest of the world.
+    pub(crate) fn isolate(&self, group: &[Site], span: Duration) {
+        let mut others = self.sites();
+        others.retain(|site| !group.contains(site));
+        self.cut(group, &others, span);
+    }
+
+    /// Starts a new process of a node, in place of the one that it has.
+    pub(crate) fn start_node(&mut self, node: usize) {
+        self.end_node(node, false);
+        let workers = self.data_centres(|size| size.workers).into_iter();
+        let data_centres = workers.map(|nth| DataCentre::from(DATA_CENTRES[nth]));
+        let machine = Machine {
+            port: Port::new(self.links.clone(), node),
+            store: self.store.another_machine(),
+            workers: self.workers.clone(),
+            data_centres: data_centres.collect(),
+        };
+        let data_centre = DATA_CENTRES[self.data_centres(|size| size.nodes)[node]];
+        let name = format!("{data_centre}-{node}");
+        let started = Node::start_on(&machine.port, self.parts(name, node, machine.clone()));
+        let node_started = started.unwrap();
+        self.processes[node] = Some(Process {
+            node: node_started,
+            machine,
+        });
+    }
+
+    fn parts(&self, name: String, node: usize, platform: Machine) -> Parts<Machine> {
+        let log = Log {
+            node: name.clone(),
+            start: self.started_at,
+        };
+        Parts {
+            identity: Identity {
+                name: NodeName::from(name.as_str()),
+                address: network::address(node),
+                incarnation: rand::random(),
+                processor: Millicores(250),
+                link: Bandwidth::from_megabits(1_000),
+                descriptors: 4_096,
+            },
+            bounds: Bounds::default(),
+            revocation_limit: RevocationLimit::default(),
+            store_limits: platform.store.store_limits(),
+            platform,
+            log: match std::env::var_os("WORLD_LOG") {
+                Some(_) => Logger::root(log, slog::o!()),
+                None => Logger::root(Discard, slog::o!()),
+            },
+            meter: Meter::new().unwrap(),
+        }
+    }
+
+    /// Ends the process of a node. If its machine is off, connections to it are silent, and refused otherwise.
+    pub(crate) fn end_node(&mut self, node: usize, is_off: bool) {
+        self.links.close(node, is_off);
+        self.processes[node] = None;
+    }
+
+    pub(crate) fn is_running(&self, node: usize) -> bool {
+        self.processes[node].is_some()
+    }
+
+    /// Holds all messages of a node for some time, after which its machine says that it was suspended.
+    pub(crate) fn suspend_node(&self, node: usize, span: Duration) {
+        let Some(process) = &self.processes[node] else {
+            return;
+        };
+        let (site, all) = ([Site::Node(node)], self.sites());
+        self.links.begin(&site, &all, Effect::Hold, span);
+        self.links.begin(&all, &site, Effect::Hold, span);
+        let store = process.machine.store.clone();
+        tokio::spawn(async move {
+            sleep(span).await;
+            store.suspend(span);
+        });
+    }
+
+    /// Submits a job of tasks that run for the given time.
+    pub(crate) fn submit(&mut self, tasks: u16, duration: Duration) -> JobId {
+        let id = JobId(self.jobs.len() as u64 + 1);
+        let spec = Spec {
+            payload: duration.as_millis().to_string().into(),
+            steps: vec![Step {
+                count: tasks,
+                estimate: duration,
+                ..step()
+            }],
+            schedule: None,
+        };
+        let partition = u16::try_from(id.0).unwrap() % SMALL_CELL_JOB_PARTITIONS;
+        let queue = Queue {
+            max_attempts: 100,
+            ..queue()
+        };
+        let accepted = Accepted {
+            queue: queue.into(),
+            ..acceptance(id.0, spec, partition)
+        };
+        self.store.record_job(partition, &accepted);
+        self.jobs.push(id);
+        id
+    }
+
+    async fn wait_until_ready(&self, node: usize) {
+        let process = self.processes[node].as_ref().unwrap();
+        while !process.node.frontend().is_ready() {
+            sleep(CHECK_INTERVAL).await;
+        }
+    }
+
+    /// Returns the state of a job as a node knows it.
+    async fn state(&self, job: JobId) -> Option<State> {
+        let process = self.processes.iter().flatten().next()?;
+        process.node.frontend().job_state(job).await.ok()
+    }
+
+    /// Waits until all jobs are completed; returns the states of those that are not by then.
+    pub(crate) async fn wait_for_jobs(&self, limit: Duration) -> Vec<(JobId, Option<State>)> {
+        let until = Instant::now() + limit;
+        let mut open: Vec<(JobId, Option<State>)> =
+            self.jobs.iter().map(|job| (*job, None)).collect();
+        while !open.is_empty() && Instant::now() < until {
+            let mut still_open = Vec::new();
+            for (job, _) in open {
+                let state = self.state(job).await;
+                if state != Some(State::Completed) {
+                    still_open.push((job, state));
+                }
+            }
+            open = still_open;
+            sleep(CHECK_INTERVAL).await;
+        }
+        open
+    }
+
+    /// Returns all runs so far, by the time of their start.
+    pub(crate) fn runs(&self) -> Vec<Record> {
+        self.workers.records()
+    }
+
+    /// Returns how the rule was broken that a task runs once at a time, and not again after it is done.
+    pub(crate) fn violations(&self) -> Vec<String> {
+        self.workers.violations()
+    }
+}
