--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -13,6 +13,7 @@
 mod service;
 mod size;
 mod store_limits;
+mod store_outage;
 mod support;
 mod suspension;
 mod worker_list;
