node, transport: metrics of an owner without the store

`fulmarpier_owner_unconfirmed_seconds`: the time since the store last confirmed the owner's claim; `fulmarpier_peer_store_answers_total{outcome}`: what other nodes answer its question.

--- a/crates/node/src/member/report.rs
+++ b/crates/node/src/member/report.rs
@@ -186,6 +186,7 @@
 
     /// Notes that the store answers; logs it if the last line said otherwise.
     pub(super) fn has_store<P: Platform>(&mut self, shared: &Shared<P>) {
+        shared.meter.owner_unconfirmed(self.confirmation.age());
         if self.last.is_some() && self.begin_line(Belief::Regained) {
             slog::info!(shared.log, "owner-without-store"; "epoch" => %self.epoch,
                 "outcome" => "regained", "why" => "store-answers",
@@ -201,6 +202,7 @@
         answers: &Answers,
     ) {
         let why = answers.reason_to_go_on();
+        self.count(shared, answers);
         if self.begin_line(Belief::GoesOn(why, answers.counts)) {
             self.write(shared, failing, answers, "goes-on", why);
         }
@@ -214,10 +216,24 @@
         answers: &Answers,
         why: &'static str,
     ) -> &'static str {
+        self.count(shared, answers);
         self.write(shared, failing, answers, "ends", why);
         why
     }
 
+    /// Updates the metrics after a round of answers.
+    fn count<P: Platform>(&self, shared: &Shared<P>, answers: &Answers) {
+        let counts = answers.counts;
+        shared.meter.owner_unconfirmed(self.confirmation.age());
+        for (outcome, count) in [
+            ("fails-too", counts.fails_too),
+            ("answers", counts.answers),
+            ("none", counts.none),
+        ] {
+            shared.meter.peer_store_answers(outcome, count);
+        }
+    }
+
     /// Returns whether a line on a belief is due, and notes that it is written.
     fn begin_line(&mut self, belief: Belief) -> bool {
         let is_due = self
@@ -317,6 +333,7 @@
     began: Instant,
     confirmation: &Confirmation,
 ) {
+    shared.meter.owner_unconfirmed(Duration::ZERO);
     slog::info!(shared.log, "ownership-ends"; "epoch" => %epoch, "why" => why,
         "owned_ms" => millis(began.elapsed()),
         "store_failing_ms" => millis(shared.store.failing_for()),
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -91,6 +91,8 @@
     rejected: Counter<u64>,
     logged_rejections: Mutex<RejectionLog>,
     peer_calls: Counter<u64>,
+    peer_store_answers: Counter<u64>,
+    owner_unconfirmed: Gauge<f64>,
     rate_limits: Mutex<HashMap<Kind, RateLimit>>,
 }
 
@@ -169,6 +171,14 @@
                 "Lines left out of the log by kind and reason.",
             ),
             peer_calls: registry.counter("fulmarpier_peer_calls", "Calls of other nodes by kind."),
+            peer_store_answers: registry.counter(
+                "fulmarpier_peer_store_answers",
+                "Answers of other nodes to the owner's question whether the store answers them, by outcome.",
+            ),
+            owner_unconfirmed: registry.seconds(
+                "fulmarpier_owner_unconfirmed_seconds",
+                "Time since the store last confirmed the claim of this node as the owner; 0 if it doesn't own the cell.",
+            ),
             lost_reports: registry.counter(
                 "fulmarpier_reports_lost",
                 "Reports on orders that the owner did not take.",
@@ -269,6 +279,17 @@
         self.0.peer_calls.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts answers of other nodes to the owner's question whether the store answers them.
+    pub(crate) fn peer_store_answers(&self, outcome: &'static str, answers: usize) {
+        let labels = [KeyValue::new("outcome", outcome)];
+        self.0.peer_store_answers.add(count(answers), &labels);
+    }
+
+    /// Sets the time since the store last confirmed the claim of this node.
+    pub(crate) fn owner_unconfirmed(&self, age: Duration) {
+        self.0.owner_unconfirmed.record(age.as_secs_f64(), &[]);
+    }
+
     pub(crate) fn lost_report(&self, why: &'static str) {
         self.0.lost_reports.add(1, &[KeyValue::new("reason", why)]);
     }
--- a/crates/transport/src/metrics.rs
+++ b/crates/transport/src/metrics.rs
@@ -127,6 +127,14 @@
             .build()
     }
 
+    /// Makes a gauge of a time in seconds.
+    pub fn seconds(&self, name: &'static str, description: &'static str) -> Gauge<f64> {
+        self.meter
+            .f64_gauge(name)
+            .with_description(description)
+            .build()
+    }
+
     /// Makes a counter that also falls, as for requests in progress.
     pub fn level(&self, name: &'static str, description: &'static str) -> UpDownCounter<i64> {
         let level = self
