tests: random histories of whole cells in virtual time: cuts by group, outages, losses of power; known red

Each history of 60 s (then everything heals, and all jobs have to complete) draws its data centres, jobs of 0.5 to 40 s and faults: groups of nodes, workers and the store that are cut off, one way or both, whose messages are held and delivered late, or slow; outages of the store; nodes that lose power silently, are restarted or are suspended.

--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -1,6 +1,7 @@
 //! Tests of whole nodes that use an in-memory platform. They talk to each other over loopback or, in a
 //! [`world::World`], in virtual time.
 
+mod cut_history;
 mod data_centre_cut;
 mod evacuation;
 mod gauges;
--- a/crates/node/tests/node/world/mod.rs
+++ b/crates/node/tests/node/world/mod.rs
@@ -146,6 +146,12 @@
         self.sizes.len()
     }
 
+    /// Returns the data centre of the node that owns the cell, as the store has it.
+    pub(crate) fn owner_data_centre(&self) -> Option<usize> {
+        let owner = self.store.owner()?;
+        DATA_CENTRES.iter().position(|name| owner.starts_with(name))
+    }
+
     /// Returns the nodes of a data centre.
     pub(crate) fn nodes_of(&self, data_centre: usize) -> Vec<Site> {
         let all = self.data_centres(|size| size.nodes);
