--- a/crates/node/tests/node/cut_history.rs
+++ b/crates/node/tests/node/cut_history.rs
@@ -143,10 +143,10 @@
         let span = self.span(1.0, 30.0);
         let direction = self.rng.random_range(0..8);
         if direction != 0 {
-            self.world.links.begin(&group, &rest, effect, span);
+            self.world.disturb(&group, &rest, effect, span);
         }
         if direction != 1 {
-            self.world.links.begin(&rest, &group, effect, span);
+            self.world.disturb(&rest, &group, effect, span);
         }
     }
 
@@ -216,7 +216,7 @@
 
     /// Ends all faults, waits for all jobs, and returns what is wrong.
     async fn finish(mut self) -> Vec<String> {
-        self.world.links.heal();
+        self.world.heal();
         self.restart_nodes(Instant::now() + FAULT_PERIOD);
         let open = self.world.wait_for_jobs(RECOVERY_LIMIT).await;
         let open = open.into_iter();
--- a/crates/node/tests/node/store_outage.rs
+++ b/crates/node/tests/node/store_outage.rs
@@ -103,8 +103,8 @@
     let world = start_with_work().await;
     let delay = Effect::Delay(Duration::from_millis(60));
     let all = world.sites();
-    world.links.begin(slow, &all, delay, 2 * OUTAGE);
-    world.links.begin(&all, slow, delay, 2 * OUTAGE);
+    world.disturb(slow, &all, delay, 2 * OUTAGE);
+    world.disturb(&all, slow, delay, 2 * OUTAGE);
     sleep(2 * SECOND).await;
     begin_outage(&world);
     sleep(OUTAGE).await;
--- a/crates/node/tests/node/world/log.rs
+++ b/crates/node/tests/node/world/log.rs
@@ -13,6 +13,17 @@
 };
 use tokio::time::Instant;
 
+/// Returns whether the environment has `WORLD_LOG`, which turns the log on.
+pub(super) fn is_wanted() -> bool {
+    std::env::var_os("WORLD_LOG").is_some()
+}
+
+/// Writes a line.
+pub(super) fn write(start: Instant, origin: &str, line: &str) {
+    let at = start.elapsed().as_secs_f64();
+    eprintln!("{at:8.3} {origin} {line}");
+}
+
 /// The log of one node.
 pub(super) struct Log {
     pub(super) node: String,
@@ -37,8 +48,11 @@
         let mut values = Values(String::new());
         // Values that can't be formatted are left out.
         let _ = record.kv().serialize(record, &mut values);
-        let (at, node) = (self.start.elapsed().as_secs_f64(), &self.node);
-        eprintln!("{at:8.3} {node} {}{}", record.msg(), values.0);
+        write(
+            self.start,
+            &self.node,
+            &format!("{}{}", record.msg(), values.0),
+        );
         Ok(())
     }
 }
--- a/crates/node/tests/node/world/mod.rs
+++ b/crates/node/tests/node/world/mod.rs
@@ -105,7 +105,7 @@
 
 pub(crate) struct World {
     sizes: Vec<Size>,
-    pub(crate) links: Links,
+    links: Links,
     pub(crate) store: Fake,
     workers: Workers,
     processes: Vec<Option<Process>>,
@@ -178,10 +178,29 @@
         nodes.chain(workers).chain([Site::Store]).collect()
     }
 
+    /// Begins a fault on the messages from one group to another.
+    pub(crate) fn disturb(&self, from: &[Site], to: &[Site], effect: Effect, span: Duration) {
+        self.trace(|| format!("{effect:?} from {from:?} to {to:?} for {span:?}"));
+        self.links.begin(from, to, effect, span);
+    }
+
+    /// Ends all faults.
+    pub(crate) fn heal(&self) {
+        self.trace(|| "heal".to_owned());
+        self.links.heal();
+    }
+
     /// Loses all messages between two groups.
     pub(crate) fn cut(&self, one: &[Site], other: &[Site], span: Duration) {
-        self.links.begin(one, other, Effect::Lose, span);
-        self.links.begin(other, one, Effect::Lose, span);
+        self.disturb(one, other, Effect::Lose, span);
+        self.disturb(other, one, Effect::Lose, span);
+    }
+
+    /// Writes what happens to the world into the log.
+    fn trace(&self, line: impl FnOnce() -> String) {
+        if log::is_wanted() {
+            log::write(self.started_at, "world", &line());
+        }
     }
 
     /// Loses all messages between a group and the rest of the world.
@@ -194,6 +213,7 @@
     /// Starts a new process of a node, in place of the one that it has.
     pub(crate) fn start_node(&mut self, node: usize) {
         self.end_node(node, false);
+        self.trace(|| format!("start node {node}"));
         let workers = self.data_centres(|size| size.workers).into_iter();
         let data_centres = workers.map(|nth| DataCentre::from(DATA_CENTRES[nth]));
         let machine = Machine {
@@ -230,9 +250,9 @@
             revocation_limit: RevocationLimit::default(),
             store_limits: platform.store.store_limits(),
             platform,
-            log: match std::env::var_os("WORLD_LOG") {
-                Some(_) => Logger::root(log, slog::o!()),
-                None => Logger::root(Discard, slog::o!()),
+            log: match log::is_wanted() {
+                true => Logger::root(log, slog::o!()),
+                false => Logger::root(Discard, slog::o!()),
             },
             meter: Meter::new().unwrap(),
         }
@@ -240,6 +260,7 @@
 
     /// Ends the process of a node. If its machine is off, connections to it are silent, and refused otherwise.
     pub(crate) fn end_node(&mut self, node: usize, is_off: bool) {
+        self.trace(|| format!("end node {node}, off: {is_off}"));
         self.links.close(node, is_off);
         self.processes[node] = None;
     }
@@ -254,8 +275,8 @@
             return;
         };
         let (site, all) = ([Site::Node(node)], self.sites());
-        self.links.begin(&site, &all, Effect::Hold, span);
-        self.links.begin(&all, &site, Effect::Hold, span);
+        self.disturb(&site, &all, Effect::Hold, span);
+        self.disturb(&all, &site, Effect::Hold, span);
         let store = process.machine.store.clone();
         tokio::spawn(async move {
             sleep(span).await;
