cell, node: one rule for how long an owner of the cell acts and what its successor assumes

Cause: the two sides followed different rules. An owner without the store went on as long as any node answered that the store failed for it too, so nodes that were cut off together kept it going without a bound; its successor assumed that it stops 1.8 s after the takeover.

Change: an owner acts under a lease of 1.2 s. The store extends it by confirming the claim, or half of the other nodes that the claim names as voters, none of which has been told of a later owner. A claim carries the voters of the owners before it that may still act; the new owner tells them of itself, and a node that was told confirms no earlier owner. Any set of voters that extends a lease and any set that is told overlap, so once enough are told, no former owner acts for longer than a lease. Only then does the successor count down the leases of workers that it hasn't heard; a worker that has answered it refuses former owners anyway. A node confirms nobody for 4 s after its start, since it forgot what it was told. Orders are dated by the start of the event that gives them, at which the lease is checked, so a pause before they leave extends no lease.

Why it works: see the module ownership.

--- a/crates/cell/src/bounds.rs
+++ b/crates/cell/src/bounds.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::ownership::LEASE_DURATION;
+
 /// The platform's guarantees and cost figures, as given in the settings.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
@@ -40,9 +42,10 @@
 /// Allowance for rounding to milliseconds and for timers that fire late.
 const TIMER_SLACK: Duration = Duration::from_millis(200);
 
-/// For how long an owner that is cut off may go on extending leases after another node has taken over. It stops 1.2 s
-/// after it last reached the store or a node, and detects that within 0.6 s.
-pub const MAX_FORMER_OWNER_ACTIVITY: Duration = Duration::from_millis(1_800);
+/// For how long an owner may go on extending leases after it was fenced: the lease under which it acts, and a margin for
+/// orders that it is about to send as that expires.
+pub const MAX_FORMER_OWNER_ACTIVITY: Duration =
+    LEASE_DURATION.saturating_add(Duration::from_millis(600));
 
 /// The longest time that an order to start takes to reach its worker, including when another node forwards it.
 const MAX_START_DELIVERY: Duration = Duration::from_secs(1);
--- a/crates/cell/src/engine/contact.rs
+++ b/crates/cell/src/engine/contact.rs
@@ -105,7 +105,7 @@
             }
             return;
         }
-        let worker = Worker::new(registration, self.fence, now, now);
+        let worker = Worker::new(registration, self.fence, now, Some(now));
         let slot = self.insert_worker(worker);
         self.log_worker(slot, "listed", now);
         self.reopen_unschedulable();
@@ -153,7 +153,6 @@
         &mut self,
         id: WorkerId,
         recorded: WorkerRuns,
-        leases_end: Timestamp,
         now: Timestamp,
     ) {
         let registration = Registration {
@@ -166,7 +165,7 @@
             data_centre: None,
             leaving: None,
         };
-        let mut worker = Worker::new(registration, self.fence, now, leases_end);
+        let mut worker = Worker::new(registration, self.fence, now, None);
         worker.incarnation = recorded.incarnation;
         worker.unlisted_since = Some(now);
         let slot = self.insert_worker(worker);
@@ -350,6 +349,7 @@
         };
         let was_heard = worker.heard.is_some() && worker.silent_since.is_none();
         worker.heard = Some(now);
+        worker.note_answer(&self.bounds, now);
         worker.silent_since = None;
         worker.silence = None;
         worker.lapsed_runs.clear();
--- a/crates/cell/src/engine/loss.rs
+++ b/crates/cell/src/engine/loss.rs
@@ -130,7 +130,7 @@
             why,
             runs: self.ordered_runs(slot).len(),
             owned: now.since(self.began),
-            lease: worker.leases_end().since(self.began),
+            lease: worker.leases_end().unwrap_or(now).since(self.began),
         };
         self.log(record);
     }
--- a/crates/cell/src/engine/mod.rs
+++ b/crates/cell/src/engine/mod.rs
@@ -355,13 +355,29 @@
         engine.ended = over
             .filter(|(job, _)| !engine.jobs.contains_key(job))
             .collect();
-        let leases_end = now + engine.bounds.lease_expiry_time() + MAX_FORMER_OWNER_ACTIVITY;
         for (worker, usage) in stored.workers {
-            engine.track_former_worker(worker, usage, leases_end, now);
+            engine.track_former_worker(worker, usage, now);
         }
         engine
     }
 
+    /// Notes that the former owners were fenced at a time: none of them acts for longer than
+    /// [`MAX_FORMER_OWNER_ACTIVITY`] after it, or after the store has fenced their records for this owner, which it has before the engine
+    /// begins.
+    ///
+    /// Until then the runs of a worker that has not answered this owner are not taken for lost, however long it is silent.
+    pub fn note_former_owners_fenced(&mut self, at: Timestamp) {
+        let leases_end =
+            at.max(self.began) + MAX_FORMER_OWNER_ACTIVITY + self.bounds.lease_expiry_time();
+        let slots: Vec<Slot> = self.workers.keys().copied().collect();
+        for slot in slots {
+            let worker = self.workers.get_mut(&slot);
+            if worker.is_some_and(|worker| worker.end_former_leases(leases_end)) {
+                self.update_indexes(slot);
+            }
+        }
+    }
+
     /// Returns the epoch of the ownership that the engine acts under.
     pub const fn epoch(&self) -> Epoch {
         self.epoch
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod id;
 pub mod job;
 pub mod occurrence;
+pub mod ownership;
 pub mod pace;
 pub mod rate;
 pub mod record;
--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -27,6 +27,7 @@
     },
     job::Spec,
     occurrence,
+    ownership::Electorate,
     spread::Spread,
     workspace::{
         Workspace,
@@ -301,6 +302,35 @@
     pub nodes: u32,
     /// The number of consecutive owners that released the cell because they were slow.
     pub consecutive_slow_owners: u8,
+    /// The addresses of the nodes that may extend the owner's lease while the store does not answer it.
+    pub voters: Vec<SocketAddr>,
+    /// The former owners that may still act, as far as the owner knew.
+    pub former: Vec<Electorate>,
+}
+
+impl Claim {
+    /// Returns the owner with the nodes that vote on it.
+    pub fn electorate(&self) -> Electorate {
+        Electorate {
+            epoch: self.epoch,
+            owner: self.address,
+            voters: self.voters.clone(),
+        }
+    }
+
+    /// Returns the voters of a successor until it knows which nodes are there: this owner and its other voters.
+    pub fn next_voters(&self, successor: SocketAddr) -> Vec<SocketAddr> {
+        let nodes: Vec<SocketAddr> = self.voters.iter().copied().chain([self.address]).collect();
+        Electorate::new(self.epoch.next(), successor, &nodes).voters
+    }
+
+    /// Returns the owners that may still act once another node has claimed the cell after this claim.
+    ///
+    /// An owner releases the cell only after it has stopped.
+    pub fn possible_owners(&self) -> Vec<Electorate> {
+        let own = (!self.released).then(|| self.electorate());
+        self.former.iter().cloned().chain(own).collect()
+    }
 }
 
 /// Encodes a record.
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -263,18 +263,20 @@
     /// How its speed compares with its pool.
     pub speed_class: Class,
     clock_reading: Option<ClockReading>,
-    leases_end: Timestamp,
+    /// `None` while a former owner may still extend its leases.
+    leases_end: Option<Timestamp>,
 }
 
 impl Worker {
     /// Creates a worker of which only the registration is known.
     ///
-    /// Until `leases_end` it may run tasks under a lease that a former owner granted.
+    /// Until `leases_end` it may run tasks under a lease that a former owner granted; `None` as long as such an owner may
+    /// extend it.
     pub fn new(
         registration: Registration,
         fence: Fence,
         now: Timestamp,
-        leases_end: Timestamp,
+        leases_end: Option<Timestamp>,
     ) -> Self {
         Self {
             free: registration.capacity,
@@ -366,16 +368,39 @@
     pub fn extend_lease(&mut self, bounds: &Bounds, now: Timestamp) -> Option<u64> {
         let reading = self.clock_reading?;
         let elapsed = now.since(reading.at) + bounds.lease;
-        self.leases_end = self.leases_end.max(now + bounds.lease_expiry_time());
+        self.note_lease_end(now + bounds.lease_expiry_time());
         let elapsed = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
         Some(reading.millis.saturating_add(elapsed))
     }
 
-    /// Returns when all leases that were granted have expired for certain.
-    pub const fn leases_end(&self) -> Timestamp {
+    /// Notes that it answered a call of this owner, so that it refuses to extend its leases for a former one.
+    pub fn note_answer(&mut self, bounds: &Bounds, now: Timestamp) {
+        if self.leases_end.is_none() {
+            self.leases_end = Some(now + bounds.lease_expiry_time());
+        }
+    }
+
+    /// Notes that no former owner extends its leases any more, so that they end by a time. Returns whether it was
+    /// unknown when they end.
+    pub fn end_former_leases(&mut self, by: Timestamp) -> bool {
+        let was_unknown = self.leases_end.is_none();
+        self.leases_end.get_or_insert(by);
+        was_unknown
+    }
+
+    fn note_lease_end(&mut self, end: Timestamp) {
+        self.leases_end = self.leases_end.map(|known| known.max(end));
+    }
+
+    /// Returns when all leases that were granted have expired for certain; `None` if that is not known.
+    pub const fn leases_end(&self) -> Option<Timestamp> {
         self.leases_end
     }
 
+    fn have_leases_ended(&self, now: Timestamp) -> bool {
+        self.leases_end.is_some_and(|end| end <= now)
+    }
+
     /// Returns whether the store lists it with a usable entry.
     pub const fn is_listed(&self) -> bool {
         self.unlisted_since.is_none() && self.distrusted_since.is_none()
@@ -602,7 +627,7 @@
     /// Returns whether the worker has stopped answering and all of its leases have expired, so that its runs count as
     /// lost.
     pub fn has_expired(&self, now: Timestamp) -> bool {
-        self.awaits_lease_expiry() && self.leases_end <= now
+        self.awaits_lease_expiry() && self.have_leases_ended(now)
     }
 
     /// Returns whether it has stopped answering and either has allocations or is not listed.
@@ -615,14 +640,15 @@
         let is_unlisted = self
             .unlisted_since
             .is_some_and(|at| now.since(at) >= UNLISTED_RETENTION);
-        is_unlisted && self.allocations.is_empty() && self.leases_end <= now
+        is_unlisted && self.allocations.is_empty() && self.have_leases_ended(now)
     }
 
     /// Returns when it may count as expired or forgettable if it does not answer before.
     pub fn next_expiry(&self) -> Option<Timestamp> {
-        let expiry = self.awaits_lease_expiry().then_some(self.leases_end);
+        let leases_end = self.leases_end?;
+        let expiry = self.awaits_lease_expiry().then_some(leases_end);
         let forgettable_at = self.unlisted_since.filter(|_| self.allocations.is_empty());
-        let forgettable_at = forgettable_at.map(|at| self.leases_end.max(at + UNLISTED_RETENTION));
+        let forgettable_at = forgettable_at.map(|at| leases_end.max(at + UNLISTED_RETENTION));
         [expiry, forgettable_at].into_iter().flatten().min()
     }
 
--- a/crates/cell/tests/cell/takeover.rs
+++ b/crates/cell/tests/cell/takeover.rs
@@ -44,6 +44,7 @@
     },
 };
 use fulmarpier_state::clock::Timestamp;
+use rstest::rstest;
 
 use crate::world::{
     queue,
@@ -91,8 +92,12 @@
     }
 }
 
-#[test]
-fn a_task_on_a_silent_worker_waits_for_leases_that_the_former_owner_may_still_extend() {
+#[rstest]
+#[case::fenced_at_once(Duration::ZERO)]
+#[case::fenced_later(Duration::from_secs(20))]
+fn a_task_on_a_silent_worker_waits_for_leases_that_the_former_owner_may_still_extend(
+    #[case] fenced_after: Duration,
+) {
     let takeover = Timestamp::from_millis(100_000);
     let (silent, healthy) = (WorkerId::from("w1"), WorkerId::from("w2"));
     let step = StepId {
@@ -121,10 +126,13 @@
     let mut now = takeover;
     let mut unheard = Vec::new();
     let start_delay = loop {
+        if now.since(takeover) == fenced_after {
+            engine.note_former_owners_fenced(now);
+        }
         engine.register(registration(&healthy), now);
         let mut effects = engine.advance(now);
         assert!(
-            now.since(takeover) < Duration::from_secs(60),
+            now.since(takeover) < fenced_after + Duration::from_secs(60),
             "the task starts"
         );
         if effects.iter().any(|e| matches!(e, Effect::Start(_))) {
@@ -151,7 +159,8 @@
         }
         now = now + Duration::from_millis(20);
     };
-    let leases_end = takeover + bounds.lease_expiry_time() + MAX_FORMER_OWNER_ACTIVITY;
+    let leases_end =
+        takeover + fenced_after + bounds.lease_expiry_time() + MAX_FORMER_OWNER_ACTIVITY;
     let lost_at = unheard.first().map(|(_, at)| at.since(takeover));
     let records: Vec<LogRecord> = unheard.into_iter().map(|(record, _)| record).collect();
     let expected = LogRecord::Unheard {
@@ -163,12 +172,15 @@
     };
     assert_eq!(records, [expected]);
     assert!(
-        start_delay >= bounds.lease_expiry_time() + MAX_FORMER_OWNER_ACTIVITY,
+        start_delay >= fenced_after + bounds.lease_expiry_time() + MAX_FORMER_OWNER_ACTIVITY,
         "{start_delay:?}"
     );
     assert!(
         start_delay
-            < bounds.lease_expiry_time() + MAX_FORMER_OWNER_ACTIVITY + Duration::from_secs(1),
+            < fenced_after
+                + bounds.lease_expiry_time()
+                + MAX_FORMER_OWNER_ACTIVITY
+                + Duration::from_secs(1),
         "{start_delay:?}"
     );
 }
@@ -199,6 +211,45 @@
     assert!(engine.advance(now).contains(&expected));
 }
 
+#[test]
+fn tasks_are_not_taken_for_lost_while_a_former_owner_may_extend_their_leases() {
+    let now = Timestamp::from_millis(100_000);
+    let task = StepId {
+        job: JOB,
+        occurrence: 0,
+        step: 0,
+    }
+    .task(0);
+    let silent = WorkerId::from("silent");
+    let runs = WorkerRuns {
+        incarnation: None,
+        address: "127.0.0.1:1".parse().unwrap(),
+        runs: vec![(task, Run(1))],
+    };
+    let stored = StoredState {
+        accepted: vec![repeated_job(now)],
+        workers: vec![(silent.clone(), runs)],
+        ..StoredState::default()
+    };
+    let mut engine = Engine::new(Epoch(2), Bounds::default(), stored, now);
+    for second in 0..600 {
+        let now = now + Duration::from_secs(second);
+        for effect in engine.advance(now) {
+            match effect {
+                Effect::Heartbeat(heartbeat) => engine.handle_heartbeat_answer(
+                    &silent,
+                    heartbeat.sent_at,
+                    HeartbeatAnswer::NoAnswer,
+                    now,
+                ),
+                Effect::Record(_) => engine.handle_recorded(now),
+                Effect::Log(LogRecord::Lost { .. }) => panic!("lost after {second} s"),
+                _ => {}
+            }
+        }
+    }
+}
+
 #[test]
 fn a_run_of_an_occurrence_that_was_due_is_taken_over() {
     let now = Timestamp::from_millis(100_000);
--- a/crates/cell/tests/cell/world/mod.rs
+++ b/crates/cell/tests/cell/world/mod.rs
@@ -892,6 +892,7 @@
         self.heartbeats.clear();
         let bounds = evacuate::bounds(&self.faults);
         self.engine = Engine::new(self.epoch, bounds, stored, self.now);
+        self.engine.note_former_owners_fenced(self.now);
         self.reset_owner_evacuation();
         self.waits.reset_owner();
         self.inform_new_owner();
--- a/crates/node/src/member/follow.rs
+++ b/crates/node/src/member/follow.rs
@@ -293,7 +293,16 @@
             .claim
             .as_ref()
             .map_or(0, |claim| claim.consecutive_slow_owners),
+        voters: seen
+            .claim
+            .as_ref()
+            .map_or_else(Vec::new, |claim| claim.next_voters(shared.address)),
+        former: seen
+            .claim
+            .as_ref()
+            .map_or_else(Vec::new, Claim::possible_owners),
     };
+    let asked_at = shared.steady_now();
     let result = append(shared, &claim, seen.end).await;
     let outcome = result.as_ref().err().map_or("won", Error::as_str);
     slog::info!(shared.log, "claim"; "epoch" => %claim.epoch, "why" => why,
@@ -306,6 +315,7 @@
                 end,
                 renewal_seen_at: Instant::now(),
                 former: None,
+                asked_at: Some(asked_at),
             }
         }
         Err(Error::WrongEnd { .. }) => read_claim(shared).await,
--- a/crates/node/src/member/mod.rs
+++ b/crates/node/src/member/mod.rs
@@ -8,13 +8,15 @@
 //!
 //! A node is weak if the owner [outranks](crate::succession::outranks) it, and strong otherwise.
 //!
-//! `follow` holds the tasks of a node that doesn't own the cell, and `own` those of the owner;
-//! `isolation` detects whether the store fails for this node alone, and `report` logs who owns the cell and why.
+//! `follow` holds the tasks of a node that doesn't own the cell, and `own` those of the owner; `tenure` keeps the
+//! owner's lease and fences the owners before it, by the rule of [`fulmarpier_cell::ownership`]. `isolation`
+//! detects whether the store fails for this node alone, and `report` logs who owns the cell and why.
 
 mod follow;
 mod isolation;
 mod own;
 mod report;
+mod tenure;
 
 use std::{
     sync::Arc,
@@ -28,6 +30,7 @@
         Claim, //
     }, //
 };
+use fulmarpier_state::clock::Timestamp;
 use futures::future::join_all;
 use tokio::{
     sync::Mutex,
@@ -37,6 +40,7 @@
     },
 };
 
+pub(crate) use self::tenure::Tenure;
 use self::{
     follow::follow,
     own::own_cell,
@@ -98,6 +102,8 @@
     renewal_seen_at: Instant,
     /// The owner that the claim replaces, if it is this node's and the owner is known.
     former: Option<Predecessor>,
+    /// When the call to the store was sent that showed the claim; `None` if another node has reported it.
+    asked_at: Option<Timestamp>,
 }
 
 /// Follows the owner, or acts as the owner, as long as the process runs.
@@ -113,7 +119,7 @@
         match claim.cloned() {
             Some(claim) => {
                 last_owned = claim.epoch;
-                own_cell(&shared, claim, seen.end, seen.former.as_ref()).await;
+                own_cell(&shared, claim, &seen).await;
                 seen = read_claim(&shared).await;
             }
             None => {
@@ -172,6 +178,7 @@
         end: 0,
         renewal_seen_at: Instant::now(),
         former: None,
+        asked_at: None,
     }
 }
 
@@ -212,6 +219,7 @@
 /// has counts, or else the one known here. If the other writer was an owner after all, the store
 /// and the workers refuse this owner's orders by their epoch.
 async fn try_read_claim<P: Platform>(shared: &Shared<P>) -> Option<Observation> {
+    let asked_at = shared.steady_now();
     let page = shared.newest("claims", Topic::Claims).await.ok()?;
     let end = page.next;
     let decoded =
@@ -237,6 +245,7 @@
         end,
         renewal_seen_at: Instant::now(),
         former: None,
+        asked_at: Some(asked_at),
     })
 }
 
--- a/crates/node/src/member/own.rs
+++ b/crates/node/src/member/own.rs
@@ -1,6 +1,7 @@
 //! The tasks of the owner: renews its claim, and gives the cell up when it has to.
 
 use std::{
+    net::SocketAddr,
     pin::pin,
     sync::Arc,
     time::Duration, //
@@ -8,6 +9,7 @@
 
 use fulmarpier_cell::{
     id::NodeName,
+    ownership::LEASE_DURATION,
     record::Claim, //
 };
 use fulmarpier_transport::rpc;
@@ -29,6 +31,7 @@
 
 use super::{
     HELLO_TIMEOUT,
+    Observation,
     RENEWAL_TIMEOUT,
     STORE_LATENCY_FACTOR,
     append,
@@ -37,10 +40,12 @@
     report::{
         self,
         Answers,
-        Confirmation,
-        Predecessor,
         StoreLoss, //
     },
+    tenure::{
+        self,
+        Tenure, //
+    },
     try_read_claim, //
 };
 use crate::{
@@ -50,6 +55,7 @@
         Reply,
         Request, //
     },
+    node::PEER_TIMEOUT,
     owner::{
         Event,
         take_over, //
@@ -91,41 +97,47 @@
 const PROBE_LEEWAY: Duration = Duration::from_millis(100);
 /// How often the owner checks for how long the store has not answered it.
 const STORE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// How long an owner that reaches neither the store nor any other node goes on giving orders.
-/// Together with the time in which it notices, this is how much longer the next owner waits for the
-/// leases of silent workers.
-const MAX_DISCONNECTED_TIME: Duration = Duration::from_millis(1_200);
+/// For how long a new owner keeps voters that have sent it no hello: while the store is slow, nodes learn of it late.
+const VOTER_RETENTION: Duration = Duration::from_secs(10);
 
 /// Owns the cell until the claim is lost, given up, or can't be trusted any more.
 pub(super) async fn own_cell<P: Platform>(
     shared: &Arc<Shared<P>>,
     mut claim: Claim,
-    mut end: u64,
-    former: Option<&Predecessor>,
+    seen: &Observation,
 ) {
-    report::begin(shared, claim.epoch, end, former);
+    let mut end = seen.end;
+    report::begin(shared, claim.epoch, end, seen.former.as_ref());
+    let tenure = Tenure::new(shared, &claim, seen.asked_at);
     shared.ownership.send_replace(Some(Ownership {
         claim: claim.clone(),
         engine: None,
     }));
+    // A successor of this claim may have told this node so before it knew of the claim.
+    let later = shared.ballot().highest();
+    shared.fence_earlier_owners(later);
     // Discards a notification that is left over from an earlier ownership.
     let _ = shared.stalled.notified().now_or_never();
     let takeover = tokio::spawn({
         let shared = shared.clone();
         let claim = claim.clone();
-        async move { take_over(&shared, &claim).await.is_ok() }
+        let tenure = tenure.clone();
+        async move { take_over(&shared, &claim, &tenure).await.is_ok() }
     });
     shared.lag.reset_event_waits();
     let (began, slow_owners) = (Instant::now(), claim.consecutive_slow_owners);
-    let (epoch, confirmation) = (claim.epoch, Confirmation::new());
+    let first = claim.clone();
     let ending = tokio::select! {
         ending = wait_until_fenced_or_leaving(shared) => ending,
         reason = wait_for_better_owner(shared, slow_owners) => Ending::HandOver(reason),
-        why = renew_claim(shared, &mut claim, &mut end, &confirmation) => Ending::Lost(why),
-        why = wait_for_store_loss(shared, StoreLoss::new(epoch, &confirmation)) => Ending::Lost(why),
+        why = renew_claim(shared, &tenure, &mut claim, &mut end) => Ending::Lost(why),
+        why = wait_for_store_loss(shared, StoreLoss::new(first.epoch, &tenure)) => Ending::Lost(why),
+        why = tenure::wait_for_expiry(shared, &tenure, &first) => Ending::Lost(why),
+        why = tenure::collect_votes(shared, &tenure, &first) => Ending::Lost(why),
+        () = tenure::fence_former_owners(shared, &tenure, &first) => Ending::Lost("fenced"),
         () = shared.stalled.notified() => Ending::Released("stalled"),
     };
-    report::end(shared, epoch, ending.as_str(), began, &confirmation);
+    report::end(shared, claim.epoch, ending.as_str(), began, &tenure);
     let peers = shared.peers.lock().await.clone();
     if began.elapsed() >= succession::SLOW_SERIES_GAP {
         claim.consecutive_slow_owners = 0;
@@ -201,7 +213,7 @@
     end: &mut u64,
     reason: Reason,
 ) -> Option<Claim> {
-    let hellos = recent_hellos(shared).await;
+    let hellos = recent_hellos(shared, MAX_HELLO_AGE).await;
     let lag = shared.lag.owner_lag();
     let next = succession::choose_successor(shared.strength, lag, reason, &hellos)?;
     let successor = Claim {
@@ -218,11 +230,14 @@
             Reason::Slow => claim.consecutive_slow_owners.saturating_add(1),
             Reason::Outranked | Reason::Leaving => 0,
         },
+        voters: claim.next_voters(next.address),
+        // This owner is not among them: its lease is extended no more, and it ends with this call.
+        former: claim.former.clone(),
     };
     // The claim may be stored although no answer arrives, so this node must not go on for longer
-    // than it would without the store.
-    let time_limit = MAX_DISCONNECTED_TIME
-        .min(RENEWAL_TIMEOUT + STORE_LATENCY_FACTOR * shared.store.typical_latency());
+    // than its lease.
+    let time_limit =
+        LEASE_DURATION.min(RENEWAL_TIMEOUT + STORE_LATENCY_FACTOR * shared.store.typical_latency());
     let result = timeout(time_limit, append_successor(shared, &successor, end)).await;
     let is_stored = matches!(result, Ok(true));
     slog::info!(shared.log, "hand-over"; "epoch" => %successor.epoch, "why" => reason.as_str(),
@@ -272,12 +287,10 @@
     join_all(notifications).await;
 }
 
-/// Returns the recent hellos of other nodes.
-async fn recent_hellos<P: Platform>(shared: &Shared<P>) -> Vec<Hello> {
+/// Returns the hellos of other nodes that arrived within a time.
+async fn recent_hellos<P: Platform>(shared: &Shared<P>, max_age: Duration) -> Vec<Hello> {
     let hellos = shared.hellos.lock().await;
-    let fresh = hellos
-        .values()
-        .filter(|(_, at)| at.elapsed() < MAX_HELLO_AGE);
+    let fresh = hellos.values().filter(|(_, at)| at.elapsed() < max_age);
     fresh.map(|(hello, _)| hello.clone()).collect()
 }
 
@@ -319,7 +332,7 @@
             () if owned >= MIN_OWNED_TIME => Reason::Outranked,
             () => continue,
         };
-        let hellos = recent_hellos(shared).await;
+        let hellos = recent_hellos(shared, MAX_HELLO_AGE).await;
         if succession::choose_successor(shared.strength, lag, reason, &hellos).is_some() {
             return reason;
         }
@@ -329,20 +342,32 @@
 /// Renews the claim until it turns out that another one has replaced it.
 async fn renew_claim<P: Platform>(
     shared: &Shared<P>,
+    tenure: &Tenure,
     claim: &mut Claim,
     end: &mut u64,
-    confirmation: &Confirmation,
 ) -> &'static str {
-    let mut is_certain = true;
+    let began = Instant::now();
+    // Another node may have reported the claim: then it is read from the store first.
+    let mut is_certain = *end > 0;
+    let mut pause = LEASE_RENEWAL_INTERVAL.mul_f64(f64::from(u8::from(is_certain)));
     loop {
-        sleep(LEASE_RENEWAL_INTERVAL).await;
+        sleep(std::mem::replace(&mut pause, LEASE_RENEWAL_INTERVAL)).await;
         let time_limit = RENEWAL_TIMEOUT + STORE_LATENCY_FACTOR * shared.store.typical_latency();
         if !is_certain {
             match timeout(time_limit, try_read_claim(shared)).await {
-                Ok(Some(seen)) if seen.claim.as_ref().is_some_and(|c| is_own(shared, c)) => {
-                    *end = seen.end;
+                Ok(Some(Observation {
+                    claim: Some(stored),
+                    end: stored_end,
+                    asked_at: Some(asked_at),
+                    ..
+                })) if is_own(shared, &stored) && stored.epoch == claim.epoch => {
+                    tenure.confirm(asked_at, shared.steady_now());
+                    // Renewals at the former end can't be carried out any more.
+                    if stored_end != *end {
+                        tenure.lease().settle(stored.electorate());
+                    }
+                    *end = stored_end;
                     is_certain = true;
-                    confirmation.renew();
                 }
                 Ok(Some(_)) => return "replaced",
                 Ok(None) | Err(_) => continue,
@@ -352,10 +377,17 @@
         let nodes = shared.peers.lock().await.len() + 1;
         claim.spread = claim.spread.renew(nodes);
         claim.nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
+        update_voters(shared, claim, began.elapsed()).await;
+        if tenure.are_former_owners_fenced() {
+            claim.former.clear();
+        }
+        tenure.lease().begin_renewal(claim.electorate());
+        let sent_at = shared.steady_now();
         match timeout(time_limit, append(shared, claim, *end)).await {
             Ok(Ok(newer)) => {
                 *end = newer;
-                confirmation.renew();
+                tenure.confirm(sent_at, shared.steady_now());
+                tenure.lease().settle(claim.electorate());
                 shared.record_spread(claim);
                 publish_renewal(shared, claim);
             }
@@ -364,22 +396,36 @@
     }
 }
 
-/// Updates the number of renewals and the spread that this node reports to other nodes.
+/// Makes the nodes that send hellos to this owner its voters.
+async fn update_voters<P: Platform>(shared: &Shared<P>, claim: &mut Claim, owned: Duration) {
+    let hellos = recent_hellos(shared, PEER_TIMEOUT).await;
+    let mut nodes: Vec<SocketAddr> = hellos.iter().map(|hello| hello.address).collect();
+    nodes.sort_unstable();
+    let mut electorate = claim.electorate();
+    if owned >= VOTER_RETENTION {
+        electorate.voters.clear();
+    }
+    electorate.add_voters(&nodes);
+    claim.voters = electorate.voters;
+}
+
+/// Updates what this node reports of its claim to other nodes.
 fn publish_renewal<P: Platform>(shared: &Shared<P>, claim: &Claim) {
     shared.ownership.send_if_modified(|ownership| {
         if let Some(ownership) = ownership {
             ownership.claim.renewal = claim.renewal;
             ownership.claim.spread = claim.spread;
+            ownership.claim.voters.clone_from(&claim.voters);
+            ownership.claim.former.clone_from(&claim.former);
         }
         // No task waits for this change.
         false
     });
 }
 
-/// Waits until the owner has to stop because it can't reach the store; returns why.
+/// Waits until the store answers another node but not the owner; returns why the ownership ends.
 ///
-/// While the store is down for every node, none can claim the cell, so the owner goes on. If the
-/// store answers another node, that node may own the cell already, or should.
+/// That node may own the cell already, or should.
 async fn wait_for_store_loss<P: Platform>(
     shared: &Shared<P>,
     mut log: StoreLoss<'_>,
@@ -392,18 +438,13 @@
             continue;
         }
         let mut peers = shared.peers.lock().await.clone();
-        // Once the limit is reached, all peers are asked before this node counts as cut off from
-        // them.
-        if failing < MAX_DISCONNECTED_TIME {
-            retain_sample(&mut peers);
-        }
+        retain_sample(&mut peers);
         let mut asked: FuturesUnordered<_> = peers
             .iter()
             .map(|peer| ask_about_store(shared, peer))
             .collect();
         // If the store has just come back, it answers this node as well a moment later.
         let mut own_probe = pin!(probe(shared));
-        let mut answers = 0;
         let mut noted = Answers::new(peers.len());
         while let Some((node, answer)) = asked.next().await {
             noted.note(node, &answer);
@@ -416,19 +457,14 @@
                         timeout(took + PROBE_LEEWAY, &mut own_probe).await,
                         Ok(Some(_))
                     ) {
-                        answers += 1;
                         noted.note_own_probe();
                         break;
                     }
                     return log.end(shared, failing, &noted, "store-answers-others");
                 }
-                Ok(_) => answers += 1,
-                Err(_) => {}
+                Ok(_) | Err(_) => {}
             }
         }
-        if answers == 0 && failing >= MAX_DISCONNECTED_TIME {
-            return log.end(shared, failing, &noted, "alone");
-        }
         log.go_on(shared, failing, &noted);
     }
 }
--- a/crates/node/src/member/report.rs
+++ b/crates/node/src/member/report.rs
@@ -14,12 +14,12 @@
     record::Claim,
 };
 use fulmarpier_transport::rpc;
-use tokio::{
-    sync::watch,
-    time::Instant, //
-};
+use tokio::time::Instant;
 
-use super::Observation;
+use super::{
+    Observation,
+    Tenure, //
+};
 use crate::{
     message::Reply,
     platform::Platform,
@@ -35,26 +35,6 @@
 /// The maximum number of nodes that such a line names.
 const MAX_NAMES: usize = 8;
 
-/// When the store last confirmed the claim of an owner.
-pub(super) struct Confirmation(watch::Sender<Instant>);
-
-impl Confirmation {
-    /// Returns the confirmation of a claim that was read or written just now.
-    pub(super) fn new() -> Self {
-        Self(watch::Sender::new(Instant::now()))
-    }
-
-    /// Notes that the store has confirmed the claim, by its answer to a renewal or to a read.
-    pub(super) fn renew(&self) {
-        self.0.send_replace(Instant::now());
-    }
-
-    /// Returns the time since the last confirmation.
-    fn age(&self) -> Duration {
-        self.0.borrow().elapsed()
-    }
-}
-
 /// How a node answered the owner's question whether the store answers that node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Outcome {
@@ -169,28 +149,30 @@
 /// Logs what an owner that is without the store believes: each change, but at most one line a second.
 pub(super) struct StoreLoss<'a> {
     epoch: Epoch,
-    confirmation: &'a Confirmation,
+    tenure: &'a Tenure,
     /// The last line, and when it was written.
     last: Option<(Instant, Belief)>,
 }
 
 impl<'a> StoreLoss<'a> {
     /// Creates the log of an ownership that has the store.
-    pub(super) const fn new(epoch: Epoch, confirmation: &'a Confirmation) -> Self {
+    pub(super) const fn new(epoch: Epoch, tenure: &'a Tenure) -> Self {
         Self {
             epoch,
-            confirmation,
+            tenure,
             last: None,
         }
     }
 
     /// Notes that the store answers; logs it if the last line said otherwise.
     pub(super) fn has_store<P: Platform>(&mut self, shared: &Shared<P>) {
-        shared.meter.owner_unconfirmed(self.confirmation.age());
+        shared
+            .meter
+            .owner_unconfirmed(self.tenure.unconfirmed_for(shared.steady_now()));
         if self.last.is_some() && self.begin_line(Belief::Regained) {
             slog::info!(shared.log, "owner-without-store"; "epoch" => %self.epoch,
                 "outcome" => "regained", "why" => "store-answers",
-                "unconfirmed_ms" => millis(self.confirmation.age()));
+                "unconfirmed_ms" => millis(self.tenure.unconfirmed_for(shared.steady_now())));
         }
     }
 
@@ -224,7 +206,9 @@
     /// Updates the metrics after a round of answers.
     fn count<P: Platform>(&self, shared: &Shared<P>, answers: &Answers) {
         let counts = answers.counts;
-        shared.meter.owner_unconfirmed(self.confirmation.age());
+        shared
+            .meter
+            .owner_unconfirmed(self.tenure.unconfirmed_for(shared.steady_now()));
         for (outcome, count) in [
             ("fails-too", counts.fails_too),
             ("answers", counts.answers),
@@ -257,7 +241,7 @@
         slog::warn!(shared.log, "owner-without-store"; "epoch" => %self.epoch,
             "outcome" => outcome, "why" => why,
             "failing_ms" => millis(failing),
-            "unconfirmed_ms" => millis(self.confirmation.age()),
+            "unconfirmed_ms" => millis(self.tenure.unconfirmed_for(shared.steady_now())),
             "asked" => counts.asked, "fails_too" => counts.fails_too,
             "nodes" => %answers.failing, "answers" => counts.answers, "silent" => counts.none);
     }
@@ -331,12 +315,12 @@
     epoch: Epoch,
     why: &'static str,
     began: Instant,
-    confirmation: &Confirmation,
+    tenure: &Tenure,
 ) {
     shared.meter.owner_unconfirmed(Duration::ZERO);
     slog::info!(shared.log, "ownership-ends"; "epoch" => %epoch, "why" => why,
         "owned_ms" => millis(began.elapsed()),
         "store_failing_ms" => millis(shared.store.failing_for()),
-        "unconfirmed_ms" => millis(confirmation.age()),
+        "unconfirmed_ms" => millis(tenure.unconfirmed_for(shared.steady_now())),
         "lag_ms" => millis(shared.lag.owner_lag()));
 }
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -81,6 +81,11 @@
     ProbeStore,
     /// Asks for the configuration that the other node uses, if its version is later than this one.
     Configuration(u64),
+    /// Asks the other node, as a voter, to confirm that it has not been told of an owner of a later epoch.
+    ConfirmOwner(Epoch),
+    /// Tells the other node of the owner of this epoch. It ends an earlier ownership of its own, and from then on confirms no
+    /// owner of an earlier epoch.
+    Fence(Epoch),
     /// Asks the other node to send these orders to workers.
     Orders(Orders),
     /// The results of orders that this node sent on behalf of the owner.
@@ -105,6 +110,8 @@
             Self::Advise { .. } => "advise",
             Self::ProbeStore => "store",
             Self::Configuration(_) => "configuration",
+            Self::ConfirmOwner(_) => "confirm-owner",
+            Self::Fence(_) => "fence",
             Self::Orders(_) => "orders",
             Self::Reports(_) => "reports",
             Self::Released(_) => "vacant",
@@ -139,6 +146,30 @@
     StoreLatency(Option<Duration>),
     /// The configuration as this node knows it.
     Configuration(ConfigState),
+    /// Whether this node confirms an owner.
+    Vote(Vote),
+}
+
+/// The answer of a voter that was asked to confirm an owner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Vote {
+    /// The voter has not been told of a later owner.
+    Confirmed,
+    /// The voter has been told of an owner of this epoch.
+    Refused(Epoch),
+    /// The voter was started so recently that it may have forgotten a later owner.
+    Abstained,
+}
+
+impl Vote {
+    /// Returns the name of the answer, as metric labels have it.
+    pub(crate) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Confirmed => "confirmed",
+            Self::Refused(_) => "refused",
+            Self::Abstained => "abstained",
+        }
+    }
 }
 
 /// The position up to which a node has read the operator's records.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -16,7 +16,8 @@
 
 use fulmarpier_cell::{
     bounds::Bounds,
-    id::NodeName, //
+    id::NodeName,
+    ownership::Ballot, //
 };
 use fulmarpier_state::unit::{
     Bandwidth,
@@ -84,7 +85,7 @@
 };
 
 /// How long a peer may send no hello before it is dropped and gets no more requests for advice.
-const PEER_TIMEOUT: Duration = Duration::from_millis(1_600);
+pub(crate) const PEER_TIMEOUT: Duration = Duration::from_millis(1_600);
 /// The interval between checks for peers that are gone; new peers are noticed at once.
 const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(400);
 /// The minimum time between two updates of the engine's list of peers: all peers send hellos to a new owner within a
@@ -183,6 +184,8 @@
             server,
             calls,
         } = network.connect(address, peer_limits(descriptors))?;
+        let clock = Clock::start();
+        let ballot = Ballot::new(clock.now() + parts.platform.total_suspension());
         let shared = Arc::new(Shared {
             name,
             address: server.address(),
@@ -195,7 +198,7 @@
             platform: parts.platform,
             store_limits: parts.store_limits,
             rpc: client,
-            clock: Clock::start(),
+            clock,
             log: parts.log.clone(),
             meter: parts.meter,
             config: watch::Sender::new(None),
@@ -215,6 +218,7 @@
             probe_cache: member::ProbeCache::default(),
             strongest_owner: AtomicU32::new(0),
             is_isolated: AtomicBool::new(false),
+            ballot: ballot.into(),
         });
         let intake = Intake::start(&shared);
         tokio::spawn(store_watch::follow_operator(shared.clone()));
@@ -348,6 +352,11 @@
             Request::Configuration(known) => {
                 Reply::Configuration(config_exchange::current(shared, known))
             }
+            Request::ConfirmOwner(epoch) => Reply::Vote(shared.vote(epoch)),
+            Request::Fence(epoch) => {
+                shared.fence_earlier_owners(epoch);
+                Reply::Ack
+            }
             Request::Orders(orders) => match self.dispatcher.dispatch(orders) {
                 true => Reply::Ack,
                 false => self.not_owner(),
--- a/crates/node/src/owner/engine_actor.rs
+++ b/crates/node/src/owner/engine_actor.rs
@@ -36,7 +36,10 @@
     },
     workspace::WorkspaceName,
 };
-use fulmarpier_state::alias::HashMap;
+use fulmarpier_state::{
+    alias::HashMap,
+    clock::Timestamp, //
+};
 use kameo::{
     Actor,
     actor::{
@@ -66,6 +69,7 @@
     },
     dispatch::Reports,
     evacuation, lag,
+    member::Tenure,
     message::{
         self,
         Reply,
@@ -101,6 +105,11 @@
     pub(super) shared: Arc<Shared<P>>,
     records: mpsc::UnboundedSender<Vec<Entry>>,
     read_progress: ReadProgress,
+    /// Until when this node may act as the owner.
+    tenure: Arc<Tenure>,
+    /// When the event that is being handled began to be handled. Orders are dated by it, so a pause before they leave
+    /// doesn't extend a lease.
+    pub(super) now: Timestamp,
     /// When the actor started.
     started_at: Instant,
     /// Whether a timer is already set for the engine's next pass.
@@ -146,6 +155,8 @@
     Configured(Arc<Config>),
     /// The set of evacuated data centres was read.
     Evacuation(evacuation::Snapshot),
+    /// The owners before this one were fenced at this time.
+    FormerOwnersFenced(Timestamp),
     /// The nodes of the cell other than the owner.
     Peers(Vec<Peer>),
     /// The delay for batching orders has passed.
@@ -183,12 +194,15 @@
     pub(super) fn new(
         engine: Engine,
         shared: Arc<Shared<P>>,
+        tenure: Arc<Tenure>,
         records: mpsc::UnboundedSender<Vec<Entry>>,
         read_progress: ReadProgress,
     ) -> Self {
-        let suspended = shared.platform.total_suspension();
+        let suspended = tenure.suspended();
         Self {
             engine,
+            tenure,
+            now: shared.clock.now(),
             shared,
             records,
             read_progress,
@@ -222,7 +236,7 @@
     }
 
     pub(super) fn handle_event(&mut self, event: Event) {
-        let now = self.shared.clock.now();
+        let now = self.now;
         let engine = &mut self.engine;
         match event {
             Event::Announced(accepted) => {
@@ -249,6 +263,7 @@
             }
             Event::Configured(config) => engine.configure(config.as_ref().clone()),
             Event::Evacuation(snapshot) => snapshot.apply(engine, now),
+            Event::FormerOwnersFenced(at) => engine.note_former_owners_fenced(at),
             Event::Peers(peers) => {
                 let own_peer = self.shared.as_peer();
                 let names = peers.iter().map(|peer| peer.node.clone());
@@ -397,15 +412,17 @@
 
     async fn handle(&mut self, event: Event, context: &mut Context<Self, ()>) {
         let is_batch_due = matches!(event, Event::BatchDue);
+        self.now = self.shared.clock.now();
         // Events that were sent before the ownership ended may still be queued.
         self.has_lost_ownership |= !self.shared.owns(self.engine.epoch());
+        self.has_lost_ownership |= !self.tenure.is_valid(self.shared.steady_now());
         self.check_stall();
         self.handle_event(event);
         if self.has_lost_ownership {
             context.actor_ref().kill();
             return;
         }
-        let effects = self.engine.advance(self.shared.clock.now());
+        let effects = self.engine.advance(self.now);
         let actor_ref = context.actor_ref().clone();
         self.apply_effects(effects, &actor_ref);
         if is_batch_due {
--- a/crates/node/src/owner/orders.rs
+++ b/crates/node/src/owner/orders.rs
@@ -163,7 +163,7 @@
     }
 
     pub(super) fn handle_report(&mut self, report: Report) {
-        let now = self.shared.clock.now();
+        let now = self.now;
         let engine = &mut self.engine;
         match report {
             Report::Started(worker, task, run, answer) => {
--- a/crates/node/src/owner/takeover.rs
+++ b/crates/node/src/owner/takeover.rs
@@ -60,6 +60,7 @@
         Decoder, //
     },
     frontend::JobRecord,
+    member::Tenure,
     platform::{
         Error,
         Platform,
@@ -99,6 +100,7 @@
 pub(crate) async fn take_over<P: Platform>(
     shared: &Arc<Shared<P>>,
     claim: &Claim,
+    tenure: &Arc<Tenure>,
 ) -> Result<ActorRef<EngineActor<P>>, Error> {
     let began = Instant::now();
     loop {
@@ -166,7 +168,8 @@
         list,
         peers,
     };
-    Ok(start_actor(shared, claim, prepared))
+    tenure.wait_until_valid(shared).await;
+    Ok(start_actor(shared, claim, tenure, prepared))
 }
 
 /// Returns the output of a future, and how long it took.
@@ -210,6 +213,7 @@
 fn start_actor<P: Platform>(
     shared: &Arc<Shared<P>>,
     claim: &Claim,
+    tenure: &Arc<Tenure>,
     prepared: Prepared,
 ) -> ActorRef<EngineActor<P>> {
     let Prepared {
@@ -221,7 +225,13 @@
         peers,
     } = prepared;
     let (records, queue) = mpsc::unbounded_channel();
-    let mut actor = EngineActor::new(engine, shared.clone(), records, read_progress.clone());
+    let mut actor = EngineActor::new(
+        engine,
+        shared.clone(),
+        tenure.clone(),
+        records,
+        read_progress.clone(),
+    );
     actor.handle_event(Event::Peers(peers));
     let actor = EngineActor::spawn_with_mailbox(actor, mailbox::bounded(MAILBOX_CAPACITY));
     let weak = actor.downgrade();
@@ -249,7 +259,13 @@
     let configs = shared.config.subscribe();
     tokio::spawn(forward_changes(configs, weak.clone(), Event::Configured));
     let evacuations = shared.evacuation.subscribe();
-    tokio::spawn(forward_changes(evacuations, weak, Event::Evacuation));
+    tokio::spawn(forward_changes(
+        evacuations,
+        weak.clone(),
+        Event::Evacuation,
+    ));
+    let fenced_at = tenure.fenced_at();
+    tokio::spawn(forward_changes(fenced_at, weak, Event::FormerOwnersFenced));
     let engine = EngineHandle {
         actor: actor.clone(),
         read_progress,
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc,
+        Arc, PoisonError,
         atomic::{
             AtomicBool,
             AtomicU32,
@@ -20,11 +20,13 @@
         Epoch,
         NodeName, //
     },
+    ownership::Ballot,
     record::Claim,
     spread::Spread, //
 };
 use fulmarpier_state::{
     alias::HashMap,
+    clock::Timestamp,
     unit::Millicores, //
 };
 use fulmarpier_transport::clock::Clock;
@@ -49,6 +51,7 @@
     hedge,
     lag::LagMonitor,
     member,
+    message::Vote,
     network,
     operator,
     owner::{
@@ -163,6 +166,8 @@
     pub(crate) probe_cache: member::ProbeCache,
     /// Whether the store appears to be unreachable from this node only.
     pub(crate) is_isolated: AtomicBool,
+    /// What this node has promised as a voter.
+    pub(crate) ballot: std::sync::Mutex<Ballot>,
 }
 
 impl<P: Platform> Shared<P> {
@@ -365,9 +370,51 @@
     pub(crate) fn record_claim(&self, claim: Claim) {
         self.strongest_owner
             .fetch_max(claim.strength.get(), Ordering::Relaxed);
+        self.ballot().fence(claim.epoch);
         self.claim.send_replace(Some(claim));
     }
 
+    /// Returns the time by which leases on the cell are measured. It goes on while the machine is suspended.
+    pub(crate) fn steady_now(&self) -> Timestamp {
+        self.clock.now() + self.platform.total_suspension()
+    }
+
+    /// Returns what this node has promised as a voter. No call is made while it is locked.
+    pub(crate) fn ballot(&self) -> std::sync::MutexGuard<'_, Ballot> {
+        self.ballot.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns whether this node, as a voter, confirms the owner of an epoch.
+    pub(crate) fn vote(&self, epoch: Epoch) -> Vote {
+        let ballot = self.ballot();
+        match () {
+            () if ballot.confirms(epoch, self.steady_now()) => Vote::Confirmed,
+            () if ballot.highest() > epoch => Vote::Refused(ballot.highest()),
+            () => Vote::Abstained,
+        }
+    }
+
+    /// Notes the owner of an epoch: this node confirms no earlier one from now on, and ends its own ownership if that is
+    /// an earlier one.
+    pub(crate) fn fence_earlier_owners(&self, epoch: Epoch) {
+        self.ballot().fence(epoch);
+        let was_ended = self.ownership.send_if_modified(|ownership| {
+            let is_earlier = ownership
+                .as_ref()
+                .is_some_and(|own| own.claim.epoch < epoch);
+            if is_earlier {
+                *ownership = None;
+            }
+            is_earlier
+        });
+        if was_ended {
+            slog::warn!(self.log, "fenced"; "by" => "successor", "later" => %epoch);
+        }
+        if self.epoch() < epoch {
+            self.owner_lost.notify_waiters();
+        }
+    }
+
     /// Records how many partitions jobs are spread over, as given by the newest renewal known of the claim.
     pub(crate) fn record_spread(&self, renewed: &Claim) {
         self.claim.send_if_modified(|claim| {
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -93,6 +93,7 @@
     peer_calls: Counter<u64>,
     peer_store_answers: Counter<u64>,
     owner_unconfirmed: Gauge<f64>,
+    votes: Counter<u64>,
     rate_limits: Mutex<HashMap<Kind, RateLimit>>,
 }
 
@@ -179,6 +180,10 @@
                 "fulmarpier_owner_unconfirmed_seconds",
                 "Time since the store last confirmed the claim of this node as the owner; 0 if it doesn't own the cell.",
             ),
+            votes: registry.counter(
+                "fulmarpier_owner_votes",
+                "Answers of voters to this node as the owner, while the store did not confirm its claim.",
+            ),
             lost_reports: registry.counter(
                 "fulmarpier_reports_lost",
                 "Reports on orders that the owner did not take.",
@@ -290,6 +295,11 @@
         self.0.owner_unconfirmed.record(age.as_secs_f64(), &[]);
     }
 
+    /// Counts an answer of a voter to this node as the owner.
+    pub(crate) fn vote(&self, answer: &'static str) {
+        self.0.votes.add(1, &[KeyValue::new("answer", answer)]);
+    }
+
     pub(crate) fn lost_report(&self, why: &'static str) {
         self.0.lost_reports.add(1, &[KeyValue::new("reason", why)]);
     }
--- a/crates/node/tests/node/record.rs
+++ b/crates/node/tests/node/record.rs
@@ -227,6 +227,8 @@
         spread: Spread::default(),
         nodes: 1,
         consecutive_slow_owners: 0,
+        voters: Vec::new(),
+        former: Vec::new(),
         epoch: newest.epoch.next(),
         node: NodeName::from("another"),
         renewal: 0,
--- a/crates/node/tests/node/service.rs
+++ b/crates/node/tests/node/service.rs
@@ -306,6 +306,8 @@
         spread: Spread::default().renew(38),
         nodes: 1,
         consecutive_slow_owners: 0,
+        voters: Vec::new(),
+        former: Vec::new(),
     });
     let one = start_node("one", &platform);
     wait_until_ready(&one).await;
