node: a node that has just started doesn't report that the store answers it

What callers saw: in an outage of the store a restarted node made the owner give the cell up; with the store away nobody could follow it, and all tasks lapsed.

Cause: the health of the store counted the start of the node as an answer, so for its first 0.1 s the node told the owner that the store answers it at once (StoreLatency 0 ns, seen at 9.294 s of the test), and the owner ended as cut off from it alone.

Change: the store counts as having answered only once it has.

--- a/crates/node/src/health.rs
+++ b/crates/node/src/health.rs
@@ -76,6 +76,8 @@
     /// The calls in flight, each with the time from which on its answer is due.
     in_flight: BTreeMap<u64, Instant>,
     last_answer: Instant,
+    /// Whether the store has ever answered; `last_answer` is when this node started until then.
+    has_answered: bool,
     /// The start of the present series of failures; `None` after a success.
     failing_since: Option<Instant>,
     /// The moving average of the latency of answered calls.
@@ -98,6 +100,7 @@
             next_id: 0,
             in_flight: BTreeMap::new(),
             last_answer: Instant::now(),
+            has_answered: false,
             failing_since: None,
             typical_latency: Duration::ZERO,
             recovered_at: Instant::now(),
@@ -151,6 +154,7 @@
         let due = state.in_flight.remove(&call.id);
         let Err(error @ (Error::Refused(_) | Error::Unanswered)) = result else {
             state.last_answer = Instant::now();
+            state.has_answered = true;
             if let Some(due) = due {
                 let took = state.last_answer.saturating_duration_since(due);
                 state.typical_latency = (state.typical_latency * 3 + took) / 4;
@@ -186,7 +190,7 @@
     /// Returns whether the store has answered within `time` and no call has failed since.
     pub(crate) fn has_answered_within(&self, time: Duration) -> bool {
         let state = self.state();
-        state.failing_since.is_none() && state.last_answer.elapsed() <= time
+        state.has_answered && state.failing_since.is_none() && state.last_answer.elapsed() <= time
     }
 
     /// Returns whether a call has failed since the last success.
