node: an owner ends once another node shows it a later claim

Cause: a node that knew a later owner refused the former one's orders with that owner's claim, and the former owner took it for orders that were not sent; told of a hand-over, a node that still owned the cell went on; and a node that was told of a later owner still sent the former one's orders, since it looked at the newest claim it had read only.

Evidence: found by reading (an audit of what an owner does alone); no trace shows it.

Change: each of the three ends the earlier ownership, or refuses its orders. The leases bound the former owner anyway; this ends it sooner where a node reaches it.

--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -129,7 +129,7 @@
             owner,
             orders,
         } = orders;
-        if epoch < self.shared.epoch() {
+        if epoch < self.shared.ballot().highest() {
             return false;
         }
         for (number, order) in orders {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -369,6 +369,7 @@
             }
             Request::HandedOver(claim) => {
                 if claim.epoch > shared.epoch() {
+                    shared.fence_earlier_owners(claim.epoch);
                     shared.record_claim(claim);
                     shared.owner_lost.notify_one();
                 }
--- a/crates/node/src/owner/orders.rs
+++ b/crates/node/src/owner/orders.rs
@@ -123,6 +123,12 @@
             let answer = message::send(&shared.rpc, node, &orders, ORDERS_TIMEOUT).await;
             let failure = match answer {
                 Ok(Reply::Ack) => return,
+                Ok(Reply::NotOwner {
+                    claim: Some(claim), ..
+                }) => {
+                    shared.fence_earlier_owners(claim.epoch);
+                    Failure::Unsent
+                }
                 Ok(_) => Failure::Unsent,
                 Err(error) if error.not_run() => Failure::Unsent,
                 Err(_) => Failure::Unanswered,
