node: a cell whose claim was removed gets an owner that can record

What callers saw: nothing is started any more until a node is restarted often enough. Not seen on a deployment.

Cause: after another writer has removed the newest claim, the next owner claims epoch 1. The store refuses its records, which have to be of a later epoch than those before; the takeover ended with that, but the ownership didn't, so the node renewed the claim and answered as the owner without an engine. Where the epoch was the last one's, the takeover was tried again for ever.

Change: a refused takeover ends the ownership; a node claims an epoch above all that it was told of; a claim of the same node for another epoch isn't taken for the one that it renews or hands over.

a_cell_whose_claim_was_removed_gets_an_owner_that_records: red before (the jobs stay open), green now.

--- a/crates/node/src/member/follow.rs
+++ b/crates/node/src/member/follow.rs
@@ -275,8 +275,10 @@
     why: &'static str,
 ) -> Observation {
     let previous_epoch = seen.claim.as_ref().map(|claim| claim.epoch);
+    // Another writer may have removed the newest claim, but its epoch isn't owned under again.
+    let highest = previous_epoch.max(Some(shared.ballot().highest()));
     let claim = Claim {
-        epoch: previous_epoch.unwrap_or_default().next(),
+        epoch: highest.unwrap_or_default().next(),
         node: shared.name.clone(),
         address: shared.address,
         incarnation: shared.incarnation,
--- a/crates/node/src/member/own.rs
+++ b/crates/node/src/member/own.rs
@@ -118,7 +118,7 @@
     shared.fence_earlier_owners(later);
     // Discards a notification that is left over from an earlier ownership.
     let _ = shared.stalled.notified().now_or_never();
-    let takeover = tokio::spawn({
+    let mut takeover = tokio::spawn({
         let shared = shared.clone();
         let claim = claim.clone();
         let tenure = tenure.clone();
@@ -135,6 +135,7 @@
         why = tenure::wait_for_expiry(shared, &tenure, &first) => Ending::Lost(why),
         why = tenure::collect_votes(shared, &tenure, &first) => Ending::Lost(why),
         () = tenure::fence_former_owners(shared, &tenure, &first) => Ending::Lost("fenced"),
+        () = wait_for_refused_takeover(&mut takeover) => Ending::Lost("fenced"),
         () = shared.stalled.notified() => Ending::Released("stalled"),
     };
     report::end(shared, claim.epoch, ending.as_str(), began, &tenure);
@@ -172,6 +173,13 @@
     }
 }
 
+/// Waits until the store refuses the takeover because of a later owner.
+async fn wait_for_refused_takeover(takeover: &mut JoinHandle<bool>) {
+    if matches!(takeover.await, Ok(true)) {
+        std::future::pending().await
+    }
+}
+
 /// Stops the owner's actor, or the takeover that would start it.
 async fn report_ownership_lost<P: Platform>(shared: &Shared<P>, takeover: &JoinHandle<bool>) {
     takeover.abort();
@@ -261,7 +269,7 @@
     };
     match seen.claim {
         Some(claim) if claim == *successor => true,
-        Some(claim) if is_own(shared, &claim) => {
+        Some(claim) if is_own(shared, &claim) && claim.epoch < successor.epoch => {
             *end = seen.end;
             append(shared, successor, *end).await.is_ok()
         }
--- a/crates/node/src/owner/takeover.rs
+++ b/crates/node/src/owner/takeover.rs
@@ -106,7 +106,8 @@
     loop {
         match recorder::fence(shared, claim.epoch).await {
             Ok(()) => break,
-            Err(Error::Fenced) => return Err(Error::Fenced),
+            // Under the same epoch, another ownership has numbered its appends.
+            Err(Error::Fenced | Error::Sequence { .. }) => return Err(Error::Fenced),
             Err(_) => wait_to_retry().await,
         }
     }
--- a/crates/node/tests/node/ownership.rs
+++ b/crates/node/tests/node/ownership.rs
@@ -6,6 +6,7 @@
     engine::State,
     id::JobId, //
 };
+use fulmarpier_node::platform::Topic;
 use rstest::rstest;
 use tokio::time::sleep;
 
@@ -24,6 +25,10 @@
         wait_until_completed,
         wait_until_ready, //
     },
+    world::{
+        USUAL_SIZES,
+        World, //
+    },
 };
 
 /// An owner that reaches neither the store nor another node for this long gives the cell up.
@@ -101,3 +106,27 @@
     );
     assert_eq!(platform.starts(1), 2);
 }
+
+/// Guards against a cell without an engine: its owner claims an epoch under which the store takes none of its records.
+#[tokio::test(start_paused = true)]
+async fn a_cell_whose_claim_was_removed_gets_an_owner_that_records() {
+    let mut world = World::start(&USUAL_SIZES).await;
+    world.submit(6, SECOND);
+    sleep(3 * SECOND).await;
+    world.end_node(0, false);
+    sleep(3 * SECOND).await;
+    assert_eq!(world.store.takeovers().last(), Some(&2));
+    for node in 1..world.nodes().len() {
+        world.end_node(node, false);
+    }
+    world.store.drop_key(Topic::Claims, "owner");
+    for node in 0..world.nodes().len() {
+        world.start_node(node);
+    }
+    sleep(SECOND).await;
+    world.submit(6, SECOND);
+    let open = world.wait_for_jobs(20 * SECOND).await;
+    assert!(open.is_empty(), "jobs that are not completed: {open:?}");
+    let violations = world.violations();
+    assert!(violations.is_empty(), "{violations:#?}");
+}
