cell: after a takeover a missing run is proved gone only from the worker's first answer on

Callers saw nothing of it that we know; a task could start again while its former run was still ending, for up to the time that a stop takes.

Cause: a run that is being stopped may be listed neither as running nor as ended, so its absence proves something only once all stops of the former owner have settled. That time was counted from the takeover; but a former owner's stop is refused only once the worker has answered its successor.

Evidence: found by reading, twice (audit and review); a_run_that_is_missing_from_the_first_inventory_may_be_about_to_end is red before (the task starts 40 ms after the first answer; a stop takes up to 0.9 s).

Change: the proof counts from the worker's first answer to this owner. A run that is really gone is started again 1.1 s after that answer instead of 1.1 s after the takeover.

--- a/crates/cell/src/engine/contact.rs
+++ b/crates/cell/src/engine/contact.rs
@@ -348,8 +348,10 @@
             return;
         };
         let was_heard = worker.heard.is_some() && worker.silent_since.is_none();
+        if worker.heard.is_none() {
+            worker.begin_contact(&self.bounds, now);
+        }
         worker.heard = Some(now);
-        worker.note_answer(&self.bounds, now);
         worker.silent_since = None;
         worker.silence = None;
         worker.lapsed_runs.clear();
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -373,10 +373,17 @@
         Some(reading.millis.saturating_add(elapsed))
     }
 
-    /// Notes that it answered a call of this owner, so that it refuses to extend its leases for a former one.
-    pub fn note_answer(&mut self, bounds: &Bounds, now: Timestamp) {
-        if self.leases_end.is_none() {
-            self.leases_end = Some(now + bounds.lease_expiry_time());
+    /// Notes its first answer to this owner: from now on it refuses the orders of former ones.
+    ///
+    /// Until then such an owner may have extended its leases, and may have stopped runs. A run that is being stopped may
+    /// be missing from an inventory.
+    pub fn begin_contact(&mut self, bounds: &Bounds, now: Timestamp) {
+        self.leases_end
+            .get_or_insert(now + bounds.lease_expiry_time());
+        for allocation in self.allocations.values_mut() {
+            if let Phase::Running { since, .. } = &mut allocation.phase {
+                *since = (*since).max(now + bounds.stop_settle_time());
+            }
         }
     }
 
--- a/crates/cell/tests/cell/takeover.rs
+++ b/crates/cell/tests/cell/takeover.rs
@@ -300,3 +300,60 @@
     assert_eq!(stops.count(), 0);
     assert_eq!(engine.state(JOB), Some(State::Running));
 }
+
+/// Guards against a run that is started again while a stop of the former owner is still under way.
+#[test]
+fn a_run_that_is_missing_from_the_first_inventory_may_be_about_to_end() {
+    let takeover = Timestamp::from_millis(100_000);
+    let first_answer = takeover + Duration::from_secs(5);
+    let worker = WorkerId::from("w1");
+    let task = StepId {
+        job: JOB,
+        occurrence: 0,
+        step: 0,
+    }
+    .task(0);
+    let mut accepted = repeated_job(takeover);
+    let mut spec = (*accepted.spec).clone();
+    spec.schedule = None;
+    accepted.spec = spec.into();
+    let runs = WorkerRuns {
+        incarnation: None,
+        address: "127.0.0.1:1".parse().unwrap(),
+        runs: vec![(task, Run(1))],
+    };
+    let stored = StoredState {
+        accepted: vec![accepted],
+        workers: vec![(worker.clone(), runs)],
+        ..StoredState::default()
+    };
+    let bounds = Bounds::default();
+    let mut engine = Engine::new(Epoch(2), bounds, stored, takeover);
+    engine.note_former_owners_fenced(takeover);
+    engine.set_evacuation(Evacuation::default(), takeover, takeover);
+    engine.register(registration(&worker), takeover);
+    let mut now = takeover;
+    let started_at = loop {
+        let effects = engine.advance(now);
+        if effects.iter().any(|e| matches!(e, Effect::Start(_))) {
+            break now;
+        }
+        for effect in effects {
+            match effect {
+                Effect::Heartbeat(heartbeat) => {
+                    let answer = match now < first_answer {
+                        true => HeartbeatAnswer::NoAnswer,
+                        false => HeartbeatAnswer::Inventory(Inventory::default()),
+                    };
+                    engine.handle_heartbeat_answer(&worker, heartbeat.sent_at, answer, now);
+                }
+                Effect::Record(_) => engine.handle_recorded(now),
+                _ => {}
+            }
+        }
+        now = now + Duration::from_millis(20);
+        assert!(now < first_answer + Duration::from_secs(10), "it starts");
+    };
+    let waited = started_at.since(first_answer);
+    assert!(waited >= bounds.stop_settle_time(), "{waited:?}");
+}
