--- a/crates/node/src/member/report.rs
+++ b/crates/node/src/member/report.rs
@@ -318,6 +318,7 @@
     tenure: &Tenure,
 ) {
     shared.meter.owner_unconfirmed(Duration::ZERO);
+    shared.meter.unfenced_owners(0);
     slog::info!(shared.log, "ownership-ends"; "epoch" => %epoch, "why" => why,
         "owned_ms" => millis(began.elapsed()),
         "store_failing_ms" => millis(shared.store.failing_for()),
--- a/crates/node/src/member/tenure.rs
+++ b/crates/node/src/member/tenure.rs
@@ -218,6 +218,7 @@
     let mut fencing = Fencing::new(claim.former.clone(), began);
     log_awaited(shared, claim, &fencing, "awaited");
     while !fencing.is_complete() {
+        shared.meter.unfenced_owners(fencing.remaining().len());
         tell_electorates(shared, claim, &mut fencing, began).await;
         if !fencing.is_complete() {
             if shared.meter.may_log("former-owner", "") {
@@ -226,6 +227,7 @@
             sleep(FENCING_RETRY_PAUSE).await;
         }
     }
+    shared.meter.unfenced_owners(0);
     tenure.fenced_at.send_replace(Some(shared.clock.now()));
     std::future::pending().await
 }
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -94,6 +94,7 @@
     peer_store_answers: Counter<u64>,
     owner_unconfirmed: Gauge<f64>,
     votes: Counter<u64>,
+    unfenced_owners: Gauge<u64>,
     rate_limits: Mutex<HashMap<Kind, RateLimit>>,
 }
 
@@ -184,6 +185,10 @@
                 "fulmarpier_owner_votes",
                 "Answers of voters to this node as the owner, while the store did not confirm its claim.",
             ),
+            unfenced_owners: registry.gauge(
+                "fulmarpier_unfenced_owners",
+                "Former owners that may still act, as far as this node knows as the owner.",
+            ),
             lost_reports: registry.counter(
                 "fulmarpier_reports_lost",
                 "Reports on orders that the owner did not take.",
@@ -300,6 +305,11 @@
         self.0.votes.add(1, &[KeyValue::new("answer", answer)]);
     }
 
+    /// Sets how many former owners may still act, as far as this node knows as the owner.
+    pub(crate) fn unfenced_owners(&self, owners: usize) {
+        self.0.unfenced_owners.record(count(owners), &[]);
+    }
+
     pub(crate) fn lost_report(&self, why: &'static str) {
         self.0.lost_reports.add(1, &[KeyValue::new("reason", why)]);
     }
