cell: a refused connection counts only once it can't be older than the successor's claim; slow stores let an owner begin

Two faults of the rule as it stood, both found before it landed: by its random histories and by a review, each on its own.

A refusal is reused for up to a second. A refusal now counts only if the call was sent 2.5 s after the successor's claim, and the silence of a restarted voter covers that age.

A claim whose answer took longer than a lease gave its owner a lease that had expired, so that with a store of 1.2 s a call or more nobody could own the cell. Such an owner now begins on the word of its voters, within 4 s of the call; until then none of them can have been told of a later owner, restarted and confirm again.

--- a/crates/cell/src/ownership/fencing.rs
+++ b/crates/cell/src/ownership/fencing.rs
@@ -56,16 +56,15 @@
         if now.since(sent_at) > FENCING_TIMEOUT {
             return Vec::new();
         }
+        // The process there may have been started since the attempt that was refused, and before the successor's claim.
+        if response == Response::Gone && sent_at.since(self.began) < MAX_REFUSAL_AGE {
+            return Vec::new();
+        }
         self.told.insert(address, sent_at);
-        // The process of an owner may have been started after the attempt that was refused, but before its claim.
-        let is_own_proof = match response {
-            Response::Told => true,
-            Response::Gone => sent_at.since(self.began) >= MAX_REFUSAL_AGE,
-        };
         let former = std::mem::take(&mut self.former);
-        let (fenced, rest) = former.into_iter().partition(|owner| {
-            (is_own_proof && owner.owner == address) || self.are_enough_told(owner)
-        });
+        let (fenced, rest) = former
+            .into_iter()
+            .partition(|owner| owner.owner == address || self.are_enough_told(owner));
         self.former = rest;
         fenced
     }
--- a/crates/cell/src/ownership/lease.rs
+++ b/crates/cell/src/ownership/lease.rs
@@ -12,7 +12,8 @@
 
 use super::{
     Electorate,
-    LEASE_DURATION, //
+    LEASE_DURATION,
+    MAX_START_DELAY, //
 };
 
 /// What the lease of an owner rests on.
@@ -43,7 +44,7 @@
 /// The lease of one ownership. Once it has expired, it stays so.
 #[derive(Clone, Debug)]
 pub struct Lease {
-    /// When the ownership began on this node. An owner that nothing has confirmed by then gives up a lease after this.
+    /// When the ownership began on this node.
     began: Timestamp,
     /// When the last call was sent by which the store confirmed the claim.
     confirmed_at: Option<Timestamp>,
@@ -51,6 +52,8 @@
     electorates: Vec<Electorate>,
     /// When each voter was asked that last confirmed the owner.
     votes: HashMap<SocketAddr, Timestamp>,
+    /// Whether the owner has been allowed to act.
+    was_valid: bool,
     has_expired: bool,
 }
 
@@ -58,15 +61,19 @@
     /// Creates the lease of a claim that the store has and that names an electorate. `confirmed_at` is when the call was sent that
     /// showed the claim to be the newest one, if this node made such a call.
     ///
-    /// If that is too long ago, the owner may act once the store or a quorum has confirmed it.
+    /// If that is too long ago, the owner may act once it is confirmed again. The first confirmation has to be the store's, since
+    /// voters that have been restarted may have forgotten a later owner.
     pub fn new(electorate: Electorate, confirmed_at: Option<Timestamp>, now: Timestamp) -> Self {
-        Self {
+        let mut lease = Self {
             began: now,
             confirmed_at,
             electorates: vec![electorate],
             votes: HashMap::default(),
+            was_valid: false,
             has_expired: false,
-        }
+        };
+        lease.update(now);
+        lease
     }
 
     /// Notes that a renewal is about to be sent, which the store may take without an answer.
@@ -80,6 +87,7 @@
     pub fn confirm(&mut self, sent_at: Timestamp, now: Timestamp) {
         self.update(now);
         self.confirmed_at = self.confirmed_at.max(Some(sent_at));
+        self.update(now);
     }
 
     /// Notes that the store holds the claim with this electorate, and that no earlier renewal can still be carried out.
@@ -92,6 +100,7 @@
         self.update(now);
         let last = self.votes.entry(voter).or_default();
         *last = sent_at.max(*last);
+        self.update(now);
     }
 
     /// Returns the voters of all electorates that the store may hold.
@@ -106,8 +115,7 @@
     /// Returns whether the owner may act.
     pub fn is_valid(&mut self, now: Timestamp) -> bool {
         self.update(now);
-        let confirmed_at = self.confirmed_at.max(Some(self.quorum_at()));
-        !self.has_expired && confirmed_at.is_some_and(|at| at + LEASE_DURATION > now)
+        !self.has_expired && self.is_confirmed(now)
     }
 
     /// Returns whether the owner has to stop.
@@ -123,8 +131,12 @@
 
     /// Returns when it expires unless it is extended.
     pub fn expires_at(&self) -> Timestamp {
+        let begins_until = match self.was_valid {
+            true => Timestamp::ZERO,
+            false => self.confirmed_at.unwrap_or(self.began) + MAX_START_DELAY,
+        };
         let confirmed_at = self.confirmed_at.unwrap_or(Timestamp::ZERO);
-        confirmed_at.max(self.quorum_at()).max(self.began) + LEASE_DURATION
+        begins_until.max(confirmed_at.max(self.quorum_at()) + LEASE_DURATION)
     }
 
     /// Returns what it rests on.
@@ -133,7 +145,7 @@
         match () {
             () if self.has_expired || self.expires_at() <= now => Basis::Expired,
             () if self.confirmed_at.is_some_and(is_recent) => Basis::Store,
-            () if is_recent(self.quorum_at()) => Basis::Voters,
+            () if self.is_confirmed(now) => Basis::Voters,
             () => Basis::Unconfirmed,
         }
     }
@@ -157,8 +169,15 @@
         quorums.min().unwrap_or(Timestamp::ZERO)
     }
 
-    /// Notes whether it has expired by now, before anything extends it.
+    /// Returns whether the store or a quorum has confirmed the owner within a lease.
+    fn is_confirmed(&self, now: Timestamp) -> bool {
+        let confirmed_at = self.confirmed_at.map(|at| at.max(self.quorum_at()));
+        confirmed_at.is_some_and(|at| at + LEASE_DURATION > now)
+    }
+
+    /// Notes whether it is in force, and whether it has expired by now, before anything extends it.
     fn update(&mut self, now: Timestamp) {
+        self.was_valid |= self.is_confirmed(now);
         self.has_expired |= self.expires_at() <= now;
     }
 }
--- a/crates/cell/src/ownership/mod.rs
+++ b/crates/cell/src/ownership/mod.rs
@@ -39,12 +39,19 @@
 
 /// How long an owner may act after the call was sent by which the store or a quorum last confirmed it.
 pub const LEASE_DURATION: Duration = Duration::from_millis(1_200);
+/// How long after the call that showed its claim in the store an owner may begin to act on the word of its voters. None of them has been
+/// told of a later owner and restarted since long enough to confirm this one again.
+pub const MAX_START_DELAY: Duration = Duration::from_millis(4_000);
+const _: () = assert!(
+    MAX_START_DELAY.as_millis() + CLOCK_ALLOWANCE.as_millis() < RESTART_SILENCE.as_millis()
+);
 /// How long the response of a node that is told of a later owner may take; a later one doesn't count.
 pub const FENCING_TIMEOUT: Duration = Duration::from_millis(500);
 /// How far apart the calls may be by which a set of nodes was told of a later owner.
 pub const FENCING_WINDOW: Duration = Duration::from_millis(1_000);
-/// How old a refused connection may be that proves that no process listened at an address.
-pub const MAX_REFUSAL_AGE: Duration = Duration::from_millis(1_000);
+/// How long ago no process listened at an address that refuses a connection: the attempt takes up to 0.5 s, its outcome is reused for 1 s, and
+/// a successor that stands still for longer than the rest has lost its own lease.
+pub const MAX_REFUSAL_AGE: Duration = Duration::from_millis(2_500);
 /// Allowance for clocks that run at different rates over a few seconds.
 const CLOCK_ALLOWANCE: Duration = Duration::from_millis(300);
 /// How long a node confirms no owner after its start.
