cell, node: a node that has read the newest claim since its start confirms its owner at once

Cause: a node that has just started may have forgotten a later owner that it was told of, so it waited. But that owner had claimed the cell before the node was told, so reading the newest claim tells of it again.

--- a/crates/cell/src/ownership/ballot.rs
+++ b/crates/cell/src/ownership/ballot.rs
@@ -12,6 +12,8 @@
     started_at: Timestamp,
     /// The highest epoch that the node was told of.
     highest: Epoch,
+    /// Whether the node has read the newest claim since its start.
+    is_recovered: bool,
 }
 
 impl Ballot {
@@ -20,6 +22,7 @@
         Self {
             started_at: now,
             highest: Epoch(0),
+            is_recovered: false,
         }
     }
 
@@ -28,9 +31,17 @@
         self.highest = self.highest.max(epoch);
     }
 
+    /// Notes the epoch of the newest claim, which the node has read from the store since its start. The owners that it was told
+    /// of before had claimed the cell by then.
+    pub fn recover(&mut self, newest: Epoch) {
+        self.fence(newest);
+        self.is_recovered = true;
+    }
+
     /// Returns whether the node confirms the owner of an epoch.
     pub fn confirms(&self, epoch: Epoch, now: Timestamp) -> bool {
-        self.highest <= epoch && now.since(self.started_at) >= RESTART_SILENCE
+        let knows_owners = self.is_recovered || now.since(self.started_at) >= RESTART_SILENCE;
+        self.highest <= epoch && knows_owners
     }
 
     /// Returns the highest epoch that the node was told of.
--- a/crates/cell/src/ownership/mod.rs
+++ b/crates/cell/src/ownership/mod.rs
@@ -9,8 +9,9 @@
 //! nodes that are large enough, one to extend a lease and one to fence its owner, have a node in common. So once enough nodes have been told, no
 //! former owner acts for longer than [`LEASE_DURATION`].
 //!
-//! Nodes keep nothing across a restart. A node that was started less than [`RESTART_SILENCE`] ago confirms no owner: if it
-//! was told of a later owner before its restart, the lease that it must not extend has expired by the time it confirms again.
+//! Nodes keep nothing across a restart. A node confirms no owner until it has read the newest claim from the store, or, while
+//! the store is away, until [`RESTART_SILENCE`] after its start: if it was told of a later owner before its restart, the lease that it
+//! must not extend has expired by then.
 //!
 //! All times are differences of one node's clock, and each counts from when a call was sent.
 
@@ -54,7 +55,7 @@
 pub const MAX_REFUSAL_AGE: Duration = Duration::from_millis(2_500);
 /// Allowance for clocks that run at different rates over a few seconds.
 const CLOCK_ALLOWANCE: Duration = Duration::from_millis(300);
-/// How long a node confirms no owner after its start.
+/// How long a node confirms no owner after its start unless it reads the newest claim.
 pub const RESTART_SILENCE: Duration = LEASE_DURATION
     .saturating_add(FENCING_TIMEOUT)
     .saturating_add(FENCING_WINDOW)
--- a/crates/cell/tests/ownership/rule.rs
+++ b/crates/cell/tests/ownership/rule.rs
@@ -116,6 +116,18 @@
     assert_eq!(ballot.confirms(Epoch(epoch), START + age), confirms);
 }
 
+#[rstest]
+#[case::an_earlier_owner(3, false)]
+#[case::the_newest_owner(4, true)]
+fn a_node_that_has_read_the_newest_claim_confirms_at_once(
+    #[case] epoch: u32,
+    #[case] confirms: bool,
+) {
+    let mut ballot = Ballot::new(START);
+    ballot.recover(Epoch(4));
+    assert_eq!(ballot.confirms(Epoch(epoch), START), confirms);
+}
+
 /// The silence outlasts the slowest fencing in which the node may have been told before its restart, and a lease after it.
 #[test]
 fn the_silence_outlasts_a_fencing_and_a_lease() {
--- a/crates/cell/tests/ownership/world/follower.rs
+++ b/crates/cell/tests/ownership/world/follower.rs
@@ -107,6 +107,9 @@
             return;
         };
         let before = self.nodes[index].known_epoch();
+        let newest = stored.as_ref().map(|claim| claim.epoch);
+        let ballot = &mut self.nodes[index].ballot;
+        ballot.recover(newest.unwrap_or_default());
         if let Some(claim) = &stored {
             let node = &mut self.nodes[index];
             if claim.epoch > before {
--- a/crates/node/src/member/mod.rs
+++ b/crates/node/src/member/mod.rs
@@ -225,6 +225,10 @@
     let decoded =
         fallback::decode_with_fallback(shared, Topic::Claims, "claims", page, CLAIM_RECORDS).await;
     let decoded = decoded.ok()?;
+    if !decoded.rejected.iter().any(is_claim) {
+        let newest = decoded.values.first().map(|claim| claim.epoch);
+        shared.ballot().recover(newest.unwrap_or_default());
+    }
     let claim = match decoded.values.into_iter().next() {
         Some(claim) => Some(claim),
         None if !decoded.rejected.iter().any(is_claim) => None,
