node: the tests' worker refuses the orders of a former owner

What was seen: a_new_owner_takes_over_the_last_valid_records::case_1_whole_history failed now and then with (4, 5) for (4, 4): five runs started for the four tasks of job 2.

Cause: the tests' stand-in for a worker (Fake) kept no fence. The first node runs on in the process of the test after its `stop`, which closes only its server, and goes on as the owner for 0.06 to 0.6 s after the second one's claim (626 traces), until the store fences it or it reads the newer claim. In that time one of its waiting heartbeats may list a run of the second owner. It adopts the run, doesn't know the job, and sends a stop under its own fence. The stand-in carried that out without an end, so the second owner found the run to be neither running nor ended (`absent`), and started it again as 10002. A worker refuses such a stop by its interface (409), and so do those of the platform's stand-in and of the tests' world.

Ruled out: a repeated order to start (the fifth is a run of another number, and each failing run has one `absent`), starts by the former owner (all are of the second one), and the change of the lease: the code before it fails in the same way.

Change: the stand-in refuses lower fences than it has seen for starts, stops, throttles and heartbeats; a heartbeat that waits already goes on, as in the tests' world. A refused start is no run, so `starts` doesn't count it. No check of a test was changed. a_worker_refuses_the_orders_of_a_former_owner guards it, and fails on the former stand-in.

--- a/crates/node/tests/node/ownership.rs
+++ b/crates/node/tests/node/ownership.rs
@@ -1,12 +1,39 @@
-//! Nodes that own the cell more than once.
+//! Nodes that own the cell more than once, and owners that another one has replaced.
 
-use std::time::Duration;
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
 
 use fulmarpier_cell::{
+    effect::{
+        Destination,
+        Heartbeat,
+        Start,
+        Stop,
+        Throttle, //
+    },
     engine::State,
-    id::JobId, //
+    event::{
+        HeartbeatAnswer,
+        StartAnswer,
+        StopAnswer, //
+    },
+    id::{
+        Epoch,
+        Fence,
+        JobId,
+        Run,
+        StepId,
+        TaskId,
+        WorkerId, //
+    },
+};
+use fulmarpier_node::platform::{
+    Platform,
+    Topic, //
 };
-use fulmarpier_node::platform::Topic;
+use fulmarpier_state::clock::Timestamp;
 use rstest::rstest;
 use tokio::time::sleep;
 
@@ -130,3 +157,75 @@
     let violations = world.violations();
     assert!(violations.is_empty(), "{violations:#?}");
 }
+
+/// Returns where the owner of an epoch sends its orders.
+fn destination(epoch: u32) -> Destination {
+    Destination {
+        worker: WorkerId::from("w0"),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        fence: Fence::first(Epoch(epoch)),
+    }
+}
+
+fn start_of(task: TaskId, epoch: u32) -> Start {
+    Start {
+        to: destination(epoch),
+        task,
+        run: Run(10_001),
+        payload: "text".into(),
+        deadline: 6_000,
+        checkpoint: None,
+        ticket: None,
+    }
+}
+
+fn heartbeat_of(epoch: u32) -> Heartbeat {
+    Heartbeat {
+        to: destination(epoch),
+        deadline: None,
+        acknowledged: 0,
+        wait: Duration::ZERO,
+        sent_at: Timestamp::ZERO,
+    }
+}
+
+/// Guards against a worker of these tests that carries out what a real one refuses: a former owner that still runs in
+/// the process of the test would stop the runs of its successor.
+#[tokio::test(start_paused = true)]
+async fn a_worker_refuses_the_orders_of_a_former_owner() {
+    let platform = Fake::new();
+    let task = |index| TaskId {
+        step: StepId {
+            job: JobId(1),
+            occurrence: 0,
+            step: 0,
+        },
+        index,
+    };
+    let run = Run(10_001);
+    let started = platform.start(start_of(task(0), 2)).await;
+    assert_eq!(started, StartAnswer::Started);
+    let stop = Stop {
+        to: destination(1),
+        task: task(0),
+        run,
+    };
+    assert_eq!(platform.stop(stop).await, StopAnswer::Fenced);
+    let throttle = Throttle {
+        to: destination(1),
+        task: task(0),
+        run,
+        percent: 50,
+    };
+    assert_eq!(platform.throttle(throttle).await, StopAnswer::Fenced);
+    let refused = platform.start(start_of(task(1), 1)).await;
+    assert_eq!(refused, StartAnswer::Fenced);
+    let refused = platform.heartbeat(heartbeat_of(1)).await;
+    assert_eq!(refused, HeartbeatAnswer::Fenced);
+    let HeartbeatAnswer::Inventory(inventory) = platform.heartbeat(heartbeat_of(2)).await else {
+        panic!("the worker must answer its owner");
+    };
+    let running: Vec<TaskId> = inventory.running.iter().map(|run| run.task).collect();
+    assert_eq!(running, [task(0)]);
+    assert_eq!(platform.starts(1), 1);
+}
--- a/crates/node/tests/node/platform.rs
+++ b/crates/node/tests/node/platform.rs
@@ -41,6 +41,7 @@
     },
     id::{
         DataCentre,
+        Fence,
         JobId,
         PoolName,
         Run,
@@ -174,12 +175,23 @@
 /// The runs of a worker.
 #[derive(Default)]
 struct Worker {
+    /// The highest fence of an order so far.
+    fence: Option<Fence>,
     running: BTreeMap<TaskId, (Run, Instant)>,
     ended: Vec<Ended>,
     /// The serial number of the last ended run.
     serial: u64,
 }
 
+impl Worker {
+    /// Notes the fence of an order; returns false if the worker has seen a higher one and refuses the order.
+    fn admit(&mut self, fence: Fence) -> bool {
+        let is_admitted = self.fence <= Some(fence);
+        self.fence = self.fence.max(Some(fence));
+        is_admitted
+    }
+}
+
 /// The platform as seen from one machine. Cloning is cheap, and clones share their state.
 #[derive(Clone, Default)]
 pub(crate) struct Fake {
@@ -803,10 +815,13 @@
         sleep(CALL_LATENCY).await;
         self.start_orders.fetch_add(1, Ordering::Relaxed);
         let mut state = self.state();
-        state.starts.push((order.task, Instant::now()));
         let worker = state.workers.entry(order.to.worker).or_default();
+        if !worker.admit(order.to.fence) {
+            return StartAnswer::Fenced;
+        }
         let ends = Instant::now() + TASK_DURATION;
         worker.running.insert(order.task, (order.run, ends));
+        state.starts.push((order.task, Instant::now()));
         StartAnswer::Started
     }
 
@@ -814,21 +829,35 @@
         sleep(CALL_LATENCY).await;
         let mut state = self.state();
         let worker = state.workers.entry(order.to.worker).or_default();
+        if !worker.admit(order.to.fence) {
+            return StopAnswer::Fenced;
+        }
         worker.running.remove(&order.task);
         StopAnswer::Confirmed
     }
 
-    async fn throttle(&self, _: Throttle) -> StopAnswer {
-        StopAnswer::Confirmed
+    async fn throttle(&self, order: Throttle) -> StopAnswer {
+        let mut state = self.state();
+        let worker = state.workers.entry(order.to.worker).or_default();
+        match worker.admit(order.to.fence) {
+            true => StopAnswer::Confirmed,
+            false => StopAnswer::Fenced,
+        }
     }
 
     async fn heartbeat(&self, order: Heartbeat) -> HeartbeatAnswer {
         let until = Instant::now() + order.wait;
+        let mut is_admitted = false;
         loop {
             sleep(CALL_LATENCY).await;
             let now = Instant::now();
             let mut state = self.state();
             let worker = state.workers.entry(order.to.worker.clone()).or_default();
+            // A call that is waiting already goes on when a later owner makes one.
+            is_admitted = is_admitted || worker.admit(order.to.fence);
+            if !is_admitted {
+                return HeartbeatAnswer::Fenced;
+            }
             worker.ended.retain(|end| end.serial > order.acknowledged);
             let finished = worker.running.iter().filter(|(_, (_, ends))| *ends <= now);
             let finished: Vec<(TaskId, Run)> =
