--- a/crates/cell/src/bounds.rs
+++ b/crates/cell/src/bounds.rs
@@ -42,8 +42,8 @@
 /// Allowance for rounding to milliseconds and for timers that fire late.
 const TIMER_SLACK: Duration = Duration::from_millis(200);
 
-/// For how long an owner may go on extending leases after it was fenced: the lease under which it acts, and a margin for
-/// orders that it is about to send as that expires.
+/// For how long an owner may go on extending leases after it was fenced: the lease under which it acts, and a margin
+/// for orders that it is about to send as that expires.
 pub const MAX_FORMER_OWNER_ACTIVITY: Duration =
     LEASE_DURATION.saturating_add(Duration::from_millis(600));
 
--- a/crates/cell/src/engine/mod.rs
+++ b/crates/cell/src/engine/mod.rs
@@ -362,10 +362,11 @@
     }
 
     /// Notes that the former owners were fenced at a time: none of them acts for longer than
-    /// [`MAX_FORMER_OWNER_ACTIVITY`] after it, or after the store has fenced their records for this owner, which it has before the engine
-    /// begins.
+    /// [`MAX_FORMER_OWNER_ACTIVITY`] after it, or after the store has fenced their records for this owner, which it
+    /// has before the engine begins.
     ///
-    /// Until then the runs of a worker that has not answered this owner are not taken for lost, however long it is silent.
+    /// Until then the runs of a worker that has not answered this owner are not taken for lost, however long it is
+    /// silent.
     pub fn note_former_owners_fenced(&mut self, at: Timestamp) {
         let leases_end =
             at.max(self.began) + MAX_FORMER_OWNER_ACTIVITY + self.bounds.lease_expiry_time();
--- a/crates/cell/src/ownership/ballot.rs
+++ b/crates/cell/src/ownership/ballot.rs
@@ -31,8 +31,8 @@
         self.highest = self.highest.max(epoch);
     }
 
-    /// Notes the epoch of the newest claim, which the node has read from the store since its start. The owners that it was told
-    /// of before had claimed the cell by then.
+    /// Notes the epoch of the newest claim, which the node has read from the store since its start. The owners that
+    /// it was told of before had claimed the cell by then.
     pub fn recover(&mut self, newest: Epoch) {
         self.fence(newest);
         self.is_recovered = true;
--- a/crates/cell/src/ownership/fencing.rs
+++ b/crates/cell/src/ownership/fencing.rs
@@ -29,13 +29,14 @@
     former: Vec<Electorate>,
     /// When the successor's claim was known to be in the store.
     began: Timestamp,
-    /// The addresses at which the later owner is known or no process listens, and when the call was sent that showed it.
+    /// The addresses at which the later owner is known or no process listens, and when the call was sent that showed
+    /// it.
     told: HashMap<SocketAddr, Timestamp>,
 }
 
 impl Fencing {
-    /// Creates the state of a successor of these owners, none of which is known to have stopped. The successor's claim is in
-    /// the store.
+    /// Creates the state of a successor of these owners, none of which is known to have stopped. The successor's
+    /// claim is in the store.
     pub fn new(former: Vec<Electorate>, now: Timestamp) -> Self {
         let former = former.into_iter();
         Self {
@@ -89,8 +90,8 @@
         addresses
     }
 
-    /// Returns whether enough voters were told within one window. A node forgets it when it is restarted, so an earlier response
-    /// doesn't count.
+    /// Returns whether enough voters were told within one window. A node forgets it when it is restarted, so an
+    /// earlier response doesn't count.
     fn are_enough_told(&self, former: &Electorate) -> bool {
         let told = former.voters.iter();
         let told = told.filter_map(|voter| self.told.get(voter));
--- a/crates/cell/src/ownership/lease.rs
+++ b/crates/cell/src/ownership/lease.rs
@@ -58,11 +58,11 @@
 }
 
 impl Lease {
-    /// Creates the lease of a claim that the store has and that names an electorate. `confirmed_at` is when the call was sent that
-    /// showed the claim to be the newest one, if this node made such a call.
+    /// Creates the lease of a claim that the store has and that names an electorate. `confirmed_at` is when the call
+    /// was sent that showed the claim to be the newest one, if this node made such a call.
     ///
-    /// If that is too long ago, the owner may act once it is confirmed again. The first confirmation has to be the store's, since
-    /// voters that have been restarted may have forgotten a later owner.
+    /// If that is too long ago, the owner may act once it is confirmed again. The first confirmation has to be the
+    /// store's, since voters that have been restarted may have forgotten a later owner.
     pub fn new(electorate: Electorate, confirmed_at: Option<Timestamp>, now: Timestamp) -> Self {
         let mut lease = Self {
             began: now,
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -144,8 +144,8 @@
     }
 }
 
-/// The delay before a call that takes the place of one in flight to another address: answers are matched to calls by the
-/// time of the call.
+/// The delay before a call that takes the place of one in flight to another address: answers are matched to calls by
+/// the time of the call.
 const CALL_SEPARATION: Duration = Duration::from_millis(1);
 
 /// A reading of a worker's clock.
@@ -270,8 +270,8 @@
 impl Worker {
     /// Creates a worker of which only the registration is known.
     ///
-    /// Until `leases_end` it may run tasks under a lease that a former owner granted; `None` as long as such an owner may
-    /// extend it.
+    /// Until `leases_end` it may run tasks under a lease that a former owner granted; `None` as long as such an owner
+    /// may extend it.
     pub fn new(
         registration: Registration,
         fence: Fence,
@@ -333,8 +333,8 @@
         self.probe = self.probe.map(|_| next);
     }
 
-    /// Sets the entry that contradicts its address, or none. A probe in flight is on its way to another address, so a new
-    /// one is made.
+    /// Sets the entry that contradicts its address, or none. A probe in flight is on its way to another address, so a
+    /// new one is made.
     pub fn set_contradiction(&mut self, entry: Option<Registration>, now: Timestamp) {
         self.contradiction = entry;
         self.probe = Some(CallState::Due(now + CALL_SEPARATION));
@@ -375,8 +375,8 @@
 
     /// Notes its first answer to this owner: from now on it refuses the orders of former ones.
     ///
-    /// Until then such an owner may have extended its leases, and may have stopped runs. A run that is being stopped may
-    /// be missing from an inventory.
+    /// Until then such an owner may have extended its leases, and may have stopped runs. A run that is being stopped
+    /// may be missing from an inventory.
     pub fn begin_contact(&mut self, bounds: &Bounds, now: Timestamp) {
         self.leases_end
             .get_or_insert(now + bounds.lease_expiry_time());
--- a/crates/cell/tests/cell/world/mod.rs
+++ b/crates/cell/tests/cell/world/mod.rs
@@ -137,7 +137,8 @@
     pub announcements: u32,
     /// Another writer overwrites a worker's entry for 1 to 15 s, per second and worker.
     pub overwritten_entries: u32,
-    /// Another writer puts a whole entry with another address under a worker's key for 1 to 15 s, per second and worker.
+    /// Another writer puts a whole entry with another address under a worker's key for 1 to 15 s, per second and
+    /// worker.
     pub misaddressed_entries: u32,
     /// A worker is replaced, per second and worker: a new one registers, and the old one announces that it leaves and
     /// is gone 2 to 4 s later.
@@ -575,8 +576,8 @@
         }
     }
 
-    /// Overwrites a worker's entry for some time with a whole one that names the address of another slot, the worker's own
-    /// plus `offset`. At that of the last slot nothing answers.
+    /// Overwrites a worker's entry for some time with a whole one that names the address of another slot, the
+    /// worker's own plus `offset`. At that of the last slot nothing answers.
     pub(crate) fn misaddress_entry(&mut self, id: &WorkerId, offset: u32, span: Duration) {
         if let Some(worker) = self.workers.get_mut(id) {
             let slot = (worker.slot + offset) % (WORKER_COUNT + 1);
--- a/crates/cell/tests/ownership/history.rs
+++ b/crates/cell/tests/ownership/history.rs
@@ -9,7 +9,8 @@
 /// How many histories are run by default; `HISTORIES=10000` in the environment runs more.
 const DEFAULT_HISTORIES: u64 = 300;
 const FAULT_PERIOD: u64 = millis(25_000);
-/// Within this time after the last fault, one node owns the cell and knows that no other does: messages of before arrive up to 7 s late.
+/// Within this time after the last fault, one node owns the cell and knows that no other does: messages of before
+/// arrive up to 7 s late.
 const RECOVERY_PERIOD: u64 = millis(12_000);
 
 fn histories() -> u64 {
--- a/crates/cell/tests/ownership/outage.rs
+++ b/crates/cell/tests/ownership/outage.rs
@@ -96,7 +96,8 @@
     assert_no_violations(&world);
 }
 
-/// The former owner started just before it claimed the cell, and the successor still takes its address to refuse connections.
+/// The former owner started just before it claimed the cell, and the successor still takes its address to refuse
+/// connections.
 #[test]
 fn a_refused_connection_from_before_an_ownership_does_not_fence_it() {
     for seed in 0..300 {
--- a/crates/cell/tests/ownership/rule.rs
+++ b/crates/cell/tests/ownership/rule.rs
@@ -128,7 +128,8 @@
     assert_eq!(ballot.confirms(Epoch(epoch), START), confirms);
 }
 
-/// The silence outlasts the slowest fencing in which the node may have been told before its restart, and a lease after it.
+/// The silence outlasts the slowest fencing in which the node may have been told before its restart, and a lease
+/// after it.
 #[test]
 fn the_silence_outlasts_a_fencing_and_a_lease() {
     let longest = FENCING_WINDOW + FENCING_TIMEOUT + LEASE_DURATION;
--- a/crates/node/src/member/tenure.rs
+++ b/crates/node/src/member/tenure.rs
@@ -52,8 +52,8 @@
 const VOTE_THRESHOLD: Duration = Duration::from_millis(400);
 /// How often the voters are asked.
 const VOTE_INTERVAL: Duration = Duration::from_millis(150);
-/// How long a voter may take to answer. If its connection has fallen silent, there is time for a new one before the lease
-/// expires.
+/// How long a voter may take to answer. If its connection has fallen silent, there is time for a new one before the
+/// lease expires.
 const VOTE_TIMEOUT: Duration = Duration::from_millis(250);
 /// How often a takeover checks whether the owner may act yet.
 const VALIDITY_CHECK_INTERVAL: Duration = Duration::from_millis(10);
@@ -72,7 +72,8 @@
 }
 
 impl Tenure {
-    /// Creates the tenure of a claim. `confirmed_at` is when the call was sent that showed the claim to be the newest one.
+    /// Creates the tenure of a claim. `confirmed_at` is when the call was sent that showed the claim to be the newest
+    /// one.
     pub(crate) fn new<P: Platform>(
         shared: &Shared<P>,
         claim: &Claim,
@@ -258,7 +259,8 @@
     }
 }
 
-/// Tells the process at an address of the owner. Returns the address, when it was called, and its response, if there is one.
+/// Tells the process at an address of the owner. Returns the address, when it was called, and its response, if there
+/// is one.
 async fn tell_of_owner<P: Platform>(
     shared: &Shared<P>,
     claim: &Claim,
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -83,8 +83,8 @@
     Configuration(u64),
     /// Asks the other node, as a voter, to confirm that it has not been told of an owner of a later epoch.
     ConfirmOwner(Epoch),
-    /// Tells the other node of the owner of this epoch. It ends an earlier ownership of its own, and from then on confirms no
-    /// owner of an earlier epoch.
+    /// Tells the other node of the owner of this epoch. It ends an earlier ownership of its own, and from then on
+    /// confirms no owner of an earlier epoch.
     Fence(Epoch),
     /// Asks the other node to send these orders to workers.
     Orders(Orders),
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -394,8 +394,8 @@
         }
     }
 
-    /// Notes the owner of an epoch: this node confirms no earlier one from now on, and ends its own ownership if that is
-    /// an earlier one.
+    /// Notes the owner of an epoch: this node confirms no earlier one from now on, and ends its own ownership if that
+    /// is an earlier one.
     pub(crate) fn fence_earlier_owners(&self, epoch: Epoch) {
         self.ballot().fence(epoch);
         let was_ended = self.ownership.send_if_modified(|ownership| {
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -48,9 +48,9 @@
     rejection_log::RejectionLog,
 };
 
-/// The maximum number of log lines of one kind and reason per second. A busy second has about 400 decisions; lines beyond
-/// the limit are only counted. A line has about 150 bytes. Reasons are limited separately because the rare ones, such as a
-/// gang's end for want of members, are those that explain a fault.
+/// The maximum number of log lines of one kind and reason per second. A busy second has about 400 decisions; lines
+/// beyond the limit are only counted. A line has about 150 bytes. Reasons are limited separately because the rare
+/// ones, such as a gang's end for want of members, are those that explain a fault.
 const MAX_LINES_PER_SECOND: u32 = 120;
 const SECOND: Duration = Duration::from_secs(1);
 /// The number of characters to which a log line shortens a key of another writer. Keys have up to 255 bytes.
