node: what a node knows of a claim that another writer removed or overwrote; new messages come last

A node that read no claim, since another writer had removed it, took itself for recovered and claimed the cell as if nobody could act any more. It now keeps the silence of a restarted node, and names the owner that it knows as one that may still act. A claim from memory no longer counts as confirmed by the store. The list of former owners is cleared only while this owner may act. The new messages between nodes stand last, so that the numbers of the others stay.

--- a/crates/node/src/member/follow.rs
+++ b/crates/node/src/member/follow.rs
@@ -274,8 +274,10 @@
     seen: Observation,
     why: &'static str,
 ) -> Observation {
-    let previous_epoch = seen.claim.as_ref().map(|claim| claim.epoch);
-    // Another writer may have removed the newest claim, but its epoch isn't owned under again.
+    // Another writer may have removed the newest claim; the owner that made it may still act.
+    let known = shared.claim.borrow().clone();
+    let previous = seen.claim.as_ref().or(known.as_ref());
+    let previous_epoch = previous.map(|claim| claim.epoch);
     let highest = previous_epoch.max(Some(shared.ballot().highest()));
     let claim = Claim {
         epoch: highest.unwrap_or_default().next(),
@@ -285,24 +287,11 @@
         renewal: 0,
         released: false,
         strength: shared.strength,
-        spread: seen
-            .claim
-            .as_ref()
-            .map(|claim| claim.spread)
-            .unwrap_or_default(),
-        nodes: seen.claim.as_ref().map_or(1, |claim| claim.nodes),
-        consecutive_slow_owners: seen
-            .claim
-            .as_ref()
-            .map_or(0, |claim| claim.consecutive_slow_owners),
-        voters: seen
-            .claim
-            .as_ref()
-            .map_or_else(Vec::new, |claim| claim.next_voters(shared.address)),
-        former: seen
-            .claim
-            .as_ref()
-            .map_or_else(Vec::new, Claim::possible_owners),
+        spread: previous.map(|claim| claim.spread).unwrap_or_default(),
+        nodes: previous.map_or(1, |claim| claim.nodes),
+        consecutive_slow_owners: previous.map_or(0, |claim| claim.consecutive_slow_owners),
+        voters: previous.map_or_else(Vec::new, |claim| claim.next_voters(shared.address)),
+        former: previous.map_or_else(Vec::new, Claim::possible_owners),
     };
     let asked_at = shared.steady_now();
     let result = append(shared, &claim, seen.end).await;
--- a/crates/node/src/member/mod.rs
+++ b/crates/node/src/member/mod.rs
@@ -225,14 +225,17 @@
     let decoded =
         fallback::decode_with_fallback(shared, Topic::Claims, "claims", page, CLAIM_RECORDS).await;
     let decoded = decoded.ok()?;
-    if !decoded.rejected.iter().any(is_claim) {
-        let newest = decoded.values.first().map(|claim| claim.epoch);
+    let is_overwritten = decoded.rejected.iter().any(is_claim);
+    let stored = decoded.values.into_iter().next();
+    // A claim that was removed or overwritten may have been of a later owner than the ones known here.
+    if end == 0 || (stored.is_some() && !is_overwritten) {
+        let newest = stored.as_ref().map(|claim| claim.epoch);
         shared.ballot().recover(newest.unwrap_or_default());
     }
-    let claim = match decoded.values.into_iter().next() {
-        Some(claim) => Some(claim),
-        None if !decoded.rejected.iter().any(is_claim) => None,
-        None => shared.claim.borrow().clone(),
+    let is_remembered = stored.is_none() && is_overwritten;
+    let claim = match is_remembered {
+        true => shared.claim.borrow().clone(),
+        false => stored,
     };
     let known = shared.claim.borrow().clone();
     if known.as_ref().map(|claim| claim.epoch) != claim.as_ref().map(|claim| claim.epoch)
@@ -249,7 +252,7 @@
         end,
         renewal_seen_at: Instant::now(),
         former: None,
-        asked_at: Some(asked_at),
+        asked_at: (!is_remembered).then_some(asked_at),
     })
 }
 
--- a/crates/node/src/member/own.rs
+++ b/crates/node/src/member/own.rs
@@ -97,6 +97,8 @@
 const PROBE_LEEWAY: Duration = Duration::from_millis(100);
 /// How often the owner checks for how long the store has not answered it.
 const STORE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// The pause before the owner reads its claim after a renewal of unknown outcome.
+const UNCERTAIN_PAUSE: Duration = Duration::from_millis(50);
 /// For how long a new owner keeps voters that have sent it no hello: while the store is slow, nodes learn of it late.
 const VOTER_RETENTION: Duration = Duration::from_secs(10);
 
@@ -366,12 +368,14 @@
                 Ok(Some(Observation {
                     claim: Some(stored),
                     end: stored_end,
-                    asked_at: Some(asked_at),
+                    asked_at,
                     ..
                 })) if is_own(shared, &stored) && stored.epoch == claim.epoch => {
-                    tenure.confirm(asked_at, shared.steady_now());
+                    if let Some(asked_at) = asked_at {
+                        tenure.confirm(asked_at, shared.steady_now());
+                    }
                     // Renewals at the former end can't be carried out any more.
-                    if stored_end != *end {
+                    if stored_end != *end && asked_at.is_some() {
                         tenure.lease().settle(stored.electorate());
                     }
                     *end = stored_end;
@@ -386,7 +390,7 @@
         claim.spread = claim.spread.renew(nodes);
         claim.nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
         update_voters(shared, claim, began.elapsed()).await;
-        if tenure.are_former_owners_fenced() {
+        if tenure.are_former_owners_fenced() && tenure.is_valid(shared.steady_now()) {
             claim.former.clear();
         }
         tenure.lease().begin_renewal(claim.electorate());
@@ -399,7 +403,10 @@
                 shared.record_spread(claim);
                 publish_renewal(shared, claim);
             }
-            Ok(Err(_)) | Err(_) => is_certain = false,
+            Ok(Err(_)) | Err(_) => {
+                is_certain = false;
+                pause = UNCERTAIN_PAUSE;
+            }
         }
     }
 }
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -81,11 +81,6 @@
     ProbeStore,
     /// Asks for the configuration that the other node uses, if its version is later than this one.
     Configuration(u64),
-    /// Asks the other node, as a voter, to confirm that it has not been told of an owner of a later epoch.
-    ConfirmOwner(Epoch),
-    /// Tells the other node of the owner of this epoch. It ends an earlier ownership of its own, and from then on
-    /// confirms no owner of an earlier epoch.
-    Fence(Epoch),
     /// Asks the other node to send these orders to workers.
     Orders(Orders),
     /// The results of orders that this node sent on behalf of the owner.
@@ -94,6 +89,11 @@
     Released(Epoch),
     /// The owner handed the cell over under this claim, which is stored.
     HandedOver(Claim),
+    /// Asks the other node, as a voter, to confirm that it has not been told of an owner of a later epoch.
+    ConfirmOwner(Epoch),
+    /// Tells the other node of the owner of this epoch. It ends an earlier ownership of its own, and from then on
+    /// confirms no owner of an earlier epoch.
+    Fence(Epoch),
 }
 
 impl Request {
