--- a/crates/node/src/member/tenure.rs
+++ b/crates/node/src/member/tenure.rs
@@ -112,7 +112,7 @@
         self.suspended
     }
 
-    /// Waits until the owner may act. The ownership ends if that takes longer than a lease.
+    /// Waits until the owner may act. The ownership ends if that takes too long.
     pub(crate) async fn wait_until_valid<P: Platform>(&self, shared: &Shared<P>) {
         while !self.is_valid(shared.steady_now()) {
             sleep(VALIDITY_CHECK_INTERVAL).await;
