--- a/crates/cell/src/engine/mod.rs
+++ b/crates/cell/src/engine/mod.rs
@@ -439,6 +439,11 @@
         [pass, self.record_queue.due()].into_iter().flatten().min()
     }
 
+    /// Returns whether the next call of [`Self::advance`] makes a scheduling pass, as far as is known.
+    pub fn is_pass_due(&self, now: Timestamp) -> bool {
+        self.needs_pass && now >= self.next_pass
+    }
+
     /// Emits a log record.
     fn log(&mut self, record: LogRecord) {
         self.outbox.push(Effect::Log(record));
--- a/crates/node/src/frontend/mod.rs
+++ b/crates/node/src/frontend/mod.rs
@@ -67,6 +67,7 @@
     retry_delay::RefusedJobs,
     shared::Shared,
     telemetry::millis,
+    work,
 };
 
 /// The age, since the store last confirmed it, up to which a configuration counts as the newest.
@@ -250,7 +251,8 @@
         deadline: Instant,
     ) -> Result<(), Refusal> {
         let began = Instant::now();
-        let result = self.try_submit(queue, job, spec, deadline).await;
+        let submission = self.try_submit(queue, job, spec, deadline);
+        let result = self.track(submission).await;
         self.log_request("submit", job, queue, began.elapsed(), &result);
         result
     }
@@ -302,6 +304,11 @@
         Ok(())
     }
 
+    /// Handles a request of a caller, and counts its pieces of work.
+    async fn track<T>(&self, request: impl Future<Output = T>) -> T {
+        self.shared.work.track(work::Kind::Caller, request).await
+    }
+
     /// Checks that the store takes the record of a job.
     fn check_size(&self, record: &Record) -> Result<(), Invalid> {
         let (bytes, most) = (record.stored_len(), self.shared.store_limits.record);
@@ -328,7 +335,7 @@
     /// Fails if the owner doesn't know the job, or if the owner can't be reached.
     pub async fn job_state(&self, job: JobId) -> Result<State, Refusal> {
         let reply = self.ask_owner(|elapsed| self.state_request(job, elapsed));
-        match reply.await? {
+        match self.track(reply).await? {
             Reply::State(state) => Ok(state),
             Reply::UnknownJob(unknown) => {
                 self.log_unknown_job(job, unknown);
@@ -358,7 +365,7 @@
         }
         let workspace = self.workspace_name().cloned();
         let reply = self.ask_owner(|_| Request::Pending(queue.clone(), workspace.clone()));
-        match reply.await? {
+        match self.track(reply).await? {
             Reply::Pending(count) => Ok(count),
             _ => Err(Refusal::NoOwner),
         }
@@ -379,7 +386,7 @@
         deadline: Instant,
     ) -> Result<(), Refusal> {
         let began = Instant::now();
-        let result = self.try_cancel(job, deadline).await;
+        let result = self.track(self.try_cancel(job, deadline)).await;
         self.log_request("cancel", job, queue, began.elapsed(), &result);
         result
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -61,6 +61,7 @@
 pub mod supplement;
 mod telemetry;
 mod watch;
+pub mod work;
 
 pub use self::{
     node::{
--- a/crates/node/src/member/own.rs
+++ b/crates/node/src/member/own.rs
@@ -71,6 +71,7 @@
         Reason, //
     },
     telemetry::millis,
+    work,
 };
 
 /// How often the owner renews its claim.
@@ -124,7 +125,14 @@
         let shared = shared.clone();
         let claim = claim.clone();
         let tenure = tenure.clone();
-        async move { take_over(&shared, &claim, &tenure).await.is_ok() }
+        async move {
+            let takeover = take_over(&shared, &claim, &tenure);
+            shared
+                .work
+                .track(work::Kind::Takeover, takeover)
+                .await
+                .is_ok()
+        }
     });
     shared.lag.reset_event_waits();
     let (began, slow_owners) = (Instant::now(), claim.consecutive_slow_owners);
@@ -395,7 +403,10 @@
         }
         tenure.lease().begin_renewal(claim.electorate());
         let sent_at = shared.steady_now();
-        match timeout(time_limit, append(shared, claim, *end)).await {
+        let wait = shared.work.begin_wait();
+        let renewed = timeout(time_limit, append(shared, claim, *end)).await;
+        shared.log_wait("renewal", &wait);
+        match renewed {
             Ok(Ok(newer)) => {
                 *end = newer;
                 tenure.confirm(sent_at, shared.steady_now());
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -80,8 +80,12 @@
         self,
         Hello, //
     },
-    telemetry::Meter,
+    telemetry::{
+        Meter,
+        millis, //
+    },
     watch as store_watch,
+    work, //
 };
 
 /// How long a peer may send no hello before it is dropped and gets no more requests for advice.
@@ -95,6 +99,8 @@
 const PEER_DESCRIPTOR_DIVISOR: u32 = 4;
 /// The interval between reports of suppressed log lines.
 const SUPPRESSED_LINES_INTERVAL: Duration = Duration::from_secs(1);
+/// The interval between reports of where the processor time goes.
+const WORK_REPORT_INTERVAL: Duration = Duration::from_secs(2);
 
 /// An error that prevents a node from starting.
 #[derive(Debug, thiserror::Error)]
@@ -201,6 +207,7 @@
             clock,
             log: parts.log.clone(),
             meter: parts.meter,
+            work: work::Meter::default(),
             config: watch::Sender::new(None),
             config_record: watch::Sender::new(None),
             config_confirmed_at: watch::Sender::new(Instant::now()),
@@ -225,6 +232,7 @@
         tokio::spawn(config_exchange::poll_owner(shared.clone()));
         tokio::spawn(member::run(shared.clone()));
         tokio::spawn(log_suppressed_lines(shared.clone()));
+        tokio::spawn(report_work(shared.clone()));
         tokio::spawn(lag::run(shared.clone()));
         let peer_service = PeerService::new(shared.clone());
         tokio::spawn(peer_service.clone().track_peers());
@@ -295,6 +303,33 @@
     }
 }
 
+/// Counts where the processor time of this node goes, for as long as the process runs, and logs it while the node owns
+/// the cell.
+async fn report_work<P: Platform>(shared: Arc<Shared<P>>) {
+    let runtime = tokio::runtime::Handle::current().metrics();
+    let busy_time = || runtime.worker_total_busy_duration(0);
+    let (mut before, mut busy_before) = (shared.work.usage(), busy_time());
+    loop {
+        let began = Instant::now();
+        sleep(WORK_REPORT_INTERVAL).await;
+        let (usage, busy) = (shared.work.usage(), busy_time());
+        let spent = usage.since(&before);
+        shared.meter.work(&spent);
+        let epoch = shared
+            .ownership
+            .borrow()
+            .as_ref()
+            .map(|own| own.claim.epoch);
+        if let Some(epoch) = epoch {
+            slog::info!(shared.log, "work"; "epoch" => %epoch, "period_ms" => millis(began.elapsed()),
+                "busy_ms" => millis(busy.saturating_sub(busy_before)),
+                "passes" => spent.pieces(work::Kind::Pass), "reports" => spent.pieces(work::Kind::Report),
+                spent);
+        }
+        (before, busy_before) = (usage, busy);
+    }
+}
+
 /// Serves the requests of peers.
 struct PeerService<P: Platform> {
     shared: Arc<Shared<P>>,
@@ -329,7 +364,10 @@
                 let Some(request) = message::decode_request(&incoming.call) else {
                     return;
                 };
-                let reply = peer_service.reply(request).await;
+                let work = peer_service.shared.work.clone();
+                let reply = work
+                    .track(work::Kind::Peer, peer_service.reply(request))
+                    .await;
                 if let Some(answer) = message::encode_reply(&reply) {
                     // The caller may have given up.
                     let _ = incoming.answer.send(answer);
--- a/crates/node/src/owner/engine_actor.rs
+++ b/crates/node/src/owner/engine_actor.rs
@@ -85,6 +85,7 @@
         OptionalField,
         millis, //
     },
+    work,
 };
 
 /// Added to twice the expected duration of an advice call to give its timeout. The duration counts
@@ -161,14 +162,37 @@
     Peers(Vec<Peer>),
     /// The delay for batching orders has passed.
     BatchDue,
-    /// The periodic tick; carries the time at which it was due.
-    Tick(Instant),
+    /// The periodic tick; carries the time at which it was due, and its wait for the actor.
+    Tick(Instant, work::Wait),
     /// A pass over the open steps is due.
     Pass,
     /// Another node owns the cell, or may own it.
     OwnershipLost,
 }
 
+impl Event {
+    /// Returns which kind of work it is to handle the event.
+    const fn kind_of_work(&self) -> work::Kind {
+        match self {
+            Self::Announced(_) | Self::Withdrawn(_) | Self::Accepted(_) | Self::Cancelled(_) => {
+                work::Kind::Job
+            }
+            Self::Reported(_) | Self::Reports(_) | Self::DelegationFailed(..) => work::Kind::Report,
+            Self::Advised(..) => work::Kind::Advice,
+            Self::WorkersChanged(_) => work::Kind::Registration,
+            Self::Recorded
+            | Self::Configured(_)
+            | Self::Evacuation(_)
+            | Self::FormerOwnersFenced(_)
+            | Self::Peers(_)
+            | Self::BatchDue
+            | Self::Tick(..)
+            | Self::Pass
+            | Self::OwnershipLost => work::Kind::Event,
+        }
+    }
+}
+
 /// Queries the state of a job, as callers of a workspace see it.
 #[derive(Clone)]
 pub(super) struct JobQuery {
@@ -271,8 +295,9 @@
                 engine.set_advice_nodes(&names, now);
                 self.assignment.update_nodes(own_peer, peers);
             }
-            Event::Tick(due) => {
+            Event::Tick(due, wait) => {
                 self.shared.lag.record_event_wait(due.elapsed());
+                self.shared.log_wait("event", &wait);
                 for report in self.delegated.overdue() {
                     self.handle_report(report);
                 }
@@ -411,6 +436,8 @@
     type Reply = ();
 
     async fn handle(&mut self, event: Event, context: &mut Context<Self, ()>) {
+        let shared = self.shared.clone();
+        let mut piece = shared.work.begin(event.kind_of_work());
         let is_batch_due = matches!(event, Event::BatchDue);
         self.now = self.shared.clock.now();
         // Events that were sent before the ownership ended may still be queued.
@@ -422,7 +449,12 @@
             context.actor_ref().kill();
             return;
         }
+        piece.switch(match self.engine.is_pass_due(self.now) {
+            true => work::Kind::Pass,
+            false => work::Kind::Due,
+        });
         let effects = self.engine.advance(self.now);
+        piece.switch(work::Kind::Effect);
         let actor_ref = context.actor_ref().clone();
         self.apply_effects(effects, &actor_ref);
         if is_batch_due {
@@ -436,6 +468,7 @@
     type Reply = JobAnswer;
 
     async fn handle(&mut self, query: JobQuery, _: &mut Context<Self, JobAnswer>) -> JobAnswer {
+        let _piece = self.shared.work.begin(work::Kind::Query);
         JobAnswer {
             state: self.engine.state_for(query.job, query.workspace.as_ref()),
             epoch: self.engine.epoch(),
@@ -447,6 +480,7 @@
     type Reply = u32;
 
     async fn handle(&mut self, query: PendingQuery, _: &mut Context<Self, u32>) -> u32 {
+        let _piece = self.shared.work.begin(work::Kind::Query);
         self.engine
             .pending_for(&query.queue, query.workspace.as_ref())
     }
@@ -459,6 +493,8 @@
     type Reply = ();
 
     async fn handle(&mut self, _: UpdateGauges, _: &mut Context<Self, ()>) {
+        let shared = self.shared.clone();
+        let _piece = shared.work.begin(work::Kind::Gauge);
         let counts = self.engine.counts();
         let epoch = u64::from(self.engine.epoch().0);
         let staleness = self.read_progress.age();
--- a/crates/node/src/owner/takeover.rs
+++ b/crates/node/src/owner/takeover.rs
@@ -76,6 +76,7 @@
         Reader,
         wait_to_retry, //
     },
+    work,
 };
 
 /// How often the engine checks what is due; its shortest wait is 100 ms.
@@ -237,26 +238,23 @@
     let actor = EngineActor::spawn_with_mailbox(actor, mailbox::bounded(MAILBOX_CAPACITY));
     let weak = actor.downgrade();
     let splitter = Splitter::new(claim.epoch, shared.store_limits, pieces);
-    tokio::spawn(recorder::run(
-        shared.clone(),
-        claim.epoch,
-        splitter,
-        queue,
-        weak.clone(),
-    ));
-    tokio::spawn(workers::follow(shared.clone(), list, weak.clone()));
+    let recorder = recorder::run(shared.clone(), claim.epoch, splitter, queue, weak.clone());
+    spawn_tracked(shared, work::Kind::Recording, recorder);
+    let list = workers::follow(shared.clone(), list, weak.clone());
+    spawn_tracked(shared, work::Kind::WorkerList, list);
     let writers = jobs::Writers::default();
     tokio::spawn(writers.clone().follow(shared.clone(), weak.clone()));
     for partition in partitions {
-        tokio::spawn(jobs::follow(
+        let jobs = jobs::follow(
             shared.clone(),
             partition,
             read_progress.clone(),
             writers.clone(),
             weak.clone(),
-        ));
+        );
+        spawn_tracked(shared, work::Kind::JobRecords, jobs);
     }
-    tokio::spawn(tick(weak.clone()));
+    tokio::spawn(tick(shared.work.clone(), weak.clone()));
     let configs = shared.config.subscribe();
     tokio::spawn(forward_changes(configs, weak.clone(), Event::Configured));
     let evacuations = shared.evacuation.subscribe();
@@ -278,7 +276,17 @@
     actor
 }
 
-async fn tick<P: Platform>(actor: WeakActorRef<EngineActor<P>>) {
+/// Spawns a task whose pieces count as work of a kind.
+fn spawn_tracked<P: Platform>(
+    shared: &Shared<P>,
+    kind: work::Kind,
+    task: impl Future<Output = ()> + Send + 'static,
+) {
+    let work = shared.work.clone();
+    tokio::spawn(async move { work.track(kind, task).await });
+}
+
+async fn tick<P: Platform>(work: work::Meter, actor: WeakActorRef<EngineActor<P>>) {
     let mut ticks = interval(TICK_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut gauges_updated_at = Instant::now();
@@ -287,7 +295,11 @@
         let Some(actor) = actor.upgrade() else {
             return;
         };
-        if actor.tell(Event::Tick(due)).await.is_err() {
+        if actor
+            .tell(Event::Tick(due, work.begin_wait()))
+            .await
+            .is_err()
+        {
             return;
         }
         if gauges_updated_at.elapsed() >= GAUGE_UPDATE_INTERVAL {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -71,7 +71,11 @@
     },
     revocation::RevocationLimit,
     succession::Hello,
-    telemetry::Meter, //
+    telemetry::{
+        Meter,
+        millis, //
+    },
+    work, //
 };
 
 /// The ownership of the cell by this node.
@@ -135,6 +139,8 @@
     pub(crate) clock: Clock,
     pub(crate) log: Logger,
     pub(crate) meter: Meter,
+    /// Where the processor time of this node goes.
+    pub(crate) work: work::Meter,
     /// The configuration in force on this node, once one is known.
     pub(crate) config: watch::Sender<Option<Arc<Config>>>,
     /// The operator's record from which that configuration was decoded.
@@ -261,6 +267,16 @@
         self.store.end(call, result);
     }
 
+    /// Logs for how long a step has waited, and behind which work of this node, if it was long.
+    pub(crate) fn log_wait(&self, what: &'static str, wait: &work::Wait) {
+        let Some((waited, behind)) = wait.long(&self.work) else {
+            return;
+        };
+        if self.meter.may_log("waited", what) {
+            slog::warn!(self.log, "waited"; "what" => what, "waited_ms" => millis(waited), behind);
+        }
+    }
+
     pub(crate) fn is_leaving(&self) -> bool {
         self.is_leaving.load(Ordering::Relaxed)
     }
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -46,6 +46,7 @@
         Rejected, //
     },
     rejection_log::RejectionLog,
+    work, //
 };
 
 /// The maximum number of log lines of one kind and reason per second. A busy second has about 400 decisions; lines
@@ -95,6 +96,8 @@
     owner_unconfirmed: Gauge<f64>,
     votes: Counter<u64>,
     unfenced_owners: Gauge<u64>,
+    work_time: Counter<u64>,
+    work_pieces: Counter<u64>,
     rate_limits: Mutex<HashMap<Kind, RateLimit>>,
 }
 
@@ -189,6 +192,14 @@
                 "fulmarpier_unfenced_owners",
                 "Former owners that may still act, as far as this node knows as the owner.",
             ),
+            work_time: registry.counter(
+                "fulmarpier_work_microseconds",
+                "Processor time of this node by kind of work.",
+            ),
+            work_pieces: registry.counter(
+                "fulmarpier_work_pieces",
+                "Pieces of work of this node by kind.",
+            ),
             lost_reports: registry.counter(
                 "fulmarpier_reports_lost",
                 "Reports on orders that the owner did not take.",
@@ -310,6 +321,16 @@
         self.0.unfenced_owners.record(count(owners), &[]);
     }
 
+    /// Counts the time that each kind of work took.
+    pub(crate) fn work(&self, usage: &work::Usage) {
+        for (kind, spent) in usage.iter().filter(|(_, spent)| spent.pieces > 0) {
+            let labels = [KeyValue::new("kind", kind.as_str())];
+            let micros = u64::try_from(spent.time.as_micros()).unwrap_or(u64::MAX);
+            self.0.work_time.add(micros, &labels);
+            self.0.work_pieces.add(spent.pieces, &labels);
+        }
+    }
+
     pub(crate) fn lost_report(&self, why: &'static str) {
         self.0.lost_reports.add(1, &[KeyValue::new("reason", why)]);
     }
