--- a/crates/cell/src/engine/mod.rs
+++ b/crates/cell/src/engine/mod.rs
@@ -278,6 +278,8 @@
     retry_skipped_at: Option<Timestamp>,
     /// The earliest time of the next scheduling pass.
     next_pass: Timestamp,
+    /// The cost of the last scheduling pass, in worker checks.
+    pass_cost: usize,
     /// The effects to be returned by the next call of [`Self::advance`].
     outbox: Vec<Effect>,
 }
@@ -334,6 +336,7 @@
             resume_after: None,
             retry_skipped_at: None,
             next_pass: now,
+            pass_cost: 0,
             outbox: Vec::new(),
         };
         for cancelled in &stored.cancelled {
@@ -444,6 +447,11 @@
         self.needs_pass && now >= self.next_pass
     }
 
+    /// Returns the cost of the last scheduling pass, in worker checks.
+    pub const fn pass_cost(&self) -> usize {
+        self.pass_cost
+    }
+
     /// Emits a log record.
     fn log(&mut self, record: LogRecord) {
         self.outbox.push(Effect::Log(record));
--- a/crates/cell/src/engine/schedule.rs
+++ b/crates/cell/src/engine/schedule.rs
@@ -111,7 +111,8 @@
         self.reserve_held_workers(&mut reserved, now);
         let (last, cost) = self.schedule_from(None, MAX_PASS_CHECKS, &mut reserved, now);
         let more_cost = self.schedule_skipped(last, &mut reserved, now);
-        let cost = u32::try_from(cost + more_cost).unwrap_or(u32::MAX);
+        self.pass_cost = cost + more_cost;
+        let cost = u32::try_from(self.pass_cost).unwrap_or(u32::MAX);
         self.next_pass = now + MIN_PASS_INTERVAL.max(PASS_DELAY_PER_CHECK * cost);
     }
 
--- a/crates/node/src/frontend/mod.rs
+++ b/crates/node/src/frontend/mod.rs
@@ -306,6 +306,7 @@
 
     /// Handles a request of a caller, and counts its pieces of work.
     async fn track<T>(&self, request: impl Future<Output = T>) -> T {
+        self.shared.platform.work(work::Kind::Caller, 1).await;
         self.shared.work.track(work::Kind::Caller, request).await
     }
 
--- a/crates/node/src/member/own.rs
+++ b/crates/node/src/member/own.rs
@@ -404,7 +404,9 @@
         tenure.lease().begin_renewal(claim.electorate());
         let sent_at = shared.steady_now();
         let wait = shared.work.begin_wait();
+        shared.platform.work(work::Kind::Membership, 1).await;
         let renewed = timeout(time_limit, append(shared, claim, *end)).await;
+        shared.platform.work(work::Kind::Membership, 1).await;
         shared.log_wait("renewal", &wait);
         match renewed {
             Ok(Ok(newer)) => {
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -41,7 +41,8 @@
     },
     network,
     succession::Hello,
-    supplement, //
+    supplement,
+    work, //
 };
 
 /// A request of one node to another.
@@ -120,6 +121,21 @@
     }
 }
 
+impl Request {
+    /// Returns which kind of work it is to serve the request.
+    pub(crate) const fn kind_of_work(&self) -> work::Kind {
+        match self {
+            Self::Hello(_)
+            | Self::ProbeStore
+            | Self::Released(_)
+            | Self::HandedOver(_)
+            | Self::ConfirmOwner(_)
+            | Self::Fence(_) => work::Kind::Membership,
+            _ => work::Kind::Peer,
+        }
+    }
+}
+
 /// The reply to a [`Request`].
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) enum Reply {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -364,10 +364,9 @@
                 let Some(request) = message::decode_request(&incoming.call) else {
                     return;
                 };
-                let work = peer_service.shared.work.clone();
-                let reply = work
-                    .track(work::Kind::Peer, peer_service.reply(request))
-                    .await;
+                let (work, kind) = (peer_service.shared.work.clone(), request.kind_of_work());
+                peer_service.shared.platform.work(kind, 1).await;
+                let reply = work.track(kind, peer_service.reply(request)).await;
                 if let Some(answer) = message::encode_reply(&reply) {
                     // The caller may have given up.
                     let _ = incoming.answer.send(answer);
--- a/crates/node/src/owner/engine_actor.rs
+++ b/crates/node/src/owner/engine_actor.rs
@@ -171,6 +171,15 @@
 }
 
 impl Event {
+    /// Returns how much work it is to handle the event.
+    fn amount_of_work(&self) -> usize {
+        match self {
+            Self::Reports(reports) => reports.reports.len(),
+            Self::WorkersChanged(changes) => changes.len(),
+            _ => 1,
+        }
+    }
+
     /// Returns which kind of work it is to handle the event.
     const fn kind_of_work(&self) -> work::Kind {
         match self {
@@ -437,8 +446,10 @@
 
     async fn handle(&mut self, event: Event, context: &mut Context<Self, ()>) {
         let shared = self.shared.clone();
-        let mut piece = shared.work.begin(event.kind_of_work());
+        let kind = event.kind_of_work();
+        let mut piece = shared.work.begin(kind);
         let is_batch_due = matches!(event, Event::BatchDue);
+        let amount = event.amount_of_work();
         self.now = self.shared.clock.now();
         // Events that were sent before the ownership ended may still be queued.
         self.has_lost_ownership |= !self.shared.owns(self.engine.epoch());
@@ -449,11 +460,17 @@
             context.actor_ref().kill();
             return;
         }
-        piece.switch(match self.engine.is_pass_due(self.now) {
+        shared.platform.work(kind, amount).await;
+        let is_pass_due = self.engine.is_pass_due(self.now);
+        piece.switch(match is_pass_due {
             true => work::Kind::Pass,
             false => work::Kind::Due,
         });
         let effects = self.engine.advance(self.now);
+        if is_pass_due {
+            let cost = self.engine.pass_cost();
+            shared.platform.work(work::Kind::Pass, cost).await;
+        }
         piece.switch(work::Kind::Effect);
         let actor_ref = context.actor_ref().clone();
         self.apply_effects(effects, &actor_ref);
@@ -469,6 +486,7 @@
 
     async fn handle(&mut self, query: JobQuery, _: &mut Context<Self, JobAnswer>) -> JobAnswer {
         let _piece = self.shared.work.begin(work::Kind::Query);
+        self.shared.platform.work(work::Kind::Query, 1).await;
         JobAnswer {
             state: self.engine.state_for(query.job, query.workspace.as_ref()),
             epoch: self.engine.epoch(),
@@ -481,6 +499,7 @@
 
     async fn handle(&mut self, query: PendingQuery, _: &mut Context<Self, u32>) -> u32 {
         let _piece = self.shared.work.begin(work::Kind::Query);
+        self.shared.platform.work(work::Kind::Query, 1).await;
         self.engine
             .pending_for(&query.queue, query.workspace.as_ref())
     }
--- a/crates/node/src/owner/takeover.rs
+++ b/crates/node/src/owner/takeover.rs
@@ -116,6 +116,8 @@
     let list = workers::start_initial_read(shared);
     let ((progress, progress_took), ((partitions, found), jobs_took)) =
         futures::join!(timed(read_progress(shared)), timed(jobs::read_all(shared)));
+    let read = progress.entries.len() + found.len();
+    shared.platform.work(work::Kind::Takeover, read).await;
     let mut stored = StoredState::default();
     for rejected in &progress.rejected {
         shared.record_rejected("progress", rejected);
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -31,6 +31,8 @@
     },
 };
 
+use crate::work;
+
 /// The timeout of an order to a worker. Workers answer within milliseconds or not at all, and the most urgent jobs
 /// have only 650 ms of slack.
 pub const ORDER_TIMEOUT: Duration = Duration::from_millis(250);
@@ -338,6 +340,14 @@
         timeout: Duration,
     ) -> impl Future<Output = Option<Vec<Grant>>> + Send;
 
+    /// Takes the processor for a piece of work of some amount, such as the number of records that it handles.
+    ///
+    /// Returns when a simulated processor has done the piece. A real processor does it by itself, so there this returns
+    /// at once.
+    fn work(&self, _kind: work::Kind, _amount: usize) -> impl Future<Output = ()> + Send {
+        std::future::ready(())
+    }
+
     /// Returns the total time for which the machine was suspended since the process started.
     fn total_suspension(&self) -> Duration;
 
--- a/crates/node/src/work.rs
+++ b/crates/node/src/work.rs
@@ -186,7 +186,7 @@
     pub fn begin_wait(&self) -> Wait {
         Wait {
             began: Instant::now(),
-            usage: self.usage(),
+            usage: Box::new(self.usage()),
         }
     }
 }
@@ -274,10 +274,10 @@
 }
 
 /// Something that a step of the node waits for.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Wait {
     began: Instant,
-    usage: Usage,
+    usage: Box<Usage>,
 }
 
 impl Wait {
