cell, node: the pause after a scheduling pass follows from what the pass took

Cause: the pause between two passes counted from the start of the first and was estimated from worker checks, 0.8 us each. Where a pass takes longer than its estimate (8 ms with 8,000 checks on half a core here) the next one follows at once: passes take the whole processor as soon as more steps are open than one pass examines. Events, renewals of the claim and callers then wait behind passes, the owner ends, and its successor begins with the same backlog and a takeover on top.

Change: the owner measures each pass, and the next one waits for three times as long from its end, on any machine.

--- a/crates/cell/src/engine/schedule.rs
+++ b/crates/cell/src/engine/schedule.rs
@@ -28,6 +28,8 @@
 /// The delay that each worker check adds before the next pass, so that passes leave most of the CPU to events however
 /// many steps wait. The engine used 84 ms of each second on the fleet that [`MAX_PASS_CHECKS`] describes.
 const PASS_DELAY_PER_CHECK: Duration = Duration::from_nanos(800);
+/// The pause after a pass, as a multiple of what the pass took: passes get at most a quarter of the processor.
+const PASS_PAUSE_FACTOR: u32 = 3;
 /// The time until skipped steps are retried if no event triggers a pass before.
 const SKIPPED_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -116,6 +118,14 @@
         self.next_pass = now + MIN_PASS_INTERVAL.max(PASS_DELAY_PER_CHECK * cost);
     }
 
+    /// Notes how long the last pass took, which has ended at `now`.
+    ///
+    /// The next one waits for a multiple of that, so that passes leave most of the processor to events on any machine,
+    /// however many steps wait.
+    pub fn note_pass(&mut self, took: Duration, now: Timestamp) {
+        self.next_pass = self.next_pass.max(now + took * PASS_PAUSE_FACTOR);
+    }
+
     /// Schedules the steps that rank after `from` until the cost reaches `budget`. Returns the cost and, if steps are
     /// left, the rank of the last step that was examined.
     fn schedule_from(
--- a/crates/node/src/owner/engine_actor.rs
+++ b/crates/node/src/owner/engine_actor.rs
@@ -471,7 +471,10 @@
             let cost = self.engine.pass_cost();
             shared.platform.work(work::Kind::Pass, cost).await;
         }
-        piece.switch(work::Kind::Effect);
+        let took = piece.switch(work::Kind::Effect);
+        if is_pass_due {
+            self.engine.note_pass(took, shared.clock.now());
+        }
         let actor_ref = context.actor_ref().clone();
         self.apply_effects(effects, &actor_ref);
         if is_batch_due {
--- a/crates/node/src/work.rs
+++ b/crates/node/src/work.rs
@@ -201,12 +201,13 @@
 }
 
 impl Piece<'_> {
-    /// Ends the piece and begins another one at the same moment.
-    pub fn switch(&mut self, kind: Kind) {
+    /// Ends the piece and begins another one at the same moment. Returns what the first one took.
+    pub fn switch(&mut self, kind: Kind) -> Duration {
         let now = Instant::now();
-        self.meter
-            .add(self.kind, now.saturating_duration_since(self.began));
+        let took = now.saturating_duration_since(self.began);
+        self.meter.add(self.kind, took);
         (self.kind, self.began) = (kind, now);
+        took
     }
 }
 
