node: a thread of its own keeps the ownership; a busy owner is told apart from a slow machine

Cause: renewals, votes, the store's answers to them, hellos and all other work of a node waited in one queue, so load alone ended ownerships (`lease-expired`, `store-answers-others`, `replaced`). An owner with too much to do gave the cell up as slow, which adds a takeover to the load.

Change: a runtime on a thread of its own does what decides on the ownership (renewals, votes, fencing, hellos, probes of the store), over connections of its own to the store. The end of an ownership no longer waits for room in the actor's queue. A standstill of the process is measured there and not by the gaps between events. An owner hands over as slow only if another machine is three times as fast in a fixed computation, or if its timers fire late on that thread. Overdue answers count as a loss of the store only if a probe over these connections fails too. Weak nodes leave the cell to strong ones for longer. The lease rule is as it was.

--- a/crates/node/src/health.rs
+++ b/crates/node/src/health.rs
@@ -51,6 +51,11 @@
 }
 
 impl Call {
+    /// Records the result of the call.
+    pub(crate) fn end<T>(&self, result: &Result<T, Error>) {
+        self.health.end(self, result);
+    }
+
     /// Returns the time since the call was made.
     pub(crate) fn elapsed(&self) -> Duration {
         self.began.elapsed()
@@ -148,8 +153,7 @@
         slog::warn!(self.log, "store-failing"; "why" => why, "purpose" => call.purpose);
     }
 
-    /// Records the result of a call.
-    pub(crate) fn end<T>(&self, call: &Call, result: &Result<T, Error>) {
+    fn end<T>(&self, call: &Call, result: &Result<T, Error>) {
         let mut state = self.state();
         let due = state.in_flight.remove(&call.id);
         let Err(error @ (Error::Refused(_) | Error::Unanswered)) = result else {
--- a/crates/node/src/member/follow.rs
+++ b/crates/node/src/member/follow.rs
@@ -59,9 +59,11 @@
 const LEASE: Duration = Duration::from_millis(700);
 /// Once an owner has not answered for this long, its renewals are checked in the store.
 const SILENCE_THRESHOLD: Duration = Duration::from_millis(200);
-/// How long a weak or slow node leaves the cell to others before it claims it: covers their jitter
-/// and a slow append.
-const WEAK_CLAIM_DELAY: Duration = Duration::from_millis(250);
+/// How long a slow node leaves the cell to others before it claims it: covers their jitter and a slow append.
+const SLOW_CLAIM_DELAY: Duration = Duration::from_millis(250);
+/// How long a weak node leaves the cell to strong ones. They notice the end of an owner as soon as it does, unless their
+/// hellos or reads are lost, and a weak owner of a busy cell serves it worse than none for this long.
+const WEAK_CLAIM_DELAY: Duration = Duration::from_millis(700);
 /// The longest random delay before a claim, so that nodes don't all append at once.
 const MAX_CLAIM_JITTER: Duration = Duration::from_millis(60);
 
@@ -261,9 +263,10 @@
 fn claim_delay<P: Platform>(shared: &Shared<P>) -> Duration {
     let is_weak = outranks(shared.strongest_owner(), shared.strength);
     let is_slow = !succession::is_prompt(shared.lag.timer_lag());
-    let min_delay = match is_weak || is_slow {
-        true => WEAK_CLAIM_DELAY,
-        false => Duration::ZERO,
+    let min_delay = match () {
+        () if is_weak => WEAK_CLAIM_DELAY,
+        () if is_slow => SLOW_CLAIM_DELAY,
+        () => Duration::ZERO,
     };
     min_delay + MAX_CLAIM_JITTER.mul_f64(random_range(0.0..=1.0))
 }
--- a/crates/node/src/member/isolation.rs
+++ b/crates/node/src/member/isolation.rs
@@ -8,9 +8,15 @@
     time::Duration,
 };
 
-use tokio::time::sleep;
+use tokio::time::{
+    sleep,
+    timeout, //
+};
 
-use super::PROBE_TIMEOUT;
+use super::{
+    PROBE_TIMEOUT,
+    probe, //
+};
 use crate::{
     message::{
         self,
@@ -55,6 +61,10 @@
     let Some(owner) = owner.filter(|address| *address != shared.address) else {
         return false;
     };
+    // The load of this node may delay the answers to its other calls.
+    if matches!(timeout(PROBE_TIMEOUT, probe(shared)).await, Ok(Some(_))) {
+        return false;
+    }
     let answer = message::send(
         &shared.rpc,
         owner,
--- a/crates/node/src/member/own.rs
+++ b/crates/node/src/member/own.rs
@@ -8,7 +8,10 @@
 };
 
 use fulmarpier_cell::{
-    id::NodeName,
+    id::{
+        Epoch,
+        NodeName, //
+    },
     ownership::LEASE_DURATION,
     record::Claim, //
 };
@@ -31,6 +34,7 @@
 
 use super::{
     HELLO_TIMEOUT,
+    MAX_PROBE_AGE,
     Observation,
     RENEWAL_TIMEOUT,
     STORE_LATENCY_FACTOR,
@@ -70,7 +74,10 @@
         Hello,
         Reason, //
     },
-    telemetry::millis,
+    telemetry::{
+        micros,
+        millis, //
+    },
     work,
 };
 
@@ -98,6 +105,8 @@
 const PROBE_LEEWAY: Duration = Duration::from_millis(100);
 /// How often the owner checks for how long the store has not answered it.
 const STORE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// For how long the latency of the store, as renewals have measured it, is used after the last of them.
+const MAX_LATENCY_AGE: Duration = Duration::from_secs(1);
 /// The pause before the owner reads its claim after a renewal of unknown outcome.
 const UNCERTAIN_PAUSE: Duration = Duration::from_millis(50);
 /// For how long a new owner keeps voters that have sent it no hello: while the store is slow, nodes learn of it late.
@@ -121,7 +130,7 @@
     shared.fence_earlier_owners(later);
     // Discards a notification that is left over from an earlier ownership.
     let _ = shared.stalled.notified().now_or_never();
-    let mut takeover = tokio::spawn({
+    let mut takeover = shared.runtime.spawn({
         let shared = shared.clone();
         let claim = claim.clone();
         let tenure = tenure.clone();
@@ -153,17 +162,12 @@
     if began.elapsed() >= succession::SLOW_SERIES_GAP {
         claim.consecutive_slow_owners = 0;
     }
-    // This node goes on scheduling while the successor's claim is being written, unless the
-    // scheduling itself delays the write.
-    if matches!(ending, Ending::HandOver(Reason::Slow)) {
-        report_ownership_lost(shared, &takeover).await;
-    }
+    // This node goes on scheduling while the successor's claim is being written.
     let successor = match ending {
         Ending::HandOver(reason) => hand_over(shared, &claim, &mut end, reason).await,
         Ending::Released(_) | Ending::Lost(_) => None,
     };
-    report_ownership_lost(shared, &takeover).await;
-    shared.end_ownership(claim.epoch);
+    stop_scheduling(shared, claim.epoch, &takeover);
     if let Some(successor) = successor {
         announce_successor(shared, successor, &peers).await;
         return;
@@ -190,12 +194,17 @@
     }
 }
 
-/// Stops the owner's actor, or the takeover that would start it.
-async fn report_ownership_lost<P: Platform>(shared: &Shared<P>, takeover: &JoinHandle<bool>) {
+/// Ends the ownership on this node and stops its actor, or the takeover that would start it.
+fn stop_scheduling<P: Platform>(shared: &Shared<P>, epoch: Epoch, takeover: &JoinHandle<bool>) {
     takeover.abort();
-    if let Some(actor) = shared.engine_actor() {
-        // The actor may have ended already.
-        let _ = actor.tell(Event::OwnershipLost).await;
+    let actor = shared.engine_actor();
+    // The actor sends no order from here on, however many events are queued for it.
+    shared.end_ownership(epoch);
+    if let Some(actor) = actor {
+        shared.runtime.spawn(async move {
+            // The actor may have ended already.
+            let _ = actor.tell(Event::OwnershipLost).await;
+        });
     }
 }
 
@@ -232,8 +241,8 @@
     reason: Reason,
 ) -> Option<Claim> {
     let hellos = recent_hellos(shared, MAX_HELLO_AGE).await;
-    let lag = shared.lag.owner_lag();
-    let next = succession::choose_successor(shared.strength, lag, reason, &hellos)?;
+    let pace = shared.lag.pace();
+    let next = succession::choose_successor(shared.strength, pace, reason, &hellos)?;
     let successor = Claim {
         epoch: claim.epoch.next(),
         node: next.node.clone(),
@@ -255,11 +264,12 @@
     // The claim may be stored although no answer arrives, so this node must not go on for longer
     // than its lease.
     let time_limit =
-        LEASE_DURATION.min(RENEWAL_TIMEOUT + STORE_LATENCY_FACTOR * shared.store.typical_latency());
+        LEASE_DURATION.min(RENEWAL_TIMEOUT + STORE_LATENCY_FACTOR * store_latency(shared));
     let result = timeout(time_limit, append_successor(shared, &successor, end)).await;
     let is_stored = matches!(result, Ok(true));
     slog::info!(shared.log, "hand-over"; "epoch" => %successor.epoch, "why" => reason.as_str(),
-        "node" => successor.node.as_str(), "lag_ms" => millis(next.lag),
+        "node" => successor.node.as_str(), "lag_ms" => millis(next.pace.lag),
+        "probe_us" => micros(next.pace.probe), "own_probe_us" => micros(pace.probe),
         "age_ms" => millis(next.age), "outcome" => if is_stored { "kept" } else { "not-kept" });
     is_stored.then_some(successor)
 }
@@ -351,7 +361,8 @@
             () => continue,
         };
         let hellos = recent_hellos(shared, MAX_HELLO_AGE).await;
-        if succession::choose_successor(shared.strength, lag, reason, &hellos).is_some() {
+        let pace = shared.lag.pace();
+        if succession::choose_successor(shared.strength, pace, reason, &hellos).is_some() {
             return reason;
         }
     }
@@ -370,7 +381,7 @@
     let mut pause = LEASE_RENEWAL_INTERVAL.mul_f64(f64::from(u8::from(is_certain)));
     loop {
         sleep(std::mem::replace(&mut pause, LEASE_RENEWAL_INTERVAL)).await;
-        let time_limit = RENEWAL_TIMEOUT + STORE_LATENCY_FACTOR * shared.store.typical_latency();
+        let time_limit = RENEWAL_TIMEOUT + STORE_LATENCY_FACTOR * store_latency(shared);
         if !is_certain {
             match timeout(time_limit, try_read_claim(shared)).await {
                 Ok(Some(Observation {
@@ -437,6 +448,16 @@
     claim.voters = electorate.voters;
 }
 
+/// Returns how long the store usually takes to answer this node, without what the load of this node adds, as far as it
+/// was asked of late by calls that this doesn't delay.
+fn store_latency<P: Platform>(shared: &Shared<P>) -> Duration {
+    let health = &shared.membership_store;
+    match health.has_answered_within(MAX_LATENCY_AGE) {
+        true => health.typical_latency(),
+        false => shared.store.typical_latency(),
+    }
+}
+
 /// Updates what this node reports of its claim to other nodes.
 fn publish_renewal<P: Platform>(shared: &Shared<P>, claim: &Claim) {
     shared.ownership.send_if_modified(|ownership| {
@@ -461,7 +482,7 @@
     loop {
         sleep(STORE_CHECK_INTERVAL).await;
         let failing = shared.store.failing_for();
-        if failing < PEER_QUERY_THRESHOLD {
+        if failing < PEER_QUERY_THRESHOLD || is_store_answering(shared).await {
             log.has_store(shared);
             continue;
         }
@@ -497,6 +518,13 @@
     }
 }
 
+/// Returns whether the store answers calls that the load of this node doesn't delay: the others may be overdue because
+/// their answers wait to be handled here.
+async fn is_store_answering<P: Platform>(shared: &Shared<P>) -> bool {
+    shared.membership_store.has_answered_within(MAX_PROBE_AGE)
+        || matches!(timeout(PROBE_LEEWAY, probe(shared)).await, Ok(Some(_)))
+}
+
 /// Asks a node whether the store answers it; returns its name and its answer.
 async fn ask_about_store<'a, P: Platform>(
     shared: &Shared<P>,
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -121,6 +121,10 @@
     }
 }
 
+/// The numbers of the variants of [`Request`] that concern the ownership of the cell: `Hello`, `ProbeStore`, `Released`,
+/// `HandedOver`, `ConfirmOwner` and `Fence`.
+const MEMBERSHIP_VARIANTS: [u32; 6] = [0, 8, 12, 13, 14, 15];
+
 impl Request {
     /// Returns which kind of work it is to serve the request.
     pub(crate) const fn kind_of_work(&self) -> work::Kind {
@@ -247,6 +251,16 @@
     }
 }
 
+/// Returns whether a call carries a request that concerns the ownership of the cell.
+pub(crate) fn concerns_membership(call: &Call) -> bool {
+    let Call::Peer(request) = call else {
+        return false;
+    };
+    // A request begins with the number of its variant.
+    let variant = postcard::take_from_bytes::<u32>(&request.message);
+    variant.is_ok_and(|(variant, _)| MEMBERSHIP_VARIANTS.contains(&variant))
+}
+
 /// Decodes a request from a call; returns `None` if the call carries no valid request.
 pub(crate) fn decode_request(call: &Call) -> Option<Request> {
     match call {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -27,8 +27,12 @@
     clock::Clock,
     rpc, //
 };
-use slog::Logger;
+use slog::{
+    Discard,
+    Logger, //
+};
 use tokio::{
+    runtime::Handle,
     sync::{
         Mutex,
         Notify,
@@ -152,6 +156,9 @@
     pub log: Logger,
     /// The metrics recorder.
     pub meter: Meter,
+    /// The runtime that keeps the ownership of the cell. If it is not the one that starts the node, the load of the node
+    /// doesn't delay what the ownership depends on.
+    pub membership: Handle,
 }
 
 /// A running node.
@@ -201,6 +208,8 @@
             started_at: Instant::now(),
             bounds: parts.bounds,
             revocation_limit: parts.revocation_limit,
+            membership_platform: parts.platform.with_own_connections(),
+            runtime: Handle::current(),
             platform: parts.platform,
             store_limits: parts.store_limits,
             rpc: client,
@@ -222,6 +231,8 @@
             hellos: Mutex::default(),
             lag: LagMonitor::default(),
             store: StoreHealth::new(parts.log),
+            // The other one logs the changes.
+            membership_store: StoreHealth::new(Logger::root(Discard, slog::o!())),
             probe_cache: member::ProbeCache::default(),
             strongest_owner: AtomicU32::new(0),
             is_isolated: AtomicBool::new(false),
@@ -230,13 +241,16 @@
         let intake = Intake::start(&shared);
         tokio::spawn(store_watch::follow_operator(shared.clone()));
         tokio::spawn(config_exchange::poll_owner(shared.clone()));
-        tokio::spawn(member::run(shared.clone()));
+        parts.membership.spawn(member::run(shared.clone()));
         tokio::spawn(log_suppressed_lines(shared.clone()));
         tokio::spawn(report_work(shared.clone()));
-        tokio::spawn(lag::run(shared.clone()));
+        parts.membership.spawn(lag::run(shared.clone()));
         let peer_service = PeerService::new(shared.clone());
         tokio::spawn(peer_service.clone().track_peers());
-        tokio::spawn(peer_service.run(calls));
+        let (others, other_calls) = mpsc::channel(calls.max_capacity());
+        tokio::spawn(peer_service.clone().run(other_calls));
+        let membership = peer_service.run_membership(calls, others);
+        parts.membership.spawn(membership);
         let frontend = Frontend::new(shared.clone(), intake);
         Ok(Self {
             shared,
@@ -306,7 +320,7 @@
 /// Counts where the processor time of this node goes, for as long as the process runs, and logs it while the node owns
 /// the cell.
 async fn report_work<P: Platform>(shared: Arc<Shared<P>>) {
-    let runtime = tokio::runtime::Handle::current().metrics();
+    let runtime = Handle::current().metrics();
     let busy_time = || runtime.worker_total_busy_duration(0);
     let (mut before, mut busy_before) = (shared.work.usage(), busy_time());
     loop {
@@ -357,6 +371,24 @@
         }
     }
 
+    /// Serves the requests that concern the ownership of the cell as they arrive, and passes the others on.
+    async fn run_membership(
+        self,
+        mut calls: mpsc::Receiver<rpc::Incoming>,
+        others: mpsc::Sender<rpc::Incoming>,
+    ) {
+        let (membership, queue) = mpsc::channel(calls.max_capacity());
+        tokio::spawn(self.run(queue));
+        while let Some(incoming) = calls.recv().await {
+            let queue = match message::concerns_membership(&incoming.call) {
+                true => &membership,
+                false => &others,
+            };
+            // A caller whose call is dropped is told that it has failed.
+            let _ = queue.try_send(incoming);
+        }
+    }
+
     async fn run(self, mut calls: mpsc::Receiver<rpc::Incoming>) {
         while let Some(incoming) = calls.recv().await {
             let peer_service = self.clone();
--- a/crates/node/src/owner/engine_actor.rs
+++ b/crates/node/src/owner/engine_actor.rs
@@ -95,10 +95,6 @@
 /// closing.
 const ADVICE_TIMEOUT_MARGIN: Duration = Duration::from_millis(300);
 
-/// If no event arrives for this long, the process was not running: the actor gets a tick every
-/// 25 ms. A claim expires after 0.7 s, so another node may own the cell by then.
-const STALL_THRESHOLD: Duration = Duration::from_millis(900);
-
 /// The actor that holds the engine. Nothing else issues orders.
 #[derive(Actor)]
 pub(crate) struct EngineActor<P: Platform> {
@@ -117,9 +113,7 @@
     is_pass_scheduled: bool,
     /// Set once another node may own the cell; from then on no orders are sent.
     has_lost_ownership: bool,
-    /// When the last event was handled. `suspended_total` is the time that the machine had spent
-    /// suspended by then.
-    last_event_at: Instant,
+    /// The time that the machine had spent suspended when the last event was handled.
     suspended_total: Duration,
     pub(super) assignment: Assignment,
     pub(super) delegated: DelegatedOrders,
@@ -242,7 +236,6 @@
             started_at: Instant::now(),
             is_pass_scheduled: false,
             has_lost_ownership: false,
-            last_event_at: Instant::now(),
             suspended_total: suspended,
             assignment: Assignment::default(),
             delegated: DelegatedOrders::default(),
@@ -257,13 +250,14 @@
     /// The runtime's clock stops while the machine is suspended, but the leases that other machines
     /// count go on, so suspension is checked separately.
     fn check_stall(&mut self) {
-        let idle = std::mem::replace(&mut self.last_event_at, Instant::now()).elapsed();
+        let stall = self.shared.lag.stall_since(self.started_at);
         let suspended = lag::take_suspension(&self.shared.platform, &mut self.suspended_total);
-        if (idle < STALL_THRESHOLD && suspended.is_none()) || self.has_lost_ownership {
+        if (stall.is_none() && suspended.is_none()) || self.has_lost_ownership {
             return;
         }
         slog::warn!(self.shared.log, "stalled"; "epoch" => %self.engine.epoch(),
-            "stood_ms" => millis(idle), "slept_ms" => millis(suspended.unwrap_or_default()));
+            "stood_ms" => millis(stall.unwrap_or_default()),
+            "slept_ms" => millis(suspended.unwrap_or_default()));
         self.has_lost_ownership = true;
         self.shared.stalled.notify_one();
     }
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -320,6 +320,12 @@
     /// connections may be dead.
     fn reconnect(&self);
 
+    /// Returns a platform that makes its calls over connections of its own, so that their answers don't wait behind
+    /// those of this one.
+    fn with_own_connections(&self) -> Self {
+        self.clone()
+    }
+
     /// Orders a worker to start a run of a task.
     fn start(&self, order: Start) -> impl Future<Output = StartAnswer> + Send;
 
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -33,6 +33,7 @@
 use kameo::actor::ActorRef;
 use slog::Logger;
 use tokio::{
+    runtime::Handle,
     sync::{
         Mutex,
         Notify,
@@ -134,6 +135,10 @@
     pub(crate) bounds: Bounds,
     pub(crate) revocation_limit: RevocationLimit,
     pub(crate) platform: P,
+    /// The platform over the connections that keep the ownership of the cell. Its calls are made on that runtime only.
+    pub(crate) membership_platform: P,
+    /// The runtime that does the work of the node, except for keeping the ownership of the cell.
+    pub(crate) runtime: Handle,
     pub(crate) store_limits: StoreLimits,
     pub(crate) rpc: Arc<dyn network::Client>,
     pub(crate) clock: Clock,
@@ -168,6 +173,8 @@
     pub(crate) hellos: Hellos,
     pub(crate) lag: LagMonitor,
     pub(crate) store: StoreHealth,
+    /// The health of the store by the calls that keep the ownership of the cell, whose answers wait for no other work.
+    pub(crate) membership_store: StoreHealth,
     /// The result of the last store probe that was made at the request of another node.
     pub(crate) probe_cache: member::ProbeCache,
     /// Whether the store appears to be unreachable from this node only.
@@ -181,19 +188,42 @@
     ///
     /// If the answer is overdue, the call may be lost, so an append that is safe to repeat is sent again.
     pub(crate) async fn append(&self, purpose: &'static str, append: Append) -> Result<u64, Error> {
-        let call = self.store.begin(purpose, Duration::ZERO);
+        let platform = self.store_of(append.topic);
+        let (call, claim_call) = self.begin_call(purpose, append.topic);
         let result = match append.condition {
             // A second copy would fail because the first one has moved the end of the topic.
-            Condition::EndsAt(_) => self.platform.append(append).await,
+            Condition::EndsAt(_) => platform.append(append).await,
             Condition::None | Condition::Writer { .. } => {
                 let retry_delay = self.store.overdue_time();
-                hedge::append(&self.platform, &append, retry_delay).await
+                hedge::append(platform, &append, retry_delay).await
             }
         };
         self.finish_call(&call, purpose, &result);
+        if let Some(call) = claim_call {
+            call.end(&result);
+        }
         result
     }
 
+    /// Returns the platform that makes the calls of the store on a topic. The claims decide on the ownership, so nothing
+    /// that a busy node has to do delays their calls.
+    fn store_of(&self, topic: Topic) -> &P {
+        match topic {
+            Topic::Claims => &self.membership_platform,
+            Topic::Jobs(_) | Topic::Progress | Topic::Configuration | Topic::Workers => {
+                &self.platform
+            }
+        }
+    }
+
+    /// Registers a call of the store that is about to be made, with the health by calls on the claims if it is one.
+    fn begin_call(&self, purpose: &'static str, topic: Topic) -> (Call, Option<Call>) {
+        let is_claim = topic == Topic::Claims;
+        let call = self.store.begin(purpose, Duration::ZERO);
+        let claim_call = is_claim.then(|| self.membership_store.begin(purpose, Duration::ZERO));
+        (call, claim_call)
+    }
+
     /// Reads records from an offset on. Waits up to `wait` for a record if there is none.
     pub(crate) async fn read(
         &self,
@@ -212,16 +242,17 @@
 
     /// Reads the newest record of each key.
     pub(crate) async fn newest(&self, purpose: &'static str, topic: Topic) -> Result<Page, Error> {
-        let call = self.store.begin(purpose, Duration::ZERO);
+        let platform = self.store_of(topic);
+        let (call, claim_call) = self.begin_call(purpose, topic);
         let delay_factor = match topic {
             Topic::Claims | Topic::Configuration => 1,
             Topic::Jobs(_) | Topic::Progress | Topic::Workers => LARGE_TOPIC_DELAY_FACTOR,
         };
         let retry_delay = READ_RETRY_DELAY.max(self.store.overdue_time());
-        let read = |_| self.platform.newest(topic);
+        let read = |_| platform.newest(topic);
         let no_wait = Duration::ZERO;
         let result = hedge::read(
-            &self.platform,
+            platform,
             no_wait,
             retry_delay,
             delay_factor,
@@ -230,6 +261,9 @@
         )
         .await;
         self.finish_read(&call, purpose, &result);
+        if let Some(call) = claim_call {
+            call.end(&result);
+        }
         result
     }
 
@@ -264,7 +298,7 @@
 
     fn finish_call<T>(&self, call: &Call, purpose: &'static str, result: &Result<T, Error>) {
         self.meter.store_call(purpose, call.elapsed(), result);
-        self.store.end(call, result);
+        call.end(result);
     }
 
     /// Logs for how long a step has waited, and behind which work of this node, if it was long.
@@ -358,7 +392,7 @@
             descriptors: self.descriptors,
             may_own: !self.store.is_failing() && !self.is_leaving(),
             age: self.started_at.elapsed(),
-            lag: self.lag.timer_lag(),
+            pace: self.lag.pace(),
         }
     }
 
--- a/crates/node/src/succession.rs
+++ b/crates/node/src/succession.rs
@@ -36,8 +36,8 @@
 const SLOW_LAG: Duration = Duration::from_millis(40);
 /// A node whose own timers are at least this late doesn't take the cell over from a slow owner.
 const PROMPT_LAG: Duration = Duration::from_millis(15);
-/// The factor by which the lag of the next owner must be smaller than that of the slow one.
-const MIN_LAG_IMPROVEMENT: u32 = 3;
+/// The factor by which the machine of the next owner must be faster or prompter than that of a slow one.
+const MIN_PACE_RATIO: u32 = 3;
 /// The time after a takeover during which an owner doesn't count as slow, because it first has to read the records,
 /// adopt the running tasks and start the backlog.
 const SLOWNESS_GRACE_PERIOD: Duration = Duration::from_secs(2);
@@ -66,8 +66,30 @@
     pub may_own: bool,
     /// The time since this incarnation started.
     pub age: Duration,
-    /// The delay with which its timers fire.
+    /// How promptly and how fast the node works, apart from its load.
+    pub pace: Pace,
+}
+
+/// How promptly and how fast a machine runs the process of a node, measured by work that doesn't wait for other work of
+/// the node.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pace {
+    /// The delay with which timers fire.
     pub lag: Duration,
+    /// The time of a fixed computation.
+    pub probe: Duration,
+}
+
+impl Pace {
+    /// Returns whether a machine is so much better than another one that the cell should move to it.
+    ///
+    /// Load alone doesn't make a machine worse in this sense, and an owner with too much to do is not helped by another
+    /// one that is as fast.
+    fn is_much_better_than(self, other: Self) -> bool {
+        let is_faster = !other.probe.is_zero() && self.probe * MIN_PACE_RATIO <= other.probe;
+        let is_prompter = other.lag >= SLOW_LAG && self.lag * MIN_PACE_RATIO <= other.lag;
+        is_prompt(self.lag) && (is_faster || is_prompter)
+    }
 }
 
 /// The reason for which an owner gives the cell up.
@@ -75,7 +97,7 @@
 pub enum Reason {
     /// There is a much stronger node.
     Outranked,
-    /// The events of the owner wait too long.
+    /// The events of the owner wait too long, and another machine is much faster.
     Slow,
     /// The process of the owner is shutting down.
     Leaving,
@@ -115,7 +137,7 @@
     strength > other && strength * OUTRANK_RATIO.1 >= other * OUTRANK_RATIO.0
 }
 
-/// Returns whether an owner is slow and should look for a faster one, given the lag of its events, the time for which
+/// Returns whether an owner is slow and should look for a machine that is faster or prompter, given the lag of its events, the time for which
 /// it has owned the cell, and the number of consecutive owners before it that gave the cell up for being slow.
 pub fn is_slow(lag: Duration, owned: Duration, slow_owners: u8) -> bool {
     lag >= SLOW_LAG
@@ -134,7 +156,7 @@
 /// started last: in a rolling restart, that node will be restarted again last.
 pub fn choose_successor(
     own: Millicores,
-    lag: Duration,
+    pace: Pace,
     reason: Reason,
     hellos: &[Hello],
 ) -> Option<&Hello> {
@@ -143,8 +165,7 @@
             && match reason {
                 Reason::Outranked => outranks(hello.strength, own),
                 Reason::Slow => {
-                    let is_faster = is_prompt(hello.lag) && hello.lag * MIN_LAG_IMPROVEMENT <= lag;
-                    is_faster && !outranks(own, hello.strength)
+                    hello.pace.is_much_better_than(pace) && !outranks(own, hello.strength)
                 }
                 Reason::Leaving => true,
             }
@@ -154,7 +175,7 @@
     let strong = eligible
         .into_iter()
         .filter(|hello| !outranks(strongest, hello.strength));
-    strong.min_by_key(|hello| (!is_prompt(hello.lag), hello.age))
+    strong.min_by_key(|hello| (!is_prompt(hello.pace.lag), hello.age))
 }
 
 /// The lag of events: the median of the latest samples, so that a single late event doesn't count as slowness.
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -325,8 +325,7 @@
     pub(crate) fn work(&self, usage: &work::Usage) {
         for (kind, spent) in usage.iter().filter(|(_, spent)| spent.pieces > 0) {
             let labels = [KeyValue::new("kind", kind.as_str())];
-            let micros = u64::try_from(spent.time.as_micros()).unwrap_or(u64::MAX);
-            self.0.work_time.add(micros, &labels);
+            self.0.work_time.add(micros(spent.time), &labels);
             self.0.work_pieces.add(spent.pieces, &labels);
         }
     }
@@ -559,6 +558,11 @@
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
+/// Returns a duration in whole microseconds, as used in log fields and metrics.
+pub(crate) fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
+
 fn write_line(log: &Logger, record: &LogRecord) {
     match record {
         LogRecord::Placed {
--- a/crates/node/tests/node/support.rs
+++ b/crates/node/tests/node/support.rs
@@ -53,6 +53,7 @@
     Record, //
 };
 use tokio::{
+    runtime::Handle,
     task::spawn_blocking,
     time::{
         Instant,
@@ -129,6 +130,7 @@
         store_limits: platform.store_limits(),
         log,
         meter,
+        membership: Handle::current(),
     })
     .unwrap()
 }
--- a/crates/node/tests/node/world/mod.rs
+++ b/crates/node/tests/node/world/mod.rs
@@ -38,9 +38,12 @@
     Discard,
     Logger, //
 };
-use tokio::time::{
-    Instant,
-    sleep, //
+use tokio::{
+    runtime::Handle,
+    time::{
+        Instant,
+        sleep, //
+    },
 };
 
 use self::{
@@ -255,6 +258,7 @@
                 false => Logger::root(Discard, slog::o!()),
             },
             meter: Meter::new().unwrap(),
+            membership: Handle::current(),
         }
     }
 
--- a/crates/node/tests/succession.rs
+++ b/crates/node/tests/succession.rs
@@ -6,6 +6,7 @@
 use fulmarpier_node::succession::{
     Hello,
     Lag,
+    Pace,
     Reason,
     choose_successor,
     is_slow,
@@ -21,6 +22,8 @@
 use tokio::time::Instant;
 
 const MILLISECOND: Duration = Duration::from_millis(1);
+/// The time of the computation by which nodes measure the speed of their machines.
+const PROBE: Duration = Duration::from_micros(20);
 const SECOND: Duration = Duration::from_secs(1);
 
 fn hello(name: &str, strength: u32, age: u64, lag: u64) -> Hello {
@@ -32,13 +35,19 @@
         descriptors: 4_096,
         may_own: true,
         age: Duration::from_secs(age),
-        lag: Duration::from_millis(lag),
+        pace: Pace {
+            lag: Duration::from_millis(lag),
+            probe: PROBE,
+        },
     }
 }
 
 fn chosen(own: u32, lag: u64, reason: Reason, hellos: &[Hello]) -> Option<&str> {
-    let lag = Duration::from_millis(lag);
-    choose_successor(Millicores(own), lag, reason, hellos).map(|hello| hello.node.as_str())
+    let pace = Pace {
+        lag: Duration::from_millis(lag),
+        probe: PROBE,
+    };
+    choose_successor(Millicores(own), pace, reason, hellos).map(|hello| hello.node.as_str())
 }
 
 #[rstest]
@@ -115,6 +124,42 @@
     );
 }
 
+/// The arguments are how late the timers of the owner and of an idle node are, in milliseconds, and how long the probe of
+/// speed takes there, in microseconds.
+#[rstest]
+#[case::as_fast(0, 20, 0, 20, false)]
+#[case::busy_but_as_fast(20, 25, 1, 20, false)]
+#[case::on_a_slow_machine(5, 110, 1, 20, true)]
+#[case::a_little_slower(5, 50, 1, 20, false)]
+#[case::gets_its_processor_late(60, 20, 1, 20, true)]
+#[case::both_get_it_late(60, 20, 30, 20, false)]
+#[case::late_and_as_slow_as_the_other(60, 110, 1, 100, true)]
+#[case::not_measured(0, 0, 0, 0, false)]
+fn only_a_slow_machine_hands_over_for_slowness_and_not_a_busy_one(
+    #[case] own_lag: u64,
+    #[case] own_probe: u64,
+    #[case] lag: u64,
+    #[case] probe: u64,
+    #[case] expected: bool,
+) {
+    let pace = |lag, probe| Pace {
+        lag: Duration::from_millis(lag),
+        probe: Duration::from_micros(probe),
+    };
+    let other = Hello {
+        pace: pace(lag, probe),
+        ..hello("other", 250, 9, 0)
+    };
+    let others = [other];
+    let chosen = choose_successor(
+        Millicores(250),
+        pace(own_lag, own_probe),
+        Reason::Slow,
+        &others,
+    );
+    assert_eq!(chosen.is_some(), expected);
+}
+
 #[test]
 fn a_leaving_owner_prefers_the_node_that_was_restarted_last() {
     let restarted = hello("restarted", 250, 3, 1);
