--- a/crates/node/src/work.rs
+++ b/crates/node/src/work.rs
@@ -23,6 +23,15 @@
 /// Steps that waited for less than this are not logged.
 const MIN_LOGGED_WAIT: Duration = Duration::from_millis(100);
 
+/// A thread of a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Thread {
+    /// The thread of all work that has none of its own.
+    Main,
+    /// The thread of what keeps the ownership of the cell.
+    Membership,
+}
+
 /// A kind of work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -84,6 +93,11 @@
         Self::Gauge,
     ];
 
+    /// Returns the thread that does the work.
+    pub const fn thread(self) -> Thread {
+        Thread::Main
+    }
+
     /// Returns the name of the kind, as metric labels have it.
     pub const fn as_str(self) -> &'static str {
         match self {
--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -16,6 +16,7 @@
 mod store_limits;
 mod store_outage;
 mod support;
+mod surge;
 mod suspension;
 mod worker_list;
 mod workspace;
--- a/crates/node/tests/node/world/machine.rs
+++ b/crates/node/tests/node/world/machine.rs
@@ -30,16 +30,19 @@
         WorkerId, //
     },
 };
-use fulmarpier_node::platform::{
-    Append,
-    Error,
-    Fault,
-    INVENTORY_MARGIN,
-    ORDER_TIMEOUT,
-    Page,
-    Platform,
-    Record,
-    Topic, //
+use fulmarpier_node::{
+    platform::{
+        Append,
+        Error,
+        Fault,
+        INVENTORY_MARGIN,
+        ORDER_TIMEOUT,
+        Page,
+        Platform,
+        Record,
+        Topic, //
+    },
+    work, //
 };
 use tokio::time::{
     Instant,
@@ -51,6 +54,7 @@
         Port,
         Site, //
     },
+    processor::Processor,
     workers::{
         self,
         Workers, //
@@ -70,6 +74,8 @@
     /// The store; it also knows for how long this machine was suspended.
     pub(super) store: Fake,
     pub(super) workers: Workers,
+    /// The processor; work takes no time without one.
+    pub(super) processor: Option<Processor>,
     /// The data centre of each worker.
     pub(super) data_centres: Arc<[DataCentre]>,
 }
@@ -178,6 +184,12 @@
         None
     }
 
+    async fn work(&self, kind: work::Kind, amount: usize) {
+        if let Some(processor) = &self.processor {
+            processor.work(kind, amount).await;
+        }
+    }
+
     fn total_suspension(&self) -> Duration {
         self.store.total_suspension()
     }
--- a/crates/node/tests/node/world/mod.rs
+++ b/crates/node/tests/node/world/mod.rs
@@ -3,9 +3,13 @@
 mod log;
 mod machine;
 mod network;
+mod processor;
 mod workers;
 
-use std::time::Duration;
+use std::{
+    collections::BTreeSet,
+    time::Duration, //
+};
 
 use fulmarpier_cell::{
     bounds::Bounds,
@@ -13,6 +17,7 @@
     engine::State,
     id::{
         DataCentre,
+        Epoch,
         JobId,
         NodeName, //
     },
@@ -27,6 +32,7 @@
     Meter,
     Node,
     Parts,
+    frontend::Frontend,
     platform::SMALL_CELL_JOB_PARTITIONS,
     revocation::RevocationLimit, //
 };
@@ -45,19 +51,21 @@
 
 use self::{
     log::Log,
-    machine::Machine,
     network::{
         Links,
         Port, //
     },
+    processor::Processor,
     workers::Workers, //
 };
 pub(crate) use self::{
+    machine::Machine,
     network::{
         Effect,
         Site, //
     },
-    workers::Record,
+    processor::Speed,
+    workers::Record, //
 };
 use crate::{
     platform::Fake,
@@ -108,14 +116,25 @@
     links: Links,
     pub(crate) store: Fake,
     workers: Workers,
+    /// How fast the processors of the nodes are; work takes no time without one.
+    speed: Option<Speed>,
     processes: Vec<Option<Process>>,
     jobs: Vec<JobId>,
     started_at: Instant,
 }
 
 impl World {
-    /// Starts a world. The first node owns the cell.
+    /// Starts a world in which work takes no time. The first node owns the cell.
     pub(crate) async fn start(sizes: &[Size]) -> Self {
+        Self::start_with(sizes, None).await
+    }
+
+    /// Starts a world whose nodes have a processor each. The first node owns the cell.
+    pub(crate) async fn start_with_processors(sizes: &[Size], speed: Speed) -> Self {
+        Self::start_with(sizes, Some(speed)).await
+    }
+
+    async fn start_with(sizes: &[Size], speed: Option<Speed>) -> Self {
         let node_count = sizes.iter().map(|size| size.nodes).sum();
         let worker_count = sizes.iter().map(|size| size.workers).sum();
         let mut world = Self {
@@ -123,6 +142,7 @@
             links: Links::default(),
             store: Fake::with_workers(worker_count),
             workers: Workers::new(worker_count, &Bounds::default()),
+            speed,
             processes: (0..node_count).map(|_| None).collect(),
             jobs: Vec::new(),
             started_at: Instant::now(),
@@ -220,6 +240,7 @@
             port: Port::new(self.links.clone(), node),
             store: self.store.another_machine(),
             workers: self.workers.clone(),
+            processor: self.speed.map(Processor::new),
             data_centres: data_centres.collect(),
         };
         let data_centre = DATA_CENTRES[self.data_centres(|size| size.nodes)[node]];
@@ -310,6 +331,17 @@
         id
     }
 
+    /// Returns the frontend of a node.
+    pub(crate) fn frontend(&self, node: usize) -> Frontend<Machine> {
+        self.processes[node].as_ref().unwrap().node.frontend()
+    }
+
+    /// Returns the epochs of all claims in the store.
+    pub(crate) fn epochs(&self) -> BTreeSet<Epoch> {
+        let claims = self.store.claims().into_iter();
+        claims.map(|claim| claim.epoch).collect()
+    }
+
     async fn wait_until_ready(&self, node: usize) {
         let process = self.processes[node].as_ref().unwrap();
         while !process.node.frontend().is_ready() {
