node: an odd acceptance of another writer ends no owner

An acceptance was used as soon as it could be decoded. One that names a step which doesn't exist, has too many tasks, or holds a duration or a stretch whose products overflow made each owner panic that read it: it gave the cell up, and the next one ended likewise. Acceptances are now checked as jobs are when they are handed in, with bounds on durations above those of the requests' decoder, and rejected otherwise.

--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -2,7 +2,8 @@
 
 use std::{
     net::SocketAddr,
-    sync::Arc, //
+    sync::Arc,
+    time::Duration, //
 };
 
 use fulmarpier_state::{
@@ -84,7 +85,44 @@
     pub cancellation: Cancellation,
 }
 
+/// The longest duration in an acceptance. Durations are added up over all steps and multiplied by [`MAX_STRETCH`] or by
+/// the number of occurrences, and the results must not overflow.
+const MAX_DURATION: Duration = Duration::from_secs(100 * 365 * 24 * 3_600);
+/// The latest start of the first occurrence, since the Unix epoch.
+const MAX_FIRST_START: Duration = Duration::from_millis(u64::MAX);
+/// The largest latency objective, as a multiple of the job's longest chain of work.
+const MAX_STRETCH: f64 = 1_000_000.0;
+
 impl Accepted {
+    /// Returns whether the engine can work with the job. Any client may write an acceptance to the store.
+    pub fn is_valid(&self) -> bool {
+        self.spec.check().is_ok() && self.has_valid_durations() && self.has_valid_queue()
+    }
+
+    fn has_valid_durations(&self) -> bool {
+        let steps = self.spec.steps.iter();
+        let mut estimates = steps.map(|step| step.estimate);
+        let is_schedule_valid = self.spec.schedule.is_none_or(|schedule| {
+            schedule.first <= MAX_FIRST_START && schedule.period <= MAX_DURATION
+        });
+        estimates.all(|estimate| estimate <= MAX_DURATION) && is_schedule_valid
+    }
+
+    fn has_valid_queue(&self) -> bool {
+        let timing = self.queue.advice.into_iter();
+        let mut durations = timing
+            .flat_map(|timing| {
+                [
+                    timing.call_overhead,
+                    timing.time_per_worker,
+                    timing.ticket_validity,
+                ]
+            })
+            .chain([self.queue.objective_offset]);
+        let is_stretch_valid = (0.0..=MAX_STRETCH).contains(&self.queue.stretch);
+        durations.all(|duration| duration <= MAX_DURATION) && is_stretch_valid
+    }
+
     /// Returns the name of its workspace, if it belongs to one.
     pub fn workspace_name(&self) -> Option<&WorkspaceName> {
         self.workspace.as_ref().map(|workspace| &workspace.name)
--- a/crates/node/src/frontend/job_record.rs
+++ b/crates/node/src/frontend/job_record.rs
@@ -154,6 +154,9 @@
         {
             return Err(Fault::Id);
         }
+        if !accepted.is_valid() {
+            return Err(Fault::Structure);
+        }
         Ok(Some(Self::Accepted(Box::new(Accepted {
             // If the store refused the node's own partition, the record is in a different one than it names.
             partition,
