node: a claim whose epoch can't be followed is no claim

Runs are numbered by epoch in 32 bits. A claim of another writer with an epoch above that overflowed the number of the next epoch or of its first run, and the node that read it panicked or stayed without an owner. Such a claim is rejected; the last valid one counts.

Test a_claim_with_too_large_a_number_is_no_claim: 2 of 2 cases red before, green now.

--- a/crates/cell/src/id.rs
+++ b/crates/cell/src/id.rs
@@ -158,6 +158,8 @@
     /// The number of runs that an owner can number for one task. A long-running task that ends as soon as it starts uses
     /// them up within an hour; then another ownership has to begin.
     const RUNS_PER_EPOCH: u32 = 10_000;
+    /// The highest epoch whose runs, and those of the epoch after it, can be numbered.
+    const MAX: Self = Self(u32::MAX / Self::RUNS_PER_EPOCH - 1);
 
     /// Returns the first run that an owner of this epoch may give a task; it is above those of all former owners.
     pub const fn first_run(self) -> Run {
@@ -168,6 +170,12 @@
             + 1)
     }
 
+    /// Returns whether an owner of the next epoch could number its runs. A claim that leaves no room for its successor is
+    /// not one that a node has made.
+    pub fn has_successor(self) -> bool {
+        self < Self::MAX
+    }
+
     /// Returns whether a run is above those that an owner of this epoch may give.
     pub fn is_beyond(self, run: Run) -> bool {
         run >= self.next().first_run()
--- a/crates/node/src/member/mod.rs
+++ b/crates/node/src/member/mod.rs
@@ -72,11 +72,7 @@
 /// Which records are claims, and how they are decoded.
 const CLAIM_RECORDS: fallback::Decoder<'static, Claim> = fallback::Decoder {
     is_own: |key| key == CLAIM_KEY,
-    decode: &|record| {
-        let claim = record.value.as_ref();
-        let claim = claim.map(|value| record::decode(value));
-        claim.transpose().map_err(|_| Fault::Structure)
-    },
+    decode: &|record| record.value.as_deref().map(decode_claim).transpose(),
 };
 /// How long the owner may take to answer a hello: a round trip takes 3 ms, and some 80 ms if the
 /// owner has used up its share of the processor.
@@ -256,6 +252,15 @@
     })
 }
 
+/// Decodes a claim, and rejects one whose epoch can't be followed by another.
+fn decode_claim(value: &[u8]) -> Result<Claim, Fault> {
+    let claim: Claim = record::decode(value).map_err(|_| Fault::Structure)?;
+    match claim.epoch.has_successor() {
+        true => Ok(claim),
+        false => Err(Fault::Structure),
+    }
+}
+
 /// Returns whether a rejected record has the key of the claim.
 fn is_claim(rejected: &Rejected) -> bool {
     rejected.key.as_deref() == Some(CLAIM_KEY)
--- a/crates/node/tests/node/odd_records.rs
+++ b/crates/node/tests/node/odd_records.rs
@@ -11,6 +11,7 @@
         Queue, //
     },
     id::{
+        Epoch,
         JobId,
         Run, //
     },
@@ -173,6 +174,33 @@
     check_takeover(&platform).await;
 }
 
+/// A claim whose number leaves no room for the next one.
+#[rstest]
+#[case::highest(u32::MAX)]
+#[case::runs_cannot_be_numbered(u32::MAX / 10_000 + 1)]
+#[tokio::test(start_paused = true)]
+async fn a_claim_with_too_large_a_number_is_no_claim(#[case] number: u32) {
+    let platform = Fake::new();
+    let one = start_node("one", &platform);
+    wait_until_ready(&one).await;
+    submit(&one, 1).await.unwrap();
+    wait_until_completed(&one, 1).await;
+    let mut odd = platform.valid_claims().pop().unwrap();
+    odd.epoch = Epoch(number);
+    platform.write_claim(&odd);
+    sleep(2 * SECOND).await;
+    submit(&one, 2).await.unwrap();
+    wait_until_completed(&one, 2).await;
+    one.stop(Duration::ZERO).await;
+    platform.write_claim(&odd);
+    let two = start_node("two", &platform);
+    wait_until_ready(&two).await;
+    submit(&two, 3).await.unwrap();
+    wait_until_completed(&two, 3).await;
+    let newest = platform.valid_claims().pop().unwrap();
+    assert_eq!(newest.epoch.0, 2);
+}
+
 /// An odd entry in place of a worker's and another one under an unknown key, while the owner changes.
 #[rstest]
 #[case::rejected_value(REJECTED_VALUE)]
