node: a machine's speed is the smallest of its last probes, and counts only where it is measured

Seen: the surge of eight times what an owner can do ended an ownership as slow in 4 of 25 runs of the test in virtual time. Cause: the median of the probes contains what the load adds to them (3 ms beside 1 ms of an idle node in the trace). Change: the smallest of the last four probes; a node without a measure is not faster. The kinds of work of the ownership belong to its thread in the simulated processor too.

--- a/crates/node/src/lag.rs
+++ b/crates/node/src/lag.rs
@@ -98,7 +98,7 @@
     pub(crate) fn pace(&self) -> Pace {
         Pace {
             lag: self.timer_lag(),
-            probe: Self::with_lag(&self.probes, |probes| probes.median()),
+            probe: Self::with_lag(&self.probes, |probes| probes.smallest()),
         }
     }
 
--- a/crates/node/src/succession.rs
+++ b/crates/node/src/succession.rs
@@ -48,6 +48,8 @@
 pub const SLOW_SERIES_GAP: Duration = Duration::from_secs(60);
 /// The number of samples of which a lag is the median. The ticks of an owner give that many in 0.2 s.
 const LAG_SAMPLES: usize = 8;
+/// The number of samples of which the measure of a machine's speed is the smallest. There are ten a second.
+const SPEED_SAMPLES: usize = 4;
 
 /// The content of a hello, the periodic message of a node to the owner.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -76,7 +78,7 @@
 pub struct Pace {
     /// The delay with which timers fire.
     pub lag: Duration,
-    /// The time of a fixed computation.
+    /// The time of a fixed computation; zero before it is measured.
     pub probe: Duration,
 }
 
@@ -86,7 +88,7 @@
     /// Load alone doesn't make a machine worse in this sense, and an owner with too much to do is not helped by another
     /// one that is as fast.
     fn is_much_better_than(self, other: Self) -> bool {
-        let is_faster = !other.probe.is_zero() && self.probe * MIN_PACE_RATIO <= other.probe;
+        let is_faster = !self.probe.is_zero() && self.probe * MIN_PACE_RATIO <= other.probe;
         let is_prompter = other.lag >= SLOW_LAG && self.lag * MIN_PACE_RATIO <= other.lag;
         is_prompt(self.lag) && (is_faster || is_prompter)
     }
@@ -201,6 +203,16 @@
         sorted[LAG_SAMPLES / 2]
     }
 
+    /// Returns the smallest of the last few samples, which shows how fast a machine is whatever else it does; zero before
+    /// there are as many.
+    pub fn smallest(&self) -> Duration {
+        let latest = (1..=SPEED_SAMPLES).map(|age| (self.next + LAG_SAMPLES - age) % LAG_SAMPLES);
+        latest
+            .map(|index| self.samples[index])
+            .min()
+            .unwrap_or_default()
+    }
+
     /// Returns the largest lag since the last call.
     pub fn take_largest(&mut self) -> Duration {
         std::mem::take(&mut self.largest)
--- a/crates/node/src/work.rs
+++ b/crates/node/src/work.rs
@@ -95,7 +95,10 @@
 
     /// Returns the thread that does the work.
     pub const fn thread(self) -> Thread {
-        Thread::Main
+        match self {
+            Self::Membership => Thread::Membership,
+            _ => Thread::Main,
+        }
     }
 
     /// Returns the name of the kind, as metric labels have it.
--- a/crates/node/tests/succession.rs
+++ b/crates/node/tests/succession.rs
@@ -134,6 +134,7 @@
 #[case::gets_its_processor_late(60, 20, 1, 20, true)]
 #[case::both_get_it_late(60, 20, 30, 20, false)]
 #[case::late_and_as_slow_as_the_other(60, 110, 1, 100, true)]
+#[case::the_other_is_not_measured(5, 110, 1, 0, false)]
 #[case::not_measured(0, 0, 0, 0, false)]
 fn only_a_slow_machine_hands_over_for_slowness_and_not_a_busy_one(
     #[case] own_lag: u64,
@@ -174,6 +175,21 @@
     assert_eq!(chosen(250, 1, Reason::Leaving, &[leaving]), None);
 }
 
+#[test]
+fn load_that_delays_some_probes_doesn_t_make_a_machine_slow() {
+    let mut probes = Lag::default();
+    for nth in 0..40 {
+        let delayed = if nth % 3 == 0 { 1 } else { 8 };
+        probes.record(delayed * MILLISECOND);
+        let expected = if nth < 3 { 0 } else { 1 };
+        assert_eq!(probes.smallest(), expected * MILLISECOND);
+    }
+    for _ in 0..4 {
+        probes.record(6 * MILLISECOND);
+    }
+    assert_eq!(probes.smallest(), 6 * MILLISECOND);
+}
+
 /// When a machine becomes slow, events wait longer and longer. The owner must notice this in time.
 #[test]
 fn a_machine_that_becomes_slow_is_noticed_within_half_a_second() {
