--- a/crates/node/tests/node/ownership.rs
+++ b/crates/node/tests/node/ownership.rs
@@ -2,9 +2,14 @@
 
 use std::{
     net::SocketAddr,
-    time::Duration, //
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
+use fulmarpier_cell::record::Claim;
 use fulmarpier_cell::{
     effect::{
         Destination,
@@ -35,7 +40,10 @@
 };
 use fulmarpier_state::clock::Timestamp;
 use rstest::rstest;
-use tokio::time::sleep;
+use tokio::{
+    runtime::Builder,
+    time::sleep, //
+};
 
 use crate::{
     platform::{
@@ -46,7 +54,9 @@
         SECOND,
         job,
         start_node,
+        start_node_with_membership,
         step,
+        submit,
         submit_spec,
         wait_until,
         wait_until_completed,
@@ -229,3 +239,34 @@
     assert_eq!(running, [task(0)]);
     assert_eq!(platform.starts(1), 1);
 }
+
+/// The runtime that does the node's other work is not driven for some leases, as if that work took the processor.
+#[test]
+fn other_work_that_never_pauses_does_not_cost_a_node_the_cell() {
+    const RENEWALS: usize = 12;
+    let limit = 60 * SECOND;
+    let membership = Builder::new_multi_thread()
+        .worker_threads(1)
+        .enable_all()
+        .build()
+        .unwrap();
+    let main = Builder::new_current_thread().enable_all().build().unwrap();
+    let platform = Fake::new();
+    let one = main.block_on(async {
+        let one = start_node_with_membership("one", &platform, membership.handle().clone());
+        wait_until_ready(&one).await;
+        one
+    });
+    let (before, began) = (platform.claims().len(), Instant::now());
+    while platform.claims().len() < before + RENEWALS {
+        assert!(began.elapsed() < limit, "the claim is not renewed");
+        thread::sleep(Duration::from_millis(10));
+    }
+    main.block_on(async {
+        assert_eq!(submit(&one, 1).await, Ok(()));
+        wait_until_completed(&one, 1).await;
+    });
+    let claims = platform.claims();
+    let is_first = |claim: &Claim| claim.epoch == Epoch(1) && !claim.released;
+    assert!(claims.iter().all(is_first), "{claims:?}");
+}
--- a/crates/node/tests/node/support.rs
+++ b/crates/node/tests/node/support.rs
@@ -115,7 +115,38 @@
     meter: Meter,
     log: Logger,
 ) -> Node<Fake> {
-    Node::start(Parts {
+    let membership = Handle::current();
+    Node::start(parts(name, platform, processor, meter, log, membership)).unwrap()
+}
+
+/// Starts a node that keeps the ownership on another runtime than that of the caller.
+pub(crate) fn start_node_with_membership(
+    name: &str,
+    platform: &Fake,
+    membership: Handle,
+) -> Node<Fake> {
+    let log = Logger::root(Discard, slog::o!());
+    let meter = Meter::new().unwrap();
+    Node::start(parts(
+        name,
+        platform,
+        Millicores(250),
+        meter,
+        log,
+        membership,
+    ))
+    .unwrap()
+}
+
+fn parts(
+    name: &str,
+    platform: &Fake,
+    processor: Millicores,
+    meter: Meter,
+    log: Logger,
+    membership: Handle,
+) -> Parts<Fake> {
+    Parts {
         identity: Identity {
             name: NodeName::from(name),
             address: SocketAddr::from(([127, 0, 0, 1], 0)),
@@ -130,9 +161,8 @@
         store_limits: platform.store_limits(),
         log,
         meter,
-        membership: Handle::current(),
-    })
-    .unwrap()
+        membership,
+    }
 }
 
 /// A log that keeps the messages of its lines.
