node: hellos of earlier builds are read

What callers would see: in a rolling update the first new owner gets no hello of the old nodes, so no orders, advice or votes of theirs. Cause: the probe of speed was added within the message, whose format has no field names. Found by review, by reading. Change: it follows the message, as what was added to inventories does.

--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -247,6 +247,7 @@
     let message = postcard::to_stdvec(request)?;
     match request {
         Request::Reports(reports) => supplement::append(message, reports.inventories()),
+        Request::Hello(hello) => supplement::append_probe(message, hello),
         _ => Ok(message),
     }
 }
@@ -266,8 +267,12 @@
     match call {
         Call::Peer(request) => {
             let (mut decoded, following) = postcard::take_from_bytes(&request.message).ok()?;
-            if let Request::Reports(reports) = &mut decoded {
-                supplement::restore(following, reports.inventories_mut());
+            match &mut decoded {
+                Request::Reports(reports) => {
+                    supplement::restore(following, reports.inventories_mut());
+                }
+                Request::Hello(hello) => supplement::restore_probe(following, hello),
+                _ => {}
             }
             Some(decoded)
         }
--- a/crates/node/src/succession.rs
+++ b/crates/node/src/succession.rs
@@ -78,7 +78,9 @@
 pub struct Pace {
     /// The delay with which timers fire.
     pub lag: Duration,
-    /// The time of a fixed computation; zero before it is measured.
+    /// The time of a fixed computation; zero before it is measured. It follows the message of a hello, see
+    /// [`supplement`](crate::supplement).
+    #[serde(skip)]
     pub probe: Duration,
 }
 
--- a/crates/node/src/supplement.rs
+++ b/crates/node/src/supplement.rs
@@ -1,15 +1,19 @@
-//! What follows the messages by which nodes report inventories to the owner: the progress of runs, and which inventories
-//! omit ends.
+//! What follows the messages by which nodes report inventories to the owner, which is the progress of runs and which
+//! inventories omit ends, and their hellos, which is how fast their machines are.
 //!
 //! The format of these messages has no field names, and nodes of an earlier build may take part in a cell. What was added
-//! to inventories therefore follows the message as lists of their own. An earlier build ignores what it doesn't know at
+//! to inventories and hellos therefore follows the message as lists of their own. An earlier build ignores what it doesn't know at
 //! the end of a message; a message that lacks a list comes from an earlier build, or has nothing to say in it.
 
+use std::time::Duration;
+
 use fulmarpier_cell::{
     event::Inventory,
     speed::Progress, //
 };
 
+use crate::succession::Hello;
+
 /// Appends what the inventories of a message have beyond its format to the encoded message.
 ///
 /// # Errors
@@ -58,3 +62,18 @@
         }
     }
 }
+
+/// Appends what a hello has beyond its format to the encoded message.
+///
+/// # Errors
+///
+/// Fails if it can't be encoded.
+pub fn append_probe(message: Vec<u8>, hello: &Hello) -> Result<Vec<u8>, postcard::Error> {
+    postcard::to_extend(&hello.pace.probe, message)
+}
+
+/// Sets what a hello has beyond its format from what follows the message; a hello of an earlier build has nothing there.
+pub fn restore_probe(following: &[u8], hello: &mut Hello) {
+    let probe = postcard::take_from_bytes::<Duration>(following);
+    hello.pace.probe = probe.map_or(Duration::ZERO, |(probe, _)| probe);
+}
--- a/crates/node/tests/succession.rs
+++ b/crates/node/tests/succession.rs
@@ -3,16 +3,19 @@
 use std::time::Duration;
 
 use fulmarpier_cell::id::NodeName;
-use fulmarpier_node::succession::{
-    Hello,
-    Lag,
-    Pace,
-    Reason,
-    choose_successor,
-    is_slow,
-    outranks,
-    silent_since,
-    strength, //
+use fulmarpier_node::{
+    succession::{
+        Hello,
+        Lag,
+        Pace,
+        Reason,
+        choose_successor,
+        is_slow,
+        outranks,
+        silent_since,
+        strength, //
+    },
+    supplement,
 };
 use fulmarpier_state::unit::{
     Bandwidth,
@@ -238,3 +241,20 @@
     }
     assert_eq!(changes, [2, 6, 14, 30, 62]);
 }
+
+/// A hello of an earlier build ends where the present one goes on with the probe of speed.
+#[test]
+fn a_hello_of_an_earlier_build_is_read_as_one_without_a_measure() {
+    let sent = hello("one", 250, 9, 3);
+    let former = postcard::to_stdvec(&sent).unwrap();
+    let present = supplement::append_probe(former.clone(), &sent).unwrap();
+    for (message, probe) in [(former, Duration::ZERO), (present, PROBE)] {
+        let (mut read, following) = postcard::take_from_bytes::<Hello>(&message).unwrap();
+        supplement::restore_probe(following, &mut read);
+        assert_eq!(read.pace.probe, probe);
+        assert_eq!(
+            (read.node, read.pace.lag),
+            (sent.node.clone(), sent.pace.lag)
+        );
+    }
+}
