cell, node: outcomes of jobs that are over are packed, many to a record

Each job that ended left a record of its own in the owner's topic for ever, so a new owner read and decoded a record for every job ever accepted. As soon as 512 such outcomes (Bounds::outcomes_per_record) wait, the owner writes them as one record under a key of its own ("o/EPOCH.NUMBER") and removes the single records after it in the same write. A new owner reads both forms; an outcome that is in both counts once and its single record is removed later. Acceptances of jobs whose outcome is packed are rejected at a takeover.

Outcomes are kept without a bound in time: a late copy of a request could otherwise run a job again.

The engine's restoration can be done in pieces (engine::Restoration).

Histories with changes of owner pack three outcomes to a record, so that owners change while records are packed.

--- a/crates/cell/src/bounds.rs
+++ b/crates/cell/src/bounds.rs
@@ -21,8 +21,14 @@
     pub checkpoint_interval: Duration,
     /// For how long after the evacuation of a data centre a task may still be started there; `None` sets no limit.
     pub evacuation_deadline: Option<Duration>,
+    /// How many outcomes of jobs that are over are stored in one record. Fewer have a record each.
+    pub outcomes_per_record: usize,
 }
 
+/// How many outcomes of jobs that are over are usually stored in one record: some 5 kB, and together with the removals
+/// of as many records some 30 kB, a small part of what the store takes in a call.
+const USUAL_OUTCOMES_PER_RECORD: usize = 512;
+
 impl Default for Bounds {
     fn default() -> Self {
         Self {
@@ -33,6 +39,7 @@
             restore_duration: Duration::from_millis(250),
             checkpoint_interval: Duration::from_millis(500),
             evacuation_deadline: None,
+            outcomes_per_record: USUAL_OUTCOMES_PER_RECORD,
         }
     }
 }
--- a/crates/cell/src/engine/announce.rs
+++ b/crates/cell/src/engine/announce.rs
@@ -34,7 +34,7 @@
     /// start take 1.1 s one after the other, and 0.6 s this way.
     pub fn announce(&mut self, accepted: Accepted, now: Timestamp) -> bool {
         let id = accepted.job;
-        if self.jobs.contains_key(&id) || self.ended.contains_key(&id) {
+        if self.jobs.contains_key(&id) || self.outcomes.contains(id) {
             return false;
         }
         self.announced.insert(id, now + ANNOUNCEMENT_TIMEOUT);
--- a/crates/cell/src/engine/mod.rs
+++ b/crates/cell/src/engine/mod.rs
@@ -32,6 +32,8 @@
 //! | `loss` | handles lost workers and their runs |
 //! | `end` | handles ends of runs, attempts, and ends of jobs |
 //! | `progress` | learns the speeds of workers from the progress of their runs |
+//! | `outcomes` | keeps the outcomes of jobs that are over, on record many at a time |
+//! | `restore` | restores the stored state in pieces |
 //! | `removal` | removes jobs that are over, except for their outcomes |
 //! | `recording` | writes records, and continues what waited for them |
 //! | `view` | provides what callers and operators see |
@@ -52,6 +54,7 @@
 mod loss;
 mod open_steps;
 mod order;
+mod outcomes;
 mod pace;
 mod place;
 mod progress;
@@ -59,6 +62,7 @@
 mod removal;
 mod reserve;
 mod restart;
+mod restore;
 mod schedule;
 mod share;
 mod shrink;
@@ -86,6 +90,7 @@
 pub use self::{
     assembly::Census,
     limit::Usage as WorkspaceUsage,
+    restore::Restoration,
     throttling::Throttling,
     view::{
         Counts,
@@ -102,6 +107,7 @@
     hold::Hold,
     job::Job,
     open_steps::OpenSteps,
+    outcomes::Outcomes,
     recording::RecordQueue,
     schedule::Rank,
     share::Competition,
@@ -140,7 +146,7 @@
         Accepted,
         Cancellation,
         Cancelled,
-        Outcome,
+        Ended,
         Progress,
         WorkerRuns, //
     },
@@ -179,17 +185,12 @@
     pub cancelled: Vec<Cancelled>,
     /// The recorded progress of jobs.
     pub progress: Vec<(JobId, Progress)>,
+    /// The recorded outcomes of jobs that are over.
+    pub ended: Vec<Ended>,
     /// What workers may be running on orders of former owners.
     pub workers: Vec<(WorkerId, WorkerRuns)>,
 }
 
-/// What remains in memory of a job that is over.
-#[derive(Clone, Debug)]
-struct Ended {
-    outcome: Outcome,
-    workspace: Option<WorkspaceName>,
-}
-
 /// The scheduler of a cell.
 #[derive(Debug)]
 pub struct Engine {
@@ -204,7 +205,7 @@
     /// All cancellations, keyed by job and by the canceller's workspace; includes jobs that are not known yet.
     cancelled: BTreeMap<(JobId, Option<WorkspaceName>), Cancellation>,
     /// The outcomes of jobs of which nothing else is left in memory.
-    ended: HashMap<JobId, Ended>,
+    outcomes: Outcomes,
     /// The resources in use by each workspace, and its limit.
     quotas: quota::Ledger,
     /// Which workspaces are over their share, and how many jobs each has submitted.
@@ -290,7 +291,12 @@
     /// A task that a worker may still be running on an order of a former owner is restarted only after that worker has
     /// answered or all its leases have expired.
     pub fn new(epoch: Epoch, bounds: Bounds, stored: StoredState, now: Timestamp) -> Self {
-        let mut engine = Self {
+        Restoration::new(epoch, bounds, stored, now).finish()
+    }
+
+    /// Creates an engine that knows nothing yet.
+    fn empty(epoch: Epoch, bounds: Bounds, now: Timestamp) -> Self {
+        Self {
             epoch,
             began: now,
             fence: Fence::first(epoch),
@@ -298,7 +304,7 @@
             config: Config::default(),
             jobs: HashMap::default(),
             cancelled: BTreeMap::new(),
-            ended: HashMap::default(),
+            outcomes: Outcomes::default(),
             ended_at: Vec::new(),
             quotas: quota::Ledger::default(),
             competition: Competition::default(),
@@ -338,30 +344,7 @@
             next_pass: now,
             pass_cost: 0,
             outbox: Vec::new(),
-        };
-        for cancelled in &stored.cancelled {
-            engine.note_cancelled(cancelled);
-        }
-        let mut progress: HashMap<JobId, Progress> = stored.progress.into_iter().collect();
-        for accepted in stored.accepted {
-            engine.restore_job(accepted, &mut progress, now);
-        }
-        engine.count_restored_jobs(now);
-        let over = progress.into_iter();
-        let over = over.filter_map(|(job, progress)| {
-            let ended = Ended {
-                outcome: progress.outcome?,
-                workspace: progress.workspace,
-            };
-            Some((job, ended))
-        });
-        engine.ended = over
-            .filter(|(job, _)| !engine.jobs.contains_key(job))
-            .collect();
-        for (worker, usage) in stored.workers {
-            engine.track_former_worker(worker, usage, now);
         }
-        engine
     }
 
     /// Notes that the former owners were fenced at a time: none of them acts for longer than
--- a/crates/cell/src/engine/recording.rs
+++ b/crates/cell/src/engine/recording.rs
@@ -55,6 +55,8 @@
     workers: BTreeSet<Slot>,
     /// Workers that are permanently gone and whose runs are to be removed from the store.
     gone: BTreeSet<WorkerId>,
+    /// Jobs that are over, and whose outcomes go into one record.
+    outcomes: Vec<JobId>,
     /// The serial number of the last end that was handled, by worker.
     ends: BTreeMap<Slot, u64>,
     in_flight: Option<InFlight>,
@@ -108,7 +110,10 @@
 
     /// Returns whether changes wait to be recorded and no write is in flight.
     fn is_waiting(&self) -> bool {
-        let is_empty = self.jobs.is_empty() && self.workers.is_empty() && self.gone.is_empty();
+        let is_empty = self.jobs.is_empty()
+            && self.workers.is_empty()
+            && self.gone.is_empty()
+            && self.outcomes.is_empty();
         self.in_flight.is_none() && !is_empty
     }
 
@@ -127,6 +132,16 @@
         self.is_waiting().then_some(self.next_write)
     }
 
+    /// Returns whether outcomes wait to be packed into one record.
+    pub(super) const fn has_outcomes(&self) -> bool {
+        !self.outcomes.is_empty()
+    }
+
+    /// Sets the jobs whose outcomes are to be packed into one record.
+    pub(super) fn set_outcomes(&mut self, jobs: Vec<JobId>) {
+        self.outcomes = jobs;
+    }
+
     pub(super) fn remove_worker(&mut self, worker: WorkerId) {
         self.gone.insert(worker);
     }
@@ -158,6 +173,8 @@
         // and a new owner would start runs elsewhere that it doesn't find on record.
         let gone = std::mem::take(&mut self.record_queue.gone);
         let mut entries: Vec<Entry> = gone.into_iter().map(Entry::RemovedWorker).collect();
+        let outcomes = std::mem::take(&mut self.record_queue.outcomes);
+        entries.extend(self.packed_outcomes(&outcomes));
         let mut snapshots = Vec::new();
         for id in jobs {
             let Some(job) = self.jobs.get(&id) else {
--- a/crates/cell/src/engine/removal.rs
+++ b/crates/cell/src/engine/removal.rs
@@ -8,8 +8,8 @@
 };
 
 use super::{
-    Ended,
-    Engine, //
+    Engine,
+    outcomes::Ending, //
 };
 use crate::{
     effect::{
@@ -37,9 +37,8 @@
 
     /// Removes the specifications of jobs that are over, from memory and from the store.
     ///
-    /// Their outcomes stay. A takeover therefore reads the open jobs and about 30 bytes of each job that is over,
-    /// rather than all jobs ever submitted: for 12,000 jobs that are over, 0.32 MB instead of 4.32 MB (bytes of keys
-    /// and values; two tasks and 250 bytes of text a job).
+    /// Their outcomes stay, many in a record. A takeover therefore reads the open jobs and some bytes of each job that
+    /// is over, rather than all jobs ever submitted.
     ///
     /// A job that a worker may still run stays, since its sizes are needed to count the resources that it takes.
     pub(super) fn remove_ended(&mut self, now: Timestamp) {
@@ -66,6 +65,7 @@
                 self.ended_at.push((since, id));
             }
         }
+        self.pack_outcomes();
         self.forget_crashes();
         let removals = std::mem::take(&mut self.pending_removals);
         if !removals.is_empty() {
@@ -90,7 +90,7 @@
         let workspace = job.workspace().cloned();
         if let Some(outcome) = job.recorded_outcome {
             let workspace = workspace.clone();
-            self.ended.insert(id, Ended { outcome, workspace });
+            self.outcomes.add(id, Ending { outcome, workspace });
         }
         let is_cancelled = job.is_cancelled;
         let partition = job.accepted.partition;
--- a/crates/cell/src/engine/submit.rs
+++ b/crates/cell/src/engine/submit.rs
@@ -30,7 +30,7 @@
         if known.is_some_and(|job| job.workspace() == accepted.workspace_name()) {
             return self.confirm_announced(accepted.job, now);
         }
-        if known.is_some() || self.ended.contains_key(&accepted.job) {
+        if known.is_some() || self.outcomes.contains(accepted.job) {
             // The job was submitted again after its end, which put it on record again, or its id belongs to a job of
             // another workspace.
             self.reject(&accepted);
@@ -63,6 +63,11 @@
         now: Timestamp,
     ) {
         let id = accepted.job;
+        if self.outcomes.contains(id) {
+            // The former owner stopped before it removed the acceptance.
+            self.reject(&accepted);
+            return;
+        }
         let known = self.jobs.get(&id).map(Job::workspace);
         let recorded_holder = progress
             .get(&id)
--- a/crates/cell/src/engine/view.rs
+++ b/crates/cell/src/engine/view.rs
@@ -104,7 +104,7 @@
             return None;
         }
         let Some(job) = self.jobs.get(&id) else {
-            let ended = self.ended.get(&id);
+            let ended = self.outcomes.get(id);
             let ended = ended.filter(|ended| is_seen(ended.workspace.as_ref()));
             let mut cancelled = self.cancellations(id);
             let is_cancelled =
@@ -194,7 +194,7 @@
             not_yet_heard.filter(|worker| worker.heard.is_none() && !worker.allocations.is_empty());
         let evacuated = self.workers.values().filter(|worker| worker.is_evacuated);
         Counts {
-            jobs: self.jobs.len() + self.ended.len(),
+            jobs: self.jobs.len() + self.outcomes.len(),
             pending_jobs: self.pending_jobs().count(),
             open_steps: self.open_steps.len() + self.unschedulable.len(),
             unschedulable_steps: self.unschedulable.len(),
--- a/crates/cell/src/record.rs
+++ b/crates/cell/src/record.rs
@@ -100,6 +100,30 @@
     Failed,
 }
 
+/// The outcomes of some jobs that are over.
+///
+/// Many of them take one record, so that what a takeover reads of jobs that are over is little.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ended {
+    /// How these jobs ended.
+    pub outcome: Outcome,
+    /// The workspace of these jobs.
+    pub workspace: Option<WorkspaceName>,
+    /// The jobs.
+    pub jobs: Vec<JobId>,
+}
+
+/// Names a record of outcomes. An owner writes each once and never changes it.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct OutcomesId {
+    /// The ownership that wrote it.
+    pub epoch: Epoch,
+    /// Its number among those of the ownership.
+    pub number: u32,
+}
+
 /// The failed runs of a task.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Failures {
@@ -233,8 +257,15 @@
     RemovedWorker(WorkerId),
     /// The progress of a job.
     Job(JobId, Progress),
+    /// A job whose outcome is in a record of outcomes; its key is removed.
+    PackedJob(JobId),
+    /// The outcomes of jobs that are over; stored before the records of their progress are removed.
+    Outcomes(OutcomesId, Vec<Ended>),
 }
 
+/// The prefix of the keys of records of outcomes.
+const OUTCOMES_PREFIX: &str = "o/";
+
 /// The runs that a worker may hold.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerRuns {
@@ -263,14 +294,20 @@
     /// Returns the key under which the record is stored.
     pub fn key(&self) -> String {
         match self {
-            Self::Job(job, _) | Self::PlainJob(job, _) => job.to_string(),
+            Self::Job(job, _) | Self::PlainJob(job, _) | Self::PackedJob(job) => job.to_string(),
+            Self::Outcomes(id, _) => format!("{OUTCOMES_PREFIX}{}.{}", id.epoch, id.number),
             Self::Worker(worker, _) | Self::RemovedWorker(worker) => worker_key(worker),
         }
     }
 
     /// Returns whether the record removes its key.
     pub const fn is_removal(&self) -> bool {
-        matches!(self, Self::RemovedWorker(_))
+        matches!(self, Self::RemovedWorker(_) | Self::PackedJob(_))
+    }
+
+    /// Returns whether a key is one of an entry.
+    pub fn is_key(key: &str) -> bool {
+        key.starts_with("w/") || key.starts_with(OUTCOMES_PREFIX) || key.parse::<JobId>().is_ok()
     }
 }
 
--- a/crates/cell/tests/cell/removal.rs
+++ b/crates/cell/tests/cell/removal.rs
@@ -1,6 +1,9 @@
 //! Finished jobs: their acceptance is removed from the store, their outcome stays.
 
-use std::time::Duration;
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
 
 use fulmarpier_cell::{
     bounds::Bounds,
@@ -220,3 +223,109 @@
     assert!(remaining_bytes <= 400_000, "{remaining_bytes} bytes");
     assert_eq!(engine.state(JobId(7 << 32)), Some(State::Completed));
 }
+
+/// How many jobs are open whenever a takeover is measured.
+const OPEN_JOBS: u64 = 300;
+
+/// Applies what an owner has written to the records of the store.
+fn store(records: &mut BTreeMap<String, Entry>, entries: &[Entry]) {
+    for entry in entries {
+        match entry.is_removal() {
+            true => drop(records.remove(&entry.key())),
+            false => drop(records.insert(entry.key(), entry.clone())),
+        }
+    }
+}
+
+/// Returns the state that a new owner reads from records.
+fn stored_state<'a>(records: impl Iterator<Item = &'a Entry>) -> StoredState {
+    let mut stored = StoredState::default();
+    for entry in records {
+        match entry {
+            Entry::Outcomes(_, ended) => stored.ended.extend(ended.iter().cloned()),
+            Entry::PlainJob(job, progress) => {
+                stored.progress.push((*job, progress.clone().into()));
+            }
+            _ => panic!("{entry:?}"),
+        }
+    }
+    stored
+}
+
+/// Returns the records of jobs that are over as a former owner has left them, each on its own.
+fn single_outcomes(jobs: u64) -> BTreeMap<String, Entry> {
+    let finished = Progress {
+        outcome: Some(Outcome::Completed),
+        ..Progress::default()
+    };
+    let entries = (0..jobs).map(|job| Entry::job(accepted(job).job, finished.clone()));
+    entries.map(|entry| (entry.key(), entry)).collect()
+}
+
+/// Returns the records after an owner has had time to tidy them up.
+fn records_after(jobs: u64) -> BTreeMap<String, Entry> {
+    let mut records = single_outcomes(jobs);
+    let mut now = Timestamp::from_millis(2_000);
+    let stored = stored_state(records.values());
+    let mut engine = Engine::new(Epoch(2), Bounds::default(), stored, now);
+    for _ in 0..200 {
+        for effect in engine.advance(now) {
+            if let Effect::Record(entries) = effect {
+                store(&mut records, &entries);
+                engine.handle_recorded(now);
+            }
+        }
+        now = now + Duration::from_secs(2);
+    }
+    records
+}
+
+/// Guards against takeovers that cost by all jobs that were ever accepted.
+#[test]
+fn a_takeover_reads_hardly_more_records_after_30_000_jobs_than_after_300() {
+    let read = |accepted: u64| {
+        let records = records_after(accepted - OPEN_JOBS);
+        let bytes: usize = records.values().map(encoded_len).sum();
+        let open_bytes: usize = (0..OPEN_JOBS)
+            .map(|job| record::encode(&self::accepted(job)).unwrap().len())
+            .sum();
+        (
+            records.len() + usize::try_from(OPEN_JOBS).unwrap(),
+            bytes + open_bytes,
+        )
+    };
+    let (few, many) = (read(300), read(30_000));
+    println!("records and bytes: {few:?} after 300 jobs, {many:?} after 30,000");
+    assert!(many.0 <= 3 * few.0, "{many:?} instead of {few:?}");
+    assert!(many.1 <= 5 * few.1, "{many:?} instead of {few:?}");
+}
+
+/// The owner may stop after any part of a write that takes several appends.
+#[test]
+fn no_outcome_is_lost_or_counted_twice_wherever_the_owner_stops_packing() {
+    let jobs = 40;
+    let mut records = single_outcomes(jobs);
+    let bounds = Bounds {
+        outcomes_per_record: 8,
+        ..Bounds::default()
+    };
+    let now = Timestamp::from_millis(2_000);
+    for (epoch, kept) in (2..60u32).zip((0..=9).cycle()) {
+        let stored = stored_state(records.values());
+        let mut engine = Engine::new(Epoch(epoch), bounds, stored, now);
+        let total = usize::try_from(jobs).unwrap();
+        assert_eq!(engine.counts().jobs, total, "in epoch {epoch}");
+        for job in 0..jobs {
+            assert!(!engine.submit(accepted(job), now), "job {job} runs again");
+            assert_eq!(engine.state(accepted(job).job), Some(State::Completed));
+        }
+        for step in 0..2 {
+            for effect in engine.advance(now + Duration::from_secs(step)) {
+                if let Effect::Record(entries) = effect {
+                    store(&mut records, &entries[..kept.min(entries.len())]);
+                }
+            }
+        }
+    }
+    assert!(records.len() <= 20, "{} records", records.len());
+}
--- a/crates/cell/tests/cell/world/check.rs
+++ b/crates/cell/tests/cell/world/check.rs
@@ -153,7 +153,10 @@
         let progress = entry.and_then(|entry| match entry {
             Entry::Job(_, progress) => Some(progress.clone()),
             Entry::PlainJob(_, progress) => Some(progress.clone().into()),
-            Entry::Worker(..) | Entry::RemovedWorker(_) => None,
+            Entry::Worker(..)
+            | Entry::RemovedWorker(_)
+            | Entry::PackedJob(_)
+            | Entry::Outcomes(..) => None,
         });
         let is_recorded = progress.is_some_and(|progress| {
             let occurrence = task.step.occurrence;
--- a/crates/cell/tests/cell/world/evacuate.rs
+++ b/crates/cell/tests/cell/world/evacuate.rs
@@ -26,11 +26,19 @@
 /// Maximum time until the nodes have read which data centres are evacuated, while the store is available.
 const MAX_READ_DELAY: Duration = Duration::from_millis(300);
 
+/// How many outcomes are stored in one record in a history in which owners change: so few that owners change while some are being packed.
+const OUTCOMES_PER_RECORD: usize = 3;
+
 /// Returns the engine's bounds for a history with the given faults.
 pub(super) fn bounds(faults: &Faults) -> Bounds {
+    let usual = Bounds::default();
     Bounds {
         evacuation_deadline: (faults.evacuations > 0).then_some(EVACUATION_DEADLINE),
-        ..Bounds::default()
+        outcomes_per_record: match faults.takeovers > 0 {
+            true => OUTCOMES_PER_RECORD,
+            false => usual.outcomes_per_record,
+        },
+        ..usual
     }
 }
 
--- a/crates/cell/tests/cell/world/mod.rs
+++ b/crates/cell/tests/cell/world/mod.rs
@@ -887,7 +887,8 @@
                     stored.progress.push((*job, progress.clone().into()));
                 }
                 Entry::Worker(id, runs) => stored.workers.push((id.clone(), runs.clone())),
-                Entry::RemovedWorker(_) => {}
+                Entry::Outcomes(_, ended) => stored.ended.extend(ended.iter().cloned()),
+                Entry::RemovedWorker(_) | Entry::PackedJob(_) => {}
             }
         }
         self.heartbeats.clear();
--- a/crates/node/src/owner/split.rs
+++ b/crates/node/src/owner/split.rs
@@ -9,10 +9,7 @@
 
 use bytes::Bytes;
 use fulmarpier_cell::{
-    id::{
-        Epoch,
-        JobId, //
-    },
+    id::Epoch,
     record::{
         self,
         Entry, //
@@ -74,8 +71,7 @@
 impl Stored {
     /// Returns whether a key is one of an owner's records.
     pub(super) fn is_key(key: &str) -> bool {
-        let is_entry = key.starts_with("w/") || key.parse::<JobId>().is_ok();
-        is_entry || key.starts_with(PIECE_PREFIX)
+        Entry::is_key(key) || key.starts_with(PIECE_PREFIX)
     }
 
     /// Decodes a record; `None` if it removes its key.
--- a/crates/node/src/owner/takeover.rs
+++ b/crates/node/src/owner/takeover.rs
@@ -127,7 +127,8 @@
             Entry::Job(job, progress) => stored.progress.push((job, progress)),
             Entry::PlainJob(job, progress) => stored.progress.push((job, progress.into())),
             Entry::Worker(id, usage) => stored.workers.push((id, usage)),
-            Entry::RemovedWorker(_) => {}
+            Entry::Outcomes(_, ended) => stored.ended.extend(ended),
+            Entry::RemovedWorker(_) | Entry::PackedJob(_) => {}
         }
     }
     let read_progress = jobs::read_progress(&partitions);
