--- a/crates/node/src/owner/takeover.rs
+++ b/crates/node/src/owner/takeover.rs
@@ -6,15 +6,19 @@
 };
 
 use fulmarpier_cell::{
+    bounds::Bounds,
     engine::{
         Engine,
+        Restoration,
         StoredState, //
     },
+    id::Epoch,
     record::{
         Claim,
         Entry, //
     },
 };
+use fulmarpier_state::clock::Timestamp;
 use kameo::{
     actor::{
         ActorRef,
@@ -28,6 +32,7 @@
         mpsc,
         watch, //
     },
+    task::yield_now,
     time::{
         Instant,
         MissedTickBehavior,
@@ -86,6 +91,10 @@
 /// How many events may wait for the actor; a busy second has some thousands.
 const MAILBOX_CAPACITY: usize = 16_384;
 
+/// How many records of the stored state are restored in one piece. A job takes some microseconds, so that is a
+/// millisecond on a slow processor.
+const RECORDS_PER_PIECE: usize = 64;
+
 /// Which records of the progress topic are the owner's, and how they are decoded.
 const OWNER_RECORDS: Decoder<'static, Stored> = Decoder {
     is_own: Stored::is_key,
@@ -153,7 +162,7 @@
         "progress_ms" => millis(progress_took), "jobs_ms" => millis(jobs_took),
         "took_ms" => millis(began.elapsed()));
     let now = shared.clock.now();
-    let mut engine = Engine::new(claim.epoch, shared.bounds, stored, now);
+    let mut engine = restore(claim.epoch, shared.bounds, stored, now).await;
     // Configure the engine before it starts anything: jobs carry only the limits that they were
     // accepted under.
     if let Some(config) = shared.config.borrow().as_deref() {
@@ -177,6 +186,15 @@
     Ok(start_actor(shared, claim, tenure, prepared))
 }
 
+/// Restores the engine in pieces, so that the takeover holds up no other task for long.
+async fn restore(epoch: Epoch, bounds: Bounds, stored: StoredState, now: Timestamp) -> Engine {
+    let mut restoration = Restoration::new(epoch, bounds, stored, now);
+    while restoration.advance(RECORDS_PER_PIECE) {
+        yield_now().await;
+    }
+    restoration.finish()
+}
+
 /// Returns the output of a future, and how long it took.
 async fn timed<T>(future: impl Future<Output = T>) -> (T, Duration) {
     let began = Instant::now();
