cell: the backlog of decisions: open steps that no pass has examined, by urgency and workspace

An owner with more to decide than it can has no measure of it: steps that wait for capacity and steps that no pass has looked at count alike. The engine now counts the second and the rate at which passes get to them, and tells which workspaces have at least their share of them. The objective of a job is computed by its queue, so that others than the engine can tell when a result is worth nothing.

--- a/crates/cell/src/config.rs
+++ b/crates/cell/src/config.rs
@@ -48,6 +48,9 @@
     }
 }
 
+/// A job that takes longer than this multiple of its latency objective is worth nothing.
+pub const WORTHLESS_AFTER_OBJECTIVES: u32 = 3;
+
 /// A queue of jobs.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Queue {
@@ -67,6 +70,18 @@
     pub advice: Option<AdviceTiming>,
 }
 
+impl Queue {
+    /// Returns the latency objective of a job with a critical path of this length.
+    pub fn objective(&self, critical_path: Duration) -> Duration {
+        critical_path.mul_f64(self.stretch.max(0.0)) + self.objective_offset
+    }
+
+    /// Returns whether jobs of the queue may preempt those of others.
+    pub const fn is_urgent(&self) -> bool {
+        self.priority == 0
+    }
+}
+
 /// A pool of workers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Pool {
--- a/crates/cell/src/engine/job.rs
+++ b/crates/cell/src/engine/job.rs
@@ -19,6 +19,7 @@
     }, //
 };
 use crate::{
+    config::WORTHLESS_AFTER_OBJECTIVES,
     id::{
         StepId,
         TaskId, //
@@ -64,16 +65,13 @@
     critical_paths: Vec<Duration>,
 }
 
-/// A job that takes longer than this multiple of its latency objective is worth nothing.
-const WORTHLESS_AFTER_OBJECTIVES: u32 = 3;
-
 impl Job {
     pub(super) fn new(accepted: Accepted, progress: &Progress) -> Self {
         let spec = accepted.spec.clone();
         let critical_paths = spec.critical_paths();
         let critical_path = critical_paths.iter().max().copied().unwrap_or_default();
         let queue = &accepted.queue;
-        let objective = critical_path.mul_f64(queue.stretch.max(0.0)) + queue.objective_offset;
+        let objective = queue.objective(critical_path);
         let mut job = Self {
             account: None,
             is_beyond_rate: false,
--- a/crates/cell/src/engine/mod.rs
+++ b/crates/cell/src/engine/mod.rs
@@ -12,6 +12,7 @@
 //! | `limit` | enforces the resource limits of workspaces |
 //! | `share` | ranks the steps of workspaces that compete, by their shares and rates |
 //! | `submit` | accepts jobs and cancellations, opens steps that are ready |
+//! | `backlog` | counts the open steps that no pass has examined, and how long a new one waits |
 //! | `open_steps` | holds the steps that have tasks to start, in order of urgency |
 //! | `free_capacity` | indexes the workers by their free resources |
 //! | `schedule` | places the open steps in order of urgency |
@@ -41,6 +42,7 @@
 mod announce;
 mod ask;
 mod assembly;
+mod backlog;
 mod contact;
 mod crash;
 mod end;
@@ -85,6 +87,7 @@
 
 pub use self::{
     assembly::Census,
+    backlog::Backlog,
     limit::Usage as WorkspaceUsage,
     throttling::Throttling,
     view::{
--- a/crates/cell/src/engine/open_steps.rs
+++ b/crates/cell/src/engine/open_steps.rs
@@ -15,6 +15,7 @@
 };
 
 use super::{
+    backlog::UnexaminedSteps,
     schedule::Rank,
     timer::Timers, //
 };
@@ -36,6 +37,8 @@
     unranked: Vec<StepId>,
     /// The times at which ranks change.
     changes: Timers<StepId>,
+    /// The steps that no pass has examined.
+    unexamined: UnexaminedSteps,
 }
 
 /// An open step.
@@ -56,6 +59,7 @@
                 account,
             });
             self.unranked.push(id);
+            self.unexamined.insert(id, account);
             if let Some(account) = account {
                 self.by_account.entry(account).or_default().insert(id);
             }
@@ -68,6 +72,7 @@
         let Some(step) = self.steps.remove(&id) else {
             return;
         };
+        self.unexamined.remove(id);
         if let Some(rank) = step.rank {
             self.ranked.remove(&rank);
         }
@@ -146,6 +151,23 @@
         }
         self.ranked.insert(rank);
         self.changes.set(id, change);
+        let is_urgent = (!rank.is_worthless()).then(|| rank.is_urgent());
+        self.unexamined.rank(id, is_urgent);
+    }
+
+    /// Notes that a pass examines a step.
+    pub(super) fn examine(&mut self, id: StepId) {
+        self.unexamined.examine(id);
+    }
+
+    /// Notes the end of a pass.
+    pub(super) fn end_pass(&mut self, now: Timestamp) {
+        self.unexamined.end_pass(now);
+    }
+
+    /// Returns the steps that no pass has examined.
+    pub(super) const fn unexamined(&self) -> &UnexaminedSteps {
+        &self.unexamined
     }
 
     /// Returns the rank that follows the given one, or that of the most urgent step if none is given.
--- a/crates/cell/src/engine/schedule.rs
+++ b/crates/cell/src/engine/schedule.rs
@@ -63,6 +63,11 @@
     pub(super) fn is_worthless(self) -> bool {
         self.class == Class::Worthless
     }
+
+    /// Returns whether the queue of the step is urgent.
+    pub(super) const fn is_urgent(self) -> bool {
+        self.priority == URGENT_PRIORITY
+    }
 }
 
 /// The class of a step, which is compared before its priority.
@@ -111,6 +116,7 @@
         self.reserve_held_workers(&mut reserved, now);
         let (last, cost) = self.schedule_from(None, MAX_PASS_CHECKS, &mut reserved, now);
         let more_cost = self.schedule_skipped(last, &mut reserved, now);
+        self.open_steps.end_pass(now);
         self.pass_cost = cost + more_cost;
         let cost = u32::try_from(self.pass_cost).unwrap_or(u32::MAX);
         self.next_pass = now + MIN_PASS_INTERVAL.max(PASS_DELAY_PER_CHECK * cost);
@@ -135,6 +141,7 @@
             if rank.class == Class::Late {
                 self.promote(rank.step);
             }
+            self.open_steps.examine(rank.step);
             cost += self.schedule_step(rank.step, reserved, now);
         }
         (None, cost)
--- a/crates/cell/src/engine/share.rs
+++ b/crates/cell/src/engine/share.rs
@@ -103,7 +103,7 @@
 
 impl Engine {
     /// Returns whether workspaces compete: whether the configuration names any.
-    fn has_workspaces(&self) -> bool {
+    pub(super) fn has_workspaces(&self) -> bool {
         let directory = self.config.directory.as_ref();
         directory.is_some_and(|directory| directory.workspaces().next().is_some())
     }
