node: a job that the owner can't consider in time is refused at once

In a surge beyond what the owner can decide all jobs were accepted, and some waited for ever. With workspaces only those with at least their share of the backlog are refused. An id that may have been accepted before is not refused: the owner is asked first, without its actor.

--- a/crates/node/src/frontend/mod.rs
+++ b/crates/node/src/frontend/mod.rs
@@ -24,7 +24,8 @@
 use fulmarpier_cell::{
     config::{
         Config,
-        Ingress, //
+        Ingress,
+        Queue, //
     },
     engine::State,
     id::{
@@ -47,9 +48,13 @@
         WorkspaceName, //
     },
 };
-use tokio::time::Instant;
+use tokio::time::{
+    Instant,
+    timeout, //
+};
 
 use crate::{
+    admission,
     intake::{
         self,
         Intake,
@@ -91,6 +96,12 @@
     /// The job specification is invalid. The request had no effect.
     #[error("the job is not valid: {0}")]
     Invalid(#[from] Invalid),
+    /// The owner can't consider the job before its result is worth nothing. The job wasn't stored and never runs.
+    #[error("the cell has too much to do; the job was not taken")]
+    Overloaded {
+        /// How long the caller should wait before it comes again.
+        retry_after: Duration,
+    },
     /// The store is unavailable. The job wasn't stored and never runs.
     #[error("the store is away; the job was not taken")]
     NotStored,
@@ -113,6 +124,7 @@
             Self::Unauthorized => "unauthorized",
             Self::NoQueue => "no-queue",
             Self::Invalid(_) => "invalid",
+            Self::Overloaded { .. } => "overloaded",
             Self::NotStored => "not-kept",
             Self::Unknown => "unknown",
             Self::NoOwner => "no-owner",
@@ -271,6 +283,7 @@
         if let Some(workspace) = &self.workspace {
             spec.check_limit(&workspace.limit)?;
         }
+        self.check_load(queue, job, &spec, deadline).await?;
         let mut accepted = Accepted {
             workspace: self.workspace.clone(),
             job,
@@ -304,6 +317,37 @@
         Ok(())
     }
 
+    /// Refuses a job that the owner can't consider in time, unless the job may have been accepted before.
+    async fn check_load(
+        &self,
+        queue: &Queue,
+        job: JobId,
+        spec: &Spec,
+        deadline: Instant,
+    ) -> Result<(), Refusal> {
+        let Some(load) = self.shared.owner_load.get() else {
+            return Ok(());
+        };
+        let workspace = self.workspace_name();
+        let delay = admission::retry_delay(&load, queue, workspace, job, spec);
+        let Some(retry_after) = delay else {
+            return Ok(());
+        };
+        match self.is_known_not_accepted(job, deadline).await {
+            true => Err(Refusal::Overloaded { retry_after }),
+            false => Ok(()),
+        }
+    }
+
+    /// Returns whether the owner confirms, in half of the time until `deadline`, that no job with this id was accepted.
+    /// The other half is left for accepting it.
+    async fn is_known_not_accepted(&self, job: JobId, deadline: Instant) -> bool {
+        let time_limit = deadline.saturating_duration_since(Instant::now()) / 2;
+        let request = Request::IsAccepted(job);
+        let reply = timeout(time_limit, self.ask_owner_within(&request, time_limit)).await;
+        matches!(reply, Ok(Some(Reply::NotAccepted)))
+    }
+
     /// Handles a request of a caller, and counts its pieces of work.
     async fn track<T>(&self, request: impl Future<Output = T>) -> T {
         self.shared.platform.work(work::Kind::Caller, 1).await;
--- a/crates/node/src/frontend/owner.rs
+++ b/crates/node/src/frontend/owner.rs
@@ -58,6 +58,15 @@
 
     /// Sends a request to the owner once; returns `None` if the owner is unknown or didn't answer.
     pub(super) async fn ask_owner_once(&self, request: &Request) -> Option<Reply> {
+        self.ask_owner_within(request, OWNER_CALL_TIMEOUT).await
+    }
+
+    /// Sends a request to the owner once, with a time limit for another node's answer.
+    pub(super) async fn ask_owner_within(
+        &self,
+        request: &Request,
+        time_limit: Duration,
+    ) -> Option<Reply> {
         if let Some(engine) = self.shared.engine_handle() {
             return owner::handle_request(&engine, request.clone()).await;
         }
@@ -65,7 +74,7 @@
         if address == self.shared.address {
             return None;
         }
-        let reply = message::send(&self.shared.rpc, address, request, OWNER_CALL_TIMEOUT).await;
+        let reply = message::send(&self.shared.rpc, address, request, time_limit).await;
         reply
             .ok()
             .filter(|reply| !matches!(reply, Reply::NotOwner { .. }))
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! | module | responsibility |
 //! |---|---|
+//! | [`admission`] | decides whether a job is refused because the owner can't consider it in time |
 //! | [`assignment`] | assigns workers to the nodes that send their orders |
 //! | `config_exchange` | reads the configuration from the owner while the store is silent |
 //! | `dispatch` | sends orders to workers on behalf of the owner and reports the results |
@@ -34,6 +35,7 @@
 //! | `telemetry` | logs and metrics |
 //! | `watch` | reads topics of the store and follows the operator's records |
 
+pub mod admission;
 pub mod assignment;
 mod config_exchange;
 mod dispatch;
--- a/crates/node/src/member/follow.rs
+++ b/crates/node/src/member/follow.rs
@@ -203,14 +203,15 @@
     let hello = Request::Hello(shared.hello());
     let asked = Instant::now();
     match message::send(&shared.rpc, claim.address, &hello, HELLO_TIMEOUT).await {
-        Ok(Reply::Owner(newer, position)) if newer.epoch == claim.epoch => {
+        Ok(Reply::Owner(newer, position, load)) if newer.epoch == claim.epoch => {
             shared.record_spread(&newer);
+            shared.record_owner_load(load, asked);
             if let Some(position) = position {
                 operator::apply_owner_position(shared, position, asked);
             }
             OwnerStatus::Alive(newer.renewal)
         }
-        Ok(Reply::Owner(newer, _)) if newer.epoch > claim.epoch => OwnerStatus::Replaced(newer),
+        Ok(Reply::Owner(newer, ..)) if newer.epoch > claim.epoch => OwnerStatus::Replaced(newer),
         Ok(Reply::NotOwner {
             claim: known,
             incarnation,
--- a/crates/node/src/member/mod.rs
+++ b/crates/node/src/member/mod.rs
@@ -160,7 +160,7 @@
         .map(|peer| message::send(&shared.rpc, peer.address, &hello, HELLO_TIMEOUT));
     let answers = join_all(requests).await;
     let claims = answers.into_iter().filter_map(|answer| match answer {
-        Ok(Reply::Owner(claim, _)) => Some(claim),
+        Ok(Reply::Owner(claim, ..)) => Some(claim),
         Ok(Reply::NotOwner { claim, .. }) => claim,
         _ => None,
     });
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -35,6 +35,7 @@
 };
 
 use crate::{
+    admission::Load,
     dispatch::{
         Orders,
         Reports, //
@@ -95,6 +96,8 @@
     /// Tells the other node of the owner of this epoch. It ends an earlier ownership of its own, and from then on
     /// confirms no owner of an earlier epoch.
     Fence(Epoch),
+    /// Asks whether a job with this id was accepted before.
+    IsAccepted(JobId),
 }
 
 impl Request {
@@ -113,6 +116,7 @@
             Self::Configuration(_) => "configuration",
             Self::ConfirmOwner(_) => "confirm-owner",
             Self::Fence(_) => "fence",
+            Self::IsAccepted(_) => "is-accepted",
             Self::Orders(_) => "orders",
             Self::Reports(_) => "reports",
             Self::Released(_) => "vacant",
@@ -139,8 +143,9 @@
 /// The reply to a [`Request`].
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) enum Reply {
-    /// This node owns the cell under this claim and has read the operator's records up to this position.
-    Owner(Claim, Option<ReadPosition>),
+    /// This node owns the cell under this claim, has read the operator's records up to this position, and has this
+    /// load, if that is known.
+    Owner(Claim, Option<ReadPosition>, Option<Load>),
     /// This node doesn't own the cell.
     NotOwner {
         /// The newest claim known to the node.
@@ -164,6 +169,8 @@
     Configuration(ConfigState),
     /// Whether this node confirms an owner.
     Vote(Vote),
+    /// No job with the id was accepted before the question.
+    NotAccepted,
 }
 
 /// The answer of a voter that was asked to confirm an owner.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -44,6 +44,7 @@
 };
 
 use crate::{
+    admission::OwnerLoad,
     assignment::Peer,
     config_exchange,
     dispatch::Dispatcher,
@@ -221,6 +222,7 @@
             stalled: Notify::new(),
             hellos: Mutex::default(),
             lag: LagMonitor::default(),
+            owner_load: OwnerLoad::default(),
             store: StoreHealth::new(parts.log),
             probe_cache: member::ProbeCache::default(),
             strongest_owner: AtomicU32::new(0),
@@ -436,7 +438,8 @@
         if previous.is_none_or(|(previous, _)| Peer::from(&previous) != peer) {
             self.peer_change.notify_one();
         }
-        Reply::Owner(ownership.claim, operator::position(shared))
+        let load = shared.owner_load.get();
+        Reply::Owner(ownership.claim, operator::position(shared), load)
     }
 
     fn not_owner(&self) -> Reply {
--- a/crates/node/src/owner/engine_actor.rs
+++ b/crates/node/src/owner/engine_actor.rs
@@ -63,6 +63,7 @@
     delegated::DelegatedOrders, listing, orders::Failure, read_progress::ReadProgress, removal,
 };
 use crate::{
+    admission::Load,
     assignment::{
         Assignment,
         Peer, //
@@ -307,6 +308,7 @@
             Event::Tick(due, wait) => {
                 self.shared.lag.record_event_wait(due.elapsed());
                 self.shared.log_wait("event", &wait);
+                self.measure_load();
                 for report in self.delegated.overdue() {
                     self.handle_report(report);
                 }
@@ -318,6 +320,16 @@
         }
     }
 
+    /// Publishes how long new work waits for this owner.
+    fn measure_load(&self) {
+        let mut load = Load::new(self.shared.lag.owner_lag(), self.engine.backlog());
+        load.backlogged = match load.may_refuse() {
+            true => self.engine.backlogged_workspaces(),
+            false => None,
+        };
+        self.shared.owner_load.record(load, Instant::now());
+    }
+
     fn apply_effects(&mut self, effects: Vec<Effect>, actor_ref: &ActorRef<Self>) {
         let mut orders = Vec::new();
         for effect in effects {
@@ -521,6 +533,9 @@
         let loads = self.engine.advice_load(self.shared.clock.now());
         self.shared.meter.advice_load(&self.shared.log, &loads);
         self.shared.meter.workspaces(self.engine.usage());
+        if let Some(load) = self.shared.owner_load.get() {
+            self.shared.meter.owner_load(&load);
+        }
         if self.shared.meter.may_log("believed", "") {
             slog::info!(self.shared.log, "believed"; "epoch" => epoch, "jobs" => counts.jobs,
                 "waiting" => counts.pending_jobs,
--- a/crates/node/src/owner/jobs.rs
+++ b/crates/node/src/owner/jobs.rs
@@ -253,7 +253,10 @@
         };
         for record in found {
             let event = match record {
-                JobRecord::Accepted(accepted) => Event::Accepted(accepted),
+                JobRecord::Accepted(accepted) => {
+                    read_progress.note_accepted(accepted.job);
+                    Event::Accepted(accepted)
+                }
                 JobRecord::Cancelled(cancelled) => Event::Cancelled(cancelled),
                 JobRecord::Unreadable(job) => {
                     read_progress.note_unreadable(job);
--- a/crates/node/src/owner/read_progress.rs
+++ b/crates/node/src/owner/read_progress.rs
@@ -12,6 +12,7 @@
 };
 
 use fulmarpier_cell::id::JobId;
+use fulmarpier_state::alias::HashSet;
 use tokio::{
     sync::watch,
     time::{
@@ -39,6 +40,8 @@
     requested: Arc<watch::Sender<Option<Instant>>>,
     /// Jobs with records that can't be read: neither their state nor their absence is known.
     unreadable: Arc<Mutex<BTreeSet<JobId>>>,
+    /// The jobs that were accepted, those included that are over.
+    accepted: Arc<Mutex<HashSet<JobId>>>,
 }
 
 impl ReadProgress {
@@ -48,6 +51,7 @@
             read: Arc::new(watch::Sender::new(read)),
             requested: Arc::new(watch::Sender::new(None)),
             unreadable: Arc::default(),
+            accepted: Arc::default(),
         }
     }
 
@@ -77,6 +81,21 @@
         }
     }
 
+    fn accepted(&self) -> MutexGuard<'_, HashSet<JobId>> {
+        let accepted = self.accepted.lock();
+        accepted.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records a job that was accepted.
+    pub(crate) fn note_accepted(&self, job: JobId) {
+        self.accepted().insert(job);
+    }
+
+    /// Returns whether a job was accepted, as far as the records were read.
+    pub(crate) fn is_accepted(&self, job: JobId) -> bool {
+        self.accepted().contains(&job)
+    }
+
     /// Returns whether a job has a record that can't be read.
     pub(crate) fn is_unreadable(&self, job: JobId) -> bool {
         self.unreadable().contains(&job)
--- a/crates/node/src/owner/requests.rs
+++ b/crates/node/src/owner/requests.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use fulmarpier_cell::id::JobId;
 use tokio::time::Instant;
 
 use super::engine_actor::{
@@ -32,7 +33,10 @@
     request: Request,
 ) -> Option<Reply> {
     match request {
-        Request::Accepted(accepted) => notify(engine, Event::Accepted(accepted)).await,
+        Request::Accepted(accepted) => {
+            engine.read_progress.note_accepted(accepted.job);
+            notify(engine, Event::Accepted(accepted)).await
+        }
         Request::Announced(accepted) => notify(engine, Event::Announced(accepted)).await,
         Request::Withdrawn(job) => notify(engine, Event::Withdrawn(job)).await,
         Request::Cancelled(cancelled) => notify(engine, Event::Cancelled(cancelled)).await,
@@ -45,10 +49,32 @@
         Request::Pending(queue, workspace) => {
             count_pending(engine, PendingQuery { queue, workspace }).await
         }
+        Request::IsAccepted(job) => is_accepted(engine, job).await,
         _ => None,
     }
 }
 
+/// Tells whether a job was accepted; `None` if that isn't known in time.
+///
+/// The actor isn't asked: this is for callers that are refused because it has too much to do.
+async fn is_accepted<P: Platform>(engine: &EngineHandle<P>, job: JobId) -> Option<Reply> {
+    let progress = &engine.read_progress;
+    let is_accepted = || progress.is_accepted(job) || progress.is_unreadable(job);
+    if is_accepted() {
+        return Some(Reply::Ack);
+    }
+    if !progress
+        .wait_until_read(Instant::now(), CATCH_UP_TIMEOUT)
+        .await
+    {
+        return None;
+    }
+    Some(match is_accepted() {
+        true => Reply::Ack,
+        false => Reply::NotAccepted,
+    })
+}
+
 /// Sends the actor an event, behind all events sent before.
 async fn notify<P: Platform>(engine: &EngineHandle<P>, event: Event) -> Option<Reply> {
     engine.actor.tell(event).await.ok()?;
--- a/crates/node/src/owner/takeover.rs
+++ b/crates/node/src/owner/takeover.rs
@@ -131,9 +131,14 @@
         }
     }
     let read_progress = jobs::read_progress(&partitions);
+    let known = stored.progress.iter();
+    known.for_each(|(job, _)| read_progress.note_accepted(*job));
     for record in found {
         match record {
-            JobRecord::Accepted(accepted) => stored.accepted.push(*accepted),
+            JobRecord::Accepted(accepted) => {
+                read_progress.note_accepted(accepted.job);
+                stored.accepted.push(*accepted);
+            }
             JobRecord::Cancelled(cancelled) => stored.cancelled.push(cancelled),
             JobRecord::Unreadable(job) => read_progress.note_unreadable(job),
         }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -42,6 +42,10 @@
 };
 
 use crate::{
+    admission::{
+        Load,
+        OwnerLoad, //
+    },
     assignment::Peer,
     evacuation,
     health::{
@@ -167,6 +171,8 @@
     /// The last hellos of the other nodes to this one as the owner.
     pub(crate) hellos: Hellos,
     pub(crate) lag: LagMonitor,
+    /// The load of the owner, which is this node or another.
+    pub(crate) owner_load: OwnerLoad,
     pub(crate) store: StoreHealth,
     /// The result of the last store probe that was made at the request of another node.
     pub(crate) probe_cache: member::ProbeCache,
@@ -443,6 +449,13 @@
         });
     }
 
+    /// Records the load that the owner told in reply to a hello sent at `asked`.
+    pub(crate) fn record_owner_load(&self, load: Option<Load>, asked: Instant) {
+        if let Some(load) = load {
+            self.owner_load.record(load, asked);
+        }
+    }
+
     /// Returns how many partitions jobs are spread over, as far as this node knows.
     pub(crate) fn spread(&self) -> Spread {
         let claim = self.claim.borrow();
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -41,6 +41,7 @@
 use tokio::time::Instant;
 
 use crate::{
+    admission,
     platform::{
         Error,
         Rejected, //
@@ -86,6 +87,7 @@
     engine_state: Gauge<u64>,
     workspaces: Gauge<u64>,
     shares: Gauge<u64>,
+    owner_load: Gauge<u64>,
     worker_speeds: Gauge<u64>,
     suppressed_lines: Counter<u64>,
     lost_reports: Counter<u64>,
@@ -167,6 +169,10 @@
                 "fulmarpier_workspace_share",
                 "How the usage of workspaces compares with their shares, by workspace and kind.",
             ),
+            owner_load: registry.gauge(
+                "fulmarpier_owner_load",
+                "How long new work waits for this node as the owner, in milliseconds, by kind.",
+            ),
             worker_speeds: registry.gauge(
                 "fulmarpier_worker_speed",
                 "How many workers are slower or faster than others of their pool, by class.",
@@ -386,6 +392,21 @@
         }
     }
 
+    /// Sets the gauges of the owner's load.
+    pub(crate) fn owner_load(&self, load: &admission::Load) {
+        let backlogged = load.backlogged.as_deref().unwrap_or_default();
+        let gauges = [
+            ("event_wait_ms", millis(load.event_wait)),
+            ("urgent_wait_ms", millis(load.urgent_wait)),
+            ("other_wait_ms", millis(load.other_wait)),
+            ("backlogged_workspaces", count(backlogged.len())),
+        ];
+        for (kind, value) in gauges {
+            let labels = [KeyValue::new("kind", kind)];
+            self.0.owner_load.record(value, &labels);
+        }
+    }
+
     /// Sets the gauges of the calls for advice, and logs them.
     pub(crate) fn advice_load(&self, log: &Logger, loads: &BTreeMap<u8, Load>) {
         for (priority, load) in loads {
--- a/crates/node/tests/node/main.rs
+++ b/crates/node/tests/node/main.rs
@@ -7,6 +7,7 @@
 mod gauges;
 mod history;
 mod invalid_records;
+mod overload;
 mod ownership;
 mod platform;
 mod read_progress;
--- a/crates/node/tests/node/platform.rs
+++ b/crates/node/tests/node/platform.rs
@@ -73,6 +73,7 @@
     StoreLimits,
     Topic, //
 };
+use fulmarpier_node::work;
 use fulmarpier_state::{
     quota::Limit,
     resource::Resources,
@@ -206,6 +207,8 @@
     reads: Arc<Mutex<Vec<(String, Instant)>>>,
     /// For how long this machine was suspended.
     suspended: Arc<Mutex<Duration>>,
+    /// How long a scheduling pass on this machine takes.
+    pass_time: Arc<Mutex<Duration>>,
 }
 
 /// A value that is rejected before it is decoded.
@@ -305,6 +308,11 @@
         *self.suspended.lock().unwrap() += span;
     }
 
+    /// Sets how long a scheduling pass on this machine takes.
+    pub(crate) fn set_pass_time(&self, time: Duration) {
+        *self.pass_time.lock().unwrap() = time;
+    }
+
     /// Sets how the store behaves towards this machine alone.
     pub(crate) fn set_own_mode(&self, mode: Mode) {
         *self.own_mode.lock().unwrap() = Some(mode);
@@ -897,6 +905,13 @@
         None
     }
 
+    async fn work(&self, kind: work::Kind, _: usize) {
+        if kind == work::Kind::Pass {
+            let time = *self.pass_time.lock().unwrap();
+            sleep(time).await;
+        }
+    }
+
     fn total_suspension(&self) -> Duration {
         *self.suspended.lock().unwrap()
     }
