--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -4,6 +4,7 @@
 mod advice_nodes;
 mod announce;
 mod attempts;
+mod backlog;
 #[path = "../../../coordination/tests/support/cases.rs"]
 mod cases;
 mod crash;
