--- a/crates/cell/examples/fleet.rs
+++ b/crates/cell/examples/fleet.rs
@@ -4,13 +4,19 @@
 //! workers answer at once, and the advice service after a fixed time. Prints the processor time that the engine uses
 //! per second of virtual time, and the longest time that one event took:
 //!
-//! `cargo run --release -p fulmarpier-cell --example fleet [WORKERS ...] [load=PERCENT ...] [mixed]`.
+//! `cargo run --release -p fulmarpier-cell --example fleet [WORKERS ...] [load=PERCENT ...] [mixed] [large]`.
 //!
 //! With `mixed` the engine is told that a third each of the workers is slow, typical and fast, which does not change
-//! how long their tasks take.
+//! how long their tasks take. With `large` the workers have 64 cores, some urgent jobs are gangs, and some batch jobs
+//! spread their tasks. The last column is a digest of all orders: it is the same for two versions of the engine that
+//! decide the same.
 
 use std::{
     collections::BTreeMap,
+    hash::{
+        Hash,
+        Hasher, //
+    },
     net::SocketAddr,
     sync::Arc,
     time::{
@@ -62,7 +68,10 @@
     speed::Class,
 };
 use fulmarpier_state::{
-    alias::HashMap,
+    alias::{
+        FxHasher,
+        HashMap, //
+    },
     clock::Timestamp,
     resource::Resources,
     unit::{
@@ -90,10 +99,15 @@
 const TICK: Duration = Duration::from_millis(5);
 /// The time that it takes to store a record.
 const RECORD_LATENCY: Duration = Duration::from_millis(8);
-/// The capacity of a worker, in thousandths of a core and mebibytes.
-const WORKER_CAPACITY: (u32, u64) = (16_000, 32_768);
-/// The number of nodes that call the advice service.
-const NODES: u32 = 36;
+
+/// A fleet and the jobs that are submitted to it.
+struct Profile {
+    /// The capacity of a worker, in thousandths of a core and mebibytes.
+    worker_capacity: (u32, u64),
+    /// The number of nodes that call the advice service.
+    nodes: u32,
+    kinds: [Kind; 3],
+}
 
 /// A kind of job.
 struct Kind {
@@ -107,43 +121,95 @@
     cpu: (u32, u32),
     /// The range of the duration of a task, in milliseconds.
     duration_ms: (u64, u64),
-    gang: bool,
+    /// The share of jobs that are gangs.
+    gangs: f64,
+    /// The share of jobs that allow only one of their tasks on a worker.
+    spread: f64,
     /// The duration of a call for advice in milliseconds, and the share of workers that the answer allows.
     advice: (u64, f64),
 }
 
-const KINDS: [Kind; 3] = [
-    Kind {
-        queue: "gang",
-        priority: 1,
-        rate: 1.6,
-        task_count: (2, 40),
-        cpu: (1_500, 7_500),
-        duration_ms: (1_000, 7_000),
-        gang: true,
-        advice: (360, 0.25),
-    },
-    Kind {
-        queue: "batch",
-        priority: 2,
-        rate: 3.4,
-        task_count: (2, 50),
-        cpu: (500, 3_000),
-        duration_ms: (500, 4_000),
-        gang: false,
-        advice: (46, 0.45),
-    },
-    Kind {
-        queue: "urgent",
-        priority: 0,
-        rate: 30.0,
-        task_count: (1, 6),
-        cpu: (800, 4_200),
-        duration_ms: (200, 1_400),
-        gang: false,
-        advice: (8, 0.7),
-    },
-];
+/// Workers of 16 cores.
+static SMALL: Profile = Profile {
+    worker_capacity: (16_000, 32_768),
+    nodes: 36,
+    kinds: [
+        Kind {
+            queue: "gang",
+            priority: 1,
+            rate: 1.6,
+            task_count: (2, 40),
+            cpu: (1_500, 7_500),
+            duration_ms: (1_000, 7_000),
+            gangs: 1.0,
+            spread: 0.0,
+            advice: (360, 0.25),
+        },
+        Kind {
+            queue: "batch",
+            priority: 2,
+            rate: 3.4,
+            task_count: (2, 50),
+            cpu: (500, 3_000),
+            duration_ms: (500, 4_000),
+            gangs: 0.0,
+            spread: 0.0,
+            advice: (46, 0.45),
+        },
+        Kind {
+            queue: "urgent",
+            priority: 0,
+            rate: 30.0,
+            task_count: (1, 6),
+            cpu: (800, 4_200),
+            duration_ms: (200, 1_400),
+            gangs: 0.0,
+            spread: 0.0,
+            advice: (8, 0.7),
+        },
+    ],
+};
+
+/// Workers of 64 cores, with wide jobs.
+static LARGE: Profile = Profile {
+    worker_capacity: (64_000, 262_144),
+    nodes: 45,
+    kinds: [
+        Kind {
+            queue: "gang",
+            priority: 1,
+            rate: 6.0,
+            task_count: (10, 30),
+            cpu: (1_500, 7_500),
+            duration_ms: (1_000, 7_000),
+            gangs: 1.0,
+            spread: 0.0,
+            advice: (360, 0.25),
+        },
+        Kind {
+            queue: "batch",
+            priority: 2,
+            rate: 24.0,
+            task_count: (10, 40),
+            cpu: (500, 3_000),
+            duration_ms: (500, 4_000),
+            gangs: 0.0,
+            spread: 0.3,
+            advice: (46, 0.45),
+        },
+        Kind {
+            queue: "urgent",
+            priority: 0,
+            rate: 120.0,
+            task_count: (1, 6),
+            cpu: (800, 4_200),
+            duration_ms: (200, 1_400),
+            gangs: 0.3,
+            spread: 0.0,
+            advice: (8, 0.7),
+        },
+    ],
+};
 
 fn main() {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
@@ -155,10 +221,14 @@
     let fleet_sizes = values_or_default(fleet_sizes.collect(), &DEFAULT_FLEET_SIZES);
     let loads = values_or_default(loads.collect(), &DEFAULT_LOADS);
     let is_mixed = arguments.iter().any(|text| text == "mixed");
-    println!("load  workers  starts/s  ms/s  us/start  worst ms  waiting");
+    let is_large = arguments.iter().any(|text| text == "large");
+    let profile = if is_large { &LARGE } else { &SMALL };
+    println!(
+        "load  workers  starts/s    ms/s  us/start  worst ms  waiting  passes/s  us/pass  ns/check  digest"
+    );
     for load in loads {
         for fleet_size in &fleet_sizes {
-            measure(*fleet_size, load, is_mixed);
+            measure(profile, *fleet_size, load, is_mixed);
         }
     }
 }
@@ -227,6 +297,7 @@
 
 /// The engine and a simulation of its surroundings.
 struct Simulation {
+    profile: &'static Profile,
     engine: Engine,
     now: Timestamp,
     simulated_workers: HashMap<WorkerId, SimulatedWorker>,
@@ -236,13 +307,25 @@
     engine_time: Duration,
     /// The longest time that one event took.
     longest_event: Duration,
+    passes: Passes,
+    /// A digest of all orders.
+    digest: FxHasher,
     rng: SmallRng,
 }
 
+/// The cost of the scheduling passes.
+#[derive(Default)]
+struct Passes {
+    count: u64,
+    checks: usize,
+    time: Duration,
+}
+
 impl Simulation {
-    fn new(workers: u32) -> Self {
+    fn new(profile: &'static Profile, workers: u32) -> Self {
         let now = Timestamp::from_millis(1_000_000);
         let mut simulation = Self {
+            profile,
             engine: Engine::new(Epoch(1), Bounds::default(), StoredState::default(), now),
             now,
             simulated_workers: HashMap::default(),
@@ -251,19 +334,23 @@
             starts: 0,
             engine_time: Duration::ZERO,
             longest_event: Duration::ZERO,
+            passes: Passes::default(),
+            digest: FxHasher::default(),
             rng: SmallRng::seed_from_u64(1),
         };
-        simulation.engine.configure(config());
+        simulation.engine.configure(config(profile));
         simulation
             .engine
             .set_evacuation(Evacuation::default(), now, now);
-        let nodes: Vec<NodeName> = (0..NODES)
+        let nodes: Vec<NodeName> = (0..profile.nodes)
             .map(|n| NodeName::from(format!("n{n}")))
             .collect();
         simulation.engine.set_advice_nodes(&nodes, now);
         for nth in 0..workers {
             let id = WorkerId::from(format!("w{nth}"));
-            simulation.engine.register(registration(&id, nth), now);
+            simulation
+                .engine
+                .register(registration(profile, &id, nth), now);
             simulation
                 .simulated_workers
                 .insert(id, SimulatedWorker::default());
@@ -283,7 +370,8 @@
     fn register_workers(&mut self, workers: u32) {
         for nth in 0..workers {
             let id = WorkerId::from(format!("w{nth}"));
-            self.engine.register(registration(&id, nth), self.now);
+            self.engine
+                .register(registration(self.profile, &id, nth), self.now);
         }
     }
 
@@ -297,9 +385,15 @@
     }
 
     fn advance(&mut self) {
+        let is_pass = self.engine.is_pass_due(self.now);
         let began = Instant::now();
         let effects = self.engine.advance(self.now);
         let took = began.elapsed();
+        if is_pass {
+            self.passes.count += 1;
+            self.passes.checks += self.engine.pass_cost();
+            self.passes.time += took;
+        }
         self.engine_time += took;
         self.longest_event = self.longest_event.max(took);
         for effect in effects {
@@ -317,7 +411,8 @@
         match effect {
             Effect::Start(order) => {
                 let (worker, task, run) = (order.to.worker.clone(), order.task, order.run);
-                let (shortest, longest) = kind_of(task.step.job).duration_ms;
+                (&worker, task, run, now).hash(&mut self.digest);
+                let (shortest, longest) = self.kind_of(task.step.job).duration_ms;
                 let delay = Duration::from_millis(self.rng.random_range(shortest..longest));
                 self.starts += 1;
                 if let Some(simulated_worker) = self.simulated_workers.get_mut(&worker) {
@@ -330,6 +425,7 @@
             }
             Effect::Stop(order) => {
                 let (worker, task, run) = (order.to.worker.clone(), order.task, order.run);
+                (&worker, task, run, now).hash(&mut self.digest);
                 self.call_engine(|engine, now| {
                     engine.handle_stop_answer(&worker, task, run, StopAnswer::Confirmed, now);
                 });
@@ -357,7 +453,8 @@
                 step,
                 workers,
             } => {
-                let (base, _) = kind_of(step.job).advice;
+                (&node, step, &workers, now).hash(&mut self.digest);
+                let (base, _) = self.kind_of(step.job).advice;
                 self.schedule(
                     Duration::from_millis(base),
                     Event::Advised(node, step, workers),
@@ -390,7 +487,7 @@
             Event::End(worker, task, run) => self.end(&worker, task, run, ExitReason::Done),
             Event::Recorded => self.call_engine(|engine, now| engine.handle_recorded(now)),
             Event::Advised(node, step, workers) => {
-                let share = kind_of(step.job).advice.1;
+                let share = self.kind_of(step.job).advice.1;
                 let rng = &mut self.rng;
                 let allowed = workers.into_iter().filter(|_| rng.random_bool(share));
                 let allowed: Vec<Grant> = allowed
@@ -411,23 +508,26 @@
             task_count,
             cpu,
             duration_ms,
-            gang,
+            gangs,
+            spread,
             ..
-        } = KINDS[kind];
+        } = self.profile.kinds[kind];
         self.serial += 1;
         let cpu = self.rng.random_range(cpu.0..cpu.1);
+        let gang = self.rng.random_bool(gangs);
         let step = Step {
             count: self.rng.random_range(task_count.0..task_count.1),
             size: Resources::new(Millicores(cpu), Bytes::from_mib(u64::from(cpu)), 0),
             estimate: Duration::from_millis((duration_ms.0 + duration_ms.1) / 2),
             gang,
+            anti_affinity: self.rng.random_bool(spread).then_some(1),
             checkpointing: !gang,
             ..Step::default()
         };
         let accepted = Accepted {
             // The id of a job gives its kind.
             job: JobId(self.serial * 3 + kind as u64),
-            queue: Arc::new(queue(&KINDS[kind])),
+            queue: Arc::new(queue(&self.profile.kinds[kind])),
             spec: Arc::new(Spec {
                 payload: "text".into(),
                 steps: vec![step],
@@ -441,10 +541,10 @@
             engine.submit(accepted, now);
         });
     }
-}
 
-fn kind_of(job: JobId) -> &'static Kind {
-    &KINDS[usize::try_from(job.0 % 3).unwrap_or(0)]
+    fn kind_of(&self, job: JobId) -> &'static Kind {
+        &self.profile.kinds[usize::try_from(job.0 % 3).unwrap_or(0)]
+    }
 }
 
 fn queue(kind: &Kind) -> Queue {
@@ -463,8 +563,8 @@
     }
 }
 
-fn config() -> Config {
-    let queues = KINDS.iter().map(queue);
+fn config(profile: &Profile) -> Config {
+    let queues = profile.kinds.iter().map(queue);
     Config {
         version: 1,
         queues: queues.map(|q| (q.name.clone(), Arc::new(q))).collect(),
@@ -472,15 +572,15 @@
     }
 }
 
-fn registration(id: &WorkerId, nth: u32) -> Registration {
+fn registration(profile: &Profile, id: &WorkerId, nth: u32) -> Registration {
     Registration {
         incarnation: None,
         id: id.clone(),
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         pool: PoolName::from("pool"),
         capacity: Resources::new(
-            Millicores(WORKER_CAPACITY.0),
-            Bytes::from_mib(WORKER_CAPACITY.1),
+            Millicores(profile.worker_capacity.0),
+            Bytes::from_mib(profile.worker_capacity.1),
             0,
         ),
         labels: vec!["a".into(), format!("r{}", nth / 8).into()],
@@ -489,15 +589,15 @@
     }
 }
 
-fn measure(workers: u32, load: u32, is_mixed: bool) {
-    let mut simulation = Simulation::new(workers);
+fn measure(profile: &'static Profile, workers: u32, load: u32, is_mixed: bool) {
+    let mut simulation = Simulation::new(profile, workers);
     if is_mixed {
         simulation.set_speed_classes(workers);
     }
     let end = simulation.now + MEASUREMENT_DURATION;
     let tick = TICK.as_secs_f64();
     // The number of jobs of each kind that are due, including a fraction of the next one.
-    let mut due = [0.0; KINDS.len()];
+    let mut due = [0.0; 3];
     let mut next_registration = simulation.now;
     while simulation.now < end {
         if next_registration <= simulation.now {
@@ -515,7 +615,7 @@
         }
         simulation.now = next;
         for (kind, due) in due.iter_mut().enumerate() {
-            let rate = KINDS[kind].rate * f64::from(load) / NOMINAL_LOAD;
+            let rate = profile.kinds[kind].rate * f64::from(load) / NOMINAL_LOAD;
             *due += rate * f64::from(workers) / 100.0 * tick;
             while *due >= 1.0 {
                 *due -= 1.0;
@@ -526,12 +626,17 @@
     }
     let seconds = MEASUREMENT_DURATION.as_secs_f64();
     let millis = simulation.engine_time.as_secs_f64() * 1_000.0;
+    let passes = &simulation.passes;
     println!(
-        "{load:>4} {workers:>8} {:>9.0} {:>6.1} {:>9.1} {:>9.1} {:>8}",
+        "{load:>4} {workers:>8} {:>9.0} {:>7.1} {:>9.1} {:>9.1} {:>8} {:>9.0} {:>8.0} {:>9.0}  {:016x}",
         simulation.starts as f64 / seconds,
         millis / seconds,
         millis * 1_000.0 / simulation.starts as f64,
         simulation.longest_event.as_secs_f64() * 1_000.0,
         simulation.engine.counts().open_steps,
+        passes.count as f64 / seconds,
+        passes.time.as_secs_f64() * 1_000_000.0 / passes.count as f64,
+        passes.time.as_secs_f64() * 1_000_000_000.0 / passes.checks as f64,
+        simulation.digest.finish(),
     );
 }
