cell: ranks and node shares are computed only where they decide

is_preemptible_by ranked every running task before it looked at the priority; Nodes::idle computed the reserved nodes for short calls and with no node idle too. Decisions don't change. Not measured on its own.

--- a/crates/cell/src/advice/nodes.rs
+++ b/crates/cell/src/advice/nodes.rs
@@ -113,15 +113,16 @@
     /// most half of all. With a fixed half of 97 nodes reserved, of which short calls used 5, the long calls had to
     /// wait.
     pub fn idle(&self, is_long: bool) -> Option<&NodeName> {
+        let idle = self.idle.first()?;
+        if !is_long {
+            return Some(idle);
+        }
         let nodes = self.idle.len() + self.busy.len();
         let for_short = (self.short_call_time * SHORT_CALL_NODE_FACTOR).as_micros();
         let for_short = for_short.div_ceil(SHORT_CALL_AVERAGING_PERIOD.as_micros()) + 1;
         let for_short = usize::try_from(for_short).unwrap_or(usize::MAX);
         let for_long = nodes - for_short.min(nodes / 2);
-        if is_long && self.long_calls >= for_long {
-            return None;
-        }
-        self.idle.first()
+        (self.long_calls < for_long).then_some(idle)
     }
 
     /// Notes that a node has begun a call.
--- a/crates/cell/src/engine/reserve.rs
+++ b/crates/cell/src/engine/reserve.rs
@@ -311,10 +311,12 @@
             return false;
         };
         let step = job.step(task.step);
-        let own = self.rank(task.step, now);
-        self.queue_of(job).priority > demand.queue.priority
-            && step.is_some_and(|step| step.checkpointing && !step.gang && !step.long_running)
-            && own.is_some_and(|(own, _)| own > rank)
+        let is_preemptible =
+            step.is_some_and(|step| step.checkpointing && !step.gang && !step.long_running);
+        // The rank comes last, since it takes the most time.
+        is_preemptible
+            && self.queue_of(job).priority > demand.queue.priority
+            && self.rank(task.step, now).is_some_and(|(own, _)| own > rank)
     }
 
     /// Preempts tasks on a worker until the wanted number of tasks of a step fits there; returns how many it preempts.
