cell: passes leave out the steps that wait for a node

In a surge most open steps wait for a node to ask for advice, and each pass examined all of them. A pass now passes over those noted to wait while no node is free; they cost the budget as before, so the decisions stay the same.

--- a/crates/cell/src/engine/ask.rs
+++ b/crates/cell/src/engine/ask.rs
@@ -13,12 +13,14 @@
 use super::{
     Engine,
     Slot,
+    open_steps::NodeWait,
     place::{
         Demand,
         fit_count, //
     },
     reserve::Reservations,
-    stage::Stage, //
+    stage::Stage,
+    wait::next_wait_reason, //
 };
 use crate::{
     advice::{
@@ -93,6 +95,12 @@
     last.filter(|_| is_selective(demand)).map(|last| last + 1)
 }
 
+/// Returns whether even a call for a step about one worker is a long call.
+fn is_long(demand: &Demand<'_>) -> bool {
+    let timing = demand.queue.advice;
+    timing.is_some_and(|timing| timing.call_duration(1) > LONG_CALL_THRESHOLD)
+}
+
 /// What a step whose tasks don't all fit needs of the advice service.
 enum Refresh {
     /// Nothing, or the answer to a call that is in flight.
@@ -324,9 +332,32 @@
 
     /// Returns whether a node is free for a call for a step about one worker.
     fn has_node(&self, demand: &Demand<'_>) -> bool {
-        let timing = demand.queue.advice;
-        let is_long = timing.is_some_and(|timing| timing.call_duration(1) > LONG_CALL_THRESHOLD);
-        self.advice_nodes.idle(is_long).is_some()
+        self.advice_nodes.idle(is_long(demand)).is_some()
+    }
+
+    /// Returns what a step waits for that no call was made about yet, if all it lacks to make one is a free node.
+    ///
+    /// Then nothing but a node changes that, except for the configuration and the set of workers. A step whose
+    /// workspace has a limit doesn't count, since its examination may reserve a share of that.
+    pub(super) fn node_wait(&self, id: StepId, now: Timestamp) -> Option<NodeWait> {
+        let job = self.jobs.get(&id.job)?;
+        let stage = job.stage(id)?;
+        let advice = &stage.advice;
+        let lacks_node = advice.node_wanted_since.is_some()
+            && !advice.is_answered
+            && !advice.is_call_pending(now)
+            && advice.planned.is_empty();
+        let account = job.account.map(|account| self.quotas.account(account));
+        let is_unlimited = account.is_none_or(|account| account.limit.resources.is_none());
+        if !lacks_node || !is_unlimited {
+            return None;
+        }
+        let demand = self.demand(job, id)?;
+        demand.queue.advice?;
+        let gang = demand.step.gang;
+        let gang = gang.then(|| (demand.queue.name.clone(), stage.gangs_started_before));
+        let until = next_wait_reason(stage, now);
+        Some(NodeWait::new(is_long(&demand), until, gang))
     }
 
     /// Notes that a step waits for a node that makes its next call.
--- a/crates/cell/src/engine/contact.rs
+++ b/crates/cell/src/engine/contact.rs
@@ -98,6 +98,7 @@
                 self.revoke_excess_starts(slot, now);
             }
             if is_changed {
+                self.open_steps.forget_node_waits();
                 self.reopen_unschedulable();
             }
             if is_leaving && !was_leaving {
@@ -187,6 +188,7 @@
         self.next_slot += 1;
         self.slots.insert(worker.registration.id.clone(), slot);
         self.workers.insert(slot, worker);
+        self.open_steps.forget_node_waits();
         self.update_indexes(slot);
         self.mark_evacuated(slot);
         slot
--- a/crates/cell/src/engine/loss.rs
+++ b/crates/cell/src/engine/loss.rs
@@ -99,6 +99,7 @@
         self.release_all(slot, now);
         // The worker may come back under the same id while orders to the former incarnation are still in flight.
         self.fence = self.fence.next();
+        self.open_steps.forget_node_waits();
         if let Some(worker) = self.workers.remove(&slot) {
             self.slots.remove(&worker.registration.id);
             self.record_queue.remove_worker(worker.registration.id);
--- a/crates/cell/src/engine/mod.rs
+++ b/crates/cell/src/engine/mod.rs
@@ -399,6 +399,7 @@
             self.set_limits();
             self.competition.expire_shares();
             self.open_steps.mark_all_unranked();
+            self.open_steps.forget_node_waits();
             self.needs_pass = true;
             self.reopen_unschedulable();
         }
@@ -452,6 +453,12 @@
         self.pass_cost
     }
 
+    /// Makes the next pass examine all steps, including those that are known to wait for a node. It decides the same
+    /// without that.
+    pub const fn examine_all_steps(&mut self) {
+        self.open_steps.forget_node_waits();
+    }
+
     /// Emits a log record.
     fn log(&mut self, record: LogRecord) {
         self.outbox.push(Effect::Log(record));
--- a/crates/cell/src/engine/open_steps.rs
+++ b/crates/cell/src/engine/open_steps.rs
@@ -20,6 +20,7 @@
 };
 use crate::id::{
     JobId,
+    QueueName,
     StepId, //
 };
 
@@ -32,12 +33,46 @@
     steps: BTreeMap<StepId, OpenStep>,
     /// The open steps of each workspace that has any.
     by_account: BTreeMap<quota::Slot, BTreeSet<StepId>>,
-    ranked: BTreeSet<Rank>,
+    /// The ranked steps, with what those wait for that were examined in vain for want of a node.
+    ranked: BTreeMap<Rank, Option<NodeWait>>,
+    /// What was noted in an earlier generation no longer holds.
+    generation: u64,
     unranked: Vec<StepId>,
     /// The times at which ranks change.
     changes: Timers<StepId>,
 }
 
+/// What a step waits for on whose workers no advice was asked yet, because no node was free for the call.
+///
+/// Until a node is free for it, examining it has no effect but to log why it waits.
+#[derive(Clone, Debug)]
+pub(super) struct NodeWait {
+    /// Whether the call is a long one.
+    pub(super) is_long: bool,
+    /// When the step is examined again in any case.
+    pub(super) until: Timestamp,
+    /// For a gang, its queue and how many gangs of that had started when the step was opened.
+    pub(super) gang: Option<(QueueName, u64)>,
+    /// The generation in which it was noted.
+    generation: u64,
+}
+
+impl NodeWait {
+    /// Notes what a step waits for.
+    pub(super) const fn new(
+        is_long: bool,
+        until: Timestamp,
+        gang: Option<(QueueName, u64)>,
+    ) -> Self {
+        Self {
+            is_long,
+            until,
+            gang,
+            generation: 0,
+        }
+    }
+}
+
 /// An open step.
 #[derive(Clone, Copy, Debug)]
 struct OpenStep {
@@ -144,14 +179,49 @@
         if let Some(before) = step.rank.replace(rank) {
             self.ranked.remove(&before);
         }
-        self.ranked.insert(rank);
+        self.ranked.insert(rank, None);
         self.changes.set(id, change);
     }
 
-    /// Returns the rank that follows the given one, or that of the most urgent step if none is given.
-    pub(super) fn next_after(&self, rank: Option<Rank>) -> Option<Rank> {
+    /// Returns the rank that follows the given one, or that of the most urgent step if none is given, and drops what
+    /// is noted about that step, which is examined next.
+    pub(super) fn take_next_after(&mut self, rank: Option<Rank>) -> Option<Rank> {
         let from = rank.map_or(Bound::Unbounded, Bound::Excluded);
-        self.ranked.range((from, Bound::Unbounded)).next().copied()
+        let mut ranked = self.ranked.range_mut((from, Bound::Unbounded));
+        let (rank, wait) = ranked.next()?;
+        *wait = None;
+        Some(*rank)
+    }
+
+    /// Notes that a step waits for a node.
+    pub(super) fn note_node_wait(&mut self, id: StepId, wait: NodeWait) {
+        let generation = self.generation;
+        let rank = self.rank_of(id);
+        if let Some(noted) = rank.and_then(|rank| self.ranked.get_mut(&rank)) {
+            *noted = Some(NodeWait { generation, ..wait });
+        }
+    }
+
+    /// Drops what is noted about all steps that wait for a node.
+    pub(super) const fn forget_node_waits(&mut self) {
+        self.generation += 1;
+    }
+
+    /// Counts the steps that follow a rank and wait for a node, up to `max` and to the first that doesn't. Returns
+    /// their number and the rank of the last one, or the given rank if there are none.
+    pub(super) fn count_node_waits(
+        &self,
+        after: Option<Rank>,
+        max: usize,
+        holds: impl Fn(&Rank, &NodeWait) -> bool,
+    ) -> (usize, Option<Rank>) {
+        let from = after.map_or(Bound::Unbounded, Bound::Excluded);
+        let ranked = self.ranked.range((from, Bound::Unbounded)).take(max);
+        let waiting = ranked.take_while(|(rank, wait)| {
+            let wait = wait.as_ref();
+            wait.is_some_and(|wait| wait.generation == self.generation && holds(rank, wait))
+        });
+        waiting.fold((0, after), |(count, _), (rank, _)| (count + 1, Some(*rank)))
     }
 
     /// Returns the ids of all open steps.
--- a/crates/cell/src/engine/schedule.rs
+++ b/crates/cell/src/engine/schedule.rs
@@ -10,7 +10,10 @@
     reserve::Reservations,
     share::Claim, //
 };
-use crate::id::StepId;
+use crate::id::{
+    QueueName,
+    StepId, //
+};
 
 /// The cost limit of a pass, in worker checks, before it leaves the less urgent steps to later passes. Events wait
 /// while a pass runs: with this limit for 2 ms at most on a whole core (`examples/fleet`, 540 workers, 150% of the work
@@ -127,7 +130,14 @@
     ) -> (Option<Rank>, usize) {
         let mut last = from;
         let mut cost = 0;
-        while let Some(rank) = self.open_steps.next_after(last) {
+        loop {
+            let max = budget.saturating_sub(cost).div_ceil(STEP_CHECKS);
+            let (passed_over, after) = self.pass_over(last, max, now);
+            last = after;
+            cost += passed_over * STEP_CHECKS;
+            let Some(rank) = self.open_steps.take_next_after(last) else {
+                return (None, cost);
+            };
             if cost >= budget {
                 return (last, cost);
             }
@@ -137,7 +147,28 @@
             }
             cost += self.schedule_step(rank.step, reserved, now);
         }
-        (None, cost)
+    }
+
+    /// Passes over the steps after `from`, at most `max`, whose examination would have no effect because they still
+    /// wait for a node to ask for advice. They cost as much of the budget as if they were examined, so that the same
+    /// steps are examined after them. Returns their number and the rank of the last one.
+    fn pass_over(&self, from: Option<Rank>, max: usize, now: Timestamp) -> (usize, Option<Rank>) {
+        if !self.knows_evacuation(now) {
+            return (0, from);
+        }
+        let has_node = self.advice_nodes.idle(false).is_some();
+        let has_node_for_long = self.advice_nodes.idle(true).is_some();
+        self.open_steps.count_node_waits(from, max, |rank, wait| {
+            let has_node = if wait.is_long {
+                has_node_for_long
+            } else {
+                has_node
+            };
+            let gang = wait.gang.as_ref().filter(|_| rank.class == Class::Late);
+            let is_promotable =
+                gang.is_some_and(|(queue, started)| self.is_promotable(queue, *started));
+            !has_node && now < wait.until && !is_promotable
+        })
     }
 
     /// Schedules some of the steps after `last`, continuing where the previous pass stopped. Returns the cost.
@@ -170,17 +201,23 @@
             return;
         };
         let queue = &self.queue_of(job).name;
-        let started = self.gangs_started.get(queue).copied().unwrap_or_default();
-        let promoted = self.promoted.get(queue);
-        let promoted = promoted.and_then(|promoted| self.open_steps.rank_of(*promoted));
-        let is_free = promoted.is_none_or(|rank| rank.lateness == Lateness::Worthless);
-        let others = started.saturating_sub(stage.gangs_started_before);
-        if is_free && others >= MAX_OVERTAKING_GANGS {
+        if self.is_promotable(queue, stage.gangs_started_before) {
             self.promoted.insert(queue.clone(), id);
             self.open_steps.mark_unranked(id);
         }
     }
 
+    /// Returns whether a late gang is promoted that was opened after `started_before` gangs of its queue had started.
+    fn is_promotable(&self, queue: &QueueName, started_before: u64) -> bool {
+        let started = self.gangs_started.get(queue).copied().unwrap_or_default();
+        if started.saturating_sub(started_before) < MAX_OVERTAKING_GANGS {
+            return false;
+        }
+        let promoted = self.promoted.get(queue);
+        let promoted = promoted.and_then(|promoted| self.open_steps.rank_of(*promoted));
+        promoted.is_none_or(|rank| rank.lateness == Lateness::Worthless)
+    }
+
     /// Starts the tasks of a step that fit, or reserves workers for it. Returns the cost in worker checks.
     fn schedule_step(&mut self, id: StepId, reserved: &mut Reservations, now: Timestamp) -> usize {
         if !self.knows_evacuation(now) {
@@ -216,6 +253,9 @@
         self.reserve_quota(id, reserved);
         self.update_wait_reason(id, now);
         let has_evaluated = !reserved.has_gang(id) && self.reserve_workers(id, reserved, now);
+        if let Some(wait) = self.node_wait(id, now) {
+            self.open_steps.note_node_wait(id, wait);
+        }
         STEP_CHECKS + allowed * if has_evaluated { PREEMPTION_CHECKS } else { 1 }
     }
 
--- a/crates/cell/src/engine/wait.rs
+++ b/crates/cell/src/engine/wait.rs
@@ -16,6 +16,7 @@
         Demand,
         fit_count, //
     },
+    stage::Stage, //
 };
 use crate::{
     config::Queue,
@@ -128,6 +129,12 @@
     worker.registration.pool == queue.pool && label.is_none_or(|label| worker.has_label(label))
 }
 
+/// Returns when it is evaluated next why a step waits.
+pub(super) fn next_wait_reason(stage: &Stage, now: Timestamp) -> Timestamp {
+    let opened = stage.opened_at.unwrap_or(now);
+    stage.wait_reason_at.max(opened) + WAIT_REASON_INTERVAL
+}
+
 impl From<&UnmetRequirement> for WaitReason {
     fn from(unmet: &UnmetRequirement) -> Self {
         match unmet {
@@ -247,10 +254,7 @@
     /// Returns whether the wait reason of a step was evaluated recently.
     pub(super) fn is_wait_reason_recent(&self, id: StepId, now: Timestamp) -> bool {
         let stage = self.jobs.get(&id.job).and_then(|job| job.stage(id));
-        stage.is_none_or(|stage| {
-            let opened = stage.opened_at.unwrap_or(now);
-            now < stage.wait_reason_at.max(opened) + WAIT_REASON_INTERVAL
-        })
+        stage.is_none_or(|stage| now < next_wait_reason(stage, now))
     }
 
     /// Returns whether any worker accepts tasks of a step, regardless of free capacity and advice.
--- a/crates/cell/tests/cell/main.rs
+++ b/crates/cell/tests/cell/main.rs
@@ -18,6 +18,7 @@
 mod overtaking;
 mod overwritten_entries;
 mod pace;
+mod pass_over;
 mod pending;
 mod preempt;
 mod rate;
--- a/crates/cell/tests/cell/world/mod.rs
+++ b/crates/cell/tests/cell/world/mod.rs
@@ -221,6 +221,10 @@
     pub engine: Engine,
     pub workers: BTreeMap<WorkerId, Worker>,
     pub violations: Vec<String>,
+    /// Whether each pass examines all steps, including those that are known to wait for a node.
+    pub examines_all_steps: bool,
+    /// All effects with their times, if they are kept.
+    pub trace: Option<Vec<(Timestamp, Effect)>>,
     rng: SmallRng,
     faults: Faults,
     epoch: Epoch,
@@ -457,6 +461,8 @@
             ),
             workers: BTreeMap::new(),
             violations: Vec::new(),
+            examines_all_steps: false,
+            trace: None,
             rng: SmallRng::seed_from_u64(seed),
             faults,
             epoch,
@@ -938,7 +944,13 @@
         for id in ended {
             self.answer_waiting_heartbeat(&id);
         }
+        if self.examines_all_steps {
+            self.engine.examine_all_steps();
+        }
         let effects = self.engine.advance(self.now);
+        if let Some(trace) = &mut self.trace {
+            trace.extend(effects.iter().map(|effect| (self.now, effect.clone())));
+        }
         for effect in effects {
             self.execute(effect);
         }
