--- a/crates/node/src/member/own.rs
+++ b/crates/node/src/member/own.rs
@@ -215,7 +215,7 @@
 fn stop_scheduling<P: Platform>(shared: &Shared<P>, epoch: Epoch, takeover: &JoinHandle<bool>) {
     takeover.abort();
     let actor = shared.engine_actor();
-    // The actor sends no order from here on, however many events are queued for it.
+    // Of the events that are queued for the actor, it handles none any more.
     shared.end_ownership(epoch);
     if let Some(actor) = actor {
         shared.runtime.spawn(async move {
