--- a/crates/node/src/lag.rs
+++ b/crates/node/src/lag.rs
@@ -39,7 +39,7 @@
 /// If no timer fires for this long, the process was not running. A claim expires after 0.7 s, so another node may own the
 /// cell by then.
 const STALL_THRESHOLD: Duration = Duration::from_millis(900);
-/// The number of steps of the computation by which the speed of the machine is measured: some 15 us.
+/// The number of steps of the computation by which the speed of the machine is measured.
 const PROBE_STEPS: u64 = 4_000;
 
 /// When timers were last seen to fire, and when they last had not fired for long.
--- a/crates/node/src/member/follow.rs
+++ b/crates/node/src/member/follow.rs
@@ -62,7 +62,7 @@
 /// How long a slow node leaves the cell to others before it claims it: covers their jitter and a slow append.
 const SLOW_CLAIM_DELAY: Duration = Duration::from_millis(250);
 /// How long a weak node leaves the cell to strong ones. They notice the end of an owner as soon as it does, unless their
-/// hellos or reads are lost, and a weak owner of a busy cell serves it worse than none for this long.
+/// hellos or reads are lost, and a strong one would replace it again.
 const WEAK_CLAIM_DELAY: Duration = Duration::from_millis(700);
 /// The longest random delay before a claim, so that nodes don't all append at once.
 const MAX_CLAIM_JITTER: Duration = Duration::from_millis(60);
--- a/crates/node/src/succession.rs
+++ b/crates/node/src/succession.rs
@@ -141,8 +141,9 @@
     strength > other && strength * OUTRANK_RATIO.1 >= other * OUTRANK_RATIO.0
 }
 
-/// Returns whether an owner is slow and should look for a machine that is faster or prompter, given the lag of its events, the time for which
-/// it has owned the cell, and the number of consecutive owners before it that gave the cell up for being slow.
+/// Returns whether an owner is slow and should look for a machine that is faster or prompter, given the lag of its
+/// events, the time for which it has owned the cell, and the number of consecutive owners before it that gave the cell up
+/// for being slow.
 pub fn is_slow(lag: Duration, owned: Duration, slow_owners: u8) -> bool {
     lag >= SLOW_LAG
         && owned >= SLOWNESS_GRACE_PERIOD * (1 << slow_owners.min(MAX_GRACE_PERIOD_DOUBLINGS))
--- a/crates/node/tests/node/surge.rs
+++ b/crates/node/tests/node/surge.rs
@@ -91,6 +91,8 @@
 const MAX_ANSWER_TIME: Duration = SECOND;
 /// The share of the room on the workers that is used, at least, while tasks wait for it.
 const MIN_USE: f64 = 0.9;
+/// The share of the submitted jobs that is accepted at least.
+const MIN_ACCEPTED_SHARE: f64 = 0.9;
 
 /// Returns the time that the owner works on a question of a caller of another node.
 fn question_time(speed: Speed) -> Duration {
@@ -223,9 +225,6 @@
     }
 }
 
-/// The share of the submitted jobs that is accepted at least.
-const MIN_ACCEPTED_SHARE: f64 = 0.9;
-
 /// Guards against an owner that loses its lease, or never recovers, because it had too much to do for a while.
 #[rstest]
 #[tokio::test(start_paused = true)]
