--- a/crates/protocol/src/settings/node.rs
+++ b/crates/protocol/src/settings/node.rs
@@ -7,6 +7,7 @@
 
 use fulmarpier_state::unit::{
     Bandwidth,
+    Bytes,
     Millicores, //
 };
 
@@ -34,6 +35,11 @@
 /// The least and the most files and connections that a node can have open.
 const LEAST_DESCRIPTORS: u32 = 64;
 const MOST_DESCRIPTORS: u32 = 16_777_216;
+/// The least and the most memory that a node's machine can have, in megabytes.
+const LEAST_MEGABYTES: u32 = 48;
+const MOST_MEGABYTES: u32 = 16_777_216;
+/// The bytes of a megabyte.
+const MEGABYTE: u64 = 1_000_000;
 
 /// How much the platform's store usually takes in one record and in one call, in bytes.
 const DEFAULT_RECORD_BYTES: u32 = 262_144;
@@ -84,6 +90,8 @@
     pub link: Bandwidth,
     /// How many files and connections the node may have open.
     pub descriptors: u32,
+    /// How much memory the node's machine has.
+    pub memory: Bytes,
     /// How much is logged.
     pub log_level: Level,
 }
@@ -136,6 +144,7 @@
         let link = megabits(section, "link_mbps", 1_000.0);
         let descriptors =
             section.within("descriptors", 4_096, LEAST_DESCRIPTORS..=MOST_DESCRIPTORS);
+        let memory = megabytes(section, "memory_mb", 256);
         let log_level = section.or("log_level", Level::Info);
         Some(Self {
             name: name?,
@@ -155,6 +164,7 @@
             processor: processor?,
             link: link?,
             descriptors: descriptors?,
+            memory: memory?,
             log_level: log_level?,
         })
     }
@@ -194,6 +204,12 @@
     u64::try_from(bits).ok().map(Bandwidth)
 }
 
+/// Reads a number of megabytes.
+fn megabytes(section: &mut Section<'_>, key: &'static str, default: u32) -> Option<Bytes> {
+    let value = section.within(key, default, LEAST_MEGABYTES..=MOST_MEGABYTES)?;
+    Some(Bytes(u64::from(value) * MEGABYTE))
+}
+
 /// Reads a number of seconds, which may be a fraction.
 fn seconds(
     section: &mut Section<'_>,
