transport, node, gate: what a process holds for its HTTP clients is bounded in sum, in bytes and in connections

Cause: each connection had limits of its own or none, and nothing knew their sum. A head could take 400 KiB, the library's own limit; a body was taken whole before the queue or the key were looked at, for any time, each small piece keeping the buffer that it was read into; 10,000 connections were allowed on machines with 4,100 descriptors.

Now, in the transport layer, for all programs: - `Crowd`: all connections of a process account for what they make it hold. Near the bound (an eighth of the machine's memory on the users' platform) those that hold the most and are not being served are refused; a quarter is for small requests. A further connection takes the place of that which came no further for longest. - The HTTP library is run with its own limits: heads of 8 KiB, 100 headers, a time for each head. `axum::serve` sets none of these, so connections are served by the library underneath. - Bodies are metered as they come, in bytes and in time, which a drip doesn't renew. More than 64 bytes of empty lines close a connection, since the library looks at all of them again for each that comes. - A connection that is closed reads on for up to 5 s and 16 MiB and throws it away, so that the answer can be read; the gate's own way to do so is gone. - The platform's handler looks at configuration, queue, key, path and method before the body. Refusals: 413 by the head, 503 without memory, 408 too late; the job was not run. - Connections of callers: a sixth of the descriptors. Readiness, metrics and the scheds' own HTTP have a few. - Metric `fulmarpier_client_limits`, line `client-limit`.

Why it works: what isn't served yet is bounded before it is kept, whatever it consists of, so no kind of crowd is left that adds to the sum.

--- a/crates/gate/src/forward/upload.rs
+++ b/crates/gate/src/forward/upload.rs
@@ -23,18 +23,24 @@
     },
     unit,
 };
-use fulmarpier_transport::platform::target;
+use fulmarpier_transport::{
+    bound::{
+        Bound,
+        Share, //
+    },
+    http::{
+        self,
+        Caller, //
+    },
+    platform::target,
+};
 use futures::{
     StreamExt,
     future,
     stream, //
 };
 
-use crate::load::{
-    Bound,
-    Share,
-    no_memory, //
-};
+use crate::load::no_memory;
 
 /// How much of a body is taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -67,6 +73,7 @@
 pub struct Streamed {
     first: Bytes,
     rest: BodyDataStream,
+    caller: Option<Caller>,
     most: u64,
     over: Arc<AtomicBool>,
 }
@@ -94,7 +101,8 @@
 }
 
 impl Upload {
-    /// Reads a body up to the size that is kept, within what the gate may hold of bodies.
+    /// Reads a body up to the size that is kept, within what the gate may hold of bodies. What is streamed is given back
+    /// to its `caller`, where there is one.
     ///
     /// # Errors
     ///
@@ -105,6 +113,7 @@
         length: Option<u64>,
         limits: Limits,
         memory: &Bound,
+        caller: Option<Caller>,
     ) -> Result<Self, Refusal> {
         let most = limits.most.get();
         if length.is_some_and(|length| length > most) {
@@ -120,7 +129,7 @@
                     _share: share,
                 }));
             };
-            let piece = piece.map_err(|_| cut())?;
+            let piece = piece.map_err(|error| refused(&error))?;
             if !share.grow(len(&piece)) {
                 return Err(no_memory());
             }
@@ -132,6 +141,7 @@
         Ok(Self::Streamed(Streamed {
             first: first.freeze(),
             rest,
+            caller,
             most,
             over: Arc::default(),
         }))
@@ -150,7 +160,7 @@
     ) -> Result<Kept, Refusal> {
         let keep = usize::try_from(limits.most.get()).unwrap_or(usize::MAX);
         let all = Limits { keep, ..limits };
-        match Self::read(body, length, all, memory).await? {
+        match Self::read(body, length, all, memory, None).await? {
             Self::Whole(kept) => Ok(kept),
             // The body passes the size that is kept only where it passes the limit.
             Self::Streamed(_) => Err(too_large(limits.most)),
@@ -176,9 +186,15 @@
 impl Streamed {
     fn into_body(self) -> target::Body {
         let mut seen = len(&self.first);
-        let Self { most, over, .. } = self;
+        let Self {
+            most, over, caller, ..
+        } = self;
         let rest = self.rest.map(move |piece| {
             let piece = piece.map_err(StreamError::Caller)?;
+            // What came before it has been passed on.
+            if let Some(caller) = &caller {
+                caller.release();
+            }
             seen = seen.saturating_add(len(&piece));
             if seen > most {
                 over.store(true, Ordering::Relaxed);
@@ -196,8 +212,15 @@
     Refusal::new(Reason::BodyTooLarge, format!("the limit is {most}"))
 }
 
-fn cut() -> Refusal {
-    Refusal::new(Reason::Malformed, "the body ended before its time")
+/// Makes the refusal of a body that was not received whole.
+fn refused(error: &axum::Error) -> Refusal {
+    match http::Refusal::of(error) {
+        http::Refusal::NoMemory => no_memory(),
+        http::Refusal::Late => Refusal::new(Reason::Deadline, "the body did not arrive in time"),
+        http::Refusal::TooLarge(_) | http::Refusal::Broken => {
+            Refusal::new(Reason::Malformed, "the body ended before its time")
+        }
+    }
 }
 
 fn len(bytes: &[u8]) -> u64 {
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -11,6 +11,7 @@
 use fulmarpier_state::id::Incarnation;
 use fulmarpier_transport::{
     clock::Clock,
+    crowd::Crowd,
     http::{
         self,
         Drained,
@@ -57,8 +58,6 @@
     slot::Pool,
 };
 
-/// The most connections of callers; idle ones count too, so it lies above the calls in progress.
-const CONNECTIONS: usize = 20_000;
 /// How long a gate that is leaving takes new work, so that balancers notice first.
 const NOTICE: Duration = Duration::from_secs(2);
 /// The notice takes at most this part of the time for the drain.
@@ -140,10 +139,15 @@
             .build()?;
         let notice = NOTICE.min(settings.drain.get() / NOTICE_PART);
         let limits = http::Limits {
-            connections: CONNECTIONS,
+            connections: usize::try_from(settings.limits.connections).unwrap_or(usize::MAX),
             linger: notice,
             drain: settings.drain.get(),
-            ..http::Limits::default()
+            patience: http::Patience {
+                // A request may take as long as its deadline allows, and so may its body.
+                body: settings.limits.max_deadline.get(),
+                ..http::Patience::default()
+            },
+            crowd: Crowd::new(settings.limits.memory),
         };
         let leave = CancellationToken::new();
         let stop = leave.clone().cancelled_owned();
@@ -224,7 +228,7 @@
         let server = Server::bind(listen, limits).await?;
         // Whoever started the gate may have given up.
         let _ = bound.send(server.address());
-        server.serve(routes, stop).await
+        Ok(server.serve(routes, stop).await)
     });
     match binding.await {
         Ok(address) => Ok((address, serving)),
--- a/crates/gate/src/http/mod.rs
+++ b/crates/gate/src/http/mod.rs
@@ -5,7 +5,6 @@
 mod head;
 mod health;
 mod job;
-mod linger;
 mod request;
 mod router;
 
--- a/crates/gate/src/http/request.rs
+++ b/crates/gate/src/http/request.rs
@@ -9,7 +9,6 @@
 };
 
 use axum::{
-    body::Body,
     extract::{
         Path,
         Request,
@@ -28,6 +27,7 @@
         Refusal, //
     },
 };
+use fulmarpier_transport::http::Caller;
 use tokio::time::timeout;
 use uuid::Uuid;
 
@@ -107,6 +107,7 @@
         .map_err(|refusal| about_key(&head, refusal))?;
     let admission = admit(app, &head, came).map_err(|refusal| about_key(&head, refusal))?;
     let length = head::length(&parts.headers);
+    let caller = parts.extensions.get::<Caller>().cloned();
     let envelope = Envelope {
         id,
         method: parts.method,
@@ -128,23 +129,13 @@
             once(app, order).await
         }
         None => {
-            let upload = read(app, came, &admission, body, length).await?;
+            let read = Upload::read(body, length, admission.limits, &app.load.bytes, caller);
+            let upload = in_time(app, came, &admission, read).await?;
             ordinary(app, &admission, envelope, upload, decided).await
         }
     }
 }
 
-async fn read(
-    app: &App,
-    came: Timestamp,
-    admission: &Admission,
-    body: Body,
-    length: Option<u64>,
-) -> Result<Upload, Refusal> {
-    let read = Upload::read(body, length, admission.limits, &app.load.bytes);
-    in_time(app, came, admission, read).await
-}
-
 /// Serves a non-idempotent request to its end, also where the caller leaves.
 async fn once(app: &Arc<App>, order: Order) -> Result<Response, Refusal> {
     let shared = app.clone();
--- a/crates/gate/src/http/router.rs
+++ b/crates/gate/src/http/router.rs
@@ -9,7 +9,6 @@
         State, //
     },
     http::StatusCode,
-    middleware,
     response::Response,
     routing::{
         any,
@@ -28,7 +27,6 @@
     command,
     health,
     job,
-    linger,
     request, //
 };
 use crate::app::App;
@@ -49,7 +47,6 @@
         .route("/readyz", get(health::ready))
         .fallback(nowhere)
         .method_not_allowed_fallback(wrong_method)
-        .layer(middleware::from_fn(linger::layer))
         // Bodies have limits of their own, which answer with a problem.
         .layer(DefaultBodyLimit::disable())
         .with_state(app)
--- a/crates/gate/tests/load.rs
+++ b/crates/gate/tests/load.rs
@@ -1,13 +1,11 @@
 //! The bounds on what a gate takes on at once.
 
-use fulmarpier_gate::load::{
-    Bound,
-    Load, //
-};
+use fulmarpier_gate::load::Load;
 use fulmarpier_state::{
     refusal::Reason,
     unit::Bytes, //
 };
+use fulmarpier_transport::bound::Bound;
 
 #[test]
 fn a_bound_is_never_passed_and_gives_back_what_was_taken() {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -35,6 +35,7 @@
 //! | `watch` | reads topics of the store and follows the operator's records |
 
 pub mod assignment;
+pub mod client_limits;
 mod config_exchange;
 mod dispatch;
 mod evacuation;
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -98,6 +98,7 @@
     unfenced_owners: Gauge<u64>,
     work_time: Counter<u64>,
     work_pieces: Counter<u64>,
+    client_limits: Counter<u64>,
     rate_limits: Mutex<HashMap<Kind, RateLimit>>,
 }
 
@@ -200,6 +201,10 @@
                 "fulmarpier_work_pieces",
                 "Pieces of work of this node by kind.",
             ),
+            client_limits: registry.counter(
+                "fulmarpier_client_limits",
+                "How often a limit on what clients may take acted, by kind of clients and limit.",
+            ),
             lost_reports: registry.counter(
                 "fulmarpier_reports_lost",
                 "Reports on orders that the owner did not take.",
@@ -270,6 +275,14 @@
         self.0.requests.add(1, &labels);
     }
 
+    pub(crate) fn client_limit(&self, clients: &'static str, limit: &'static str, count: u64) {
+        let labels = [
+            KeyValue::new("clients", clients),
+            KeyValue::new("limit", limit),
+        ];
+        self.0.client_limits.add(count, &labels);
+    }
+
     pub(crate) fn accepted(&self, took: Duration) {
         self.0.accept.record(took.as_secs_f64(), &[]);
     }
--- a/crates/protocol/src/settings/node.rs
+++ b/crates/protocol/src/settings/node.rs
@@ -52,6 +52,19 @@
 /// The least time within which no task may be started any more in a data centre that was evacuated.
 const LEAST_EVACUATE_MS: f64 = 1_000.0;
 
+/// One in this many bytes of the machine's memory is for what clients send.
+const CLIENT_MEMORY_DIVISOR: u64 = 8;
+/// The least memory for what clients send, in megabytes: a body of the largest size fits in twice.
+const LEAST_CLIENT_MEGABYTES: u32 = 6;
+/// One in this many descriptors is for clients: the others are for workers, other nodes, the store and files.
+const CLIENT_DESCRIPTOR_DIVISOR: u32 = 6;
+/// What a connection of a client takes, in bytes.
+const CLIENT_BYTES: u64 = 20 << 10;
+/// How long the body of a request may take to come, in seconds.
+const DEFAULT_BODY_S: f64 = 30.0;
+/// How long a connection may be without a request, in seconds.
+const DEFAULT_IDLE_S: f64 = 60.0;
+
 /// The settings of one node.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Node {
@@ -73,6 +86,8 @@
     pub store_call_bytes: u32,
     /// The advice service; without one no queue may ask for advice.
     pub advice: Option<SocketAddr>,
+    /// What clients may take of the machine.
+    pub clients: Clients,
     /// What the platform promises of its workers.
     pub workers: Workers,
     /// How long after it was taken away a key may be accepted by a node that can't read the configuration; `None` bounds
@@ -96,6 +111,19 @@
     pub log_level: Level,
 }
 
+/// What clients may take of the machine. Callers, the balancer and those who read the metrics are clients.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Clients {
+    /// The memory for all that they send, beside what their connections take.
+    pub memory: Bytes,
+    /// The most connections of callers.
+    pub connections: u32,
+    /// How long a connection may be without a request, whose head must be whole by then.
+    pub idle: Duration,
+    /// How long the body of a request may take to come whole.
+    pub body: Duration,
+}
+
 /// What the platform promises of its workers.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Workers {
@@ -145,7 +173,9 @@
         let descriptors =
             section.within("descriptors", 4_096, LEAST_DESCRIPTORS..=MOST_DESCRIPTORS);
         let memory = megabytes(section, "memory_mb", 256);
+        let clients: Option<ClientLimits> = section.form("clients");
         let log_level = section.or("log_level", Level::Info);
+        let (memory, descriptors) = (memory?, descriptors?);
         Some(Self {
             name: name?,
             callers: callers?,
@@ -163,13 +193,63 @@
             grace: grace?,
             processor: processor?,
             link: link?,
-            descriptors: descriptors?,
-            memory: memory?,
+            descriptors,
+            memory,
+            clients: clients?.on(memory, descriptors),
             log_level: log_level?,
         })
     }
 }
 
+/// The limits of clients as they are set; what isn't set follows from the machine.
+#[derive(Clone, Copy, Debug)]
+struct ClientLimits {
+    memory: Option<Bytes>,
+    connections: Option<u32>,
+    idle: Duration,
+    body: Duration,
+}
+
+impl ClientLimits {
+    /// Returns the limits on a machine.
+    fn on(self, memory: Bytes, descriptors: u32) -> Clients {
+        let share = memory.get() / CLIENT_MEMORY_DIVISOR;
+        let most = u32::try_from(share / CLIENT_BYTES).unwrap_or(u32::MAX);
+        let connections = (descriptors / CLIENT_DESCRIPTOR_DIVISOR).min(most).max(1);
+        Clients {
+            memory: self.memory.unwrap_or(Bytes(share)),
+            connections: self.connections.unwrap_or(connections),
+            idle: self.idle,
+            body: self.body,
+        }
+    }
+}
+
+impl Form for ClientLimits {
+    fn read(section: &mut Section<'_>) -> Option<Self> {
+        let memory = match section.optional::<u32>("memory_mb")? {
+            Some(value) => {
+                let range = LEAST_CLIENT_MEGABYTES..=MOST_MEGABYTES;
+                let value = section.within("memory_mb", value, range)?;
+                Some(Bytes(u64::from(value) * MEGABYTE))
+            }
+            None => None,
+        };
+        let connections = match section.optional::<u32>("connections")? {
+            Some(value) => Some(section.within("connections", value, 1..=MOST_DESCRIPTORS)?),
+            None => None,
+        };
+        let idle = seconds(section, "idle_s", DEFAULT_IDLE_S, 1.0);
+        let body = seconds(section, "body_s", DEFAULT_BODY_S, 1.0);
+        Some(Self {
+            memory,
+            connections,
+            idle: idle?,
+            body: body?,
+        })
+    }
+}
+
 impl Form for Workers {
     fn read(section: &mut Section<'_>) -> Option<Self> {
         let lease = millis(section, "lease_ms", 6_000.0, 1_000.0);
--- a/crates/sched/src/process/sched.rs
+++ b/crates/sched/src/process/sched.rs
@@ -76,6 +76,8 @@
     Node, //
 };
 
+/// The most connections of those who read the metrics and ask for the health.
+const MAX_HTTP_CONNECTIONS: usize = 64;
 /// How many events may wait for the control thread.
 const QUEUE: usize = 8_192;
 /// How many events are handled in one go.
@@ -237,6 +239,7 @@
     stop: &Arc<Notify>,
 ) -> Result<SocketAddr, Error> {
     let limits = Limits {
+        connections: MAX_HTTP_CONNECTIONS,
         linger: Duration::ZERO,
         drain: Duration::from_secs(1),
         ..Limits::default()
@@ -250,7 +253,7 @@
                 // The starter waits for this word.
                 let _ = bound.send(Ok(server.address()));
                 let stop = async move { stop.notified().await };
-                // A server that ends early shows as failing health checks.
+                // How it ended shows nowhere else.
                 let _ = server.serve(http::router(registry, status), stop).await;
             }
             Err(error) => drop(bound.send(Err(error))),
--- a/crates/transport/src/http/connection.rs
+++ b/crates/transport/src/http/connection.rs
@@ -14,26 +14,19 @@
     sync::Arc,
     task::{
         Context,
-        Poll, //
+        Poll,
+        ready, //
     },
     time::Duration,
 };
 
 use axum::{
-    body::Body,
-    extract::{
-        ConnectInfo,
-        Request,
-        connect_info::Connected, //
-    },
-    middleware::Next,
-    response::Response,
+    extract::connect_info::Connected,
     serve::{
         self,
         IncomingStream, //
     },
 };
-use http_body_util::BodyExt;
 use tokio::{
     io::{
         AsyncRead,
@@ -48,7 +41,11 @@
         OwnedSemaphorePermit,
         Semaphore, //
     },
-    time::sleep,
+    time::{
+        Sleep,
+        sleep,
+        timeout, //
+    },
 };
 use tokio_util::sync::{
     CancellationToken,
@@ -56,43 +53,94 @@
 };
 
 use super::patience::{
-    Activity,
     Patience,
     Watch, //
 };
+use crate::crowd::{
+    Crowd,
+    Limit,
+    Membership,
+    Phase, //
+};
 
 /// How long to wait before accepting again after the system had no room for a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// How long to wait for a connection to go before another one is told to go.
+const EVICTION_PAUSE: Duration = Duration::from_millis(10);
+
+/// The most empty lines, in bytes, that may come before a request; one is usual.
+const EMPTY_LINES: usize = 64;
+/// How long a connection that is being closed may go on sending, so that its caller gets to read the answer.
+const LINGER: Duration = Duration::from_secs(5);
+/// How much it may send meanwhile, in bytes; it is thrown away.
+const LINGER_BYTES: usize = 16 << 20;
+/// The size of the pieces in which it is thrown away, in bytes.
+const LINGER_PIECE: usize = 4 << 10;
 
 /// A listener that holds no more connections than its limit and can cut them all.
+///
+/// It doesn't account for what its connections hold. See also [`super::Server`].
 #[derive(Debug)]
 pub struct Listener {
     tcp: TcpListener,
     permits: Arc<Semaphore>,
     cut: CancellationToken,
-    patience: Option<Patience>,
+    crowd: Crowd,
+    number: u64,
 }
 
 impl Listener {
     /// Wraps a listening socket; cancelling `cut` resets every connection made through it.
     pub fn new(tcp: TcpListener, connections: usize, cut: CancellationToken) -> Self {
+        Self::within(tcp, connections, cut, Crowd::unbounded())
+    }
+
+    /// Wraps a listening socket, with its connections in a crowd.
+    pub(super) fn within(
+        tcp: TcpListener,
+        connections: usize,
+        cut: CancellationToken,
+        crowd: Crowd,
+    ) -> Self {
         Self {
             tcp,
             permits: Arc::new(Semaphore::new(connections)),
             cut,
-            patience: None,
+            number: crowd.listener(),
+            crowd,
         }
     }
 
-    /// Bounds how long a connection may do nothing; the requests must pass [`hold`].
-    pub(super) const fn patience(mut self, patience: Patience) -> Self {
-        self.patience = Some(patience);
-        self
+    /// Accepts a connection, for which another one has to go where there are as many as may be.
+    pub(super) async fn accept(&self) -> (Connection, SocketAddr) {
+        loop {
+            match self.tcp.accept().await {
+                Ok((stream, peer)) => {
+                    let permit = self.permit().await;
+                    // Without it answers are only slower.
+                    let _ = stream.set_nodelay(true);
+                    let membership = self.crowd.join(self.number, self.cut.child_token());
+                    return (Connection::new(stream, membership, permit), peer);
+                }
+                Err(_) => sleep(ACCEPT_PAUSE).await,
+            }
+        }
     }
 
-    /// Returns the count of connections that may still be accepted.
-    pub(super) fn permits(&self) -> Arc<Semaphore> {
-        self.permits.clone()
+    async fn permit(&self) -> OwnedSemaphorePermit {
+        loop {
+            if self.permits.available_permits() == 0 {
+                self.crowd.evict_stalled(self.number);
+            }
+            let permit = self.permits.clone().acquire_owned();
+            match timeout(EVICTION_PAUSE, permit).await {
+                Ok(Ok(permit)) => return permit,
+                // The semaphore is never closed.
+                Ok(Err(_)) => pending().await,
+                // Those that were told to go are still there, or all are being served.
+                Err(_) => {}
+            }
+        }
     }
 }
 
@@ -101,23 +149,7 @@
     type Addr = SocketAddr;
 
     async fn accept(&mut self) -> (Connection, SocketAddr) {
-        loop {
-            let Ok(permit) = self.permits.clone().acquire_owned().await else {
-                // The semaphore is never closed.
-                pending::<()>().await;
-                continue;
-            };
-            match self.tcp.accept().await {
-                Ok((stream, peer)) => {
-                    // Without it answers are only slower.
-                    let _ = stream.set_nodelay(true);
-                    let cut = self.cut.child_token();
-                    let connection = Connection::new(stream, cut, self.patience, permit);
-                    return (connection, peer);
-                }
-                Err(_) => sleep(ACCEPT_PAUSE).await,
-            }
-        }
+        Self::accept(self).await
     }
 
     fn local_addr(&self) -> io::Result<SocketAddr> {
@@ -129,82 +161,99 @@
 ///
 /// Handlers extract it as `ConnectInfo<Cut>`.
 #[derive(Clone, Debug)]
-pub struct Cut {
-    token: CancellationToken,
-    activity: Activity,
-}
+pub struct Cut(CancellationToken);
 
 impl Cut {
     /// Resets the connection; nothing of an answer that was not yet sent will leave.
     pub fn cut(&self) {
-        self.token.cancel();
+        self.0.cancel();
     }
 }
 
 impl Connected<IncomingStream<'_, Listener>> for Cut {
     fn connect_info(stream: IncomingStream<'_, Listener>) -> Self {
-        let connection = stream.io();
-        Self {
-            token: connection.cut.clone(),
-            activity: connection.activity.clone(),
-        }
+        stream.io().cut()
     }
 }
 
-/// Counts a request as in progress until the last of its answer is handed to the connection.
-pub(super) async fn hold(
-    ConnectInfo(cut): ConnectInfo<Cut>,
-    request: Request,
-    next: Next,
-) -> Response {
-    let entry = cut.activity.enter();
-    let response = next.run(request).await;
-    // The body owns the entry; the length of the body stays known this way.
-    response.map(|body| {
-        Body::new(body.map_err(move |error| {
-            let _held = &entry;
-            error
-        }))
-    })
-}
-
 /// One accepted connection with its permit.
 #[derive(Debug)]
 pub struct Connection {
     stream: TcpStream,
-    cut: CancellationToken,
-    cancelled: Pin<Box<WaitForCancellationFutureOwned>>,
-    activity: Activity,
+    membership: Membership,
+    ended: Pin<Box<WaitForCancellationFutureOwned>>,
     watch: Option<Watch>,
+    /// How many bytes of empty lines came last.
+    empty_lines: usize,
+    linger: Option<Linger>,
     _permit: OwnedSemaphorePermit,
 }
 
+/// What is left of the time and the bytes of a connection that is being closed.
+#[derive(Debug)]
+struct Linger {
+    until: Pin<Box<Sleep>>,
+    bytes: usize,
+}
+
 impl Connection {
-    fn new(
-        stream: TcpStream,
-        cut: CancellationToken,
-        patience: Option<Patience>,
-        permit: OwnedSemaphorePermit,
-    ) -> Self {
-        let activity = Activity::new();
-        let watch = patience.map(|patience| Watch::new(patience, activity.clone()));
+    fn new(stream: TcpStream, membership: Membership, permit: OwnedSemaphorePermit) -> Self {
+        let ended = membership.member().end().clone().cancelled_owned();
         Self {
             stream,
-            cancelled: Box::pin(cut.clone().cancelled_owned()),
-            cut,
-            activity,
-            watch,
+            membership,
+            ended: Box::pin(ended),
+            watch: None,
+            empty_lines: 0,
+            linger: None,
             _permit: permit,
         }
     }
 
+    /// Bounds how long the caller may take no byte of an answer.
+    pub(super) fn patience(mut self, patience: Patience) -> Self {
+        self.watch = Some(Watch::new(patience));
+        self
+    }
+
+    /// Returns its place in the crowd.
+    pub(super) const fn membership(&self) -> &Membership {
+        &self.membership
+    }
+
+    /// Returns what resets it.
+    pub(super) fn cut(&self) -> Cut {
+        Cut(self.membership.member().end().clone())
+    }
+
     fn check(&mut self, cx: &mut Context<'_>) -> io::Result<()> {
-        match self.cancelled.as_mut().poll(cx) {
+        match self.ended.as_mut().poll(cx) {
             Poll::Ready(()) => Err(io::ErrorKind::ConnectionReset.into()),
             Poll::Pending => Ok(()),
         }
     }
 
+    /// Fails once too many empty lines came before a request.
+    ///
+    /// The HTTP library keeps them until the request is there, and looks at all of them again for each that comes.
+    fn check_empty_lines(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let member = self.membership.member();
+        // Without patience nobody notes when a request begins.
+        if self.watch.is_none() || member.phase() != Phase::Waiting {
+            self.empty_lines = 0;
+            return Ok(());
+        }
+        for byte in bytes {
+            let is_line_end = matches!(byte, b'\r' | b'\n');
+            self.empty_lines = if is_line_end { self.empty_lines + 1 } else { 0 };
+            if self.empty_lines > EMPTY_LINES {
+                member.acted(Limit::EmptyLines);
+                return Err(io::ErrorKind::InvalidData.into());
+            }
+        }
+        Ok(())
+    }
+
     /// Fails a write that made no progress for too long.
     fn progress<T>(
         &mut self,
@@ -216,6 +265,30 @@
             None => written,
         }
     }
+
+    /// Throws away what comes until the caller closes, or sent too much or for too long.
+    ///
+    /// A connection that is closed while its caller still sends is reset, and the answer is lost with it (RFC 9112,
+    /// section 9.6).
+    fn poll_linger(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let linger = self.linger.get_or_insert_with(|| Linger {
+            until: Box::pin(sleep(LINGER)),
+            bytes: LINGER_BYTES,
+        });
+        let mut piece = [0; LINGER_PIECE];
+        loop {
+            if linger.until.as_mut().poll(cx).is_ready() {
+                return Poll::Ready(());
+            }
+            let mut buf = ReadBuf::new(&mut piece);
+            let read = ready!(Pin::new(&mut self.stream).poll_read(cx, &mut buf));
+            let count = buf.filled().len();
+            if read.is_err() || count == 0 || count > linger.bytes {
+                return Poll::Ready(());
+            }
+            linger.bytes -= count;
+        }
+    }
 }
 
 impl AsyncRead for Connection {
@@ -225,10 +298,10 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         self.check(cx)?;
-        if let Some(watch) = &mut self.watch {
-            watch.check_idle(cx)?;
-        }
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        self.check_empty_lines(&buf.filled()[before..])?;
+        Poll::Ready(Ok(()))
     }
 }
 
@@ -262,6 +335,11 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        self.check(cx)?;
+        if self.linger.is_none() {
+            ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
+            self.membership.member().enter(Phase::Closing);
+        }
+        self.poll_linger(cx).map(Ok)
     }
 }
--- a/crates/transport/src/http/mod.rs
+++ b/crates/transport/src/http/mod.rs
@@ -1,11 +1,17 @@
 //! The HTTP server that faces callers and operators, and clients that notice silent connections.
 
+mod body;
 mod client;
 mod connection;
 mod patience;
 mod server;
 
 pub use self::{
+    body::{
+        Caller,
+        Refusal,
+        receive, //
+    },
     client::{
         ClientLimits,
         Clients,
@@ -18,6 +24,7 @@
     },
     patience::Patience,
     server::{
+        CONNECTION,
         Drained,
         Error,
         Limits,
--- a/crates/transport/src/http/server.rs
+++ b/crates/transport/src/http/server.rs
@@ -1,10 +1,8 @@
 //! Serving with a graceful end.
 
 use std::{
-    future::{
-        Future,
-        IntoFuture, //
-    },
+    convert::Infallible,
+    future::Future,
     io,
     net::SocketAddr,
     sync::{
@@ -19,43 +17,85 @@
 
 use axum::{
     Router,
+    body::{
+        Body,
+        HttpBody, //
+    },
     extract::{
+        ConnectInfo,
         Request,
         State, //
     },
     http::{
         HeaderValue,
+        StatusCode,
         header, //
     },
     middleware::{
         self,
         Next, //
     },
-    response::Response,
+    response::{
+        IntoResponse,
+        Response, //
+    },
+};
+use fulmarpier_state::unit::Bytes;
+use http_body_util::BodyExt;
+use hyper::{
+    body::Incoming,
+    server::conn::http1,
+    service::service_fn, //
+};
+use hyper_util::rt::{
+    TokioIo,
+    TokioTimer, //
 };
 use tokio::{
     net::TcpListener,
-    sync::oneshot,
+    pin,
     time::{
         sleep,
         timeout, //
     },
 };
-use tokio_util::sync::CancellationToken;
+use tokio_util::{
+    sync::CancellationToken,
+    task::TaskTracker, //
+};
+use tower::ServiceExt;
 
 use super::{
+    body::{
+        Caller,
+        Metered, //
+    },
     connection::{
+        Connection,
         Cut,
-        Listener,
-        hold, //
+        Listener, //
     },
     patience::Patience,
 };
+use crate::crowd::{
+    Crowd,
+    Member,
+    Phase, //
+};
+
+/// The largest head of a request, in bytes; the least that the HTTP library allows as its limit.
+const MAX_HEAD: usize = 8 << 10;
+/// What a connection takes at most beside what is accounted for: the head of a request, what was read behind it, and
+/// the state of the connection.
+pub const CONNECTION: Bytes = Bytes(20 << 10);
+/// The memory for what clients send, where nothing else is said.
+const DEFAULT_MEMORY: Bytes = Bytes::from_mib(64);
 
 /// The bounds of one server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug)]
 pub struct Limits {
-    /// The most connections open at once; further ones wait to be accepted.
+    /// The most connections open at once. A further one takes the place of that which came no further for longest, or
+    /// waits where all are being served.
     pub connections: usize,
     /// How long to go on accepting after the stop, telling every caller to close its connection.
     ///
@@ -66,15 +106,18 @@
     pub drain: Duration,
     /// How long a connection may do nothing.
     pub patience: Patience,
+    /// Bounds what is held for all callers; servers may share it.
+    pub crowd: Crowd,
 }
 
 impl Default for Limits {
     fn default() -> Self {
         Self {
-            connections: 10_000,
+            connections: 1_000,
             linger: Duration::from_secs(2),
             drain: Duration::from_secs(30),
             patience: Patience::default(),
+            crowd: Crowd::new(DEFAULT_MEMORY),
         }
     }
 }
@@ -102,9 +145,9 @@
         /// What the system said.
         source: io::Error,
     },
-    /// The server failed while it ran.
-    #[error("the server failed")]
-    Serve(#[from] io::Error),
+    /// The system doesn't say where the server listens.
+    #[error("the server has no address")]
+    Address(#[from] io::Error),
 }
 
 /// A bound server that does not serve yet.
@@ -143,53 +186,155 @@
     /// Serves until `stop` is done, then finishes what is in progress.
     ///
     /// See also [`Limits`] for the two bounds of the end.
-    ///
-    /// # Errors
-    ///
-    /// Fails where the listener fails.
     pub async fn serve(
         self,
         router: Router,
         stop: impl Future<Output = ()> + Send + 'static,
-    ) -> Result<Drained, Error> {
-        let Limits {
-            connections,
-            linger,
-            drain,
-            patience,
-        } = self.limits;
+    ) -> Drained {
+        let Limits { linger, drain, .. } = self.limits;
         let cut = CancellationToken::new();
-        let listener = Listener::new(self.listener, connections, cut.clone()).patience(patience);
-        let permits = listener.permits();
         let leaving = Arc::new(AtomicBool::new(false));
-        let router = router
-            .layer(middleware::from_fn_with_state(leaving.clone(), announce))
-            .layer(middleware::from_fn(hold));
-        let (closing, closed) = oneshot::channel();
-        let serving = axum::serve(
-            listener,
-            router.into_make_service_with_connect_info::<Cut>(),
-        )
-        .with_graceful_shutdown(async move {
+        let router = router.layer(middleware::from_fn_with_state(leaving.clone(), announce));
+        let connections = Connections {
+            http: self.protocol(),
+            router,
+            patience: self.limits.patience,
+            closing: CancellationToken::new(),
+            tasks: TaskTracker::new(),
+        };
+        let crowd = self.limits.crowd;
+        let listener = Listener::within(self.listener, self.limits.connections, cut.clone(), crowd);
+        let stopped = async {
             stop.await;
             leaving.store(true, Ordering::Relaxed);
             sleep(linger).await;
-            // The receiver is gone only when the server is.
-            let _ = closing.send(());
-        });
-        let mut serving = Box::pin(serving.into_future());
+        };
         tokio::select! {
-            ended = &mut serving => ended?,
-            _ = closed => match timeout(drain, &mut serving).await {
-                Ok(ended) => ended?,
-                Err(_) => {
-                    let connections = connections - permits.available_permits();
-                    cut.cancel();
-                    return Ok(Drained::Cut { connections });
-                }
-            },
+            () = stopped => {}
+            () = connections.serve_all(&listener) => {}
+        }
+        drop(listener);
+        connections.closing.cancel();
+        connections.tasks.close();
+        match timeout(drain, connections.tasks.wait()).await {
+            Ok(()) => Drained::Whole,
+            Err(_) => {
+                let connections = connections.tasks.len();
+                cut.cancel();
+                Drained::Cut { connections }
+            }
         }
-        Ok(Drained::Whole)
+    }
+
+    /// Returns the protocol with the limits that the HTTP library has itself: the size of a head, the number of its
+    /// headers, and the time in which it must come.
+    fn protocol(&self) -> http1::Builder {
+        let mut http = http1::Builder::new();
+        http.timer(TokioTimer::new())
+            .header_read_timeout(self.limits.patience.idle)
+            .max_buf_size(MAX_HEAD);
+        http
+    }
+}
+
+/// What serves the connections of one server.
+struct Connections {
+    http: http1::Builder,
+    router: Router,
+    patience: Patience,
+    /// Cancelled when connections have to end after their present request.
+    closing: CancellationToken,
+    tasks: TaskTracker,
+}
+
+impl Connections {
+    /// Accepts and serves connections for ever.
+    async fn serve_all(&self, listener: &Listener) {
+        loop {
+            let (connection, _) = listener.accept().await;
+            self.serve(connection.patience(self.patience));
+        }
+    }
+
+    fn serve(&self, connection: Connection) {
+        let handler = Handler {
+            router: self.router.clone(),
+            cut: connection.cut(),
+            member: connection.membership().member().clone(),
+            patience: self.patience.body,
+        };
+        let service = service_fn(move |request| handler.clone().handle(request));
+        let serving = self
+            .http
+            .serve_connection(TokioIo::new(connection), service);
+        let closing = self.closing.clone();
+        self.tasks.spawn(async move {
+            pin!(serving);
+            // A caller that left or sent nonsense ends only its own connection.
+            tokio::select! {
+                _ = &mut serving => return,
+                () = closing.cancelled() => serving.as_mut().graceful_shutdown(),
+            }
+            let _ = serving.await;
+        });
+    }
+}
+
+/// What handles the requests of one connection.
+#[derive(Clone)]
+struct Handler {
+    router: Router,
+    cut: Cut,
+    member: Arc<Member>,
+    patience: Duration,
+}
+
+impl Handler {
+    async fn handle(self, request: hyper::Request<Incoming>) -> Result<Response, Infallible> {
+        let entry = Entry::new(self.member.clone());
+        let mut request = request.map(|body| match body.is_end_stream() {
+            true => Body::empty(),
+            false => Body::new(Metered::new(
+                Body::new(body),
+                self.member.clone(),
+                self.patience,
+            )),
+        });
+        let extensions = request.extensions_mut();
+        extensions.insert(ConnectInfo(self.cut));
+        extensions.insert(Caller::new(self.member.clone()));
+        let response = self.router.oneshot(request).await?;
+        // What the request made the process hold is gone; the answer stays until the next request.
+        self.member.release(0);
+        let length = response.body().size_hint().exact().unwrap_or_default();
+        if !self.member.hold(length) {
+            return Ok(StatusCode::SERVICE_UNAVAILABLE.into_response());
+        }
+        // The body owns the entry; the length of the body stays known this way.
+        Ok(response.map(|body| {
+            Body::new(body.map_err(move |error| {
+                let _held = &entry;
+                error
+            }))
+        }))
+    }
+}
+
+/// Counts a request as in progress until the last of its answer is handed to the connection.
+struct Entry(Arc<Member>);
+
+impl Entry {
+    fn new(member: Arc<Member>) -> Self {
+        member.release(0);
+        member.set_partial(false);
+        member.enter(Phase::Serving);
+        Self(member)
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        self.0.leave();
     }
 }
 
--- a/crates/transport/tests/http.rs
+++ b/crates/transport/tests/http.rs
@@ -17,12 +17,15 @@
     },
 };
 use bytes::Bytes;
-use fulmarpier_transport::http::{
-    Drained,
-    Error,
-    Limits,
-    Patience,
-    Server, //
+use fulmarpier_transport::{
+    crowd::Crowd,
+    http::{
+        Drained,
+        Error,
+        Limits,
+        Patience,
+        Server, //
+    },
 };
 use futures::stream;
 use rstest::rstest;
@@ -110,7 +113,7 @@
     Running {
         address,
         stop,
-        ended: tokio::spawn(async move { serving.await.expect("served") }),
+        ended: tokio::spawn(serving),
         gate,
         arrived,
     }
@@ -123,8 +126,10 @@
         drain: LONG,
         patience: Patience {
             idle: Duration::from_secs(60),
+            body: Duration::from_secs(30),
             stall: Duration::from_secs(30),
         },
+        crowd: Crowd::unbounded(),
     }
 }
 
