transport, node: messages of other nodes are accounted for before there is room for them

What was seen: 100 connections to the address for other nodes, each with the head of a message of 16 MiB and 4 MiB of it, made a node take 1.6 GB (`case_6_peers_large_messages`, red before; found while the same cause was looked for elsewhere).

Cause: the RPC library makes room for a whole message of up to 64 MB as soon as its head says how long it is, on each of up to 1,025 connections.

Now the heads of messages are read before the library sees them, and the room is accounted for in a crowd of its own, an eighth of the machine's memory. A connection for whose message there is no room is lost, as are others that hold more and are not whole; to a caller that leaves open whether its calls were run, which is all that is true of a lost connection.

Why it works: the room is refused before it is made.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -21,10 +21,12 @@
 };
 use fulmarpier_state::unit::{
     Bandwidth,
+    Bytes,
     Millicores, //
 };
 use fulmarpier_transport::{
     clock::Clock,
+    crowd::Crowd,
     rpc, //
 };
 use slog::{
@@ -48,6 +50,7 @@
 
 use crate::{
     assignment::Peer,
+    client_limits,
     config_exchange,
     dispatch::Dispatcher,
     frontend::Frontend,
@@ -100,6 +103,8 @@
 const MIN_PEER_UPDATE_INTERVAL: Duration = Duration::from_millis(25);
 /// One in this many of a node's file descriptors is for connections of its peers.
 const PEER_DESCRIPTOR_DIVISOR: u32 = 4;
+/// One in this many bytes of a node's memory is for messages of its peers that are not whole yet.
+const PEER_MEMORY_DIVISOR: u64 = 8;
 /// The interval between reports of suppressed log lines.
 const SUPPRESSED_LINES_INTERVAL: Duration = Duration::from_secs(1);
 /// The interval between reports of where the processor time goes.
@@ -136,6 +141,8 @@
     pub link: Bandwidth,
     /// The maximum number of open files and connections.
     pub descriptors: u32,
+    /// The memory of its machine.
+    pub memory: Bytes,
 }
 
 /// The components and settings that a node is built from.
@@ -190,12 +197,14 @@
             processor,
             link,
             descriptors,
+            memory,
         } = parts.identity;
+        let peers = Crowd::new(Bytes(memory.get() / PEER_MEMORY_DIVISOR));
         let Endpoint {
             client,
             server,
             calls,
-        } = network.connect(address, peer_limits(descriptors))?;
+        } = network.connect(address, peer_limits(descriptors, peers.clone()))?;
         let clock = Clock::start();
         let ballot = Ballot::new(clock.now() + parts.platform.total_suspension());
         let shared = Arc::new(Shared {
@@ -243,6 +252,12 @@
         parts.membership.spawn(member::run(shared.clone()));
         tokio::spawn(log_suppressed_lines(shared.clone()));
         tokio::spawn(report_work(shared.clone()));
+        tokio::spawn(client_limits::report(
+            "peers",
+            peers,
+            shared.log.clone(),
+            shared.meter.clone(),
+        ));
         parts.membership.spawn(lag::run(shared.clone()));
         let peer_service = PeerService::new(shared.clone());
         tokio::spawn(peer_service.clone().track_peers());
@@ -295,11 +310,12 @@
 }
 
 /// Returns the limits of the peer server. All nodes of a cell keep a connection to its owner.
-fn peer_limits(descriptors: u32) -> rpc::ServerLimits {
+fn peer_limits(descriptors: u32, crowd: Crowd) -> rpc::ServerLimits {
     rpc::ServerLimits {
         connections: usize::try_from(descriptors / PEER_DESCRIPTOR_DIVISOR)
             .unwrap_or(usize::MAX)
             .max(1),
+        crowd,
         ..rpc::ServerLimits::default()
     }
 }
--- a/crates/node/tests/node/support.rs
+++ b/crates/node/tests/node/support.rs
@@ -154,6 +154,7 @@
             processor,
             link: Bandwidth::from_megabits(1_000),
             descriptors: 4_096,
+            memory: Bytes::from_mib(256),
         },
         bounds: Bounds::default(),
         revocation_limit: RevocationLimit::default(),
--- a/crates/node/tests/node/world/mod.rs
+++ b/crates/node/tests/node/world/mod.rs
@@ -38,6 +38,7 @@
 };
 use fulmarpier_state::unit::{
     Bandwidth,
+    Bytes,
     Millicores, //
 };
 use slog::{
@@ -269,6 +270,7 @@
                 processor: Millicores(250),
                 link: Bandwidth::from_megabits(1_000),
                 descriptors: 4_096,
+                memory: Bytes::from_mib(256),
             },
             bounds: Bounds::default(),
             revocation_limit: RevocationLimit::default(),
--- a/crates/transport/src/rpc/link.rs
+++ b/crates/transport/src/rpc/link.rs
@@ -34,21 +34,29 @@
 
 use super::{
     eviction::Evictable,
+    frame::Accounted,
     traffic::{
         Counted,
         Traffic, //
     },
 };
-use crate::silence;
+use crate::{
+    crowd::{
+        Crowd,
+        Membership, //
+    },
+    silence,
+};
 
 /// The network of one connection, with its bytes counted. It ends with a reason for the peer once `eviction` is
-/// cancelled.
+/// cancelled. What arrives is accounted for in a crowd.
 pub(super) fn network(
     stream: TcpStream,
     side: Side,
     all: Arc<Traffic>,
     link: Arc<Traffic>,
     eviction: CancellationToken,
+    membership: Membership,
 ) -> VatNetwork<impl futures::AsyncRead + Unpin + 'static> {
     // Without it answers are only slower.
     let _ = stream.set_nodelay(true);
@@ -56,6 +64,7 @@
     let _ = silence::watch(&stream);
     let (reader, writer) = stream.into_split();
     let reader = Counted::new(reader, all.clone(), link.clone());
+    let reader = Accounted::new(reader, membership);
     let reader = Evictable::new(reader, eviction).compat();
     let writer = Counted::new(writer, all, link).compat_write();
     VatNetwork::new(
@@ -81,7 +90,16 @@
         let traffic = Arc::new(Traffic::default());
         // Only servers evict connections.
         let eviction = CancellationToken::new();
-        let network = network(stream, Side::Client, all, traffic.clone(), eviction);
+        // Whom this process calls is known, and so is how much that is.
+        let membership = Crowd::unbounded().join(0, CancellationToken::new());
+        let network = network(
+            stream,
+            Side::Client,
+            all,
+            traffic.clone(),
+            eviction,
+            membership,
+        );
         let mut system = RpcSystem::new(Box::new(network), None);
         let sched = system.bootstrap(Side::Server);
         let ended = Rc::new(Cell::new(false));
--- a/crates/transport/src/rpc/mod.rs
+++ b/crates/transport/src/rpc/mod.rs
@@ -8,6 +8,7 @@
 mod error;
 mod eviction;
 mod exchange;
+mod frame;
 mod link;
 mod peer;
 mod server;
--- a/crates/transport/src/rpc/server.rs
+++ b/crates/transport/src/rpc/server.rs
@@ -17,6 +17,7 @@
     rpc_twoparty_capnp::Side, //
 };
 use fulmarpier_protocol::wire::sched_capnp::sched;
+use fulmarpier_state::unit::Bytes;
 use futures::future::join;
 use tokio::{
     net::{
@@ -57,20 +58,31 @@
         Traffic, //
     },
 };
-use crate::http::Drained;
+use crate::{
+    crowd::{
+        Crowd,
+        Membership, //
+    },
+    http::Drained,
+};
 
 /// How long the last answers of a connection may take to be written out.
 const FLUSH: Duration = Duration::from_secs(2);
 /// How long to wait before accepting again after the system had no room for a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// The memory for messages that arrive, where nothing else is said.
+const DEFAULT_MEMORY: Bytes = Bytes::from_mib(64);
+
 /// The bounds of a server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug)]
 pub struct Limits {
     /// The most calls that wait to be taken; further ones are told that it is overloaded.
     pub queue: usize,
     /// The most connections open at once; a further one takes the place of that which was idle for longest.
     pub connections: usize,
+    /// Bounds what is held for messages that are not whole yet.
+    pub crowd: Crowd,
 }
 
 impl Default for Limits {
@@ -78,6 +90,7 @@
         Self {
             queue: 4096,
             connections: 1024,
+            crowd: Crowd::new(DEFAULT_MEMORY),
         }
     }
 }
@@ -174,6 +187,9 @@
     connections: Rc<Connections>,
     open: Rc<Open>,
     traffic: Arc<Traffic>,
+    crowd: Crowd,
+    /// The number of the listener in the crowd.
+    listener: u64,
     tasks: TaskTracker,
     end: CancellationToken,
 }
@@ -186,6 +202,8 @@
             connections: Rc::default(),
             open: Rc::default(),
             traffic,
+            listener: limits.crowd.listener(),
+            crowd: limits.crowd,
             tasks: TaskTracker::new(),
             end: CancellationToken::new(),
         }
@@ -253,8 +271,9 @@
         };
         let traffic = self.traffic.clone();
         let end = self.end.clone();
+        let membership = self.crowd.join(self.listener, CancellationToken::new());
         self.tasks.spawn_local(async move {
-            serve(stream, service, traffic, end).await;
+            serve(stream, service, traffic, membership, end).await;
             drop(connection);
             drop(permit);
         });
@@ -262,10 +281,23 @@
 }
 
 /// Serves one connection until the peer leaves, the connection is evicted or the server ends.
-async fn serve(stream: TcpStream, service: Service, traffic: Arc<Traffic>, end: CancellationToken) {
+async fn serve(
+    stream: TcpStream,
+    service: Service,
+    traffic: Arc<Traffic>,
+    membership: Membership,
+    end: CancellationToken,
+) {
     let eviction = service.usage.eviction();
     let evicted = eviction.clone();
-    let network = network(stream, Side::Server, traffic, Arc::default(), eviction);
+    let network = network(
+        stream,
+        Side::Server,
+        traffic,
+        Arc::default(),
+        eviction,
+        membership,
+    );
     let client: sched::Client = capnp_rpc::new_client(service);
     let system = RpcSystem::new(Box::new(network), Some(client.client));
     let disconnector = system.get_disconnector();
