platform: answers that a node reads are bounded, one by one and in sum

Cause: an answer was read whole, of any length; only its time was bounded.

Now an answer may have 8 MiB, six times a page of the store, and all that are being read together an eighth of the machine's memory. An answer over that counts as none, and what was asked may have been done; an inventory over it as one that can't be read. Why it works: the bound is checked before a piece is kept.

--- a/crates/transport/src/http/mod.rs
+++ b/crates/transport/src/http/mod.rs
@@ -1,5 +1,6 @@
-//! The HTTP server that faces callers and operators, and clients that notice silent connections.
+//! The HTTP server that faces callers and operators, clients that notice silent connections, and answers within bounds.
 
+pub mod answer;
 mod body;
 mod client;
 mod connection;
