--- a/crates/transport/src/crowd.rs
+++ b/crates/transport/src/crowd.rs
@@ -117,6 +117,8 @@
 #[derive(Debug)]
 struct State {
     phase: Phase,
+    /// How many requests it has made.
+    requests: u64,
     /// Whether a part of the present request's body is still to come.
     is_partial: bool,
     /// When it last came further.
@@ -175,6 +177,7 @@
             end,
             state: Mutex::new(State {
                 phase: Phase::Waiting,
+                requests: 0,
                 is_partial: false,
                 since: Instant::now(),
                 share: self.0.bound.nothing(),
@@ -259,6 +262,21 @@
         state.since = Instant::now();
     }
 
+    /// Notes that the head of a request is whole; what an earlier one made the process hold is gone.
+    pub(crate) fn begin(&self) {
+        let mut state = self.state();
+        state.requests += 1;
+        state.is_partial = false;
+        state.phase = Phase::Serving;
+        state.since = Instant::now();
+        state.share.shrink(0);
+    }
+
+    /// Returns how many requests it has made.
+    pub(crate) fn requests(&self) -> u64 {
+        self.state().requests
+    }
+
     /// Notes whether a part of the present request's body is still to come.
     pub(crate) fn set_partial(&self, is_partial: bool) {
         self.state().is_partial = is_partial;
--- a/crates/transport/src/http/connection.rs
+++ b/crates/transport/src/http/connection.rs
@@ -183,12 +183,21 @@
     membership: Membership,
     ended: Pin<Box<WaitForCancellationFutureOwned>>,
     watch: Option<Watch>,
-    /// How many bytes of empty lines came last.
-    empty_lines: usize,
+    leading: Leading,
     linger: Option<Linger>,
     _permit: OwnedSemaphorePermit,
 }
 
+/// The empty lines before a request.
+#[derive(Debug, Default)]
+struct Leading {
+    /// How many requests came before.
+    requests: u64,
+    bytes: usize,
+    /// Whether the head of the request has begun.
+    is_over: bool,
+}
+
 /// What is left of the time and the bytes of a connection that is being closed.
 #[derive(Debug)]
 struct Linger {
@@ -204,7 +213,7 @@
             membership,
             ended: Box::pin(ended),
             watch: None,
-            empty_lines: 0,
+            leading: Leading::default(),
             linger: None,
             _permit: permit,
         }
@@ -240,16 +249,26 @@
         let member = self.membership.member();
         // Without patience nobody notes when a request begins.
         if self.watch.is_none() || member.phase() != Phase::Waiting {
-            self.empty_lines = 0;
             return Ok(());
         }
-        for byte in bytes {
-            let is_line_end = matches!(byte, b'\r' | b'\n');
-            self.empty_lines = if is_line_end { self.empty_lines + 1 } else { 0 };
-            if self.empty_lines > EMPTY_LINES {
-                member.acted(Limit::EmptyLines);
-                return Err(io::ErrorKind::InvalidData.into());
-            }
+        if self.leading.requests != member.requests() {
+            self.leading = Leading {
+                requests: member.requests(),
+                ..Leading::default()
+            };
+        }
+        let leading = &mut self.leading;
+        let line_ends = bytes
+            .iter()
+            .take_while(|byte| matches!(byte, b'\r' | b'\n'));
+        let count = line_ends.count();
+        if !leading.is_over {
+            leading.bytes += count;
+            leading.is_over = count < bytes.len();
+        }
+        if leading.bytes > EMPTY_LINES {
+            member.acted(Limit::EmptyLines);
+            return Err(io::ErrorKind::InvalidData.into());
         }
         Ok(())
     }
--- a/crates/transport/src/http/server.rs
+++ b/crates/transport/src/http/server.rs
@@ -79,8 +79,7 @@
 };
 use crate::crowd::{
     Crowd,
-    Member,
-    Phase, //
+    Member, //
 };
 
 /// The largest head of a request, in bytes; the least that the HTTP library allows as its limit.
@@ -325,9 +324,7 @@
 
 impl Entry {
     fn new(member: Arc<Member>) -> Self {
-        member.release(0);
-        member.set_partial(false);
-        member.enter(Phase::Serving);
+        member.begin();
         Self(member)
     }
 }
