--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -18,7 +18,7 @@
 /// an owner holds in memory, and the size of the record of their progress.
 const MAX_TASKS: u32 = 5_000;
 /// The maximum number of steps of a job.
-const MAX_STEPS: usize = 100;
+pub const MAX_STEPS: usize = 100;
 
 /// A step: tasks of one size that may run in parallel.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
