transport, node: bounds that don't act cost next to nothing

What is plainly more and has no use: a timer for each accepted connection, two wake-ups a second for reports of limits that don't act, and a copy of each answer. A permit that is free is taken at once, reports wait until a limit acts, and an answer that comes in one piece is not copied.

--- a/crates/node/src/client_limits.rs
+++ b/crates/node/src/client_limits.rs
@@ -7,23 +7,18 @@
     Limit, //
 };
 use slog::Logger;
-use tokio::time::{
-    MissedTickBehavior,
-    interval, //
-};
+use tokio::time::sleep;
 
 use crate::telemetry::Meter;
 
-/// The interval between reports.
-const INTERVAL: Duration = Duration::from_secs(1);
+/// The least time between two reports.
+const MIN_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Counts how often each limit on clients of a kind acted, and logs it, for as long as the process runs.
 pub async fn report(clients: &'static str, crowd: Crowd, log: Logger, meter: Meter) {
     let mut reported = [0; Limit::ALL.len()];
-    let mut ticks = interval(INTERVAL);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        ticks.tick().await;
+        crowd.acted().await;
         for (limit, reported) in Limit::ALL.into_iter().zip(&mut reported) {
             let count = crowd.count(limit);
             let more = count - *reported;
@@ -35,5 +30,6 @@
             slog::warn!(log, "client-limit"; "clients" => clients, "limit" => limit.as_str(), "count" => more,
                 "connections" => crowd.connections(), "held_bytes" => crowd.held().get());
         }
+        sleep(MIN_INTERVAL).await;
     }
 }
--- a/crates/transport/src/crowd.rs
+++ b/crates/transport/src/crowd.rs
@@ -20,7 +20,10 @@
     alias::HashMap,
     unit::Bytes, //
 };
-use tokio::time::Instant;
+use tokio::{
+    sync::Notify,
+    time::Instant, //
+};
 use tokio_util::sync::CancellationToken;
 
 use crate::bound::{
@@ -98,6 +101,8 @@
     members: Mutex<HashMap<u64, Arc<Member>>>,
     next: AtomicU64,
     counters: Counters,
+    /// Notified when a limit has acted.
+    acted: Notify,
 }
 
 /// One connection.
@@ -138,6 +143,7 @@
             members: Mutex::default(),
             next: AtomicU64::new(0),
             counters: Counters::default(),
+            acted: Notify::new(),
         }))
     }
 
@@ -151,6 +157,11 @@
         self.0.counter(limit).load(Ordering::Relaxed)
     }
 
+    /// Waits until a limit acts, or has acted since the last wait.
+    pub async fn acted(&self) {
+        self.0.acted.notified().await;
+    }
+
     /// Returns how many bytes are held.
     pub fn held(&self) -> Bytes {
         Bytes(self.0.bound.used())
@@ -222,6 +233,7 @@
 
     fn acted(&self, limit: Limit) {
         self.counter(limit).fetch_add(1, Ordering::Relaxed);
+        self.acted.notify_one();
     }
 
     /// Refuses members that are not being served, those that hold the most first, until what stays is within `most`.
--- a/crates/transport/src/http/answer.rs
+++ b/crates/transport/src/http/answer.rs
@@ -39,12 +39,24 @@
 pub async fn read(mut response: Response, most: usize, held: &Bound) -> Result<Bytes, Error> {
     let mut share = held.nothing();
     let mut whole = BytesMut::new();
+    let mut first = Bytes::new();
     while let Some(piece) = response.chunk().await? {
         let is_held = share.grow(piece.len() as u64);
-        if !is_held || whole.len() + piece.len() > most {
+        if !is_held || first.len() + whole.len() + piece.len() > most {
             return Err(Error::TooLarge);
         }
-        whole.extend_from_slice(&piece);
+        // Most answers come in one piece, which is not copied.
+        match (first.is_empty(), whole.is_empty()) {
+            (true, true) => first = piece,
+            _ => {
+                whole.extend_from_slice(&std::mem::take(&mut first));
+                whole.extend_from_slice(&piece);
+            }
+        }
     }
-    Ok(whole.freeze())
+    Ok(if whole.is_empty() {
+        first
+    } else {
+        whole.freeze()
+    })
 }
--- a/crates/transport/src/http/connection.rs
+++ b/crates/transport/src/http/connection.rs
@@ -129,9 +129,10 @@
 
     async fn permit(&self) -> OwnedSemaphorePermit {
         loop {
-            if self.permits.available_permits() == 0 {
-                self.crowd.evict_stalled(self.number);
+            if let Ok(permit) = self.permits.clone().try_acquire_owned() {
+                return permit;
             }
+            self.crowd.evict_stalled(self.number);
             let permit = self.permits.clone().acquire_owned();
             match timeout(EVICTION_PAUSE, permit).await {
                 Ok(Ok(permit)) => return permit,
