transport: an answer for which there is no memory is not replaced by one that says that nothing ran

What callers would have seen: a job was stored, and its caller was told 503, "not run", since the memory for clients was used up when the answer was made.

Now small answers belong to what a connection takes anyway and always leave, and for a large one without room the connection is reset, which leaves open whether the request ran. `no_answer_to_a_request_that_ran_says_that_it_did_not` is red before in both cases.

--- a/crates/transport/src/http/server.rs
+++ b/crates/transport/src/http/server.rs
@@ -28,17 +28,13 @@
     },
     http::{
         HeaderValue,
-        StatusCode,
         header, //
     },
     middleware::{
         self,
         Next, //
     },
-    response::{
-        IntoResponse,
-        Response, //
-    },
+    response::Response,
 };
 use fulmarpier_state::unit::Bytes;
 use http_body_util::BodyExt;
@@ -84,9 +80,11 @@
 
 /// The largest head of a request, in bytes; the least that the HTTP library allows as its limit.
 const MAX_HEAD: usize = 8 << 10;
-/// What a connection takes at most beside what is accounted for: the head of a request, what was read behind it, and
-/// the state of the connection.
+/// What a connection takes at most beside what is accounted for: the head of a request, what was read behind it, a small
+/// answer, and the state of the connection.
 pub const CONNECTION: Bytes = Bytes(20 << 10);
+/// The largest answer, in bytes, that counts as a part of [`CONNECTION`].
+const SMALL_ANSWER: u64 = 2 << 10;
 /// The memory for what clients send, where nothing else is said.
 const DEFAULT_MEMORY: Bytes = Bytes::from_mib(64);
 
@@ -291,6 +289,7 @@
 impl Handler {
     async fn handle(self, request: hyper::Request<Incoming>) -> Result<Response, Infallible> {
         let entry = Entry::new(self.member.clone());
+        let cut = self.cut.clone();
         let mut request = request.map(|body| match body.is_end_stream() {
             true => Body::empty(),
             false => Body::new(Metered::new(
@@ -306,8 +305,9 @@
         // What the request made the process hold is gone; the answer stays until the next request.
         self.member.release(0);
         let length = response.body().size_hint().exact().unwrap_or_default();
-        if !self.member.hold(length) {
-            return Ok(StatusCode::SERVICE_UNAVAILABLE.into_response());
+        if length > SMALL_ANSWER && !self.member.hold(length) {
+            // The request may have run: no other answer would be true.
+            cut.cut();
         }
         // The body owns the entry; the length of the body stays known this way.
         Ok(response.map(|body| {
--- a/crates/transport/tests/crowd.rs
+++ b/crates/transport/tests/crowd.rs
@@ -69,6 +69,7 @@
     let router = Router::new()
         .route("/upload", post(upload))
         .route("/quick", get(async || "quick"))
+        .route("/large", get(async || "a".repeat(100_000)))
         .with_state(());
     let limits = Limits {
         connections,
@@ -215,6 +216,19 @@
     assert!(crowd.held() <= Bytes(100), "{}", crowd.held());
 }
 
+#[rstest]
+#[case::small("quick", "HTTP/1.1 200 OK")]
+#[case::large("large", "")]
+#[tokio::test]
+async fn no_answer_to_a_request_that_ran_says_that_it_did_not(
+    #[case] path: &str,
+    #[case] expected: &str,
+) {
+    let server = server(10, &Crowd::new(Bytes(0))).await;
+    let mut stream = connect(server, &format!("GET /{path} HTTP/1.1\r\n\r\n")).await;
+    assert_eq!(status(&mut stream).await, expected);
+}
+
 #[tokio::test]
 async fn a_further_connection_takes_the_place_of_the_one_that_stalled_for_longest() {
     let crowd = crowd();
