transport: a connection whose caller has nothing on its way is closed at once

Connections that end read on for up to 5 s, so that a refused caller can read its answer. That held for idle ones too: a server that ends waited for callers to close theirs (`a_caller_with_nothing_on_its_way_holds_up_no_end`, red before). Now it reads on only where a request is not whole or something comes. Found by reading; it never landed.

--- a/crates/transport/src/http/connection.rs
+++ b/crates/transport/src/http/connection.rs
@@ -286,6 +286,13 @@
         }
     }
 
+    /// Returns whether anything came while the connection was being closed.
+    fn has_discarded(&self) -> bool {
+        self.linger
+            .as_ref()
+            .is_some_and(|linger| linger.bytes < LINGER_BYTES)
+    }
+
     /// Throws away what comes until the caller closes, or sent too much or for too long.
     ///
     /// A connection that is closed while its caller still sends is reset, and the answer is lost with it (RFC 9112,
@@ -358,7 +365,13 @@
         self.check(cx)?;
         if self.linger.is_none() {
             ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
-            self.membership.member().enter(Phase::Closing);
+            let member = self.membership.member();
+            let is_partial = member.phase() == Phase::Closing;
+            member.enter(Phase::Closing);
+            // A caller that has nothing on its way may leave when it likes.
+            if self.poll_linger(cx).is_pending() && !is_partial && !self.has_discarded() {
+                return Poll::Ready(Ok(()));
+            }
         }
         self.poll_linger(cx).map(Ok)
     }
--- a/crates/transport/tests/crowd.rs
+++ b/crates/transport/tests/crowd.rs
@@ -229,6 +229,27 @@
     assert_eq!(status(&mut stream).await, expected);
 }
 
+/// An idle connection ends at once where its server does, though its caller doesn't close it.
+#[tokio::test(start_paused = true)]
+async fn a_caller_with_nothing_on_its_way_holds_up_no_end() {
+    let router = Router::new().route("/quick", get(async || "quick"));
+    let limits = Limits {
+        linger: Duration::ZERO,
+        ..Limits::default()
+    };
+    let any = "127.0.0.1:0".parse().unwrap();
+    let server = Server::bind(any, limits).await.unwrap();
+    let address = server.address();
+    let (stop, stopped) = tokio::sync::oneshot::channel::<()>();
+    let ended = tokio::spawn(server.serve(router, async { drop(stopped.await) }));
+    let mut stream = connect(address, "GET /quick HTTP/1.1\r\n\r\n").await;
+    assert_eq!(status(&mut stream).await, "HTTP/1.1 200 OK");
+    let began = tokio::time::Instant::now();
+    stop.send(()).unwrap();
+    ended.await.unwrap();
+    assert!(began.elapsed() < Duration::from_secs(1));
+}
+
 #[tokio::test]
 async fn a_further_connection_takes_the_place_of_the_one_that_stalled_for_longest() {
     let crowd = crowd();
