transport: a plain listener cuts no request for a further connection

What the stand-ins' callers would have seen: at the limit of connections, a request in progress was cut for a further connection. Cause: the listener that the stand-ins use with the HTTP library's own serving call shared the way to let connections go, but nobody tells it which of them are being served. It waits again, as before the bounds. `a_plain_listener_cuts_no_request_for_a_further_connection` is red before. A case pins that a streamed answer, which is not held, leaves whatever is held.

--- a/crates/transport/src/http/connection.rs
+++ b/crates/transport/src/http/connection.rs
@@ -87,12 +87,19 @@
     cut: CancellationToken,
     crowd: Crowd,
     number: u64,
+    /// Whether a further connection takes the place of another one.
+    is_evicting: bool,
 }
 
 impl Listener {
     /// Wraps a listening socket; cancelling `cut` resets every connection made through it.
+    ///
+    /// Connections beyond the limit wait: which of the others are being served is not known here.
     pub fn new(tcp: TcpListener, connections: usize, cut: CancellationToken) -> Self {
-        Self::within(tcp, connections, cut, Crowd::unbounded())
+        Self {
+            is_evicting: false,
+            ..Self::within(tcp, connections, cut, Crowd::unbounded())
+        }
     }
 
     /// Wraps a listening socket, with its connections in a crowd.
@@ -108,10 +115,11 @@
             cut,
             number: crowd.listener(),
             crowd,
+            is_evicting: true,
         }
     }
 
-    /// Accepts a connection, for which another one has to go where there are as many as may be.
+    /// Accepts a connection once it is within the limit, see [`Self::permit`].
     pub(super) async fn accept(&self) -> (Connection, SocketAddr) {
         loop {
             match self.tcp.accept().await {
@@ -127,12 +135,15 @@
         }
     }
 
+    /// Waits for a place, for which another connection may have to go.
     async fn permit(&self) -> OwnedSemaphorePermit {
         loop {
             if let Ok(permit) = self.permits.clone().try_acquire_owned() {
                 return permit;
             }
-            self.crowd.evict_stalled(self.number);
+            if self.is_evicting {
+                self.crowd.evict_stalled(self.number);
+            }
             let permit = self.permits.clone().acquire_owned();
             match timeout(EVICTION_PAUSE, permit).await {
                 Ok(Ok(permit)) => return permit,
--- a/crates/transport/tests/crowd.rs
+++ b/crates/transport/tests/crowd.rs
@@ -26,7 +26,9 @@
         Limit, //
     },
     http::{
+        Cut,
         Limits,
+        Listener,
         Patience,
         Refusal,
         Server,
@@ -39,12 +41,16 @@
         AsyncReadExt,
         AsyncWriteExt, //
     },
-    net::TcpStream,
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
     time::{
         sleep,
         timeout, //
     },
 };
+use tokio_util::sync::CancellationToken;
 
 const MAX_BODY: usize = 1 << 20;
 /// A day of virtual time, in which everything that is bounded has ended.
@@ -65,11 +71,18 @@
     }
 }
 
+/// An answer that is never held whole.
+fn streamed() -> Body {
+    let pieces = (0..100).map(|_| Ok::<_, std::convert::Infallible>("a".repeat(1_000)));
+    Body::from_stream(futures::stream::iter(pieces))
+}
+
 async fn server(connections: usize, crowd: &Crowd) -> SocketAddr {
     let router = Router::new()
         .route("/upload", post(upload))
         .route("/quick", get(async || "quick"))
         .route("/large", get(async || "a".repeat(100_000)))
+        .route("/streamed", get(async || streamed()))
         .with_state(());
     let limits = Limits {
         connections,
@@ -219,6 +232,7 @@
 #[rstest]
 #[case::small("quick", "HTTP/1.1 200 OK")]
 #[case::large("large", "")]
+#[case::streamed("streamed", "HTTP/1.1 200 OK")]
 #[tokio::test]
 async fn no_answer_to_a_request_that_ran_says_that_it_did_not(
     #[case] path: &str,
@@ -285,3 +299,31 @@
         "{answers:?}"
     );
 }
+
+#[tokio::test]
+async fn a_plain_listener_cuts_no_request_for_a_further_connection() {
+    let (go, gone) = tokio::sync::watch::channel(false);
+    let held = move || {
+        let mut gone = gone.clone();
+        async move {
+            drop(gone.wait_for(|gone| *gone).await);
+            "held"
+        }
+    };
+    let tcp = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = tcp.local_addr().unwrap();
+    let listener = Listener::new(tcp, 1, CancellationToken::new());
+    let service = Router::new()
+        .route("/held", get(held))
+        .into_make_service_with_connect_info::<Cut>();
+    tokio::spawn(async { axum::serve(listener, service).await });
+    let request = "GET /held HTTP/1.1\r\nconnection: close\r\n\r\n";
+    let mut first = connect(address, request).await;
+    let mut second = connect(address, request).await;
+    let early = timeout(Duration::from_millis(200), status(&mut first)).await;
+    assert!(early.is_err(), "{early:?}");
+    go.send(true).unwrap();
+    for stream in [&mut first, &mut second] {
+        assert_eq!(status(stream).await, "HTTP/1.1 200 OK");
+    }
+}
