--- a/crates/protocol/src/settings/node.rs
+++ b/crates/protocol/src/settings/node.rs
@@ -54,11 +54,12 @@
 
 /// One in this many bytes of the machine's memory is for what clients send.
 const CLIENT_MEMORY_DIVISOR: u64 = 8;
-/// The least memory for what clients send, in megabytes: a body of the largest size fits in twice.
+/// The least memory for what clients send, in megabytes: one body of the largest size fits in, with its copy.
 const LEAST_CLIENT_MEGABYTES: u32 = 6;
 /// One in this many descriptors is for clients: the others are for workers, other nodes, the store and files.
 const CLIENT_DESCRIPTOR_DIVISOR: u32 = 6;
-/// What a connection of a client takes, in bytes.
+/// What a connection of a client takes by itself, in bytes: the head of a request, what was read behind it, a small answer
+/// and its state.
 const CLIENT_BYTES: u64 = 20 << 10;
 /// How long the body of a request may take to come, in seconds.
 const DEFAULT_BODY_S: f64 = 30.0;
--- a/crates/transport/src/http/mod.rs
+++ b/crates/transport/src/http/mod.rs
@@ -25,7 +25,6 @@
     },
     patience::Patience,
     server::{
-        CONNECTION,
         Drained,
         Error,
         Limits,
--- a/crates/transport/src/http/server.rs
+++ b/crates/transport/src/http/server.rs
@@ -80,10 +80,7 @@
 
 /// The largest head of a request, in bytes; the least that the HTTP library allows as its limit.
 const MAX_HEAD: usize = 8 << 10;
-/// What a connection takes at most beside what is accounted for: the head of a request, what was read behind it, a small
-/// answer, and the state of the connection.
-pub const CONNECTION: Bytes = Bytes(20 << 10);
-/// The largest answer, in bytes, that counts as a part of [`CONNECTION`].
+/// The largest answer, in bytes, that counts as a part of what a connection takes by itself.
 const SMALL_ANSWER: u64 = 2 << 10;
 /// The memory for what clients send, where nothing else is said.
 const DEFAULT_MEMORY: Bytes = Bytes::from_mib(64);
@@ -304,6 +301,7 @@
         let response = self.router.oneshot(request).await?;
         // What the request made the process hold is gone; the answer stays until the next request.
         self.member.release(0);
+        // A streamed body tells no length here, and is not held.
         let length = response.body().size_hint().exact().unwrap_or_default();
         if length > SMALL_ANSWER && !self.member.hold(length) {
             // The request may have run: no other answer would be true.
